Start the tree: build, formatter, linter, checks

A Makefile drives format, lint, build, unit tests with and without sanitizers, property and end-to-end tests.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,149 @@
+# Targets: all check demo bench soak format clean; see CONTRIBUTING.md.
+
+BUILD ?= build
+CCACHE := $(shell command -v ccache 2>/dev/null)
+CC = $(CCACHE) gcc
+CXX = $(CCACHE) g++
+PKGS = libevent libevent_openssl libzmq libprotobuf-c glib-2.0 libcyaml \
+	jansson argtable2 libpq libgsasl libxxhash libsodium openssl
+WARN = -Wall -Wextra -Werror -Wno-unused-parameter
+INCLUDES = -Isrc -Itests
+SAN = $(if $(SANITIZE),-fsanitize=address$(comma)undefined -fno-omit-frame-pointer)
+comma = ,
+DEPFLAGS = -MMD -MP
+CFLAGS = -std=gnu11 -O2 -g -fPIC $(WARN) $(INCLUDES) $(SAN) $(PKG_CFLAGS)
+CXXFLAGS = -std=c++17 -O1 -g -Wall -Werror $(INCLUDES) $(SAN) $(PKG_CFLAGS)
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+LDLIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lpg_query -lm
+
+LIB_SRC = $(wildcard src/*/*.c)
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libtoucanhook.a
+SHARED = $(BUILD)/libtoucanhook.so
+
+DAEMONS = $(patsubst daemons/%.c,$(BUILD)/bin/%,$(wildcard daemons/*.c))
+TOOLS = $(patsubst tools/%.c,$(BUILD)/bin/%,$(wildcard tools/*.c))
+# Each stand-in is a folder; common/ is shared by them.
+STANDINS = $(patsubst tests/standin/%/main.c,$(BUILD)/bin/standin-%,\
+	$(wildcard tests/standin/*/main.c))
+COMMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/standin/common/*.c))
+WORLD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/world/*.c))
+
+UNIT = $(patsubst tests/unit/%.c,$(BUILD)/tests/unit/%,\
+	$(wildcard tests/unit/test_*.c))
+PROPERTY = $(patsubst tests/property/%.cpp,$(BUILD)/tests/property/%,\
+	$(wildcard tests/property/prop_*.cpp))
+E2E = $(patsubst tests/e2e/%.c,$(BUILD)/tests/e2e/%,\
+	$(wildcard tests/e2e/test_*.c))
+BENCH = $(patsubst tests/bench/%.c,$(BUILD)/tests/bench/%,\
+	$(wildcard tests/bench/*.c))
+
+C_FILES = $(shell git ls-files --cached --others --exclude-standard \
+	'*.c' '*.h' '*.cpp' | grep -v 'pb-c')
+LINT_FILES = $(filter-out %.h %.cpp,$(C_FILES))
+LINT_STAMPS = $(LINT_FILES:%=build/lint/%.ok)
+
+.PHONY: all setup check check-inner sanitize demo bench soak format \
+	format-check lint unit property e2e clean
+.SECONDARY:
+
+all: setup
+	$(MAKE) binaries
+
+binaries: $(LIB) $(SHARED) $(DAEMONS) $(TOOLS) $(STANDINS)
+
+setup:
+	@scripts/setup.sh
+
+check: setup
+	$(MAKE) -j$$(nproc) format-check
+	$(MAKE) -j$$(nproc) lint
+	$(MAKE) -j$$(nproc) binaries test-programs
+	$(MAKE) -j$$(nproc) sanitize-programs
+	scripts/run_tests.sh
+
+test-programs: $(UNIT) $(PROPERTY) $(E2E)
+
+sanitize-programs:
+	$(MAKE) BUILD=build-asan SANITIZE=1 unit-programs
+
+unit-programs: $(UNIT)
+
+unit: $(UNIT)
+	scripts/run_tests.sh unit
+
+property: $(PROPERTY)
+	scripts/run_tests.sh property
+
+e2e: binaries $(E2E)
+	scripts/run_tests.sh e2e
+
+demo: all $(BUILD)/tests/bench/demo
+	$(BUILD)/tests/bench/demo $(if $(KEEP),--keep)
+
+bench: all $(BENCH)
+	scripts/run_bench.sh
+
+soak: all
+	$(MAKE) test-programs
+	scripts/soak.sh $(SEED) $(ROUNDS)
+
+format:
+	clang-format -i $(C_FILES)
+
+format-check:
+	clang-format --dry-run -Werror $(C_FILES)
+
+lint: $(LINT_STAMPS)
+
+build/lint/%.ok: % .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=gnu11 $(INCLUDES) $(PKG_CFLAGS) \
+		-MD -MT $@ -MF build/lint/$*.d >$@.log 2>&1 \
+		|| { cat $@.log; exit 1; }
+	@touch $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(SHARED): $(LIB_OBJ)
+	$(CC) -shared -o $@ $^ $(LDLIBS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(DEPFLAGS) -c -o $@ $<
+
+$(BUILD)/%.o: %.cpp
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) $(DEPFLAGS) -c -o $@ $<
+
+$(BUILD)/bin/%: $(BUILD)/daemons/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/bin/%: $(BUILD)/tools/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) -o $@ $^ $(LDLIBS)
+
+.SECONDEXPANSION:
+$(BUILD)/bin/standin-%: $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/standin/$$*/*.c)) $(COMMON_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/tests/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
+	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
+
+$(BUILD)/tests/property/%: $(BUILD)/tests/property/%.o $(LIB)
+	$(CXX) -o $@ $^ -lrapidcheck $(LDLIBS)
+
+$(BUILD)/tests/e2e/%: $(BUILD)/tests/e2e/%.o $(WORLD_OBJ) $(LIB)
+	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
+
+$(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(WORLD_OBJ) $(LIB)
+	$(CC) -o $@ $^ $(LDLIBS)
+
+clean:
+	rm -rf build build-asan
+
+-include $(shell find build build-asan -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/state/log_point.h
@@ -0,0 +1,25 @@
+#ifndef STATE_LOG_POINT_H
+#define STATE_LOG_POINT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * A place in a database's log: the term of a record and its position.
+ * Points are ordered by term, then by position. The zero point precedes all.
+ */
+typedef struct {
+	uint64_t term;
+	uint64_t position; /**< bytes or records, as the backend counts */
+} log_point_t;
+
+/** @return below 0, 0 or above 0, as for strcmp(). */
+int log_point_compare(log_point_t a, log_point_t b);
+
+/** @return true when @p held covers everything up to @p wanted. */
+bool log_point_covers(log_point_t held, log_point_t wanted);
+
+/** @return the later of two points. */
+log_point_t log_point_max(log_point_t a, log_point_t b);
+
+#endif
