--- /dev/null
+++ b/src/base/clock.c
@@ -0,0 +1,16 @@
+#include "base/clock.h"
+
+#include <time.h>
+
+uint64_t clock_now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+uint64_t clock_now_ms(void)
+{
+	return clock_now_us() / 1000;
+}
--- a/src/protocol/request.h
+++ b/src/protocol/request.h
@@ -56,9 +56,8 @@
 	char *tenant;	      /**< service; fairness is between tenants */
 	uint32_t class_index; /**< class within the tenant, 0 first served */
 	request_kind_t kind;
-	uint64_t term;	      /**< term that the server must follow */
+	uint64_t term;	      /**< term the server must lead; 0: any replica */
 	log_point_t at_least; /**< replayed point a read needs */
-	bool needs_barrier;   /**< prove the primary's term before the answer */
 	uint32_t max_age_ms;  /**< stated age a read accepts; 0 for none */
 	uint32_t timeout_ms;  /**< time left until the deadline */
 	char *request_key;    /**< caller's idempotency key, or NULL */
