--- a/src/state/member_view.h
+++ b/src/state/member_view.h
@@ -21,6 +21,7 @@
 	char region[32];
 	uint64_t incarnation; /**< grows at each start of the process */
 	member_state_t state;
+	bool settled; /**< has run for longer than a take-over waits */
 } member_t;
 
 /** All entry VMs known to this node, sorted by name, itself included. */
