--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -4,6 +4,8 @@
 #define CREDIT_EACH_REQUEST 20u
 #define CREDIT_MAX 5000u
 #define ATTEMPTS_MAX 50u
+/* Attempts that may follow each other at once. */
+#define ATTEMPTS_SWIFT 4u
 #define DELAY_FIRST_MS 10u
 #define DELAY_MAX_MS 320u
 
@@ -66,15 +68,15 @@
 	if (now_ms >= attempt->deadline_ms || reason == REASON_DEADLINE ||
 	    reason == REASON_CANCELLED || attempt->attempts >= ATTEMPTS_MAX)
 		return verdict;
-	if (attempt->request->kind != REQUEST_READ &&
+	if ((attempt->request->kind != REQUEST_READ || attempt->at_primary) &&
 	    waits_for_primary(reason)) {
 		verdict.kind = RETRY_PARK;
 		return verdict;
 	}
 	if (!budget_take(budget))
 		return verdict;
-	/* A read goes on asking: a replica may catch up at any time. */
-	if (reason == REASON_OVERLOADED || attempt->at_primary) {
+	if (reason == REASON_OVERLOADED ||
+	    attempt->attempts >= ATTEMPTS_SWIFT) {
 		verdict.kind = RETRY_LATER;
 		verdict.delay_ms = delay_ms(attempt->attempts);
 		return verdict;
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -154,7 +154,8 @@
 		if (server->leaving || is_primary(ask, server) ||
 		    is_tried(ask, index))
 			continue;
-		score_ms = replica_score(route, database, ask, server, now_ms);
+		score_ms = replica_score(route, database, ask, server, now_ms,
+					 &wait_ms);
 		if (score_ms == UINT32_MAX)
 			continue;
 		if (best_ms != UINT32_MAX &&
--- a/src/daemon/dispatch_task.c
+++ b/src/daemon/dispatch_task.c
@@ -11,8 +11,8 @@
 /* How often a database that has waiting requests is asked for a primary. */
 #define PROBE_INTERVAL_MS 100u
 #define PROBE_TIMEOUT_MS 1000u
-/* Pause of a read that no server can serve yet. */
-#define READ_AGAIN_MS 25u
+/* A waiting read asks the replicas again this often: one may catch up. */
+#define READ_AGAIN_MS 100u
 /* Waiting requests of one database; more are refused. */
 #define WAITING_MAX 10000u
 
@@ -213,14 +213,24 @@
 	entry_end(entry, &answer);
 }
 
+static void entry_leave_waiting(dispatch_entry_t *entry)
+{
+	if (!entry->waiting)
+		return;
+	g_queue_remove(&entry->waiting->entries, entry);
+	entry->waiting = NULL;
+	entry->tried = 0;
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	dispatch_entry_t *entry = context;
 
-	if (entry->waiting) {
+	if (entry->waiting && clock_now_ms() >= entry->deadline_ms) {
 		entry_refuse(entry, REASON_NO_PRIMARY);
 		return;
 	}
+	entry_leave_waiting(entry);
 	entry_try(entry);
 }
 
@@ -275,8 +285,7 @@
 		entry->awaits_replay ? 0 : now_ms - entry->attempt_ms;
 
 	route_answered(dispatch->route, database, entry->server, answer->reason,
-		       answer->point, (uint32_t)(now_ms - entry->attempt_ms),
-		       now_ms);
+		       answer->point, (uint32_t)round_trip_ms, now_ms);
 	if (answer->outcome == OUTCOME_DONE &&
 	    entry->request->kind != REQUEST_READ)
 		route_point_seen(dispatch->route, database, answer->point,
@@ -386,6 +395,7 @@
 		.tv_usec = PROBE_INTERVAL_MS * 1000,
 	};
 	const uint64_t now_ms = clock_now_ms();
+	uint64_t wait_ms;
 
 	if (now_ms >= entry->deadline_ms ||
 	    g_queue_get_length(&waiting->entries) >= WAITING_MAX) {
@@ -394,7 +404,10 @@
 	}
 	entry->waiting = waiting;
 	g_queue_push_tail(&waiting->entries, entry);
-	entry_set_timer(entry, entry->deadline_ms - now_ms);
+	wait_ms = entry->deadline_ms - now_ms;
+	if (entry->request->kind == REQUEST_READ)
+		wait_ms = MIN(wait_ms, READ_AGAIN_MS);
+	entry_set_timer(entry, wait_ms);
 	if (!event_pending(waiting->probe, EV_TIMEOUT, NULL))
 		event_add(waiting->probe, &interval);
 }
@@ -551,13 +564,6 @@
 	entry_send(entry, node, choice->server->name, choice->term, 0);
 }
 
-/* A read goes on asking while there is no primary to wait for. */
-static void entry_read_later(dispatch_entry_t *entry)
-{
-	entry->tried = 0;
-	entry_set_timer(entry, READ_AGAIN_MS);
-}
-
 static void entry_try(dispatch_entry_t *entry)
 {
 	dispatch_task_t *dispatch = entry->dispatch;
@@ -594,10 +600,7 @@
 		entry_barrier(entry);
 		return;
 	case ROUTE_WAIT:
-		if (request->kind == REQUEST_READ)
-			entry_read_later(entry);
-		else
-			entry_wait(entry);
+		entry_wait(entry);
 		return;
 	case ROUTE_ABSENT:
 		entry_refuse(entry, REASON_NO_PRIMARY);
