Read settings, count metrics, limit repeating log lines

Every task needs its settings, its counters and its log lines before it can run. Settings go through a libcyaml schema whose keys are the struct's names; libcyaml knows no IP numbers, name rules or pairs of fields, so these are checked afterwards, and its messages carry no line of a checked value, so a tree of the same text (libyaml) is kept beside it for file, line and path.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,11 +1,18 @@
 #include "base/log.h"
 
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <time.h>
 
+#include "base/clock.h"
+#include "base/log_limit.h"
+
+#define LOG_FIELDS_SIZE 1024
+
 static const char *log_program = "toucanhook";
 static log_level_t log_highest = LOG_LEVEL_INFO;
+static log_limit_t *log_limit;
 
 static const char *level_name(log_level_t level)
 {
@@ -30,23 +37,46 @@
 	log_highest = highest;
 }
 
-void log_event(log_level_t level, const char *event, const char *format, ...)
+/* What comes from outside must not be able to start a line of its own. */
+static void replace_controls(char *text)
+{
+	for (; *text; text++)
+		if ((unsigned char)*text < ' ' || *text == 0x7f)
+			*text = '?';
+}
+
+static void write_line(log_level_t level, const char *event, const char *fields,
+		       uint32_t left_out)
 {
-	char fields[512];
 	char stamp[32];
 	struct timespec now;
 	struct tm parts;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	gmtime_r(&now.tv_sec, &parts);
+	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
+	fprintf(stderr, "%s.%03ldZ %s %s: event=%s", stamp,
+		now.tv_nsec / 1000000, log_program, level_name(level), event);
+	if (left_out)
+		fprintf(stderr, " left_out=%" PRIu32, left_out);
+	fprintf(stderr, "%s%s\n", *fields ? " " : "", fields);
+}
+
+void log_event(log_level_t level, const char *event, const char *format, ...)
+{
+	char fields[LOG_FIELDS_SIZE];
+	uint32_t left_out = 0;
 	va_list arguments;
 
 	if (level > log_highest)
 		return;
+	if (!log_limit)
+		log_limit = log_limit_create();
+	if (!log_limit_admit(log_limit, event, clock_now_ms(), &left_out))
+		return;
 	va_start(arguments, format);
 	vsnprintf(fields, sizeof(fields), format, arguments);
 	va_end(arguments);
-	clock_gettime(CLOCK_REALTIME, &now);
-	gmtime_r(&now.tv_sec, &parts);
-	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
-	fprintf(stderr, "%s.%03ldZ %s %s: event=%s %s\n", stamp,
-		now.tv_nsec / 1000000, log_program, level_name(level), event,
-		fields);
+	replace_controls(fields);
+	write_line(level, event, fields, left_out);
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -21,6 +21,14 @@
 /** Frees the metrics with all their series; NULL is allowed. */
 void metrics_destroy(metrics_t *metrics);
 
+/**
+ * Writes label pairs with their values escaped.
+ *
+ * @param name first label's name, then its value, and so on up to a NULL
+ * @return pairs for the functions below; free with g_free()
+ */
+char *metrics_labels(const char *name, ...) __attribute__((sentinel));
+
 /**
  * Finds or makes a counter.
  *
--- /dev/null
+++ b/src/base/yaml_tree.c
@@ -0,0 +1,327 @@
+#include "base/yaml_tree.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include <yaml.h>
+
+typedef struct {
+	yaml_parser_t *parser;
+	const char *file;
+	GError **error;
+} reader_t;
+
+G_DEFINE_QUARK(toucanhook - yaml, yaml_tree_error)
+
+static yaml_value_t *node_new(yaml_value_kind_t kind, const char *file,
+			      uint32_t line)
+{
+	yaml_value_t *node = g_new0(yaml_value_t, 1);
+
+	node->kind = kind;
+	node->file = file;
+	node->line = line;
+	node->start_line = line;
+	if (kind != YAML_VALUE_SCALAR)
+		node->items = g_ptr_array_new_with_free_func(
+			(GDestroyNotify)yaml_value_delete);
+	if (kind == YAML_VALUE_MAP)
+		node->keys = g_ptr_array_new_with_free_func(g_free);
+	return node;
+}
+
+void yaml_value_delete(yaml_value_t *node)
+{
+	if (!node)
+		return;
+	if (node->keys)
+		g_ptr_array_unref(node->keys);
+	if (node->items)
+		g_ptr_array_unref(node->items);
+	g_free(node->scalar);
+	g_free(node);
+}
+
+yaml_value_t *yaml_value_copy(const yaml_value_t *node)
+{
+	yaml_value_t *copy = node_new(node->kind, node->file, node->line);
+
+	copy->start_line = node->start_line;
+	copy->scalar = g_strdup(node->scalar);
+	copy->quoted = node->quoted;
+	for (guint i = 0; node->items && i < node->items->len; i++)
+		g_ptr_array_add(copy->items,
+				yaml_value_copy(node->items->pdata[i]));
+	for (guint i = 0; node->keys && i < node->keys->len; i++)
+		g_ptr_array_add(copy->keys, g_strdup(node->keys->pdata[i]));
+	return copy;
+}
+
+static void *fail(reader_t *reader, size_t line, const char *reason)
+{
+	g_set_error(reader->error, YAML_TREE_ERROR, YAML_TREE_ERROR_SYNTAX,
+		    "%s:%zu: %s", reader->file, line + 1, reason);
+	return NULL;
+}
+
+static bool next_event(reader_t *reader, yaml_event_t *event)
+{
+	if (yaml_parser_parse(reader->parser, event))
+		return true;
+	fail(reader, reader->parser->problem_mark.line,
+	     reader->parser->problem ? reader->parser->problem :
+				       "not a YAML text");
+	return false;
+}
+
+static yaml_value_t *read_value(reader_t *reader, yaml_event_t *event,
+				uint32_t depth);
+
+static yaml_value_t *read_list(reader_t *reader, uint32_t line, uint32_t depth)
+{
+	g_autoptr(yaml_value_t) list =
+		node_new(YAML_VALUE_LIST, reader->file, line);
+	yaml_event_t event;
+
+	while (next_event(reader, &event)) {
+		yaml_value_t *item;
+
+		if (event.type == YAML_SEQUENCE_END_EVENT) {
+			yaml_event_delete(&event);
+			return g_steal_pointer(&list);
+		}
+		item = read_value(reader, &event, depth + 1);
+		if (!item)
+			return NULL;
+		g_ptr_array_add(list->items, item);
+	}
+	return NULL;
+}
+
+static char *read_key(reader_t *reader, yaml_event_t *event,
+		      const yaml_value_t *map)
+{
+	const size_t line = event->start_mark.line;
+	const bool is_scalar = event->type == YAML_SCALAR_EVENT;
+	g_autofree char *key =
+		is_scalar ? g_strdup((char *)event->data.scalar.value) : NULL;
+	g_autofree char *reason = NULL;
+
+	yaml_event_delete(event);
+	if (!is_scalar)
+		return fail(reader, line, "expected a key");
+	if (!yaml_value_get(map, key))
+		return g_steal_pointer(&key);
+	reason = g_strdup_printf("%s: the key stands here twice", key);
+	return fail(reader, line, reason);
+}
+
+static yaml_value_t *read_map(reader_t *reader, uint32_t line, uint32_t depth)
+{
+	g_autoptr(yaml_value_t) map =
+		node_new(YAML_VALUE_MAP, reader->file, line);
+	yaml_event_t event;
+
+	while (next_event(reader, &event)) {
+		const uint32_t key_line = (uint32_t)event.start_mark.line + 1;
+		g_autofree char *key = NULL;
+		yaml_value_t *item;
+
+		if (event.type == YAML_MAPPING_END_EVENT) {
+			yaml_event_delete(&event);
+			return g_steal_pointer(&map);
+		}
+		key = read_key(reader, &event, map);
+		if (!key || !next_event(reader, &event))
+			return NULL;
+		item = read_value(reader, &event, depth + 1);
+		if (!item)
+			return NULL;
+		item->line = key_line;
+		g_ptr_array_add(map->keys, g_steal_pointer(&key));
+		g_ptr_array_add(map->items, item);
+	}
+	return NULL;
+}
+
+/* Takes over the event. */
+static yaml_value_t *read_value(reader_t *reader, yaml_event_t *event,
+				uint32_t depth)
+{
+	const size_t line = event->start_mark.line;
+	const yaml_event_type_t type = event->type;
+	yaml_value_t *node;
+
+	if (type == YAML_SCALAR_EVENT) {
+		node = node_new(YAML_VALUE_SCALAR, reader->file,
+				(uint32_t)line + 1);
+		node->scalar = g_strdup((char *)event->data.scalar.value);
+		node->quoted =
+			event->data.scalar.style != YAML_PLAIN_SCALAR_STYLE;
+		yaml_event_delete(event);
+		return node;
+	}
+	yaml_event_delete(event);
+	if (depth > YAML_TREE_DEPTH_MAX)
+		return fail(reader, line, "nested too deeply");
+	if (type == YAML_SEQUENCE_START_EVENT)
+		return read_list(reader, (uint32_t)line + 1, depth);
+	if (type == YAML_MAPPING_START_EVENT)
+		return read_map(reader, (uint32_t)line + 1, depth);
+	if (type == YAML_ALIAS_EVENT)
+		return fail(reader, line,
+			    "aliases are not taken; write it out");
+	return fail(reader, line, "expected a value");
+}
+
+/* Reads up to the document's first value. */
+static yaml_value_t *read_document(reader_t *reader)
+{
+	yaml_event_t event;
+
+	while (next_event(reader, &event)) {
+		if (event.type == YAML_STREAM_END_EVENT)
+			return fail(reader, 0, "the file is empty");
+		if (event.type != YAML_STREAM_START_EVENT &&
+		    event.type != YAML_DOCUMENT_START_EVENT)
+			return read_value(reader, &event, 0);
+		yaml_event_delete(&event);
+	}
+	return NULL;
+}
+
+static void read_trailer(reader_t *reader)
+{
+	yaml_event_t event;
+
+	while (next_event(reader, &event)) {
+		const yaml_event_type_t type = event.type;
+		const size_t line = event.start_mark.line;
+
+		yaml_event_delete(&event);
+		if (type == YAML_STREAM_END_EVENT)
+			return;
+		if (type != YAML_DOCUMENT_END_EVENT) {
+			fail(reader, line, "a second document begins here");
+			return;
+		}
+	}
+}
+
+yaml_value_t *yaml_tree_parse(const char *file, const char *text,
+			      size_t size_bytes, GError **error)
+{
+	yaml_parser_t parser;
+	GError *failure = NULL;
+	reader_t reader = {.parser = &parser,
+			   .file = g_intern_string(file),
+			   .error = &failure};
+	yaml_value_t *root;
+
+	if (!yaml_parser_initialize(&parser))
+		g_error("no memory for a YAML parser");
+	yaml_parser_set_input_string(&parser, (const unsigned char *)text,
+				     size_bytes);
+	root = read_document(&reader);
+	if (root)
+		read_trailer(&reader);
+	yaml_parser_delete(&parser);
+	if (!failure)
+		return root;
+	yaml_value_delete(root);
+	g_propagate_error(error, failure);
+	return NULL;
+}
+
+char *yaml_tree_read(const char *path, size_t *size_bytes, GError **error)
+{
+	struct stat status;
+	char *text;
+
+	if (stat(path, &status)) {
+		g_set_error(error, YAML_TREE_ERROR, YAML_TREE_ERROR_READ,
+			    "%s: %s", path, g_strerror(errno));
+		return NULL;
+	}
+	if (!S_ISREG(status.st_mode) ||
+	    status.st_size > YAML_TREE_SIZE_BYTES_MAX) {
+		g_set_error(error, YAML_TREE_ERROR, YAML_TREE_ERROR_READ,
+			    "%s: expected a file of at most %u bytes", path,
+			    YAML_TREE_SIZE_BYTES_MAX);
+		return NULL;
+	}
+	if (!g_file_get_contents(path, &text, size_bytes, error))
+		return NULL;
+	return text;
+}
+
+yaml_value_t *yaml_tree_load(const char *path, GError **error)
+{
+	g_autofree char *text = NULL;
+	size_t size_bytes;
+
+	text = yaml_tree_read(path, &size_bytes, error);
+	return text ? yaml_tree_parse(path, text, size_bytes, error) : NULL;
+}
+
+yaml_value_t *yaml_value_get(const yaml_value_t *map, const char *key)
+{
+	if (map->kind != YAML_VALUE_MAP)
+		return NULL;
+	for (guint i = 0; i < map->keys->len; i++)
+		if (!strcmp(map->keys->pdata[i], key))
+			return map->items->pdata[i];
+	return NULL;
+}
+
+yaml_value_t *yaml_value_named(const yaml_value_t *list, const char *name)
+{
+	if (list->kind != YAML_VALUE_LIST)
+		return NULL;
+	for (guint i = 0; i < list->items->len; i++) {
+		yaml_value_t *item = list->items->pdata[i];
+		const yaml_value_t *found = yaml_value_get(item, "name");
+
+		if (found && !g_strcmp0(found->scalar, name))
+			return item;
+	}
+	return NULL;
+}
+
+/* The element of a list that stands between brackets in a path. */
+static const yaml_value_t *element(const yaml_value_t *list, const char *key)
+{
+	const yaml_value_t *named = yaml_value_named(list, key);
+	guint64 index;
+
+	if (named || list->kind != YAML_VALUE_LIST)
+		return named;
+	if (!g_ascii_string_to_unsigned(key, 10, 0, G_MAXUINT32, &index, NULL))
+		return NULL;
+	return index < list->items->len ? list->items->pdata[index] : NULL;
+}
+
+const yaml_value_t *yaml_value_nearest(const yaml_value_t *root,
+				       const char *path)
+{
+	const yaml_value_t *node = root;
+
+	while (*path) {
+		const bool bracket = *path == '[';
+		const size_t skip = bracket || *path == '.';
+		const size_t length =
+			strcspn(path + skip, bracket ? "]" : ".[");
+		g_autofree char *key = g_strndup(path + skip, length);
+		const yaml_value_t *next = bracket ? element(node, key) :
+						     yaml_value_get(node, key);
+
+		if (!next)
+			return node;
+		node = next;
+		path += skip + length;
+		if (bracket && *path)
+			path++;
+	}
+	return node;
+}
--- /dev/null
+++ b/src/daemon/settings.c
@@ -0,0 +1,360 @@
+#include "daemon/settings.h"
+
+#include <arpa/inet.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include <cyaml/cyaml.h>
+
+#include "base/yaml_tree.h"
+
+#define NAME_LENGTH_MAX 63
+#define DOMAIN_LENGTH_MAX 31
+#define CURVE_KEY_LENGTH 40
+#define SEEDS_MAX 64
+#define ROUTES_MAX 1024
+
+#define OPERATORS_ADDRESS "127.0.0.1"
+#define OPERATORS_PORT 9470
+#define LOG_LEVEL "info"
+
+#define STRING(name, flags)                                         \
+	CYAML_FIELD_STRING_PTR(#name, (flags), settings_t, name, 0, \
+			       CYAML_UNLIMITED)
+#define ENDPOINT(name, flags) \
+	CYAML_FIELD_MAPPING(#name, (flags), settings_t, name, endpoint_fields)
+
+static const cyaml_schema_field_t endpoint_fields[] = {
+	CYAML_FIELD_STRING_PTR("address", CYAML_FLAG_DEFAULT,
+			       settings_endpoint_t, address, 0,
+			       CYAML_UNLIMITED),
+	CYAML_FIELD_UINT("port", CYAML_FLAG_DEFAULT, settings_endpoint_t, port),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t endpoint_value = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, settings_endpoint_t,
+			    endpoint_fields),
+};
+
+static const cyaml_schema_field_t route_fields[] = {
+	CYAML_FIELD_MAPPING("endpoint", CYAML_FLAG_DEFAULT, settings_route_t,
+			    endpoint, endpoint_fields),
+	CYAML_FIELD_MAPPING("via", CYAML_FLAG_DEFAULT, settings_route_t, via,
+			    endpoint_fields),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t route_value = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, settings_route_t, route_fields),
+};
+
+static const cyaml_schema_field_t settings_fields[] = {
+	STRING(node, CYAML_FLAG_DEFAULT),
+	STRING(region, CYAML_FLAG_DEFAULT),
+	STRING(failure_domain, CYAML_FLAG_DEFAULT),
+	ENDPOINT(callers, CYAML_FLAG_DEFAULT),
+	ENDPOINT(peers, CYAML_FLAG_DEFAULT),
+	ENDPOINT(operators, CYAML_FLAG_OPTIONAL),
+	ENDPOINT(platform, CYAML_FLAG_DEFAULT),
+	STRING(fleet_public_key, CYAML_FLAG_DEFAULT),
+	STRING(fleet_secret_key, CYAML_FLAG_DEFAULT),
+	STRING(tls_certificate, CYAML_FLAG_OPTIONAL),
+	STRING(tls_key, CYAML_FLAG_OPTIONAL),
+	STRING(log_level, CYAML_FLAG_OPTIONAL),
+	CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+			     settings_t, seeds, &endpoint_value, 0, SEEDS_MAX),
+	CYAML_FIELD_SEQUENCE("routes", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+			     settings_t, routes, &route_value, 0, ROUTES_MAX),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t settings_value = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, settings_t, settings_fields),
+};
+
+/* What libcyaml says of a text that it refuses. */
+typedef struct {
+	char *reason; /* its first message */
+	char *place;  /* the innermost line of its backtrace */
+} refusal_t;
+
+static void refusal_log(cyaml_log_t level, void *context, const char *format,
+			va_list arguments)
+{
+	refusal_t *refusal = context;
+	g_autofree char *text = g_strdup_vprintf(format, arguments);
+
+	g_strstrip(text);
+	if (strstr(text, "(line:")) {
+		if (!refusal->place)
+			refusal->place = g_steal_pointer(&text);
+	} else if (!refusal->reason && !strstr(text, "Backtrace"))
+		refusal->reason = g_steal_pointer(&text);
+}
+
+static cyaml_config_t reader_config(refusal_t *refusal)
+{
+	return (cyaml_config_t){
+		.log_fn = refusal_log,
+		.log_ctx = refusal,
+		.mem_fn = cyaml_mem,
+		.log_level = CYAML_LOG_ERROR,
+		.flags = CYAML_CFG_NO_ALIAS,
+	};
+}
+
+void settings_delete(settings_t *settings)
+{
+	const cyaml_config_t config = {
+		.mem_fn = cyaml_mem,
+		.log_level = CYAML_LOG_ERROR,
+	};
+
+	if (settings)
+		cyaml_free(&config, &settings_value, settings, 0);
+}
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(settings_t, settings_delete)
+
+/* The text and where its values stand, for messages. */
+typedef struct {
+	const char *path;
+	const yaml_value_t *root;
+	GError **error;
+} checker_t;
+
+static bool refuse(const checker_t *checker, const char *name,
+		   const char *expected)
+{
+	const yaml_value_t *value = yaml_value_nearest(checker->root, name);
+
+	g_set_error(checker->error, YAML_TREE_ERROR, YAML_TREE_ERROR_VALUE,
+		    "%s:%u: %s: expected %s", checker->path, value->line, name,
+		    expected);
+	return false;
+}
+
+static bool is_name(const char *text, size_t length_max)
+{
+	const size_t length = strlen(text);
+
+	return length && length <= length_max &&
+	       strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789-") == length;
+}
+
+static bool is_ip_number(const char *text)
+{
+	struct in6_addr address;
+
+	return inet_pton(AF_INET, text, &address) == 1 ||
+	       inet_pton(AF_INET6, text, &address) == 1;
+}
+
+static bool check_name(const checker_t *checker, const char *name,
+		       const char *text, size_t length_max)
+{
+	g_autofree char *expected = g_strdup_printf(
+		"a name of a-z, 0-9 and -, at most %zu characters", length_max);
+
+	return is_name(text, length_max) || refuse(checker, name, expected);
+}
+
+static bool check_key(const checker_t *checker, const char *name,
+		      const char *key)
+{
+	return strlen(key) == CURVE_KEY_LENGTH ||
+	       refuse(checker, name, "a CURVE key of 40 characters (Z85)");
+}
+
+static bool check_endpoint(const checker_t *checker, const char *name,
+			   const settings_endpoint_t *endpoint)
+{
+	g_autofree char *address = g_strdup_printf("%s.address", name);
+	g_autofree char *port = g_strdup_printf("%s.port", name);
+
+	if (!is_ip_number(endpoint->address))
+		return refuse(checker, address,
+			      "an IP number such as 10.0.0.1");
+	return endpoint->port || refuse(checker, port, "1 to 65535");
+}
+
+static bool check_tls(const checker_t *checker, const settings_t *settings)
+{
+	if (settings->tls_certificate && !settings->tls_key)
+		return refuse(checker, "tls_certificate",
+			      "tls_key beside it, or neither");
+	if (settings->tls_key && !settings->tls_certificate)
+		return refuse(checker, "tls_key",
+			      "tls_certificate beside it, or neither");
+	return true;
+}
+
+static bool check_log_level(const checker_t *checker, const char *level)
+{
+	static const char *const levels[] = {"error", "warning", "notice",
+					     "info",  "debug",	 NULL};
+
+	return g_strv_contains(levels, level) ||
+	       refuse(checker, "log_level",
+		      "error, warning, notice, info or debug");
+}
+
+static bool check_seeds(const checker_t *checker, const settings_t *settings)
+{
+	for (uint32_t i = 0; i < settings->seeds_count; i++) {
+		g_autofree char *name = g_strdup_printf("seeds[%u]", i);
+
+		if (!check_endpoint(checker, name, &settings->seeds[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool check_routes(const checker_t *checker, const settings_t *settings)
+{
+	for (uint32_t i = 0; i < settings->routes_count; i++) {
+		const settings_route_t *route = &settings->routes[i];
+		g_autofree char *endpoint =
+			g_strdup_printf("routes[%u].endpoint", i);
+		g_autofree char *via = g_strdup_printf("routes[%u].via", i);
+
+		if (!check_endpoint(checker, endpoint, &route->endpoint) ||
+		    !check_endpoint(checker, via, &route->via))
+			return false;
+	}
+	return true;
+}
+
+static bool check(const checker_t *checker, const settings_t *settings)
+{
+	return check_name(checker, "node", settings->node, NAME_LENGTH_MAX) &&
+	       check_name(checker, "region", settings->region,
+			  DOMAIN_LENGTH_MAX) &&
+	       check_name(checker, "failure_domain", settings->failure_domain,
+			  DOMAIN_LENGTH_MAX) &&
+	       check_endpoint(checker, "callers", &settings->callers) &&
+	       check_endpoint(checker, "peers", &settings->peers) &&
+	       check_endpoint(checker, "operators", &settings->operators) &&
+	       check_endpoint(checker, "platform", &settings->platform) &&
+	       check_key(checker, "fleet_public_key",
+			 settings->fleet_public_key) &&
+	       check_key(checker, "fleet_secret_key",
+			 settings->fleet_secret_key) &&
+	       check_tls(checker, settings) &&
+	       check_log_level(checker, settings->log_level) &&
+	       check_seeds(checker, settings) &&
+	       check_routes(checker, settings);
+}
+
+/* Freed by libcyaml with free(), as all that it loads. */
+static void set_defaults(settings_t *settings)
+{
+	if (!settings->operators.address) {
+		settings->operators.address = strdup(OPERATORS_ADDRESS);
+		settings->operators.port = OPERATORS_PORT;
+	}
+	if (!settings->log_level)
+		settings->log_level = strdup(LOG_LEVEL);
+}
+
+/* Finds the line of a key in the map that begins on @p start_line. */
+static unsigned key_line(const yaml_value_t *value, unsigned start_line,
+			 const char *key)
+{
+	const yaml_value_t *found = yaml_value_get(value, key);
+	unsigned line = 0;
+
+	if (found && value->start_line == start_line)
+		return found->line;
+	for (guint i = 0; value->items && i < value->items->len && !line; i++)
+		line = key_line(value->items->pdata[i], start_line, key);
+	return line;
+}
+
+static unsigned refusal_line(const refusal_t *refusal, const char *reason,
+			     const yaml_value_t *root)
+{
+	static const char unexpected[] = "Unexpected key: ";
+	const char *place =
+		refusal->place ? strstr(refusal->place, "(line: ") : NULL;
+	unsigned line = 1;
+	unsigned found = 0;
+
+	if (place)
+		line = (unsigned)strtoul(place + strlen("(line: "), NULL, 10);
+	if (g_str_has_prefix(reason, unexpected))
+		found = key_line(root, line, reason + strlen(unexpected));
+	return found ? found : line;
+}
+
+static void set_refusal(const char *path, const yaml_value_t *root,
+			cyaml_err_t result, const refusal_t *refusal,
+			GError **error)
+{
+	static const char prefix[] = "Load: ";
+	const char *reason = refusal->reason;
+
+	if (!reason)
+		reason = cyaml_strerror(result);
+	if (g_str_has_prefix(reason, prefix))
+		reason += strlen(prefix);
+	g_set_error(error, YAML_TREE_ERROR, YAML_TREE_ERROR_VALUE,
+		    "%s:%u: %s%s%s", path, refusal_line(refusal, reason, root),
+		    reason, refusal->place ? ": " : "",
+		    refusal->place ? refusal->place : "");
+}
+
+static settings_t *parse(const char *path, const char *text, size_t size_bytes,
+			 const yaml_value_t *root, GError **error)
+{
+	refusal_t refusal = {NULL, NULL};
+	const cyaml_config_t config = reader_config(&refusal);
+	settings_t *settings = NULL;
+	const cyaml_err_t result =
+		cyaml_load_data((const uint8_t *)text, size_bytes, &config,
+				&settings_value, (void **)&settings, NULL);
+
+	if (result == CYAML_OK)
+		set_defaults(settings);
+	else
+		set_refusal(path, root, result, &refusal, error);
+	g_free(refusal.place);
+	g_free(refusal.reason);
+	return settings;
+}
+
+settings_t *settings_load(const char *path, GError **error)
+{
+	g_autofree char *text = NULL;
+	g_autoptr(yaml_value_t) root = NULL;
+	g_autoptr(settings_t) settings = NULL;
+	checker_t checker = {.path = path, .error = error};
+	gsize size_bytes;
+
+	text = yaml_tree_read(path, &size_bytes, error);
+	if (!text)
+		return NULL;
+	root = yaml_tree_parse(path, text, size_bytes, error);
+	if (!root)
+		return NULL;
+	settings = parse(path, text, size_bytes, root, error);
+	checker.root = root;
+	if (!settings || !check(&checker, settings))
+		return NULL;
+	return g_steal_pointer(&settings);
+}
+
+settings_endpoint_t settings_route(const settings_t *settings,
+				   const char *address, uint16_t port)
+{
+	for (uint32_t i = 0; i < settings->routes_count; i++) {
+		const settings_route_t *route = &settings->routes[i];
+
+		if (route->endpoint.port == port &&
+		    !strcmp(route->endpoint.address, address))
+			return route->via;
+	}
+	return (settings_endpoint_t){.address = (char *)address, .port = port};
+}
