--- a/src/base/yaml_tree.c
+++ b/src/base/yaml_tree.c
@@ -289,23 +289,37 @@
 	return NULL;
 }
 
-/* The element of a list that stands between brackets in a path. */
+/* The element of a list whose index stands between brackets in a path. */
 static const yaml_value_t *element(const yaml_value_t *list, const char *key)
 {
-	const yaml_value_t *named = yaml_value_named(list, key);
 	guint64 index;
 
-	if (named || list->kind != YAML_VALUE_LIST)
-		return named;
-	if (!g_ascii_string_to_unsigned(key, 10, 0, G_MAXUINT32, &index, NULL))
+	if (list->kind != YAML_VALUE_LIST ||
+	    !g_ascii_string_to_unsigned(key, 10, 0, G_MAXUINT32, &index, NULL))
 		return NULL;
 	return index < list->items->len ? list->items->pdata[index] : NULL;
 }
 
+static void show_step(GString *shown, const yaml_value_t *value,
+		      const char *key, bool bracket)
+{
+	const yaml_value_t *name = value ? yaml_value_get(value, "name") : NULL;
+
+	if (!bracket)
+		g_string_append_printf(shown, "%s%s", shown->len ? "." : "",
+				       key);
+	else
+		g_string_append_printf(shown, "[%s]",
+				       name && name->scalar ? name->scalar :
+							      key);
+}
+
 const yaml_value_t *yaml_value_nearest(const yaml_value_t *root,
-				       const char *path)
+				       const char *path, char **shown)
 {
-	const yaml_value_t *node = root;
+	GString *names = g_string_new(NULL);
+	const yaml_value_t *nearest = root;
+	const yaml_value_t *value = root;
 
 	while (*path) {
 		const bool bracket = *path == '[';
@@ -313,15 +327,20 @@
 		const size_t length =
 			strcspn(path + skip, bracket ? "]" : ".[");
 		g_autofree char *key = g_strndup(path + skip, length);
-		const yaml_value_t *next = bracket ? element(node, key) :
-						     yaml_value_get(node, key);
 
-		if (!next)
-			return node;
-		node = next;
+		if (value)
+			value = bracket ? element(value, key) :
+					  yaml_value_get(value, key);
+		if (value)
+			nearest = value;
+		show_step(names, value, key, bracket);
 		path += skip + length;
 		if (bracket && *path)
 			path++;
 	}
-	return node;
+	if (shown)
+		*shown = g_string_free(names, FALSE);
+	else
+		g_string_free(names, TRUE);
+	return nearest;
 }
--- a/src/base/yaml_tree.h
+++ b/src/base/yaml_tree.h
@@ -61,13 +61,14 @@
 yaml_value_t *yaml_value_named(const yaml_value_t *list, const char *name);
 
 /**
- * Follows a path such as `services[orders].classes[0].weight`; the brackets
- * hold an index or the element's `name`.
+ * Follows a path such as `services[0].slots`.
  *
+ * @param shown receives the path with the names of named elements in place
+ *        of their indexes, to be freed with g_free(); or NULL
  * @return the value, or the last one on the way that exists
  */
 const yaml_value_t *yaml_value_nearest(const yaml_value_t *root,
-				       const char *path);
+				       const char *path, char **shown);
 
 /** @return a deep copy. */
 yaml_value_t *yaml_value_copy(const yaml_value_t *node);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -128,7 +128,8 @@
 static bool refuse(const checker_t *checker, const char *name,
 		   const char *expected)
 {
-	const yaml_value_t *value = yaml_value_nearest(checker->root, name);
+	const yaml_value_t *value =
+		yaml_value_nearest(checker->root, name, NULL);
 
 	g_set_error(checker->error, YAML_TREE_ERROR, YAML_TREE_ERROR_VALUE,
 		    "%s:%u: %s: expected %s", checker->path, value->line, name,
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -66,6 +66,14 @@
 		return;
 	for (uint32_t i = 0; i < config->services_count; i++)
 		service_clear(&config->services[i]);
+	for (uint32_t i = 0; i < config->changes_count; i++)
+		g_free(config->changes[i].change_id);
+	for (uint32_t i = 0; i < config->failure_domains_count; i++) {
+		g_free(config->failure_domains[i].name);
+		g_free(config->failure_domains[i].region);
+	}
+	g_free(config->changes);
+	g_free(config->failure_domains);
 	g_free(config->services);
 	g_free(config->change_id);
 	g_free(config->site);
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -4,6 +4,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Largest stored form of a configuration, in bytes. */
+#define CONFIG_SIZE_BYTES_MAX 1000000u
+
+/** Most accepted changes that a configuration remembers. */
+#define CONFIG_CHANGES_MAX 64
+
 /** One backend server of a database group. */
 typedef struct {
 	char *name;
@@ -53,6 +59,18 @@
 	uint32_t callers_count;
 } config_service_t;
 
+/** A part of the network that can be cut off from the others. */
+typedef struct {
+	char *name;
+	char *region;
+} config_domain_t;
+
+/** A change that was accepted before. */
+typedef struct {
+	uint64_t revision;
+	char *change_id;
+} config_change_t;
+
 /** Bounds of time that every node applies. */
 typedef struct {
 	uint32_t evidence_valid_ms;  /**< age at which evidence is asked anew */
@@ -67,8 +85,12 @@
 typedef struct {
 	uint64_t revision;
 	char *change_id;
-	char *site;
+	config_change_t *changes; /**< the last ones accepted, newest first */
+	uint32_t changes_count;
+	char *site; /**< overlays that it was made with, joined by commas */
 	config_limits_t limits;
+	config_domain_t *failure_domains;
+	uint32_t failure_domains_count;
 	config_service_t *services;
 	uint32_t services_count;
 } config_t;
