Add a stand-in for backend servers

Tests need database servers with terms, fences and log positions, which plain PostgreSQL lacks.

The Makefile's rule for stand-ins expanded % too early and compiled nothing by our own rules; it now names the objects without a pattern.

--- a/Makefile
+++ b/Makefile
@@ -127,7 +127,7 @@
 	$(CC) -o $@ $^ $(LDLIBS)
 
 .SECONDEXPANSION:
-$(BUILD)/bin/standin-%: $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard tests/standin/$$*/*.c)) $(COMMON_OBJ) $(LIB)
+$(BUILD)/bin/standin-%: $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard tests/standin/$$*/*.c))) $(COMMON_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) -o $@ $^ $(LDLIBS)
 
--- /dev/null
+++ b/tests/standin/common/http.h
@@ -0,0 +1,41 @@
+#ifndef STANDIN_COMMON_HTTP_H
+#define STANDIN_COMMON_HTTP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <event2/http.h>
+#include <glib.h>
+#include <jansson.h>
+
+/** An address and a port, as "127.0.0.1:5432" gives them. */
+typedef struct {
+	char address[46];
+	uint16_t port;
+} endpoint_t;
+
+/** Reads "ADDRESS:PORT". @return false when it is not one */
+bool endpoint_parse(const char *text, endpoint_t *endpoint);
+
+/** Serves HTTP. @return NULL when the port cannot be had */
+struct evhttp *http_listen(struct event_base *base, const char *address,
+			   uint16_t port);
+
+/** @return the value of ?name=, or NULL; free with g_free(). */
+char *http_argument(struct evhttp_request *request, const char *name);
+
+/** @return the number of ?name=, or @p missing. */
+int64_t http_number(struct evhttp_request *request, const char *name,
+		    int64_t missing);
+
+/** @return what the client sent; free with g_free(). */
+char *http_body(struct evhttp_request *request);
+
+/** Answers 200 with @p node, which it takes over. */
+void http_reply_json(struct evhttp_request *request, json_t *node);
+
+/** Answers with a status and a text. */
+void http_reply_text(struct evhttp_request *request, int status,
+		     const char *text);
+
+#endif
