--- a/tests/standin/common/http.c
+++ b/tests/standin/common/http.c
@@ -79,7 +79,8 @@
 
 void http_reply_json(struct evhttp_request *request, json_t *node)
 {
-	g_autofree char *text = json_dumps(node, JSON_COMPACT);
+	g_autofree char *text =
+		json_dumps(node, JSON_COMPACT | JSON_ENCODE_ANY);
 
 	evhttp_add_header(evhttp_request_get_output_headers(request),
 			  "Content-Type", "application/json");
--- /dev/null
+++ b/tests/standin/platform/kv.c
@@ -0,0 +1,135 @@
+#include "standin/platform/kv.h"
+
+#include <string.h>
+
+static void entry_delete(void *data)
+{
+	kv_entry_t *entry = data;
+
+	g_bytes_unref(entry->value);
+	g_free(entry->session_id);
+	g_free(entry);
+}
+
+void kv_open(kv_t *kv)
+{
+	*kv = (kv_t){.index = 1};
+	kv->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    entry_delete);
+	kv->sessions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void kv_close(kv_t *kv)
+{
+	g_hash_table_unref(kv->entries);
+	g_hash_table_unref(kv->sessions);
+}
+
+const kv_entry_t *kv_get(const kv_t *kv, const char *key)
+{
+	return g_hash_table_lookup(kv->entries, key);
+}
+
+static bool holds(const kv_t *kv, const kv_entry_t *entry,
+		  const kv_condition_t *condition)
+{
+	const char *holder = entry ? entry->session_id : NULL;
+
+	if (condition->has_cas && condition->cas != (entry ? entry->index : 0))
+		return false;
+	if (condition->acquire) {
+		if (!g_hash_table_contains(kv->sessions, condition->acquire))
+			return false;
+		return !holder || !strcmp(holder, condition->acquire);
+	}
+	if (condition->release)
+		return holder && !strcmp(holder, condition->release);
+	return true;
+}
+
+bool kv_put(kv_t *kv, const char *key, GBytes *value,
+	    const kv_condition_t *condition)
+{
+	kv_entry_t *entry = g_hash_table_lookup(kv->entries, key);
+
+	if (!holds(kv, entry, condition))
+		return false;
+	if (!entry) {
+		entry = g_new0(kv_entry_t, 1);
+		g_hash_table_insert(kv->entries, g_strdup(key), entry);
+	}
+	if (entry->value)
+		g_bytes_unref(entry->value);
+	entry->value = g_bytes_ref(value);
+	entry->index = ++kv->index;
+	if (condition->acquire || condition->release) {
+		g_free(entry->session_id);
+		entry->session_id = g_strdup(condition->acquire);
+	}
+	return true;
+}
+
+void kv_remove(kv_t *kv, const char *key)
+{
+	if (g_hash_table_remove(kv->entries, key))
+		kv->index++;
+}
+
+char *kv_session_create(kv_t *kv, uint64_t ttl_ms, uint64_t now_ms)
+{
+	kv_session_t *session = g_new0(kv_session_t, 1);
+	char *id = g_strdup_printf("session-%" G_GUINT64_FORMAT,
+				   ++kv->next_session);
+
+	session->ttl_ms = ttl_ms;
+	session->ends_ms = now_ms + ttl_ms;
+	g_hash_table_insert(kv->sessions, g_strdup(id), session);
+	return id;
+}
+
+bool kv_session_renew(kv_t *kv, const char *id, uint64_t now_ms)
+{
+	kv_session_t *session = g_hash_table_lookup(kv->sessions, id);
+
+	if (!session)
+		return false;
+	session->ends_ms = now_ms + session->ttl_ms;
+	return true;
+}
+
+void kv_session_destroy(kv_t *kv, const char *id)
+{
+	GHashTableIter iterator;
+	void *data;
+
+	g_hash_table_iter_init(&iterator, kv->entries);
+	while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+		kv_entry_t *entry = data;
+
+		if (g_strcmp0(entry->session_id, id))
+			continue;
+		g_clear_pointer(&entry->session_id, g_free);
+		entry->index = ++kv->index;
+	}
+	g_hash_table_remove(kv->sessions, id);
+}
+
+bool kv_expire(kv_t *kv, uint64_t now_ms)
+{
+	g_autoptr(GPtrArray) over = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iterator;
+	void *id;
+	void *data;
+
+	g_hash_table_iter_init(&iterator, kv->sessions);
+	while (g_hash_table_iter_next(&iterator, &id, &data)) {
+		const kv_session_t *session = data;
+
+		if (session->ttl_ms && session->ends_ms <= now_ms)
+			g_ptr_array_add(over, g_strdup(id));
+	}
+	for (guint i = 0; i < over->len; i++)
+		kv_session_destroy(kv, over->pdata[i]);
+	return over->len > 0;
+}
