--- a/tests/standin/platform/control.c
+++ b/tests/standin/platform/control.c
@@ -82,18 +82,18 @@
 {
 	const platform_t *platform = context;
 	const platform_calls_t *calls = &platform->calls;
+	uint64_t total =
+		calls->reads + calls->writes + calls->lists + calls->sessions;
+	json_t *node = json_object();
 
-	http_reply_json(
-		request,
-		json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
-			  (json_int_t)calls->reads, "writes",
-			  (json_int_t)calls->writes, "watches",
-			  (json_int_t)calls->watches, "lists",
-			  (json_int_t)calls->lists, "sessions",
-			  (json_int_t)calls->sessions, "refused",
-			  (json_int_t)calls->refused, "total",
-			  (json_int_t)(calls->reads + calls->writes +
-				       calls->lists + calls->sessions)));
+	json_object_set_new(node, "reads", json_integer(calls->reads));
+	json_object_set_new(node, "writes", json_integer(calls->writes));
+	json_object_set_new(node, "watches", json_integer(calls->watches));
+	json_object_set_new(node, "lists", json_integer(calls->lists));
+	json_object_set_new(node, "sessions", json_integer(calls->sessions));
+	json_object_set_new(node, "refused", json_integer(calls->refused));
+	json_object_set_new(node, "total", json_integer(total));
+	http_reply_json(request, node);
 }
 
 bool platform_control_start(platform_t *platform, const char *address,
