--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 LINT_STAMPS = $(LINT_FILES:%=build/lint/%.ok)
 
 .PHONY: all setup check check-inner sanitize demo bench soak format \
-	format-check lint unit property e2e clean
+	format-check lint unit property e2e regenerate \
+	clean
 .SECONDARY:
 
 all: setup
@@ -143,6 +144,9 @@
 $(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(WORLD_OBJ) $(LIB)
 	$(CC) -o $@ $^ $(LDLIBS)
 
+regenerate:
+	cd src/protocol && protoc-c --c_out=. peer.proto
+
 clean:
 	rm -rf build build-asan
 
