--- /dev/null
+++ b/src/transport/peer_gate.c
@@ -0,0 +1,145 @@
+#include "transport/peer_gate.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+#include <glib.h>
+#include <sodium.h>
+#include <zmq.h>
+
+#include "base/log.h"
+#include "transport/socket_watch.h"
+
+#define GATE_ENDPOINT "inproc://zeromq.zap.01"
+#define GATE_VERSION "1.0"
+#define KEY_SIZE_BYTES 32
+#define KEY_Z85_LENGTH 40
+#define FRAME_SIZE_BYTES_MAX 256
+#define REQUESTS_PER_CALL 16
+
+/* The frames of a request, in the order of ZeroMQ's RFC 27. */
+typedef enum {
+	FRAME_VERSION,
+	FRAME_REQUEST_ID,
+	FRAME_DOMAIN,
+	FRAME_ADDRESS,
+	FRAME_IDENTITY,
+	FRAME_MECHANISM,
+	FRAME_CREDENTIALS,
+	FRAME_COUNT,
+} gate_frame_t;
+
+typedef struct {
+	uint8_t bytes[FRAME_SIZE_BYTES_MAX];
+	size_t size_bytes;
+} frame_t;
+
+struct peer_gate {
+	void *socket;
+	socket_watch_t *watch;
+	uint8_t key[KEY_SIZE_BYTES];
+};
+
+static bool frame_is(const frame_t *frame, const char *text)
+{
+	return frame->size_bytes == strlen(text) &&
+	       !memcmp(frame->bytes, text, frame->size_bytes);
+}
+
+static bool receive(void *socket, frame_t frames[FRAME_COUNT], bool *whole)
+{
+	uint32_t count = 0;
+	int more = 1;
+	size_t more_size_bytes = sizeof(more);
+
+	*whole = true;
+	while (more) {
+		frame_t spare;
+		frame_t *frame = count < FRAME_COUNT ? &frames[count] : &spare;
+		int size_bytes = zmq_recv(socket, frame->bytes,
+					  sizeof(frame->bytes), ZMQ_DONTWAIT);
+
+		if (size_bytes < 0)
+			return false;
+		if ((size_t)size_bytes > sizeof(frame->bytes))
+			*whole = false;
+		frame->size_bytes =
+			MIN((size_t)size_bytes, sizeof(frame->bytes));
+		count++;
+		zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &more_size_bytes);
+	}
+	*whole = *whole && count == FRAME_COUNT;
+	return true;
+}
+
+static bool is_admitted(const peer_gate_t *gate, const frame_t *frames)
+{
+	return frame_is(&frames[FRAME_VERSION], GATE_VERSION) &&
+	       frame_is(&frames[FRAME_MECHANISM], "CURVE") &&
+	       frames[FRAME_CREDENTIALS].size_bytes == KEY_SIZE_BYTES &&
+	       !sodium_memcmp(frames[FRAME_CREDENTIALS].bytes, gate->key,
+			      KEY_SIZE_BYTES);
+}
+
+static void reply(const peer_gate_t *gate, const frame_t *request_id,
+		  bool admitted)
+{
+	const char *status = admitted ? "200" : "400";
+	const char *text = admitted ? "OK" : "unknown key";
+
+	zmq_send(gate->socket, GATE_VERSION, strlen(GATE_VERSION), ZMQ_SNDMORE);
+	zmq_send(gate->socket, request_id->bytes, request_id->size_bytes,
+		 ZMQ_SNDMORE);
+	zmq_send(gate->socket, status, strlen(status), ZMQ_SNDMORE);
+	zmq_send(gate->socket, text, strlen(text), ZMQ_SNDMORE);
+	zmq_send(gate->socket, "", 0, ZMQ_SNDMORE);
+	zmq_send(gate->socket, "", 0, 0);
+}
+
+static void decide(void *context, socket_state_t state)
+{
+	peer_gate_t *gate = context;
+
+	for (uint32_t i = 0; i < REQUESTS_PER_CALL; i++) {
+		frame_t frames[FRAME_COUNT] = {0};
+		bool whole;
+		bool admitted;
+
+		if (!receive(gate->socket, frames, &whole))
+			return;
+		admitted = whole && is_admitted(gate, frames);
+		if (!admitted)
+			log_event(LOG_LEVEL_WARNING, "peer_refused",
+				  "address=%.*s",
+				  (int)frames[FRAME_ADDRESS].size_bytes,
+				  (const char *)frames[FRAME_ADDRESS].bytes);
+		reply(gate, &frames[FRAME_REQUEST_ID], admitted);
+	}
+}
+
+peer_gate_t *peer_gate_create(struct event_base *base, void *zmq_context,
+			      const char *public_key)
+{
+	peer_gate_t *gate;
+	uint8_t key[KEY_SIZE_BYTES];
+
+	if (strlen(public_key) != KEY_Z85_LENGTH ||
+	    !zmq_z85_decode(key, public_key))
+		return NULL;
+	gate = g_new0(peer_gate_t, 1);
+	memcpy(gate->key, key, sizeof(key));
+	gate->socket = zmq_socket(zmq_context, ZMQ_REP);
+	if (!gate->socket || zmq_bind(gate->socket, GATE_ENDPOINT))
+		g_error("no gate: %s", zmq_strerror(zmq_errno()));
+	gate->watch = socket_watch_create(base, gate->socket, decide, gate);
+	return gate;
+}
+
+void peer_gate_destroy(peer_gate_t *gate)
+{
+	if (!gate)
+		return;
+	socket_watch_destroy(gate->watch);
+	zmq_close(gate->socket);
+	g_free(gate);
+}
