--- /dev/null
+++ b/src/coordination/member_table.c
@@ -0,0 +1,312 @@
+#include "coordination/member_table.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+#define PATIENCE_MAX 5
+
+/* A wild incarnation from a peer must not use up the numbers above it. */
+#define INCARNATION_MAX (UINT64_MAX / 2)
+
+void member_table_init(member_table_t *table, const member_t *self,
+		       uint64_t now_ms)
+{
+	member_entry_t *entry = g_new0(member_entry_t, 1);
+
+	*table = (member_table_t){.partners_change = true,
+				  .view_changes = true,
+				  .changed_ms = now_ms};
+	table->entries =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	table->members = g_array_new(FALSE, FALSE, sizeof(member_t));
+	entry->record.member = *self;
+	entry->record.member.state = MEMBER_LIVE;
+	entry->record.member.settled = false;
+	table->self = entry;
+	g_hash_table_insert(table->entries, entry->record.member.name, entry);
+	member_table_speak(table, now_ms);
+}
+
+void member_table_clear(member_table_t *table)
+{
+	g_hash_table_destroy(table->entries);
+	g_array_unref(table->members);
+}
+
+member_entry_t *member_table_find(const member_table_t *table, const char *name)
+{
+	return g_hash_table_lookup(table->entries, name);
+}
+
+static void mark_news(member_table_t *table, member_entry_t *entry,
+		      uint64_t now_ms)
+{
+	if (!entry->is_news)
+		table->news_count++;
+	entry->is_news = true;
+	entry->order = ++table->changes;
+	table->changed_ms = now_ms;
+	table->view_changes = true;
+}
+
+static member_entry_t *add_entry(member_table_t *table,
+				 const member_record_t *record, uint64_t now_ms)
+{
+	member_entry_t *entry = g_new0(member_entry_t, 1);
+
+	entry->record = *record;
+	entry->heard_ms = now_ms;
+	entry->state_ms = now_ms;
+	g_hash_table_insert(table->entries, entry->record.member.name, entry);
+	table->partners_change = true;
+	table->view_changes = true;
+	return entry;
+}
+
+static void list_one(member_table_t *table, const member_t *member,
+		     uint64_t now_ms)
+{
+	member_entry_t *entry = member_table_find(table, member->name);
+	const bool leaving = member->state == MEMBER_LEAVING;
+
+	if (!entry) {
+		member_record_t record = {.member = *member};
+
+		record.member.incarnation = 0;
+		record.member.settled = false;
+		record.member.state = MEMBER_LIVE;
+		entry = add_entry(table, &record, now_ms);
+	}
+	entry->is_listed = true;
+	if (entry->is_listed_leaving != leaving)
+		table->view_changes = true;
+	entry->is_listed_leaving = leaving;
+}
+
+static void remove_entry(member_table_t *table, GHashTableIter *iter,
+			 member_entry_t *entry)
+{
+	if (entry->is_news)
+		table->news_count--;
+	table->partners_change = true;
+	table->view_changes = true;
+	g_hash_table_iter_remove(iter);
+}
+
+/* Neither listed nor ever heard: nothing says that it is there. */
+static void drop_unheard(member_table_t *table)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		member_entry_t *entry = value;
+
+		if (!entry->is_listed && entry != table->self &&
+		    !entry->record.member.incarnation)
+			remove_entry(table, &iter, entry);
+	}
+}
+
+void member_table_list(member_table_t *table, const member_t *members,
+		       uint32_t members_count, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((member_entry_t *)value)->is_listed = false;
+	for (uint32_t i = 0; i < members_count; i++)
+		list_one(table, &members[i], now_ms);
+	drop_unheard(table);
+}
+
+/* Whoever says something else of this node is contradicted. */
+static void merge_self(member_table_t *table, const member_record_t *record,
+		       uint64_t now_ms)
+{
+	member_record_t *own = &table->self->record;
+
+	if (record->member.incarnation > own->member.incarnation) {
+		log_event(LOG_LEVEL_WARNING, "incarnation_raised",
+			  "own=%" G_GUINT64_FORMAT " heard=%" G_GUINT64_FORMAT,
+			  own->member.incarnation, record->member.incarnation);
+		own->member.incarnation = record->member.incarnation + 1;
+		own->version = 0;
+		member_table_speak(table, now_ms);
+		return;
+	}
+	if (record->member.incarnation < own->member.incarnation ||
+	    record->version < own->version)
+		return;
+	if (record->version == own->version &&
+	    record->member.state == MEMBER_LIVE)
+		return;
+	own->version = record->version;
+	member_table_speak(table, now_ms);
+}
+
+static void keep_place(member_record_t *fresh, const member_record_t *known)
+{
+	const member_t *place = &known->member;
+
+	if (*fresh->member.address)
+		return;
+	fresh->member.peer_port = place->peer_port;
+	memcpy(fresh->member.address, place->address, sizeof(place->address));
+	memcpy(fresh->member.failure_domain, place->failure_domain,
+	       sizeof(place->failure_domain));
+	memcpy(fresh->member.region, place->region, sizeof(place->region));
+}
+
+static void note_return(member_entry_t *entry, const member_record_t *fresh,
+			uint64_t now_ms)
+{
+	const bool restarted =
+		fresh->member.incarnation != entry->record.member.incarnation;
+
+	if (fresh->member.state != MEMBER_LIVE)
+		return;
+	entry->heard_ms = MAX(entry->heard_ms, now_ms);
+	if (restarted) {
+		entry->patience = 0;
+		entry->beats_count = 0;
+	} else if (entry->is_accused && entry->patience < PATIENCE_MAX) {
+		entry->patience++;
+	}
+	entry->is_accused = false;
+}
+
+static void replace_record(member_table_t *table, member_entry_t *entry,
+			   const member_record_t *record, uint64_t now_ms)
+{
+	const member_state_t before = entry->record.member.state;
+	member_record_t fresh = *record;
+
+	keep_place(&fresh, &entry->record);
+	if (fresh.member.incarnation == entry->record.member.incarnation)
+		fresh.leaving |= entry->record.leaving;
+	note_return(entry, &fresh, now_ms);
+	if (before != fresh.member.state)
+		entry->state_ms = now_ms;
+	if ((before == MEMBER_DEAD) != (fresh.member.state == MEMBER_DEAD) ||
+	    strcmp(fresh.member.failure_domain,
+		   entry->record.member.failure_domain))
+		table->partners_change = true;
+	entry->record = fresh;
+	mark_news(table, entry, now_ms);
+}
+
+void member_table_merge(member_table_t *table, const member_record_t *record,
+			uint64_t now_ms)
+{
+	member_entry_t *entry = member_table_find(table, record->member.name);
+
+	if (record->member.incarnation > INCARNATION_MAX)
+		return;
+	if (entry && entry == table->self) {
+		merge_self(table, record, now_ms);
+		return;
+	}
+	if (!entry) {
+		if (record->member.state == MEMBER_DEAD ||
+		    !*record->member.address)
+			return;
+		mark_news(table, add_entry(table, record, now_ms), now_ms);
+		return;
+	}
+	if (member_record_supersedes(record, &entry->record))
+		replace_record(table, entry, record, now_ms);
+}
+
+void member_table_judge(member_table_t *table, member_entry_t *entry,
+			member_state_t state, uint64_t now_ms)
+{
+	entry->record.member.state = state;
+	entry->state_ms = now_ms;
+	if (state == MEMBER_DEAD)
+		table->partners_change = true;
+	mark_news(table, entry, now_ms);
+}
+
+void member_table_speak(member_table_t *table, uint64_t now_ms)
+{
+	table->self->record.version++;
+	mark_news(table, table->self, now_ms);
+}
+
+void member_table_forget(member_table_t *table, uint64_t dead_before_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		member_entry_t *entry = value;
+
+		if (entry->record.member.state == MEMBER_DEAD &&
+		    !entry->is_listed && entry->state_ms < dead_before_ms)
+			remove_entry(table, &iter, entry);
+	}
+}
+
+uint64_t member_table_digest(const member_table_t *table)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint64_t digest = 0;
+
+	g_hash_table_iter_init(&iter, table->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_record_t *record =
+			&((const member_entry_t *)value)->record;
+
+		if (record->member.state != MEMBER_DEAD &&
+		    record->member.incarnation)
+			digest ^= member_record_digest(record);
+	}
+	return digest;
+}
+
+static int compare_members(const void *a, const void *b)
+{
+	return strcmp(((const member_t *)a)->name, ((const member_t *)b)->name);
+}
+
+static member_state_t shown_state(const member_entry_t *entry)
+{
+	const member_state_t state = entry->record.member.state;
+
+	if (state == MEMBER_DEAD)
+		return state;
+	if (entry->record.leaving || entry->is_listed_leaving)
+		return MEMBER_LEAVING;
+	return state;
+}
+
+const member_view_t *member_table_view(member_table_t *table)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!table->view_changes)
+		return &table->view;
+	table->view_changes = false;
+	g_array_set_size(table->members, 0);
+	g_hash_table_iter_init(&iter, table->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_entry_t *entry = value;
+		member_t member = entry->record.member;
+
+		member.state = shown_state(entry);
+		g_array_append_val(table->members, member);
+	}
+	g_array_sort(table->members, compare_members);
+	table->view.members = (const member_t *)table->members->data;
+	table->view.members_count = table->members->len;
+	table->view.version++;
+	return &table->view;
+}
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -973,7 +973,7 @@
   (ProtobufCMessageInit) peer__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__chunk__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__chunk__field_descriptors[4] =
 {
   {
     "call_id",
@@ -1011,16 +1011,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "continues",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Chunk, continues),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__chunk__field_indices_by_name[] = {
   2,   /* field[2] = bytes */
   0,   /* field[0] = call_id */
+  3,   /* field[3] = continues */
   1,   /* field[1] = index */
 };
 static const ProtobufCIntRange peer__chunk__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__chunk__descriptor =
 {
@@ -1030,7 +1043,7 @@
   "Peer__Chunk",
   "peer",
   sizeof(Peer__Chunk),
-  3,
+  4,
   peer__chunk__field_descriptors,
   peer__chunk__field_indices_by_name,
   1,  peer__chunk__number_ranges,
--- a/src/protocol/peer.pb-c.h
+++ b/src/protocol/peer.pb-c.h
@@ -107,10 +107,11 @@
   uint64_t call_id;
   uint32_t index;
   ProtobufCBinaryData bytes;
+  protobuf_c_boolean continues;
 };
 #define PEER__CHUNK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__chunk__descriptor) \
-    , 0, 0, {0,NULL} }
+    , 0, 0, {0,NULL}, 0 }
 
 
 struct  Peer__End
--- a/src/protocol/peer_message.c
+++ b/src/protocol/peer_message.c
@@ -84,11 +84,15 @@
 	Peer__Member *pointers[PEER_MESSAGE_MEMBERS_MAX];
 	Peer__Heartbeat wire = PEER__HEARTBEAT__INIT;
 
-	g_assert(heartbeat->members_count <= PEER_MESSAGE_MEMBERS_MAX);
+	g_assert(heartbeat->members_count &&
+		 heartbeat->members_count <= PEER_MESSAGE_MEMBERS_MAX);
 	for (uint32_t i = 0; i < heartbeat->members_count; i++) {
 		encode_member(&heartbeat->members[i], &members[i]);
 		pointers[i] = &members[i];
 	}
+	/* The first is the sender, whom the envelope names. */
+	members[0].name = borrow(NULL);
+	members[0].incarnation = 0;
 	wire.members_digest = heartbeat->members_digest;
 	wire.digest.data = (uint8_t *)heartbeat->digest;
 	wire.digest.len = heartbeat->digest_size_bytes;
@@ -143,6 +147,7 @@
 
 	wire.call_id = message->call_id;
 	wire.index = message->chunk_index;
+	wire.continues = message->chunk_continues;
 	wire.bytes = borrow_bytes(message->bytes);
 	envelope->body_case = PEER__ENVELOPE__BODY_CHUNK;
 	envelope->chunk = &wire;
@@ -246,18 +251,27 @@
 	       inet_pton(AF_INET6, address, &number) == 1;
 }
 
+/* A record without a place leaves what is known of the place as it is. */
+static bool has_valid_place(const Peer__Member *wire)
+{
+	if (!*wire->address)
+		return !wire->peer_port && !*wire->failure_domain &&
+		       !*wire->region;
+	return is_address(wire->address) && wire->peer_port &&
+	       wire->peer_port <= UINT16_MAX;
+}
+
 static bool decode_member(const Peer__Member *wire, member_record_t *record)
 {
 	member_t *member = &record->member;
 
-	if (!*wire->name || !fits(wire->name, sizeof(member->name)) ||
+	if (!fits(wire->name, sizeof(member->name)) ||
 	    !fits(wire->address, sizeof(member->address)) ||
-	    !is_address(wire->address) ||
+	    !has_valid_place(wire) ||
 	    !fits(wire->failure_domain, sizeof(member->failure_domain)) ||
 	    !fits(wire->region, sizeof(member->region)))
 		return false;
-	if (!wire->peer_port || wire->peer_port > UINT16_MAX ||
-	    wire->state > MEMBER_DEAD || wire->state == MEMBER_LEAVING)
+	if (wire->state > MEMBER_DEAD || wire->state == MEMBER_LEAVING)
 		return false;
 	g_strlcpy(member->name, wire->name, sizeof(member->name));
 	g_strlcpy(member->address, wire->address, sizeof(member->address));
@@ -283,10 +297,12 @@
 	    !wire->n_members || wire->n_members > PEER_MESSAGE_MEMBERS_MAX)
 		return false;
 	for (size_t i = 0; i < wire->n_members; i++)
-		if (!decode_member(wire->members[i], &heartbeat->members[i]))
+		if (!decode_member(wire->members[i], &heartbeat->members[i]) ||
+		    !*wire->members[i]->name != !i)
 			return false;
-	if (strcmp(heartbeat->members[0].member.name, envelope->sender))
-		return false;
+	g_strlcpy(heartbeat->members[0].member.name, envelope->sender,
+		  sizeof(heartbeat->members[0].member.name));
+	heartbeat->members[0].member.incarnation = envelope->incarnation;
 	heartbeat->members_count = (uint32_t)wire->n_members;
 	heartbeat->members_digest = wire->members_digest;
 	heartbeat->wants_reply = wire->wants_reply;
@@ -347,6 +363,7 @@
 		return false;
 	message->call_id = wire->call_id;
 	message->chunk_index = wire->index;
+	message->chunk_continues = wire->continues;
 	message->bytes = g_bytes_new(wire->bytes.data, wire->bytes.len);
 	return true;
 }
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -57,11 +57,12 @@
 	uint64_t call_id;	     /**< REQUEST, CHUNK, END, CANCEL */
 	request_t *request;	     /**< REQUEST */
 	uint32_t chunk_index;	     /**< CHUNK: 0, 1, 2 and so on */
-	uint32_t chunks_count;	     /**< END: how many chunks there were */
-	answer_t answer;	     /**< END */
-	uint64_t lease_id;	     /**< RELEASE */
-	uint32_t note_kind;	     /**< NOTE: checked by the receiver */
-	GBytes *bytes;		     /**< CHUNK, NOTE */
+	bool chunk_continues;  /**< CHUNK: the next is a part of the same */
+	uint32_t chunks_count; /**< END: how many chunks there were */
+	answer_t answer;       /**< END */
+	uint64_t lease_id;     /**< RELEASE */
+	uint32_t note_kind;    /**< NOTE: checked by the receiver */
+	GBytes *bytes;	       /**< CHUNK, NOTE */
 } peer_message_t;
 
 /** @return a message of zeroes that peer_message_delete() frees. */
--- a/src/state/member_record.c
+++ b/src/state/member_record.c
@@ -11,9 +11,7 @@
 		return fresh->member.incarnation > known->member.incarnation;
 	if (fresh->version != known->version)
 		return fresh->version > known->version;
-	if (fresh->member.state != known->member.state)
-		return fresh->member.state > known->member.state;
-	return fresh->leaving && !known->leaving;
+	return fresh->member.state > known->member.state;
 }
 
 uint64_t member_record_digest(const member_record_t *record)
@@ -22,8 +20,6 @@
 		XXH3_64bits(record->member.name, strlen(record->member.name)),
 		record->member.incarnation,
 		record->version,
-		record->member.state,
-		record->leaving,
 	};
 
 	return XXH3_64bits(parts, sizeof(parts));
--- a/src/state/member_record.h
+++ b/src/state/member_record.h
@@ -14,14 +14,14 @@
 typedef struct {
 	member_t member;  /**< its state is never MEMBER_LEAVING here */
 	uint32_t version; /**< grows when the member speaks for itself */
-	bool leaving;	  /**< never taken back within an incarnation */
+	bool leaving;	  /**< given up by its member, with a new version */
 } member_record_t;
 
 /** @return whether @p fresh says more than @p known. */
 bool member_record_supersedes(const member_record_t *fresh,
 			      const member_record_t *known);
 
-/** @return a hash of what is compared above, for digests of many records. */
+/** @return a hash of name, incarnation and version, for digests. */
 uint64_t member_record_digest(const member_record_t *record);
 
 #endif
--- a/src/transport/peer_socket.c
+++ b/src/transport/peer_socket.c
@@ -27,9 +27,13 @@
 #define PING_TIMEOUT_MS 10000
 #define PING_SILENCE_MS 30000
 
-#define CONTROL_QUEUE_MESSAGES_MAX 64
+#define CONTROL_QUEUE_BYTES_MAX (8u * 1024 * 1024)
 #define CALLS_QUEUE_BYTES_MAX (64u * 1024 * 1024)
 
+/* Room that is kept for the ends of answers, which are small. */
+#define CALLS_RESERVE_BYTES (1024 * 1024)
+#define SMALL_BYTES_MAX 2048
+
 struct peer_socket {
 	struct event_base *base;
 	void *zmq_context;
@@ -334,10 +338,15 @@
 static bool make_room(peer_link_t *link, peer_lane_t which, size_t size_bytes)
 {
 	lane_t *lane = &link->lanes[which];
+	size_t limit_bytes = CALLS_QUEUE_BYTES_MAX;
 
-	if (which == PEER_LANE_CALLS)
-		return lane->size_bytes + size_bytes <= CALLS_QUEUE_BYTES_MAX;
-	while (lane->messages.length >= CONTROL_QUEUE_MESSAGES_MAX)
+	if (which == PEER_LANE_CALLS) {
+		if (size_bytes <= SMALL_BYTES_MAX)
+			limit_bytes += CALLS_RESERVE_BYTES;
+		return lane->size_bytes + size_bytes <= limit_bytes;
+	}
+	while (lane->messages.length &&
+	       lane->size_bytes + size_bytes > CONTROL_QUEUE_BYTES_MAX)
 		lane_drop(lane, lane->messages.head);
 	return true;
 }
