Keep a session's token and settings

Server settings are not replayed: sessions share server connections, so each request would have to carry them. Drivers' start-up settings are accepted when they name the value in force, anything else is refused.

--- /dev/null
+++ b/src/state/session_settings.c
@@ -0,0 +1,278 @@
+#include "state/session_settings.h"
+
+#include <string.h>
+
+static const char *const consistency_names[] = {
+	[CONSISTENCY_SESSION] = "session",
+	[CONSISTENCY_STRONG] = "strong",
+	[CONSISTENCY_AGE] = "age",
+};
+
+/* Settings of the server and the values that are in force. */
+typedef struct {
+	const char *name;
+	const char *values[5]; /* none: any */
+} foreign_t;
+
+static const foreign_t foreign_settings[] = {
+	{"application_name", {NULL}},
+	{"client_encoding", {"utf8", "utf-8", "unicode"}},
+	{"client_min_messages", {"notice"}},
+	{"bytea_output", {"hex"}},
+	{"datestyle", {"iso", "iso, mdy"}},
+	{"default_transaction_read_only", {"off", "false", "0"}},
+	{"extra_float_digits", {"1", "2", "3"}},
+	{"intervalstyle", {"postgres"}},
+	{"standard_conforming_strings", {"on", "true", "1"}},
+	{"statement_timeout", {"0"}},
+	{"timezone", {"utc", "etc/utc", "gmt"}},
+};
+
+/* clang-format off */
+G_DEFINE_QUARK(session-settings-error-quark, session_settings_error)
+/* clang-format on */
+
+session_settings_t *session_settings_new(void)
+{
+	session_settings_t *settings = g_new0(session_settings_t, 1);
+
+	settings->token = session_token_create();
+	return settings;
+}
+
+void session_settings_delete(session_settings_t *settings)
+{
+	if (!settings)
+		return;
+	session_token_destroy(settings->token);
+	g_free(settings->request_key);
+	g_free(settings);
+}
+
+static bool set_foreign(const char *name, const char *value, GError **error)
+{
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < G_N_ELEMENTS(foreign_settings); i++) {
+		const foreign_t *foreign = &foreign_settings[i];
+
+		if (strcmp(foreign->name, name) != 0)
+			continue;
+		if (!foreign->values[0])
+			return true;
+		for (j = 0; value && foreign->values[j]; j++)
+			if (!g_ascii_strcasecmp(foreign->values[j], value))
+				return true;
+	}
+	g_set_error(error, SESSION_SETTINGS_ERROR, SESSION_SETTINGS_FOREIGN,
+		    "session setting \"%s\" cannot be changed on shared "
+		    "server connections",
+		    name);
+	return false;
+}
+
+static bool set_value_error(GError **error, const char *name,
+			    const char *expected)
+{
+	g_set_error(error, SESSION_SETTINGS_ERROR, SESSION_SETTINGS_VALUE,
+		    "%s must be %s", name, expected);
+	return false;
+}
+
+static bool set_milliseconds(uint32_t *field, const char *name,
+			     const char *value, GError **error)
+{
+	guint64 number = 0;
+
+	if (!g_ascii_string_to_unsigned(value, 10, 0,
+					SESSION_SETTINGS_TIMEOUT_MS_MAX,
+					&number, NULL))
+		return set_value_error(error, name,
+				       "0 to 3600000 milliseconds");
+	*field = (uint32_t)number;
+	return true;
+}
+
+static bool set_consistency(session_settings_t *settings, const char *value,
+			    GError **error)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(consistency_names); i++) {
+		if (g_ascii_strcasecmp(consistency_names[i], value) != 0)
+			continue;
+		settings->consistency = (consistency_t)i;
+		return true;
+	}
+	return set_value_error(error, "toucanhook.consistency",
+			       "session, strong or age");
+}
+
+static bool set_key(session_settings_t *settings, const char *value,
+		    GError **error)
+{
+	if (strlen(value) > SESSION_SETTINGS_KEY_SIZE_BYTES_MAX ||
+	    !g_utf8_validate(value, -1, NULL))
+		return set_value_error(error, "toucanhook.request_key",
+				       "at most 200 bytes of UTF-8");
+	g_free(settings->request_key);
+	settings->request_key = *value ? g_strdup(value) : NULL;
+	return true;
+}
+
+static bool unknown(GError **error, const char *name)
+{
+	g_set_error(error, SESSION_SETTINGS_ERROR, SESSION_SETTINGS_UNKNOWN,
+		    "there is no setting \"%s\"", name);
+	return false;
+}
+
+bool session_settings_set(session_settings_t *settings, const char *name,
+			  const char *value, GError **error)
+{
+	const char *own = NULL;
+
+	if (!g_str_has_prefix(name, SESSION_SETTINGS_PREFIX))
+		return set_foreign(name, value, error);
+	own = name + strlen(SESSION_SETTINGS_PREFIX);
+	if (!value)
+		return set_value_error(error, name, "a constant");
+	if (!strcmp(own, "token"))
+		return !*value ||
+		       session_token_merge(settings->token, value, error);
+	if (!strcmp(own, "consistency"))
+		return set_consistency(settings, value, error);
+	if (!strcmp(own, "max_age_ms"))
+		return set_milliseconds(&settings->max_age_ms, name, value,
+					error);
+	if (!strcmp(own, "timeout_ms"))
+		return set_milliseconds(&settings->timeout_ms, name, value,
+					error);
+	if (!strcmp(own, "request_key"))
+		return set_key(settings, value, error);
+	return unknown(error, name);
+}
+
+static void reset_all(session_settings_t *settings)
+{
+	settings->consistency = CONSISTENCY_SESSION;
+	settings->max_age_ms = 0;
+	settings->timeout_ms = 0;
+	g_clear_pointer(&settings->request_key, g_free);
+}
+
+bool session_settings_reset(session_settings_t *settings, const char *name,
+			    GError **error)
+{
+	const char *own = NULL;
+
+	if (!name) {
+		reset_all(settings);
+		return true;
+	}
+	/* The server's settings always have their first value. */
+	if (!g_str_has_prefix(name, SESSION_SETTINGS_PREFIX))
+		return true;
+	own = name + strlen(SESSION_SETTINGS_PREFIX);
+	if (!strcmp(own, "token"))
+		session_token_clear(settings->token);
+	else if (!strcmp(own, "consistency"))
+		settings->consistency = CONSISTENCY_SESSION;
+	else if (!strcmp(own, "max_age_ms"))
+		settings->max_age_ms = 0;
+	else if (!strcmp(own, "timeout_ms"))
+		settings->timeout_ms = 0;
+	else if (!strcmp(own, "request_key"))
+		g_clear_pointer(&settings->request_key, g_free);
+	else
+		return unknown(error, name);
+	return true;
+}
+
+char *session_settings_show(const session_settings_t *settings,
+			    const char *name, GError **error)
+{
+	const char *own = name + strlen(SESSION_SETTINGS_PREFIX);
+
+	if (!strcmp(own, "token"))
+		return session_token_format(settings->token);
+	if (!strcmp(own, "consistency"))
+		return g_strdup(consistency_names[settings->consistency]);
+	if (!strcmp(own, "max_age_ms"))
+		return g_strdup_printf("%u", settings->max_age_ms);
+	if (!strcmp(own, "timeout_ms"))
+		return g_strdup_printf("%u", settings->timeout_ms);
+	if (!strcmp(own, "request_key"))
+		return g_strdup(settings->request_key ? settings->request_key :
+							"");
+	unknown(error, name);
+	return NULL;
+}
+
+/* Splits at blanks; a backslash takes the next character as it is. */
+static GStrv split_options(const char *options)
+{
+	GPtrArray *words = g_ptr_array_new();
+	GString *word = g_string_new("");
+	const char *c = NULL;
+
+	for (c = options; *c; c++) {
+		if (*c == '\\' && c[1]) {
+			g_string_append_c(word, *++c);
+		} else if (!g_ascii_isspace(*c)) {
+			g_string_append_c(word, *c);
+		} else if (word->len) {
+			g_ptr_array_add(words, g_string_free(word, FALSE));
+			word = g_string_new("");
+		}
+	}
+	if (word->len)
+		g_ptr_array_add(words, g_string_free(word, FALSE));
+	else
+		g_string_free(word, TRUE);
+	g_ptr_array_add(words, NULL);
+	return (GStrv)g_ptr_array_free(words, FALSE);
+}
+
+static bool set_option(session_settings_t *settings, const char *assignment,
+		       bool dashes, GError **error)
+{
+	const char *equals = strchr(assignment, '=');
+	g_autofree char *name = NULL;
+
+	if (!equals) {
+		g_set_error(error, SESSION_SETTINGS_ERROR,
+			    SESSION_SETTINGS_UNKNOWN,
+			    "start-up option \"%s\" has no value", assignment);
+		return false;
+	}
+	name = g_ascii_strdown(assignment, equals - assignment);
+	if (dashes)
+		g_strdelimit(name, "-", '_');
+	return session_settings_set(settings, name, equals + 1, error);
+}
+
+bool session_settings_options(session_settings_t *settings, const char *options,
+			      GError **error)
+{
+	g_auto(GStrv) words = split_options(options);
+	size_t i;
+
+	for (i = 0; words[i]; i++) {
+		const char *word = words[i];
+		bool taken = false;
+
+		if (!strcmp(word, "-c") && words[i + 1])
+			taken = set_option(settings, words[++i], false, error);
+		else if (g_str_has_prefix(word, "--"))
+			taken = set_option(settings, word + 2, true, error);
+		else if (g_str_has_prefix(word, "-c"))
+			taken = set_option(settings, word + 2, false, error);
+		else
+			unknown(error, word);
+		if (!taken)
+			return false;
+	}
+	return true;
+}
