Make extended-query batches whole before they are sent

Keeping names per connection was ruled out: it needs a registry at every owner and grows without bound.

--- a/src/state/session_settings.c
+++ b/src/state/session_settings.c
@@ -139,8 +139,7 @@
 	if (!value)
 		return set_value_error(error, name, "a constant");
 	if (!strcmp(own, "token"))
-		return !*value ||
-		       session_token_merge(settings->token, value, error);
+		return session_token_merge(settings->token, value, error);
 	if (!strcmp(own, "consistency"))
 		return set_consistency(settings, value, error);
 	if (!strcmp(own, "max_age_ms"))
--- a/src/state/session_token.h
+++ b/src/state/session_token.h
@@ -34,7 +34,8 @@
 
 /**
  * Takes in a token as a caller gives it: DATABASE:TERM:POSITION, several
- * joined by commas. Of two points of one database the later one stays.
+ * joined by commas, none in an empty text. Of two points of one database
+ * the later one stays.
  *
  * @return false with @p error set, and the token as it was
  */
--- /dev/null
+++ b/tests/unit/test_batch.c
@@ -0,0 +1,207 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "protocol/batch.h"
+
+static bool add(batch_t *batch, GByteArray *bytes, batch_error_t *error)
+{
+	pg_message_t message = {0};
+	bool good;
+
+	assert_int_equal(
+		pg_frame_next(bytes->data, bytes->len, SIZE_MAX, &message),
+		PG_FRAME_READY);
+	good = batch_add(batch, &message, error);
+	g_byte_array_unref(bytes);
+	return good;
+}
+
+static GByteArray *parse(const char *name, const char *sql)
+{
+	GByteArray *out = g_byte_array_new();
+	const size_t mark = pg_write_begin(out, 'P');
+
+	pg_write_string(out, name);
+	pg_write_string(out, sql);
+	pg_write_u16(out, 0);
+	pg_write_end(out, mark);
+	return out;
+}
+
+static GByteArray *bind(const char *portal, const char *name)
+{
+	GByteArray *out = g_byte_array_new();
+	const size_t mark = pg_write_begin(out, 'B');
+
+	pg_write_string(out, portal);
+	pg_write_string(out, name);
+	pg_write_u16(out, 0);
+	pg_write_u16(out, 0);
+	pg_write_u16(out, 0);
+	pg_write_end(out, mark);
+	return out;
+}
+
+static GByteArray *execute(const char *portal)
+{
+	GByteArray *out = g_byte_array_new();
+	const size_t mark = pg_write_begin(out, 'E');
+
+	pg_write_string(out, portal);
+	pg_write_u32(out, 0);
+	pg_write_end(out, mark);
+	return out;
+}
+
+static GByteArray *close_statement(const char *name)
+{
+	GByteArray *out = g_byte_array_new();
+	const size_t mark = pg_write_begin(out, 'C');
+
+	pg_write_u8(out, 'S');
+	pg_write_string(out, name);
+	pg_write_end(out, mark);
+	return out;
+}
+
+/* The types of the messages that go to the server. */
+static char *sent(const batch_t *batch)
+{
+	g_autoptr(GBytes) bytes = batch_bytes(batch);
+	gsize size = 0;
+	const uint8_t *data = g_bytes_get_data(bytes, &size);
+	GString *types = g_string_new("");
+	pg_message_t message = {0};
+	size_t used = 0;
+
+	while (pg_frame_next(data + used, size - used, SIZE_MAX, &message) ==
+	       PG_FRAME_READY) {
+		g_string_append_c(types, message.type);
+		used += message.size_bytes;
+	}
+	assert_int_equal(used, size);
+	return g_string_free(types, FALSE);
+}
+
+static char *filtered(batch_t *batch, const char *types)
+{
+	g_autoptr(GByteArray) answer = g_byte_array_new();
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	GString *left = g_string_new("");
+	size_t i;
+
+	for (i = 0; types[i]; i++)
+		pg_write_empty(answer, types[i]);
+	batch_filter(batch, answer->data, answer->len, out);
+	for (i = 0; i < out->len; i += PG_HEADER_SIZE_BYTES)
+		g_string_append_c(left, (char)out->data[i]);
+	return g_string_free(left, FALSE);
+}
+
+static void test_statement_is_parsed_again_in_each_batch(void **state)
+{
+	g_autoptr(batch_t) batch = batch_create();
+	g_autofree char *first = NULL;
+	g_autofree char *second = NULL;
+	g_autofree char *answer = NULL;
+	batch_error_t error = {0};
+
+	assert_true(add(batch, parse("named", "SELECT 1"), &error));
+	first = sent(batch);
+	assert_string_equal(first, "CPS");
+	batch_clear(batch);
+	assert_true(add(batch, bind("", "named"), &error));
+	assert_true(add(batch, execute(""), &error));
+	assert_true(add(batch, bind("", "named"), &error));
+	assert_true(add(batch, execute(""), &error));
+	second = sent(batch);
+	assert_string_equal(second, "CPBEBES");
+	assert_true(batch_hides(batch));
+	answer = filtered(batch, "312DC2DC");
+	assert_string_equal(answer, "2DC2DC");
+	assert_false(batch_hides(batch));
+}
+
+static void test_own_answers_are_left(void **state)
+{
+	g_autoptr(batch_t) batch = batch_create();
+	g_autofree char *answer = NULL;
+	batch_error_t error = {0};
+
+	assert_true(add(batch, parse("a", "SELECT 1"), &error));
+	assert_true(add(batch, bind("", "a"), &error));
+	assert_true(add(batch, close_statement("a"), &error));
+	assert_true(add(batch, parse("a", "SELECT 2"), &error));
+	/* Close, Parse, Bind, Close, Close, Parse: two are put in. */
+	answer = filtered(batch, "312331");
+	assert_string_equal(answer, "1231");
+}
+
+static void test_missing_statement_is_an_error(void **state)
+{
+	g_autoptr(batch_t) batch = batch_create();
+	batch_error_t error = {0};
+
+	assert_false(add(batch, bind("", "none"), &error));
+	assert_string_equal(error.sqlstate, "26000");
+	batch_clear(batch);
+	assert_true(add(batch, parse("a", "SELECT 1"), &error));
+	assert_true(add(batch, close_statement("a"), &error));
+	assert_false(add(batch, bind("", "a"), &error));
+}
+
+static void test_summary_tells_what_is_executed(void **state)
+{
+	g_autoptr(batch_t) batch = batch_create();
+	batch_error_t error = {0};
+
+	add(batch, parse("w", "DELETE FROM a"), &error);
+	assert_false(batch_summarize(batch).writes);
+	add(batch, bind("", "w"), &error);
+	add(batch, execute(""), &error);
+	assert_true(batch_summarize(batch).writes);
+	assert_false(batch_summarize(batch).local);
+	add(batch, parse("s", "SET toucanhook.token = ''"), &error);
+	assert_true(batch_summarize(batch).mixed);
+	batch_clear(batch);
+	add(batch, bind("", "s"), &error);
+	add(batch, execute(""), &error);
+	assert_true(batch_summarize(batch).local);
+	batch_clear(batch);
+	add(batch, execute("unknown portal"), &error);
+	assert_true(batch_summarize(batch).writes);
+}
+
+static void test_table_is_bounded(void **state)
+{
+	g_autoptr(batch_t) batch = batch_create();
+	batch_error_t error = {0};
+	bool good = true;
+	int i;
+
+	for (i = 0; i < 1100 && good; i++) {
+		g_autofree char *name = g_strdup_printf("s%d", i);
+
+		good = add(batch, parse(name, "SELECT 1"), &error);
+		batch_clear(batch);
+	}
+	assert_false(good);
+	assert_string_equal(error.sqlstate, "53400");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_statement_is_parsed_again_in_each_batch),
+		cmocka_unit_test(test_own_answers_are_left),
+		cmocka_unit_test(test_missing_statement_is_an_error),
+		cmocka_unit_test(test_summary_tells_what_is_executed),
+		cmocka_unit_test(test_table_is_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
