Confirm commits and prove barriers by evidence

A commit is acknowledged only once k replicas were seen with its record in its own term. The primary is asked in the same round as the replicas: with it the answers come from k + 1 servers, one more than a promotion may leave unfenced, so an acknowledgement cannot leave a primary that was replaced. Counting the replicas alone would keep the write but not that promise.

Each server is asked by one of its owners; the next owner is asked when one stays silent for longer than a lost packet takes to be sent again. A round lasts until its answers are in, but late ones hold up nobody.

--- /dev/null
+++ b/src/backend/backend_control.c
@@ -0,0 +1,399 @@
+#include "backend/backend_control.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <postgresql/libpq-fe.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/** Most operations that wait for one server. */
+#define CONTROL_QUEUE_LIMIT 256
+
+/** Shortest and longest wait between two attempts to connect. */
+#define CONTROL_BACKOFF_MIN_MS 20
+#define CONTROL_BACKOFF_MAX_MS 320
+
+#define CONTROL_STATEMENT_SIZE 256
+
+typedef struct {
+	char statement[CONTROL_STATEMENT_SIZE];
+	server_operation_t operation;
+	backend_control_done_t done;
+	void *context;
+	uint64_t sent_at_ms;
+	server_result_t failed; /**< result, if it ends without being sent */
+} control_entry_t;
+
+struct backend_control {
+	struct event_base *base;
+	char *address;
+	char *database;
+	char *user;
+	uint16_t port;
+	uint32_t timeout_ms;
+	PGconn *connection;
+	bool connected;
+	struct event *socket;
+	struct event *timeout;
+	struct event *wake;
+	GQueue *queue;
+	control_entry_t *running;
+	uint32_t backoff_ms;
+	uint64_t retry_at_ms;
+};
+
+static void control_step(backend_control_t *control);
+
+static void entry_end(control_entry_t *entry, server_result_t result,
+		      const server_status_t *status)
+{
+	entry->done(entry->context, result, status, entry->sent_at_ms);
+	g_free(entry);
+}
+
+static void control_close(backend_control_t *control)
+{
+	g_clear_pointer(&control->socket, event_free);
+	g_clear_pointer(&control->connection, PQfinish);
+	control->connected = false;
+	event_del(control->timeout);
+}
+
+static void control_backoff(backend_control_t *control)
+{
+	control->retry_at_ms = clock_now_ms() + control->backoff_ms;
+	control->backoff_ms =
+		MIN(control->backoff_ms * 2, CONTROL_BACKOFF_MAX_MS);
+}
+
+/* What was sent may have run; what only waited certainly did not. */
+static void control_fail(backend_control_t *control)
+{
+	control_entry_t *running = g_steal_pointer(&control->running);
+	GQueue waiting = G_QUEUE_INIT;
+	control_entry_t *entry;
+
+	control_close(control);
+	control_backoff(control);
+	while ((entry = g_queue_pop_head(control->queue)))
+		g_queue_push_tail(&waiting, entry);
+	if (running)
+		entry_end(running, SERVER_UNKNOWN, NULL);
+	while ((entry = g_queue_pop_head(&waiting)))
+		entry_end(entry, SERVER_UNREACHABLE, NULL);
+}
+
+static void on_timeout(evutil_socket_t fd, short events, void *context)
+{
+	control_fail(context);
+}
+
+static void on_wake(evutil_socket_t fd, short events, void *context)
+{
+	control_step(context);
+}
+
+static void on_socket(evutil_socket_t fd, short events, void *context)
+{
+	control_step(context);
+}
+
+static void control_arm(backend_control_t *control, short events)
+{
+	g_clear_pointer(&control->socket, event_free);
+	control->socket =
+		event_new(control->base, PQsocket(control->connection), events,
+			  on_socket, control);
+	event_add(control->socket, NULL);
+}
+
+static void control_start_timeout(backend_control_t *control)
+{
+	const struct timeval wait = {
+		.tv_sec = control->timeout_ms / 1000,
+		.tv_usec = control->timeout_ms % 1000 * 1000,
+	};
+
+	event_add(control->timeout, &wait);
+}
+
+static void control_connect(backend_control_t *control)
+{
+	char port[8];
+	const char *const keys[] = {
+		"hostaddr", "port",	  "dbname",	      "user",
+		"sslmode",  "gssencmode", "application_name", NULL};
+	const char *const values[] = {
+		control->address,     port,	 control->database,
+		control->user,	      "disable", "disable",
+		"toucanhook_control", NULL};
+
+	snprintf(port, sizeof(port), "%u", control->port);
+	control->connection = PQconnectStartParams(keys, values, 0);
+	if (!control->connection ||
+	    PQstatus(control->connection) == CONNECTION_BAD) {
+		control_fail(control);
+		return;
+	}
+	PQsetnonblocking(control->connection, 1);
+	control_start_timeout(control);
+	control_arm(control, EV_WRITE);
+}
+
+static void control_poll_connect(backend_control_t *control)
+{
+	switch (PQconnectPoll(control->connection)) {
+	case PGRES_POLLING_READING:
+		control_arm(control, EV_READ);
+		return;
+	case PGRES_POLLING_WRITING:
+		control_arm(control, EV_WRITE);
+		return;
+	case PGRES_POLLING_OK:
+		break;
+	default:
+		control_fail(control);
+		return;
+	}
+	event_del(control->timeout);
+	control->connected = true;
+	control->backoff_ms = CONTROL_BACKOFF_MIN_MS;
+	control_arm(control, EV_READ | EV_PERSIST);
+	event_active(control->wake, 0, 0);
+}
+
+static bool control_send_next(backend_control_t *control)
+{
+	control_entry_t *entry = g_queue_pop_head(control->queue);
+
+	if (!entry)
+		return true;
+	control->running = entry;
+	entry->sent_at_ms = clock_now_ms();
+	if (!PQsendQuery(control->connection, entry->statement) ||
+	    PQflush(control->connection) < 0)
+		return false;
+	control_start_timeout(control);
+	return true;
+}
+
+static bool result_number(const PGresult *result, const char *name,
+			  uint64_t *number)
+{
+	const int column = PQfnumber(result, name);
+	const char *text;
+	char *end;
+
+	if (column < 0 || PQgetisnull(result, 0, column))
+		return false;
+	text = PQgetvalue(result, 0, column);
+	if (!g_ascii_isdigit(*text))
+		return false;
+	*number = g_ascii_strtoull(text, &end, 10);
+	return !*end;
+}
+
+static bool result_role(const PGresult *result, server_role_t *role)
+{
+	const int column = PQfnumber(result, "role");
+	const char *text;
+
+	if (column < 0)
+		return false;
+	text = PQgetvalue(result, 0, column);
+	*role = strcmp(text, "primary") ? SERVER_REPLICA : SERVER_PRIMARY;
+	return *role == SERVER_PRIMARY || !strcmp(text, "replica");
+}
+
+static bool result_status(const PGresult *result, server_status_t *status)
+{
+	uint64_t age_ms;
+
+	*status = (server_status_t){0};
+	if (PQntuples(result) != 1 || !result_role(result, &status->role) ||
+	    !result_number(result, "term", &status->term) ||
+	    !result_number(result, "fence", &status->fence) ||
+	    !result_number(result, "last_term", &status->last.term) ||
+	    !result_number(result, "position", &status->last.position) ||
+	    !result_number(result, "replay_term", &status->replayed.term) ||
+	    !result_number(result, "replay_position",
+			   &status->replayed.position) ||
+	    !result_number(result, "upstream_age_ms", &age_ms))
+		return false;
+	status->upstream_age_ms = (uint32_t)MIN(age_ms, UINT32_MAX);
+	return true;
+}
+
+/* Only the SQLSTATEs of the group's own statements prove that none ran. */
+static bool result_refusal(const PGresult *result)
+{
+	const char *code = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+
+	return code && g_str_has_prefix(code, "TH0");
+}
+
+/* @return false when the connection cannot be used any longer */
+static bool control_take_result(backend_control_t *control, PGresult *result)
+{
+	control_entry_t *entry = control->running;
+	server_status_t status;
+	const ExecStatusType kind = PQresultStatus(result);
+
+	if (!entry || (kind != PGRES_TUPLES_OK && kind != PGRES_FATAL_ERROR))
+		return false;
+	if (kind == PGRES_FATAL_ERROR) {
+		if (!result_refusal(result))
+			return false;
+		control->running = NULL;
+		entry_end(entry, SERVER_REFUSED, NULL);
+		return true;
+	}
+	if (!result_status(result, &status)) {
+		log_event(LOG_LEVEL_WARNING, "backend_status_invalid",
+			  "server_address=%s port=%u", control->address,
+			  control->port);
+		return false;
+	}
+	control->running = NULL;
+	entry_end(entry, SERVER_OK, &status);
+	return true;
+}
+
+/* @return false when the connection cannot be used any longer */
+static bool control_read(backend_control_t *control)
+{
+	if (PQflush(control->connection) < 0 ||
+	    !PQconsumeInput(control->connection))
+		return false;
+	while (!PQisBusy(control->connection)) {
+		PGresult *result = PQgetResult(control->connection);
+		bool usable;
+
+		if (!result)
+			break;
+		usable = control_take_result(control, result);
+		PQclear(result);
+		if (!usable)
+			return false;
+	}
+	if (!control->running)
+		event_del(control->timeout);
+	return PQstatus(control->connection) == CONNECTION_OK;
+}
+
+static void control_end_failed(backend_control_t *control)
+{
+	for (GList *link = control->queue->head; link;) {
+		GList *next = link->next;
+		control_entry_t *entry = link->data;
+
+		if (entry->failed != SERVER_OK) {
+			g_queue_delete_link(control->queue, link);
+			entry_end(entry, entry->failed, NULL);
+			next = control->queue->head;
+		}
+		link = next;
+	}
+}
+
+static void control_step(backend_control_t *control)
+{
+	control_end_failed(control);
+	if (!control->connection) {
+		if (g_queue_is_empty(control->queue))
+			return;
+		if (clock_now_ms() < control->retry_at_ms) {
+			control_fail(control);
+			return;
+		}
+		control_connect(control);
+		return;
+	}
+	if (!control->connected) {
+		control_poll_connect(control);
+		return;
+	}
+	if (!control_read(control)) {
+		control_fail(control);
+		return;
+	}
+	if (!control->running &&
+	    PQtransactionStatus(control->connection) == PQTRANS_IDLE &&
+	    !control_send_next(control))
+		control_fail(control);
+}
+
+backend_control_t *
+backend_control_create(struct event_base *base,
+		       const backend_control_params_t *params)
+{
+	backend_control_t *control = g_new0(backend_control_t, 1);
+
+	control->base = base;
+	control->address = g_strdup(params->address);
+	control->port = params->port;
+	control->database = g_strdup(params->database);
+	control->user = g_strdup(params->user);
+	control->timeout_ms = params->timeout_ms;
+	control->backoff_ms = CONTROL_BACKOFF_MIN_MS;
+	control->queue = g_queue_new();
+	control->timeout = evtimer_new(base, on_timeout, control);
+	control->wake = event_new(base, -1, 0, on_wake, control);
+	return control;
+}
+
+void backend_control_destroy(backend_control_t *control)
+{
+	if (!control)
+		return;
+	control_fail(control);
+	g_queue_free_full(control->queue, g_free);
+	event_free(control->timeout);
+	event_free(control->wake);
+	g_free(control->address);
+	g_free(control->database);
+	g_free(control->user);
+	g_free(control);
+}
+
+static void statement_write(const backend_control_ask_t *ask, char *statement)
+{
+	switch (ask->operation) {
+	case SERVER_FENCE:
+	case SERVER_PROMOTE:
+		snprintf(statement, CONTROL_STATEMENT_SIZE,
+			 "SELECT * FROM group_%s('%" PRIu64 "')",
+			 server_operation_name(ask->operation), ask->term);
+		return;
+	case SERVER_FOLLOW:
+		snprintf(statement, CONTROL_STATEMENT_SIZE,
+			 "SELECT * FROM group_follow('%" PRIu64
+			 "', '%.45s', '%u')",
+			 ask->term, ask->primary_address, ask->primary_port);
+		return;
+	default:
+		g_strlcpy(statement, "SELECT * FROM group_status()",
+			  CONTROL_STATEMENT_SIZE);
+	}
+}
+
+void backend_control_ask(backend_control_t *control,
+			 const backend_control_ask_t *ask,
+			 backend_control_done_t done, void *context)
+{
+	control_entry_t *entry = g_new0(control_entry_t, 1);
+
+	entry->operation = ask->operation;
+	entry->done = done;
+	entry->context = context;
+	statement_write(ask, entry->statement);
+	if (g_queue_get_length(control->queue) >= CONTROL_QUEUE_LIMIT)
+		entry->failed = SERVER_UNREACHABLE;
+	g_queue_push_tail(control->queue, entry);
+	event_active(control->wake, 0, 0);
+}
--- /dev/null
+++ b/src/daemon/group_rounds.c
@@ -0,0 +1,282 @@
+#include "daemon/group_private.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/** Longest wait for the answer to one question of a round. */
+#define ROUND_ASK_TIMEOUT_MS 700
+
+/** Time an owner of the primary has for a barrier before the next is asked. */
+#define BARRIER_RETRY_MS 150
+
+/** Pause before the next owner is asked when one could prove nothing. */
+#define BARRIER_PAUSE_MS 20
+
+/** Most barriers of one database that wait for another node. */
+#define BARRIER_WAITER_LIMIT 8192
+
+/** Most owners of the primary that are asked. */
+#define BARRIER_OWNER_LIMIT 8
+
+/** Longest deadline that a peer may ask for. */
+#define BARRIER_TIMEOUT_MS_MAX 5000
+
+typedef struct {
+	group_database_t *database;
+	uint32_t server;
+	uint64_t round;
+} round_ask_t;
+
+typedef struct {
+	group_database_t *database;
+	uint64_t deadline_ms;
+	group_barrier_done_t done;
+	void *context;
+} barrier_waiter_t;
+
+typedef struct {
+	group_database_t *database;
+	char *from;
+	uint64_t id;
+} barrier_served_t;
+
+static void on_round_answer(void *context, server_result_t result,
+			    const server_status_t *status)
+{
+	round_ask_t *ask = context;
+	group_database_t *database = ask->database;
+
+	if (!database->task->ending) {
+		evidence_answer(database->evidence, clock_now_ms(), ask->server,
+				ask->round, status);
+		group_database_wake(database);
+	}
+	g_free(ask);
+}
+
+static void on_round_ask(void *context, uint32_t server, uint64_t round,
+			 log_point_t wanted, uint32_t wait_ms)
+{
+	group_database_t *database = context;
+	const group_operation_t operation = {
+		.operation = SERVER_STATUS,
+		.point = wanted,
+		.wait_ms = wait_ms,
+		.timeout_ms = ROUND_ASK_TIMEOUT_MS,
+	};
+	round_ask_t *ask = g_new0(round_ask_t, 1);
+
+	ask->database = database;
+	ask->server = server;
+	ask->round = round;
+	group_asks_start(database->task->asks, &database->servers[server],
+			 &operation, on_round_answer, ask);
+}
+
+void group_rounds_open(group_database_t *database)
+{
+	const evidence_rule_t rule = {
+		.servers = database->servers_count,
+		.replicas = database->replicas,
+		.valid_ms = database->limits.evidence_valid_ms,
+		.guards = EVIDENCE_GUARD_ALL,
+	};
+	const evidence_handlers_t handlers = {
+		.ask = on_round_ask,
+		.context = database,
+	};
+
+	database->evidence = evidence_create(rule, handlers);
+	database->barriers.asked = g_queue_new();
+	database->barriers.waiting = g_queue_new();
+}
+
+static void barrier_end(barrier_waiter_t *waiter, log_point_t point)
+{
+	if (!waiter->database->task->ending)
+		waiter->done(waiter->context, point);
+	g_free(waiter);
+}
+
+static void barriers_end(GQueue *waiters, uint64_t now_ms)
+{
+	GQueue waiting = *waiters;
+	barrier_waiter_t *waiter;
+
+	g_queue_init(waiters);
+	while ((waiter = g_queue_pop_head(&waiting))) {
+		if (now_ms < waiter->deadline_ms)
+			g_queue_push_tail(waiters, waiter);
+		else
+			barrier_end(waiter, (log_point_t){0});
+	}
+}
+
+void group_rounds_close(group_database_t *database)
+{
+	evidence_abandon(database->evidence);
+	barriers_end(database->barriers.asked, UINT64_MAX);
+	barriers_end(database->barriers.waiting, UINT64_MAX);
+	group_asks_forget(database->task->asks, database);
+	evidence_destroy(database->evidence);
+	g_queue_free(database->barriers.asked);
+	g_queue_free(database->barriers.waiting);
+}
+
+static bool primary_is_here(const group_database_t *database,
+			    const group_view_t *view)
+{
+	for (uint32_t i = 0; i < database->servers_count; i++)
+		if (!strcmp(database->servers[i].name, view->primary))
+			return database->servers[i].watch != NULL;
+	return false;
+}
+
+static void on_proven(void *context, bool proven, log_point_t point,
+		      uint64_t age_ms)
+{
+	barrier_waiter_t *waiter = context;
+
+	barrier_end(waiter, proven ? point : (log_point_t){0});
+}
+
+void group_rounds_barrier(group_database_t *database, uint32_t timeout_ms,
+			  group_barrier_done_t done, void *context)
+{
+	const group_view_t view =
+		group_table_view(database->task->table, database->name);
+	group_barriers_t *barriers = &database->barriers;
+	barrier_waiter_t *waiter = g_new0(barrier_waiter_t, 1);
+
+	waiter->database = database;
+	waiter->deadline_ms = clock_now_ms() + timeout_ms;
+	waiter->done = done;
+	waiter->context = context;
+	group_database_wake(database);
+	if (primary_is_here(database, &view)) {
+		evidence_barrier(database->evidence, waiter->deadline_ms,
+				 on_proven, waiter);
+		return;
+	}
+	if (g_queue_get_length(barriers->waiting) >= BARRIER_WAITER_LIMIT)
+		waiter->deadline_ms = 0;
+	g_queue_push_tail(barriers->waiting, waiter);
+}
+
+static void barriers_send(group_database_t *database, uint64_t now_ms)
+{
+	group_task_t *task = database->task;
+	group_barriers_t *barriers = &database->barriers;
+	const group_view_t view = group_table_view(task->table, database->name);
+	const char *nodes[BARRIER_OWNER_LIMIT];
+	const uint32_t owners =
+		task->handlers.owners(task->handlers.context, database->name,
+				      view.primary, nodes, BARRIER_OWNER_LIMIT);
+	group_note_t note = {
+		.kind = GROUP_NOTE_BARRIER,
+		.id = barriers->id,
+		.term = view.term,
+		.timeout_ms = BARRIER_TIMEOUT_MS_MAX,
+	};
+
+	barriers->next_try_ms = now_ms + BARRIER_RETRY_MS;
+	if (!owners)
+		return;
+	for (GList *link = barriers->asked->head; link; link = link->next) {
+		const barrier_waiter_t *waiter = link->data;
+
+		if (link == barriers->asked->head)
+			note.timeout_ms = 1;
+		note.timeout_ms = MAX(note.timeout_ms,
+				      (uint32_t)(waiter->deadline_ms - now_ms));
+	}
+	g_strlcpy(note.database, database->name, sizeof(note.database));
+	group_task_send(task, nodes[barriers->tries++ % owners], &note);
+}
+
+/* One question is out at a time; who comes later rides on the next. */
+static uint64_t barriers_step(group_database_t *database, uint64_t now_ms)
+{
+	group_barriers_t *barriers = &database->barriers;
+	GQueue *free_queue;
+
+	barriers_end(barriers->asked, now_ms);
+	barriers_end(barriers->waiting, now_ms);
+	if (g_queue_is_empty(barriers->asked)) {
+		if (g_queue_is_empty(barriers->waiting))
+			return UINT64_MAX;
+		free_queue = barriers->asked;
+		barriers->asked = barriers->waiting;
+		barriers->waiting = free_queue;
+		barriers->id = database->task->next_id++;
+		barriers->tries = 0;
+		barriers->next_try_ms = now_ms;
+	}
+	if (now_ms >= barriers->next_try_ms)
+		barriers_send(database, now_ms);
+	return barriers->next_try_ms;
+}
+
+uint64_t group_rounds_step(group_database_t *database, uint64_t now_ms)
+{
+	const uint64_t barriers_due_ms = barriers_step(database, now_ms);
+
+	evidence_step(database->evidence, now_ms);
+	return MIN(evidence_due_ms(database->evidence), barriers_due_ms);
+}
+
+static void on_served(void *context, bool proven, log_point_t point,
+		      uint64_t age_ms)
+{
+	barrier_served_t *served = context;
+	group_note_t note = {
+		.kind = GROUP_NOTE_BARRIER_ANSWER,
+		.id = served->id,
+	};
+
+	if (proven)
+		note.point = point;
+	g_strlcpy(note.database, served->database->name, sizeof(note.database));
+	if (!served->database->task->ending)
+		group_task_send(served->database->task, served->from, &note);
+	g_free(served->from);
+	g_free(served);
+}
+
+void group_rounds_serve(group_database_t *database, const char *from,
+			const group_note_t *note)
+{
+	const uint32_t timeout_ms =
+		MIN(note->timeout_ms, BARRIER_TIMEOUT_MS_MAX);
+	barrier_served_t *served = g_new0(barrier_served_t, 1);
+
+	served->database = database;
+	served->from = g_strdup(from);
+	served->id = note->id;
+	evidence_barrier(database->evidence, clock_now_ms() + timeout_ms,
+			 on_served, served);
+	group_database_wake(database);
+}
+
+void group_rounds_answered(group_database_t *database, const group_note_t *note)
+{
+	group_barriers_t *barriers = &database->barriers;
+	GQueue asked;
+	barrier_waiter_t *waiter;
+
+	if (note->id != barriers->id || g_queue_is_empty(barriers->asked))
+		return;
+	group_database_wake(database);
+	if (!note->point.term) {
+		barriers->next_try_ms = clock_now_ms() + BARRIER_PAUSE_MS;
+		return;
+	}
+	asked = *barriers->asked;
+	g_queue_init(barriers->asked);
+	while ((waiter = g_queue_pop_head(&asked)))
+		barrier_end(waiter, note->point);
+}
