Speak to the platform, spread the configuration by peers

Two nodes of each failure domain watch the platform's key and its list of VMs; they tell their domain and the watchers of the others, who fetch the value. So calls to the platform grow with domains alone. A digest also rides on heartbeats with the age of the platform's last word; a node that finds it old asks the platform itself, one after the other, so that no rule of rank can leave a domain blind. A node without a configuration asks three peers at a time while the platform is down.

A swap counts as refused only when the answer proves it; a lost or broken answer is unknown and nothing is sent twice.

--- /dev/null
+++ b/src/daemon/config_task.c
@@ -0,0 +1,300 @@
+#include "daemon/config_task.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/config_spread.h"
+#include "protocol/config_note.h"
+#include "state/config_codec.h"
+
+#define CONFIG_KEY "toucanhook/config"
+#define TICK_MS 200
+
+struct config_task {
+	config_handlers_t handlers;
+	store_t *store;
+	config_spread_t *spread;
+	struct event *timer;
+	config_t *config;
+	GBytes *stored; /* the stored form of config */
+	metric_t *revision;
+	metric_t *reads;
+	metric_t *failed_reads;
+	metric_t *fetches;
+};
+
+static void on_config_read(void *context, store_result_t result,
+			   const uint8_t *bytes, size_t size_bytes,
+			   uint64_t index);
+static void on_members_read(void *context, store_result_t result,
+			    const member_t *members, uint32_t members_count,
+			    uint64_t index);
+
+static GArray *actions_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(config_action_t));
+}
+
+static void send_note(const config_task_t *task, const char *node,
+		      const config_note_t *note)
+{
+	g_autoptr(GBytes) bytes = config_note_encode(note);
+	gsize size_bytes;
+	const uint8_t *data = g_bytes_get_data(bytes, &size_bytes);
+
+	task->handlers.send(task->handlers.context, node, data, size_bytes);
+}
+
+static void send_digest(const config_task_t *task, const char *node,
+			config_note_kind_t kind)
+{
+	const config_note_t note = {
+		.kind = kind,
+		.digest = config_spread_digest(task->spread, clock_now_ms()),
+	};
+
+	send_note(task, node, &note);
+}
+
+static void run_action(config_task_t *task, const config_action_t *action)
+{
+	const store_t *store = task->store;
+
+	switch (action->kind) {
+	case CONFIG_ACTION_READ_CONFIG:
+		metric_add(task->reads, 1);
+		store->calls->get(store->self, CONFIG_KEY, action->after_index,
+				  action->wait_ms, on_config_read, task);
+		return;
+	case CONFIG_ACTION_READ_MEMBERS:
+		metric_add(task->reads, 1);
+		store->calls->members(store->self, action->after_index,
+				      action->wait_ms, on_members_read, task);
+		return;
+	case CONFIG_ACTION_FETCH:
+		metric_add(task->fetches, 1);
+		send_digest(task, action->node, CONFIG_NOTE_FETCH);
+		return;
+	case CONFIG_ACTION_TELL:
+		send_digest(task, action->node, CONFIG_NOTE_DIGEST);
+		return;
+	}
+}
+
+/* Runs the actions and frees them. */
+static void run(config_task_t *task, GArray *actions)
+{
+	for (guint i = 0; i < actions->len; i++)
+		run_action(task, &g_array_index(actions, config_action_t, i));
+	g_array_unref(actions);
+}
+
+static void put_in_force(config_task_t *task, config_t *config,
+			 const uint8_t *bytes, size_t size_bytes,
+			 const char *source)
+{
+	config_t *old = task->config;
+
+	g_clear_pointer(&task->stored, g_bytes_unref);
+	task->stored = g_bytes_new(bytes, size_bytes);
+	task->config = config;
+	metric_set(task->revision, (int64_t)config->revision);
+	log_event(LOG_LEVEL_NOTICE, "config_revision",
+		  "revision=%" PRIu64 " change=%s site=%s source=%s",
+		  config->revision, config->change_id, config->site, source);
+	task->handlers.changed(task->handlers.context, config);
+	config_delete(old);
+}
+
+static bool is_in_force(const config_task_t *task, const uint8_t *bytes,
+			size_t size_bytes)
+{
+	gsize size = 0;
+	const void *data =
+		task->stored ? g_bytes_get_data(task->stored, &size) : NULL;
+
+	return data && size == size_bytes && !memcmp(data, bytes, size_bytes);
+}
+
+static void offer(config_task_t *task, const uint8_t *bytes, size_t size_bytes,
+		  const char *source)
+{
+	g_autoptr(GError) error = NULL;
+	GArray *actions;
+	config_t *config;
+
+	if (is_in_force(task, bytes, size_bytes))
+		return;
+	config = config_codec_decode(bytes, size_bytes, &error);
+	if (!config) {
+		log_event(LOG_LEVEL_ERROR, "config_refused",
+			  "source=%s reason=\"%s\"", source, error->message);
+		return;
+	}
+	actions = actions_new();
+	if (config_spread_offer(task->spread, config->revision, actions)) {
+		put_in_force(task, config, bytes, size_bytes, source);
+	} else {
+		log_event(LOG_LEVEL_WARNING, "config_refused",
+			  "source=%s revision=%" PRIu64 " in_force=%" PRIu64,
+			  source, config->revision,
+			  config_spread_revision(task->spread));
+		config_delete(config);
+	}
+	run(task, actions);
+}
+
+static config_read_t read_result(store_result_t result)
+{
+	if (result == STORE_OK)
+		return CONFIG_READ_DONE;
+	return result == STORE_ABSENT ? CONFIG_READ_ABSENT : CONFIG_READ_FAILED;
+}
+
+static void on_config_read(void *context, store_result_t result,
+			   const uint8_t *bytes, size_t size_bytes,
+			   uint64_t index)
+{
+	config_task_t *task = context;
+
+	if (result == STORE_OK)
+		offer(task, bytes, size_bytes, "platform");
+	else if (result != STORE_ABSENT)
+		metric_add(task->failed_reads, 1);
+	config_spread_config_read(task->spread, read_result(result), index,
+				  clock_now_ms());
+}
+
+static void on_members_read(void *context, store_result_t result,
+			    const member_t *members, uint32_t members_count,
+			    uint64_t index)
+{
+	config_task_t *task = context;
+
+	if (result != STORE_OK)
+		metric_add(task->failed_reads, 1);
+	config_spread_members_read(task->spread, read_result(result), index,
+				   clock_now_ms());
+	if (result == STORE_OK)
+		task->handlers.listed(task->handlers.context, members,
+				      members_count);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *context)
+{
+	config_task_t *task = context;
+	GArray *actions = actions_new();
+
+	config_spread_tick(task->spread, clock_now_ms(), actions);
+	run(task, actions);
+}
+
+config_task_t *config_task_create(struct event_base *base, metrics_t *metrics,
+				  const char *node, const char *failure_domain,
+				  store_t *store, config_handlers_t handlers)
+{
+	const struct timeval interval = {.tv_usec = TICK_MS * 1000};
+	config_task_t *task = g_new0(config_task_t, 1);
+
+	task->handlers = handlers;
+	task->store = store;
+	task->spread =
+		config_spread_create(node, failure_domain, g_str_hash(node));
+	task->timer = event_new(base, -1, EV_PERSIST, on_tick, task);
+	event_add(task->timer, &interval);
+	task->revision =
+		metrics_gauge(metrics, "toucanhook_config_revision", "");
+	task->reads = metrics_counter(
+		metrics, "toucanhook_platform_reads_total", "result=\"sent\"");
+	task->failed_reads =
+		metrics_counter(metrics, "toucanhook_platform_reads_total",
+				"result=\"failed\"");
+	task->fetches =
+		metrics_counter(metrics, "toucanhook_config_fetches_total", "");
+	return task;
+}
+
+void config_task_destroy(config_task_t *task)
+{
+	if (!task)
+		return;
+	event_free(task->timer);
+	config_spread_destroy(task->spread);
+	config_delete(task->config);
+	g_clear_pointer(&task->stored, g_bytes_unref);
+	g_free(task);
+}
+
+void config_task_members(config_task_t *task, const member_view_t *view)
+{
+	config_spread_members(task->spread, view);
+}
+
+static void heard(config_task_t *task, const char *from,
+		  const config_digest_t *digest)
+{
+	GArray *actions = actions_new();
+
+	config_spread_heard(task->spread, from, digest, clock_now_ms(),
+			    actions);
+	run(task, actions);
+}
+
+static void answer_fetch(const config_task_t *task, const char *from,
+			 uint64_t revision)
+{
+	config_note_t note = {.kind = CONFIG_NOTE_VALUE};
+
+	if (!task->stored || revision >= task->config->revision)
+		return;
+	note.bytes = g_bytes_get_data(task->stored, &note.size_bytes);
+	send_note(task, from, &note);
+}
+
+void config_task_note(config_task_t *task, const char *from,
+		      const uint8_t *bytes, size_t size_bytes)
+{
+	config_note_t note;
+
+	if (!config_note_decode(bytes, size_bytes, &note)) {
+		log_event(LOG_LEVEL_WARNING, "config_note_refused",
+			  "from=%s size_bytes=%zu", from, size_bytes);
+		return;
+	}
+	switch (note.kind) {
+	case CONFIG_NOTE_DIGEST:
+		heard(task, from, &note.digest);
+		return;
+	case CONFIG_NOTE_FETCH:
+		answer_fetch(task, from, note.digest.revision);
+		return;
+	case CONFIG_NOTE_VALUE:
+		offer(task, note.bytes, note.size_bytes, from);
+		return;
+	}
+}
+
+size_t config_task_digest(const config_task_t *task, uint8_t *bytes,
+			  size_t limit_bytes)
+{
+	const config_digest_t digest =
+		config_spread_digest(task->spread, clock_now_ms());
+
+	return config_digest_encode(&digest, bytes, limit_bytes);
+}
+
+void config_task_digest_seen(config_task_t *task, const char *from,
+			     const uint8_t *bytes, size_t size_bytes)
+{
+	config_digest_t digest;
+
+	if (config_digest_decode(bytes, size_bytes, &digest))
+		heard(task, from, &digest);
+}
+
+const config_t *config_task_current(const config_task_t *task)
+{
+	return task->config;
+}
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -24,7 +24,10 @@
 	STORE_UNKNOWN,	/**< no answer; a write may have taken effect */
 } store_result_t;
 
-/** @param index modification index of the value, for the next swap */
+/**
+ * @param index modification index of the value, for the next swap; 0 after a
+ *        swap and for an absent key
+ */
 typedef void (*store_value_t)(void *context, store_result_t result,
 			      const uint8_t *bytes, size_t size_bytes,
 			      uint64_t index);
--- /dev/null
+++ b/src/protocol/config_note.c
@@ -0,0 +1,75 @@
+#include "protocol/config_note.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+/* The first byte of a note, by its kind. */
+static const uint8_t kind_bytes[] = {'D', 'F', 'V'};
+
+size_t config_digest_encode(const config_digest_t *digest, uint8_t *bytes,
+			    size_t limit_bytes)
+{
+	json_t *json = json_pack("[I, I]", (json_int_t)digest->revision,
+				 (json_int_t)digest->age_ms);
+	const size_t size_bytes =
+		json_dumpb(json, (char *)bytes, limit_bytes, JSON_COMPACT);
+
+	json_decref(json);
+	return size_bytes <= limit_bytes ? size_bytes : 0;
+}
+
+bool config_digest_decode(const uint8_t *bytes, size_t size_bytes,
+			  config_digest_t *digest)
+{
+	json_int_t revision = 0;
+	json_int_t age_ms = 0;
+	json_t *json = NULL;
+	bool taken;
+
+	if (size_bytes <= CONFIG_DIGEST_SIZE_BYTES_MAX)
+		json = json_loadb((const char *)bytes, size_bytes, 0, NULL);
+	taken = json && !json_unpack(json, "[I, I!]", &revision, &age_ms) &&
+		revision >= 0 && age_ms >= 0 && age_ms <= UINT32_MAX;
+	json_decref(json);
+	digest->revision = (uint64_t)revision;
+	digest->age_ms = (uint32_t)age_ms;
+	return taken;
+}
+
+GBytes *config_note_encode(const config_note_t *note)
+{
+	uint8_t head[1 + CONFIG_DIGEST_SIZE_BYTES_MAX];
+	GByteArray *bytes = g_byte_array_new();
+	size_t size_bytes = 0;
+
+	head[0] = kind_bytes[note->kind];
+	if (note->kind != CONFIG_NOTE_VALUE)
+		size_bytes = config_digest_encode(&note->digest, head + 1,
+						  CONFIG_DIGEST_SIZE_BYTES_MAX);
+	g_byte_array_append(bytes, head, (guint)(1 + size_bytes));
+	if (note->kind == CONFIG_NOTE_VALUE)
+		g_byte_array_append(bytes, note->bytes,
+				    (guint)note->size_bytes);
+	return g_byte_array_free_to_bytes(bytes);
+}
+
+bool config_note_decode(const uint8_t *bytes, size_t size_bytes,
+			config_note_t *note)
+{
+	const uint8_t *kind;
+
+	memset(note, 0, sizeof(*note));
+	if (!size_bytes)
+		return false;
+	kind = memchr(kind_bytes, bytes[0], sizeof(kind_bytes));
+	if (!kind)
+		return false;
+	note->kind = (config_note_kind_t)(kind - kind_bytes);
+	if (note->kind != CONFIG_NOTE_VALUE)
+		return config_digest_decode(bytes + 1, size_bytes - 1,
+					    &note->digest);
+	note->bytes = bytes + 1;
+	note->size_bytes = size_bytes - 1;
+	return true;
+}
--- /dev/null
+++ b/tests/property/prop_config_spread.cpp
@@ -0,0 +1,439 @@
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <glib.h>
+#include <rapidcheck.h>
+
+extern "C" {
+#include "coordination/config_spread.h"
+}
+
+namespace
+{
+
+constexpr uint64_t step_ms = 100;
+constexpr uint64_t heartbeat_ms = 500;
+constexpr uint64_t start_ms = 1000000;
+
+struct Message {
+	uint64_t due_ms;
+	size_t from;
+	size_t to;
+	config_action_kind_t kind; /* FETCH, TELL; READ_CONFIG for a value */
+	config_digest_t digest;
+};
+
+struct Read {
+	uint64_t due_ms;
+	size_t node;
+	config_action_kind_t kind;
+	uint64_t after;
+};
+
+struct Node {
+	std::string name;
+	std::string domain;
+	config_spread_t *spread = nullptr;
+	uint64_t seen = 0; /* highest revision of this incarnation */
+	bool platform = true;
+};
+
+/* A fleet, its network and its platform, all in simulated time. */
+struct Fleet {
+	std::vector<Node> nodes;
+	std::vector<member_t> members;
+	std::deque<Message> messages;
+	std::deque<Read> reads;
+	GRand *random;
+	uint64_t now_ms = start_ms;
+	uint64_t accepted = 0;
+	uint32_t loss_percent = 0;
+	uint32_t platform_calls = 0;
+	bool heartbeats = true;
+
+	Fleet(size_t count, size_t domains, uint32_t seed)
+	    : random(g_rand_new_with_seed(seed))
+	{
+		for (size_t i = 0; i < count; i++) {
+			Node node;
+			member_t member = {};
+
+			node.name = "node-" + std::to_string(100 + i);
+			node.domain = "domain-" + std::to_string(i % domains);
+			g_strlcpy(member.name, node.name.c_str(),
+				  sizeof(member.name));
+			g_strlcpy(member.failure_domain, node.domain.c_str(),
+				  sizeof(member.failure_domain));
+			nodes.push_back(node);
+			members.push_back(member);
+		}
+		for (size_t i = 0; i < count; i++)
+			restart(i);
+	}
+
+	~Fleet()
+	{
+		for (Node &node : nodes)
+			config_spread_destroy(node.spread);
+		g_rand_free(random);
+	}
+
+	member_view_t view() const
+	{
+		member_view_t view = {};
+
+		view.members = members.data();
+		view.members_count = (uint32_t)members.size();
+		return view;
+	}
+
+	void restart(size_t i)
+	{
+		const member_view_t all = view();
+		std::deque<Read> others;
+
+		config_spread_destroy(nodes[i].spread);
+		nodes[i].spread = config_spread_create(nodes[i].name.c_str(),
+						       nodes[i].domain.c_str(),
+						       g_rand_int(random));
+		nodes[i].seen = 0;
+		config_spread_members(nodes[i].spread, &all);
+		for (const Read &read : reads)
+			if (read.node != i)
+				others.push_back(read);
+		reads = others;
+	}
+
+	uint32_t below(uint32_t limit)
+	{
+		return (uint32_t)g_rand_int_range(random, 0, (gint32)limit);
+	}
+
+	size_t find(const char *name) const
+	{
+		for (size_t i = 0; i < nodes.size(); i++)
+			if (nodes[i].name == name)
+				return i;
+		RC_FAIL("an action names a stranger");
+		return 0;
+	}
+
+	void send(size_t from, size_t to, config_action_kind_t kind)
+	{
+		const uint32_t copies = 1 + !below(10);
+
+		for (uint32_t i = 0; i < copies; i++) {
+			if (below(100) < loss_percent)
+				continue;
+			messages.push_back(
+				{now_ms + 5 + below(300), from, to, kind,
+				 config_spread_digest(nodes[from].spread,
+						      now_ms)});
+		}
+	}
+
+	void run(size_t i, GArray *actions)
+	{
+		for (guint n = 0; n < actions->len; n++) {
+			const config_action_t &action =
+				g_array_index(actions, config_action_t, n);
+
+			if (action.kind == CONFIG_ACTION_FETCH ||
+			    action.kind == CONFIG_ACTION_TELL) {
+				send(i, find(action.node), action.kind);
+				continue;
+			}
+			platform_calls++;
+			reads.push_back(
+				{now_ms + (action.after_index ? action.wait_ms :
+								10),
+				 i, action.kind, action.after_index});
+		}
+		g_array_unref(actions);
+	}
+
+	static GArray *actions()
+	{
+		return g_array_new(FALSE, FALSE, sizeof(config_action_t));
+	}
+
+	void offer(size_t i, uint64_t revision)
+	{
+		GArray *found = actions();
+		const bool taken =
+			config_spread_offer(nodes[i].spread, revision, found);
+
+		RC_ASSERT(taken == (revision > nodes[i].seen));
+		if (taken)
+			nodes[i].seen = revision;
+		RC_ASSERT(config_spread_revision(nodes[i].spread) ==
+			  nodes[i].seen);
+		run(i, found);
+	}
+
+	void deliver(const Message &message)
+	{
+		GArray *found = actions();
+
+		switch (message.kind) {
+		case CONFIG_ACTION_TELL:
+			config_spread_heard(nodes[message.to].spread,
+					    nodes[message.from].name.c_str(),
+					    &message.digest, now_ms, found);
+			break;
+		case CONFIG_ACTION_FETCH:
+			if (nodes[message.to].seen > message.digest.revision)
+				send(message.to, message.from,
+				     CONFIG_ACTION_READ_CONFIG);
+			break;
+		default:
+			offer(message.to, message.digest.revision);
+		}
+		run(message.to, found);
+	}
+
+	/* The index of the key is the revision plus one. */
+	void answer(const Read &read)
+	{
+		Node &node = nodes[read.node];
+		const config_read_t result = !node.platform ?
+						     CONFIG_READ_FAILED :
+					     accepted ? CONFIG_READ_DONE :
+							CONFIG_READ_ABSENT;
+
+		if (read.kind == CONFIG_ACTION_READ_MEMBERS) {
+			config_spread_members_read(node.spread,
+						   node.platform ?
+							   CONFIG_READ_DONE :
+							   CONFIG_READ_FAILED,
+						   1, now_ms);
+			return;
+		}
+		if (result == CONFIG_READ_DONE)
+			offer(read.node, accepted);
+		config_spread_config_read(node.spread, result, accepted + 1,
+					  now_ms);
+	}
+
+	bool is_due(const Read &read) const
+	{
+		return now_ms >= read.due_ms ||
+		       (read.kind == CONFIG_ACTION_READ_CONFIG &&
+			nodes[read.node].platform && read.after &&
+			accepted + 1 > read.after);
+	}
+
+	void step()
+	{
+		std::deque<Message> due;
+		std::deque<Message> later;
+		std::deque<Read> answered;
+		std::deque<Read> held;
+
+		now_ms += step_ms;
+		for (const Message &message : messages)
+			(message.due_ms <= now_ms ? due : later)
+				.push_back(message);
+		messages = later;
+		for (const Message &message : due)
+			deliver(message);
+		for (const Read &read : reads)
+			(is_due(read) ? answered : held).push_back(read);
+		reads = held;
+		for (const Read &read : answered)
+			answer(read);
+		for (size_t i = 0; i < nodes.size(); i++) {
+			GArray *found = actions();
+
+			config_spread_tick(nodes[i].spread, now_ms, found);
+			run(i, found);
+			if (heartbeats && now_ms % heartbeat_ms == 0)
+				send(i, below((uint32_t)nodes.size()),
+				     CONFIG_ACTION_TELL);
+		}
+	}
+
+	void run_ms(uint64_t time_ms)
+	{
+		for (uint64_t end_ms = now_ms + time_ms; now_ms < end_ms;)
+			step();
+	}
+
+	void set_platform(bool up)
+	{
+		for (Node &node : nodes)
+			node.platform = up;
+	}
+
+	uint64_t highest() const
+	{
+		uint64_t highest = 0;
+
+		for (const Node &node : nodes)
+			highest = std::max(highest, node.seen);
+		return highest;
+	}
+
+	bool all_at(uint64_t revision) const
+	{
+		for (const Node &node : nodes)
+			if (node.seen != revision)
+				return false;
+		return true;
+	}
+};
+
+/* Random changes, restarts, losses and outages. */
+void disturb(Fleet &fleet, uint32_t steps)
+{
+	for (uint32_t i = 0; i < steps; i++) {
+		Node &node =
+			fleet.nodes[fleet.below((uint32_t)fleet.nodes.size())];
+
+		switch (fleet.below(8)) {
+		case 0:
+			fleet.accepted += 1 + fleet.below(3);
+			break;
+		case 1:
+			node.platform = !node.platform;
+			break;
+		case 2:
+			fleet.set_platform(fleet.below(2));
+			break;
+		case 3:
+			fleet.loss_percent = fleet.below(90);
+			break;
+		case 4:
+			fleet.restart((size_t)(&node - &fleet.nodes[0]));
+			break;
+		default:
+			fleet.run_ms(fleet.below(40) * step_ms);
+		}
+	}
+}
+
+void converges_after_disturbance()
+{
+	const auto seed = *rc::gen::arbitrary<uint32_t>();
+	const auto count = *rc::gen::inRange<size_t>(2, 12);
+	const auto domains = *rc::gen::inRange<size_t>(1, 4);
+	Fleet fleet(count, domains, seed);
+
+	disturb(fleet, 60);
+	fleet.accepted++;
+	fleet.loss_percent = 5;
+	fleet.set_platform(true);
+	/* Longest back-off of a watcher, and the time to spread. */
+	fleet.run_ms(75000);
+	RC_ASSERT(fleet.all_at(fleet.accepted));
+	fleet.accepted++;
+	fleet.run_ms(5000);
+	RC_ASSERT(fleet.all_at(fleet.accepted));
+}
+
+void converges_while_the_platform_is_down()
+{
+	const auto seed = *rc::gen::arbitrary<uint32_t>();
+	const auto count = *rc::gen::inRange<size_t>(2, 12);
+	Fleet fleet(count, 3, seed);
+
+	disturb(fleet, 40);
+	fleet.set_platform(false);
+	fleet.loss_percent = 20;
+	fleet.restart(fleet.below((uint32_t)count));
+	fleet.run_ms(20000);
+	RC_ASSERT(fleet.all_at(fleet.highest()));
+}
+
+void watchers_tell_at_once()
+{
+	const auto seed = *rc::gen::arbitrary<uint32_t>();
+	const auto count = *rc::gen::inRange<size_t>(2, 12);
+	Fleet fleet(count, 3, seed);
+
+	fleet.accepted = 1;
+	fleet.run_ms(5000);
+	fleet.heartbeats = false;
+	fleet.accepted = 2;
+	fleet.run_ms(2000);
+	RC_ASSERT(fleet.all_at(2));
+}
+
+void a_new_node_asks_peers()
+{
+	const auto seed = *rc::gen::arbitrary<uint32_t>();
+	Fleet fleet(8, 2, seed);
+
+	fleet.accepted = 1;
+	fleet.run_ms(5000);
+	fleet.heartbeats = false;
+	fleet.set_platform(false);
+	fleet.restart(fleet.below(8));
+	fleet.run_ms(5000);
+	RC_ASSERT(fleet.all_at(1));
+}
+
+/* Both watchers of a domain are cut from the platform, the rest is not. */
+void no_domain_stays_blind()
+{
+	const auto seed = *rc::gen::arbitrary<uint32_t>();
+	Fleet fleet(8, 1, seed);
+
+	fleet.accepted = 1;
+	fleet.run_ms(5000);
+	for (size_t i = 0; i < fleet.nodes.size(); i++) {
+		bool watches = false;
+
+		for (const Read &read : fleet.reads)
+			watches = watches || read.node == i;
+		fleet.nodes[i].platform = !watches;
+	}
+	fleet.accepted = 2;
+	fleet.run_ms(CONFIG_SPREAD_BLIND_MS + 30000);
+	RC_ASSERT(fleet.all_at(2));
+}
+
+uint32_t calls_of_a_quiet_minute(size_t count, uint32_t seed)
+{
+	Fleet fleet(count, 3, seed);
+
+	fleet.accepted = 1;
+	fleet.run_ms(20000);
+	fleet.platform_calls = 0;
+	fleet.run_ms(60000);
+	return fleet.platform_calls;
+}
+
+void calls_grow_with_domains_alone()
+{
+	const auto seed = *rc::gen::arbitrary<uint32_t>();
+	/* Two keys, each watched anew at least every wait. */
+	const uint32_t most = 3 * CONFIG_SPREAD_WATCHERS * 2 *
+			      (60000 / CONFIG_SPREAD_WAIT_MS + 1);
+
+	RC_ASSERT(calls_of_a_quiet_minute(6, seed) <= most);
+	RC_ASSERT(calls_of_a_quiet_minute(24, seed) <= most);
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = true;
+
+	ok &= rc::check("all come to the highest accepted, none goes back",
+			converges_after_disturbance);
+	ok &= rc::check("peers alone spread what one of them has",
+			converges_while_the_platform_is_down);
+	ok &= rc::check("watchers tell of a change at once",
+			watchers_tell_at_once);
+	ok &= rc::check("a new node asks peers while the platform is down",
+			a_new_node_asks_peers);
+	ok &= rc::check("no rule of rank leaves a domain blind",
+			no_domain_stays_blind);
+	ok &= rc::check("calls to the platform grow with domains alone",
+			calls_grow_with_domains_alone);
+	return !ok;
+}
