--- /dev/null
+++ b/tests/unit/test_dispatch.c
@@ -0,0 +1,260 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <event2/event.h>
+#include <glib.h>
+
+#include "daemon/dispatch_task.h"
+
+/* A fake node: notes what is submitted and answers when told to. */
+typedef struct {
+	struct event_base *base;
+	metrics_t *metrics;
+	group_table_t *table;
+	dispatch_task_t *dispatch;
+	uint32_t submitted;
+	uint64_t request_id;
+	uint64_t term;
+	uint64_t lease_id;
+	char server[64];
+	answer_sink_t sink;
+	uint32_t barriers;
+	void (*barrier_done)(void *context, log_point_t point);
+	void *barrier_context;
+	uint32_t ended;
+	answer_t answer;
+} fake_t;
+
+static config_server_t servers[] = {
+	{.name = "s-a", .failure_domain = "akl-a"},
+	{.name = "s-b", .failure_domain = "akl-a"},
+};
+static config_database_t database = {.name = "pairs",
+				     .servers = servers,
+				     .servers_count = 2};
+static config_service_t service = {.name = "match",
+				   .owners = 1,
+				   .databases = &database,
+				   .databases_count = 1};
+static const config_t config = {.limits = {.catch_up_ms = 100},
+				.services = &service,
+				.services_count = 1};
+static const member_t member = {.name = "n1",
+				.failure_domain = "akl-a",
+				.state = MEMBER_LIVE};
+static const member_view_t view = {.members = &member, .members_count = 1};
+
+static void fake_submit(void *context, const char *node,
+			const request_t *request, answer_sink_t sink)
+{
+	fake_t *fake = context;
+
+	fake->submitted++;
+	fake->request_id = request->request_id;
+	fake->term = request->term;
+	fake->lease_id = request->lease_id;
+	g_strlcpy(fake->server, request->server, sizeof(fake->server));
+	fake->sink = sink;
+}
+
+static void fake_cancel(void *context, const char *node, uint64_t request_id,
+			void *sink_context)
+{
+}
+
+static void fake_release(void *context, const char *node, uint64_t lease_id)
+{
+	((fake_t *)context)->lease_id = lease_id;
+}
+
+static void fake_barrier(void *context, const char *name, uint32_t timeout_ms,
+			 void (*done)(void *context, log_point_t point),
+			 void *done_context)
+{
+	fake_t *fake = context;
+
+	fake->barriers++;
+	fake->barrier_done = done;
+	fake->barrier_context = done_context;
+}
+
+static void on_chunk(void *context, uint64_t request_id, GBytes *bytes)
+{
+}
+
+static void on_end(void *context, uint64_t request_id, const answer_t *answer)
+{
+	fake_t *fake = context;
+
+	fake->ended++;
+	fake->answer = *answer;
+}
+
+static int setup(void **state)
+{
+	fake_t *fake = g_new0(fake_t, 1);
+
+	fake->base = event_base_new();
+	fake->metrics = metrics_create(16);
+	fake->table = group_table_create();
+	fake->dispatch = dispatch_task_create(
+		fake->base, fake->metrics, "n1", "akl-a", fake->table,
+		(dispatch_handlers_t){fake_submit, fake_cancel, fake_release,
+				      fake_barrier, fake});
+	dispatch_task_configure(fake->dispatch, &config);
+	dispatch_task_members(fake->dispatch, &view);
+	group_table_offer(fake->table, "pairs", 1, "s-a");
+	*state = fake;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	fake_t *fake = *state;
+
+	dispatch_task_destroy(fake->dispatch);
+	group_table_destroy(fake->table);
+	metrics_destroy(fake->metrics);
+	event_base_free(fake->base);
+	g_free(fake);
+	return 0;
+}
+
+static void ask(fake_t *fake, request_kind_t kind, const char *key,
+		uint64_t lease_id)
+{
+	g_autoptr(request_t) request = request_new();
+
+	request->request_id = 7;
+	request->database = g_strdup("pairs");
+	request->tenant = g_strdup("match");
+	request->request_key = g_strdup(key);
+	request->kind = kind;
+	request->lease_id = lease_id;
+	request->timeout_ms = 60000;
+	dispatch_task_submit(fake->dispatch, request,
+			     (answer_sink_t){on_chunk, on_end, fake});
+	while (!fake->submitted && !fake->ended)
+		event_base_loop(fake->base, EVLOOP_ONCE);
+}
+
+static void answer(fake_t *fake, outcome_t outcome, reason_t reason,
+		   uint64_t lease_id)
+{
+	const answer_t answer = {
+		.outcome = outcome, .reason = reason, .lease_id = lease_id};
+	const answer_sink_t sink = fake->sink;
+
+	fake->submitted = 0;
+	sink.end(sink.context, fake->request_id, &answer);
+}
+
+static void promote(fake_t *fake)
+{
+	group_table_offer(fake->table, "pairs", 2, "s-b");
+	dispatch_task_primary_changed(fake->dispatch, "pairs");
+}
+
+static void test_change_not_run_waits_for_the_next_primary(void **state)
+{
+	fake_t *fake = *state;
+
+	ask(fake, REQUEST_WRITE, NULL, 0);
+	assert_string_equal(fake->server, "s-a");
+	answer(fake, OUTCOME_NOT_RUN, REASON_UNREACHABLE, 0);
+	while (!fake->barriers)
+		event_base_loop(fake->base, EVLOOP_ONCE);
+	assert_int_equal(fake->submitted, 0);
+	promote(fake);
+	assert_int_equal(fake->submitted, 1);
+	assert_string_equal(fake->server, "s-b");
+	assert_int_equal(fake->term, 2);
+	answer(fake, OUTCOME_DONE, REASON_NONE, 0);
+	assert_int_equal(fake->ended, 1);
+	assert_int_equal(fake->answer.outcome, OUTCOME_DONE);
+}
+
+static void test_barrier_that_holds_resumes_what_waits(void **state)
+{
+	fake_t *fake = *state;
+
+	ask(fake, REQUEST_WRITE, NULL, 0);
+	answer(fake, OUTCOME_NOT_RUN, REASON_UNREACHABLE, 0);
+	while (!fake->barriers)
+		event_base_loop(fake->base, EVLOOP_ONCE);
+	fake->barrier_done(fake->barrier_context, (log_point_t){1, 5});
+	assert_int_equal(fake->submitted, 1);
+	answer(fake, OUTCOME_DONE, REASON_NONE, 0);
+}
+
+static void test_unknown_change_is_never_run_again(void **state)
+{
+	fake_t *fake = *state;
+
+	ask(fake, REQUEST_WRITE, NULL, 0);
+	answer(fake, OUTCOME_UNKNOWN, REASON_LOST_ANSWER, 0);
+	assert_int_equal(fake->ended, 1);
+	assert_int_equal(fake->answer.outcome, OUTCOME_UNKNOWN);
+	promote(fake);
+	assert_int_equal(fake->submitted, 0);
+}
+
+static void test_unknown_change_under_a_key_is_settled(void **state)
+{
+	fake_t *fake = *state;
+
+	ask(fake, REQUEST_WRITE, "booking-7", 0);
+	answer(fake, OUTCOME_UNKNOWN, REASON_LOST_ANSWER, 0);
+	assert_int_equal(fake->ended, 0);
+	promote(fake);
+	assert_int_equal(fake->submitted, 1);
+	answer(fake, OUTCOME_DONE, REASON_NONE, 0);
+	assert_int_equal(fake->answer.outcome, OUTCOME_DONE);
+}
+
+static void test_transaction_stays_on_its_lease(void **state)
+{
+	fake_t *fake = *state;
+	uint64_t lease_id;
+
+	ask(fake, REQUEST_TRANSACTION, NULL, 0);
+	answer(fake, OUTCOME_DONE, REASON_NONE, 900);
+	lease_id = fake->answer.lease_id;
+	assert_int_not_equal(lease_id, 0);
+	promote(fake);
+	fake->ended = 0;
+	ask(fake, REQUEST_TRANSACTION, NULL, lease_id);
+	assert_string_equal(fake->server, "s-a");
+	assert_int_equal(fake->lease_id, 900);
+	answer(fake, OUTCOME_NOT_RUN, REASON_OTHER_TERM, 0);
+	assert_int_equal(fake->ended, 1);
+	/* The lease went with the answer. */
+	fake->ended = 0;
+	ask(fake, REQUEST_TRANSACTION, NULL, lease_id);
+	assert_int_equal(fake->answer.reason, REASON_UNKNOWN_LEASE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_change_not_run_waits_for_the_next_primary, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_barrier_that_holds_resumes_what_waits, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_unknown_change_is_never_run_again, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_unknown_change_under_a_key_is_settled, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_transaction_stays_on_its_lease, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
