Serve callers: login, settings, statements, outcomes

A transaction that fails at the entry, or whose server connection is lost, stays failed until ROLLBACK as with a server, so that a later COMMIT cannot acknowledge half of it. Flush is answered for batches that only prepare and refused clearly otherwise. Not yet tested against a client.

--- a/src/daemon/callers_task.h
+++ b/src/daemon/callers_task.h
@@ -14,6 +14,15 @@
  */
 typedef struct callers_task callers_task_t;
 
+/** Why the task could not be made. */
+typedef enum {
+	CALLERS_ERROR_LISTEN, /**< the address is invalid or in use */
+	CALLERS_ERROR_TLS,    /**< certificate or key cannot be read */
+} callers_error_t;
+
+#define CALLERS_ERROR callers_error_quark()
+GQuark callers_error_quark(void);
+
 /** What the callers' side asks of the dispatch task. */
 typedef struct {
 	/** Routes and runs; @p request is copied. See answer_sink_t. */
--- /dev/null
+++ b/src/daemon/session_request.c
@@ -0,0 +1,462 @@
+#include "daemon/session_request.h"
+
+#include <string.h>
+
+#include <event2/buffer.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "daemon/session_local.h"
+#include "daemon/session_outcome.h"
+#include "protocol/outcome_report.h"
+
+#define TIMEOUT_MS_DEFAULT 30000
+
+#define FAILED_TRANSACTION                                               \
+	"current transaction is aborted, commands ignored until end of " \
+	"transaction block"
+
+void session_request_ready(session_t *session)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+
+	pg_write_ready(out, session->status);
+	session_write(session, out);
+	if (session->host->draining)
+		session_drain(session);
+}
+
+void session_request_refuse(session_t *session, const char *sqlstate,
+			    const char *message, const char *hint)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+
+	pg_write_error(out, "ERROR", sqlstate, message, hint);
+	session_write(session, out);
+	if (session->status == 'I')
+		return;
+	session_release(session);
+	session->status = 'E';
+}
+
+/* A transaction that failed here holds no server connection any more. */
+static bool is_lost(const session_t *session)
+{
+	return session->status == 'E' && !session->lease_id;
+}
+
+static void on_chunk(void *context, uint64_t request_id, GBytes *bytes)
+{
+	session_t *session = context;
+
+	if (session->state != SESSION_BUSY ||
+	    session->run.request_id != request_id)
+		return;
+	session_outcome_chunk(session, bytes);
+}
+
+static void on_end(void *context, uint64_t request_id, const answer_t *answer)
+{
+	session_t *session = context;
+
+	if (session->run.request_id != request_id)
+		return;
+	session->run.request_id = 0;
+	if (session->state == SESSION_BUSY)
+		session_outcome_end(session, answer);
+}
+
+static request_t *make_request(session_t *session, GBytes *bytes,
+			       const session_work_t *work)
+{
+	const session_settings_t *settings = session->settings;
+	request_t *request = request_new();
+
+	request->session_id = session->session_id;
+	request->lease_id = session->lease_id;
+	request->database = g_strdup(session->database);
+	request->tenant = g_strdup(session->tenant);
+	request->class_index = session->class_index;
+	request->kind = work->kind;
+	request->timeout_ms = settings->timeout_ms ? settings->timeout_ms :
+						     session->class_timeout_ms;
+	if (!request->timeout_ms)
+		request->timeout_ms = TIMEOUT_MS_DEFAULT;
+	if (settings->consistency == CONSISTENCY_AGE &&
+	    work->kind == REQUEST_READ)
+		request->max_age_ms = settings->max_age_ms ?
+					      settings->max_age_ms :
+					      session->class_max_age_ms;
+	if (!request->max_age_ms)
+		request->at_least =
+			session_token_point(settings->token, session->database);
+	if (session->run.keyed)
+		request->request_key = g_strdup(settings->request_key);
+	request->bytes = g_bytes_ref(bytes);
+	return request;
+}
+
+static void submit(session_t *session, request_t *request)
+{
+	session_host_t *host = session->host;
+	const answer_sink_t sink = {on_chunk, on_end, session};
+	const uint64_t spent_ms =
+		(clock_now_us() - session->run.started_us) / 1000;
+
+	if (spent_ms >= request->timeout_ms) {
+		session_outcome_fail(session, OUTCOME_NOT_RUN, REASON_DEADLINE);
+		return;
+	}
+	request->timeout_ms -= (uint32_t)spent_ms;
+	request->request_id = ++host->next_request_id;
+	session->run.request_id = request->request_id;
+	host->dispatch.submit(host->dispatch.context, request, sink);
+}
+
+static void on_barrier(void *context, log_point_t point)
+{
+	session_barrier_t *barrier = context;
+	session_t *session = barrier->session;
+	request_t *request = NULL;
+
+	g_free(barrier);
+	if (!session)
+		return;
+	session->run.barrier = NULL;
+	request = g_steal_pointer(&session->run.request);
+	if (!point.term) {
+		session_outcome_fail(session, OUTCOME_NOT_RUN,
+				     REASON_NO_PRIMARY);
+	} else {
+		session_token_raise(session->settings->token, session->database,
+				    point);
+		request->at_least = session_token_point(
+			session->settings->token, session->database);
+		submit(session, request);
+	}
+	request_delete(request);
+}
+
+/* A strong read asks each time, a session's first read once. */
+static bool needs_barrier(const session_t *session, const request_t *request)
+{
+	if (request->kind != REQUEST_READ || request->max_age_ms)
+		return false;
+	return session->settings->consistency == CONSISTENCY_STRONG ||
+	       !request->at_least.term;
+}
+
+static void ask_barrier(session_t *session, request_t *request)
+{
+	const callers_dispatch_t *dispatch = &session->host->dispatch;
+	session_barrier_t *barrier = g_new0(session_barrier_t, 1);
+
+	barrier->session = session;
+	session->run.barrier = barrier;
+	session->run.request = request;
+	dispatch->barrier(dispatch->context, session->database,
+			  request->timeout_ms, on_barrier, barrier);
+}
+
+void session_request_run(session_t *session, GBytes *bytes,
+			 const session_work_t *work)
+{
+	request_t *request = NULL;
+
+	if (!session_refresh(session)) {
+		session_fatal(session, "3D000",
+			      "database or caller is no longer configured");
+		return;
+	}
+	session->state = SESSION_BUSY;
+	session->run = (session_run_t){
+		.work = *work,
+		.started_us = clock_now_us(),
+		.keyed = session->settings->request_key &&
+			 (work->kind == REQUEST_WRITE || work->commits),
+	};
+	request = make_request(session, bytes, work);
+	if (needs_barrier(session, request)) {
+		ask_barrier(session, request);
+		return;
+	}
+	submit(session, request);
+	request_delete(request);
+}
+
+/* Drops what runs; its sink and its barrier are not heard any more. */
+static void drop_run(session_t *session)
+{
+	session_host_t *host = session->host;
+
+	if (session->run.barrier)
+		session->run.barrier->session = NULL;
+	session->run.barrier = NULL;
+	g_clear_pointer(&session->run.request, request_delete);
+	if (session->run.request_id)
+		host->dispatch.cancel(host->dispatch.context,
+				      session->run.request_id, session);
+	session->run.request_id = 0;
+}
+
+void session_request_abandon(session_t *session)
+{
+	drop_run(session);
+	session_release(session);
+}
+
+void session_request_cancel(session_t *session)
+{
+	const session_work_t *work = &session->run.work;
+	const bool unknown = session->run.request_id &&
+			     (work->kind == REQUEST_WRITE || work->commits);
+
+	drop_run(session);
+	session_outcome_fail(session,
+			     unknown ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+			     REASON_CANCELLED);
+}
+
+/* What is answered without a server. @return whether it was */
+static bool answer_locally(session_t *session, const statement_t *statement,
+			   GByteArray *out)
+{
+	const statement_class_t class = statement->statement_class;
+
+	if (is_lost(session) && class != STATEMENT_EMPTY) {
+		if (class == STATEMENT_COMMIT || class == STATEMENT_ROLLBACK)
+			session_local_rollback(session, out);
+		else
+			pg_write_error(out, "ERROR", "25P02",
+				       FAILED_TRANSACTION, NULL);
+		return true;
+	}
+	switch (class) {
+	case STATEMENT_EMPTY:
+		pg_write_empty(out, 'I');
+		return true;
+	case STATEMENT_SET:
+	case STATEMENT_RESET:
+	case STATEMENT_SHOW:
+		if (!session_local_execute(session, statement, true, out) &&
+		    session->status != 'I') {
+			session_release(session);
+			session->status = 'E';
+		}
+		if (class == STATEMENT_RESET && !statement->name)
+			batch_forget(session->batch);
+		return true;
+	default:
+		return false;
+	}
+}
+
+static GBytes *query_bytes(const pg_message_t *message)
+{
+	return g_bytes_new(message->body - PG_HEADER_SIZE_BYTES,
+			   message->size_bytes);
+}
+
+static request_kind_t kind_of(const session_t *session, bool control,
+			      bool writes)
+{
+	if (session->lease_id || control)
+		return REQUEST_TRANSACTION;
+	return writes ? REQUEST_WRITE : REQUEST_READ;
+}
+
+static void refuse_statement(session_t *session, const char *reason)
+{
+	g_autofree char *message = g_strdup_printf(
+		"%s is not supported: server connections are shared", reason);
+
+	session_request_refuse(session, "0A000", message, NULL);
+}
+
+static void take_query(session_t *session, const pg_message_t *message)
+{
+	pg_reader_t reader = pg_reader(message);
+	const char *sql = pg_read_string(&reader);
+	g_autoptr(statement_t) statement = NULL;
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	g_autoptr(GBytes) bytes = NULL;
+	session_work_t work = {0};
+
+	if (!sql || reader.left_bytes) {
+		session_fatal(session, "08P01", "invalid message format");
+		return;
+	}
+	batch_clear(session->batch);
+	statement = statement_parse(sql);
+	if (answer_locally(session, statement, out)) {
+		session_write(session, out);
+		session_request_ready(session);
+		return;
+	}
+	if (statement->statement_class == STATEMENT_REFUSED) {
+		refuse_statement(session, statement->reason);
+		session_request_ready(session);
+		return;
+	}
+	work.begins = statement->statement_class == STATEMENT_BEGIN;
+	work.commits = statement->statement_class == STATEMENT_COMMIT;
+	work.rolls_back = statement->statement_class == STATEMENT_ROLLBACK;
+	work.kind = kind_of(session, work.begins,
+			    statement->statement_class != STATEMENT_READ);
+	if (session->status == 'I' && (work.commits || work.rolls_back))
+		work.kind = REQUEST_READ;
+	bytes = query_bytes(message);
+	session_request_run(session, bytes, &work);
+}
+
+/* Writes an error and skips what belongs to the same batch. */
+static void refuse_batch(session_t *session, const char *sqlstate,
+			 const char *message)
+{
+	session_request_refuse(session, sqlstate, message, NULL);
+	session->discards = true;
+}
+
+/* @return whether the batch was refused */
+static bool check_batch(session_t *session, const batch_summary_t *summary)
+{
+	if (is_lost(session))
+		refuse_batch(session, "25P02", FAILED_TRANSACTION);
+	else if (summary->refused) {
+		refuse_statement(session, summary->refused);
+		session->discards = true;
+	} else if (summary->mixed)
+		refuse_batch(session, "0A000",
+			     "session settings beside other statements in one "
+			     "batch are not supported");
+	else if (summary->commits && summary->executed > 1 &&
+		 session->settings->request_key)
+		refuse_batch(session, "0A000",
+			     "COMMIT beside other statements in one batch "
+			     "cannot carry a request key");
+	else
+		return false;
+	return true;
+}
+
+/* @return whether the batch was answered without a server */
+static bool answer_batch(session_t *session, const batch_summary_t *summary)
+{
+	const bool ends = summary->commits || summary->rolls_back;
+
+	if (!summary->steps)
+		return true;
+	if (is_lost(session) && ends && summary->executed == 1) {
+		session_local_rollback_batch(session);
+		return true;
+	}
+	if (check_batch(session, summary))
+		return true;
+	if (summary->local)
+		session_local_batch(session);
+	return summary->local;
+}
+
+static void run_batch(session_t *session, bool flushes)
+{
+	const batch_summary_t summary = batch_summarize(session->batch);
+	const bool control = summary.begins || summary.commits;
+	const session_work_t work = {
+		.kind = kind_of(session, control,
+				summary.writes || summary.rolls_back),
+		.begins = summary.begins,
+		.commits = summary.commits,
+		.rolls_back = summary.rolls_back && summary.executed == 1,
+		.extended = true,
+		.flushes = flushes,
+	};
+	g_autoptr(GBytes) bytes = NULL;
+
+	if (!answer_batch(session, &summary)) {
+		bytes = batch_bytes(session->batch);
+		session_request_run(session, bytes, &work);
+		return;
+	}
+	batch_clear(session->batch);
+	if (!flushes)
+		session_request_ready(session);
+}
+
+static void take_sync(session_t *session)
+{
+	if (!session->discards) {
+		run_batch(session, false);
+		return;
+	}
+	session->discards = false;
+	batch_clear(session->batch);
+	session_request_ready(session);
+}
+
+/*
+ * A Flush asks for answers before Sync. What only prepares may run at once,
+ * since its statements are parsed again later; anything else would lose its
+ * portal and its implicit transaction.
+ */
+static void take_flush(session_t *session)
+{
+	const batch_summary_t summary = batch_summarize(session->batch);
+
+	if (session->discards || !summary.steps)
+		return;
+	if (!batch_only_prepares(session->batch)) {
+		batch_clear(session->batch);
+		refuse_batch(session, "0A000",
+			     "Flush between Bind and Sync is not supported");
+		return;
+	}
+	run_batch(session, true);
+}
+
+static void take_extended(session_t *session, const pg_message_t *message)
+{
+	batch_error_t error = {0};
+
+	if (session->discards || batch_add(session->batch, message, &error))
+		return;
+	batch_clear(session->batch);
+	refuse_batch(session, error.sqlstate, error.message);
+}
+
+void session_request_message(session_t *session, const pg_message_t *message)
+{
+	switch (message->type) {
+	case 'Q':
+		take_query(session, message);
+		return;
+	case 'P':
+	case 'B':
+	case 'D':
+	case 'E':
+	case 'C':
+		take_extended(session, message);
+		return;
+	case 'H':
+		take_flush(session);
+		return;
+	case 'S':
+		take_sync(session);
+		return;
+	case 'X':
+		session_end_later(session);
+		return;
+	case 'F':
+		session_request_refuse(session, "0A000",
+				       "function calls are not supported",
+				       NULL);
+		session_request_ready(session);
+		return;
+	case 'd':
+	case 'c':
+	case 'f':
+		/* As a server does after a COPY that failed. */
+		return;
+	default:
+		session_fatal(session, "08P01", "unknown message type");
+	}
+}
--- a/src/protocol/batch.c
+++ b/src/protocol/batch.c
@@ -378,6 +378,20 @@
 	return summary;
 }
 
+bool batch_only_prepares(const batch_t *batch)
+{
+	guint i;
+
+	for (i = 0; i < batch->steps->len; i++) {
+		const batch_step_t *step =
+			&g_array_index(batch->steps, batch_step_t, i);
+
+		if (step->type == 'B' || step->type == 'E')
+			return false;
+	}
+	return true;
+}
+
 const batch_step_t *batch_steps(const batch_t *batch, uint32_t *steps_count)
 {
 	*steps_count = batch->steps->len;
--- a/src/protocol/batch.h
+++ b/src/protocol/batch.h
@@ -66,6 +66,9 @@
 
 batch_summary_t batch_summarize(const batch_t *batch);
 
+/** @return whether the batch neither binds nor executes. */
+bool batch_only_prepares(const batch_t *batch);
+
 /** @return the messages in their order; valid until the next change. */
 const batch_step_t *batch_steps(const batch_t *batch, uint32_t *steps_count);
 
--- a/src/state/session_settings.c
+++ b/src/state/session_settings.c
@@ -275,3 +275,14 @@
 	}
 	return true;
 }
+
+const char *session_settings_sqlstate(const GError *error)
+{
+	if (g_error_matches(error, SESSION_SETTINGS_ERROR,
+			    SESSION_SETTINGS_FOREIGN))
+		return "0A000";
+	if (g_error_matches(error, SESSION_SETTINGS_ERROR,
+			    SESSION_SETTINGS_UNKNOWN))
+		return "42704";
+	return "22023";
+}
--- a/src/state/session_settings.h
+++ b/src/state/session_settings.h
@@ -81,6 +81,9 @@
 bool session_settings_options(session_settings_t *settings, const char *options,
 			      GError **error);
 
+/** @return the SQLSTATE of an error of these functions or of the token. */
+const char *session_settings_sqlstate(const GError *error);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(session_settings_t, session_settings_delete)
 
 #endif
