Fence, choose and promote when a primary is lost

An orchestrator canvasses all servers before it fences any: a primary is lost only when as many servers as a promotion needs do not hear it, so a cut between one node and the primary changes nothing, and servers are not fenced where too few could be. The promotion waits until old evidence has run out before it promotes, not only before it announces: owners who poll the new primary learn of it at once.

A claim in the platform's store was weighed to pick one orchestrator. It would put a call to a service that may be down into the gap; ranks with a stagger do without, and two at once are safe.

--- /dev/null
+++ b/src/coordination/promotion.c
@@ -0,0 +1,456 @@
+#include "coordination/promotion.h"
+
+#include <glib.h>
+
+/** Pause before a server that could not be reached is asked again. */
+#define PROMOTION_RETRY_MS 100
+
+/** Time after which the lack of fences is told, and told again. */
+#define PROMOTION_LACK_MS 1000
+#define PROMOTION_LACK_REPEAT_MS 10000
+
+/** Attempts to promote the chosen server before a new term is taken. */
+#define PROMOTION_TRIES 4
+
+/** Bounds of the pause after a higher term was met. */
+#define PROMOTION_BACKOFF_MIN_MS 400
+#define PROMOTION_BACKOFF_SPREAD_MS 800
+
+/** Longest wait for the wanted server to catch up with a fenced primary. */
+#define PROMOTION_CATCH_UP_MS 1000
+#define PROMOTION_CATCH_UP_POLL_MS 10
+
+/** Clocks of two nodes may differ in rate by one part in this. */
+#define PROMOTION_CLOCK_DRIFT 100
+
+typedef struct {
+	bool asked; /**< a question is open */
+	bool fenced;
+	uint64_t retry_at_ms;
+	server_status_t status; /**< as of the fence */
+} promotion_server_t;
+
+struct promotion {
+	promotion_rule_t rule;
+	promotion_handlers_t handlers;
+	promotion_state_t state;
+	promotion_server_t servers[PROMOTION_SERVER_LIMIT];
+	uint64_t highest; /**< highest term or fence seen */
+	uint64_t term;
+	uint32_t wanted;
+	uint32_t primary;   /**< of a hand-over, or PROMOTION_ANY */
+	log_point_t target; /**< end of the fenced primary's log */
+	uint64_t catch_up_until_ms;
+	uint32_t chosen;
+	uint32_t tries;
+	uint64_t wait_until_ms; /**< next thing to do in this state */
+	uint64_t lack_at_ms;
+	uint64_t started_ms;
+	uint64_t fenced_ms;
+	GRand *random;
+};
+
+static const char *const state_names[PROMOTION_STATE_COUNT] = {
+	[PROMOTION_IDLE] = "idle",	 [PROMOTION_FENCING] = "fencing",
+	[PROMOTION_WAITING] = "waiting", [PROMOTION_PROMOTING] = "promoting",
+	[PROMOTION_BACKOFF] = "backoff",
+};
+
+static const char *const event_names[PROMOTION_EVENT_COUNT] = {
+	[PROMOTION_STARTED] = "promotion_started",
+	[PROMOTION_FENCED] = "fenced",
+	[PROMOTION_CHOSEN] = "promotion_chosen",
+	[PROMOTION_LACKING] = "promotion_refused",
+	[PROMOTION_OUTBID] = "promotion_outbid",
+	[PROMOTION_BEHIND] = "promotion_order_refused",
+	[PROMOTION_ENDED] = "promoted",
+};
+
+promotion_t *promotion_create(promotion_rule_t rule,
+			      promotion_handlers_t handlers)
+{
+	promotion_t *promotion = g_new0(promotion_t, 1);
+
+	g_assert(rule.servers <= PROMOTION_SERVER_LIMIT);
+	promotion->rule = rule;
+	promotion->handlers = handlers;
+	promotion->random = g_rand_new_with_seed(rule.identity);
+	return promotion;
+}
+
+void promotion_destroy(promotion_t *promotion)
+{
+	if (!promotion)
+		return;
+	g_rand_free(promotion->random);
+	g_free(promotion);
+}
+
+void promotion_seen(promotion_t *promotion, uint64_t term)
+{
+	promotion->highest = MAX(promotion->highest, term);
+}
+
+static bool guarded(const promotion_t *promotion, promotion_guard_t guard)
+{
+	return promotion->rule.guards & guard;
+}
+
+static void tell(const promotion_t *promotion, promotion_event_t event,
+		 uint32_t server)
+{
+	promotion->handlers.event(promotion->handlers.context, event,
+				  promotion->term, server);
+}
+
+/* Every set that can acknowledge is the primary and k replicas. */
+static uint32_t fences_needed(const promotion_t *promotion)
+{
+	const uint32_t needed =
+		promotion->rule.servers - promotion->rule.replicas;
+
+	return guarded(promotion, PROMOTION_GUARD_FENCES) ? needed : needed - 1;
+}
+
+static uint32_t fences_held(const promotion_t *promotion)
+{
+	uint32_t held = 0;
+
+	for (uint32_t i = 0; i < promotion->rule.servers; i++)
+		held += promotion->servers[i].fenced;
+	return held;
+}
+
+/* The identity keeps terms of two orchestrators apart in any round. */
+static uint64_t next_term(const promotion_t *promotion)
+{
+	const uint64_t mask = (1u << PROMOTION_IDENTITY_BITS) - 1;
+	const uint64_t round =
+		(promotion->highest >> PROMOTION_IDENTITY_BITS) + 1;
+
+	return round << PROMOTION_IDENTITY_BITS |
+	       (promotion->rule.identity & mask);
+}
+
+static void ask(promotion_t *promotion, uint32_t server,
+		server_operation_t operation)
+{
+	promotion->servers[server].asked = true;
+	promotion->handlers.ask(promotion->handlers.context, server, operation,
+				promotion->term);
+}
+
+static void fences_ask(promotion_t *promotion, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < promotion->rule.servers; i++) {
+		const promotion_server_t *server = &promotion->servers[i];
+
+		if (!server->asked && !server->fenced &&
+		    now_ms >= server->retry_at_ms)
+			ask(promotion, i, SERVER_FENCE);
+	}
+}
+
+static void round_start(promotion_t *promotion, uint64_t now_ms)
+{
+	promotion->term = next_term(promotion);
+	promotion_seen(promotion, promotion->term);
+	promotion->tries = 0;
+	promotion->started_ms = now_ms;
+	promotion->lack_at_ms = now_ms + PROMOTION_LACK_MS;
+	for (uint32_t i = 0; i < promotion->rule.servers; i++)
+		promotion->servers[i] = (promotion_server_t){0};
+	tell(promotion, PROMOTION_STARTED, promotion->wanted);
+}
+
+void promotion_start(promotion_t *promotion, uint64_t now_ms)
+{
+	if (promotion->state != PROMOTION_IDLE)
+		return;
+	promotion->wanted = PROMOTION_ANY;
+	promotion->primary = PROMOTION_ANY;
+	promotion->state = PROMOTION_FENCING;
+	round_start(promotion, now_ms);
+	fences_ask(promotion, now_ms);
+}
+
+void promotion_order(promotion_t *promotion, uint64_t now_ms, uint32_t primary,
+		     uint32_t wanted)
+{
+	if (promotion->state != PROMOTION_IDLE)
+		return;
+	g_assert(primary < promotion->rule.servers);
+	promotion->wanted = wanted;
+	promotion->primary = primary;
+	promotion->target = (log_point_t){0};
+	promotion->state = PROMOTION_HANDING;
+	promotion->catch_up_until_ms = now_ms + PROMOTION_CATCH_UP_MS;
+	round_start(promotion, now_ms);
+	ask(promotion, primary, SERVER_FENCE);
+}
+
+void promotion_stop(promotion_t *promotion)
+{
+	promotion->state = PROMOTION_IDLE;
+}
+
+/* A fence gives a log no later term: only its records do. */
+static log_point_t log_rank(const promotion_t *promotion,
+			    const server_status_t *status)
+{
+	log_point_t rank = status->last;
+
+	if (!guarded(promotion, PROMOTION_GUARD_FENCE_TERM))
+		rank.term = status->term;
+	if (!guarded(promotion, PROMOTION_GUARD_LAST_TERM))
+		rank.term = 0;
+	return rank;
+}
+
+static uint32_t best_server(const promotion_t *promotion)
+{
+	uint32_t best = PROMOTION_ANY;
+	log_point_t rank = {0};
+
+	for (uint32_t i = 0; i < promotion->rule.servers; i++) {
+		const promotion_server_t *server = &promotion->servers[i];
+		log_point_t found;
+		int order;
+
+		if (!server->fenced)
+			continue;
+		found = log_rank(promotion, &server->status);
+		order = log_point_compare(found, rank);
+		if (best != PROMOTION_ANY &&
+		    (order < 0 || (!order && i != promotion->wanted)))
+			continue;
+		best = i;
+		rank = found;
+	}
+	return best;
+}
+
+static void choose(promotion_t *promotion, uint64_t now_ms)
+{
+	const uint32_t valid_ms = promotion->rule.valid_ms;
+
+	promotion->chosen = best_server(promotion);
+	promotion->state = PROMOTION_WAITING;
+	promotion->fenced_ms = now_ms;
+	promotion->wait_until_ms = now_ms;
+	/* Evidence asked before the last fence is good for as long. */
+	if (guarded(promotion, PROMOTION_GUARD_WAIT))
+		promotion->wait_until_ms +=
+			valid_ms + valid_ms / PROMOTION_CLOCK_DRIFT + 1;
+	tell(promotion, PROMOTION_FENCED, PROMOTION_ANY);
+	if (promotion->wanted != PROMOTION_ANY &&
+	    promotion->wanted != promotion->chosen)
+		tell(promotion, PROMOTION_BEHIND, promotion->wanted);
+	tell(promotion, PROMOTION_CHOSEN, promotion->chosen);
+}
+
+static void back_off(promotion_t *promotion, uint64_t now_ms)
+{
+	promotion->state = PROMOTION_BACKOFF;
+	promotion->wait_until_ms =
+		now_ms + PROMOTION_BACKOFF_MIN_MS +
+		(uint64_t)g_rand_int_range(promotion->random, 0,
+					   PROMOTION_BACKOFF_SPREAD_MS);
+	tell(promotion, PROMOTION_OUTBID, PROMOTION_ANY);
+}
+
+static void hand_over_end(promotion_t *promotion, uint64_t now_ms)
+{
+	if (promotion->state != PROMOTION_HANDING)
+		return;
+	promotion->state = PROMOTION_FENCING;
+	fences_ask(promotion, now_ms);
+}
+
+static void catch_up_answer(promotion_t *promotion, uint64_t now_ms,
+			    promotion_server_t *server,
+			    const server_status_t *status)
+{
+	server->retry_at_ms = now_ms + PROMOTION_CATCH_UP_POLL_MS;
+	if (!status || log_point_covers(status->last, promotion->target))
+		hand_over_end(promotion, now_ms);
+}
+
+static void fence_answer(promotion_t *promotion, uint64_t now_ms,
+			 promotion_server_t *server, server_result_t result,
+			 const server_status_t *status)
+{
+	/* A fence of this very term is ours: its first answer was lost. */
+	const bool taken = status && status->fence == promotion->term;
+
+	server->retry_at_ms = now_ms + PROMOTION_RETRY_MS;
+	if (promotion->state != PROMOTION_FENCING &&
+	    promotion->state != PROMOTION_HANDING)
+		return;
+	if (status && status->fence > promotion->term) {
+		back_off(promotion, now_ms);
+		return;
+	}
+	if (!taken || (result != SERVER_OK && result != SERVER_REFUSED)) {
+		hand_over_end(promotion, now_ms);
+		return;
+	}
+	server->fenced = true;
+	server->status = *status;
+	if (promotion->state == PROMOTION_HANDING) {
+		promotion->target = status->last;
+		ask(promotion, promotion->wanted, SERVER_STATUS);
+		return;
+	}
+	if (fences_held(promotion) >= fences_needed(promotion))
+		choose(promotion, now_ms);
+}
+
+/*
+ * The chosen server is asked again, but never another one in this term: the
+ * first may lead it already.
+ */
+static void promote_again(promotion_t *promotion, uint64_t now_ms)
+{
+	if (promotion->tries >= PROMOTION_TRIES) {
+		back_off(promotion, now_ms);
+		return;
+	}
+	if (!guarded(promotion, PROMOTION_GUARD_ONE))
+		for (uint32_t i = 0; i < promotion->rule.servers; i++)
+			if (i != promotion->chosen &&
+			    promotion->servers[i].fenced) {
+				promotion->chosen = i;
+				break;
+			}
+	promotion->wait_until_ms = now_ms + PROMOTION_RETRY_MS;
+	promotion->state = PROMOTION_WAITING;
+}
+
+static void promote_answer(promotion_t *promotion, uint64_t now_ms,
+			   uint32_t server, server_result_t result,
+			   const server_status_t *status)
+{
+	if (promotion->state != PROMOTION_PROMOTING ||
+	    server != promotion->chosen)
+		return;
+	if (status && status->role == SERVER_PRIMARY &&
+	    status->term == promotion->term) {
+		promotion->state = PROMOTION_IDLE;
+		tell(promotion, PROMOTION_ENDED, server);
+	} else if (result == SERVER_REFUSED) {
+		back_off(promotion, now_ms);
+	} else {
+		promote_again(promotion, now_ms);
+	}
+}
+
+void promotion_answer(promotion_t *promotion, uint64_t now_ms, uint32_t server,
+		      server_operation_t operation, uint64_t term,
+		      server_result_t result, const server_status_t *status)
+{
+	promotion_server_t *entry = &promotion->servers[server];
+
+	g_assert(server < promotion->rule.servers);
+	if (status)
+		promotion_seen(promotion, MAX(status->term, status->fence));
+	if (term != promotion->term || promotion->state == PROMOTION_IDLE)
+		return;
+	entry->asked = false;
+	if (operation == SERVER_FENCE)
+		fence_answer(promotion, now_ms, entry, result, status);
+	else if (operation == SERVER_STATUS)
+		catch_up_answer(promotion, now_ms, entry, status);
+	else if (operation == SERVER_PROMOTE)
+		promote_answer(promotion, now_ms, server, result, status);
+}
+
+static void handing_step(promotion_t *promotion, uint64_t now_ms)
+{
+	const promotion_server_t *wanted =
+		&promotion->servers[promotion->wanted];
+
+	if (now_ms >= promotion->catch_up_until_ms)
+		hand_over_end(promotion, now_ms);
+	else if (promotion->servers[promotion->primary].fenced &&
+		 !wanted->asked && now_ms >= wanted->retry_at_ms)
+		ask(promotion, promotion->wanted, SERVER_STATUS);
+}
+
+static void fencing_step(promotion_t *promotion, uint64_t now_ms)
+{
+	fences_ask(promotion, now_ms);
+	if (promotion->state != PROMOTION_FENCING ||
+	    now_ms < promotion->lack_at_ms)
+		return;
+	promotion->lack_at_ms = now_ms + PROMOTION_LACK_REPEAT_MS;
+	tell(promotion, PROMOTION_LACKING, PROMOTION_ANY);
+}
+
+void promotion_step(promotion_t *promotion, uint64_t now_ms)
+{
+	switch (promotion->state) {
+	case PROMOTION_HANDING:
+		handing_step(promotion, now_ms);
+		return;
+	case PROMOTION_FENCING:
+		fencing_step(promotion, now_ms);
+		return;
+	case PROMOTION_WAITING:
+		if (now_ms < promotion->wait_until_ms)
+			return;
+		promotion->state = PROMOTION_PROMOTING;
+		promotion->tries++;
+		ask(promotion, promotion->chosen, SERVER_PROMOTE);
+		return;
+	case PROMOTION_BACKOFF:
+		/* Whoever bid higher may be done; if not, it is seen anew. */
+		if (now_ms >= promotion->wait_until_ms)
+			promotion->state = PROMOTION_IDLE;
+		return;
+	default:
+		return;
+	}
+}
+
+uint64_t promotion_due_ms(const promotion_t *promotion)
+{
+	uint64_t due_ms = promotion->lack_at_ms;
+
+	if (promotion->state == PROMOTION_WAITING ||
+	    promotion->state == PROMOTION_BACKOFF)
+		return promotion->wait_until_ms;
+	if (promotion->state == PROMOTION_HANDING)
+		return promotion->started_ms;
+	if (promotion->state != PROMOTION_FENCING)
+		return UINT64_MAX;
+	for (uint32_t i = 0; i < promotion->rule.servers; i++) {
+		const promotion_server_t *server = &promotion->servers[i];
+
+		if (!server->asked && !server->fenced)
+			due_ms = MIN(due_ms, server->retry_at_ms);
+	}
+	return due_ms;
+}
+
+promotion_report_t promotion_report(const promotion_t *promotion)
+{
+	return (promotion_report_t){
+		.state = promotion->state,
+		.term = promotion->term,
+		.fenced = fences_held(promotion),
+		.needed = fences_needed(promotion),
+		.started_ms = promotion->started_ms,
+		.fenced_ms = promotion->fenced_ms,
+	};
+}
+
+const char *promotion_state_name(promotion_state_t state)
+{
+	return state < PROMOTION_STATE_COUNT ? state_names[state] : "invalid";
+}
+
+const char *promotion_event_name(promotion_event_t event)
+{
+	return event < PROMOTION_EVENT_COUNT ? event_names[event] : "invalid";
+}
--- /dev/null
+++ b/src/daemon/group_failover.c
@@ -0,0 +1,388 @@
+#include "daemon/group_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/** Longest wait for the answer to a question of a canvass. */
+#define FAILOVER_CANVASS_TIMEOUT_MS 800
+
+/** Longest wait for a fence or a promotion. */
+#define FAILOVER_ORDER_TIMEOUT_MS 1500
+
+/** Pause before a server is told again to follow. */
+#define FAILOVER_FOLLOW_MS 300
+
+/** Most owners ranked for one server. */
+#define FAILOVER_OWNER_LIMIT 8
+
+/** Most nodes ranked for one database. */
+#define FAILOVER_RANK_LIMIT 32
+
+typedef struct {
+	group_database_t *database;
+	uint32_t server;
+	server_operation_t operation;
+	uint64_t number; /**< canvass or term */
+} failover_ask_t;
+
+static failover_ask_t *ask_new(group_database_t *database, uint32_t server,
+			       server_operation_t operation, uint64_t number)
+{
+	failover_ask_t *ask = g_new0(failover_ask_t, 1);
+
+	ask->database = database;
+	ask->server = server;
+	ask->operation = operation;
+	ask->number = number;
+	return ask;
+}
+
+static void on_canvassed(void *context, server_result_t result,
+			 const server_status_t *status)
+{
+	failover_ask_t *ask = context;
+
+	if (!ask->database->task->ending)
+		detector_answer(ask->database->detector, clock_now_ms(),
+				ask->server, ask->number, result, status);
+	g_free(ask);
+}
+
+static void on_canvass(void *context, uint32_t server, uint64_t canvass)
+{
+	group_database_t *database = context;
+	const group_operation_t operation = {
+		.operation = SERVER_STATUS,
+		.timeout_ms = FAILOVER_CANVASS_TIMEOUT_MS,
+	};
+
+	group_asks_start(database->task->asks, &database->servers[server],
+			 &operation, on_canvassed,
+			 ask_new(database, server, SERVER_STATUS, canvass));
+}
+
+static void rank_add(const char **nodes, uint32_t *count, const char *node)
+{
+	for (uint32_t i = 0; i < *count; i++)
+		if (!strcmp(nodes[i], node))
+			return;
+	if (*count < FAILOVER_RANK_LIMIT)
+		nodes[(*count)++] = node;
+}
+
+/*
+ * Owners of replicas come before those of the primary, which may be cut off
+ * together with it.
+ */
+static uint32_t own_rank(const group_database_t *database)
+{
+	const group_task_t *task = database->task;
+	const group_view_t view = group_table_view(task->table, database->name);
+	const char *ranked[FAILOVER_RANK_LIMIT];
+	const char *owners[FAILOVER_OWNER_LIMIT];
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < 2 * database->servers_count; i++) {
+		const group_server_t *server =
+			&database->servers[i % database->servers_count];
+		const bool last = i >= database->servers_count;
+		const uint32_t found = task->handlers.owners(
+			task->handlers.context, database->name, server->name,
+			owners, FAILOVER_OWNER_LIMIT);
+
+		if (last != !strcmp(server->name, view.primary))
+			continue;
+		for (uint32_t j = 0; j < found; j++)
+			rank_add(ranked, &count, owners[j]);
+	}
+	for (uint32_t i = 0; i < count; i++)
+		if (!strcmp(ranked[i], task->node))
+			return i;
+	return count;
+}
+
+static void on_suspect(void *context)
+{
+	group_database_t *database = context;
+	const group_view_t view =
+		group_table_view(database->task->table, database->name);
+
+	database->suspected_ms = clock_now_ms();
+	detector_rank(database->detector, own_rank(database));
+	log_event(LOG_LEVEL_WARNING, "primary_suspect",
+		  "database=%s term=%" PRIu64 " primary=%s", database->name,
+		  view.term, view.primary);
+}
+
+static void on_lost(void *context, detector_reason_t reason,
+		    uint64_t suspected_ms)
+{
+	group_database_t *database = context;
+	const uint64_t now_ms = clock_now_ms();
+
+	log_event(LOG_LEVEL_WARNING, "primary_lost",
+		  "database=%s reason=%s suspected_for_ms=%" PRIu64,
+		  database->name, detector_reason_name(reason),
+		  now_ms - suspected_ms);
+	promotion_start(database->promotion, now_ms);
+	group_database_wake(database);
+}
+
+static void on_ordered(void *context, server_result_t result,
+		       const server_status_t *status)
+{
+	failover_ask_t *ask = context;
+	group_database_t *database = ask->database;
+
+	if (!database->task->ending) {
+		promotion_answer(database->promotion, clock_now_ms(),
+				 ask->server, ask->operation, ask->number,
+				 result, status);
+		group_database_wake(database);
+	}
+	g_free(ask);
+}
+
+static void on_promotion_ask(void *context, uint32_t server,
+			     server_operation_t order, uint64_t term)
+{
+	group_database_t *database = context;
+	const group_operation_t operation = {
+		.operation = order,
+		.term = term,
+		.timeout_ms = FAILOVER_ORDER_TIMEOUT_MS,
+	};
+
+	group_asks_start(database->task->asks, &database->servers[server],
+			 &operation, on_ordered,
+			 ask_new(database, server, order, term));
+}
+
+static void announce(group_database_t *database, uint64_t term,
+		     const char *primary)
+{
+	const group_task_t *task = database->task;
+	group_note_t note = {
+		.kind = GROUP_NOTE_ANNOUNCE,
+		.term = term,
+	};
+
+	g_strlcpy(note.database, database->name, sizeof(note.database));
+	g_strlcpy(note.server, primary, sizeof(note.server));
+	for (uint32_t i = 0; task->view && i < task->view->members_count; i++) {
+		const member_t *member = &task->view->members[i];
+
+		if (strcmp(member->name, task->node))
+			group_task_send(database->task, member->name, &note);
+	}
+}
+
+static void record_part(const group_database_t *database, const char *part,
+			uint64_t from_ms, uint64_t to_ms)
+{
+	g_autofree char *labels = g_strdup_printf("part=\"%s\"", part);
+
+	metric_histogram_record(
+		metrics_histogram(database->task->metrics,
+				  "toucanhook_failover_microseconds", labels),
+		to_ms > from_ms ? (to_ms - from_ms) * 1000 : 0);
+}
+
+static void promotion_ended(group_database_t *database, uint64_t term,
+			    const group_server_t *server)
+{
+	const promotion_report_t report = promotion_report(database->promotion);
+	const uint64_t now_ms = clock_now_ms();
+
+	if (database->suspected_ms)
+		record_part(database, "detect", database->suspected_ms,
+			    report.started_ms);
+	record_part(database, "fence", report.started_ms, report.fenced_ms);
+	record_part(database, "promote", report.fenced_ms, now_ms);
+	database->suspected_ms = 0;
+	announce(database, term, server->name);
+	group_database_offer(database, term, server->name);
+	group_record_write(database);
+}
+
+static void on_promotion_event(void *context, promotion_event_t event,
+			       uint64_t term, uint32_t server)
+{
+	group_database_t *database = context;
+	const promotion_report_t report = promotion_report(database->promotion);
+	const group_server_t *subject = server < database->servers_count ?
+						&database->servers[server] :
+						NULL;
+
+	log_event(event == PROMOTION_LACKING ? LOG_LEVEL_WARNING :
+					       LOG_LEVEL_NOTICE,
+		  promotion_event_name(event),
+		  "database=%s term=%" PRIu64 " server=%s fenced=%u needed=%u "
+		  "after_ms=%" PRIu64,
+		  database->name, term, subject ? subject->name : "",
+		  report.fenced, report.needed,
+		  clock_now_ms() - report.started_ms);
+	if (event == PROMOTION_ENDED)
+		promotion_ended(database, term, subject);
+}
+
+void group_failover_open(group_database_t *database)
+{
+	const detector_rule_t detector_rule = {
+		.servers = database->servers_count,
+		.replicas = database->replicas,
+		.suspect_ms = database->limits.suspect_ms,
+		.valid_ms = database->limits.evidence_valid_ms,
+	};
+	const detector_handlers_t detector_handlers = {
+		.ask = on_canvass,
+		.suspect = on_suspect,
+		.lost = on_lost,
+		.context = database,
+	};
+	const promotion_rule_t promotion_rule = {
+		.servers = database->servers_count,
+		.replicas = database->replicas,
+		.valid_ms = database->limits.evidence_valid_ms,
+		.identity = database->task->identity,
+		.guards = PROMOTION_GUARD_ALL,
+	};
+	const promotion_handlers_t promotion_handlers = {
+		.ask = on_promotion_ask,
+		.event = on_promotion_event,
+		.context = database,
+	};
+	const group_view_t view =
+		group_table_view(database->task->table, database->name);
+
+	database->detector = detector_create(detector_rule, detector_handlers);
+	database->promotion =
+		promotion_create(promotion_rule, promotion_handlers);
+	group_failover_view(database, &view);
+}
+
+void group_failover_close(group_database_t *database)
+{
+	detector_destroy(database->detector);
+	promotion_destroy(database->promotion);
+}
+
+void group_failover_view(group_database_t *database, const group_view_t *view)
+{
+	const group_server_t *primary =
+		group_database_server(database, view->primary);
+
+	detector_view(database->detector, clock_now_ms(), view->term,
+		      primary ? primary->index : UINT32_MAX);
+	promotion_seen(database->promotion, view->term);
+	if (promotion_report(database->promotion).term < view->term)
+		promotion_stop(database->promotion);
+	for (uint32_t i = 0; i < database->servers_count; i++)
+		database->servers[i].follow_at_ms = 0;
+}
+
+void group_failover_polled(group_server_t *server,
+			   const server_status_t *status, uint32_t failures)
+{
+	detector_polled(server->database->detector, clock_now_ms(),
+			server->index, status, failures);
+}
+
+void group_failover_forget(group_server_t *server)
+{
+	detector_forget(server->database->detector, server->index);
+}
+
+static void on_followed(void *context, server_result_t result,
+			const server_status_t *status)
+{
+}
+
+/* An own server that is of an older term is told whom to follow. */
+static void reconcile(group_database_t *database, uint64_t now_ms)
+{
+	const group_view_t view =
+		group_table_view(database->task->table, database->name);
+
+	for (uint32_t i = 0; i < database->servers_count; i++) {
+		group_server_t *server = &database->servers[i];
+		const group_operation_t operation = {
+			.operation = SERVER_FOLLOW,
+			.term = view.term,
+			.primary = view.primary,
+			.timeout_ms = FAILOVER_ORDER_TIMEOUT_MS,
+		};
+
+		if (!server->watch || !server->known ||
+		    server->status.term >= view.term ||
+		    server->status.fence > view.term ||
+		    !strcmp(server->name, view.primary) ||
+		    now_ms < server->follow_at_ms)
+			continue;
+		server->follow_at_ms = now_ms + FAILOVER_FOLLOW_MS;
+		log_event(LOG_LEVEL_NOTICE, "follow_ordered",
+			  "database=%s server=%s term=%" PRIu64 " primary=%s",
+			  database->name, server->name, view.term,
+			  view.primary);
+		group_asks_start(database->task->asks, server, &operation,
+				 on_followed, NULL);
+	}
+}
+
+uint64_t group_failover_step(group_database_t *database, uint64_t now_ms)
+{
+	reconcile(database, now_ms);
+	promotion_step(database->promotion, now_ms);
+	if (promotion_report(database->promotion).state == PROMOTION_IDLE)
+		detector_step(database->detector, now_ms);
+	return MIN(promotion_due_ms(database->promotion),
+		   detector_due_ms(database->detector));
+}
+
+static uint32_t furthest_replica(const group_database_t *database,
+				 uint32_t primary)
+{
+	uint32_t found = PROMOTION_ANY;
+
+	for (uint32_t i = 0; i < database->servers_count; i++) {
+		const group_server_t *server = &database->servers[i];
+
+		if (i == primary)
+			continue;
+		if (found == PROMOTION_ANY ||
+		    (server->known &&
+		     log_point_compare(server->status.last,
+				       database->servers[found].status.last) >
+			     0))
+			found = i;
+	}
+	return found;
+}
+
+void group_failover_order(group_database_t *database, const char *server)
+{
+	const group_view_t view =
+		group_table_view(database->task->table, database->name);
+	const group_server_t *primary =
+		group_database_server(database, view.primary);
+	const group_server_t *wanted =
+		server ? group_database_server(database, server) : NULL;
+	uint32_t index;
+
+	if (!primary || (server && !wanted))
+		return;
+	index = wanted ? wanted->index :
+			 furthest_replica(database, primary->index);
+	if (index == PROMOTION_ANY || index == primary->index) {
+		log_event(LOG_LEVEL_NOTICE, "promotion_order_refused",
+			  "database=%s server=%s reason=leads_already",
+			  database->name, view.primary);
+		return;
+	}
+	promotion_order(database->promotion, clock_now_ms(), primary->index,
+			index);
+	group_database_wake(database);
+}
--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -4,9 +4,12 @@
 #include <glib.h>
 
 #include "backend/backend_control.h"
+#include "coordination/detector.h"
 #include "coordination/evidence.h"
+#include "coordination/promotion.h"
 #include "daemon/group_task.h"
 #include "protocol/group_note.h"
+#include "state/freshness.h"
 
 /** Longest wait for a backend server's answer, in milliseconds. */
 #define GROUP_SERVER_TIMEOUT_MS 600
@@ -45,6 +48,7 @@
 	server_status_t status; /**< newest seen, by whatever way */
 	uint64_t status_at_ms;	/**< when it was asked for */
 	group_watch_t *watch;	/**< NULL unless this node owns it */
+	uint64_t follow_at_ms;	/**< when it may be told to follow again */
 };
 
 /** A barrier of this node that an owner of the primary works on. */
@@ -57,6 +61,24 @@
 	GQueue *waiting; /**< waiters that came later */
 } group_barriers_t;
 
+/** The group's record in the platform's store. */
+typedef struct {
+	bool busy;  /**< a call is out */
+	bool read;  /**< it was read since this node owns a server */
+	bool write; /**< a newer term has to be written */
+	uint64_t retry_at_ms;
+	uint32_t failures;
+} group_record_t;
+
+/** Aged reads and what is proven for them. */
+typedef struct {
+	freshness_t *proven;
+	bool asking;	      /**< a barrier is out */
+	uint64_t asked_at_ms; /**< when it was asked */
+	uint64_t until_ms;    /**< how long reads are expected to come */
+	uint32_t max_age_ms;  /**< least age that they state */
+} group_ages_t;
+
 /** One database. */
 struct group_database {
 	group_task_t *task;
@@ -68,6 +90,12 @@
 	group_server_t servers[GROUP_SERVER_LIMIT];
 	evidence_t *evidence;
 	group_barriers_t barriers;
+	detector_t *detector;
+	promotion_t *promotion;
+	uint64_t suspected_ms; /**< when this node began to doubt */
+	uint64_t promoted_ms; /**< when the last promotion of this node ended */
+	group_record_t record;
+	group_ages_t ages;
 	bool woken; /**< in the list of those that step next */
 };
 
@@ -83,8 +111,9 @@
 	GHashTable *databases; /**< name to group_database_t */
 	GHashTable *owned;     /**< set of "database/server" */
 	group_asks_t *asks;
-	GQueue *woken;	 /**< databases that step next */
-	GQueue *retired; /**< watches that end at the next step */
+	uint32_t identity; /**< of this process, among orchestrators */
+	GQueue *woken;	   /**< databases that step next */
+	GQueue *retired;   /**< watches that end at the next step */
 	struct event *timer;
 	uint64_t sweep_at_ms; /**< when all databases step next */
 	bool ending;
@@ -197,6 +226,50 @@
 void group_rounds_answered(group_database_t *database,
 			   const group_note_t *note);
 
+/** @} */
+/** @name Lost primaries and promotions */
+/** @{ */
+
+void group_failover_open(group_database_t *database);
+void group_failover_close(group_database_t *database);
+
+/** Detects, promotes, orders replicas to follow. @return when it is due */
+uint64_t group_failover_step(group_database_t *database, uint64_t now_ms);
+
+/** A newer term and primary are known. */
+void group_failover_view(group_database_t *database, const group_view_t *view);
+
+/** A poll of an own server ended; @p status is NULL if it failed. */
+void group_failover_polled(group_server_t *server,
+			   const server_status_t *status, uint32_t failures);
+
+/** This node no longer polls the server. */
+void group_failover_forget(group_server_t *server);
+
+/** Promotes by operators' order; NULL for the best replica. */
+void group_failover_order(group_database_t *database, const char *server);
+
+/** @} */
+/** @name The group's record in the platform's store */
+/** @{ */
+
+/** Reads the record once, and writes a new term. */
+void group_record_step(group_database_t *database, uint64_t now_ms);
+
+/** Has the newest term written. */
+void group_record_write(group_database_t *database);
+
+/** @} */
+/** @name Proven ages */
+/** @{ */
+
+void group_ages_open(group_database_t *database);
+void group_ages_close(group_database_t *database);
+void group_ages_step(group_database_t *database, uint64_t now_ms);
+
+/** @return whether an own server is proven no older; asks for proof. */
+bool group_ages_within(group_server_t *server, uint32_t max_age_ms);
+
 /** @} */
 
 #endif
--- a/src/daemon/group_task.c
+++ b/src/daemon/group_task.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -34,6 +35,10 @@
 	server->known = true;
 	server->status = *status;
 	server->status_at_ms = asked_at_ms;
+	freshness_replayed(server->database->ages.proven, server->index,
+			   status->replayed);
+	promotion_seen(server->database->promotion,
+		       MAX(status->term, status->fence));
 	if (server_status_leads(status, status->term))
 		group_database_offer(server->database, status->term,
 				     server->name);
@@ -51,6 +56,7 @@
 	log_event(LOG_LEVEL_NOTICE, "primary_changed",
 		  "database=%s term=%" G_GUINT64_FORMAT " primary=%s",
 		  database->name, term, primary);
+	group_failover_view(database, &view);
 	group_database_wake(database);
 	task->handlers.changed(task->handlers.context, database->name, &view);
 }
@@ -88,7 +94,10 @@
 
 static uint64_t database_step(group_database_t *database, uint64_t now_ms)
 {
-	return group_rounds_step(database, now_ms);
+	group_ages_step(database, now_ms);
+	group_record_step(database, now_ms);
+	return MIN(group_failover_step(database, now_ms),
+		   group_rounds_step(database, now_ms));
 }
 
 static uint64_t task_sweep(group_task_t *task, uint64_t now_ms)
@@ -153,6 +162,8 @@
 	for (uint32_t i = 0; i < database->servers_count; i++)
 		group_watch_destroy(database->servers[i].watch);
 	group_rounds_close(database);
+	group_failover_close(database);
+	group_ages_close(database);
 	if (database->woken)
 		g_queue_remove(database->task->woken, database);
 	g_free(database->user);
@@ -171,6 +182,8 @@
 	task->table = table;
 	task->store = store;
 	task->handlers = handlers;
+	task->identity = (uint32_t)XXH3_64bits_withSeed(node, strlen(node),
+							g_random_int());
 	/* Answers to an earlier process of this name match no question. */
 	task->next_id = (uint64_t)g_random_int() << 32 | 1;
 	task->databases = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -262,6 +275,8 @@
 		MIN(place->database->servers_count, GROUP_SERVER_LIMIT);
 	g_hash_table_insert(task->databases, database->name, database);
 	group_rounds_open(database);
+	group_failover_open(database);
+	group_ages_open(database);
 	for (uint32_t i = 0; i < database->servers_count; i++) {
 		group_server_t *server = &database->servers[i];
 
@@ -329,6 +344,7 @@
 	if (owned || !found->watch)
 		return;
 	g_queue_push_tail(group->retired, g_steal_pointer(&found->watch));
+	group_failover_forget(found);
 	group_database_wake(found->database);
 }
 
@@ -456,7 +472,9 @@
 bool group_task_is_fresh(group_task_t *group, const char *database,
 			 const char *server, uint32_t max_age_ms)
 {
-	return false;
+	group_server_t *found = find_server(group, database, server);
+
+	return found && found->watch && group_ages_within(found, max_age_ms);
 }
 
 log_point_t group_task_replayed(group_task_t *group, const char *database,
@@ -481,6 +499,11 @@
 void group_task_promote(group_task_t *group, const char *database,
 			const char *server)
 {
+	group_database_t *found =
+		g_hash_table_lookup(group->databases, database);
+
+	if (found)
+		group_failover_order(found, server);
 }
 
 /* Tells a peer that asks by an older term who leads now. */
--- a/src/daemon/group_watch.c
+++ b/src/daemon/group_watch.c
@@ -105,6 +105,7 @@
 		watch->failures++;
 		group_database_wake(watch->server->database);
 	}
+	group_failover_polled(watch->server, status, watch->failures);
 	watch_end_waiters(watch, result, status);
 	watch_schedule(watch);
 }
