--- a/src/coordination/detector.c
+++ b/src/coordination/detector.c
@@ -351,6 +351,11 @@
 		canvass_start(detector, now_ms);
 }
 
+bool detector_suspects(const detector_t *detector)
+{
+	return detector->suspected_ms != 0;
+}
+
 uint64_t detector_due_ms(const detector_t *detector)
 {
 	if (detector->pending)
--- a/src/coordination/detector.h
+++ b/src/coordination/detector.h
@@ -71,6 +71,9 @@
 
 void detector_step(detector_t *detector, uint64_t now_ms);
 
+/** @return whether the primary is suspect. */
+bool detector_suspects(const detector_t *detector);
+
 /** @return when detector_step() is due, or UINT64_MAX. */
 uint64_t detector_due_ms(const detector_t *detector);
 
--- a/src/coordination/promotion.c
+++ b/src/coordination/promotion.c
@@ -416,12 +416,18 @@
 uint64_t promotion_due_ms(const promotion_t *promotion)
 {
 	uint64_t due_ms = promotion->lack_at_ms;
+	const promotion_server_t *wanted;
 
 	if (promotion->state == PROMOTION_WAITING ||
 	    promotion->state == PROMOTION_BACKOFF)
 		return promotion->wait_until_ms;
-	if (promotion->state == PROMOTION_HANDING)
-		return promotion->started_ms;
+	if (promotion->state == PROMOTION_HANDING) {
+		wanted = &promotion->servers[promotion->wanted];
+		if (wanted->asked ||
+		    !promotion->servers[promotion->primary].fenced)
+			return promotion->catch_up_until_ms;
+		return wanted->retry_at_ms;
+	}
 	if (promotion->state != PROMOTION_FENCING)
 		return UINT64_MAX;
 	for (uint32_t i = 0; i < promotion->rule.servers; i++) {
--- /dev/null
+++ b/src/daemon/group_database.c
@@ -0,0 +1,163 @@
+#include "daemon/group_private.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/** Term that the configuration's first primary leads. */
+#define GROUP_FIRST_TERM 1
+
+void group_server_seen(group_server_t *server, const server_status_t *status,
+		       uint64_t asked_at_ms)
+{
+	if (server->known && asked_at_ms < server->status_at_ms)
+		return;
+	server->known = true;
+	server->status = *status;
+	server->status_at_ms = asked_at_ms;
+	freshness_replayed(server->database->ages.proven, server->index,
+			   status->replayed);
+	promotion_seen(server->database->promotion,
+		       MAX(status->term, status->fence));
+	if (server_status_leads(status, status->term))
+		group_database_offer(server->database, status->term,
+				     server->name);
+}
+
+void group_database_offer(group_database_t *database, uint64_t term,
+			  const char *primary)
+{
+	group_task_t *task = database->task;
+	group_view_t view;
+
+	if (!group_table_offer(task->table, database->name, term, primary))
+		return;
+	view = group_table_view(task->table, database->name);
+	log_event(LOG_LEVEL_NOTICE, "primary_changed",
+		  "database=%s term=%" G_GUINT64_FORMAT " primary=%s",
+		  database->name, term, primary);
+	group_failover_view(database, &view);
+	group_database_wake(database);
+	task->handlers.changed(task->handlers.context, database->name, &view);
+}
+
+group_server_t *group_database_server(group_database_t *database,
+				      const char *name)
+{
+	for (uint32_t i = 0; i < database->servers_count; i++)
+		if (!strcmp(database->servers[i].name, name))
+			return &database->servers[i];
+	return NULL;
+}
+
+void group_database_wake(group_database_t *database)
+{
+	group_task_t *task = database->task;
+
+	if (!database->woken) {
+		database->woken = true;
+		g_queue_push_tail(task->woken, database);
+	}
+	if (!task->ending)
+		event_active(task->timer, 0, 0);
+}
+
+uint64_t group_database_step(group_database_t *database, uint64_t now_ms)
+{
+	group_ages_step(database, now_ms);
+	group_record_step(database, now_ms);
+	return MIN(group_failover_step(database, now_ms),
+		   group_rounds_step(database, now_ms));
+}
+
+void group_database_delete(gpointer data)
+{
+	group_database_t *database = data;
+
+	for (uint32_t i = 0; i < database->servers_count; i++)
+		group_watch_destroy(database->servers[i].watch);
+	group_rounds_close(database);
+	group_failover_close(database);
+	group_ages_close(database);
+	if (database->woken)
+		g_queue_remove(database->task->woken, database);
+	g_free(database->user);
+	g_free(database);
+}
+
+static bool server_matches(const group_server_t *server,
+			   const config_server_t *where)
+{
+	return !strcmp(server->name, where->name) &&
+	       !strcmp(server->address, where->address) &&
+	       server->port == where->port;
+}
+
+bool group_database_matches(const group_database_t *database,
+			    const config_limits_t *limits,
+			    const config_place_t *place)
+{
+	if (database->servers_count != place->database->servers_count ||
+	    database->replicas != place->service->confirm_replicas ||
+	    strcmp(database->user, place->service->backend_user) ||
+	    memcmp(&database->limits, limits, sizeof(*limits)))
+		return false;
+	for (uint32_t i = 0; i < database->servers_count; i++)
+		if (!server_matches(&database->servers[i],
+				    &place->database->servers[i]))
+			return false;
+	return true;
+}
+
+char *group_owned_key(const char *database, const char *server)
+{
+	return g_strdup_printf("%s/%s", database, server);
+}
+
+void group_server_watch(group_server_t *server)
+{
+	g_autofree char *key =
+		group_owned_key(server->database->name, server->name);
+
+	if (!server->watch &&
+	    g_hash_table_contains(server->database->task->owned, key))
+		server->watch = group_watch_create(server);
+}
+
+static void server_fill(group_server_t *server, const config_server_t *where)
+{
+	g_strlcpy(server->name, where->name, sizeof(server->name));
+	g_strlcpy(server->address, where->address, sizeof(server->address));
+	g_strlcpy(server->failure_domain, where->failure_domain,
+		  sizeof(server->failure_domain));
+	server->port = where->port;
+}
+
+void group_database_add(group_task_t *task, const config_place_t *place)
+{
+	group_database_t *database = g_new0(group_database_t, 1);
+
+	database->task = task;
+	g_strlcpy(database->name, place->database->name,
+		  sizeof(database->name));
+	database->user = g_strdup(place->service->backend_user);
+	database->limits = task->config->limits;
+	database->replicas = place->service->confirm_replicas;
+	database->servers_count =
+		MIN(place->database->servers_count, GROUP_SERVER_LIMIT);
+	g_hash_table_insert(task->databases, database->name, database);
+	group_rounds_open(database);
+	group_failover_open(database);
+	group_ages_open(database);
+	for (uint32_t i = 0; i < database->servers_count; i++) {
+		group_server_t *server = &database->servers[i];
+
+		server->database = database;
+		server->index = i;
+		server_fill(server, &place->database->servers[i]);
+		group_server_watch(server);
+	}
+	group_database_offer(database, GROUP_FIRST_TERM,
+			     place->database->first_primary);
+}
--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -117,6 +117,10 @@
 	struct event *timer;
 	uint64_t sweep_at_ms; /**< when all databases step next */
 	bool ending;
+	metric_histogram_t *evidence_age;
+	metric_t *confirms_late;
+	metric_t *rounds;
+	metric_t *waiting;
 	uint64_t next_id;
 };
 
@@ -132,6 +136,30 @@
 group_server_t *group_database_server(group_database_t *database,
 				      const char *name);
 
+/** @return the server of a database, or NULL. */
+group_server_t *group_task_server(group_task_t *task, const char *database,
+				  const char *server);
+
+/** Adds a database of the configuration. */
+void group_database_add(group_task_t *task, const config_place_t *place);
+
+/** Frees a database; all that wait end in vain. */
+void group_database_delete(gpointer database);
+
+/** @return whether the configuration still says the same of it. */
+bool group_database_matches(const group_database_t *database,
+			    const config_limits_t *limits,
+			    const config_place_t *place);
+
+/** Does what is due. @return when the next step is due */
+uint64_t group_database_step(group_database_t *database, uint64_t now_ms);
+
+/** @return "database/server"; free with g_free(). */
+char *group_owned_key(const char *database, const char *server);
+
+/** Begins to watch a server if this node owns it. */
+void group_server_watch(group_server_t *server);
+
 /** Makes the database step soon, but not from inside this call. */
 void group_database_wake(group_database_t *database);
 
--- a/src/daemon/group_rounds.c
+++ b/src/daemon/group_rounds.c
@@ -225,7 +225,11 @@
 {
 	const uint64_t barriers_due_ms = barriers_step(database, now_ms);
 
+	const uint64_t rounds = evidence_rounds(database->evidence);
+
 	evidence_step(database->evidence, now_ms);
+	metric_add(database->task->rounds,
+		   evidence_rounds(database->evidence) - rounds);
 	return MIN(evidence_due_ms(database->evidence), barriers_due_ms);
 }
 
