--- a/src/daemon/operators_task.h
+++ b/src/daemon/operators_task.h
@@ -1,7 +1,11 @@
 #ifndef DAEMON_OPERATORS_TASK_H
 #define DAEMON_OPERATORS_TASK_H
 
+#include <stdbool.h>
+#include <stdint.h>
+
 #include <event2/event.h>
+#include <glib.h>
 
 #include "base/metrics.h"
 #include "daemon/settings.h"
@@ -12,6 +16,15 @@
  */
 typedef struct operators_task operators_task_t;
 
+#define OPERATORS_ERROR operators_task_error_quark()
+
+/** Kinds of error of operators_task_create(). */
+typedef enum {
+	OPERATORS_ERROR_ADDRESS, /**< it cannot be listened on */
+} operators_error_t;
+
+GQuark operators_task_error_quark(void);
+
 /** How the node took an order. */
 typedef enum {
 	OPERATORS_ACCEPTED,	/**< it has begun */
--- a/src/state/config_check.c
+++ b/src/state/config_check.c
@@ -74,10 +74,6 @@
 {
 	names_t names = names_begin(problems, DOMAIN_LENGTH_MAX);
 
-	if (!config->failure_domains_count)
-		config_problems_add(problems, "failure_domains",
-				    "expected a list of them, each with its "
-				    "name and region");
 	for (uint32_t i = 0; i < config->failure_domains_count; i++)
 		names_add(&names, config->failure_domains[i].name,
 			  "failure_domains[%u].name", i);
