Add a load tool that checks what callers are promised

Throughput alone says nothing of lost or doubled bookings. toucanload numbers every write of its sessions, reads back what was acknowledged, also over another target and with another session's token, and after the run compares all rows with the outcomes that callers were told: an acknowledged insert is there once, a refused one is not. It reports delays, outcomes by SQLSTATE and the longest gap between acknowledged writes, and fails when a promise was broken.

The stand-ins' rules get unit tests, too.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PKGS = libevent libevent_openssl libzmq libprotobuf-c glib-2.0 libcyaml \
 	jansson argtable2 libpq libgsasl libxxhash libsodium openssl
 WARN = -Wall -Wextra -Werror -Wno-unused-parameter
-INCLUDES = -Isrc -Itests
+INCLUDES = -Isrc -Itests -Itools
 SAN = $(if $(SANITIZE),-fsanitize=address$(comma)undefined -fno-omit-frame-pointer)
 comma = ,
 DEPFLAGS = -MMD -MP
@@ -26,6 +26,7 @@
 # Each stand-in is a folder; common/ is shared by them.
 STANDINS = $(patsubst tests/standin/%/main.c,$(BUILD)/bin/standin-%,\
 	$(wildcard tests/standin/*/main.c))
+LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/load/*.c))
 COMMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/standin/common/*.c))
 WORLD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/world/*.c))
 
@@ -125,7 +126,14 @@
 
 $(BUILD)/bin/%: $(BUILD)/tools/%.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) -o $@ $^ $(LDLIBS)
+	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
+
+$(BUILD)/bin/toucanload: $(LOAD_OBJ)
+$(BUILD)/tests/unit/test_load_checker: $(BUILD)/tools/load/checker.o
+$(BUILD)/tests/unit/test_standin_engine: \
+	$(BUILD)/tests/standin/backend/engine.o \
+	$(BUILD)/tests/standin/backend/journal.o
+$(BUILD)/tests/unit/test_standin_kv: $(BUILD)/tests/standin/platform/kv.o
 
 .SECONDEXPANSION:
 $(BUILD)/bin/standin-%: $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard tests/standin/$$*/*.c))) $(COMMON_OBJ) $(LIB)
@@ -133,7 +141,7 @@
 	$(CC) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/tests/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
-	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
+	$(CC) -o $@ $(filter %.o,$^) $(LIB) -lcmocka $(LDLIBS)
 
 $(BUILD)/tests/property/%: $(BUILD)/tests/property/%.o $(LIB)
 	$(CXX) -o $@ $^ -lrapidcheck $(LDLIBS)
--- /dev/null
+++ b/tools/load/worker.c
@@ -0,0 +1,285 @@
+#include "load/worker.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "load/operation.h"
+
+#define RECONNECT_MS 20u
+#define CONNECT_TIMEOUT_MS 10000u
+
+static void on_socket(evutil_socket_t fd, short what, void *context);
+static void worker_connect(worker_t *worker);
+
+static void set_timer(worker_t *worker, uint32_t delay_ms)
+{
+	struct timeval wait = {.tv_sec = delay_ms / 1000,
+			       .tv_usec = delay_ms % 1000 * 1000};
+
+	event_add(worker->timer, &wait);
+}
+
+static void watch_socket(worker_t *worker, short what)
+{
+	if (worker->socket_event)
+		event_free(worker->socket_event);
+	worker->socket_event =
+		event_new(worker->load->base, PQsocket(worker->connection),
+			  what, on_socket, worker);
+	event_add(worker->socket_event, NULL);
+}
+
+static void drop_connection(worker_t *worker)
+{
+	if (worker->socket_event)
+		event_free(worker->socket_event);
+	worker->socket_event = NULL;
+	if (worker->connection)
+		PQfinish(worker->connection);
+	worker->connection = NULL;
+	worker->ready = false;
+}
+
+static void worker_idle(worker_t *worker)
+{
+	load_t *load = worker->load;
+
+	event_del(worker->timer);
+	if (worker->moving && !load->ending) {
+		worker->moving = false;
+		worker->target++;
+		drop_connection(worker);
+		set_timer(worker, 0);
+		return;
+	}
+	worker->ready = true;
+	if (worker->load->ending || load->options.rate_per_second)
+		return;
+	worker_start(worker, clock_now_us());
+}
+
+static void keep_token(worker_t *worker)
+{
+	const char *token =
+		PQparameterStatus(worker->connection, "toucanhook.token");
+
+	if (!token || !g_strcmp0(token, worker->token))
+		return;
+	g_free(worker->token);
+	worker->token = g_strdup(token);
+}
+
+static void send_step(worker_t *worker)
+{
+	const operation_t *operation = &worker->operation;
+	const char *text = operation->step < operation->steps_count ?
+				   operation->steps[operation->step] :
+				   "ROLLBACK";
+
+	if (worker->load->options.extended)
+		PQsendQueryParams(worker->connection, text, 0, NULL, NULL, NULL,
+				  NULL, 0);
+	else
+		PQsendQuery(worker->connection, text);
+	while (PQflush(worker->connection) > 0)
+		;
+	watch_socket(worker, EV_READ | EV_PERSIST);
+}
+
+static void send_operation(worker_t *worker)
+{
+	worker->ready = false;
+	worker->operation.step = 0;
+	worker->operation.failed = false;
+	worker->operation.code[0] = '\0';
+	set_timer(worker, worker->load->options.timeout_ms);
+	send_step(worker);
+}
+
+/* The operation is over; says what it came to and what comes next. */
+static void end_operation(worker_t *worker)
+{
+	operation_t *operation = &worker->operation;
+	bool connecting = operation->kind == OPERATION_CONNECT;
+
+	keep_token(worker);
+	if (operation_end(worker)) {
+		send_operation(worker);
+		return;
+	}
+	if (!connecting)
+		worker->load->busy--;
+	if (worker->load->ending && !worker->load->busy)
+		event_base_loopbreak(worker->load->base);
+	worker_idle(worker);
+}
+
+/* The connection is gone, with it what ran on it. */
+static void lose_connection(worker_t *worker)
+{
+	operation_t *operation = &worker->operation;
+	bool running = operation->kind != OPERATION_NONE;
+	bool connecting = operation->kind == OPERATION_CONNECT;
+
+	if (running && !connecting) {
+		g_strlcpy(operation->code, "", sizeof(operation->code));
+		operation->failed = true;
+		if (operation_end(worker)) {
+			drop_connection(worker);
+			worker->target++;
+			set_timer(worker, RECONNECT_MS);
+			return;
+		}
+		worker->load->busy--;
+	}
+	if (connecting)
+		operation_clear(operation);
+	drop_connection(worker);
+	worker->target++;
+	if (worker->load->ending && !worker->load->busy)
+		event_base_loopbreak(worker->load->base);
+	set_timer(worker, RECONNECT_MS);
+}
+
+static void take_result(worker_t *worker, PGresult *result)
+{
+	operation_t *operation = &worker->operation;
+	ExecStatusType status = PQresultStatus(result);
+
+	if (status == PGRES_FATAL_ERROR && !operation->failed) {
+		operation->failed = true;
+		g_strlcpy(operation->code,
+			  PQresultErrorField(result, PG_DIAG_SQLSTATE) ?: "",
+			  sizeof(operation->code));
+	}
+	if (status == PGRES_TUPLES_OK && PQntuples(result)) {
+		operation->answered = true;
+		operation->value =
+			g_ascii_strtoull(PQgetvalue(result, 0, 0), NULL, 10);
+	}
+	PQclear(result);
+}
+
+/* All results of a step are there. */
+static void end_step(worker_t *worker)
+{
+	operation_t *operation = &worker->operation;
+
+	if (!operation->failed &&
+	    operation->step + 1 < operation->steps_count) {
+		operation->step++;
+		send_step(worker);
+		return;
+	}
+	if (operation->failed && operation->step < operation->steps_count &&
+	    PQtransactionStatus(worker->connection) != PQTRANS_IDLE) {
+		operation->step = operation->steps_count;
+		send_step(worker);
+		return;
+	}
+	end_operation(worker);
+}
+
+static void read_results(worker_t *worker)
+{
+	PGresult *result;
+
+	if (!PQconsumeInput(worker->connection)) {
+		lose_connection(worker);
+		return;
+	}
+	while (!PQisBusy(worker->connection)) {
+		result = PQgetResult(worker->connection);
+		if (result) {
+			take_result(worker, result);
+			continue;
+		}
+		if (PQstatus(worker->connection) == CONNECTION_BAD)
+			lose_connection(worker);
+		else if (worker->operation.kind != OPERATION_NONE)
+			end_step(worker);
+		return;
+	}
+}
+
+static void go_on_connecting(worker_t *worker)
+{
+	switch (PQconnectPoll(worker->connection)) {
+	case PGRES_POLLING_READING:
+		watch_socket(worker, EV_READ);
+		return;
+	case PGRES_POLLING_WRITING:
+		watch_socket(worker, EV_WRITE);
+		return;
+	case PGRES_POLLING_OK:
+		worker->load->results.connects++;
+		PQsetnonblocking(worker->connection, 1);
+		operation_connect(worker);
+		send_operation(worker);
+		return;
+	default:
+		operation_count_code(worker->load, "connect");
+		lose_connection(worker);
+	}
+}
+
+static void on_socket(evutil_socket_t fd, short what, void *context)
+{
+	worker_t *worker = context;
+
+	if (PQstatus(worker->connection) == CONNECTION_OK)
+		read_results(worker);
+	else
+		go_on_connecting(worker);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	worker_t *worker = context;
+
+	if (!worker->connection) {
+		worker_connect(worker);
+		return;
+	}
+	if (worker->operation.kind != OPERATION_NONE)
+		operation_count_code(worker->load, "timeout");
+	lose_connection(worker);
+}
+
+static void worker_connect(worker_t *worker)
+{
+	const load_options_t *options = &worker->load->options;
+
+	worker->target %= options->targets_count;
+	worker->connection = PQconnectStart(options->targets[worker->target]);
+	set_timer(worker, CONNECT_TIMEOUT_MS);
+	if (PQstatus(worker->connection) == CONNECTION_BAD) {
+		lose_connection(worker);
+		return;
+	}
+	watch_socket(worker, EV_WRITE);
+}
+
+void worker_open(worker_t *worker, load_t *load, uint32_t index)
+{
+	worker->load = load;
+	worker->index = index;
+	worker->target = index;
+	worker->timer = event_new(load->base, -1, 0, on_timer, worker);
+	worker_connect(worker);
+}
+
+void worker_close(worker_t *worker)
+{
+	drop_connection(worker);
+	event_free(worker->timer);
+	operation_clear(&worker->operation);
+	g_free(worker->token);
+}
+
+void worker_start(worker_t *worker, uint64_t due_us)
+{
+	worker->load->busy++;
+	operation_choose(worker, due_us);
+	send_operation(worker);
+}
