Forward requests, answers and notes between entry VMs

A request that is still in our own queue is withdrawn, which proves that it was not run; one that has left is not run if it is a read of which nothing was delivered, else unknown. Deliberate: a read that was delivered in part ends as unknown, since a retry would mix two answers.

An end is told from the loop, never from inside a call, since a sink may submit again while links are being changed.

--- /dev/null
+++ b/src/daemon/peer_calls.c
@@ -0,0 +1,524 @@
+#include "daemon/peer_calls.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/log.h"
+
+/* What the owner and the way may take beyond the request's own deadline. */
+#define GRACE_MS 2000
+
+/* A request that has not left by then goes elsewhere. */
+#define HANDOVER_MS 1000
+
+/* How long an abandoned call is kept to release a lease that it brings. */
+#define ABANDONED_MS 60000
+
+/* One chunk that came in parts. */
+#define CHUNK_BYTES_MAX (64u * 1024 * 1024)
+
+typedef enum {
+	CALL_WAITING,
+	CALL_SETTLED,	/* its end is told by the next run */
+	CALL_ABANDONED, /* nobody waits any more */
+} call_state_t;
+
+typedef struct {
+	uint64_t call_id;
+	char node[sizeof(((member_t *)0)->name)];
+	uint64_t own_incarnation;
+	uint64_t peer_incarnation; /* 0 until it is known */
+	uint64_t request_id;
+	uint64_t lease_id;
+	request_kind_t kind;
+	answer_sink_t sink;
+	call_state_t state;
+	answer_t verdict; /* SETTLED */
+	bool may_answer;  /* SETTLED: the peer may still send a lease */
+	bool has_left;
+	bool has_delivered;
+	uint32_t chunks_count;
+	GByteArray *partial;
+	uint64_t handover_ms;
+	uint64_t deadline_ms;
+} call_t;
+
+struct peer_calls {
+	peer_calls_link_t link;
+	GHashTable *calls; /* call_id to call_t */
+	uint64_t last_id;
+	peer_calls_drops_t drops;
+};
+
+/* Why a call ends without an answer. */
+typedef struct {
+	reason_t reason;
+	bool peer_is_gone;
+} loss_t;
+
+static void call_free(gpointer data)
+{
+	call_t *call = data;
+
+	if (call->partial)
+		g_byte_array_unref(call->partial);
+	g_free(call);
+}
+
+peer_calls_t *peer_calls_create(peer_calls_link_t link)
+{
+	peer_calls_t *calls = g_new0(peer_calls_t, 1);
+
+	calls->link = link;
+	calls->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     call_free);
+	return calls;
+}
+
+void peer_calls_destroy(peer_calls_t *calls)
+{
+	if (!calls)
+		return;
+	g_hash_table_destroy(calls->calls);
+	g_free(calls);
+}
+
+static call_t *add_call(peer_calls_t *calls, const char *node,
+			const request_t *request, answer_sink_t sink,
+			uint64_t now_ms)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->call_id = ++calls->last_id;
+	g_strlcpy(call->node, node, sizeof(call->node));
+	call->request_id = request->request_id;
+	call->lease_id = request->lease_id;
+	call->kind = request->kind;
+	call->sink = sink;
+	call->handover_ms = now_ms + HANDOVER_MS;
+	call->deadline_ms = now_ms + request->timeout_ms + GRACE_MS;
+	g_hash_table_insert(calls->calls, &call->call_id, call);
+	return call;
+}
+
+static bool is_too_large(const request_t *request)
+{
+	return request->bytes &&
+	       g_bytes_get_size(request->bytes) > PEER_MESSAGE_BYTES_MAX;
+}
+
+static void settle(call_t *call, const answer_t *verdict)
+{
+	call->state = CALL_SETTLED;
+	call->verdict = *verdict;
+}
+
+static void refuse(call_t *call, reason_t reason)
+{
+	const answer_t verdict = {
+		.outcome = OUTCOME_NOT_RUN,
+		.reason = reason,
+		.transaction_status = call->lease_id ? 'T' : 'I',
+		.lease_id = call->lease_id,
+	};
+
+	settle(call, &verdict);
+}
+
+void peer_calls_refuse(peer_calls_t *calls, const request_t *request,
+		       reason_t reason, answer_sink_t sink, uint64_t now_ms)
+{
+	refuse(add_call(calls, "", request, sink, now_ms), reason);
+}
+
+void peer_calls_submit(peer_calls_t *calls, const char *node, uint64_t own,
+		       uint64_t peer, const request_t *request,
+		       answer_sink_t sink, uint64_t now_ms)
+{
+	g_autoptr(peer_message_t) message =
+		peer_message_new(PEER_MESSAGE_REQUEST);
+	call_t *call;
+
+	if (is_too_large(request)) {
+		peer_calls_refuse(calls, request, REASON_OVERLOADED, sink,
+				  now_ms);
+		return;
+	}
+	call = add_call(calls, node, request, sink, now_ms);
+	call->own_incarnation = own;
+	call->peer_incarnation = peer;
+	message->call_id = call->call_id;
+	message->receiver_incarnation = peer;
+	message->request = request_copy(request);
+	if (calls->link.send(calls->link.context, node, message))
+		return;
+	refuse(call, REASON_OVERLOADED);
+}
+
+static void send_cancel(peer_calls_t *calls, const call_t *call)
+{
+	g_autoptr(peer_message_t) message =
+		peer_message_new(PEER_MESSAGE_CANCEL);
+
+	message->call_id = call->call_id;
+	calls->link.send(calls->link.context, call->node, message);
+}
+
+static void send_release(peer_calls_t *calls, const char *node,
+			 uint64_t lease_id)
+{
+	g_autoptr(peer_message_t) message =
+		peer_message_new(PEER_MESSAGE_RELEASE);
+
+	message->lease_id = lease_id;
+	calls->link.send(calls->link.context, node, message);
+}
+
+static bool take_back(peer_calls_t *calls, call_t *call)
+{
+	if (call->has_left)
+		return false;
+	call->has_left = !calls->link.withdraw(calls->link.context, call->node,
+					       call->call_id);
+	return !call->has_left;
+}
+
+/* From now on only a lease that the answer may bring matters. */
+static void abandon(call_t *call, uint64_t now_ms)
+{
+	call->state = CALL_ABANDONED;
+	call->deadline_ms = now_ms + ABANDONED_MS;
+}
+
+static void tell_end(peer_calls_t *calls, call_t *call, uint64_t now_ms)
+{
+	const answer_sink_t sink = call->sink;
+	const uint64_t request_id = call->request_id;
+	const answer_t verdict = call->verdict;
+
+	if (call->may_answer)
+		abandon(call, now_ms);
+	else
+		g_hash_table_remove(calls->calls, &call->call_id);
+	sink.end(sink.context, request_id, &verdict);
+}
+
+static answer_t lost_answer(const call_t *call, bool never_left, loss_t loss)
+{
+	const bool is_clean_read =
+		call->kind == REQUEST_READ && !call->has_delivered;
+	const bool keeps_lease = never_left && !loss.peer_is_gone;
+	answer_t answer = {
+		.outcome = never_left || is_clean_read ? OUTCOME_NOT_RUN :
+							 OUTCOME_UNKNOWN,
+		.reason = loss.reason,
+		.transaction_status = 'I',
+	};
+
+	if (never_left && loss.peer_is_gone)
+		answer.reason = REASON_UNREACHABLE;
+	if (keeps_lease && call->lease_id) {
+		answer.lease_id = call->lease_id;
+		answer.transaction_status = 'T';
+	}
+	return answer;
+}
+
+/* Settles a call that got no answer, and stops the peer's work for it. */
+static void lose(peer_calls_t *calls, call_t *call, loss_t loss)
+{
+	const bool never_left = take_back(calls, call);
+	const answer_t verdict = lost_answer(call, never_left, loss);
+
+	settle(call, &verdict);
+	if (never_left || loss.peer_is_gone)
+		return;
+	call->may_answer = true;
+	send_cancel(calls, call);
+	if (call->lease_id)
+		send_release(calls, call->node, call->lease_id);
+}
+
+static call_t *find_request(const peer_calls_t *calls, uint64_t request_id,
+			    const void *sink_context)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, calls->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		call_t *call = value;
+
+		if (call->request_id == request_id &&
+		    call->sink.context == sink_context &&
+		    call->state != CALL_ABANDONED)
+			return call;
+	}
+	return NULL;
+}
+
+void peer_calls_cancel(peer_calls_t *calls, uint64_t request_id,
+		       void *sink_context, uint64_t now_ms)
+{
+	call_t *call = find_request(calls, request_id, sink_context);
+
+	if (!call)
+		return;
+	if (call->state == CALL_SETTLED ? !call->may_answer :
+					  take_back(calls, call)) {
+		g_hash_table_remove(calls->calls, &call->call_id);
+		return;
+	}
+	if (call->state == CALL_WAITING)
+		send_cancel(calls, call);
+	abandon(call, now_ms);
+}
+
+static bool is_from_callee(const call_t *call, const peer_message_t *message)
+{
+	return !strcmp(call->node, message->sender) &&
+	       call->own_incarnation == message->receiver_incarnation &&
+	       (!call->peer_incarnation ||
+		call->peer_incarnation == message->incarnation);
+}
+
+static void break_off(peer_calls_t *calls, call_t *call)
+{
+	const loss_t loss = {.reason = REASON_LOST_ANSWER};
+
+	calls->drops.gap_count++;
+	log_event(LOG_LEVEL_WARNING, "answer_broken",
+		  "node=%s request=%" G_GUINT64_FORMAT, call->node,
+		  call->request_id);
+	lose(calls, call, loss);
+}
+
+static GBytes *join_parts(call_t *call, const peer_message_t *message)
+{
+	gsize size_bytes;
+	const uint8_t *data = g_bytes_get_data(message->bytes, &size_bytes);
+	GBytes *whole;
+
+	if (!call->partial && !message->chunk_continues)
+		return g_bytes_ref(message->bytes);
+	if (!call->partial)
+		call->partial = g_byte_array_new();
+	g_byte_array_append(call->partial, data, (guint)size_bytes);
+	if (message->chunk_continues)
+		return NULL;
+	whole = g_byte_array_free_to_bytes(call->partial);
+	call->partial = NULL;
+	return whole;
+}
+
+static bool exceeds_limit(const call_t *call, const peer_message_t *message)
+{
+	const size_t held_bytes = call->partial ? call->partial->len : 0;
+
+	return held_bytes + g_bytes_get_size(message->bytes) > CHUNK_BYTES_MAX;
+}
+
+static void take_chunk(peer_calls_t *calls, call_t *call,
+		       const peer_message_t *message)
+{
+	g_autoptr(GBytes) whole = NULL;
+
+	if (call->state != CALL_WAITING)
+		return;
+	if (message->chunk_index < call->chunks_count) {
+		calls->drops.twice_count++;
+		return;
+	}
+	if (message->chunk_index > call->chunks_count ||
+	    exceeds_limit(call, message)) {
+		break_off(calls, call);
+		return;
+	}
+	call->chunks_count++;
+	whole = join_parts(call, message);
+	if (!whole)
+		return;
+	call->has_delivered = true;
+	call->sink.chunk(call->sink.context, call->request_id, whole);
+}
+
+/* Nobody waits for it any more, so nobody will use its lease. */
+static void take_late_end(peer_calls_t *calls, call_t *call,
+			  const answer_t *answer)
+{
+	if (answer->lease_id)
+		send_release(calls, call->node, answer->lease_id);
+	call->may_answer = false;
+	if (call->state == CALL_ABANDONED)
+		g_hash_table_remove(calls->calls, &call->call_id);
+}
+
+static void take_end(peer_calls_t *calls, call_t *call,
+		     const peer_message_t *message, uint64_t now_ms)
+{
+	const bool is_whole =
+		message->chunks_count == call->chunks_count && !call->partial;
+
+	if (call->state != CALL_WAITING) {
+		take_late_end(calls, call, &message->answer);
+		return;
+	}
+	if (!is_whole && message->answer.outcome == OUTCOME_DONE) {
+		break_off(calls, call);
+		take_late_end(calls, call, &message->answer);
+		return;
+	}
+	call->verdict = message->answer;
+	tell_end(calls, call, now_ms);
+}
+
+void peer_calls_answer(peer_calls_t *calls, const peer_message_t *message,
+		       uint64_t now_ms)
+{
+	call_t *call = g_hash_table_lookup(calls->calls, &message->call_id);
+
+	if (!call || !is_from_callee(call, message)) {
+		calls->drops.late_count++;
+		return;
+	}
+	call->has_left = true;
+	call->peer_incarnation = message->incarnation;
+	if (message->kind == PEER_MESSAGE_CHUNK)
+		take_chunk(calls, call, message);
+	else
+		take_end(calls, call, message, now_ms);
+}
+
+/* Sinks may submit and cancel, so the calls are looked up again by id. */
+static GArray *collect(const peer_calls_t *calls,
+		       bool (*is_wanted)(const call_t *call,
+					 const void *context),
+		       const void *context)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, calls->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const call_t *call = value;
+
+		if (is_wanted(call, context))
+			g_array_append_val(ids, call->call_id);
+	}
+	return ids;
+}
+
+static call_t *find_call(const peer_calls_t *calls, const GArray *ids,
+			 guint index)
+{
+	return g_hash_table_lookup(calls->calls,
+				   &g_array_index(ids, uint64_t, index));
+}
+
+static void lose_each(peer_calls_t *calls, const GArray *ids, loss_t loss)
+{
+	for (guint i = 0; i < ids->len; i++) {
+		call_t *call = find_call(calls, ids, i);
+
+		if (call->state == CALL_ABANDONED)
+			g_hash_table_remove(calls->calls, &call->call_id);
+		else
+			lose(calls, call, loss);
+	}
+}
+
+typedef struct {
+	const char *node;
+	uint64_t incarnation;
+} gone_t;
+
+static bool is_gone(const call_t *call, const void *context)
+{
+	const gone_t *gone = context;
+
+	if (call->state == CALL_SETTLED || strcmp(call->node, gone->node))
+		return false;
+	return !gone->incarnation ||
+	       (call->peer_incarnation &&
+		call->peer_incarnation != gone->incarnation);
+}
+
+void peer_calls_peer_changed(peer_calls_t *calls, const char *node,
+			     uint64_t incarnation)
+{
+	const gone_t gone = {.node = node, .incarnation = incarnation};
+	const loss_t loss = {
+		.reason = REASON_LOST_ANSWER,
+		.peer_is_gone = true,
+	};
+	g_autoptr(GArray) ids = collect(calls, is_gone, &gone);
+
+	lose_each(calls, ids, loss);
+}
+
+static bool is_out_of_time(const call_t *call, const void *context)
+{
+	return call->state != CALL_SETTLED &&
+	       call->deadline_ms <= *(const uint64_t *)context;
+}
+
+static bool is_stuck(const call_t *call, const void *context)
+{
+	return call->state == CALL_WAITING && !call->has_left &&
+	       call->handover_ms <= *(const uint64_t *)context;
+}
+
+static bool is_settled(const call_t *call, const void *context)
+{
+	return call->state == CALL_SETTLED;
+}
+
+static void lose_stuck(peer_calls_t *calls, uint64_t now_ms)
+{
+	const loss_t loss = {.reason = REASON_UNREACHABLE};
+	g_autoptr(GArray) ids = collect(calls, is_stuck, &now_ms);
+
+	for (guint i = 0; i < ids->len; i++) {
+		call_t *call = find_call(calls, ids, i);
+		answer_t verdict;
+
+		if (!take_back(calls, call))
+			continue;
+		verdict = lost_answer(call, true, loss);
+		settle(call, &verdict);
+	}
+}
+
+static void tell_ends(peer_calls_t *calls, uint64_t now_ms)
+{
+	g_autoptr(GArray) ids = collect(calls, is_settled, NULL);
+
+	for (guint i = 0; i < ids->len; i++) {
+		call_t *call = find_call(calls, ids, i);
+
+		if (call)
+			tell_end(calls, call, now_ms);
+	}
+}
+
+void peer_calls_run(peer_calls_t *calls, uint64_t now_ms)
+{
+	const loss_t loss = {.reason = REASON_DEADLINE};
+	g_autoptr(GArray) late = collect(calls, is_out_of_time, &now_ms);
+
+	lose_each(calls, late, loss);
+	lose_stuck(calls, now_ms);
+	tell_ends(calls, now_ms);
+}
+
+uint32_t peer_calls_count(const peer_calls_t *calls)
+{
+	return g_hash_table_size(calls->calls);
+}
+
+peer_calls_drops_t peer_calls_drops(const peer_calls_t *calls)
+{
+	return calls->drops;
+}
--- a/src/transport/peer_socket.c
+++ b/src/transport/peer_socket.c
@@ -1,9 +1,7 @@
 #include "transport/peer_socket.h"
 
-#include <errno.h>
 #include <string.h>
 
-#include <gio/gio.h>
 #include <zmq.h>
 
 #include "protocol/peer_message.h"
@@ -34,6 +32,8 @@
 #define CALLS_RESERVE_BYTES (1024 * 1024)
 #define SMALL_BYTES_MAX 2048
 
+G_DEFINE_QUARK(peer - socket - error - quark, peer_socket_error)
+
 struct peer_socket {
 	struct event_base *base;
 	void *zmq_context;
@@ -137,10 +137,9 @@
 
 	format_endpoint(endpoint, settings->address, settings->port);
 	if (zmq_bind(socket->socket, endpoint)) {
-		int code = zmq_errno();
-
-		g_set_error(error, G_IO_ERROR, g_io_error_from_errno(code),
-			    "cannot bind %s: %s", endpoint, zmq_strerror(code));
+		g_set_error(error, PEER_SOCKET_ERROR, PEER_SOCKET_ERROR_ADDRESS,
+			    "cannot bind %s: %s", endpoint,
+			    zmq_strerror(zmq_errno()));
 		return false;
 	}
 	zmq_getsockopt(socket->socket, ZMQ_LAST_ENDPOINT, endpoint,
@@ -157,7 +156,7 @@
 					settings->public_key);
 	if (!socket->gate || !set_keys(socket->socket, settings->public_key,
 				       settings->secret_key)) {
-		g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+		g_set_error(error, PEER_SOCKET_ERROR, PEER_SOCKET_ERROR_KEY,
 			    "the fleet's key is not a CURVE key in Z85");
 		return false;
 	}
@@ -180,7 +179,8 @@
 	peer_socket_t *socket;
 
 	if (!zmq_has("curve")) {
-		g_set_error(error, G_IO_ERROR, G_IO_ERROR_NOT_SUPPORTED,
+		g_set_error(error, PEER_SOCKET_ERROR,
+			    PEER_SOCKET_ERROR_NO_CURVE,
 			    "ZeroMQ was built without CURVE");
 		return NULL;
 	}
--- a/src/transport/peer_socket.h
+++ b/src/transport/peer_socket.h
@@ -8,6 +8,18 @@
 #include <event2/event.h>
 #include <glib.h>
 
+/** Domain of the errors below. */
+#define PEER_SOCKET_ERROR (peer_socket_error_quark())
+
+/** Why a socket could not be made. */
+typedef enum {
+	PEER_SOCKET_ERROR_NO_CURVE, /**< ZeroMQ was built without it */
+	PEER_SOCKET_ERROR_KEY,	    /**< a key is malformed */
+	PEER_SOCKET_ERROR_ADDRESS,  /**< it cannot be bound */
+} peer_socket_error_t;
+
+GQuark peer_socket_error_quark(void);
+
 /**
  * The one bound socket on which a node receives from its peers. It never
  * sends, so nothing is dropped when a peer reads slowly.
