Run requests on leased and shared server connections

What is said to a server for one request, and what its answers prove, is one pure core (exchange): term first and alone, a keyed change only after its key, the answer of a change held until its point is confirmed.

--- a/src/protocol/batch.c
+++ b/src/protocol/batch.c
@@ -352,11 +352,18 @@
 	}
 }
 
+static bool is_commit(const batch_step_t *step)
+{
+	return step->statement &&
+	       step->statement->statement_class == STATEMENT_COMMIT;
+}
+
 batch_summary_t batch_summarize(const batch_t *batch)
 {
 	batch_summary_t summary = {.steps = batch->steps->len};
 	bool local = false;
 	bool other = false;
+	int open_commits = 0;
 	guint i;
 
 	for (i = 0; i < batch->steps->len; i++) {
@@ -366,6 +373,9 @@
 
 		if (step->type == 'E')
 			summarize_execute(statement, &summary);
+		if (is_commit(step))
+			open_commits +=
+				(step->type == 'B') - (step->type == 'E');
 		if (!statement)
 			continue;
 		if (statement->statement_class == STATEMENT_REFUSED)
@@ -373,6 +383,10 @@
 		local |= is_local(statement);
 		other |= !is_local(statement);
 	}
+	/* Executed later, it would not be known as a COMMIT. */
+	if (open_commits > 0)
+		summary.refused = "a COMMIT that is bound in one batch and "
+				  "executed in another";
 	summary.local = local && !other;
 	summary.mixed = local && other;
 	return summary;
--- /dev/null
+++ b/src/protocol/exchange.c
@@ -0,0 +1,503 @@
+#include "protocol/exchange.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "protocol/commit_scan.h"
+#include "protocol/outcome_report.h"
+
+#define SQLSTATE_SIZE 6
+#define SQLSTATE_READ_ONLY "25006"
+#define SQLSTATE_UNIQUE "23505"
+#define SQLSTATE_CLASS_INTEGRITY "23"
+#define STEPS_MAX 8
+
+/* One part of the talk; each ends with a ReadyForQuery. */
+typedef enum {
+	STEP_TERM,	/* SET group.term */
+	STEP_BEGIN,	/* opens the transaction of a keyed change */
+	STEP_KEY,	/* writes the idempotency key */
+	STEP_STATEMENT, /* the caller's own messages */
+	STEP_COMMIT,	/* ends the transaction of a keyed change */
+	STEP_POINT,	/* asks for the end of the log */
+} step_t;
+
+struct exchange {
+	request_t *request;
+	exchange_connection_t connection;
+	step_t steps[STEPS_MAX];
+	uint32_t steps_count;
+	uint32_t sent; /* steps that were sent */
+	uint32_t current;
+	uint64_t term;
+	bool may_commit; /* it could end a transaction */
+	bool holds;	 /* the answer waits for the outcome */
+	bool completed;	 /* a held CommandComplete tells of success */
+	bool overflow;
+	bool passed; /* bytes went to the caller */
+	bool committed;
+	bool rolled_back;
+	bool not_run;
+	reason_t reason;
+	bool replaced; /* the answer is ours, not the statement's */
+	bool already_done;
+	char sqlstate[SQLSTATE_SIZE]; /* the caller's own error */
+	char status;
+	log_point_t point;
+	GByteArray *held;
+	GByteArray *ready;
+};
+
+static void add_step(exchange_t *exchange, step_t step)
+{
+	g_assert(exchange->steps_count < STEPS_MAX);
+	exchange->steps[exchange->steps_count++] = step;
+}
+
+static void plan(exchange_t *exchange)
+{
+	const request_t *request = exchange->request;
+	const bool changes = request->kind == REQUEST_WRITE;
+
+	if (!exchange->connection.in_transaction &&
+	    request->term != exchange->connection.term)
+		add_step(exchange, STEP_TERM);
+	if (request->request_key && changes)
+		add_step(exchange, STEP_BEGIN);
+	if (request->request_key &&
+	    (changes || exchange->connection.in_transaction))
+		add_step(exchange, STEP_KEY);
+	add_step(exchange, STEP_STATEMENT);
+	if (request->request_key && changes)
+		add_step(exchange, STEP_COMMIT);
+	if (exchange->term && (changes || exchange->may_commit))
+		add_step(exchange, STEP_POINT);
+}
+
+exchange_t *exchange_create(const request_t *request,
+			    exchange_connection_t connection)
+{
+	exchange_t *exchange = g_new0(exchange_t, 1);
+
+	exchange->request = request_copy(request);
+	exchange->connection = connection;
+	exchange->term =
+		connection.in_transaction ? connection.term : request->term;
+	exchange->may_commit = request->kind == REQUEST_TRANSACTION &&
+			       commit_scan(request->bytes);
+	exchange->holds =
+		request->kind == REQUEST_WRITE || exchange->may_commit;
+	exchange->status = connection.in_transaction ? 'T' : 'I';
+	exchange->held = g_byte_array_new();
+	exchange->ready = g_byte_array_new();
+	plan(exchange);
+	return exchange;
+}
+
+void exchange_destroy(exchange_t *exchange)
+{
+	if (!exchange)
+		return;
+	request_delete(exchange->request);
+	g_byte_array_unref(exchange->held);
+	g_byte_array_unref(exchange->ready);
+	g_free(exchange);
+}
+
+/* In an E'' constant both the quote and the backslash are doubled. */
+static char *quote(const char *text)
+{
+	GString *quoted = g_string_new("E'");
+	const char *c = NULL;
+
+	for (c = text; *c; c++) {
+		if (*c == '\'' || *c == '\\')
+			g_string_append_c(quoted, *c);
+		g_string_append_c(quoted, *c);
+	}
+	g_string_append_c(quoted, '\'');
+	return g_string_free(quoted, FALSE);
+}
+
+static void write_key(const exchange_t *exchange, GByteArray *out)
+{
+	g_autofree char *key = quote(exchange->request->request_key);
+	g_autofree char *sql = g_strdup_printf(
+		"INSERT INTO toucanhook_requests (key, value) VALUES (%s, '')",
+		key);
+
+	pg_write_query(out, sql);
+}
+
+static void write_term(const exchange_t *exchange, GByteArray *out)
+{
+	g_autofree char *sql = g_strdup_printf("SET group.term = '%" PRIu64 "'",
+					       exchange->term);
+
+	pg_write_query(out, sql);
+}
+
+static void write_step(const exchange_t *exchange, step_t step, GByteArray *out)
+{
+	gsize size_bytes = 0;
+	const uint8_t *bytes = NULL;
+
+	switch (step) {
+	case STEP_TERM:
+		write_term(exchange, out);
+		return;
+	case STEP_BEGIN:
+		pg_write_query(out, "BEGIN");
+		return;
+	case STEP_KEY:
+		write_key(exchange, out);
+		return;
+	case STEP_STATEMENT:
+		bytes = g_bytes_get_data(exchange->request->bytes, &size_bytes);
+		g_byte_array_append(out, bytes, (guint)size_bytes);
+		return;
+	case STEP_COMMIT:
+		pg_write_query(out, "COMMIT");
+		return;
+	case STEP_POINT:
+		pg_write_query(out, "SELECT * FROM group_point()");
+		return;
+	}
+}
+
+/*
+ * Nothing may run before the term is known to be set, nor a keyed change
+ * before its key is known to be written.
+ */
+static bool is_gate(const exchange_t *exchange, step_t step)
+{
+	return step == STEP_TERM ||
+	       (step == STEP_KEY && !exchange->connection.in_transaction);
+}
+
+void exchange_send(exchange_t *exchange, GByteArray *out)
+{
+	while (exchange->sent < exchange->steps_count) {
+		const step_t step = exchange->steps[exchange->sent++];
+
+		write_step(exchange, step, out);
+		if (is_gate(exchange, step))
+			return;
+	}
+}
+
+static step_t current_step(const exchange_t *exchange)
+{
+	return exchange->steps[exchange->current];
+}
+
+static void set_not_run(exchange_t *exchange, reason_t reason)
+{
+	if (exchange->not_run)
+		return;
+	exchange->not_run = true;
+	exchange->reason = reason;
+}
+
+/* @return whether the SQLSTATE proves that nothing was run */
+static bool prove_not_run(exchange_t *exchange, const char *sqlstate)
+{
+	if (exchange->passed)
+		return false;
+	if (!strcmp(sqlstate, SQLSTATE_OTHER_TERM)) {
+		set_not_run(exchange, REASON_OTHER_TERM);
+		return true;
+	}
+	/* Inside a transaction it may be the caller's own READ ONLY. */
+	if (!strcmp(sqlstate, SQLSTATE_READ_ONLY) &&
+	    !exchange->connection.in_transaction &&
+	    exchange->request->kind != REQUEST_TRANSACTION) {
+		set_not_run(exchange, REASON_NOT_PRIMARY);
+		return true;
+	}
+	return false;
+}
+
+/* Bytes for the caller: at once, or once the outcome is known. */
+static void pass(exchange_t *exchange, const pg_message_t *message)
+{
+	GByteArray *out = exchange->holds ? exchange->held : exchange->ready;
+
+	g_byte_array_append(out, message->body - PG_HEADER_SIZE_BYTES,
+			    (guint)message->size_bytes);
+	if (!exchange->holds) {
+		exchange->passed = true;
+		return;
+	}
+	if (exchange->completed) {
+		exchange->overflow |= out->len > EXCHANGE_HOLD_SIZE_BYTES_MAX;
+		return;
+	}
+	if (out->len <= EXCHANGE_HOLD_SIZE_BYTES)
+		return;
+	/* Rows alone say nothing of success: they need not be held. */
+	g_byte_array_append(exchange->ready, out->data, out->len);
+	g_byte_array_set_size(out, 0);
+	exchange->passed = true;
+}
+
+static void take_statement_error(exchange_t *exchange,
+				 const pg_message_t *message)
+{
+	const char *sqlstate = pg_error_field(message, 'C');
+
+	if (!sqlstate)
+		sqlstate = "XX000";
+	if (exchange->replaced || exchange->not_run ||
+	    prove_not_run(exchange, sqlstate))
+		return;
+	if (!*exchange->sqlstate)
+		g_strlcpy(exchange->sqlstate, sqlstate, SQLSTATE_SIZE);
+	pass(exchange, message);
+}
+
+static void take_statement(exchange_t *exchange, const pg_message_t *message)
+{
+	const char *tag = (const char *)message->body;
+
+	if (message->type == 'E') {
+		take_statement_error(exchange, message);
+		return;
+	}
+	if (message->type == 'C' && message->body_size_bytes > 0 &&
+	    memchr(tag, 0, message->body_size_bytes)) {
+		if (!strcmp(tag, "COMMIT")) {
+			exchange->committed = true;
+			exchange->holds = true;
+		}
+		exchange->rolled_back = !strcmp(tag, "ROLLBACK");
+		exchange->completed |= exchange->holds;
+	}
+	if (exchange->replaced || exchange->not_run)
+		return;
+	pass(exchange, message);
+}
+
+/* Makes an error the whole answer of a change that failed as a whole. */
+static void answer_error(exchange_t *exchange, const pg_message_t *message)
+{
+	const char *sqlstate = pg_error_field(message, 'C');
+
+	if (!sqlstate)
+		sqlstate = "XX000";
+	if (exchange->not_run || exchange->replaced ||
+	    prove_not_run(exchange, sqlstate) || *exchange->sqlstate)
+		return;
+	exchange->replaced = true;
+	g_strlcpy(exchange->sqlstate, sqlstate, SQLSTATE_SIZE);
+	g_byte_array_set_size(exchange->held, 0);
+	g_byte_array_append(exchange->held,
+			    message->body - PG_HEADER_SIZE_BYTES,
+			    (guint)message->size_bytes);
+}
+
+static void take_key(exchange_t *exchange, const pg_message_t *message)
+{
+	const char *sqlstate = NULL;
+
+	if (message->type != 'E')
+		return;
+	sqlstate = pg_error_field(message, 'C');
+	if (!sqlstate || strcmp(sqlstate, SQLSTATE_UNIQUE) != 0) {
+		answer_error(exchange, message);
+		return;
+	}
+	exchange->already_done = true;
+	exchange->replaced = true;
+	pg_write_error(exchange->held, "ERROR", SQLSTATE_ALREADY_DONE,
+		       "a change with this request key was already made", NULL);
+}
+
+static void take_point(exchange_t *exchange, const pg_message_t *message)
+{
+	g_auto(GStrv) values = NULL;
+	guint64 term = 0;
+	guint64 position = 0;
+
+	if (message->type != 'D')
+		return;
+	values = pg_row_read(message, 2);
+	if (!values ||
+	    !g_ascii_string_to_unsigned(values[0], 10, 1, G_MAXUINT64, &term,
+					NULL) ||
+	    !g_ascii_string_to_unsigned(values[1], 10, 0, G_MAXUINT64,
+					&position, NULL))
+		return;
+	exchange->point = (log_point_t){term, position};
+}
+
+static void take_for_step(exchange_t *exchange, const pg_message_t *message)
+{
+	switch (current_step(exchange)) {
+	case STEP_TERM:
+		/* Whatever the error is: without the term nothing may run. */
+		if (message->type == 'E')
+			set_not_run(exchange, REASON_OTHER_TERM);
+		return;
+	case STEP_BEGIN:
+	case STEP_COMMIT:
+		if (message->type == 'E')
+			answer_error(exchange, message);
+		return;
+	case STEP_KEY:
+		take_key(exchange, message);
+		return;
+	case STEP_STATEMENT:
+		take_statement(exchange, message);
+		return;
+	case STEP_POINT:
+		take_point(exchange, message);
+		return;
+	}
+}
+
+/* A COMMIT that was not foreseen needs its point, too. */
+static void finish_statement(exchange_t *exchange)
+{
+	const bool planned = exchange->current + 1 < exchange->steps_count;
+
+	if (!planned && exchange->committed && exchange->term &&
+	    exchange->status == 'I' && !exchange->not_run)
+		add_step(exchange, STEP_POINT);
+}
+
+/* What was not sent is left out when nothing can come of it. */
+static void skip_steps(exchange_t *exchange)
+{
+	if (exchange->sent != exchange->current)
+		return;
+	if (exchange->not_run)
+		exchange->current = exchange->steps_count;
+	else if (exchange->replaced && exchange->current < STEPS_MAX &&
+		 current_step(exchange) == STEP_STATEMENT)
+		exchange->current++;
+	exchange->sent = exchange->current;
+}
+
+static exchange_state_t finish_step(exchange_t *exchange, char status)
+{
+	const step_t step = current_step(exchange);
+
+	exchange->status = status;
+	if (step == STEP_STATEMENT)
+		finish_statement(exchange);
+	exchange->current++;
+	skip_steps(exchange);
+	if (exchange->current >= exchange->steps_count)
+		return EXCHANGE_ENDED;
+	return exchange->sent == exchange->current ? EXCHANGE_SEND :
+						     EXCHANGE_RUNNING;
+}
+
+exchange_state_t exchange_take(exchange_t *exchange,
+			       const pg_message_t *message)
+{
+	pg_reader_t reader = pg_reader(message);
+
+	if (exchange->current >= exchange->steps_count)
+		return EXCHANGE_ENDED;
+	if (message->type == 'Z')
+		return finish_step(exchange, (char)pg_read_u8(&reader));
+	take_for_step(exchange, message);
+	return EXCHANGE_RUNNING;
+}
+
+static GBytes *take_bytes(GByteArray **array)
+{
+	GByteArray *taken = *array;
+
+	if (!taken->len)
+		return NULL;
+	*array = g_byte_array_new();
+	return g_byte_array_free_to_bytes(taken);
+}
+
+GBytes *exchange_ready(exchange_t *exchange)
+{
+	return take_bytes(&exchange->ready);
+}
+
+GBytes *exchange_held(exchange_t *exchange)
+{
+	return take_bytes(&exchange->held);
+}
+
+bool exchange_may_commit(const exchange_t *exchange)
+{
+	return exchange->request->kind == REQUEST_WRITE ||
+	       exchange->may_commit || exchange->committed;
+}
+
+/*
+ * An error of its own needs no confirmation, but for one that tells of rows
+ * that are there: they must be there for good.
+ */
+static bool needs_confirm(const exchange_t *exchange)
+{
+	if (!exchange->term || exchange->status != 'I' ||
+	    !exchange_may_commit(exchange))
+		return false;
+	if (exchange->already_done ||
+	    g_str_has_prefix(exchange->sqlstate, SQLSTATE_CLASS_INTEGRITY))
+		return true;
+	return !*exchange->sqlstate && !exchange->rolled_back;
+}
+
+exchange_result_t exchange_result(const exchange_t *exchange)
+{
+	exchange_result_t result = {
+		.outcome = OUTCOME_DONE,
+		.transaction_status = exchange->status,
+		.point = exchange->point,
+		.term = exchange->term,
+		.needs_confirm = needs_confirm(exchange),
+		.unconfirmed = *exchange->sqlstate || exchange->already_done ?
+				       OUTCOME_NOT_RUN :
+				       OUTCOME_UNKNOWN,
+		.reusable = !exchange->not_run,
+	};
+
+	if (exchange->not_run) {
+		result.outcome = OUTCOME_NOT_RUN;
+		result.reason = exchange->reason;
+		result.needs_confirm = false;
+		result.point = (log_point_t){0};
+	} else if (exchange->overflow ||
+		   (result.needs_confirm && !exchange->point.term)) {
+		/* The primary did not give a point: it may lead no more. */
+		result.outcome = result.unconfirmed;
+		result.reason = REASON_UNCONFIRMED;
+		result.needs_confirm = false;
+		result.reusable = false;
+	}
+	return result;
+}
+
+exchange_result_t exchange_broken(const exchange_t *exchange, reason_t reason)
+{
+	exchange_result_t result = {
+		.outcome = OUTCOME_NOT_RUN,
+		.reason = reason,
+		.transaction_status = 'I',
+	};
+
+	if (exchange->not_run)
+		result.reason = exchange->reason;
+	if (exchange->not_run || !exchange->sent)
+		return result;
+	/* The term goes out alone: before its answer nothing else was sent. */
+	if (exchange->current < exchange->steps_count &&
+	    current_step(exchange) == STEP_TERM)
+		return result;
+	if (exchange_may_commit(exchange) || exchange->passed) {
+		result.outcome = OUTCOME_UNKNOWN;
+		if (reason == REASON_UNREACHABLE)
+			result.reason = REASON_LOST_ANSWER;
+	}
+	return result;
+}
--- a/src/protocol/group_note.pb-c.c
+++ b/src/protocol/group_note.pb-c.c
@@ -7,403 +7,302 @@
 #endif
 
 #include "protocol/group_note.pb-c.h"
-void   toucanhook__server_status__init
-                     (Toucanhook__ServerStatus         *message)
+void toucanhook__server_status__init(Toucanhook__ServerStatus *message)
 {
-  static const Toucanhook__ServerStatus init_value = TOUCANHOOK__SERVER_STATUS__INIT;
-  *message = init_value;
+	static const Toucanhook__ServerStatus init_value =
+		TOUCANHOOK__SERVER_STATUS__INIT;
+	*message = init_value;
 }
-size_t toucanhook__server_status__get_packed_size
-                     (const Toucanhook__ServerStatus *message)
+size_t toucanhook__server_status__get_packed_size(
+	const Toucanhook__ServerStatus *message)
 {
-  assert(message->base.descriptor == &toucanhook__server_status__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor ==
+	       &toucanhook__server_status__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t toucanhook__server_status__pack
-                     (const Toucanhook__ServerStatus *message,
-                      uint8_t       *out)
+size_t toucanhook__server_status__pack(const Toucanhook__ServerStatus *message,
+				       uint8_t *out)
 {
-  assert(message->base.descriptor == &toucanhook__server_status__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor ==
+	       &toucanhook__server_status__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t toucanhook__server_status__pack_to_buffer
-                     (const Toucanhook__ServerStatus *message,
-                      ProtobufCBuffer *buffer)
+size_t toucanhook__server_status__pack_to_buffer(
+	const Toucanhook__ServerStatus *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &toucanhook__server_status__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor ==
+	       &toucanhook__server_status__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
 Toucanhook__ServerStatus *
-       toucanhook__server_status__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+toucanhook__server_status__unpack(ProtobufCAllocator *allocator, size_t len,
+				  const uint8_t *data)
 {
-  return (Toucanhook__ServerStatus *)
-     protobuf_c_message_unpack (&toucanhook__server_status__descriptor,
-                                allocator, len, data);
+	return (Toucanhook__ServerStatus *)protobuf_c_message_unpack(
+		&toucanhook__server_status__descriptor, allocator, len, data);
 }
-void   toucanhook__server_status__free_unpacked
-                     (Toucanhook__ServerStatus *message,
-                      ProtobufCAllocator *allocator)
+void toucanhook__server_status__free_unpacked(Toucanhook__ServerStatus *message,
+					      ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &toucanhook__server_status__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor ==
+	       &toucanhook__server_status__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-void   toucanhook__group_note__init
-                     (Toucanhook__GroupNote         *message)
+void toucanhook__group_note__init(Toucanhook__GroupNote *message)
 {
-  static const Toucanhook__GroupNote init_value = TOUCANHOOK__GROUP_NOTE__INIT;
-  *message = init_value;
+	static const Toucanhook__GroupNote init_value =
+		TOUCANHOOK__GROUP_NOTE__INIT;
+	*message = init_value;
 }
-size_t toucanhook__group_note__get_packed_size
-                     (const Toucanhook__GroupNote *message)
+size_t
+toucanhook__group_note__get_packed_size(const Toucanhook__GroupNote *message)
 {
-  assert(message->base.descriptor == &toucanhook__group_note__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+	assert(message->base.descriptor == &toucanhook__group_note__descriptor);
+	return protobuf_c_message_get_packed_size(
+		(const ProtobufCMessage *)(message));
 }
-size_t toucanhook__group_note__pack
-                     (const Toucanhook__GroupNote *message,
-                      uint8_t       *out)
+size_t toucanhook__group_note__pack(const Toucanhook__GroupNote *message,
+				    uint8_t *out)
 {
-  assert(message->base.descriptor == &toucanhook__group_note__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+	assert(message->base.descriptor == &toucanhook__group_note__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t toucanhook__group_note__pack_to_buffer
-                     (const Toucanhook__GroupNote *message,
-                      ProtobufCBuffer *buffer)
+size_t
+toucanhook__group_note__pack_to_buffer(const Toucanhook__GroupNote *message,
+				       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &toucanhook__group_note__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+	assert(message->base.descriptor == &toucanhook__group_note__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+		(const ProtobufCMessage *)message, buffer);
 }
 Toucanhook__GroupNote *
-       toucanhook__group_note__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+toucanhook__group_note__unpack(ProtobufCAllocator *allocator, size_t len,
+			       const uint8_t *data)
 {
-  return (Toucanhook__GroupNote *)
-     protobuf_c_message_unpack (&toucanhook__group_note__descriptor,
-                                allocator, len, data);
+	return (Toucanhook__GroupNote *)protobuf_c_message_unpack(
+		&toucanhook__group_note__descriptor, allocator, len, data);
 }
-void   toucanhook__group_note__free_unpacked
-                     (Toucanhook__GroupNote *message,
-                      ProtobufCAllocator *allocator)
+void toucanhook__group_note__free_unpacked(Toucanhook__GroupNote *message,
+					   ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &toucanhook__group_note__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+	if (!message)
+		return;
+	assert(message->base.descriptor == &toucanhook__group_note__descriptor);
+	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+					 allocator);
 }
-static const ProtobufCFieldDescriptor toucanhook__server_status__field_descriptors[8] =
-{
-  {
-    "role",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__ServerStatus, role),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "term",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__ServerStatus, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "fence",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__ServerStatus, fence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "last_term",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__ServerStatus, last_term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "last_position",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__ServerStatus, last_position),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "replayed_term",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__ServerStatus, replayed_term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "replayed_position",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__ServerStatus, replayed_position),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "upstream_age_ms",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__ServerStatus, upstream_age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+	toucanhook__server_status__field_descriptors[8] = {
+		{
+			"role", 1, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+			offsetof(Toucanhook__ServerStatus, role), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"term", 2, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__ServerStatus, term), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"fence", 3, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__ServerStatus, fence), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"last_term", 4, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__ServerStatus, last_term), NULL,
+			NULL, 0,      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"last_position", 5, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__ServerStatus, last_position), NULL,
+			NULL, 0,      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"replayed_term", 6, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__ServerStatus, replayed_term), NULL,
+			NULL, 0,      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"replayed_position", 7, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__ServerStatus, replayed_position),
+			NULL, NULL, 0, /* flags */
+			0, NULL, NULL  /* reserved1,reserved2, etc */
+		},
+		{
+			"upstream_age_ms", 8, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+			offsetof(Toucanhook__ServerStatus, upstream_age_ms),
+			NULL, NULL, 0, /* flags */
+			0, NULL, NULL  /* reserved1,reserved2, etc */
+		},
 };
 static const unsigned toucanhook__server_status__field_indices_by_name[] = {
-  2,   /* field[2] = fence */
-  4,   /* field[4] = last_position */
-  3,   /* field[3] = last_term */
-  6,   /* field[6] = replayed_position */
-  5,   /* field[5] = replayed_term */
-  0,   /* field[0] = role */
-  1,   /* field[1] = term */
-  7,   /* field[7] = upstream_age_ms */
+	2, /* field[2] = fence */
+	4, /* field[4] = last_position */
+	3, /* field[3] = last_term */
+	6, /* field[6] = replayed_position */
+	5, /* field[5] = replayed_term */
+	0, /* field[0] = role */
+	1, /* field[1] = term */
+	7, /* field[7] = upstream_age_ms */
 };
 static const ProtobufCIntRange toucanhook__server_status__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor toucanhook__server_status__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "toucanhook.ServerStatus",
-  "ServerStatus",
-  "Toucanhook__ServerStatus",
-  "toucanhook",
-  sizeof(Toucanhook__ServerStatus),
-  8,
-  toucanhook__server_status__field_descriptors,
-  toucanhook__server_status__field_indices_by_name,
-  1,  toucanhook__server_status__number_ranges,
-  (ProtobufCMessageInit) toucanhook__server_status__init,
-  NULL,NULL,NULL    /* reserved[123] */
+	{{1, 0}, {0, 8}};
+const ProtobufCMessageDescriptor toucanhook__server_status__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"toucanhook.ServerStatus",
+	"ServerStatus",
+	"Toucanhook__ServerStatus",
+	"toucanhook",
+	sizeof(Toucanhook__ServerStatus),
+	8,
+	toucanhook__server_status__field_descriptors,
+	toucanhook__server_status__field_indices_by_name,
+	1,
+	toucanhook__server_status__number_ranges,
+	(ProtobufCMessageInit)toucanhook__server_status__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucanhook__group_note__field_descriptors[12] =
-{
-  {
-    "kind",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, kind),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "database",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, database),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "server",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, server),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "operation",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, operation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "term",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "point_term",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, point_term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "point_position",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, point_position),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "timeout_ms",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, timeout_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "result",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, result),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "status",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, status),
-    &toucanhook__server_status__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "primary",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Toucanhook__GroupNote, primary),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+static const ProtobufCFieldDescriptor
+	toucanhook__group_note__field_descriptors[12] = {
+		{
+			"kind", 1, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, kind), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+			0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, id), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"database", 3, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, database), NULL,
+			&protobuf_c_empty_string, 0, /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"server", 4, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, server), NULL,
+			&protobuf_c_empty_string, 0, /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"operation", 5, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, operation), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"term", 6, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, term), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"point_term", 7, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, point_term), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"point_position", 8, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, point_position), NULL,
+			NULL, 0,      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"timeout_ms", 9, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, timeout_ms), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"result", 10, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, result), NULL, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"status", 11, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, status),
+			&toucanhook__server_status__descriptor, NULL,
+			0,	      /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
+		{
+			"primary", 12, PROTOBUF_C_LABEL_NONE,
+			PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
+			offsetof(Toucanhook__GroupNote, primary), NULL,
+			&protobuf_c_empty_string, 0, /* flags */
+			0, NULL, NULL /* reserved1,reserved2, etc */
+		},
 };
 static const unsigned toucanhook__group_note__field_indices_by_name[] = {
-  2,   /* field[2] = database */
-  1,   /* field[1] = id */
-  0,   /* field[0] = kind */
-  4,   /* field[4] = operation */
-  7,   /* field[7] = point_position */
-  6,   /* field[6] = point_term */
-  11,   /* field[11] = primary */
-  9,   /* field[9] = result */
-  3,   /* field[3] = server */
-  10,   /* field[10] = status */
-  5,   /* field[5] = term */
-  8,   /* field[8] = timeout_ms */
-};
-static const ProtobufCIntRange toucanhook__group_note__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 12 }
+	2,  /* field[2] = database */
+	1,  /* field[1] = id */
+	0,  /* field[0] = kind */
+	4,  /* field[4] = operation */
+	7,  /* field[7] = point_position */
+	6,  /* field[6] = point_term */
+	11, /* field[11] = primary */
+	9,  /* field[9] = result */
+	3,  /* field[3] = server */
+	10, /* field[10] = status */
+	5,  /* field[5] = term */
+	8,  /* field[8] = timeout_ms */
 };
-const ProtobufCMessageDescriptor toucanhook__group_note__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "toucanhook.GroupNote",
-  "GroupNote",
-  "Toucanhook__GroupNote",
-  "toucanhook",
-  sizeof(Toucanhook__GroupNote),
-  12,
-  toucanhook__group_note__field_descriptors,
-  toucanhook__group_note__field_indices_by_name,
-  1,  toucanhook__group_note__number_ranges,
-  (ProtobufCMessageInit) toucanhook__group_note__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCIntRange toucanhook__group_note__number_ranges[1 + 1] = {
+	{1, 0},
+	{0, 12}};
+const ProtobufCMessageDescriptor toucanhook__group_note__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+	"toucanhook.GroupNote",
+	"GroupNote",
+	"Toucanhook__GroupNote",
+	"toucanhook",
+	sizeof(Toucanhook__GroupNote),
+	12,
+	toucanhook__group_note__field_descriptors,
+	toucanhook__group_note__field_indices_by_name,
+	1,
+	toucanhook__group_note__number_ranges,
+	(ProtobufCMessageInit)toucanhook__group_note__init,
+	NULL,
+	NULL,
+	NULL /* reserved[123] */
 };
--- a/src/protocol/statement.c
+++ b/src/protocol/statement.c
@@ -153,6 +153,8 @@
 			    "sval", &schema);
 	if (listed(name, session_locks, G_N_ELEMENTS(session_locks)))
 		findings->refused = "a session's advisory lock";
+	if (!strcmp(name, "set_config"))
+		findings->refused = "set_config";
 	if (count == 2 && (!schema || strcmp(schema, "pg_catalog") != 0))
 		findings->safe = false;
 	if (!listed(name, safe_functions, G_N_ELEMENTS(safe_functions)))
