--- a/src/backend/backend_control.c
+++ b/src/backend/backend_control.c
@@ -43,6 +43,8 @@
 	struct event *wake;
 	GQueue *queue;
 	control_entry_t *running;
+	void (*broken)(void *context);
+	void *context;
 	uint32_t backoff_ms;
 	uint64_t retry_at_ms;
 };
@@ -75,6 +77,7 @@
 static void control_fail(backend_control_t *control)
 {
 	control_entry_t *running = g_steal_pointer(&control->running);
+	const bool idle = control->connected && !running;
 	GQueue waiting = G_QUEUE_INIT;
 	control_entry_t *entry;
 
@@ -86,6 +89,8 @@
 		entry_end(running, SERVER_UNKNOWN, NULL);
 	while ((entry = g_queue_pop_head(&waiting)))
 		entry_end(entry, SERVER_UNREACHABLE, NULL);
+	if (idle && control->broken)
+		control->broken(control->context);
 }
 
 static void on_timeout(evutil_socket_t fd, short events, void *context)
@@ -340,6 +345,8 @@
 	control->database = g_strdup(params->database);
 	control->user = g_strdup(params->user);
 	control->timeout_ms = params->timeout_ms;
+	control->broken = params->broken;
+	control->context = params->context;
 	control->backoff_ms = CONTROL_BACKOFF_MIN_MS;
 	control->queue = g_queue_new();
 	control->timeout = evtimer_new(base, on_timeout, control);
@@ -351,6 +358,7 @@
 {
 	if (!control)
 		return;
+	control->broken = NULL;
 	control_fail(control);
 	g_queue_free_full(control->queue, g_free);
 	event_free(control->timeout);
--- a/src/backend/backend_control.h
+++ b/src/backend/backend_control.h
@@ -19,6 +19,9 @@
 	const char *database;
 	const char *user;
 	uint32_t timeout_ms; /**< longest wait for an answer */
+	/** Called when a connection breaks, or NULL. */
+	void (*broken)(void *context);
+	void *context;
 } backend_control_params_t;
 
 /** One operation; the last three are of SERVER_FOLLOW alone. */
--- a/src/coordination/promotion.c
+++ b/src/coordination/promotion.c
@@ -259,6 +259,16 @@
 	tell(promotion, PROMOTION_OUTBID, PROMOTION_ANY);
 }
 
+/* By order the wanted server gets a moment more to be among the fenced. */
+static bool ready_to_choose(const promotion_t *promotion, uint64_t now_ms)
+{
+	if (fences_held(promotion) < fences_needed(promotion))
+		return false;
+	return promotion->wanted == PROMOTION_ANY ||
+	       promotion->servers[promotion->wanted].fenced ||
+	       now_ms >= promotion->catch_up_until_ms;
+}
+
 static void hand_over_end(promotion_t *promotion, uint64_t now_ms)
 {
 	if (promotion->state != PROMOTION_HANDING)
@@ -302,7 +312,7 @@
 		ask(promotion, promotion->wanted, SERVER_STATUS);
 		return;
 	}
-	if (fences_held(promotion) >= fences_needed(promotion))
+	if (ready_to_choose(promotion, now_ms))
 		choose(promotion, now_ms);
 }
 
@@ -380,8 +390,11 @@
 static void fencing_step(promotion_t *promotion, uint64_t now_ms)
 {
 	fences_ask(promotion, now_ms);
-	if (promotion->state != PROMOTION_FENCING ||
-	    now_ms < promotion->lack_at_ms)
+	if (ready_to_choose(promotion, now_ms)) {
+		choose(promotion, now_ms);
+		return;
+	}
+	if (now_ms < promotion->lack_at_ms)
 		return;
 	promotion->lack_at_ms = now_ms + PROMOTION_LACK_REPEAT_MS;
 	tell(promotion, PROMOTION_LACKING, PROMOTION_ANY);
--- a/src/daemon/group_failover.c
+++ b/src/daemon/group_failover.c
@@ -77,7 +77,7 @@
  * Owners of replicas come before those of the primary, which may be cut off
  * together with it.
  */
-static uint32_t own_rank(const group_database_t *database)
+static uint32_t rank_of_all(const group_database_t *database)
 {
 	const group_task_t *task = database->task;
 	const group_view_t view = group_table_view(task->table, database->name);
@@ -104,6 +104,33 @@
 	return count;
 }
 
+static uint32_t rank_at(const group_database_t *database, const char *server)
+{
+	const group_task_t *task = database->task;
+	const char *owners[FAILOVER_OWNER_LIMIT];
+	const uint32_t found =
+		task->handlers.owners(task->handlers.context, database->name,
+				      server, owners, FAILOVER_OWNER_LIMIT);
+
+	for (uint32_t i = 0; i < found; i++)
+		if (!strcmp(owners[i], task->node))
+			return i;
+	return found;
+}
+
+/* Who sees the primary itself fail knows before the others do. */
+static uint32_t own_rank(group_database_t *database)
+{
+	const group_view_t view =
+		group_table_view(database->task->table, database->name);
+	const group_server_t *primary =
+		group_database_server(database, view.primary);
+
+	if (primary && primary->watch && group_watch_failures(primary->watch))
+		return rank_at(database, primary->name);
+	return rank_of_all(database);
+}
+
 static void on_suspect(void *context)
 {
 	group_database_t *database = context;
--- a/src/daemon/group_watch.c
+++ b/src/daemon/group_watch.c
@@ -127,6 +127,11 @@
 	watch_poll(context);
 }
 
+static void on_broken(void *context)
+{
+	group_watch_hurry(context);
+}
+
 group_watch_t *group_watch_create(group_server_t *server)
 {
 	group_watch_t *watch = g_new0(group_watch_t, 1);
@@ -138,6 +143,8 @@
 		.database = database->name,
 		.user = database->user,
 		.timeout_ms = GROUP_SERVER_TIMEOUT_MS,
+		.broken = on_broken,
+		.context = watch,
 	};
 
 	watch->server = server;
