--- a/src/coordination/config_apply.c
+++ b/src/coordination/config_apply.c
@@ -104,6 +104,9 @@
 	const uint64_t found =
 		current ? find_change(current, apply->change_id) : 0;
 
+	/* A change id that was given to something else accepts nothing. */
+	if (found && found == in_force && !same_content)
+		return end(apply, CONFIG_APPLY_CONFLICT);
 	if (found) {
 		apply->revision = found;
 		return end(apply, CONFIG_APPLY_ACCEPTED);
--- /dev/null
+++ b/src/ctl/ctl_apply.c
@@ -0,0 +1,285 @@
+#include "ctl/ctl.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "coordination/config_apply.h"
+#include "ctl/ctl_diff.h"
+#include "ctl/ctl_files.h"
+#include "ctl/ctl_platform.h"
+#include "state/config_diff.h"
+
+#define TIMEOUT_S 30
+#define TIMEOUT_S_MAX 3600
+#define CHANGE_ID_LENGTH_MAX 64
+
+/* What the command line asks for. */
+typedef struct {
+	ctl_endpoint_t platform;
+	char *change_id;
+	uint64_t expect_revision;
+	uint32_t timeout_s;
+	bool json;
+} order_t;
+
+/* One run of the steps. */
+typedef struct {
+	const order_t *order;
+	ctl_platform_t *platform;
+	config_apply_t *apply;
+	config_t *wanted;
+	config_t *current; /* as last read */
+	bool shown;	   /* the differences were printed */
+} run_t;
+
+static config_apply_step_t read_current(run_t *run)
+{
+	store_result_t result;
+	uint64_t index = 0;
+	bool same = false;
+
+	g_usleep((gulong)config_apply_pause_ms(run->apply) * 1000);
+	config_delete(run->current);
+	result = ctl_platform_read(run->platform, &run->current, &index);
+	if (run->current)
+		same = !config_diff(run->current, run->wanted, NULL, NULL);
+	if (!run->shown && !run->order->json &&
+	    (result == STORE_OK || result == STORE_ABSENT)) {
+		ctl_diff_print(run->current, run->wanted, false);
+		run->shown = true;
+	}
+	return config_apply_read(run->apply, result, run->current, same, index,
+				 clock_now_ms());
+}
+
+static config_apply_step_t swap(run_t *run)
+{
+	store_result_t result;
+
+	config_apply_stamp(run->wanted, run->current,
+			   config_apply_revision(run->apply),
+			   run->order->change_id);
+	result = ctl_platform_swap(run->platform, run->wanted,
+				   config_apply_index(run->apply));
+	return config_apply_swapped(run->apply, result, clock_now_ms());
+}
+
+/* Reads once more, for the message that says who won. */
+static void read_winner(run_t *run)
+{
+	uint64_t index = 0;
+
+	config_delete(run->current);
+	ctl_platform_read(run->platform, &run->current, &index);
+}
+
+static void print_json(const run_t *run, config_apply_outcome_t outcome)
+{
+	const config_t *current = run->current;
+	json_t *json = json_pack("{s:s, s:s, s:I}", "outcome",
+				 config_apply_outcome_name(outcome),
+				 "change_id", run->order->change_id, "revision",
+				 (json_int_t)config_apply_revision(run->apply));
+	char *text;
+
+	if (outcome == CONFIG_APPLY_CONFLICT && current)
+		json_object_set_new(json, "in_force",
+				    json_pack("{s:I, s:s}", "revision",
+					      (json_int_t)current->revision,
+					      "change_id", current->change_id));
+	text = json_dumps(json, JSON_COMPACT);
+	puts(text);
+	free(text);
+	json_decref(json);
+}
+
+static void print_conflict(const run_t *run)
+{
+	const config_t *current = run->current;
+
+	if (current)
+		printf("conflict: revision %" PRIu64 " of change %s is in "
+		       "force; yours is not.\nSee what it changed with "
+		       "`toucanctl diff`, then apply again with "
+		       "--expect-revision=%" PRIu64 ".\n",
+		       current->revision, current->change_id,
+		       current->revision);
+	else
+		puts("conflict: no configuration is in force, and yours is "
+		     "not.");
+}
+
+static void print_text(const run_t *run, config_apply_outcome_t outcome)
+{
+	const uint64_t revision = config_apply_revision(run->apply);
+	const char *change_id = run->order->change_id;
+
+	switch (outcome) {
+	case CONFIG_APPLY_ACCEPTED:
+		printf("accepted: revision %" PRIu64 ", change %s\n", revision,
+		       change_id);
+		if (run->current && run->current->revision > revision)
+			printf("Since then revision %" PRIu64 " of change %s "
+			       "has come in force.\n",
+			       run->current->revision, run->current->change_id);
+		return;
+	case CONFIG_APPLY_UNCHANGED:
+		printf("unchanged: revision %" PRIu64 " holds the same\n",
+		       revision);
+		return;
+	case CONFIG_APPLY_CONFLICT:
+		print_conflict(run);
+		return;
+	case CONFIG_APPLY_REFUSED:
+		puts("refused: the platform did not take it; it is not in "
+		     "force.");
+		return;
+	case CONFIG_APPLY_UNREACHABLE:
+		puts("unreachable: no answer from the platform; it is not in "
+		     "force.");
+		return;
+	case CONFIG_APPLY_UNKNOWN:
+		printf("unknown: the platform's answer was lost; it may be in "
+		       "force.\nRun the same again with --change-id=%s: it is "
+		       "applied once at most.\n",
+		       change_id);
+		return;
+	}
+}
+
+static ctl_exit_t exit_code(config_apply_outcome_t outcome)
+{
+	static const ctl_exit_t codes[] = {
+		[CONFIG_APPLY_ACCEPTED] = CTL_DONE,
+		[CONFIG_APPLY_UNCHANGED] = CTL_DONE,
+		[CONFIG_APPLY_CONFLICT] = CTL_CONFLICT,
+		[CONFIG_APPLY_REFUSED] = CTL_REFUSED,
+		[CONFIG_APPLY_UNREACHABLE] = CTL_UNREACHABLE,
+		[CONFIG_APPLY_UNKNOWN] = CTL_UNKNOWN,
+	};
+
+	return codes[outcome];
+}
+
+static ctl_exit_t run_steps(run_t *run)
+{
+	config_apply_step_t step = config_apply_begin(run->apply);
+	config_apply_outcome_t outcome;
+
+	while (step != CONFIG_APPLY_END)
+		step = step == CONFIG_APPLY_READ ? read_current(run) :
+						   swap(run);
+	outcome = config_apply_outcome(run->apply);
+	if (outcome == CONFIG_APPLY_CONFLICT)
+		read_winner(run);
+	if (run->order->json)
+		print_json(run, outcome);
+	else
+		print_text(run, outcome);
+	return exit_code(outcome);
+}
+
+static ctl_exit_t apply(const order_t *order, const ctl_files_t *files)
+{
+	run_t run = {.order = order, .wanted = ctl_files_load(files)};
+	ctl_exit_t code;
+
+	if (!run.wanted)
+		return CTL_WRONG_FILES;
+	run.platform = ctl_platform_create(&order->platform);
+	run.apply = config_apply_create(
+		order->change_id, order->expect_revision,
+		clock_now_ms() + (uint64_t)order->timeout_s * 1000);
+	code = run_steps(&run);
+	config_apply_destroy(run.apply);
+	ctl_platform_destroy(run.platform);
+	config_delete(run.current);
+	config_delete(run.wanted);
+	return code;
+}
+
+static bool is_change_id(const char *text)
+{
+	const size_t length = strlen(text);
+
+	return length && length <= CHANGE_ID_LENGTH_MAX &&
+	       strspn(text, G_CSET_A_2_Z G_CSET_a_2_z "0123456789-_.") ==
+		       length;
+}
+
+static bool order_read(order_t *order, const struct arg_str *platform,
+		       const struct arg_str *change_id,
+		       const struct arg_int *expect,
+		       const struct arg_int *timeout)
+{
+	if (!ctl_endpoint_parse("platform", platform->sval[0],
+				&order->platform))
+		return false;
+	if (change_id->count && !is_change_id(change_id->sval[0])) {
+		fprintf(stderr,
+			"toucanctl: --change-id: expected letters, digits, -, "
+			"_ and ., at most %d\n",
+			CHANGE_ID_LENGTH_MAX);
+		return false;
+	}
+	if ((expect->count && expect->ival[0] < 1) || timeout->ival[0] < 1 ||
+	    timeout->ival[0] > TIMEOUT_S_MAX) {
+		fprintf(stderr,
+			"toucanctl: expected --expect-revision above 0 and "
+			"--timeout of 1 to %d seconds\n",
+			TIMEOUT_S_MAX);
+		return false;
+	}
+	order->change_id = change_id->count ? g_strdup(change_id->sval[0]) :
+					      g_uuid_string_random();
+	order->expect_revision = expect->count ? (uint64_t)expect->ival[0] : 0;
+	order->timeout_s = (uint32_t)timeout->ival[0];
+	return true;
+}
+
+ctl_exit_t ctl_apply(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_str *platform =
+		arg_str1("p", "platform", "IP:PORT", "the platform's service");
+	struct arg_int *expect =
+		arg_int0("e", "expect-revision", "N",
+			 "apply only while this revision is in force");
+	struct arg_str *change_id = arg_str0(
+		"c", "change-id", "ID",
+		"id of the change; the same id is applied once at most");
+	struct arg_int *timeout = arg_int0("t", "timeout", "SECONDS",
+					   "give up after this time (30)");
+	struct arg_lit *json = arg_lit0("j", "json", "print JSON");
+	struct arg_end *end = arg_end(20);
+	order_t order = {.change_id = NULL};
+	const ctl_files_t files = ctl_files_arguments();
+	ctl_exit_t code = CTL_USAGE;
+
+	void *table[] = {help,		 platform, files.base,
+			 files.overlays, expect,   change_id,
+			 timeout,	 json,	   end};
+	const ctl_arguments_t arguments = {
+		"apply",
+		"Checks the files, shows what changes, and puts the whole in "
+		"force by one\ncompare-and-swap. Exits with 0 once it is "
+		"accepted (or was in force already),\n3 if another change came "
+		"first, 4 or 5 if it surely is not in force, 6 if\nthat is not "
+		"known.",
+		table, G_N_ELEMENTS(table)};
+
+	timeout->ival[0] = TIMEOUT_S;
+	if (ctl_parse(&arguments, argc, argv, &code) &&
+	    order_read(&order, platform, change_id, expect, timeout)) {
+		order.json = json->count > 0;
+		code = apply(&order, &files);
+	}
+	g_free(order.change_id);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- /dev/null
+++ b/src/ctl/ctl_node.c
@@ -0,0 +1,227 @@
+#include "ctl/ctl.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <jansson.h>
+
+#include "ctl/ctl_status.h"
+#include "transport/http_client.h"
+
+#define TIMEOUT_MS 10000
+#define NODE_DEFAULT "127.0.0.1:9470"
+#define NAME_SIZE 256
+
+/* What a node answered. */
+typedef struct {
+	bool answered;
+	uint32_t status;
+	char *body;
+} answer_t;
+
+static void on_answer(void *context, const http_response_t *response)
+{
+	answer_t *answer = context;
+
+	answer->answered = true;
+	answer->status = response->status;
+	answer->body =
+		g_strndup((const char *)response->bytes, response->size_bytes);
+}
+
+/* Asks a node. The body is to be freed with g_free(). */
+static answer_t ask(const ctl_endpoint_t *node, http_method_t method,
+		    const char *path)
+{
+	static const uint8_t no_body[1];
+	struct event_base *base = event_base_new();
+	http_client_t *client =
+		http_client_create(base, node->address, node->port);
+	answer_t answer = {.answered = false};
+
+	http_client_send(client, method, path,
+			 method == HTTP_POST ? no_body : NULL, 0, TIMEOUT_MS,
+			 on_answer, &answer, NULL);
+	while (!answer.answered)
+		event_base_loop(base, EVLOOP_ONCE);
+	http_client_destroy(client);
+	event_base_free(base);
+	return answer;
+}
+
+/* Prints the `result` or `error` of an answer. */
+static void print_answer(const answer_t *answer, const char *name, FILE *file)
+{
+	json_t *json = json_loads(answer->body, 0, NULL);
+	const char *text = json_string_value(json_object_get(json, name));
+
+	fprintf(file, "%s\n", text ? text : answer->body);
+	json_decref(json);
+}
+
+static ctl_exit_t order(const ctl_endpoint_t *node, const char *path)
+{
+	answer_t answer = ask(node, HTTP_POST, path);
+	ctl_exit_t code = CTL_DONE;
+
+	if (answer.status == 202) {
+		print_answer(&answer, "result", stdout);
+	} else if (!answer.status) {
+		fprintf(stderr,
+			"toucanctl: no answer from the node at %s port %u; "
+			"it may have taken the order\n",
+			node->address, node->port);
+		code = CTL_UNKNOWN;
+	} else {
+		fprintf(stderr, "toucanctl: refused: ");
+		print_answer(&answer, "error", stderr);
+		code = CTL_REFUSED;
+	}
+	g_free(answer.body);
+	return code;
+}
+
+static ctl_exit_t status(const ctl_endpoint_t *node, bool json)
+{
+	answer_t answer = ask(node, HTTP_GET, "/status");
+	ctl_exit_t code = CTL_UNREACHABLE;
+
+	if (answer.status == 200 && json) {
+		puts(answer.body);
+		code = CTL_DONE;
+	} else if (answer.status == 200 && ctl_status_print(answer.body)) {
+		code = CTL_DONE;
+	} else {
+		fprintf(stderr,
+			"toucanctl: no state from the node at %s port %u\n",
+			node->address, node->port);
+	}
+	g_free(answer.body);
+	return code;
+}
+
+static struct arg_str *node_argument(void)
+{
+	struct arg_str *node =
+		arg_str0("n", "node", "IP:PORT",
+			 "operators' address of the node (" NODE_DEFAULT ")");
+
+	node->sval[0] = NODE_DEFAULT;
+	return node;
+}
+
+ctl_exit_t ctl_status(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_str *node = node_argument();
+	struct arg_lit *json = arg_lit0("j", "json", "print JSON");
+	struct arg_end *end = arg_end(20);
+	void *table[] = {help, node, json, end};
+	const ctl_arguments_t arguments = {
+		"status",
+		"Shows what a node knows: its configuration, the other nodes, "
+		"and the terms,\nprimaries and backend servers of every "
+		"database.",
+		table, G_N_ELEMENTS(table)};
+	ctl_endpoint_t endpoint;
+	ctl_exit_t code = CTL_USAGE;
+
+	if (ctl_parse(&arguments, argc, argv, &code) &&
+	    ctl_endpoint_parse("node", node->sval[0], &endpoint))
+		code = status(&endpoint, json->count > 0);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
+
+ctl_exit_t ctl_drain(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_str *node = node_argument();
+	struct arg_end *end = arg_end(20);
+	void *table[] = {help, node, end};
+	const ctl_arguments_t arguments = {
+		"drain",
+		"Lets a node leave: it takes no new callers, finishes what "
+		"runs, hands its\nbackend servers over and ends.",
+		table, G_N_ELEMENTS(table)};
+	ctl_endpoint_t endpoint;
+	ctl_exit_t code = CTL_USAGE;
+
+	if (ctl_parse(&arguments, argc, argv, &code) &&
+	    ctl_endpoint_parse("node", node->sval[0], &endpoint))
+		code = order(&endpoint, "/drain");
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
+
+/* A promotion ends transactions that run: its database is named twice. */
+static bool is_confirmed(const char *database, const struct arg_str *confirm)
+{
+	char line[NAME_SIZE];
+
+	if (!confirm->count && isatty(STDIN_FILENO)) {
+		fprintf(stderr,
+			"Transactions that run on %s will end.\n"
+			"Its name again to go on: ",
+			database);
+		if (!fgets(line, sizeof(line), stdin))
+			return false;
+		line[strcspn(line, "\n")] = '\0';
+		return !strcmp(line, database);
+	}
+	return confirm->count && !strcmp(confirm->sval[0], database);
+}
+
+static ctl_exit_t promote(const ctl_endpoint_t *node, const char *database,
+			  const struct arg_str *server,
+			  const struct arg_str *confirm)
+{
+	g_autofree char *escaped = g_uri_escape_string(database, NULL, FALSE);
+	g_autofree char *chosen = NULL;
+	g_autofree char *path = NULL;
+
+	if (!is_confirmed(database, confirm)) {
+		fprintf(stderr,
+			"toucanctl: not confirmed; expected --confirm=%s\n",
+			database);
+		return CTL_USAGE;
+	}
+	if (server->count)
+		chosen = g_uri_escape_string(server->sval[0], NULL, FALSE);
+	path = g_strdup_printf("/promote?database=%s&confirm=%s%s%s", escaped,
+			       escaped, chosen ? "&server=" : "",
+			       chosen ? chosen : "");
+	return order(node, path);
+}
+
+ctl_exit_t ctl_promote(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_str *node = node_argument();
+	struct arg_str *server =
+		arg_str0("s", "server", "NAME",
+			 "server to promote; the best replica if left out");
+	struct arg_str *confirm =
+		arg_str0("c", "confirm", "DATABASE",
+			 "the database's name again; asked for on a terminal");
+	struct arg_str *database =
+		arg_str1(NULL, NULL, "DATABASE", "database to promote in");
+	struct arg_end *end = arg_end(20);
+	void *table[] = {help, node, server, confirm, database, end};
+	const ctl_arguments_t arguments = {
+		"promote",
+		"Has a replica take over from the primary of a database. A "
+		"server that lacks an\nacknowledged change is not promoted.",
+		table, G_N_ELEMENTS(table)};
+	ctl_endpoint_t endpoint;
+	ctl_exit_t code = CTL_USAGE;
+
+	if (ctl_parse(&arguments, argc, argv, &code) &&
+	    ctl_endpoint_parse("node", node->sval[0], &endpoint))
+		code = promote(&endpoint, database->sval[0], server, confirm);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- a/src/daemon/config_task.c
+++ b/src/daemon/config_task.c
@@ -9,7 +9,6 @@
 #include "protocol/config_note.h"
 #include "state/config_codec.h"
 
-#define CONFIG_KEY "toucanhook/config"
 #define TICK_MS 200
 
 struct config_task {
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -7,6 +7,12 @@
 /** Largest stored form of a configuration, in bytes. */
 #define CONFIG_SIZE_BYTES_MAX 1000000u
 
+/** Key of the platform's service that holds the configuration in force. */
+#define CONFIG_KEY "toucanhook/config"
+
+/** Room for the changes that are remembered, in bytes of the stored form. */
+#define CONFIG_CHANGES_SIZE_BYTES 16000u
+
 /** Most accepted changes that a configuration remembers. */
 #define CONFIG_CHANGES_MAX 64
 
--- a/tests/property/prop_config_apply.cpp
+++ b/tests/property/prop_config_apply.cpp
@@ -114,6 +114,8 @@
 	void read(Operator &one)
 	{
 		const config_t *current = platform.current;
+		const bool same =
+			current && current->change_id == one.change_id;
 
 		one.now_ms += 10 + config_apply_pause_ms(one.apply);
 		if (outage || !below(5))
@@ -123,7 +125,7 @@
 		else
 			one.step = config_apply_read(
 				one.apply, current ? STORE_OK : STORE_ABSENT,
-				current, false, platform.index, one.now_ms);
+				current, same, platform.index, one.now_ms);
 	}
 
 	store_result_t send(const Swap &swap)
