--- /dev/null
+++ b/tests/bench/bench_failover.c
@@ -0,0 +1,182 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+
+#include "world/load_run.h"
+#include "world/world.h"
+
+#define RUNS_DEFAULT 10
+#define RUNS_MAX 1000
+#define FAULT_AFTER_COMMITS 150
+#define COMMITS_AFTER_FAULT 150
+#define WAIT_MS 30000u
+#define LOAD_ARGUMENTS \
+	"--seconds=60 --sessions=12 --reads=0.5 --request-keys --rate=400"
+
+/** What makes the primary fail. */
+typedef struct {
+	const char *name;
+	void (*fail)(world_t *world, world_server_t *primary);
+	void (*mend)(world_t *world, world_server_t *primary);
+} cause_t;
+
+typedef struct {
+	const world_t *world;
+	const world_server_t *except;
+	uint64_t commits;
+} progress_t;
+
+static void fail_killed(world_t *world, world_server_t *primary)
+{
+	process_signal(primary->process, SIGKILL);
+}
+
+static void fail_frozen(world_t *world, world_server_t *primary)
+{
+	process_signal(primary->process, SIGSTOP);
+}
+
+static void mend_frozen(world_t *world, world_server_t *primary)
+{
+	process_signal(primary->process, SIGCONT);
+}
+
+static void fail_cut(world_t *world, world_server_t *primary)
+{
+	world_cut_domain(world, primary->domain, true);
+}
+
+static void mend_cut(world_t *world, world_server_t *primary)
+{
+	world_cut_domain(world, primary->domain, false);
+}
+
+static void mend_nothing(world_t *world, world_server_t *primary)
+{
+}
+
+static const cause_t causes[] = {
+	{"killed", fail_killed, mend_nothing},
+	{"frozen", fail_frozen, mend_frozen},
+	{"domain cut", fail_cut, mend_cut},
+};
+
+static bool has_progressed(void *context)
+{
+	const progress_t *wanted = context;
+
+	for (guint i = 0; i < wanted->world->servers->len; i++) {
+		const world_server_t *server = wanted->world->servers->pdata[i];
+		json_t *state;
+		double commits;
+
+		if (server == wanted->except)
+			continue;
+		state = http_ask_json(server->control_port, "/state");
+		commits = load_run_number(state, "counts.commits");
+		json_decref(state);
+		if (commits >= (double)wanted->commits)
+			return true;
+	}
+	return false;
+}
+
+/* @return the gap in ms, or -1 when writes did not go on */
+static double measure(const deployment_t *deployment, const cause_t *cause)
+{
+	g_autoptr(GError) error = NULL;
+	world_t *world = world_create(deployment, &error);
+	g_autofree char *database = NULL;
+	progress_t before = {world, NULL, FAULT_AFTER_COMMITS};
+	progress_t after = {world, NULL, COMMITS_AFTER_FAULT};
+	world_server_t *primary;
+	json_t *results = NULL;
+	load_run_t *load;
+	double gap_ms = -1;
+
+	if (!world) {
+		fprintf(stderr, "%s\n", error->message);
+		return -1;
+	}
+	database = world_database(world, 0, 0);
+	load = load_run_start(world, "bench", database,
+			      deployment->classes[0].name, LOAD_ARGUMENTS,
+			      NULL);
+	world_wait(WAIT_MS, has_progressed, &before);
+	primary = world_primary(world, database);
+	after.except = primary;
+	cause->fail(world, primary);
+	if (world_wait(WAIT_MS, has_progressed, &after))
+		gap_ms = 0;
+	cause->mend(world, primary);
+	load_run_stop(load);
+	if (!load_run_finish(load, WAIT_MS, &results))
+		gap_ms = -1;
+	if (gap_ms >= 0)
+		gap_ms = load_run_number(results, "longest_write_gap_ms");
+	json_decref(results);
+	world_destroy(world);
+	return gap_ms;
+}
+
+static int compare(const void *a, const void *b)
+{
+	double first = *(const double *)a;
+	double second = *(const double *)b;
+
+	return (first > second) - (first < second);
+}
+
+static bool run_cause(const deployment_t *deployment, const cause_t *cause,
+		      int runs)
+{
+	g_autofree double *gaps = g_new0(double, runs);
+	int failed = 0;
+	int done = 0;
+
+	for (int i = 0; i < runs; i++) {
+		double gap_ms = measure(deployment, cause);
+
+		if (gap_ms < 0)
+			failed++;
+		else
+			gaps[done++] = gap_ms;
+	}
+	qsort(gaps, (size_t)done, sizeof(*gaps), compare);
+	if (done)
+		printf("failover %s %s: runs %d, failed %d, gap ms min %.0f "
+		       "median %.0f max %.0f\n",
+		       deployment->site, cause->name, runs, failed, gaps[0],
+		       gaps[done / 2], gaps[done - 1]);
+	else
+		printf("failover %s %s: all %d runs failed\n", deployment->site,
+		       cause->name, runs);
+	return !failed;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *runs =
+		arg_int0(NULL, "runs", "N", "runs of each cause");
+	struct arg_lit *tikva =
+		arg_lit0(NULL, "tikva", "Tikva's sizes instead of Tauhara's");
+	struct arg_end *end = arg_end(4);
+	void *options[] = {runs, tikva, end};
+	deployment_t deployment;
+	bool passed = true;
+
+	runs->ival[0] = RUNS_DEFAULT;
+	if (arg_parse(argc, argv, options)) {
+		arg_print_errors(stderr, end, argv[0]);
+		return EXIT_FAILURE;
+	}
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	deployment = tikva->count ? deployment_tikva() : deployment_tauhara();
+	for (size_t i = 0; i < G_N_ELEMENTS(causes); i++)
+		passed &= run_cause(&deployment, &causes[i],
+				    CLAMP(runs->ival[0], 1, RUNS_MAX));
+	return passed ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tools/load/load.c
+++ b/tools/load/load.c
@@ -1,5 +1,6 @@
 #include "load/load.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -86,11 +87,14 @@
 	}
 }
 
+/* The duration is over, or a signal asks for the end. */
 static void on_end(evutil_socket_t fd, short what, void *context)
 {
 	load_t *load = context;
 	struct timeval grace = {.tv_sec = END_GRACE_MS / 1000};
 
+	if (load->ending)
+		return;
 	load->ending = true;
 	load->results.ended_us = clock_now_us();
 	event_base_loopexit(load->base, load->busy ? &grace : NULL);
@@ -104,7 +108,9 @@
 		.tv_usec = options->duration_ms % 1000 * 1000,
 	};
 	struct timeval pace = {.tv_usec = PACE_MS * 1000};
+	struct event *stop = evsignal_new(load->base, SIGTERM, on_end, load);
 
+	event_add(stop, NULL);
 	load->workers = g_new0(worker_t, options->sessions);
 	load->results.started_us = clock_now_us();
 	load->next_due_us = load->results.started_us;
@@ -118,6 +124,7 @@
 	event_base_dispatch(load->base);
 	for (uint32_t i = 0; i < options->sessions; i++)
 		worker_close(&load->workers[i]);
+	event_free(stop);
 	event_free(load->end_timer);
 	event_free(load->pace_timer);
 	g_free(load->workers);
--- a/tools/load/load.h
+++ b/tools/load/load.h
@@ -73,7 +73,7 @@
 /** Makes the table. @return false with a message on standard error */
 bool load_prepare(load_t *load);
 
-/** Runs until the duration is over and all operations have ended. */
+/** Runs until the time is over or SIGTERM comes, and operations end. */
 void load_run(load_t *load);
 
 /** Reads every row and ends the check. @return false if it could not */
