Split what had grown large around the peers

The directory keeps peers and links, answer_parts joins split chunks, peer_traffic counts, and the sending half of the membership and the decoding half of peer_message stand in files of their own.

--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -4,8 +4,7 @@
 
 #include <glib.h>
 
-#include "coordination/member_table.h"
-#include "coordination/watch_ring.h"
+#include "coordination/membership_private.h"
 
 #define TICK_MS 100
 #define NEWS_DELAY_MS 20
@@ -22,25 +21,6 @@
 /* Differing digests count once news had time to spread. */
 #define QUIET_MS 1000
 #define SYNC_MS 1000
-#define SYNC_RECENT 8
-
-/* Full own records on the first beats to a partner, then now and then. */
-#define INTRODUCTIONS 3
-#define INTRODUCTION_EVERY 32
-
-/* What news may cost, and what a sudden lot of it may. */
-#define NEWS_BYTES_PER_SECOND 1000
-#define NEWS_BURST_BYTES 32768
-#define NEWS_RECORD_BYTES 40
-#define NEWS_BEAT_BYTES 100
-
-/* How often to beat and how long to bear silence. */
-typedef struct {
-	uint64_t beat_ms;
-	uint64_t ping_ms;
-	uint64_t suspect_ms;
-	uint64_t dead_ms; /* after it became suspect */
-} pace_t;
 
 static const pace_t near_pace = {.beat_ms = 300,
 				 .ping_ms = 400,
@@ -51,43 +31,6 @@
 				.suspect_ms = 2500,
 				.dead_ms = 1500};
 
-typedef struct {
-	member_entry_t *entry;
-	const pace_t *pace;
-} partner_t;
-
-struct membership {
-	member_table_t table;
-	uint64_t random;
-	uint64_t started_ms;
-	uint64_t ran_ms;
-	uint64_t next_ms;
-	uint64_t knocked_ms;
-	uint64_t budget_ms;
-	int64_t budget_bytes;
-	uint64_t sync_order;
-	bool has_replies;
-	partner_t targets[WATCH_RING_TARGETS_MAX];
-	uint32_t targets_count;
-	partner_t watched[WATCH_RING_WATCHED_MAX];
-	uint32_t watched_count;
-};
-
-/* One call of membership_run(). */
-typedef struct {
-	membership_t *membership;
-	uint64_t now_ms;
-	membership_send_t send;
-	void *context;
-	uint64_t digest;
-} run_t;
-
-/* The records of one beat, the own one first. */
-typedef struct {
-	member_record_t records[MEMBERSHIP_RECORDS_MAX];
-	uint32_t count;
-} parcel_t;
-
 /* splitmix64 */
 static uint64_t draw(membership_t *membership)
 {
@@ -109,7 +52,7 @@
 	membership->ran_ms = now_ms;
 	membership->next_ms = now_ms;
 	membership->budget_ms = now_ms;
-	membership->budget_bytes = NEWS_BURST_BYTES;
+	membership->budget_bytes = MEMBERSHIP_NEWS_BURST_BYTES;
 	return membership;
 }
 
@@ -275,55 +218,7 @@
 		membership->watched[i].entry->is_watched = true;
 }
 
-/* Sending */
-
-static void add_record(parcel_t *parcel, const member_record_t *record,
-		       bool in_full)
-{
-	member_record_t *added = &parcel->records[parcel->count++];
-
-	*added = *record;
-	if (in_full)
-		return;
-	memset(added->member.address, 0, sizeof(added->member.address));
-	memset(added->member.failure_domain, 0,
-	       sizeof(added->member.failure_domain));
-	memset(added->member.region, 0, sizeof(added->member.region));
-	added->member.peer_port = 0;
-}
-
-static void send_parcel(const run_t *run, member_entry_t *to,
-			const parcel_t *parcel, bool wants_reply)
-{
-	const membership_beat_t beat = {
-		.digest = run->digest,
-		.wants_reply = wants_reply,
-		.records = parcel->records,
-		.records_count = parcel->count,
-	};
-
-	to->beats_count++;
-	to->beat_ms = run->now_ms;
-	to->wants_reply = false;
-	run->send(run->context, &to->record.member, &beat);
-}
-
-static bool is_introduction(const member_entry_t *to)
-{
-	return to->beats_count < INTRODUCTIONS ||
-	       !(to->beats_count % INTRODUCTION_EVERY);
-}
-
-static void send_beat(const run_t *run, member_entry_t *to, bool wants_reply)
-{
-	parcel_t parcel = {0};
-
-	add_record(&parcel, &run->membership->table.self->record,
-		   is_introduction(to));
-	if (to->record.member.state != MEMBER_LIVE)
-		add_record(&parcel, &to->record, false);
-	send_parcel(run, to, &parcel, wants_reply);
-}
+/* Beats and silence */
 
 static void beat_targets(const run_t *run)
 {
@@ -334,139 +229,10 @@
 
 		if (run->now_ms >=
 		    target->entry->beat_ms + target->pace->beat_ms)
-			send_beat(run, target->entry, false);
-	}
-}
-
-static bool afford(membership_t *membership, uint32_t beats, uint32_t records)
-{
-	const int64_t cost_bytes =
-		(int64_t)beats *
-		(NEWS_BEAT_BYTES + (int64_t)records * NEWS_RECORD_BYTES);
-
-	if (membership->budget_bytes < cost_bytes)
-		return false;
-	membership->budget_bytes -= cost_bytes;
-	return true;
-}
-
-static void earn(membership_t *membership, uint64_t now_ms)
-{
-	const uint64_t passed_ms = now_ms - membership->budget_ms;
-
-	membership->budget_ms = now_ms;
-	membership->budget_bytes = MIN(
-		NEWS_BURST_BYTES,
-		membership->budget_bytes +
-			(int64_t)(passed_ms * NEWS_BYTES_PER_SECOND / 1000));
-}
-
-/* The dead are known by name already; a newcomer's place may not be. */
-static void add_news(parcel_t *parcel, member_table_t *table,
-		     member_entry_t *entry)
-{
-	entry->is_news = false;
-	table->news_count--;
-	if (entry != table->self)
-		add_record(parcel, &entry->record,
-			   entry->record.member.state == MEMBER_LIVE);
-}
-
-static bool spread_some(const run_t *run)
-{
-	membership_t *membership = run->membership;
-	member_table_t *table = &membership->table;
-	const uint32_t count =
-		MIN(table->news_count, MEMBERSHIP_RECORDS_MAX - 1);
-	GHashTableIter iter;
-	gpointer value;
-	parcel_t parcel = {0};
-
-	if (!count || !afford(membership, membership->targets_count, count))
-		return false;
-	add_record(&parcel, &table->self->record, true);
-	g_hash_table_iter_init(&iter, table->entries);
-	while (parcel.count < MEMBERSHIP_RECORDS_MAX &&
-	       g_hash_table_iter_next(&iter, NULL, &value))
-		if (((member_entry_t *)value)->is_news)
-			add_news(&parcel, table, value);
-	for (uint32_t i = 0; i < membership->targets_count; i++)
-		send_parcel(run, membership->targets[i].entry, &parcel, false);
-	return true;
-}
-
-/* Half of it what changed last, half of it all records in turn. */
-static void add_sync(membership_t *membership, const member_entry_t *to,
-		     parcel_t *parcel)
-{
-	member_table_t *table = &membership->table;
-	const uint64_t recent =
-		table->changes > SYNC_RECENT ? table->changes - SYNC_RECENT : 0;
-	GHashTableIter iter;
-	gpointer value;
-	uint64_t index = 0;
-	uint64_t first;
-
-	g_hash_table_iter_init(&iter, table->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const member_entry_t *entry = value;
-
-		if (entry->order > recent && entry != table->self &&
-		    entry != to && parcel->count < MEMBERSHIP_RECORDS_MAX)
-			add_record(parcel, &entry->record, true);
-	}
-	first = membership->sync_order % g_hash_table_size(table->entries);
-	g_hash_table_iter_init(&iter, table->entries);
-	while (parcel->count < MEMBERSHIP_RECORDS_MAX &&
-	       g_hash_table_iter_next(&iter, NULL, &value)) {
-		const member_entry_t *entry = value;
-
-		if (index++ < first || entry == table->self ||
-		    entry->order > recent)
-			continue;
-		add_record(parcel, &entry->record, true);
-	}
-	membership->sync_order =
-		index < g_hash_table_size(table->entries) ? index : 0;
-}
-
-static void sync_member(const run_t *run, member_entry_t *to)
-{
-	parcel_t parcel = {0};
-
-	to->is_stale = false;
-	if (!afford(run->membership, 1, MEMBERSHIP_RECORDS_MAX)) {
-		send_beat(run, to, false);
-		return;
-	}
-	to->synced_ms = run->now_ms;
-	add_record(&parcel, &run->membership->table.self->record, true);
-	add_sync(run->membership, to, &parcel);
-	send_parcel(run, to, &parcel, false);
-}
-
-static void send_replies(const run_t *run)
-{
-	membership_t *membership = run->membership;
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!membership->has_replies)
-		return;
-	membership->has_replies = false;
-	g_hash_table_iter_init(&iter, membership->table.entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		member_entry_t *entry = value;
-
-		if (entry->is_stale)
-			sync_member(run, entry);
-		else if (entry->wants_reply)
-			send_beat(run, entry, false);
+			membership_send_beat(run, target->entry, false);
 	}
 }
 
-/* Watching */
-
 static void suspect(const run_t *run, const partner_t *partner)
 {
 	member_entry_t *entry = partner->entry;
@@ -478,7 +244,7 @@
 		return;
 	if (run->now_ms >= entry->pinged_ms + partner->pace->beat_ms) {
 		entry->pinged_ms = run->now_ms;
-		send_beat(run, entry, true);
+		membership_send_beat(run, entry, true);
 	}
 	if (silent_ms < borne_ms || entry->record.member.state != MEMBER_LIVE)
 		return;
@@ -553,7 +319,8 @@
 			g_ptr_array_add(dead, value);
 	if (!dead->len)
 		return;
-	send_beat(run, dead->pdata[draw(membership) % dead->len], true);
+	membership_send_beat(run, dead->pdata[draw(membership) % dead->len],
+			     true);
 }
 
 static void settle(const run_t *run)
@@ -587,10 +354,8 @@
 		member_table_forget(&membership->table, now_ms - FORGET_MS);
 	choose_partners(membership, now_ms);
 	run.digest = member_table_digest(&membership->table);
-	earn(membership, now_ms);
-	while (spread_some(&run))
-		;
-	send_replies(&run);
+	membership_send_news(&run);
+	membership_send_replies(&run);
 	beat_targets(&run);
 	knock(&run);
 	membership->ran_ms = now_ms;
@@ -607,6 +372,23 @@
 	return member_table_view(&membership->table);
 }
 
+bool membership_is_alone(const membership_t *membership)
+{
+	const member_table_t *table = &membership->table;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_entry_t *entry = value;
+
+		if (entry != table->self && entry->record.member.incarnation &&
+		    entry->record.member.state != MEMBER_DEAD)
+			return false;
+	}
+	return true;
+}
+
 uint64_t membership_incarnation(const membership_t *membership)
 {
 	return membership->table.self->record.member.incarnation;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -77,6 +77,9 @@
 /** @return the newest view; valid until the next call. */
 const member_view_t *membership_view(membership_t *membership);
 
+/** @return whether no other living member has been heard of. */
+bool membership_is_alone(const membership_t *membership);
+
 /** @return the incarnation of this node, which others may have raised. */
 uint64_t membership_incarnation(const membership_t *membership);
 
--- a/src/daemon/peer_calls.c
+++ b/src/daemon/peer_calls.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "base/log.h"
+#include "protocol/answer_parts.h"
 
 /* What the owner and the way may take beyond the request's own deadline. */
 #define GRACE_MS 2000
@@ -15,9 +16,6 @@
 /* How long an abandoned call is kept to release a lease that it brings. */
 #define ABANDONED_MS 60000
 
-/* One chunk that came in parts. */
-#define CHUNK_BYTES_MAX (64u * 1024 * 1024)
-
 typedef enum {
 	CALL_WAITING,
 	CALL_SETTLED,	/* its end is told by the next run */
@@ -38,8 +36,7 @@
 	bool may_answer;  /* SETTLED: the peer may still send a lease */
 	bool has_left;
 	bool has_delivered;
-	uint32_t chunks_count;
-	GByteArray *partial;
+	answer_parts_t parts;
 	uint64_t handover_ms;
 	uint64_t deadline_ms;
 } call_t;
@@ -61,8 +58,7 @@
 {
 	call_t *call = data;
 
-	if (call->partial)
-		g_byte_array_unref(call->partial);
+	answer_parts_clear(&call->parts);
 	g_free(call);
 }
 
@@ -294,53 +290,27 @@
 	lose(calls, call, loss);
 }
 
-static GBytes *join_parts(call_t *call, const peer_message_t *message)
-{
-	gsize size_bytes;
-	const uint8_t *data = g_bytes_get_data(message->bytes, &size_bytes);
-	GBytes *whole;
-
-	if (!call->partial && !message->chunk_continues)
-		return g_bytes_ref(message->bytes);
-	if (!call->partial)
-		call->partial = g_byte_array_new();
-	g_byte_array_append(call->partial, data, (guint)size_bytes);
-	if (message->chunk_continues)
-		return NULL;
-	whole = g_byte_array_free_to_bytes(call->partial);
-	call->partial = NULL;
-	return whole;
-}
-
-static bool exceeds_limit(const call_t *call, const peer_message_t *message)
-{
-	const size_t held_bytes = call->partial ? call->partial->len : 0;
-
-	return held_bytes + g_bytes_get_size(message->bytes) > CHUNK_BYTES_MAX;
-}
-
 static void take_chunk(peer_calls_t *calls, call_t *call,
 		       const peer_message_t *message)
 {
-	g_autoptr(GBytes) whole = NULL;
+	g_autoptr(GBytes) chunk = NULL;
 
 	if (call->state != CALL_WAITING)
 		return;
-	if (message->chunk_index < call->chunks_count) {
+	switch (answer_parts_take(&call->parts, message, &chunk)) {
+	case ANSWER_PARTS_CHUNK:
+		call->has_delivered = true;
+		call->sink.chunk(call->sink.context, call->request_id, chunk);
+		return;
+	case ANSWER_PARTS_MORE:
+		return;
+	case ANSWER_PARTS_TWICE:
 		calls->drops.twice_count++;
 		return;
-	}
-	if (message->chunk_index > call->chunks_count ||
-	    exceeds_limit(call, message)) {
+	case ANSWER_PARTS_GAP:
 		break_off(calls, call);
 		return;
 	}
-	call->chunks_count++;
-	whole = join_parts(call, message);
-	if (!whole)
-		return;
-	call->has_delivered = true;
-	call->sink.chunk(call->sink.context, call->request_id, whole);
 }
 
 /* Nobody waits for it any more, so nobody will use its lease. */
@@ -358,7 +328,7 @@
 		     const peer_message_t *message, uint64_t now_ms)
 {
 	const bool is_whole =
-		message->chunks_count == call->chunks_count && !call->partial;
+		answer_parts_are_whole(&call->parts, message->chunks_count);
 
 	if (call->state != CALL_WAITING) {
 		take_late_end(calls, call, &message->answer);
--- a/src/daemon/peer_served.c
+++ b/src/daemon/peer_served.c
@@ -339,6 +339,11 @@
 	g_hash_table_remove_all(client->leases);
 }
 
+void peer_served_forget(peer_served_t *served, const char *node)
+{
+	g_hash_table_remove(served->clients, node);
+}
+
 static gboolean is_forgotten(gpointer key, gpointer value, gpointer context)
 {
 	const served_t *request = key;
--- a/src/daemon/peer_served.h
+++ b/src/daemon/peer_served.h
@@ -49,6 +49,9 @@
 void peer_served_peer_changed(peer_served_t *served, const char *node,
 			      uint64_t incarnation, uint64_t now_ms);
 
+/** Forgets a peer that is no member any more; it has to be dead before. */
+void peer_served_forget(peer_served_t *served, const char *node);
+
 /** Forgets requests that were cancelled long ago. */
 void peer_served_run(peer_served_t *served, uint64_t now_ms);
 
--- a/src/daemon/peers_task.c
+++ b/src/daemon/peers_task.c
@@ -6,7 +6,9 @@
 #include "base/log.h"
 #include "coordination/membership.h"
 #include "daemon/peer_calls.h"
+#include "daemon/peer_directory.h"
 #include "daemon/peer_served.h"
+#include "daemon/peer_traffic.h"
 #include "protocol/peer_message.h"
 #include "transport/peer_socket.h"
 
@@ -14,27 +16,6 @@
 #define SWEEP_MS 100
 #define SEED_MS 1000
 
-/* A link that nothing was sent on for so long is closed. */
-#define LINK_IDLE_MS 60000
-
-/* One peer as the last view showed it, and the link to it if there is one. */
-typedef struct {
-	char name[sizeof(((member_t *)0)->name)];
-	char address[sizeof(((member_t *)0)->address)];
-	uint16_t port;
-	uint64_t incarnation;
-	bool is_dead;
-	bool is_in_view;
-	bool is_seed; /* asked by its address; not a member by this name */
-	peer_link_t *link;
-	uint64_t used_ms;
-} peer_t;
-
-typedef struct {
-	metric_t *bytes;
-	metric_t *messages;
-} traffic_t;
-
 struct peers_task {
 	const settings_t *settings;
 	peers_handlers_t handlers;
@@ -42,7 +23,7 @@
 	membership_t *membership;
 	peer_calls_t *calls;
 	peer_served_t *served;
-	GHashTable *peers; /* name to peer_t */
+	peer_directory_t *directory;
 	struct event *timer;
 	struct event *sweep;
 	struct event *soon; /* tells of a changed view from the loop */
@@ -51,12 +32,7 @@
 	uint64_t told_version;
 	uint64_t seeded_ms;
 	uint32_t next_seed;
-	traffic_t sent[PEER_LANE_COUNT];
-	traffic_t received[PEER_LANE_COUNT];
-	metric_t *dropped_malformed;
-	metric_t *dropped_stale;
-	metric_t *answers_dropped;
-	metric_t *duplicates;
+	peer_traffic_t traffic;
 };
 
 static struct timeval timeval_ms(uint64_t delay_ms)
@@ -74,28 +50,7 @@
 	event_add(event, &delay);
 }
 
-/* Links */
-
-static void peer_free(gpointer data)
-{
-	peer_t *peer = data;
-
-	peer_link_destroy(peer->link);
-	g_free(peer);
-}
-
-static peer_lane_t lane_of(peer_message_kind_t kind)
-{
-	if (kind == PEER_MESSAGE_HEARTBEAT || kind == PEER_MESSAGE_NOTE)
-		return PEER_LANE_CONTROL;
-	return PEER_LANE_CALLS;
-}
-
-static void count(const traffic_t *traffic, size_t size_bytes)
-{
-	metric_add(traffic->messages, 1);
-	metric_add(traffic->bytes, size_bytes);
-}
+/* Sending */
 
 static void sign(peers_task_t *peers, peer_message_t *message)
 {
@@ -108,7 +63,7 @@
 static bool send_on(peers_task_t *peers, peer_link_t *link,
 		    const peer_message_t *message)
 {
-	const peer_lane_t lane = lane_of(message->kind);
+	const peer_lane_t lane = peer_traffic_lane(message->kind);
 	const uint64_t tag =
 		message->kind == PEER_MESSAGE_REQUEST ? message->call_id : 0;
 	peer_message_t signed_message = *message;
@@ -118,7 +73,7 @@
 	bytes = peer_message_encode(&signed_message);
 	if (!peer_link_send(link, lane, bytes, tag))
 		return false;
-	count(&peers->sent[lane], g_bytes_get_size(bytes));
+	peer_traffic_count(&peers->traffic.sent[lane], g_bytes_get_size(bytes));
 	return true;
 }
 
@@ -140,8 +95,9 @@
 	return send_on(peers, link, message);
 }
 
-static void introduce(peers_task_t *peers, peer_link_t *link)
+static void introduce(void *context, peer_link_t *link)
 {
+	peers_task_t *peers = context;
 	member_record_t record;
 	membership_beat_t beat;
 
@@ -149,37 +105,9 @@
 	send_beat(peers, link, &beat);
 }
 
-static peer_link_t *open_link(peers_task_t *peers, const char *address,
-			      uint16_t port)
-{
-	const settings_endpoint_t endpoint =
-		settings_route(peers->settings, address, port);
-	peer_link_t *link = peer_link_create(peers->socket, endpoint.address,
-					     endpoint.port);
-
-	introduce(peers, link);
-	return link;
-}
-
-static peer_t *add_peer(peers_task_t *peers, const char *name)
-{
-	peer_t *peer = g_new0(peer_t, 1);
-
-	g_strlcpy(peer->name, name, sizeof(peer->name));
-	g_hash_table_insert(peers->peers, peer->name, peer);
-	return peer;
-}
-
 static peer_link_t *link_to(peers_task_t *peers, const char *node)
 {
-	peer_t *peer = g_hash_table_lookup(peers->peers, node);
-
-	if (!peer || !peer->port)
-		return NULL;
-	if (!peer->link)
-		peer->link = open_link(peers, peer->address, peer->port);
-	peer->used_ms = clock_now_ms();
-	return peer->link;
+	return peer_directory_link(peers->directory, node, clock_now_ms());
 }
 
 static bool send_to(void *context, const char *node,
@@ -194,85 +122,37 @@
 static bool withdraw_from(void *context, const char *node, uint64_t call_id)
 {
 	peers_task_t *peers = context;
-	const peer_t *peer = g_hash_table_lookup(peers->peers, node);
+	const peer_t *peer = peer_directory_find(peers->directory, node);
 
 	return peer && peer->link && peer_link_withdraw(peer->link, call_id);
 }
 
 /* Members */
 
-static void close_link(peer_t *peer)
-{
-	g_clear_pointer(&peer->link, peer_link_destroy);
-}
-
 /* What is still queued is withdrawn by its call before the link goes. */
-static void peer_changed(peers_task_t *peers, peer_t *peer, uint64_t lives)
+static void on_peer_changed(void *context, const peer_t *peer)
 {
-	const uint64_t now_ms = clock_now_ms();
+	peers_task_t *peers = context;
+	const uint64_t lives = peer->is_dead ? 0 : peer->incarnation;
 
 	log_event(LOG_LEVEL_INFO, "peer_changed",
 		  "node=%s incarnation=%" G_GUINT64_FORMAT, peer->name, lives);
 	peer_calls_peer_changed(peers->calls, peer->name, lives);
-	peer_served_peer_changed(peers->served, peer->name, lives, now_ms);
-}
-
-static void follow_member(peers_task_t *peers, const member_t *member)
-{
-	peer_t *peer = g_hash_table_lookup(peers->peers, member->name);
-	const bool is_dead = member->state == MEMBER_DEAD;
-	bool restarted;
-	bool moved;
-	bool died;
-
-	if (!peer)
-		peer = add_peer(peers, member->name);
-	restarted =
-		peer->incarnation && peer->incarnation != member->incarnation;
-	moved = peer->port != member->peer_port ||
-		strcmp(peer->address, member->address);
-	died = is_dead && !peer->is_dead;
-	peer->is_in_view = true;
-	peer->is_dead = is_dead;
-	peer->incarnation = member->incarnation;
-	if (died || restarted)
-		peer_changed(peers, peer, is_dead ? 0 : member->incarnation);
-	if (died || restarted || moved)
-		close_link(peer);
-	g_strlcpy(peer->address, member->address, sizeof(peer->address));
-	peer->port = member->peer_port;
-}
-
-static gboolean is_gone(gpointer key, gpointer value, gpointer context)
-{
-	peers_task_t *peers = context;
-	const peer_t *peer = value;
-
-	if (peer->is_in_view || peer->is_seed)
-		return FALSE;
-	peer_calls_peer_changed(peers->calls, peer->name, 0);
-	peer_served_peer_changed(peers->served, peer->name, UINT64_MAX,
+	peer_served_peer_changed(peers->served, peer->name, lives,
 				 clock_now_ms());
-	return TRUE;
+	if (!peer->is_in_view)
+		peer_served_forget(peers->served, peer->name);
 }
 
 /* Brings links, calls and served requests in line with the members. */
 static void follow_view(peers_task_t *peers)
 {
 	const member_view_t *view = membership_view(peers->membership);
-	GHashTableIter iter;
-	gpointer value;
 
 	if (view->version == peers->seen_version)
 		return;
 	peers->seen_version = view->version;
-	g_hash_table_iter_init(&iter, peers->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((peer_t *)value)->is_in_view = false;
-	for (uint32_t i = 0; i < view->members_count; i++)
-		if (strcmp(view->members[i].name, peers->settings->node))
-			follow_member(peers, &view->members[i]);
-	g_hash_table_foreach_remove(peers->peers, is_gone, peers);
+	peer_directory_follow(peers->directory, view);
 	event_active(peers->soon, EV_TIMEOUT, 0);
 }
 
@@ -349,7 +229,7 @@
 
 	if (message->note_kind >= PEERS_NOTE_COUNT ||
 	    size_bytes > PEERS_NOTE_SIZE_BYTES_MAX) {
-		metric_add(peers->dropped_malformed, 1);
+		metric_add(peers->traffic.dropped_malformed, 1);
 		return;
 	}
 	peers->handlers.note(peers->handlers.context, message->sender,
@@ -363,7 +243,7 @@
 	if (message->receiver_incarnation &&
 	    message->receiver_incarnation !=
 		    membership_incarnation(peers->membership)) {
-		metric_add(peers->dropped_stale, 1);
+		metric_add(peers->traffic.dropped_stale, 1);
 		return;
 	}
 	peer_served_request(peers->served, message);
@@ -376,7 +256,7 @@
 
 	peer_calls_answer(peers->calls, message, clock_now_ms());
 	after = peer_calls_drops(peers->calls);
-	metric_add(peers->answers_dropped,
+	metric_add(peers->traffic.answers_dropped,
 		   after.late_count - before.late_count + after.twice_count -
 			   before.twice_count);
 }
@@ -401,7 +281,7 @@
 		take_note(peers, message);
 		return;
 	default:
-		g_assert_not_reached();
+		return;
 	}
 }
 
@@ -412,19 +292,21 @@
 		peer_message_decode(bytes, size_bytes);
 
 	if (!message) {
-		metric_add(peers->dropped_malformed, 1);
+		metric_add(peers->traffic.dropped_malformed, 1);
 		log_event(LOG_LEVEL_WARNING, "peer_message_malformed",
 			  "size_bytes=%zu", size_bytes);
 		return;
 	}
-	count(&peers->received[lane_of(message->kind)], size_bytes);
+	peer_traffic_count(
+		&peers->traffic.received[peer_traffic_lane(message->kind)],
+		size_bytes);
 	if (message->kind == PEER_MESSAGE_HEARTBEAT) {
 		take_heartbeat(peers, message);
 		return;
 	}
 	if (!membership_seen(peers->membership, message->sender,
 			     message->incarnation, clock_now_ms())) {
-		metric_add(peers->dropped_stale, 1);
+		metric_add(peers->traffic.dropped_stale, 1);
 		return;
 	}
 	after_membership(peers);
@@ -433,57 +315,17 @@
 
 /* Sweeping */
 
-static void close_idle(peers_task_t *peers, uint64_t now_ms)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, peers->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		peer_t *peer = value;
-
-		if (peer->link && peer->used_ms + LINK_IDLE_MS <= now_ms)
-			close_link(peer);
-	}
-}
-
-static bool knows_a_peer(peers_task_t *peers)
-{
-	const member_view_t *view = membership_view(peers->membership);
-
-	for (uint32_t i = 0; i < view->members_count; i++) {
-		const member_t *member = &view->members[i];
-
-		if (member->incarnation && member->state != MEMBER_DEAD &&
-		    strcmp(member->name, peers->settings->node))
-			return true;
-	}
-	return false;
-}
-
-/* Seeds have no name yet, so their links stand apart from those of members. */
 static void ask_seed(peers_task_t *peers, uint64_t now_ms)
 {
 	const settings_t *settings = peers->settings;
 	const settings_endpoint_t *seed;
-	g_autofree char *name = NULL;
-	peer_t *peer;
 
 	if (!settings->seeds_count || now_ms < peers->seeded_ms + SEED_MS ||
-	    knows_a_peer(peers))
+	    !membership_is_alone(peers->membership))
 		return;
 	peers->seeded_ms = now_ms;
 	seed = &settings->seeds[peers->next_seed++ % settings->seeds_count];
-	name = g_strdup_printf("%s:%u", seed->address, seed->port);
-	peer = g_hash_table_lookup(peers->peers, name);
-	if (!peer)
-		peer = add_peer(peers, name);
-	peer->is_seed = true;
-	peer->used_ms = now_ms;
-	if (peer->link)
-		introduce(peers, peer->link);
-	else
-		peer->link = open_link(peers, seed->address, seed->port);
+	introduce(peers, peer_directory_seed(peers->directory, seed, now_ms));
 }
 
 static void sweep(evutil_socket_t fd, short what, void *context)
@@ -493,48 +335,15 @@
 
 	peer_calls_run(peers->calls, now_ms);
 	peer_served_run(peers->served, now_ms);
-	metric_set(peers->duplicates,
+	metric_set(peers->traffic.duplicates,
 		   (int64_t)peer_served_duplicates(peers->served));
-	close_idle(peers, now_ms);
+	peer_directory_close_idle(peers->directory, now_ms);
 	ask_seed(peers, now_ms);
 	arm(peers->sweep, SWEEP_MS);
 }
 
 /* Construction */
 
-static traffic_t make_traffic(metrics_t *metrics, const char *direction,
-			      peer_lane_t lane)
-{
-	g_autofree char *labels = g_strdup_printf(
-		"direction=\"%s\",class=\"%s\"", direction,
-		lane == PEER_LANE_CONTROL ? "control" : "requests");
-
-	return (traffic_t){
-		.bytes = metrics_counter(metrics, "toucanhook_peer_bytes_total",
-					 labels),
-		.messages = metrics_counter(
-			metrics, "toucanhook_peer_messages_total", labels),
-	};
-}
-
-static void create_metrics(peers_task_t *peers, metrics_t *metrics)
-{
-	static const char dropped[] = "toucanhook_peer_dropped_total";
-
-	for (uint32_t lane = 0; lane < PEER_LANE_COUNT; lane++) {
-		peers->sent[lane] = make_traffic(metrics, "sent", lane);
-		peers->received[lane] = make_traffic(metrics, "received", lane);
-	}
-	peers->dropped_malformed =
-		metrics_counter(metrics, dropped, "reason=\"malformed\"");
-	peers->dropped_stale =
-		metrics_counter(metrics, dropped, "reason=\"stale\"");
-	peers->answers_dropped =
-		metrics_counter(metrics, dropped, "reason=\"answer\"");
-	peers->duplicates =
-		metrics_gauge(metrics, "toucanhook_peer_duplicates", "");
-}
-
 static member_t describe_self(const settings_t *settings, uint16_t port)
 {
 	member_t self = {
@@ -562,11 +371,16 @@
 		.send = send_to,
 		.context = peers,
 	};
+	const peer_directory_calls_t directory_calls = {
+		.opened = introduce,
+		.changed = on_peer_changed,
+		.context = peers,
+	};
 	const member_t self =
 		describe_self(peers->settings, peer_socket_port(peers->socket));
 
-	peers->peers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	peers->directory = peer_directory_create(peers->socket, peers->settings,
+						 directory_calls);
 	peers->membership =
 		membership_create(&self, self.incarnation, clock_now_ms());
 	peers->calls = peer_calls_create(calls_link);
@@ -590,7 +404,7 @@
 
 	peers->settings = settings;
 	peers->handlers = handlers;
-	create_metrics(peers, metrics);
+	peers->traffic = peer_traffic_make(metrics);
 	peers->socket = peer_socket_create(base, &socket_settings, on_received,
 					   peers, error);
 	if (!peers->socket) {
@@ -611,7 +425,7 @@
 	event_free(peers->timer);
 	event_free(peers->sweep);
 	event_free(peers->soon);
-	g_hash_table_destroy(peers->peers);
+	peer_directory_destroy(peers->directory);
 	peer_socket_destroy(peers->socket);
 	peer_calls_destroy(peers->calls);
 	peer_served_destroy(peers->served);
@@ -637,7 +451,7 @@
 void peers_task_submit(peers_task_t *peers, const char *node,
 		       const request_t *request, answer_sink_t sink)
 {
-	const peer_t *peer = g_hash_table_lookup(peers->peers, node);
+	const peer_t *peer = peer_directory_find(peers->directory, node);
 	const uint64_t now_ms = clock_now_ms();
 
 	if (!peer || peer->is_dead || !peer->port) {
