--- a/src/daemon/group_watch.c
+++ b/src/daemon/group_watch.c
@@ -105,6 +105,7 @@
 		watch->failures++;
 		group_database_wake(watch->server->database);
 	}
+	group_failover_polled(watch->server, status, watch->failures);
 	watch_end_waiters(watch, result, status);
 	watch_schedule(watch);
 }
@@ -126,6 +127,11 @@
 	watch_poll(context);
 }
 
+static void on_broken(void *context)
+{
+	group_watch_hurry(context);
+}
+
 group_watch_t *group_watch_create(group_server_t *server)
 {
 	group_watch_t *watch = g_new0(group_watch_t, 1);
@@ -137,6 +143,8 @@
 		.database = database->name,
 		.user = database->user,
 		.timeout_ms = GROUP_SERVER_TIMEOUT_MS,
+		.broken = on_broken,
+		.context = watch,
 	};
 
 	watch->server = server;
