--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -12,11 +12,9 @@
 
 typedef struct {
 	uint64_t id;
-	uint64_t deadline_ms;
 	tenant_t *tenant;
 	uint32_t class_index;
-	GList *link;	      /* in its class's queue */
-	GSequenceIter *place; /* among the deadlines */
+	GList *link; /* in its class's queue */
 } entry_t;
 
 typedef struct {
@@ -33,23 +31,12 @@
 };
 
 struct admission {
-	GHashTable *entries;  /* id -> entry_t */
-	GHashTable *tenants;  /* name -> tenant_t */
-	GSequence *deadlines; /* entry_t, earliest first */
+	GHashTable *entries; /* id -> entry_t */
+	GHashTable *tenants; /* name -> tenant_t */
 	uint64_t virtual_time;
 	uint64_t mean_us;
 };
 
-static gint compare_deadlines(gconstpointer a, gconstpointer b, gpointer unused)
-{
-	const entry_t *first = a;
-	const entry_t *second = b;
-
-	if (first->deadline_ms != second->deadline_ms)
-		return first->deadline_ms < second->deadline_ms ? -1 : 1;
-	return first->id < second->id ? -1 : first->id > second->id;
-}
-
 static void tenant_free(gpointer data)
 {
 	tenant_t *tenant = data;
@@ -68,7 +55,6 @@
 						   NULL, g_free);
 	admission->tenants = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, tenant_free);
-	admission->deadlines = g_sequence_new(NULL);
 	return admission;
 }
 
@@ -76,7 +62,6 @@
 {
 	if (!admission)
 		return;
-	g_sequence_free(admission->deadlines);
 	g_hash_table_destroy(admission->entries);
 	g_hash_table_destroy(admission->tenants);
 	g_free(admission);
@@ -126,7 +111,6 @@
 	entry_t *entry = g_new0(entry_t, 1);
 
 	entry->id = ask->id;
-	entry->deadline_ms = ask->deadline_ms;
 	entry->tenant = tenant;
 	entry->class_index = ask->class_index;
 	/* One that had nothing to do saves up no turns. */
@@ -137,8 +121,6 @@
 		class->passed_over = 0;
 	g_queue_push_tail(&class->queue, entry);
 	entry->link = class->queue.tail;
-	entry->place = g_sequence_insert_sorted(admission->deadlines, entry,
-						compare_deadlines, NULL);
 	tenant->count++;
 	g_hash_table_insert(admission->entries, &entry->id, entry);
 }
@@ -172,7 +154,6 @@
 {
 	g_queue_delete_link(&entry->tenant->classes[entry->class_index].queue,
 			    entry->link);
-	g_sequence_remove(entry->place);
 	entry->tenant->count--;
 	g_hash_table_remove(admission->entries, &entry->id);
 }
@@ -253,22 +234,6 @@
 	return id;
 }
 
-uint64_t admission_expire(admission_t *admission, uint64_t now_ms)
-{
-	GSequenceIter *first = g_sequence_get_begin_iter(admission->deadlines);
-	entry_t *entry = NULL;
-	uint64_t id;
-
-	if (g_sequence_iter_is_end(first))
-		return 0;
-	entry = g_sequence_get(first);
-	if (entry->deadline_ms > now_ms)
-		return 0;
-	id = entry->id;
-	take_out(admission, entry);
-	return id;
-}
-
 bool admission_cancel(admission_t *admission, uint64_t id)
 {
 	entry_t *entry = g_hash_table_lookup(admission->entries, &id);
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -7,7 +7,7 @@
 /**
  * The queue in front of a backend server's connections. Pure: the time is an
  * argument and every request that was admitted leaves exactly once, by
- * admission_next(), admission_expire() or admission_cancel().
+ * admission_next() or, cancelled or past its deadline, admission_cancel().
  *
  * Tenants take turns by their weights. Within a tenant the first class goes
  * first, but a lower one is passed over only so often as the weights allow.
@@ -45,9 +45,6 @@
 /** Takes the request whose turn it is. @return its id, or 0 */
 uint64_t admission_next(admission_t *admission);
 
-/** Takes a request whose deadline has passed. @return its id, or 0 */
-uint64_t admission_expire(admission_t *admission, uint64_t now_ms);
-
 /** Takes a request out. @return false if it is not queued */
 bool admission_cancel(admission_t *admission, uint64_t id);
 
--- /dev/null
+++ b/tests/unit/test_scram.c
@@ -0,0 +1,100 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "protocol/scram.h"
+
+/* The exchange of RFC 7677, section 3. */
+#define SALT_BASE64 "W22ZaJ0SNY7soEsUEjb6gQ=="
+#define SERVER_NONCE "%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0"
+#define CLIENT_FIRST "n,,n=user,r=rOprNGfwEbeRWgbNEkqO"
+#define SERVER_FIRST                                            \
+	"r=rOprNGfwEbeRWgbNEkqO%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0," \
+	"s=" SALT_BASE64 ",i=4096"
+#define CLIENT_BARE \
+	"c=biws,r=rOprNGfwEbeRWgbNEkqO%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0,"
+#define PROOF "p=dHzbZapWIk4jUhN+Ute9ytag9zjfMHgsqmmiz7AndVQ="
+#define SERVER_FINAL "v=6rriTRBi23WpRR/wtup+mMhUZUn/dB5nLTJRsjl95G4="
+
+static char *make_verifier(const char *password)
+{
+	gsize size = 0;
+	g_autofree guchar *salt = g_base64_decode(SALT_BASE64, &size);
+
+	return scram_verifier_new(password, salt, size, 4096);
+}
+
+static void test_exchange_of_the_standard(void **state)
+{
+	g_autofree char *verifier = make_verifier("pencil");
+	g_autoptr(scram_t) scram = scram_create(verifier, SERVER_NONCE);
+	g_autofree char *first = scram_first(scram, CLIENT_FIRST);
+	g_autofree char *final = scram_final(scram, CLIENT_BARE PROOF);
+
+	assert_true(scram_verifier_is_valid(verifier));
+	assert_string_equal(first, SERVER_FIRST);
+	assert_string_equal(final, SERVER_FINAL);
+}
+
+static void assert_refused(const char *verifier, const char *last)
+{
+	g_autoptr(scram_t) scram = scram_create(verifier, SERVER_NONCE);
+
+	g_free(scram_first(scram, CLIENT_FIRST));
+	assert_null(scram_final(scram, last));
+}
+
+static void test_anything_else_is_refused(void **state)
+{
+	g_autofree char *verifier = make_verifier("pencil");
+	g_autofree char *other = make_verifier("pen");
+
+	assert_refused(other, CLIENT_BARE PROOF);
+	assert_refused(NULL, CLIENT_BARE PROOF);
+	assert_refused("", CLIENT_BARE PROOF);
+	assert_refused(verifier, CLIENT_BARE "p=AAAA");
+	assert_refused(verifier, CLIENT_BARE);
+	assert_refused(verifier, "c=biws,r=rOprNGfwEbeRWgbNEkqO," PROOF);
+	assert_refused(verifier, "");
+}
+
+static void test_broken_messages_and_verifiers_are_refused(void **state)
+{
+	static const char *const messages[] = {
+		"", "n,,", "n,,n=,r=", "p=tls-unique,,n=,r=a", "n,,n=,r=a,b",
+	};
+	static const char *const verifiers[] = {
+		"",
+		"SCRAM-SHA-256",
+		"SCRAM-SHA-256$4096:c2FsdA==$a:b",
+		"SCRAM-SHA-256$1:W22ZaJ0SNY7soEsUEjb6gQ==$a:b",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(messages); i++) {
+		g_autoptr(scram_t) scram = scram_create(NULL, SERVER_NONCE);
+
+		assert_null(scram_first(scram, messages[i]));
+	}
+	for (i = 0; i < G_N_ELEMENTS(verifiers); i++)
+		assert_false(scram_verifier_is_valid(verifiers[i]));
+	assert_null(
+		scram_verifier_new("", (const uint8_t *)"12345678", 8, 4096));
+	assert_null(scram_verifier_new("a", (const uint8_t *)"1", 1, 4096));
+	assert_null(scram_verifier_new("a", (const uint8_t *)"12345678", 8, 1));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_exchange_of_the_standard),
+		cmocka_unit_test(test_anything_else_is_refused),
+		cmocka_unit_test(
+			test_broken_messages_and_verifiers_are_refused),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
