Take no servers before the list of VMs is known

Seen in the log of an end-to-end run: a node whose configuration came before its list of VMs knew only itself and took every server of every failure domain for a moment. It now waits for the list, or as long as a hand-over takes if the platform is out.

--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -39,6 +39,8 @@
 	operators_task_t *operators;
 	struct event *ownership_timer;
 	struct event *drain_timer;
+	uint64_t started_ms;
+	bool listed; /* the platform's list of VMs was read once */
 	uint64_t drain_started_ms;
 	uint64_t drain_busy_ms;
 	bool draining;
@@ -71,24 +73,34 @@
 	group_task_own(node->group, database, server, watched);
 }
 
+static void ownership_wake_at(node_t *node, uint64_t at_ms, uint64_t now_ms)
+{
+	const struct timeval delay =
+		timeval_ms(at_ms > now_ms ? at_ms - now_ms : 1);
+
+	if (at_ms == UINT64_MAX)
+		event_del(node->ownership_timer);
+	else
+		event_add(node->ownership_timer, &delay);
+}
+
 static void ownership_refresh(node_t *node)
 {
 	const config_t *config = config_task_current(node->config);
+	const uint64_t unlisted_until_ms =
+		node->started_ms + OWNERSHIP_TAKEOVER_MS;
 	const uint64_t now_ms = clock_now_ms();
-	struct timeval delay;
-	uint64_t next_ms;
 
 	if (!config)
 		return;
-	ownership_update(node->ownership, peers_task_view(node->peers), config,
-			 now_ms, on_ownership, node);
-	next_ms = ownership_next_ms(node->ownership);
-	if (next_ms == UINT64_MAX) {
-		event_del(node->ownership_timer);
+	/* A node that knows only itself would take every server. */
+	if (!node->listed && now_ms < unlisted_until_ms) {
+		ownership_wake_at(node, unlisted_until_ms, now_ms);
 		return;
 	}
-	delay = timeval_ms(next_ms > now_ms ? next_ms - now_ms : 1);
-	event_add(node->ownership_timer, &delay);
+	ownership_update(node->ownership, peers_task_view(node->peers), config,
+			 now_ms, on_ownership, node);
+	ownership_wake_at(node, ownership_next_ms(node->ownership), now_ms);
 }
 
 static void on_ownership_timer(evutil_socket_t fd, short what, void *context)
@@ -142,6 +154,7 @@
 {
 	node_t *node = context;
 
+	node->listed = true;
 	peers_task_listed(node->peers, members, members_count);
 }
 
@@ -598,6 +611,7 @@
 
 	node->base = base;
 	node->settings = settings;
+	node->started_ms = clock_now_ms();
 	node->metrics = metrics_create(METRIC_SERIES_MAX);
 	node->table = group_table_create();
 	node->ownership = ownership_create(settings->node);
