Let a read fall back to the primary without the retry budget

Ruled out: a larger budget, which only moves the bound. A read asks each replica at most once and then the primary, which is never behind, so this retry cannot feed on itself. A replica that was behind also raises its lag estimate at once instead of by a quarter.

--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -57,6 +57,15 @@
 	       reason == REASON_UNCONFIRMED || reason == REASON_LOST_ANSWER;
 }
 
+/*
+ * A replica that is too old is asked once for each read, then the primary,
+ * which never is: such a retry cannot feed on itself.
+ */
+static bool is_bounded(reason_t reason)
+{
+	return reason == REASON_BEHIND || reason == REASON_STALE;
+}
+
 retry_verdict_t retry_decide(retry_budget_t *budget,
 			     const retry_attempt_t *attempt, uint64_t now_ms)
 {
@@ -73,7 +82,7 @@
 		verdict.kind = RETRY_PARK;
 		return verdict;
 	}
-	if (!budget_take(budget))
+	if (!is_bounded(reason) && !budget_take(budget))
 		return verdict;
 	if (reason == REASON_OVERLOADED ||
 	    attempt->attempts >= ATTEMPTS_SWIFT) {
--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -235,7 +235,7 @@
 	}
 	if (point.term)
 		lag_estimate_update(&server->lag, &database->points, point,
-				    now_ms);
+				    reason == REASON_BEHIND, now_ms);
 	if (reason != REASON_NONE)
 		return;
 	server->penalty_ms = 0;
--- a/src/state/lag_estimate.c
+++ b/src/state/lag_estimate.c
@@ -51,13 +51,13 @@
 }
 
 void lag_estimate_update(lag_estimate_t *estimate, const lag_points_t *points,
-			 log_point_t replayed, uint64_t now_ms)
+			 log_point_t replayed, bool behind, uint64_t now_ms)
 {
 	const uint64_t since = first_missing_at(points, replayed, now_ms);
 	const uint32_t sample_ms = (uint32_t)(now_ms - since);
 
 	estimate->replayed = log_point_max(estimate->replayed, replayed);
-	if (!estimate->known) {
+	if (!estimate->known || (behind && sample_ms > estimate->lag_ms)) {
 		estimate->lag_ms = sample_ms;
 		estimate->known = true;
 		return;
--- a/src/state/lag_estimate.h
+++ b/src/state/lag_estimate.h
@@ -30,9 +30,13 @@
 uint64_t lag_points_seen_at(const lag_points_t *points, log_point_t point,
 			    uint64_t now_ms);
 
-/** Takes in that a replica had replayed @p replayed at @p now_ms. */
+/**
+ * Takes in that a replica had replayed @p replayed at @p now_ms.
+ *
+ * @param behind it kept a read waiting in vain: a longer lag counts at once
+ */
 void lag_estimate_update(lag_estimate_t *estimate, const lag_points_t *points,
-			 log_point_t replayed, uint64_t now_ms);
+			 log_point_t replayed, bool behind, uint64_t now_ms);
 
 /** @return milliseconds until the replica should cover @p wanted. */
 uint32_t lag_estimate_wait_ms(const lag_estimate_t *estimate,
