--- a/src/daemon/config_task.c
+++ b/src/daemon/config_task.c
@@ -10,6 +10,7 @@
 #include "state/config_codec.h"
 
 #define TICK_MS 200
+#define SOURCE_PLATFORM "platform"
 
 struct config_task {
 	config_handlers_t handlers;
@@ -117,6 +118,18 @@
 	return data && size == size_bytes && !memcmp(data, bytes, size_bytes);
 }
 
+/* Peers may answer late; the platform alone must never go back. */
+static void note_lower(const config_task_t *task, const config_t *config,
+		       const char *source)
+{
+	const bool from_peer = strcmp(source, SOURCE_PLATFORM) != 0;
+
+	log_event(from_peer ? LOG_LEVEL_DEBUG : LOG_LEVEL_ERROR,
+		  "config_refused",
+		  "source=%s revision=%" PRIu64 " in_force=%" PRIu64, source,
+		  config->revision, config_spread_revision(task->spread));
+}
+
 static void offer(config_task_t *task, const uint8_t *bytes, size_t size_bytes,
 		  const char *source)
 {
@@ -136,10 +149,7 @@
 	if (config_spread_offer(task->spread, config->revision, actions)) {
 		put_in_force(task, config, bytes, size_bytes, source);
 	} else {
-		log_event(LOG_LEVEL_WARNING, "config_refused",
-			  "source=%s revision=%" PRIu64 " in_force=%" PRIu64,
-			  source, config->revision,
-			  config_spread_revision(task->spread));
+		note_lower(task, config, source);
 		config_delete(config);
 	}
 	run(task, actions);
@@ -159,7 +169,7 @@
 	config_task_t *task = context;
 
 	if (result == STORE_OK)
-		offer(task, bytes, size_bytes, "platform");
+		offer(task, bytes, size_bytes, SOURCE_PLATFORM);
 	else if (result != STORE_ABSENT)
 		metric_add(task->failed_reads, 1);
 	config_spread_config_read(task->spread, read_result(result), index,
