--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -12,7 +12,6 @@
 	uint64_t key;
 	uint64_t counted_ms; /* when it was last a candidate */
 	bool is_counted;     /* it is one in the newest view */
-	bool is_young;	     /* it is known to have started just now */
 } candidate_t;
 
 typedef struct {
@@ -26,8 +25,11 @@
 struct ownership {
 	char *node;
 	uint64_t started_ms;
+	uint64_t ready_ms; /* from when on it may own */
 	uint64_t next_ms;
 	GHashTable *candidates; /* name to candidate_t */
+	GHashTable *domains;	/* failure domain to those in it */
+	GPtrArray *all;		/* those of all domains */
 	GHashTable *holdings;	/* "database/server" to holding_t */
 };
 
@@ -41,11 +43,9 @@
 	uint64_t server_key;
 	uint64_t own_weight;
 	const char *node;
-	const char *failure_domain; /* NULL for all domains */
 	uint32_t above;
 	uint32_t count;
 	bool is_candidate;
-	bool all_young;
 } standing_t;
 
 static void holding_free(gpointer data)
@@ -66,6 +66,10 @@
 	ownership->next_ms = UINT64_MAX;
 	ownership->candidates =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	ownership->all = g_ptr_array_new();
+	ownership->domains =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
 	ownership->holdings = g_hash_table_new_full(g_str_hash, g_str_equal,
 						    g_free, holding_free);
 	return ownership;
@@ -75,6 +79,8 @@
 {
 	if (!ownership)
 		return;
+	g_hash_table_destroy(ownership->domains);
+	g_ptr_array_unref(ownership->all);
 	g_hash_table_destroy(ownership->candidates);
 	g_hash_table_destroy(ownership->holdings);
 	g_free(ownership->node);
@@ -99,7 +105,6 @@
 		  sizeof(candidate->failure_domain));
 	candidate->counted_ms = now_ms;
 	candidate->is_counted = true;
-	candidate->is_young = member->incarnation && !member->settled;
 }
 
 static void forget_candidates(ownership_t *ownership, uint64_t now_ms)
@@ -122,6 +127,30 @@
 	}
 }
 
+static void group_candidates(ownership_t *ownership)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_remove_all(ownership->domains);
+	g_ptr_array_set_size(ownership->all, 0);
+	g_hash_table_iter_init(&iter, ownership->candidates);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const candidate_t *candidate = value;
+		GPtrArray *near = g_hash_table_lookup(
+			ownership->domains, candidate->failure_domain);
+
+		if (!near) {
+			near = g_ptr_array_new();
+			g_hash_table_insert(ownership->domains,
+					    g_strdup(candidate->failure_domain),
+					    near);
+		}
+		g_ptr_array_add(near, value);
+		g_ptr_array_add(ownership->all, value);
+	}
+}
+
 /*
  * A member counted in the view before is counted up to this very moment, so
  * the wait runs from the view in which it is missing.
@@ -144,6 +173,37 @@
 		if (owner_is_candidate(&view->members[i]))
 			count_member(ownership, &view->members[i], now_ms);
 	forget_candidates(ownership, now_ms);
+	group_candidates(ownership);
+}
+
+/* Even a settled member that is held dead may hold connections. */
+static bool is_starting(const ownership_t *ownership, const member_view_t *view)
+{
+	for (uint32_t i = 0; i < view->members_count; i++) {
+		const member_t *member = &view->members[i];
+		const bool is_unheard =
+			owner_is_candidate(member) && !member->incarnation;
+
+		if ((is_unheard || member->settled) &&
+		    strcmp(member->name, ownership->node))
+			return false;
+	}
+	return true;
+}
+
+static void set_ready(ownership_t *ownership, const member_view_t *view,
+		      uint64_t now_ms)
+{
+	const uint64_t wait_ms = is_starting(ownership, view) ?
+					 OWNERSHIP_START_MS :
+					 OWNERSHIP_TAKEOVER_MS;
+
+	if (ownership->ready_ms <= now_ms)
+		return;
+	ownership->ready_ms = ownership->started_ms + wait_ms;
+	if (ownership->ready_ms > now_ms)
+		ownership->next_ms =
+			MIN(ownership->next_ms, ownership->ready_ms);
 }
 
 static void stand_against(standing_t *standing, const candidate_t *candidate)
@@ -151,16 +211,12 @@
 	uint64_t weight;
 	int order;
 
-	if (standing->failure_domain &&
-	    strcmp(candidate->failure_domain, standing->failure_domain))
-		return;
 	standing->count++;
 	order = strcmp(candidate->name, standing->node);
 	if (!order) {
 		standing->is_candidate = candidate->is_counted;
 		return;
 	}
-	standing->all_young &= candidate->is_young;
 	weight = owner_weight(candidate->key, standing->server_key);
 	if (weight > standing->own_weight ||
 	    (weight == standing->own_weight && order < 0))
@@ -168,42 +224,34 @@
 }
 
 static standing_t stand(const ownership_t *ownership, uint64_t server_key,
-			const char *failure_domain)
+			const GPtrArray *candidates)
 {
 	standing_t standing = {
 		.server_key = server_key,
 		.own_weight =
 			owner_weight(owner_key(ownership->node), server_key),
 		.node = ownership->node,
-		.failure_domain = failure_domain,
-		.all_young = true,
 	};
-	GHashTableIter iter;
-	gpointer value;
 
-	g_hash_table_iter_init(&iter, ownership->candidates);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		stand_against(&standing, value);
+	for (guint i = 0; i < candidates->len; i++)
+		stand_against(&standing, candidates->pdata[i]);
 	return standing;
 }
 
 static uint32_t portion(ownership_t *ownership, const config_service_t *service,
 			const config_server_t *server, uint64_t now_ms)
 {
-	const uint64_t key = owner_key(server->name);
-	const uint64_t settled_ms =
-		ownership->started_ms + OWNERSHIP_TAKEOVER_MS;
-	standing_t standing = stand(ownership, key, server->failure_domain);
+	const GPtrArray *near =
+		g_hash_table_lookup(ownership->domains, server->failure_domain);
+	standing_t standing;
 	uint32_t owners;
 
-	if (!standing.count)
-		standing = stand(ownership, key, NULL);
+	standing = stand(ownership, owner_key(server->name),
+			 near ? near : ownership->all);
 	if (!standing.is_candidate)
 		return 0;
-	if (now_ms < settled_ms && !standing.all_young) {
-		ownership->next_ms = MIN(ownership->next_ms, settled_ms);
+	if (now_ms < ownership->ready_ms)
 		return 0;
-	}
 	owners = owner_wanted(service->connections, service->owners);
 	return owner_share(service->connections, MIN(owners, standing.count),
 			   standing.above);
@@ -314,10 +362,13 @@
 	g_autoptr(GArray) gains = g_array_new(FALSE, FALSE, sizeof(gain_t));
 	const listener_t listener = {.change = change, .context = context};
 
-	if (ownership->started_ms == UINT64_MAX)
+	if (ownership->started_ms == UINT64_MAX) {
 		ownership->started_ms = now_ms;
+		ownership->ready_ms = UINT64_MAX;
+	}
 	ownership->next_ms = UINT64_MAX;
 	count_view(ownership, view, now_ms);
+	set_ready(ownership, view, now_ms);
 	for (uint32_t s = 0; s < config->services_count; s++)
 		update_service(ownership, &config->services[s], now_ms,
 			       &listener, gains);
--- a/src/coordination/ownership.h
+++ b/src/coordination/ownership.h
@@ -13,6 +13,9 @@
  */
 #define OWNERSHIP_TAKEOVER_MS 3000
 
+/** The same wait in a fleet that is just starting. */
+#define OWNERSHIP_START_MS 500
+
 /**
  * Which backend servers this node owns, and with which share. Owners are
  * ranked over every member that was a candidate at some time within the last
@@ -22,9 +25,10 @@
  * server never add up to more than its limit.
  *
  * A node that has just started takes nothing for as long, since it may not
- * yet know of all candidates. It need not wait if it has heard from every
- * candidate of the servers' failure domain and none has settled: then the
- * whole domain is starting and nobody holds connections.
+ * yet know of all candidates. The wait is OWNERSHIP_START_MS if it has heard
+ * from every candidate and no member has settled: then the whole fleet is
+ * starting and knows its members from the platform's list, which names VMs
+ * before their processes run.
  */
 typedef struct ownership ownership_t;
 
