Remember the class of statements that come again

A parse and its JSON tree took 30 to 140 us a statement in a trial; drivers send the same texts over and over.

--- a/src/daemon/callers_task.c
+++ b/src/daemon/callers_task.c
@@ -15,6 +15,9 @@
 /* A whole shift logs on at once. */
 #define BACKLOG 4096
 
+/* Texts whose class is remembered. */
+#define STATEMENTS_MAX 4096
+
 /* Sessions of one node; more are refused. */
 #define SESSIONS_MAX 20000
 
@@ -133,6 +136,7 @@
 		.base = base,
 		.metrics = metrics,
 		.dispatch = dispatch,
+		.statements = statement_cache_create(STATEMENTS_MAX),
 		.cancel = on_cancel,
 		.ended = on_ended,
 		.context = callers,
@@ -174,6 +178,7 @@
 	for (link = sessions; link; link = link->next)
 		session_destroy(link->data);
 	g_hash_table_destroy(callers->sessions);
+	statement_cache_destroy(callers->host.statements);
 	SSL_CTX_free(callers->host.tls);
 	g_free(callers);
 }
--- a/src/daemon/session.c
+++ b/src/daemon/session.c
@@ -76,7 +76,7 @@
 	session->secret = secret;
 	session->status = 'I';
 	session->settings = session_settings_new();
-	session->batch = batch_create();
+	session->batch = batch_create(host->statements);
 	session->counters =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	session->bev =
--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -35,6 +35,7 @@
 	const config_t *config;	 /**< NULL before the first */
 	uint64_t config_version; /**< grows with every configuration */
 	SSL_CTX *tls;		 /**< NULL for no TLS */
+	statement_cache_t *statements;
 	uint64_t next_request_id;
 	bool draining;
 	/** A CancelRequest arrived; the key has not been checked. */
--- a/src/daemon/session_request.c
+++ b/src/daemon/session_request.c
@@ -287,7 +287,7 @@
 		return;
 	}
 	batch_clear(session->batch);
-	statement = statement_parse(sql);
+	statement = statement_cache_parse(session->host->statements, sql);
 	if (answer_locally(session, statement, out)) {
 		session_write(session, out);
 		session_request_ready(session);
--- a/src/protocol/batch.c
+++ b/src/protocol/batch.c
@@ -7,6 +7,7 @@
 #define SLOT_NAME_SIZE 16
 
 struct batch {
+	statement_cache_t *cache;
 	prepared_table_t *prepared;
 	GHashTable *slots;   /* name -> slot of this batch, from 1 */
 	GHashTable *portals; /* portal -> prepared_t of this batch */
@@ -21,10 +22,11 @@
 	uint32_t hidden;
 };
 
-batch_t *batch_create(void)
+batch_t *batch_create(statement_cache_t *cache)
 {
 	batch_t *batch = g_new0(batch_t, 1);
 
+	batch->cache = cache;
 	batch->prepared = prepared_table_create();
 	batch->slots =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -180,7 +182,8 @@
 	slot = slot_get(batch, name, &is_new);
 	if (!slot)
 		return fail(error, "54000", "too many statements in one batch");
-	prepared = prepared_new(tail.next, tail.left_bytes, sql);
+	prepared = prepared_new(tail.next, tail.left_bytes,
+				statement_cache_parse(batch->cache, sql));
 	kept = prepared_table_keep(batch->prepared, name, prepared);
 	if (kept) {
 		write_parse(batch, slot, prepared, false);
--- a/src/protocol/batch.h
+++ b/src/protocol/batch.h
@@ -8,6 +8,7 @@
 
 #include "protocol/pg_frame.h"
 #include "protocol/statement.h"
+#include "protocol/statement_cache.h"
 
 /** Most bytes of one batch. */
 #define BATCH_SIZE_BYTES_MAX (16u * 1024 * 1024)
@@ -52,7 +53,8 @@
 	const char *refused; /**< why it cannot run, or NULL */
 } batch_summary_t;
 
-batch_t *batch_create(void);
+/** @param cache classes of texts; kept, not owned */
+batch_t *batch_create(statement_cache_t *cache);
 void batch_destroy(batch_t *batch);
 
 /**
--- a/src/protocol/prepared.c
+++ b/src/protocol/prepared.c
@@ -6,12 +6,12 @@
 };
 
 prepared_t *prepared_new(const uint8_t *tail, size_t tail_size_bytes,
-			 const char *sql)
+			 statement_t *statement)
 {
 	prepared_t *prepared = g_rc_box_new0(prepared_t);
 
 	prepared->tail = g_bytes_new(tail, tail_size_bytes);
-	prepared->statement = statement_parse(sql);
+	prepared->statement = statement;
 	return prepared;
 }
 
@@ -25,7 +25,7 @@
 	prepared_t *prepared = data;
 
 	g_bytes_unref(prepared->tail);
-	statement_delete(prepared->statement);
+	statement_unref(prepared->statement);
 }
 
 void prepared_unref(void *prepared)
--- a/src/protocol/prepared.h
+++ b/src/protocol/prepared.h
@@ -21,9 +21,12 @@
 /** The prepared statements of one session by their names. */
 typedef struct prepared_table prepared_table_t;
 
-/** @return a statement with one reference. */
+/**
+ * @param statement its class; the reference is taken over
+ * @return a statement with one reference
+ */
 prepared_t *prepared_new(const uint8_t *tail, size_t tail_size_bytes,
-			 const char *sql);
+			 statement_t *statement);
 prepared_t *prepared_ref(prepared_t *prepared);
 void prepared_unref(void *prepared);
 
--- a/src/protocol/statement.c
+++ b/src/protocol/statement.c
@@ -442,7 +442,7 @@
 
 statement_t *statement_parse(const char *sql)
 {
-	statement_t *statement = g_new0(statement_t, 1);
+	statement_t *statement = g_rc_box_new0(statement_t);
 	const PgQueryParseResult result = pg_query_parse(sql);
 	json_t *root = NULL;
 	json_t *list = NULL;
@@ -466,11 +466,21 @@
 	return statement;
 }
 
-void statement_delete(statement_t *statement)
+statement_t *statement_ref(statement_t *statement)
 {
-	if (!statement)
-		return;
+	return g_rc_box_acquire(statement);
+}
+
+static void statement_clear(gpointer data)
+{
+	statement_t *statement = data;
+
 	g_free(statement->name);
 	g_free(statement->value);
-	g_free(statement);
+}
+
+void statement_unref(statement_t *statement)
+{
+	if (statement)
+		g_rc_box_release_full(statement, statement_clear);
 }
--- a/src/protocol/statement.h
+++ b/src/protocol/statement.h
@@ -21,7 +21,7 @@
 	STATEMENT_REFUSED,   /**< cannot work on shared server connections */
 } statement_class_t;
 
-/** A text of SQL, classified; plain data. */
+/** A text of SQL, classified; plain data, reference-counted. */
 typedef struct {
 	statement_class_t statement_class;
 	bool read_only;	    /**< BEGIN READ ONLY */
@@ -32,12 +32,15 @@
 	const char *reason; /**< why REFUSED, for the caller */
 } statement_t;
 
-/** Classifies a text by PostgreSQL's own grammar; never NULL. */
+/** Classifies a text by PostgreSQL's own grammar. @return one reference */
 statement_t *statement_parse(const char *sql);
 
-/** Frees a statement; NULL is allowed. */
-void statement_delete(statement_t *statement);
+/** Takes one more reference. */
+statement_t *statement_ref(statement_t *statement);
 
-G_DEFINE_AUTOPTR_CLEANUP_FUNC(statement_t, statement_delete)
+/** Gives up a reference; the last one frees. NULL is allowed. */
+void statement_unref(statement_t *statement);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(statement_t, statement_unref)
 
 #endif
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -7,6 +7,8 @@
 
 #include "protocol/batch.h"
 
+static statement_cache_t *cache;
+
 static bool add(batch_t *batch, GByteArray *bytes, batch_error_t *error)
 {
 	pg_message_t message = {0};
@@ -104,7 +106,7 @@
 
 static void test_statement_is_parsed_again_in_each_batch(void **state)
 {
-	g_autoptr(batch_t) batch = batch_create();
+	g_autoptr(batch_t) batch = batch_create(cache);
 	g_autofree char *first = NULL;
 	g_autofree char *second = NULL;
 	g_autofree char *answer = NULL;
@@ -128,7 +130,7 @@
 
 static void test_own_answers_are_left(void **state)
 {
-	g_autoptr(batch_t) batch = batch_create();
+	g_autoptr(batch_t) batch = batch_create(cache);
 	g_autofree char *answer = NULL;
 	batch_error_t error = {0};
 
@@ -143,7 +145,7 @@
 
 static void test_missing_statement_is_an_error(void **state)
 {
-	g_autoptr(batch_t) batch = batch_create();
+	g_autoptr(batch_t) batch = batch_create(cache);
 	batch_error_t error = {0};
 
 	assert_false(add(batch, bind("", "none"), &error));
@@ -156,7 +158,7 @@
 
 static void test_summary_tells_what_is_executed(void **state)
 {
-	g_autoptr(batch_t) batch = batch_create();
+	g_autoptr(batch_t) batch = batch_create(cache);
 	batch_error_t error = {0};
 
 	add(batch, parse("w", "DELETE FROM a"), &error);
@@ -178,7 +180,7 @@
 
 static void test_table_is_bounded(void **state)
 {
-	g_autoptr(batch_t) batch = batch_create();
+	g_autoptr(batch_t) batch = batch_create(cache);
 	batch_error_t error = {0};
 	bool good = true;
 	int i;
@@ -203,5 +205,6 @@
 		cmocka_unit_test(test_table_is_bounded),
 	};
 
+	cache = statement_cache_create(8);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/unit/test_statement.c
+++ b/tests/unit/test_statement.c
@@ -5,7 +5,7 @@
 
 #include <cmocka.h>
 
-#include "protocol/statement.h"
+#include "protocol/statement_cache.h"
 
 typedef struct {
 	const char *sql;
@@ -109,12 +109,33 @@
 	assert_int_equal(statement->statement_class, STATEMENT_WRITE);
 }
 
+static void test_cache_keeps_what_is_used(void **state)
+{
+	statement_cache_t *cache = statement_cache_create(2);
+	g_autoptr(statement_t) first = statement_cache_parse(cache, "SELECT 1");
+	int i;
+
+	for (i = 0; i < 5; i++) {
+		g_autofree char *sql = g_strdup_printf("SELECT %d", i + 2);
+		g_autoptr(statement_t) again =
+			statement_cache_parse(cache, "SELECT 1");
+		g_autoptr(statement_t) other =
+			statement_cache_parse(cache, sql);
+
+		assert_ptr_equal(again, first);
+		assert_int_equal(statement_cache_count(cache), 2);
+	}
+	statement_cache_destroy(cache);
+	assert_int_equal(first->statement_class, STATEMENT_READ);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_statements_go_where_they_may),
 		cmocka_unit_test(test_settings_carry_their_value),
 		cmocka_unit_test(test_deep_text_is_a_write),
+		cmocka_unit_test(test_cache_keeps_what_is_used),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
