--- a/src/daemon/callers_task.c
+++ b/src/daemon/callers_task.c
@@ -143,6 +143,7 @@
 	};
 	callers->sessions = g_hash_table_new(NULL, NULL);
 	callers->connected = metrics_gauge(metrics, "toucanhook_sessions", "");
+	RAND_bytes(callers->host.secret, sizeof(callers->host.secret));
 	/* Random, so that sessions of two nodes do not share a number. */
 	RAND_bytes((unsigned char *)&callers->next_session_id,
 		   sizeof(callers->next_session_id));
--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -24,6 +24,9 @@
 /** Longest time from connection to the end of the login. */
 #define SESSION_LOGIN_TIMEOUT_MS 15000
 
+/** Bytes of a node's secret, from which unknown callers get their salt. */
+#define SESSION_HOST_SECRET_SIZE_BYTES 32
+
 /** One caller's connection. Its parts are private to session*.c. */
 typedef struct session session_t;
 
@@ -36,6 +39,7 @@
 	uint64_t config_version; /**< grows with every configuration */
 	SSL_CTX *tls;		 /**< NULL for no TLS */
 	statement_cache_t *statements;
+	uint8_t secret[SESSION_HOST_SECRET_SIZE_BYTES]; /**< of this process */
 	uint64_t next_request_id;
 	bool draining;
 	/** A CancelRequest arrived; the key has not been checked. */
--- a/src/daemon/session_login.c
+++ b/src/daemon/session_login.c
@@ -101,7 +101,13 @@
 	g_autoptr(GByteArray) out = g_byte_array_new();
 	uint8_t random[NONCE_SIZE_BYTES];
 	g_autofree char *nonce = NULL;
+	g_autofree char *fake = NULL;
 
+	if (!verifier || !*verifier) {
+		fake = scram_verifier_fake(session->user, session->host->secret,
+					   SESSION_HOST_SECRET_SIZE_BYTES);
+		verifier = fake;
+	}
 	RAND_bytes(random, sizeof(random));
 	nonce = g_base64_encode(random, sizeof(random));
 	session->scram = scram_create(verifier, nonce);
--- a/src/protocol/scram.c
+++ b/src/protocol/scram.c
@@ -15,6 +15,7 @@
 #define KEY_SIZE_BYTES SHA256_DIGEST_LENGTH
 #define SALT_SIZE_BYTES_MIN 8
 #define SALT_SIZE_BYTES_MAX 64
+#define FAKE_SALT_SIZE_BYTES 16
 #define ITERATIONS_MIN 4096
 #define MESSAGE_SIZE_BYTES_MAX 1024
 #define MECHANISM "SCRAM-SHA-256"
@@ -122,14 +123,30 @@
 	return valid;
 }
 
+char *scram_verifier_fake(const char *user, const uint8_t *secret,
+			  size_t secret_size_bytes)
+{
+	uint8_t salt[KEY_SIZE_BYTES];
+	uint8_t key[KEY_SIZE_BYTES];
+	g_autofree char *salt_text = NULL;
+	g_autofree char *key_text = NULL;
+
+	HMAC(EVP_sha256(), secret, (int)secret_size_bytes,
+	     (const uint8_t *)user, strlen(user), salt, NULL);
+	SHA256(salt, KEY_SIZE_BYTES, key);
+	salt_text = g_base64_encode(salt, FAKE_SALT_SIZE_BYTES);
+	key_text = g_base64_encode(key, KEY_SIZE_BYTES);
+	return g_strdup_printf(MECHANISM "$%u:%s$%s:%s", ITERATIONS_MIN,
+			       salt_text, key_text, key_text);
+}
+
 scram_t *scram_create(const char *verifier, const char *nonce)
 {
 	scram_t *scram = g_new0(scram_t, 1);
 
 	scram->nonce = g_strdup(nonce);
-	scram->known = verifier && verifier_read(verifier, &scram->verifier);
+	scram->known = verifier_read(verifier, &scram->verifier);
 	if (!scram->known) {
-		/* The exchange looks the same, so that it tells nothing. */
 		scram->verifier.iterations = ITERATIONS_MIN;
 		g_free(scram->verifier.salt);
 		scram->verifier.salt =
--- a/src/protocol/scram.h
+++ b/src/protocol/scram.h
@@ -30,8 +30,8 @@
 /**
  * Starts an exchange.
  *
- * @param verifier of the caller; NULL or one that cannot be read gives an
- *        exchange that fails at its end, as for a wrong password
+ * @param verifier of the caller; one that cannot be read gives an exchange
+ *        that fails at its end, as for a wrong password
  * @param nonce    at least 18 printable characters without comma, random
  */
 scram_t *scram_create(const char *verifier, const char *nonce);
@@ -53,6 +53,15 @@
  */
 char *scram_final(scram_t *scram, const char *message);
 
+/**
+ * Makes a verifier that no password fits, for a caller that is not known. It
+ * is the same each time, so that the exchange does not tell who is known.
+ *
+ * @param secret of this process, random
+ */
+char *scram_verifier_fake(const char *user, const uint8_t *secret,
+			  size_t secret_size_bytes);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(scram_t, scram_destroy)
 
 #endif
