--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -7,6 +7,10 @@
 #include <cmocka.h>
 
 #include <libpq-fe.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/rsa.h>
+#include <openssl/x509.h>
 
 #include "daemon/callers_task.h"
 #include "daemon/pool_task.h"
@@ -200,7 +204,7 @@
 	return ntohs(address.sin_port);
 }
 
-static int set_up(void **state)
+static int set_up_entry(void)
 {
 	const struct timeval interval = {.tv_usec = 1000};
 	const pool_group_t group = {confirm,  wait_replayed, is_fresh,
@@ -209,7 +213,6 @@
 	const callers_dispatch_t dispatch = {submit, cancel, release, barrier,
 					     NULL};
 
-	memset(&entry, 0, sizeof(entry));
 	entry.confirms = 1;
 	entry.base = event_base_new();
 	entry.metrics = metrics_create(1000);
@@ -230,6 +233,12 @@
 	return 0;
 }
 
+static int set_up(void **state)
+{
+	memset(&entry, 0, sizeof(entry));
+	return set_up_entry();
+}
+
 static int tear_down(void **state)
 {
 	g_atomic_int_set(&entry.stop, 1);
@@ -546,6 +555,117 @@
 	g_string_append(context, message);
 }
 
+/* Writes a key and a certificate that it signs, as PEM files. */
+static void write_certificate(const char *key_path, const char *path)
+{
+	EVP_PKEY *key = EVP_RSA_gen(2048);
+	X509 *certificate = X509_new();
+	FILE *file = fopen(key_path, "w");
+
+	PEM_write_PrivateKey(file, key, NULL, NULL, 0, NULL, NULL);
+	fclose(file);
+	ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
+	X509_gmtime_adj(X509_getm_notBefore(certificate), 0);
+	X509_gmtime_adj(X509_getm_notAfter(certificate), 3600);
+	X509_set_pubkey(certificate, key);
+	X509_sign(certificate, key, EVP_sha256());
+	file = fopen(path, "w");
+	PEM_write_X509(file, certificate);
+	fclose(file);
+	X509_free(certificate);
+	EVP_PKEY_free(key);
+}
+
+static int set_up_tls(void **state)
+{
+	g_autofree char *folder = g_dir_make_tmp("callers-XXXXXX", NULL);
+
+	memset(&entry, 0, sizeof(entry));
+	entry.settings.tls_key = g_build_filename(folder, "key.pem", NULL);
+	entry.settings.tls_certificate =
+		g_build_filename(folder, "certificate.pem", NULL);
+	write_certificate(entry.settings.tls_key,
+			  entry.settings.tls_certificate);
+	return set_up_entry();
+}
+
+static int tear_down_tls(void **state)
+{
+	g_autofree char *folder = g_path_get_dirname(entry.settings.tls_key);
+
+	tear_down(state);
+	unlink(entry.settings.tls_key);
+	unlink(entry.settings.tls_certificate);
+	rmdir(folder);
+	g_free(entry.settings.tls_key);
+	g_free(entry.settings.tls_certificate);
+	return 0;
+}
+
+static void test_tls_is_offered_when_there_is_a_certificate(void **state)
+{
+	PGconn *conn =
+		connect_as("owner", "sslmode=require password=" PASSWORD);
+	PGconn *plain = connect_well("sslmode=disable");
+	PGresult *result = NULL;
+
+	if (PQstatus(conn) != CONNECTION_OK)
+		fail_msg("%s", PQerrorMessage(conn));
+	assert_true(PQsslInUse(conn));
+	assert_false(PQsslInUse(plain));
+	result = PQexec(conn, "SELECT rows 1000 1024");
+	assert_int_equal(PQntuples(result), 1000);
+	PQclear(result);
+	PQfinish(conn);
+	PQfinish(plain);
+}
+
+static void test_caller_that_does_not_read_is_closed(void **state)
+{
+	PGconn *slow = connect_well("");
+	PGconn *other = connect_well("");
+
+	assert_int_equal(PQsendQuery(slow, "SELECT rows 1500 65536"), 1);
+	wait_for(&entry.sessions, 1);
+	assert_state(other, "SELECT conn", "");
+	PQfinish(slow);
+	PQfinish(other);
+}
+
+/* Sends bytes and expects an end of the stream, with an error in front. */
+static void assert_hung_up(const void *bytes, size_t size)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_port = htons(entry.settings.callers.port),
+	};
+	const int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char answer[256];
+
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_int_equal(write(fd, bytes, size), size);
+	assert_true(read(fd, answer, sizeof(answer)) > 0);
+	assert_int_equal(answer[0], 'E');
+	while (read(fd, answer, sizeof(answer)) > 0)
+		;
+	close(fd);
+}
+
+static void test_broken_start_up_is_refused_at_once(void **state)
+{
+	static const uint8_t large[] = {0x40, 0, 0, 0, 0, 3, 0, 0};
+	static const uint8_t old[] = {0, 0, 0, 8, 0, 2, 0, 0};
+	static const uint8_t cut[] = {0, 0, 0,	 12,  0,   3,
+				      0, 0, 'u', 's', 'e', 'r'};
+
+	assert_hung_up(large, sizeof(large));
+	assert_hung_up(old, sizeof(old));
+	assert_hung_up(cut, sizeof(cut));
+	wait_for(&entry.sessions, 0);
+}
+
 static void test_drain_lets_transactions_end(void **state)
 {
 	GString *notice = g_string_new(NULL);
@@ -587,6 +707,11 @@
 		TEST(test_prepared_statement_works_on_any_connection),
 		TEST(test_more_callers_than_connections_take_turns),
 		TEST(test_full_server_is_asked_again),
+		cmocka_unit_test_setup_teardown(
+			test_tls_is_offered_when_there_is_a_certificate,
+			set_up_tls, tear_down_tls),
+		TEST(test_caller_that_does_not_read_is_closed),
+		TEST(test_broken_start_up_is_refused_at_once),
 		TEST(test_drain_lets_transactions_end),
 	};
 
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -361,6 +361,23 @@
 		finish(calls[i], OUTCOME_DONE, REASON_NONE);
 }
 
+static void test_queued_requests_leave_with_the_ownership(void **state)
+{
+	call_t *runs[SHARE];
+	call_t *queued = NULL;
+	size_t i;
+
+	for (i = 0; i < SHARE; i++)
+		runs[i] = begin(request(REQUEST_READ, "SELECT hang()", 0));
+	while (world.backend->statements->len < SHARE)
+		event_base_loop(world.base, EVLOOP_ONCE);
+	queued = begin(request(REQUEST_READ, "SELECT conn", 0));
+	pool_task_own(world.pool, "match", "akl-1", 0);
+	finish(queued, OUTCOME_NOT_RUN, REASON_NOT_OWNER);
+	for (i = 0; i < SHARE; i++)
+		finish(runs[i], OUTCOME_NOT_RUN, REASON_DEADLINE);
+}
+
 static void test_unreachable_server_is_told(void **state)
 {
 	world.server.port = 1;
@@ -404,6 +421,7 @@
 		TEST(test_transaction_outlives_ownership_and_leaving),
 		TEST(test_lease_belongs_to_its_session),
 		TEST(test_queue_is_bounded),
+		TEST(test_queued_requests_leave_with_the_ownership),
 		TEST(test_unreachable_server_is_told),
 		TEST(test_old_primary_names_the_new_one),
 		TEST(test_cancelled_request_is_not_heard_of),
