Prove that outcomes tell the truth and keyed changes run once

A drawn server loses its lead, fails statements or dies before or after any step; NOT_RUN must mean no effect, DONE the effect, and a keyed change that is repeated through all this is made at most once.

--- /dev/null
+++ b/tests/property/prop_exchange.cpp
@@ -0,0 +1,263 @@
+#include <cstdint>
+#include <cstring>
+#include <set>
+#include <string>
+
+#include <rapidcheck.h>
+
+extern "C" {
+#include "protocol/exchange.h"
+}
+
+namespace
+{
+
+const uint64_t TERM = 3;
+const int ATTEMPTS = 4;
+
+/* What a database keeps over all connections. */
+struct database_t {
+	bool key = false;
+	int changes = 0;
+};
+
+/* One connection to a server that may stop leading or die at any step. */
+struct server_t {
+	database_t *database;
+	bool leads;
+	bool term_set = false;
+	char status = 'I';
+	bool key = false; /* in the open transaction */
+	int changes = 0;  /* in the open transaction */
+	bool dead = false;
+};
+
+void fail(server_t &server, GByteArray *out, const char *sqlstate)
+{
+	pg_write_error(out, "ERROR", sqlstate, "as drawn", NULL);
+	if (server.status == 'T')
+		server.status = 'E';
+}
+
+void commit(server_t &server, GByteArray *out)
+{
+	if (server.status == 'E') {
+		pg_write_text(out, 'C', "ROLLBACK");
+	} else {
+		server.database->key |= server.key;
+		server.database->changes += server.changes;
+		pg_write_text(out, 'C', "COMMIT");
+	}
+	server.status = 'I';
+	server.key = false;
+	server.changes = 0;
+}
+
+void insert_key(server_t &server, GByteArray *out)
+{
+	if (server.database->key || server.key) {
+		fail(server, out, "23505");
+		return;
+	}
+	if (server.status == 'I')
+		server.database->key = true;
+	else
+		server.key = true;
+	pg_write_text(out, 'C', "INSERT 0 1");
+}
+
+void change(server_t &server, GByteArray *out)
+{
+	if (*rc::gen::inRange(0, 6) == 0) {
+		fail(server, out, "22000");
+		return;
+	}
+	if (server.status == 'I')
+		server.database->changes++;
+	else
+		server.changes++;
+	pg_write_text(out, 'C', "INSERT 0 1");
+}
+
+void point(GByteArray *out)
+{
+	const char *const values[] = {"3", "10"};
+
+	pg_write_row(out, values, 2);
+	pg_write_text(out, 'C', "SELECT 1");
+}
+
+/* Runs one query as a server would, with its answer up to ReadyForQuery. */
+void run(server_t &server, const std::string &sql, GByteArray *out)
+{
+	if (sql.rfind("SET group.term", 0) == 0) {
+		server.term_set = true;
+		pg_write_text(out, 'C', "SET");
+	} else if (!server.term_set) {
+		RC_FAIL("a statement ran without a term");
+	} else if (!server.leads) {
+		/* At COMMIT, too: the transaction is rolled back. */
+		fail(server, out, "TH001");
+		if (sql == "COMMIT")
+			server.status = 'I';
+	} else if (sql == "COMMIT") {
+		commit(server, out);
+	} else if (server.status == 'E') {
+		fail(server, out, "25P02");
+	} else if (sql == "BEGIN") {
+		server.status = 'T';
+		pg_write_text(out, 'C', "BEGIN");
+	} else if (sql.find("toucanhook_requests") != std::string::npos) {
+		insert_key(server, out);
+	} else if (sql.find("group_point") != std::string::npos) {
+		point(out);
+	} else {
+		change(server, out);
+	}
+	pg_write_ready(out, server.status);
+}
+
+/* @return false when the connection broke */
+bool answer(server_t &server, exchange_t *exchange, const std::string &sql,
+	    exchange_state_t &state)
+{
+	const int fate = *rc::gen::inRange(0, 12);
+	GByteArray *out = g_byte_array_new();
+	pg_message_t message = {};
+	size_t used = 0;
+
+	server.leads = server.leads && fate != 0;
+	if (fate != 1)
+		run(server, sql, out);
+	/* 1: it died before the statement ran, 2: before it answered. */
+	server.dead = fate == 1 || fate == 2;
+	while (!server.dead &&
+	       pg_frame_next(out->data + used, out->len - used, SIZE_MAX,
+			     &message) == PG_FRAME_READY) {
+		state = exchange_take(exchange, &message);
+		used += message.size_bytes;
+	}
+	g_byte_array_unref(out);
+	return !server.dead;
+}
+
+/* Sends what the exchange wants and plays the answers. */
+exchange_result_t talk(server_t &server, exchange_t *exchange)
+{
+	exchange_state_t state = EXCHANGE_SEND;
+
+	while (state != EXCHANGE_ENDED) {
+		GByteArray *bytes = g_byte_array_new();
+		pg_message_t message = {};
+		size_t used = 0;
+		bool alive = true;
+
+		exchange_send(exchange, bytes);
+		RC_ASSERT(bytes->len > 0);
+		while (alive &&
+		       pg_frame_next(bytes->data + used, bytes->len - used,
+				     SIZE_MAX, &message) == PG_FRAME_READY) {
+			const std::string sql = (const char *)message.body;
+
+			used += message.size_bytes;
+			alive = answer(server, exchange, sql, state);
+		}
+		g_byte_array_unref(bytes);
+		if (!alive)
+			return exchange_broken(exchange, REASON_UNREACHABLE);
+	}
+	return exchange_result(exchange);
+}
+
+/* The SQLSTATE that the caller is shown, or "". */
+std::string shown(exchange_t *exchange)
+{
+	GBytes *bytes = exchange_held(exchange);
+	pg_message_t message = {};
+	std::string sqlstate;
+	gsize size = 0;
+	const uint8_t *data =
+		bytes ? (const uint8_t *)g_bytes_get_data(bytes, &size) : NULL;
+
+	if (data &&
+	    pg_frame_next(data, size, SIZE_MAX, &message) == PG_FRAME_READY &&
+	    message.type == 'E')
+		sqlstate = pg_error_field(&message, 'C');
+	if (bytes)
+		g_bytes_unref(bytes);
+	return sqlstate;
+}
+
+request_t *make_request(bool keyed)
+{
+	request_t *request = request_new();
+	GByteArray *bytes = g_byte_array_new();
+
+	pg_write_query(bytes, "INSERT INTO pairing VALUES (1)");
+	request->kind = REQUEST_WRITE;
+	request->term = TERM;
+	request->request_key = keyed ? g_strdup("key") : NULL;
+	request->bytes = g_byte_array_free_to_bytes(bytes);
+	return request;
+}
+
+/* One attempt: what is said of it must be what happened. */
+exchange_result_t attempt(database_t &database, bool keyed)
+{
+	request_t *request = make_request(keyed);
+	server_t server = {&database, *rc::gen::inRange(0, 8) != 0};
+	exchange_t *exchange =
+		exchange_create(request, exchange_connection_t{0, false});
+	const int before = database.changes;
+	exchange_result_t result = talk(server, exchange);
+	const int made = database.changes - before;
+
+	RC_ASSERT(made == 0 || made == 1);
+	if (result.outcome == OUTCOME_NOT_RUN)
+		RC_ASSERT(made == 0);
+	if (result.outcome == OUTCOME_DONE) {
+		const std::string sqlstate = shown(exchange);
+
+		RC_ASSERT(made == (sqlstate.empty() ? 1 : 0));
+		if (sqlstate == "TH005")
+			RC_ASSERT(database.key);
+		if (sqlstate.empty())
+			RC_ASSERT(result.needs_confirm);
+	}
+	if (server.dead || !server.leads)
+		RC_ASSERT(!result.reusable || result.outcome == OUTCOME_DONE);
+	exchange_destroy(exchange);
+	request_delete(request);
+	return result;
+}
+
+void outcome_tells_the_truth()
+{
+	database_t database;
+
+	attempt(database, *rc::gen::arbitrary<bool>());
+}
+
+/* A keyed change that is repeated until it is done runs at most once. */
+void keyed_change_runs_at_most_once()
+{
+	database_t database;
+
+	for (int i = 0; i < ATTEMPTS; i++) {
+		attempt(database, true);
+		RC_ASSERT(database.changes <= 1);
+		RC_ASSERT(database.key == (database.changes == 1));
+	}
+}
+
+} // namespace
+
+int main()
+{
+	bool good = rc::check("the outcome tells the truth",
+			      outcome_tells_the_truth);
+
+	good &= rc::check("a keyed change runs at most once",
+			  keyed_change_runs_at_most_once);
+	return good ? 0 : 1;
+}
