Answer the batch behind one that was refused at its Sync

A batch refused as a whole left the session skipping messages up to the next Sync, which swallowed the batch behind it; a libpq pipeline showed it.

--- a/src/daemon/session_request.c
+++ b/src/daemon/session_request.c
@@ -378,8 +378,10 @@
 		return;
 	}
 	batch_clear(session->batch);
-	if (!flushes)
-		session_request_ready(session);
+	if (flushes)
+		return;
+	session->discards = false;
+	session_request_ready(session);
 }
 
 static void take_sync(session_t *session)
--- a/tests/unit/fake_backend.h
+++ b/tests/unit/fake_backend.h
@@ -55,7 +55,7 @@
 }
 
 /* The statements so far, joined by newlines. */
-static char *fake_statements(fake_backend_t *backend)
+static G_GNUC_UNUSED char *fake_statements(fake_backend_t *backend)
 {
 	GString *text = g_string_new("");
 	guint i;
