Ask the server to stop what was abandoned

A backend server does not notice a closed connection until it writes; an abandoned statement would go on holding one of its few connections. Sessions above the limit now hear why, explained and temporary statements are looked through as others are, and a login may take a minute, since one slow machine may start a whole shift's.

--- a/src/daemon/callers_task.c
+++ b/src/daemon/callers_task.c
@@ -11,6 +11,7 @@
 
 #include "base/log.h"
 #include "daemon/session.h"
+#include "protocol/pg_frame.h"
 
 /* A whole shift logs on at once. */
 #define BACKLOG 4096
@@ -63,6 +64,19 @@
 	return callers->next_process_id;
 }
 
+/* An error may come ahead of the start-up packet. */
+static void refuse(evutil_socket_t fd)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+
+	log_event(LOG_LEVEL_WARNING, "sessions_full", "limit=%d", SESSIONS_MAX);
+	pg_write_error(out, "FATAL", "53300", "too many sessions", NULL);
+	if (send(fd, out->data, out->len, MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+		log_event(LOG_LEVEL_INFO, "refusal_lost", "limit=%d",
+			  SESSIONS_MAX);
+	close(fd);
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *address, int size, void *context)
 {
@@ -72,9 +86,7 @@
 	uint32_t secret = 0;
 
 	if (g_hash_table_size(callers->sessions) >= SESSIONS_MAX) {
-		log_event(LOG_LEVEL_WARNING, "sessions_full", "limit=%d",
-			  SESSIONS_MAX);
-		close(fd);
+		refuse(fd);
 		return;
 	}
 	RAND_bytes((unsigned char *)&secret, sizeof(secret));
--- a/src/daemon/pool_run.c
+++ b/src/daemon/pool_run.c
@@ -211,15 +211,14 @@
 
 	if (run->state == POOL_RUN_QUEUED)
 		admission_cancel(run->server->admission, run->run_id);
-	/* Its answer could come late, so the connection never serves again. */
 	if (connection)
-		pool_connection_close(connection);
+		pool_connection_abandon(connection);
 	pool_run_free(run);
 }
 
 static void expire_running(pool_run_t *run)
 {
-	pool_connection_close(run->connection);
+	pool_connection_abandon(run->connection);
 	pool_run_broken(run, REASON_DEADLINE);
 }
 
--- a/src/daemon/pool_server.c
+++ b/src/daemon/pool_server.c
@@ -315,6 +315,13 @@
 		pool_server_wake(server);
 }
 
+void pool_connection_abandon(pool_connection_t *connection)
+{
+	if (!connection->server->pool->destroying)
+		server_connection_cancel(connection->link);
+	pool_connection_close(connection);
+}
+
 void pool_connection_start(pool_connection_t *connection, pool_run_t *run)
 {
 	connection->state = POOL_CONNECTION_RUNNING;
--- a/src/daemon/pool_server.h
+++ b/src/daemon/pool_server.h
@@ -24,6 +24,12 @@
 /** Closes a connection and ends its lease; its run is left alone. */
 void pool_connection_close(pool_connection_t *connection);
 
+/**
+ * Closes a connection in mid-answer, since the rest could come late and be
+ * taken for another's, and asks the server to stop the statement.
+ */
+void pool_connection_abandon(pool_connection_t *connection);
+
 /** Rolls back the transaction that was left on a connection. */
 void pool_connection_reset(pool_connection_t *connection);
 
--- a/src/daemon/pool_task.c
+++ b/src/daemon/pool_task.c
@@ -161,7 +161,7 @@
 		pool_connection_reset(connection);
 		return;
 	}
-	pool_connection_close(connection);
+	pool_connection_abandon(connection);
 	if (run)
 		pool_run_broken(run, REASON_CANCELLED);
 }
--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -22,7 +22,7 @@
 #define SESSION_OUTPUT_SIZE_BYTES_MAX (64u * 1024 * 1024)
 
 /** Longest time from connection to the end of the login. */
-#define SESSION_LOGIN_TIMEOUT_MS 15000
+#define SESSION_LOGIN_TIMEOUT_MS 60000
 
 /** Bytes of a node's secret, from which unknown callers get their salt. */
 #define SESSION_HOST_SECRET_SIZE_BYTES 32
--- a/src/protocol/statement.c
+++ b/src/protocol/statement.c
@@ -177,6 +177,11 @@
 		if (kept && strcmp(kept, "t") == 0)
 			findings->refused = "a temporary table";
 	}
+	if (strcmp(key, "schemaname") == 0) {
+		kept = json_string_value(value);
+		if (kept && strcmp(kept, "pg_temp") == 0)
+			findings->refused = "a temporary table";
+	}
 	if (strcmp(key, "DeclareCursorStmt") == 0) {
 		options = json_integer_value(json_object_get(value, "options"));
 		if (options & CURSOR_OPTION_HOLD)
@@ -349,21 +354,11 @@
 	statement->name = g_steal_pointer(&lower);
 }
 
-static void read_explain(json_t *node, statement_t *statement)
-{
-	findings_t findings = {.safe = true};
-
-	look(json_object_get(node, "query"), 0, &findings);
-	statement->statement_class =
-		findings.safe ? STATEMENT_READ : STATEMENT_WRITE;
-}
-
-static void read_other(const char *type, json_t *node, statement_t *statement)
+static void read_other(json_t *tree, statement_t *statement)
 {
 	findings_t findings = {.safe = true};
 
-	look_at_key(type, node, &findings);
-	look(node, 0, &findings);
+	look(tree, 0, &findings);
 	statement->statement_class = STATEMENT_WRITE;
 	if (findings.refused) {
 		statement->statement_class = STATEMENT_REFUSED;
@@ -392,9 +387,9 @@
 	else if (strcmp(type, "DiscardStmt") == 0)
 		statement->statement_class = STATEMENT_RESET;
 	else if (strcmp(type, "ExplainStmt") == 0)
-		read_explain(node, statement);
+		read_other(json_object_get(node, "query"), statement);
 	else
-		read_other(type, node, statement);
+		read_other(stmt, statement);
 }
 
 /* Adds one of several statements to what is known of the text. */
--- /dev/null
+++ b/src/transport/server_cancel.h
@@ -0,0 +1,16 @@
+#ifndef TRANSPORT_SERVER_CANCEL_H
+#define TRANSPORT_SERVER_CANCEL_H
+
+#include <netinet/in.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+
+/** Longest life of the connection that carries a CancelRequest. */
+#define SERVER_CANCEL_TIMEOUT_MS 2000
+
+/** Sends a CancelRequest to a backend server; it frees itself. */
+void server_cancel(struct event_base *base, const struct sockaddr_in *address,
+		   uint32_t process_id, uint32_t secret);
+
+#endif
--- a/src/transport/server_connection.c
+++ b/src/transport/server_connection.c
@@ -8,6 +8,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
+#include "transport/server_cancel.h"
+
 #define SQLSTATE_SIZE 6
 #define READ_SIZE_BYTES (256u * 1024)
 #define AUTHENTICATION_OK 0
@@ -19,6 +21,10 @@
 	bool ready;
 	bool *destroyed; /* set while messages are handed over */
 	char sqlstate[SQLSTATE_SIZE];
+	struct event_base *base;
+	struct sockaddr_in address;
+	uint32_t process_id; /* 0 before the server told */
+	uint32_t secret;
 };
 
 static void tell_closed(server_connection_t *connection)
@@ -64,6 +70,10 @@
 	/* Backend servers trust the proxy's address; there is no password. */
 	if (message->type == 'R' && pg_read_u32(&reader) != AUTHENTICATION_OK)
 		return false;
+	if (message->type == 'K') {
+		connection->process_id = pg_read_u32(&reader);
+		connection->secret = pg_read_u32(&reader);
+	}
 	if (message->type == 'Z') {
 		connection->ready = true;
 		event_del(connection->timer);
@@ -193,11 +203,10 @@
 		.tv_sec = SERVER_CONNECTION_OPEN_TIMEOUT_MS / 1000,
 	};
 	const struct timeval now = {0};
-	struct sockaddr_in address = {
-		.sin_family = AF_INET,
-		.sin_port = htons(target->port),
-	};
 
+	connection->base = base;
+	connection->address.sin_family = AF_INET;
+	connection->address.sin_port = htons(target->port);
 	connection->handlers = handlers;
 	connection->timer = evtimer_new(base, on_timer, connection);
 	connection->bev = bufferevent_socket_new(
@@ -206,10 +215,11 @@
 	bufferevent_set_max_single_read(connection->bev, READ_SIZE_BYTES);
 	bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
 	send_startup(connection, target);
-	if (inet_pton(AF_INET, target->address, &address.sin_addr) != 1 ||
+	if (inet_pton(AF_INET, target->address,
+		      &connection->address.sin_addr) != 1 ||
 	    bufferevent_socket_connect(connection->bev,
-				       (struct sockaddr *)&address,
-				       sizeof(address)) < 0) {
+				       (struct sockaddr *)&connection->address,
+				       sizeof(connection->address)) < 0) {
 		event_add(connection->timer, &now);
 		return connection;
 	}
@@ -234,3 +244,10 @@
 {
 	bufferevent_write(connection->bev, bytes, size_bytes);
 }
+
+void server_connection_cancel(const server_connection_t *connection)
+{
+	if (connection->process_id)
+		server_cancel(connection->base, &connection->address,
+			      connection->process_id, connection->secret);
+}
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -49,6 +49,12 @@
 /** Closes at once; no handler is called any more. */
 void server_connection_destroy(server_connection_t *connection);
 
+/**
+ * Asks the server to stop what runs on the connection, by a short connection
+ * of its own. Nothing is heard of it; the connection is closed next.
+ */
+void server_connection_cancel(const server_connection_t *connection);
+
 void server_connection_send(server_connection_t *connection,
 			    const uint8_t *bytes, size_t size_bytes);
 
--- a/tests/unit/fake_backend.h
+++ b/tests/unit/fake_backend.h
@@ -25,6 +25,8 @@
  *   die ...                       the connection closes
  *   fail SQLSTATE                 an error
  */
+#define FAKE_SECRET 4711u
+
 typedef struct {
 	struct evconnlistener *listener;
 	uint16_t port;
@@ -202,15 +204,35 @@
 	bufferevent_write(session->bev, out->data, out->len);
 }
 
+/* A CancelRequest is logged and the connection closed. */
+static bool fake_cancel(fake_session_t *session, const pg_message_t *message)
+{
+	pg_reader_t reader = pg_reader(message);
+	g_autofree char *text = NULL;
+
+	if (pg_read_u32(&reader) != PG_CODE_CANCEL)
+		return false;
+	text = g_strdup_printf("cancel %u", pg_read_u32(&reader));
+	if (pg_read_u32(&reader) == FAKE_SECRET)
+		fake_log(session, text);
+	fake_free(session);
+	return true;
+}
+
 static void fake_startup(fake_session_t *session)
 {
 	g_autoptr(GByteArray) out = g_byte_array_new();
+	size_t mark;
 
 	session->started = true;
 	if (g_atomic_int_get(&session->backend->refuse)) {
 		pg_write_error(out, "FATAL", "53300", "full", NULL);
 	} else {
 		pg_write_authentication(out, 0, NULL, 0);
+		mark = pg_write_begin(out, 'K');
+		pg_write_u32(out, (uint32_t)session->number);
+		pg_write_u32(out, FAKE_SECRET);
+		pg_write_end(out, mark);
 		pg_write_ready(out, 'I');
 	}
 	bufferevent_write(session->bev, out->data, out->len);
@@ -233,6 +255,8 @@
 		if (!size || result != PG_FRAME_READY)
 			return;
 		if (!session->started) {
+			if (fake_cancel(session, &message))
+				return;
 			fake_startup(session);
 		} else if (message.type == 'Q' &&
 			   g_str_has_prefix((const char *)message.body,
