--- a/src/daemon/callers_task.c
+++ b/src/daemon/callers_task.c
@@ -11,10 +11,14 @@
 
 #include "base/log.h"
 #include "daemon/session.h"
+#include "protocol/pg_frame.h"
 
 /* A whole shift logs on at once. */
 #define BACKLOG 4096
 
+/* Texts whose class is remembered. */
+#define STATEMENTS_MAX 4096
+
 /* Sessions of one node; more are refused. */
 #define SESSIONS_MAX 20000
 
@@ -60,6 +64,19 @@
 	return callers->next_process_id;
 }
 
+/* An error may come ahead of the start-up packet. */
+static void refuse(evutil_socket_t fd)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+
+	log_event(LOG_LEVEL_WARNING, "sessions_full", "limit=%d", SESSIONS_MAX);
+	pg_write_error(out, "FATAL", "53300", "too many sessions", NULL);
+	if (send(fd, out->data, out->len, MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+		log_event(LOG_LEVEL_INFO, "refusal_lost", "limit=%d",
+			  SESSIONS_MAX);
+	close(fd);
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *address, int size, void *context)
 {
@@ -69,9 +86,7 @@
 	uint32_t secret = 0;
 
 	if (g_hash_table_size(callers->sessions) >= SESSIONS_MAX) {
-		log_event(LOG_LEVEL_WARNING, "sessions_full", "limit=%d",
-			  SESSIONS_MAX);
-		close(fd);
+		refuse(fd);
 		return;
 	}
 	RAND_bytes((unsigned char *)&secret, sizeof(secret));
@@ -133,12 +148,14 @@
 		.base = base,
 		.metrics = metrics,
 		.dispatch = dispatch,
+		.statements = statement_cache_create(STATEMENTS_MAX),
 		.cancel = on_cancel,
 		.ended = on_ended,
 		.context = callers,
 	};
 	callers->sessions = g_hash_table_new(NULL, NULL);
 	callers->connected = metrics_gauge(metrics, "toucanhook_sessions", "");
+	RAND_bytes(callers->host.secret, sizeof(callers->host.secret));
 	/* Random, so that sessions of two nodes do not share a number. */
 	RAND_bytes((unsigned char *)&callers->next_session_id,
 		   sizeof(callers->next_session_id));
@@ -174,6 +191,7 @@
 	for (link = sessions; link; link = link->next)
 		session_destroy(link->data);
 	g_hash_table_destroy(callers->sessions);
+	statement_cache_destroy(callers->host.statements);
 	SSL_CTX_free(callers->host.tls);
 	g_free(callers);
 }
