--- a/src/coordination/detector.c
+++ b/src/coordination/detector.c
@@ -253,10 +253,13 @@
 	else if (primary && primary->result == SERVER_UNREACHABLE &&
 		 !detector->refused_ms)
 		detector->refused_ms = now_ms;
-	if (!fence_seen(detector))
+	/* Only a canvass that is over shows that no fence is there. */
+	if (fence_seen(detector)) {
+		if (!detector->fenced_ms)
+			detector->fenced_ms = now_ms;
+	} else if (!detector->pending) {
 		detector->fenced_ms = 0;
-	else if (!detector->fenced_ms)
-		detector->fenced_ms = now_ms;
+	}
 }
 
 /* @return false while nothing shows that the primary is lost */
--- /dev/null
+++ b/tests/unit/test_group_note.c
@@ -0,0 +1,121 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "protocol/group_note.h"
+
+#define FUZZ_SEED 20261204
+#define FUZZ_ROUNDS 200000
+
+static group_note_t sample(void)
+{
+	return (group_note_t){
+		.kind = GROUP_NOTE_ANSWER,
+		.id = UINT64_MAX,
+		.database = "match",
+		.server = "match-1",
+		.primary = "match-2",
+		.operation = SERVER_FENCE,
+		.term = 1ull << 40,
+		.point = {3, 4},
+		.timeout_ms = 50,
+		.result = SERVER_REFUSED,
+		.has_status = true,
+		.status = {.role = SERVER_PRIMARY,
+			   .term = 5,
+			   .fence = 6,
+			   .last = {7, 8},
+			   .replayed = {9, 10},
+			   .upstream_age_ms = 11},
+	};
+}
+
+static void test_note_arrives_as_it_was_sent(void **state)
+{
+	const group_note_t sent = sample();
+	uint8_t bytes[GROUP_NOTE_SIZE_BYTES_MAX];
+	const size_t size = group_note_encode(&sent, bytes, sizeof(bytes));
+	group_note_t got;
+
+	memset(&got, 0, sizeof(got));
+	assert_true(group_note_decode(bytes, size, &got));
+	assert_string_equal(got.database, sent.database);
+	assert_string_equal(got.server, sent.server);
+	assert_string_equal(got.primary, sent.primary);
+	assert_int_equal(got.id, sent.id);
+	assert_int_equal(got.term, sent.term);
+	assert_int_equal(got.result, sent.result);
+	assert_int_equal(got.point.position, sent.point.position);
+	assert_int_equal(got.status.role, sent.status.role);
+	assert_int_equal(got.status.fence, sent.status.fence);
+	assert_int_equal(got.status.last.position, sent.status.last.position);
+	assert_int_equal(got.status.replayed.term, sent.status.replayed.term);
+}
+
+static void test_longest_names_fit(void **state)
+{
+	group_note_t note = sample();
+	uint8_t bytes[GROUP_NOTE_SIZE_BYTES_MAX];
+
+	memset(note.database, 'd', sizeof(note.database) - 1);
+	memset(note.server, 's', sizeof(note.server) - 1);
+	memset(note.primary, 'p', sizeof(note.primary) - 1);
+	assert_true(group_note_encode(&note, bytes, sizeof(bytes)) > 0);
+	assert_int_equal(group_note_encode(&note, bytes, 20), 0);
+}
+
+static void test_answer_without_status_is_not_a_success(void **state)
+{
+	group_note_t note = sample();
+	uint8_t bytes[GROUP_NOTE_SIZE_BYTES_MAX];
+	size_t size;
+
+	note.result = SERVER_OK;
+	note.has_status = false;
+	size = group_note_encode(&note, bytes, sizeof(bytes));
+	assert_false(group_note_decode(bytes, size, &note));
+}
+
+/* What decodes is within bounds, whatever the bytes. */
+static void test_damaged_notes_are_refused_or_bounded(void **state)
+{
+	g_autoptr(GRand) random = g_rand_new_with_seed(FUZZ_SEED);
+	const group_note_t note = sample();
+	uint8_t bytes[GROUP_NOTE_SIZE_BYTES_MAX];
+	const size_t size = group_note_encode(&note, bytes, sizeof(bytes));
+
+	for (uint32_t i = 0; i < FUZZ_ROUNDS; i++) {
+		g_autofree uint8_t *damaged = g_memdup2(bytes, size);
+		const int hits = g_rand_int_range(random, 1, 5);
+		const size_t cut =
+			(size_t)g_rand_int_range(random, 0, (int)size + 1);
+		group_note_t got = {0};
+
+		for (int j = 0; j < hits; j++)
+			damaged[g_rand_int_range(random, 0, (int)size)] =
+				(uint8_t)g_rand_int(random);
+		if (!group_note_decode(damaged, cut, &got))
+			continue;
+		assert_true(got.kind < GROUP_NOTE_KIND_COUNT);
+		assert_true(got.operation < SERVER_OPERATION_COUNT);
+		assert_true(got.result < SERVER_RESULT_COUNT);
+		assert_true(got.status.role < SERVER_ROLE_COUNT);
+		assert_non_null(memchr(got.server, 0, GROUP_SERVER_NAME_SIZE));
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_note_arrives_as_it_was_sent),
+		cmocka_unit_test(test_longest_names_fit),
+		cmocka_unit_test(test_answer_without_status_is_not_a_success),
+		cmocka_unit_test(test_damaged_notes_are_refused_or_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
