--- /dev/null
+++ b/src/daemon/peers_task.c
@@ -0,0 +1,501 @@
+#include "daemon/peers_task.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/membership.h"
+#include "daemon/peer_calls.h"
+#include "daemon/peer_directory.h"
+#include "daemon/peer_served.h"
+#include "daemon/peer_traffic.h"
+#include "protocol/peer_message.h"
+#include "transport/peer_socket.h"
+
+/* How often calls and links are looked through, and seeds are asked. */
+#define SWEEP_MS 100
+#define SEED_MS 1000
+
+struct peers_task {
+	const settings_t *settings;
+	peers_handlers_t handlers;
+	peer_socket_t *socket;
+	membership_t *membership;
+	peer_calls_t *calls;
+	peer_served_t *served;
+	peer_directory_t *directory;
+	struct event *timer;
+	struct event *sweep;
+	struct event *soon; /* tells of a changed view from the loop */
+	uint64_t sequence;
+	uint64_t seen_version;
+	uint64_t told_version;
+	uint64_t seeded_ms;
+	uint32_t next_seed;
+	peer_traffic_t traffic;
+};
+
+static struct timeval timeval_ms(uint64_t delay_ms)
+{
+	return (struct timeval){
+		.tv_sec = (time_t)(delay_ms / 1000),
+		.tv_usec = (suseconds_t)(delay_ms % 1000 * 1000),
+	};
+}
+
+static void arm(struct event *event, uint64_t delay_ms)
+{
+	const struct timeval delay = timeval_ms(delay_ms);
+
+	event_add(event, &delay);
+}
+
+/* Sending */
+
+static void sign(peers_task_t *peers, peer_message_t *message)
+{
+	g_strlcpy(message->sender, peers->settings->node,
+		  sizeof(message->sender));
+	message->incarnation = membership_incarnation(peers->membership);
+	message->sequence = ++peers->sequence;
+}
+
+static bool send_on(peers_task_t *peers, peer_link_t *link,
+		    const peer_message_t *message)
+{
+	const peer_lane_t lane = peer_traffic_lane(message->kind);
+	const uint64_t tag =
+		message->kind == PEER_MESSAGE_REQUEST ? message->call_id : 0;
+	peer_message_t signed_message = *message;
+	g_autoptr(GBytes) bytes = NULL;
+
+	sign(peers, &signed_message);
+	bytes = peer_message_encode(&signed_message);
+	if (!peer_link_send(link, lane, bytes, tag))
+		return false;
+	peer_traffic_count(&peers->traffic.sent[lane], g_bytes_get_size(bytes));
+	return true;
+}
+
+static bool send_beat(peers_task_t *peers, peer_link_t *link,
+		      const membership_beat_t *beat)
+{
+	g_autoptr(peer_message_t) message =
+		peer_message_new(PEER_MESSAGE_HEARTBEAT);
+	peer_heartbeat_t *heartbeat = message->heartbeat;
+
+	heartbeat->members_digest = beat->digest;
+	heartbeat->wants_reply = beat->wants_reply;
+	heartbeat->members_count = beat->records_count;
+	memcpy(heartbeat->members, beat->records,
+	       beat->records_count * sizeof(*beat->records));
+	heartbeat->digest_size_bytes = peers->handlers.digest(
+		peers->handlers.context, heartbeat->digest,
+		sizeof(heartbeat->digest));
+	return send_on(peers, link, message);
+}
+
+static void introduce(void *context, peer_link_t *link)
+{
+	peers_task_t *peers = context;
+	member_record_t record;
+	membership_beat_t beat;
+
+	membership_introduce(peers->membership, &record, &beat);
+	send_beat(peers, link, &beat);
+}
+
+static peer_link_t *link_to(peers_task_t *peers, const char *node)
+{
+	return peer_directory_link(peers->directory, node, clock_now_ms());
+}
+
+static bool send_to(void *context, const char *node,
+		    const peer_message_t *message)
+{
+	peers_task_t *peers = context;
+	peer_link_t *link = link_to(peers, node);
+
+	return link && send_on(peers, link, message);
+}
+
+static bool withdraw_from(void *context, const char *node, uint64_t call_id)
+{
+	peers_task_t *peers = context;
+	const peer_t *peer = peer_directory_find(peers->directory, node);
+
+	return peer && peer->link && peer_link_withdraw(peer->link, call_id);
+}
+
+/* Members */
+
+/* What is still queued is withdrawn by its call before the link goes. */
+static void on_peer_changed(void *context, const peer_t *peer)
+{
+	peers_task_t *peers = context;
+	const uint64_t lives = peer->is_dead ? 0 : peer->incarnation;
+
+	log_event(LOG_LEVEL_INFO, "peer_changed",
+		  "node=%s incarnation=%" G_GUINT64_FORMAT, peer->name, lives);
+	peer_calls_peer_changed(peers->calls, peer->name, lives);
+	peer_served_peer_changed(peers->served, peer->name, lives,
+				 clock_now_ms());
+	if (!peer->is_in_view)
+		peer_served_forget(peers->served, peer->name);
+}
+
+/* Brings links, calls and served requests in line with the members. */
+static void follow_view(peers_task_t *peers)
+{
+	const member_view_t *view = membership_view(peers->membership);
+
+	if (view->version == peers->seen_version)
+		return;
+	peers->seen_version = view->version;
+	peer_directory_follow(peers->directory, view);
+	event_active(peers->soon, EV_TIMEOUT, 0);
+}
+
+static void tell_members(evutil_socket_t fd, short what, void *context)
+{
+	peers_task_t *peers = context;
+	const member_view_t *view = membership_view(peers->membership);
+
+	peer_calls_run(peers->calls, clock_now_ms());
+	if (view->version == peers->told_version)
+		return;
+	peers->told_version = view->version;
+	peers->handlers.members(peers->handlers.context, view);
+}
+
+static void send_membership(void *context, const member_t *to,
+			    const membership_beat_t *beat)
+{
+	peers_task_t *peers = context;
+	peer_link_t *link = link_to(peers, to->name);
+
+	if (link)
+		send_beat(peers, link, beat);
+}
+
+static void arm_timer(peers_task_t *peers)
+{
+	const uint64_t next_ms = membership_next_ms(peers->membership);
+	const uint64_t now_ms = clock_now_ms();
+
+	arm(peers->timer, next_ms > now_ms ? next_ms - now_ms : 0);
+}
+
+/* To be called after anything that the membership has taken in. */
+static void after_membership(peers_task_t *peers)
+{
+	follow_view(peers);
+	arm_timer(peers);
+}
+
+static void run_membership(evutil_socket_t fd, short what, void *context)
+{
+	peers_task_t *peers = context;
+
+	membership_run(peers->membership, clock_now_ms(), send_membership,
+		       peers);
+	after_membership(peers);
+}
+
+/* Receiving */
+
+static void take_heartbeat(peers_task_t *peers, const peer_message_t *message)
+{
+	const peer_heartbeat_t *heartbeat = message->heartbeat;
+	const membership_beat_t beat = {
+		.digest = heartbeat->members_digest,
+		.wants_reply = heartbeat->wants_reply,
+		.records = heartbeat->members,
+		.records_count = heartbeat->members_count,
+	};
+
+	membership_heard(peers->membership, &beat, clock_now_ms());
+	after_membership(peers);
+	if (heartbeat->digest_size_bytes)
+		peers->handlers.digest_seen(peers->handlers.context,
+					    message->sender, heartbeat->digest,
+					    heartbeat->digest_size_bytes);
+}
+
+static void take_note(peers_task_t *peers, const peer_message_t *message)
+{
+	gsize size_bytes;
+	const uint8_t *bytes = g_bytes_get_data(message->bytes, &size_bytes);
+
+	if (message->note_kind >= PEERS_NOTE_COUNT ||
+	    size_bytes > PEERS_NOTE_SIZE_BYTES_MAX) {
+		metric_add(peers->traffic.dropped_malformed, 1);
+		return;
+	}
+	peers->handlers.note(peers->handlers.context, message->sender,
+			     (peers_note_kind_t)message->note_kind, bytes,
+			     size_bytes);
+}
+
+/* A request meant for an earlier process of this node is not run by this. */
+static void take_request(peers_task_t *peers, const peer_message_t *message)
+{
+	if (message->receiver_incarnation &&
+	    message->receiver_incarnation !=
+		    membership_incarnation(peers->membership)) {
+		metric_add(peers->traffic.dropped_stale, 1);
+		return;
+	}
+	peer_served_request(peers->served, message);
+}
+
+static void take_answer(peers_task_t *peers, const peer_message_t *message)
+{
+	const peer_calls_drops_t before = peer_calls_drops(peers->calls);
+	peer_calls_drops_t after;
+
+	peer_calls_answer(peers->calls, message, clock_now_ms());
+	after = peer_calls_drops(peers->calls);
+	metric_add(peers->traffic.answers_dropped,
+		   after.late_count - before.late_count + after.twice_count -
+			   before.twice_count);
+}
+
+static void dispatch(peers_task_t *peers, const peer_message_t *message)
+{
+	switch (message->kind) {
+	case PEER_MESSAGE_REQUEST:
+		take_request(peers, message);
+		return;
+	case PEER_MESSAGE_CHUNK:
+	case PEER_MESSAGE_END:
+		take_answer(peers, message);
+		return;
+	case PEER_MESSAGE_CANCEL:
+		peer_served_cancel(peers->served, message, clock_now_ms());
+		return;
+	case PEER_MESSAGE_RELEASE:
+		peer_served_release(peers->served, message);
+		return;
+	case PEER_MESSAGE_NOTE:
+		take_note(peers, message);
+		return;
+	default:
+		return;
+	}
+}
+
+static void on_received(void *context, const uint8_t *bytes, size_t size_bytes)
+{
+	peers_task_t *peers = context;
+	g_autoptr(peer_message_t) message =
+		peer_message_decode(bytes, size_bytes);
+
+	if (!message) {
+		metric_add(peers->traffic.dropped_malformed, 1);
+		log_event(LOG_LEVEL_WARNING, "peer_message_malformed",
+			  "size_bytes=%zu", size_bytes);
+		return;
+	}
+	peer_traffic_count(
+		&peers->traffic.received[peer_traffic_lane(message->kind)],
+		size_bytes);
+	if (message->kind == PEER_MESSAGE_HEARTBEAT) {
+		take_heartbeat(peers, message);
+		return;
+	}
+	if (!membership_seen(peers->membership, message->sender,
+			     message->incarnation, clock_now_ms())) {
+		metric_add(peers->traffic.dropped_stale, 1);
+		return;
+	}
+	after_membership(peers);
+	dispatch(peers, message);
+}
+
+/* Sweeping */
+
+static void ask_seed(peers_task_t *peers, uint64_t now_ms)
+{
+	const settings_t *settings = peers->settings;
+	const settings_endpoint_t *seed;
+
+	if (!settings->seeds_count || now_ms < peers->seeded_ms + SEED_MS ||
+	    !membership_is_alone(peers->membership))
+		return;
+	peers->seeded_ms = now_ms;
+	seed = &settings->seeds[peers->next_seed++ % settings->seeds_count];
+	introduce(peers, peer_directory_seed(peers->directory, seed, now_ms));
+}
+
+static void sweep(evutil_socket_t fd, short what, void *context)
+{
+	peers_task_t *peers = context;
+	const uint64_t now_ms = clock_now_ms();
+
+	peer_calls_run(peers->calls, now_ms);
+	peer_served_run(peers->served, now_ms);
+	metric_set(peers->traffic.duplicates,
+		   (int64_t)peer_served_duplicates(peers->served));
+	peer_directory_close_idle(peers->directory, now_ms);
+	ask_seed(peers, now_ms);
+	arm(peers->sweep, SWEEP_MS);
+}
+
+/* Construction */
+
+static member_t describe_self(const settings_t *settings, uint16_t port)
+{
+	member_t self = {
+		.peer_port = port,
+		/* Names this process; is never compared with a clock. */
+		.incarnation = (uint64_t)g_get_real_time(),
+	};
+
+	g_strlcpy(self.name, settings->node, sizeof(self.name));
+	g_strlcpy(self.address, settings->peers.address, sizeof(self.address));
+	g_strlcpy(self.failure_domain, settings->failure_domain,
+		  sizeof(self.failure_domain));
+	g_strlcpy(self.region, settings->region, sizeof(self.region));
+	return self;
+}
+
+static void create_parts(peers_task_t *peers, struct event_base *base)
+{
+	const peer_calls_link_t calls_link = {
+		.send = send_to,
+		.withdraw = withdraw_from,
+		.context = peers,
+	};
+	const peer_served_link_t served_link = {
+		.send = send_to,
+		.context = peers,
+	};
+	const peer_directory_calls_t directory_calls = {
+		.opened = introduce,
+		.changed = on_peer_changed,
+		.context = peers,
+	};
+	const member_t self =
+		describe_self(peers->settings, peer_socket_port(peers->socket));
+
+	peers->directory = peer_directory_create(peers->socket, peers->settings,
+						 directory_calls);
+	peers->membership =
+		membership_create(&self, self.incarnation, clock_now_ms());
+	peers->calls = peer_calls_create(calls_link);
+	peers->served = peer_served_create(served_link, &peers->handlers);
+	peers->timer = evtimer_new(base, run_membership, peers);
+	peers->sweep = evtimer_new(base, sweep, peers);
+	peers->soon = evtimer_new(base, tell_members, peers);
+}
+
+peers_task_t *peers_task_create(struct event_base *base, metrics_t *metrics,
+				const settings_t *settings,
+				peers_handlers_t handlers, GError **error)
+{
+	const peer_socket_settings_t socket_settings = {
+		.address = settings->peers.address,
+		.port = settings->peers.port,
+		.public_key = settings->fleet_public_key,
+		.secret_key = settings->fleet_secret_key,
+	};
+	peers_task_t *peers = g_new0(peers_task_t, 1);
+
+	peers->settings = settings;
+	peers->handlers = handlers;
+	peers->traffic = peer_traffic_make(metrics);
+	peers->socket = peer_socket_create(base, &socket_settings, on_received,
+					   peers, error);
+	if (!peers->socket) {
+		g_free(peers);
+		return NULL;
+	}
+	create_parts(peers, base);
+	follow_view(peers);
+	arm(peers->timer, 0);
+	arm(peers->sweep, SWEEP_MS);
+	return peers;
+}
+
+void peers_task_destroy(peers_task_t *peers)
+{
+	if (!peers)
+		return;
+	event_free(peers->timer);
+	event_free(peers->sweep);
+	event_free(peers->soon);
+	peer_directory_destroy(peers->directory);
+	peer_socket_destroy(peers->socket);
+	peer_calls_destroy(peers->calls);
+	peer_served_destroy(peers->served);
+	membership_destroy(peers->membership);
+	g_free(peers);
+}
+
+/* Calls from other tasks */
+
+void peers_task_listed(peers_task_t *peers, const member_t *members,
+		       uint32_t members_count)
+{
+	membership_listed(peers->membership, members, members_count,
+			  clock_now_ms());
+	arm_timer(peers);
+}
+
+const member_view_t *peers_task_view(const peers_task_t *peers)
+{
+	return membership_view(peers->membership);
+}
+
+void peers_task_submit(peers_task_t *peers, const char *node,
+		       const request_t *request, answer_sink_t sink)
+{
+	const peer_t *peer = peer_directory_find(peers->directory, node);
+	const uint64_t now_ms = clock_now_ms();
+
+	if (!peer || peer->is_dead || !peer->port) {
+		peer_calls_refuse(peers->calls, request, REASON_UNREACHABLE,
+				  sink, now_ms);
+		event_active(peers->soon, EV_TIMEOUT, 0);
+		return;
+	}
+	peer_calls_submit(peers->calls, node,
+			  membership_incarnation(peers->membership),
+			  peer->incarnation, request, sink, now_ms);
+}
+
+void peers_task_cancel(peers_task_t *peers, uint64_t request_id,
+		       void *sink_context)
+{
+	peer_calls_cancel(peers->calls, request_id, sink_context,
+			  clock_now_ms());
+}
+
+void peers_task_release(peers_task_t *peers, const char *node,
+			uint64_t lease_id)
+{
+	g_autoptr(peer_message_t) message =
+		peer_message_new(PEER_MESSAGE_RELEASE);
+
+	message->lease_id = lease_id;
+	send_to(peers, node, message);
+}
+
+void peers_task_note(peers_task_t *peers, const char *node,
+		     peers_note_kind_t kind, const uint8_t *bytes,
+		     size_t size_bytes)
+{
+	g_autoptr(peer_message_t) message = peer_message_new(PEER_MESSAGE_NOTE);
+
+	g_assert(size_bytes <= PEERS_NOTE_SIZE_BYTES_MAX);
+	message->note_kind = kind;
+	message->bytes = g_bytes_new(bytes, size_bytes);
+	send_to(peers, node, message);
+}
+
+void peers_task_leave(peers_task_t *peers)
+{
+	membership_leave(peers->membership, clock_now_ms());
+	arm_timer(peers);
+}
