--- /dev/null
+++ b/tests/e2e/test_limits.c
@@ -0,0 +1,256 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <poll.h>
+#include <signal.h>
+
+#include "world/load_run.h"
+#include "world/world.h"
+#include "world/world_files.h"
+
+#define WAIT_MS 30000u
+#define SHIFT_LOGINS 2000u
+#define SETTLED_US 1000000u
+#define RESTARTS 3u
+#define LOAD_COMMITS 200
+#define LOAD_ARGUMENTS                                                   \
+	"--seconds=90 --sessions=40 --reads=0.5 --hand-over=0.2 --roam " \
+	"--request-keys"
+
+static world_t *world;
+static char *database;
+
+static int set_up(void **state)
+{
+	deployment_t deployment = deployment_tauhara();
+	g_autoptr(GError) error = NULL;
+
+	world = world_create(&deployment, &error);
+	if (!world) {
+		fprintf(stderr, "%s\n", error->message);
+		return -1;
+	}
+	database = world_database(world, 0, 0);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	world_destroy(world);
+	g_free(database);
+	return 0;
+}
+
+static json_int_t count_of(const world_server_t *server, const char *name)
+{
+	json_t *state = http_ask_json(server->control_port, "/state");
+	const json_int_t count = json_integer_value(
+		json_object_get(json_object_get(state, "counts"), name));
+
+	json_decref(state);
+	return count;
+}
+
+static json_int_t count_all(const char *name)
+{
+	json_int_t sum = 0;
+
+	for (guint i = 0; i < world->servers->len; i++)
+		sum += count_of(world->servers->pdata[i], name);
+	return sum;
+}
+
+/* A step of one login or statement. @return the events it waits for */
+typedef short (*step_t)(PGconn *conn);
+
+static short login_step(PGconn *conn)
+{
+	switch (PQconnectPoll(conn)) {
+	case PGRES_POLLING_READING:
+		return POLLIN;
+	case PGRES_POLLING_WRITING:
+		return POLLOUT;
+	default:
+		return 0;
+	}
+}
+
+static short answer_step(PGconn *conn)
+{
+	if (PQstatus(conn) != CONNECTION_OK || !PQconsumeInput(conn))
+		return 0;
+	return PQisBusy(conn) ? POLLIN : 0;
+}
+
+/* Drives every connection until none waits. */
+static void drive(PGconn **conns, struct pollfd *polls, step_t step)
+{
+	uint32_t waiting = SHIFT_LOGINS;
+
+	while (waiting) {
+		assert_true(poll(polls, SHIFT_LOGINS, (int)WAIT_MS) > 0);
+		for (uint32_t i = 0; i < SHIFT_LOGINS; i++) {
+			if (!polls[i].revents)
+				continue;
+			polls[i].events = step(conns[i]);
+			if (polls[i].events)
+				continue;
+			polls[i].fd = -1;
+			polls[i].revents = 0;
+			waiting--;
+		}
+	}
+}
+
+static void shift_log_on(PGconn **conns, struct pollfd *polls)
+{
+	g_autofree char *conninfo = world_conninfo(
+		world, world_node(world, 0, 0), database,
+		world->deployment.classes[0].name, "connect_timeout=30");
+
+	for (uint32_t i = 0; i < SHIFT_LOGINS; i++) {
+		conns[i] = PQconnectStart(conninfo);
+		assert_non_null(conns[i]);
+		polls[i].fd = PQsocket(conns[i]);
+		polls[i].events = POLLOUT;
+	}
+	drive(conns, polls, login_step);
+}
+
+static void shift_books(PGconn **conns, struct pollfd *polls)
+{
+	for (uint32_t i = 0; i < SHIFT_LOGINS; i++) {
+		g_autofree char *sql = g_strdup_printf(
+			"INSERT INTO shift VALUES ('worker-%u', 'on')", i);
+
+		assert_true(PQsendQuery(conns[i], sql));
+		polls[i].fd = PQsocket(conns[i]);
+		polls[i].events = POLLIN;
+	}
+	drive(conns, polls, answer_step);
+}
+
+static void create_table(void)
+{
+	PGconn *conn = world_connect(world, world_node(world, 0, 0), database);
+	PGresult *result = PQexec(conn, "CREATE TABLE IF NOT EXISTS shift "
+					"(key text PRIMARY KEY, value text)");
+
+	assert_int_equal(PQresultStatus(result), PGRES_COMMAND_OK);
+	PQclear(result);
+	PQfinish(conn);
+}
+
+/* Connections that the start of the world still opens are waited for. */
+static json_int_t await_settled_connections(void)
+{
+	json_int_t before = -1;
+	json_int_t now = count_all("connections_open");
+
+	while (now != before) {
+		g_usleep(SETTLED_US);
+		before = now;
+		now = count_all("connections_open");
+	}
+	return now;
+}
+
+/* Logins alone cost no backend connection, and the whole shift is served. */
+static void test_shift_logs_on_at_once(void **state)
+{
+	PGconn **conns = g_new0(PGconn *, SHIFT_LOGINS);
+	struct pollfd *polls = g_new0(struct pollfd, SHIFT_LOGINS);
+	json_int_t opened;
+	uint32_t served = 0;
+
+	create_table();
+	opened = await_settled_connections();
+	shift_log_on(conns, polls);
+	for (uint32_t i = 0; i < SHIFT_LOGINS; i++)
+		assert_int_equal(PQstatus(conns[i]), CONNECTION_OK);
+	world->failed = count_all("connections_open") != opened;
+	assert_false(world->failed);
+	shift_books(conns, polls);
+	for (uint32_t i = 0; i < SHIFT_LOGINS; i++) {
+		PGresult *result = PQgetResult(conns[i]);
+
+		served += PQresultStatus(result) == PGRES_COMMAND_OK;
+		if (PQresultStatus(result) != PGRES_COMMAND_OK &&
+		    served + 5 > i)
+			fprintf(stderr, "%s", PQresultErrorMessage(result));
+		PQclear(result);
+		PQfinish(conns[i]);
+	}
+	world->failed = served != SHIFT_LOGINS;
+	assert_int_equal(served, SHIFT_LOGINS);
+	assert_int_equal(count_all("connections_refused"), 0);
+	g_free(conns);
+	g_free(polls);
+}
+
+static bool has_commits(void *context)
+{
+	return count_all("commits") >= *(json_int_t *)context;
+}
+
+static void await_commits(json_int_t more)
+{
+	json_int_t enough = count_all("commits") + more;
+
+	world->failed = !world_wait(WAIT_MS, has_commits, &enough);
+	assert_false(world->failed);
+}
+
+/* Views of who owns what differ while VMs die and come back. */
+static void test_limit_holds_while_vms_are_replaced(void **state)
+{
+	const json_int_t limit = world->deployment.connections;
+	g_autoptr(GError) error = NULL;
+	load_run_t *load = load_run_start(world, "e2e", database,
+					  world->deployment.classes[0].name,
+					  LOAD_ARGUMENTS, &error);
+	bool kept;
+
+	assert_non_null(load);
+	for (uint32_t i = 0; i < RESTARTS; i++) {
+		world_node_t *node = world_node(world, i % 3, i % 2);
+
+		await_commits(LOAD_COMMITS);
+		process_signal(node->process, SIGKILL);
+		await_commits(LOAD_COMMITS);
+		assert_true(world_start_node(world, node, &error));
+	}
+	await_commits(LOAD_COMMITS);
+	load_run_stop(load);
+	kept = load_run_finish(load, WAIT_MS, NULL);
+	world->failed = !kept;
+	assert_true(kept);
+	for (guint i = 0; i < world->servers->len; i++) {
+		const world_server_t *server = world->servers->pdata[i];
+
+		assert_in_range(count_of(server, "connections_highest"), 1,
+				limit);
+		assert_int_equal(count_of(server, "connections_refused"), 0);
+	}
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+/** @param argv one test's name, or none for all */
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(test_shift_logs_on_at_once),
+		TEST(test_limit_holds_while_vms_are_replaced),
+	};
+
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/world/world_files.c
+++ b/tests/world/world_files.c
@@ -3,7 +3,7 @@
 #include "protocol/scram.h"
 #include "world/world_links.h"
 
-#define QUEUE_LIMIT 1000
+#define QUEUE_LIMIT 4000
 #define TIMEOUT_MS 10000
 #define VERIFIER_ITERATIONS 4096
 
