Refuse keys that do not fit, find revisions that went back

Settings whose public key is not that of the secret key would start a node that no peer talks to; now they are refused with file and line. A database all of whose servers are leaving is refused.

--- a/src/coordination/config_apply.c
+++ b/src/coordination/config_apply.c
@@ -10,6 +10,7 @@
 struct config_apply {
 	char *change_id;
 	uint64_t expect_revision;
+	uint64_t above_revision;
 	uint64_t deadline_ms;
 	uint64_t index;	   /* at which the swap is due */
 	uint64_t revision; /* of the swap that is due, or that came in force */
@@ -22,12 +23,14 @@
 
 config_apply_t *config_apply_create(const char *change_id,
 				    uint64_t expect_revision,
+				    uint64_t above_revision,
 				    uint64_t deadline_ms)
 {
 	config_apply_t *apply = g_new0(config_apply_t, 1);
 
 	apply->change_id = g_strdup(change_id);
 	apply->expect_revision = expect_revision;
+	apply->above_revision = above_revision;
 	apply->deadline_ms = deadline_ms;
 	return apply;
 }
@@ -115,12 +118,12 @@
 		return settle_doubt(apply, current, index);
 	if (apply->expect_revision && in_force != apply->expect_revision)
 		return end(apply, CONFIG_APPLY_CONFLICT);
-	if (current && same_content) {
+	if (current && same_content && in_force > apply->above_revision) {
 		apply->revision = in_force;
 		return end(apply, CONFIG_APPLY_UNCHANGED);
 	}
 	apply->index = index;
-	apply->revision = in_force + 1;
+	apply->revision = MAX(in_force, apply->above_revision) + 1;
 	return CONFIG_APPLY_SWAP;
 }
 
--- a/src/coordination/config_apply.h
+++ b/src/coordination/config_apply.h
@@ -33,10 +33,13 @@
 /**
  * @param change_id       marks this change for ever
  * @param expect_revision revision that must be in force, or 0 for any
+ * @param above_revision  the new revision is above this one, too: nodes keep
+ *        a higher revision than that of a platform which lost its values
  * @param deadline_ms     time of the clock at which it gives up
  */
 config_apply_t *config_apply_create(const char *change_id,
 				    uint64_t expect_revision,
+				    uint64_t above_revision,
 				    uint64_t deadline_ms);
 
 /** Frees it; NULL is allowed. */
--- a/src/ctl/ctl_apply.c
+++ b/src/ctl/ctl_apply.c
@@ -23,6 +23,7 @@
 	ctl_endpoint_t platform;
 	char *change_id;
 	uint64_t expect_revision;
+	uint64_t above_revision;
 	uint32_t timeout_s;
 	bool json;
 } order_t;
@@ -193,7 +194,7 @@
 		return CTL_WRONG_FILES;
 	run.platform = ctl_platform_create(&order->platform);
 	run.apply = config_apply_create(
-		order->change_id, order->expect_revision,
+		order->change_id, order->expect_revision, order->above_revision,
 		clock_now_ms() + (uint64_t)order->timeout_s * 1000);
 	code = run_steps(&run);
 	config_apply_destroy(run.apply);
@@ -215,6 +216,7 @@
 static bool order_read(order_t *order, const struct arg_str *platform,
 		       const struct arg_str *change_id,
 		       const struct arg_int *expect,
+		       const struct arg_int *above,
 		       const struct arg_int *timeout)
 {
 	if (!ctl_endpoint_parse("platform", platform->sval[0],
@@ -227,17 +229,20 @@
 			CHANGE_ID_LENGTH_MAX);
 		return false;
 	}
-	if ((expect->count && expect->ival[0] < 1) || timeout->ival[0] < 1 ||
+	if ((expect->count && expect->ival[0] < 1) ||
+	    (above->count && above->ival[0] < 1) || timeout->ival[0] < 1 ||
 	    timeout->ival[0] > TIMEOUT_S_MAX) {
 		fprintf(stderr,
-			"toucanctl: expected --expect-revision above 0 and "
-			"--timeout of 1 to %d seconds\n",
+			"toucanctl: expected --expect-revision and "
+			"--above-revision from 1, --timeout of 1 to %d "
+			"seconds\n",
 			TIMEOUT_S_MAX);
 		return false;
 	}
 	order->change_id = change_id->count ? g_strdup(change_id->sval[0]) :
 					      g_uuid_string_random();
 	order->expect_revision = expect->count ? (uint64_t)expect->ival[0] : 0;
+	order->above_revision = above->count ? (uint64_t)above->ival[0] : 0;
 	order->timeout_s = (uint32_t)timeout->ival[0];
 	return true;
 }
@@ -250,6 +255,10 @@
 	struct arg_int *expect =
 		arg_int0("e", "expect-revision", "N",
 			 "apply only while this revision is in force");
+	struct arg_int *above = arg_int0(
+		"a", "above-revision", "N",
+		"take a revision above this one, once the platform has lost "
+		"its values: nodes never go back");
 	struct arg_str *change_id = arg_str0(
 		"c", "change-id", "ID",
 		"id of the change; the same id is applied once at most");
@@ -261,9 +270,8 @@
 	const ctl_files_t files = ctl_files_arguments();
 	ctl_exit_t code = CTL_USAGE;
 
-	void *table[] = {help,		 platform, files.base,
-			 files.overlays, expect,   change_id,
-			 timeout,	 json,	   end};
+	void *table[] = {help,	platform,  files.base, files.overlays, expect,
+			 above, change_id, timeout,    json,	       end};
 	const ctl_arguments_t arguments = {
 		"apply",
 		"Checks the files, shows what changes, and puts the whole in "
@@ -275,7 +283,7 @@
 
 	timeout->ival[0] = TIMEOUT_S;
 	if (ctl_parse(&arguments, argc, argv, &code) &&
-	    order_read(&order, platform, change_id, expect, timeout)) {
+	    order_read(&order, platform, change_id, expect, above, timeout)) {
 		order.json = json->count > 0;
 		code = apply(&order, &files);
 	}
--- a/src/daemon/config_task.c
+++ b/src/daemon/config_task.c
@@ -118,12 +118,24 @@
 	return data && size == size_bytes && !memcmp(data, bytes, size_bytes);
 }
 
-/* Peers may answer late; the platform alone must never go back. */
-static void note_lower(const config_task_t *task, const config_t *config,
-		       const char *source)
+/*
+ * Peers may answer late; the platform alone must never go back. Two changes
+ * of one revision show that it has lost what it had accepted.
+ */
+static void note_not_newer(const config_task_t *task, const config_t *config,
+			   const char *source)
 {
 	const bool from_peer = strcmp(source, SOURCE_PLATFORM) != 0;
 
+	if (config->revision == task->config->revision &&
+	    strcmp(config->change_id, task->config->change_id) != 0) {
+		log_event(LOG_LEVEL_ERROR, "config_conflict",
+			  "source=%s revision=%" PRIu64
+			  " change=%s in_force=%s",
+			  source, config->revision, config->change_id,
+			  task->config->change_id);
+		return;
+	}
 	log_event(from_peer ? LOG_LEVEL_DEBUG : LOG_LEVEL_ERROR,
 		  "config_refused",
 		  "source=%s revision=%" PRIu64 " in_force=%" PRIu64, source,
@@ -149,7 +161,7 @@
 	if (config_spread_offer(task->spread, config->revision, actions)) {
 		put_in_force(task, config, bytes, size_bytes, source);
 	} else {
-		note_lower(task, config, source);
+		note_not_newer(task, config, source);
 		config_delete(config);
 	}
 	run(task, actions);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -6,12 +6,14 @@
 #include <string.h>
 
 #include <cyaml/cyaml.h>
+#include <zmq.h>
 
 #include "base/yaml_tree.h"
 
 #define NAME_LENGTH_MAX 63
 #define DOMAIN_LENGTH_MAX 31
 #define CURVE_KEY_LENGTH 40
+#define CURVE_KEY_EXPECTED "a CURVE key of 40 characters (Z85)"
 #define SEEDS_MAX 64
 #define ROUTES_MAX 1024
 
@@ -162,11 +164,21 @@
 	return is_name(text, length_max) || refuse(checker, name, expected);
 }
 
-static bool check_key(const checker_t *checker, const char *name,
-		      const char *key)
+static bool check_keys(const checker_t *checker, const settings_t *settings)
 {
-	return strlen(key) == CURVE_KEY_LENGTH ||
-	       refuse(checker, name, "a CURVE key of 40 characters (Z85)");
+	char public_key[CURVE_KEY_LENGTH + 1];
+	uint8_t decoded[CURVE_KEY_LENGTH / 5 * 4];
+
+	if (strlen(settings->fleet_secret_key) != CURVE_KEY_LENGTH ||
+	    !zmq_z85_decode(decoded, settings->fleet_secret_key) ||
+	    zmq_curve_public(public_key, settings->fleet_secret_key))
+		return refuse(checker, "fleet_secret_key", CURVE_KEY_EXPECTED);
+	if (strlen(settings->fleet_public_key) != CURVE_KEY_LENGTH ||
+	    !zmq_z85_decode(decoded, settings->fleet_public_key))
+		return refuse(checker, "fleet_public_key", CURVE_KEY_EXPECTED);
+	return !strcmp(public_key, settings->fleet_public_key) ||
+	       refuse(checker, "fleet_public_key",
+		      "the public key of fleet_secret_key");
 }
 
 static bool check_endpoint(const checker_t *checker, const char *name,
@@ -239,11 +251,7 @@
 	       check_endpoint(checker, "peers", &settings->peers) &&
 	       check_endpoint(checker, "operators", &settings->operators) &&
 	       check_endpoint(checker, "platform", &settings->platform) &&
-	       check_key(checker, "fleet_public_key",
-			 settings->fleet_public_key) &&
-	       check_key(checker, "fleet_secret_key",
-			 settings->fleet_secret_key) &&
-	       check_tls(checker, settings) &&
+	       check_keys(checker, settings) && check_tls(checker, settings) &&
 	       check_log_level(checker, settings->log_level) &&
 	       check_seeds(checker, settings) &&
 	       check_routes(checker, settings);
--- a/src/state/config_check.c
+++ b/src/state/config_check.c
@@ -125,6 +125,18 @@
 		}
 }
 
+static void check_leaving(const config_database_t *database, const char *path,
+			  config_problems_t *problems)
+{
+	for (uint32_t i = 0; i < database->servers_count; i++)
+		if (!database->servers[i].leaving)
+			return;
+	if (database->servers_count)
+		config_problems_add(problems, path,
+				    "expected at least one server that does "
+				    "not leave");
+}
+
 static void check_database(const config_t *config,
 			   const config_service_t *service,
 			   const config_database_t *database, const char *path,
@@ -153,6 +165,7 @@
 		check_server(config, server, below, problems);
 	}
 	check_endpoints(database, path, problems);
+	check_leaving(database, servers, problems);
 	names_end(&names);
 }
 
--- a/tests/property/prop_config_apply.cpp
+++ b/tests/property/prop_config_apply.cpp
@@ -93,7 +93,7 @@
 			one.change_id = "change-" + std::to_string(i);
 			one.apply = config_apply_create(
 				one.change_id.c_str(),
-				below(3) ? 0 : 1 + below(3), deadline_ms);
+				below(3) ? 0 : 1 + below(3), 0, deadline_ms);
 			one.step = config_apply_begin(one.apply);
 			operators.push_back(one);
 		}
@@ -253,6 +253,18 @@
 			  CONFIG_APPLY_UNKNOWN);
 }
 
+/* A platform that lost its values starts above what nodes have in force. */
+void starts_above_what_nodes_have()
+{
+	const auto above = *rc::gen::inRange<uint64_t>(0, 1000);
+	config_apply_t *apply = config_apply_create("a", 0, above, deadline_ms);
+
+	RC_ASSERT(config_apply_read(apply, STORE_ABSENT, nullptr, false, 0,
+				    0) == CONFIG_APPLY_SWAP);
+	RC_ASSERT(config_apply_revision(apply) > above);
+	config_apply_destroy(apply);
+}
+
 } // namespace
 
 int main()
@@ -263,5 +275,7 @@
 			accepted_means_in_force_once);
 	ok &= rc::check("doubt is settled once the platform answers",
 			doubt_is_settled);
+	ok &= rc::check("a new revision is above what nodes have",
+			starts_above_what_nodes_have);
 	return !ok;
 }
--- a/tests/unit/test_config_table.c
+++ b/tests/unit/test_config_table.c
@@ -286,6 +286,11 @@
 	 "    servers:\n    - {name: e-wlg, remove: true}\n",
 	 "A:21: services[core].databases[events].servers: expected as many "
 	 "servers as the service has slots, 2"},
+	{"services:\n- name: core\n  databases:\n  - name: events\n"
+	 "    servers:\n    - {name: e-wlg, leaving: true}\n"
+	 "    - {name: e-akl, leaving: true}\n",
+	 "A:21: services[core].databases[events].servers: expected at least "
+	 "one server that does not leave"},
 	{"services:\n- name: core\n  remove: yes\n",
 	 "B:3: services[core]: expected remove: true beside the name alone"},
 };
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -11,7 +11,8 @@
 
 #include "daemon/settings.h"
 
-#define KEY "0123456789012345678901234567890123456789"
+#define PUBLIC_KEY "pOeRb4Zlwn-5s<?+EsK&Yf)Em900GOaODLWt}8x>"
+#define SECRET_KEY "qEIwc>HLFHPtcb<79[#PQ/V+vm9*9i>do4}ABpaY"
 
 static const char *const good[] = {
 	"node: akl-1",
@@ -21,8 +22,8 @@
 	"peers: {address: 10.0.0.1, port: 7001}",
 	"operators: {address: 127.0.0.1, port: 9470}",
 	"platform: {address: 10.0.0.9, port: 8500}",
-	"fleet_public_key: " KEY,
-	"fleet_secret_key: " KEY,
+	"fleet_public_key: '" PUBLIC_KEY "'",
+	"fleet_secret_key: '" SECRET_KEY "'",
 	"seeds: [{address: 10.0.0.2, port: 7001}]",
 	"routes: [{endpoint: {address: 10.0.1.1, port: 7001},"
 	" via: {address: 10.9.0.1, port: 17001}}]",
@@ -109,6 +110,9 @@
 	 ":6: callers.address: expected an IP number"},
 	{4, "node: twice", ":4: node: the key stands here twice"},
 	{8, "fleet_public_key: abc", ":8: fleet_public_key: expected a CURVE"},
+	{8, "fleet_public_key: '" SECRET_KEY "'",
+	 ":8: fleet_public_key: expected the public key of fleet_secret_key"},
+	{9, "fleet_secret_key: abc", ":9: fleet_secret_key: expected a CURVE"},
 	{10, "log_level: loud", ":10: log_level: expected error, warning"},
 	{10, "tls_key: /etc/key", ":10: tls_key: expected tls_certificate"},
 	{10, "tls_certificate: /c", ":10: tls_certificate: expected tls_key"},
