Pack the configuration for peers, watch it less often when large

A watch that ends without a change brings the whole value again, so its wait grows with the value, from 10 s to 60 s. GLib's own zlib converter does the packing; what is unpacked is bounded.

--- a/src/base/yaml_tree.h
+++ b/src/base/yaml_tree.h
@@ -8,7 +8,7 @@
 #include <glib.h>
 
 /** Bounds of a YAML file. */
-#define YAML_TREE_SIZE_BYTES_MAX (1024u * 1024)
+#define YAML_TREE_SIZE_BYTES_MAX (4u * 1024 * 1024)
 #define YAML_TREE_DEPTH_MAX 32
 
 #define YAML_TREE_ERROR yaml_tree_error_quark()
--- a/src/coordination/config_spread.c
+++ b/src/coordination/config_spread.c
@@ -6,6 +6,8 @@
 
 #define RANK_KEY "toucanhook/config"
 
+/* A watcher reads no more than this while nothing changes. */
+#define WATCHED_BYTES_PER_S 1000u
 #define RETRY_MIN_MS 500u
 #define RETRY_MAX_MS 60000u
 /* A key that is absent is asked for again after this time. */
@@ -35,6 +37,7 @@
 	bool watches;
 	uint32_t rank; /* of this node among those of its domain */
 	uint64_t revision;
+	uint32_t wait_ms;  /* of a watch */
 	uint64_t heard_ms; /* when the platform last spoke, to anyone */
 	bool started;
 	reader_t config;
@@ -53,6 +56,7 @@
 
 	spread->node = g_strdup(node);
 	spread->failure_domain = g_strdup(failure_domain);
+	spread->wait_ms = CONFIG_SPREAD_WAIT_MS;
 	spread->random = g_rand_new_with_seed(seed);
 	return spread;
 }
@@ -176,6 +180,15 @@
 	return true;
 }
 
+void config_spread_set_size(config_spread_t *spread, size_t size_bytes)
+{
+	const uint64_t wait_ms =
+		(uint64_t)size_bytes * 1000 / WATCHED_BYTES_PER_S;
+
+	spread->wait_ms = (uint32_t)CLAMP(wait_ms, CONFIG_SPREAD_WAIT_MS,
+					  CONFIG_SPREAD_WAIT_MS_MAX);
+}
+
 uint64_t config_spread_revision(const config_spread_t *spread)
 {
 	return spread->revision;
@@ -287,7 +300,7 @@
 	reader_ended(spread, &spread->list, result, index, now_ms);
 }
 
-static void read_platform(reader_t *reader, bool watch,
+static void read_platform(const config_spread_t *spread, reader_t *reader,
 			  config_action_kind_t kind, uint64_t now_ms,
 			  GArray *actions)
 {
@@ -297,9 +310,9 @@
 		return;
 	reader->outstanding = true;
 	action = action_add(actions, kind, "");
-	if (watch && reader->index) {
+	if (spread->watches && reader->index) {
 		action->after_index = reader->index;
-		action->wait_ms = CONFIG_SPREAD_WAIT_MS;
+		action->wait_ms = spread->wait_ms;
 	}
 }
 
@@ -342,10 +355,10 @@
 	reads = spread->watches || !spread->revision ||
 		is_blind(spread, now_ms);
 	if (reads) {
-		read_platform(&spread->config, spread->watches,
+		read_platform(spread, &spread->config,
 			      CONFIG_ACTION_READ_CONFIG, now_ms, actions);
-		read_platform(&spread->list, spread->watches,
-			      CONFIG_ACTION_READ_MEMBERS, now_ms, actions);
+		read_platform(spread, &spread->list, CONFIG_ACTION_READ_MEMBERS,
+			      now_ms, actions);
 	}
 	ask_peers(spread, now_ms, actions);
 	if (spread->wanted > spread->revision)
--- a/src/coordination/config_spread.h
+++ b/src/coordination/config_spread.h
@@ -2,6 +2,7 @@
 #define COORDINATION_CONFIG_SPREAD_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -11,8 +12,9 @@
 
 /** Nodes of each failure domain that watch the platform. */
 #define CONFIG_SPREAD_WATCHERS 2
-/** Longest wait of one watch; each is one call to the platform. */
+/** Waits of one watch; each is one call to the platform. */
 #define CONFIG_SPREAD_WAIT_MS 10000u
+#define CONFIG_SPREAD_WAIT_MS_MAX 60000u
 /** Age of the platform's last word at which any node asks it itself. */
 #define CONFIG_SPREAD_BLIND_MS 20000u
 /** Time until a peer that was asked counts as silent. */
@@ -71,6 +73,12 @@
 /** @return the revision in force, 0 for none. */
 uint64_t config_spread_revision(const config_spread_t *spread);
 
+/**
+ * A watch that ends without a change brings the whole value again: the wait
+ * grows with its size.
+ */
+void config_spread_set_size(config_spread_t *spread, size_t size_bytes);
+
 /** @return what peers are told. */
 config_digest_t config_spread_digest(const config_spread_t *spread,
 				     uint64_t now_ms);
--- a/src/daemon/config_task.c
+++ b/src/daemon/config_task.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/deflate.h"
 #include "base/log.h"
 #include "coordination/config_spread.h"
 #include "protocol/config_note.h"
@@ -19,6 +20,7 @@
 	struct event *timer;
 	config_t *config;
 	GBytes *stored; /* the stored form of config */
+	GBytes *packed; /* the same, as it is sent to peers */
 	metric_t *revision;
 	metric_t *reads;
 	metric_t *failed_reads;
@@ -98,7 +100,10 @@
 	config_t *old = task->config;
 
 	g_clear_pointer(&task->stored, g_bytes_unref);
+	g_clear_pointer(&task->packed, g_bytes_unref);
 	task->stored = g_bytes_new(bytes, size_bytes);
+	task->packed = deflate_pack(bytes, size_bytes);
+	config_spread_set_size(task->spread, size_bytes);
 	task->config = config;
 	metric_set(task->revision, (int64_t)config->revision);
 	log_event(LOG_LEVEL_NOTICE, "config_revision",
@@ -245,6 +250,7 @@
 	config_spread_destroy(task->spread);
 	config_delete(task->config);
 	g_clear_pointer(&task->stored, g_bytes_unref);
+	g_clear_pointer(&task->packed, g_bytes_unref);
 	g_free(task);
 }
 
@@ -268,20 +274,41 @@
 {
 	config_note_t note = {.kind = CONFIG_NOTE_VALUE};
 
-	if (!task->stored || revision >= task->config->revision)
+	if (!task->config || revision >= task->config->revision)
 		return;
-	note.bytes = g_bytes_get_data(task->stored, &note.size_bytes);
+	note.packed = g_bytes_get_data(task->packed, &note.packed_size_bytes);
 	send_note(task, from, &note);
 }
 
+static void refuse_note(const char *from, size_t size_bytes)
+{
+	log_event(LOG_LEVEL_WARNING, "config_note_refused",
+		  "from=%s size_bytes=%zu", from, size_bytes);
+}
+
+static void take_value(config_task_t *task, const char *from,
+		       const config_note_t *note)
+{
+	g_autoptr(GBytes) stored = deflate_unpack(
+		note->packed, note->packed_size_bytes, CONFIG_SIZE_BYTES_MAX);
+	const uint8_t *bytes;
+	gsize size_bytes;
+
+	if (!stored) {
+		refuse_note(from, note->packed_size_bytes);
+		return;
+	}
+	bytes = g_bytes_get_data(stored, &size_bytes);
+	offer(task, bytes, size_bytes, from);
+}
+
 void config_task_note(config_task_t *task, const char *from,
 		      const uint8_t *bytes, size_t size_bytes)
 {
 	config_note_t note;
 
 	if (!config_note_decode(bytes, size_bytes, &note)) {
-		log_event(LOG_LEVEL_WARNING, "config_note_refused",
-			  "from=%s size_bytes=%zu", from, size_bytes);
+		refuse_note(from, size_bytes);
 		return;
 	}
 	switch (note.kind) {
@@ -292,7 +319,7 @@
 		answer_fetch(task, from, note.digest.revision);
 		return;
 	case CONFIG_NOTE_VALUE:
-		offer(task, note.bytes, note.size_bytes, from);
+		take_value(task, from, &note);
 		return;
 	}
 }
--- a/src/protocol/config_note.c
+++ b/src/protocol/config_note.c
@@ -49,8 +49,8 @@
 						  CONFIG_DIGEST_SIZE_BYTES_MAX);
 	g_byte_array_append(bytes, head, (guint)(1 + size_bytes));
 	if (note->kind == CONFIG_NOTE_VALUE)
-		g_byte_array_append(bytes, note->bytes,
-				    (guint)note->size_bytes);
+		g_byte_array_append(bytes, note->packed,
+				    (guint)note->packed_size_bytes);
 	return g_byte_array_free_to_bytes(bytes);
 }
 
@@ -69,7 +69,7 @@
 	if (note->kind != CONFIG_NOTE_VALUE)
 		return config_digest_decode(bytes + 1, size_bytes - 1,
 					    &note->digest);
-	note->bytes = bytes + 1;
-	note->size_bytes = size_bytes - 1;
+	note->packed = bytes + 1;
+	note->packed_size_bytes = size_bytes - 1;
 	return true;
 }
--- a/src/protocol/config_note.h
+++ b/src/protocol/config_note.h
@@ -19,15 +19,15 @@
 typedef enum {
 	CONFIG_NOTE_DIGEST, /**< tells of a revision */
 	CONFIG_NOTE_FETCH,  /**< asks for a revision above the one given */
-	CONFIG_NOTE_VALUE,  /**< carries the stored form */
+	CONFIG_NOTE_VALUE,  /**< carries the stored form, packed */
 } config_note_kind_t;
 
 /** A note between the configuration tasks of two nodes; plain data. */
 typedef struct {
 	config_note_kind_t kind;
-	config_digest_t digest; /**< of the sender; revision only for fetch */
-	const uint8_t *bytes;	/**< stored form, inside what was decoded */
-	size_t size_bytes;
+	config_digest_t digest; /**< of the sender; for digest and fetch */
+	const uint8_t *packed;	/**< value: points into what was decoded */
+	size_t packed_size_bytes;
 } config_note_t;
 
 /** @return bytes of the note. */
--- a/src/state/config_codec.c
+++ b/src/state/config_codec.c
@@ -43,7 +43,8 @@
 	case CONFIG_FIELD_UINT64:
 		return json_integer((json_int_t) * (const uint64_t *)value);
 	case CONFIG_FIELD_BOOL:
-		return json_boolean(*(const bool *)value);
+		/* Absent is false: what is rarely set takes no room. */
+		return *(const bool *)value ? json_true() : NULL;
 	case CONFIG_FIELD_MAP:
 		return encode_map(value, field->shape);
 	case CONFIG_FIELD_LIST:
--- a/tests/unit/test_config_task.c
+++ b/tests/unit/test_config_task.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 #include <glib.h>
 
+#include "base/deflate.h"
 #include "daemon/config_task.h"
 
 #define NODES 4
@@ -349,6 +350,26 @@
 	wait_for_all(fleet, 2);
 }
 
+static void test_unpacking_is_bounded(void **state)
+{
+	const size_t size_bytes = (size_t)CONFIG_SIZE_BYTES_MAX + 1;
+	uint8_t *zeros = g_malloc0(size_bytes);
+	g_autoptr(GBytes) packed = deflate_pack(zeros, size_bytes);
+	g_autoptr(GBytes) whole = NULL;
+	gsize packed_size_bytes;
+	const uint8_t *bytes = g_bytes_get_data(packed, &packed_size_bytes);
+
+	assert_true(packed_size_bytes < 5000);
+	assert_null(deflate_unpack(bytes, packed_size_bytes, size_bytes - 1));
+	assert_null(deflate_unpack(bytes, packed_size_bytes - 1, size_bytes));
+	assert_null(deflate_unpack(bytes, 0, size_bytes));
+	whole = deflate_unpack(bytes, packed_size_bytes, size_bytes);
+	assert_non_null(whole);
+	assert_int_equal(g_bytes_get_size(whole), size_bytes);
+	assert_memory_equal(g_bytes_get_data(whole, NULL), zeros, size_bytes);
+	g_free(zeros);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -361,6 +382,7 @@
 			teardown),
 		cmocka_unit_test_setup_teardown(test_broken_notes_lose_nothing,
 						setup, teardown),
+		cmocka_unit_test(test_unpacking_is_bounded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
