--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -22,7 +22,10 @@
 #define SESSION_OUTPUT_SIZE_BYTES_MAX (64u * 1024 * 1024)
 
 /** Longest time from connection to the end of the login. */
-#define SESSION_LOGIN_TIMEOUT_MS 15000
+#define SESSION_LOGIN_TIMEOUT_MS 60000
+
+/** Bytes of a node's secret, from which unknown callers get their salt. */
+#define SESSION_HOST_SECRET_SIZE_BYTES 32
 
 /** One caller's connection. Its parts are private to session*.c. */
 typedef struct session session_t;
@@ -35,6 +38,8 @@
 	const config_t *config;	 /**< NULL before the first */
 	uint64_t config_version; /**< grows with every configuration */
 	SSL_CTX *tls;		 /**< NULL for no TLS */
+	statement_cache_t *statements;
+	uint8_t secret[SESSION_HOST_SECRET_SIZE_BYTES]; /**< of this process */
 	uint64_t next_request_id;
 	bool draining;
 	/** A CancelRequest arrived; the key has not been checked. */
