Check failovers with sessions that know what they were told

Two faults found by them were the load tool's own: a counter's insert refused with 23505 was taken for an acknowledged write, and a key left by a failed change made the next update answer TH005 for that change. toucanload resets the key and tells session, target and token of each broken promise.

--- a/tools/load/operation.c
+++ b/tools/load/operation.c
@@ -1,5 +1,6 @@
 #include "load/operation.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -171,6 +172,10 @@
 	operation->owner = worker->index;
 	operation->number =
 		checker_begin(load->checker, worker->index, operation->insert);
+	operation->transaction = transaction;
+	/* A key stays until a change is made with it. */
+	if (worker->key_left && !operation->insert)
+		add_step(operation, "RESET toucanhook.request_key");
 	if (transaction)
 		add_step(operation, "BEGIN");
 	if (operation->insert)
@@ -193,8 +198,28 @@
 	worker->operation.due_us = due_us;
 }
 
+/* Says where a promise was broken, so that it can be looked for in logs. */
+static void tell_fault(const worker_t *worker, uint64_t faults_before)
+{
+	const operation_t *operation = &worker->operation;
+	checker_faults_t faults = checker_faults(worker->load->checker);
+
+	if (checker_faults_total(&faults) == faults_before)
+		return;
+	fprintf(stderr,
+		"fault at %" G_GUINT64_FORMAT
+		" ms: session %u on target %u reads session %u: insert "
+		"%" G_GUINT64_FORMAT ", floor %" G_GUINT64_FORMAT
+		", answered %d, value %" G_GUINT64_FORMAT ", token %s\n",
+		(clock_now_us() - worker->load->results.started_us) / 1000,
+		worker->index, worker->target, operation->owner,
+		operation->number, operation->floor, operation->answered,
+		operation->value, worker->token ?: "none");
+}
+
 static void end_read(worker_t *worker)
 {
+	checker_faults_t faults = checker_faults(worker->load->checker);
 	load_t *load = worker->load;
 	const operation_t *operation = &worker->operation;
 
@@ -213,6 +238,7 @@
 		checker_saw_counter(load->checker, operation->owner,
 				    operation->floor,
 				    operation->answered ? operation->value : 0);
+	tell_fault(worker, checker_faults_total(&faults));
 }
 
 static void count_write(worker_t *worker)
@@ -239,12 +265,17 @@
 				    operation_outcome(operation->code) :
 				    OUTCOME_DONE;
 
-	if (!strcmp(operation->code, "23505")) {
-		if (!operation->again && operation->insert)
+	/* An earlier insert of unknown outcome has made the counter's row. */
+	if (!strcmp(operation->code, "23505") && !operation->insert)
+		worker->counter_made = true;
+	else if (!strcmp(operation->code, "23505")) {
+		if (!operation->again)
 			checker_saw_double(load->checker);
-		outcome = OUTCOME_DONE;
-		worker->counter_made |= !operation->insert;
+		/* Inside a transaction it acknowledges nothing. */
+		outcome =
+			operation->transaction ? OUTCOME_NOT_RUN : OUTCOME_DONE;
 	}
+	worker->key_left = operation->insert && outcome != OUTCOME_DONE;
 	if (outcome == OUTCOME_UNKNOWN && operation->insert &&
 	    load->options.request_keys) {
 		operation->again = true;
--- a/tools/load/worker.h
+++ b/tools/load/worker.h
@@ -28,6 +28,7 @@
 	uint64_t floor;	 /**< of a read */
 	uint32_t owner;	 /**< session whose rows are read */
 	bool insert;
+	bool transaction;
 	bool again;	/**< an earlier attempt may have taken effect */
 	bool answered;	/**< a row was seen */
 	uint64_t value; /**< that the row had */
@@ -44,9 +45,10 @@
 	struct event *socket_event;
 	struct event *timer; /**< timeout of what runs, or a pause */
 	operation_t operation;
-	char *token; /**< latest that the server told */
-	bool ready;  /**< connected and idle */
-	bool moving; /**< goes to the next target when idle */
+	char *token;   /**< latest that the server told */
+	bool ready;    /**< connected and idle */
+	bool moving;   /**< goes to the next target when idle */
+	bool key_left; /**< the session has the key of a failed change */
 	bool counter_made;
 } worker_t;
 
