--- a/tools/load/operation.c
+++ b/tools/load/operation.c
@@ -36,10 +36,11 @@
 	g_hash_table_replace(codes, g_strdup(code), (void *)(count + 1));
 }
 
+/* 57P01 comes from a VM that is leaving, to sessions that run nothing. */
 outcome_t operation_outcome(const char *code)
 {
-	static const char *const unknown[] = {"TH004", "57P01", "57P02",
-					      "40003", "08006", "08007"};
+	static const char *const unknown[] = {"TH004", "57P02", "40003",
+					      "08006", "08007"};
 
 	if (!*code)
 		return OUTCOME_UNKNOWN;
--- a/tools/load/worker.c
+++ b/tools/load/worker.c
@@ -122,7 +122,9 @@
 	bool connecting = operation->kind == OPERATION_CONNECT;
 
 	if (running && !connecting) {
-		g_strlcpy(operation->code, "", sizeof(operation->code));
+		/* The server may have said why before it closed. */
+		if (!operation->failed)
+			operation->code[0] = '\0';
 		operation->failed = true;
 		if (operation_end(worker)) {
 			drop_connection(worker);
