--- /dev/null
+++ b/tests/e2e/test_config.c
@@ -0,0 +1,226 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <signal.h>
+#include <sys/wait.h>
+
+#include "world/world.h"
+#include "world/world_files.h"
+
+#define WAIT_MS 30000u
+#define OPERATORS 5u
+#define EXIT_APPLIED 0
+#define EXIT_CONFLICT 3
+
+static world_t *world;
+static char *base_path;
+
+static int set_up(void **state)
+{
+	deployment_t deployment = deployment_tauhara();
+	g_autoptr(GError) error = NULL;
+	g_autofree char *base = NULL;
+
+	world = world_create(&deployment, &error);
+	if (!world) {
+		fprintf(stderr, "%s\n", error->message);
+		return -1;
+	}
+	base = world_files_base(world);
+	base_path = g_build_filename(world->directory, "operators.yaml", NULL);
+	return g_file_set_contents(base_path, base, -1, NULL) ? 0 : -1;
+}
+
+static int tear_down(void **state)
+{
+	world_destroy(world);
+	g_free(base_path);
+	return 0;
+}
+
+/* Starts an operator who sets drain_ms; @p number keeps the files apart. */
+static process_t *operator_start(uint32_t number, uint32_t drain_ms)
+{
+	g_autofree char *name = g_strdup_printf("operator-%u", number);
+	g_autofree char *path =
+		g_strdup_printf("%s/%s.yaml", world->directory, name);
+	g_autofree char *log =
+		g_strdup_printf("%s/%s.log", world->directory, name);
+	g_autofree char *text = g_strdup_printf(
+		"site: tauhara\nlimits:\n  drain_ms: %u\n", drain_ms);
+	g_autofree char *program =
+		g_build_filename(world->programs, "toucanctl", NULL);
+	g_autofree char *platform = g_strdup_printf("--platform=127.0.0.1:%u",
+						    world->platform_port);
+	g_autofree char *base = g_strdup_printf("--base=%s", base_path);
+	g_autofree char *overlay = g_strdup_printf("--overlay=%s", path);
+	char *arguments[] = {program, "apply", platform, base, overlay, NULL};
+	process_t *process;
+
+	assert_true(g_file_set_contents(path, text, -1, NULL));
+	process = process_start(name, log, arguments, NULL);
+	assert_non_null(process);
+	return process;
+}
+
+static int operator_end(process_t *process)
+{
+	int status = -1;
+
+	assert_true(process_wait(process, WAIT_MS, &status));
+	process_destroy(process);
+	assert_true(WIFEXITED(status));
+	return WEXITSTATUS(status);
+}
+
+static int apply(uint32_t drain_ms)
+{
+	return operator_end(operator_start(0, drain_ms));
+}
+
+static json_int_t revision_of(const world_node_t *node)
+{
+	json_t *status = http_ask_json(node->operators_port, "/status");
+	const json_int_t revision =
+		json_integer_value(json_object_get(status, "config_revision"));
+
+	json_decref(status);
+	return revision;
+}
+
+/* A revision that every VM of some failure domains shall reach. */
+typedef struct {
+	json_int_t revision;
+	uint32_t skipped_domain;
+	json_int_t highest[64]; /* seen at each VM so far */
+	bool reverted;
+} target_t;
+
+static target_t target_new(json_int_t revision)
+{
+	return (target_t){.revision = revision, .skipped_domain = UINT32_MAX};
+}
+
+static bool in_force(void *context)
+{
+	target_t *target = context;
+	bool everywhere = true;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const world_node_t *node = world->nodes->pdata[i];
+		const json_int_t revision = revision_of(node);
+
+		if (node->domain == target->skipped_domain)
+			continue;
+		if (revision < target->highest[i])
+			target->reverted = true;
+		target->highest[i] = MAX(target->highest[i], revision);
+		everywhere &= revision >= target->revision;
+	}
+	return everywhere;
+}
+
+static void await_revision(target_t *target)
+{
+	world->failed = !world_wait(WAIT_MS, in_force, target);
+	assert_false(world->failed);
+	assert_false(target->reverted);
+}
+
+static void test_accepted_change_is_in_force_everywhere(void **state)
+{
+	target_t target = target_new(2);
+
+	assert_int_equal(apply(20000), EXIT_APPLIED);
+	await_revision(&target);
+	/* The same files again change nothing. */
+	assert_int_equal(apply(20000), EXIT_APPLIED);
+	assert_int_equal(revision_of(world_node(world, 0, 0)), 2);
+}
+
+static void test_racing_operators_each_win_or_are_told(void **state)
+{
+	process_t *operators[OPERATORS];
+	target_t target = target_new(1);
+	json_int_t accepted = 0;
+
+	for (uint32_t i = 0; i < OPERATORS; i++)
+		operators[i] = operator_start(i, 20000 + i);
+	for (uint32_t i = 0; i < OPERATORS; i++) {
+		const int status = operator_end(operators[i]);
+
+		assert_true(status == EXIT_APPLIED || status == EXIT_CONFLICT);
+		accepted += status == EXIT_APPLIED;
+	}
+	assert_true(accepted >= 1);
+	target.revision = 1 + accepted;
+	await_revision(&target);
+	assert_int_equal(revision_of(world_node(world, 2, 1)), 1 + accepted);
+}
+
+static void test_lost_answer_is_found_to_have_taken_effect(void **state)
+{
+	target_t target = target_new(2);
+
+	assert_true(world_fault(world->platform_control_port,
+				"/fault?lose_answers=1"));
+	assert_int_equal(apply(20000), EXIT_APPLIED);
+	await_revision(&target);
+	assert_int_equal(revision_of(world_node(world, 1, 0)), 2);
+}
+
+/* A VM that starts while the platform is out learns from its peers. */
+static void test_vm_started_in_an_outage_has_the_newest(void **state)
+{
+	world_node_t *node = world_node(world, 1, 1);
+	target_t target = target_new(2);
+	g_autoptr(GError) error = NULL;
+
+	assert_int_equal(apply(20000), EXIT_APPLIED);
+	await_revision(&target);
+	process_signal(node->process, SIGKILL);
+	assert_true(world_fault(world->platform_control_port,
+				"/fault?outage=60000"));
+	assert_true(world_start_node(world, node, &error));
+	target = target_new(2);
+	await_revision(&target);
+}
+
+/* A cut-off failure domain keeps what it has and catches up afterwards. */
+static void test_cut_off_domain_catches_up(void **state)
+{
+	target_t target = target_new(2);
+
+	assert_true(world_cut_domain(world, 2, true));
+	assert_int_equal(apply(20000), EXIT_APPLIED);
+	target.skipped_domain = 2;
+	await_revision(&target);
+	assert_int_equal(revision_of(world_node(world, 2, 0)), 1);
+	assert_true(world_cut_domain(world, 2, false));
+	target.skipped_domain = UINT32_MAX;
+	await_revision(&target);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+/** @param argv one test's name, or none for all */
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(test_accepted_change_is_in_force_everywhere),
+		TEST(test_racing_operators_each_win_or_are_told),
+		TEST(test_lost_answer_is_found_to_have_taken_effect),
+		TEST(test_vm_started_in_an_outage_has_the_newest),
+		TEST(test_cut_off_domain_catches_up),
+	};
+
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
