Prove that members agree once it is quiet

A simulated fleet of membership cores with delay, loss, cuts, stops and restarts, shared by the property tests and the bench to come: all agree after whatever happened, death is found though the list goes on naming the dead, a domain that is cut off holds none of its own dead, and slander is refuted.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/load/*.c))
 COMMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/standin/common/*.c))
 WORLD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/world/*.c))
+SIM_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/sim/*.c))
 
 UNIT = $(patsubst tests/unit/%.c,$(BUILD)/tests/unit/%,\
 	$(wildcard tests/unit/test_*.c))
@@ -143,13 +144,13 @@
 $(BUILD)/tests/unit/%: $(BUILD)/tests/unit/%.o $(LIB)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) -lcmocka $(LDLIBS)
 
-$(BUILD)/tests/property/%: $(BUILD)/tests/property/%.o $(LIB)
+$(BUILD)/tests/property/%: $(BUILD)/tests/property/%.o $(SIM_OBJ) $(LIB)
 	$(CXX) -o $@ $^ -lrapidcheck $(LDLIBS)
 
 $(BUILD)/tests/e2e/%: $(BUILD)/tests/e2e/%.o $(WORLD_OBJ) $(LIB)
 	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
 
-$(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(WORLD_OBJ) $(LIB)
+$(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(WORLD_OBJ) $(SIM_OBJ) $(LIB)
 	$(CC) -o $@ $^ $(LDLIBS)
 
 regenerate:
--- /dev/null
+++ b/tests/property/prop_membership.cpp
@@ -0,0 +1,186 @@
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include <rapidcheck.h>
+
+extern "C" {
+#include "sim/member_sim.h"
+}
+
+namespace
+{
+
+constexpr uint64_t settle_ms = 30000;
+constexpr uint64_t near_dead_ms = 3000;
+constexpr uint64_t far_dead_ms = 12000;
+
+struct Fleet {
+	uint32_t nodes;
+	uint32_t domains;
+	member_sim_t *sim;
+	std::vector<bool> leaving;
+
+	Fleet(uint32_t nodes_min, uint32_t domains_min)
+	{
+		member_sim_settings_t settings{};
+
+		nodes = *rc::gen::inRange<uint32_t>(nodes_min, 16);
+		domains = *rc::gen::inRange<uint32_t>(domains_min, 4);
+		settings.nodes_count = nodes;
+		settings.domains_count = domains;
+		settings.near_delay_ms = 1;
+		settings.far_delay_ms = *rc::gen::inRange<uint32_t>(1, 60);
+		settings.seed = *rc::gen::inRange<uint32_t>(0, 1000000);
+		sim = member_sim_create(&settings);
+		leaving.resize(nodes);
+		for (uint32_t i = 0; i < nodes; i++)
+			member_sim_start(sim, i);
+		member_sim_run(sim, settle_ms);
+	}
+
+	~Fleet()
+	{
+		member_sim_destroy(sim);
+	}
+
+	uint32_t any()
+	{
+		return *rc::gen::inRange<uint32_t>(0, nodes);
+	}
+
+	void disturb()
+	{
+		const uint32_t node = any();
+		const bool is_running = member_sim_is_running(sim, node);
+
+		switch (*rc::gen::inRange(0, 4)) {
+		case 0:
+			if (is_running && member_sim_running(sim) > 1)
+				member_sim_stop(sim, node);
+			break;
+		case 1:
+			if (!is_running) {
+				member_sim_start(sim, node);
+				leaving[node] = false;
+			}
+			break;
+		case 2:
+			if (is_running) {
+				member_sim_leave(sim, node);
+				leaving[node] = true;
+			}
+			break;
+		case 3:
+			member_sim_cut(sim,
+				       *rc::gen::inRange<uint32_t>(0, domains),
+				       *rc::gen::arbitrary<bool>());
+			break;
+		}
+		member_sim_run(sim, *rc::gen::inRange<uint64_t>(0, 8000));
+	}
+
+	void heal()
+	{
+		for (uint32_t i = 0; i < domains; i++)
+			member_sim_cut(sim, i, false);
+		member_sim_set_loss(sim, 0);
+	}
+
+	member_state_t truth(uint32_t node) const
+	{
+		if (!member_sim_is_running(sim, node))
+			return MEMBER_DEAD;
+		return leaving[node] ? MEMBER_LEAVING : MEMBER_LIVE;
+	}
+
+	void assert_all_agree() const
+	{
+		const uint32_t running = member_sim_running(sim);
+
+		for (uint32_t i = 0; i < nodes; i++)
+			RC_ASSERT(member_sim_count(sim, i, truth(i)) ==
+				  running);
+	}
+};
+
+/* Whatever has happened, in the end all know who is there. */
+void all_agree_once_it_is_quiet()
+{
+	Fleet fleet(2, 1);
+	const auto disturbances = *rc::gen::inRange(0, 12);
+
+	fleet.assert_all_agree();
+	member_sim_set_loss(fleet.sim, *rc::gen::inRange<uint32_t>(0, 25));
+	for (int i = 0; i < disturbances; i++)
+		fleet.disturb();
+	fleet.heal();
+	member_sim_run(fleet.sim, 3 * settle_ms);
+	fleet.assert_all_agree();
+}
+
+/* The list goes on naming the dead as live, and is not believed. */
+void death_is_found_in_time()
+{
+	Fleet fleet(3, 1);
+	const uint32_t victim = fleet.any();
+	const uint32_t domain = member_sim_domain(fleet.sim, victim);
+
+	member_sim_stop(fleet.sim, victim);
+	member_sim_run(fleet.sim, near_dead_ms);
+	for (uint32_t i = 0; i < fleet.nodes; i++)
+		if (i != victim && member_sim_domain(fleet.sim, i) == domain)
+			RC_ASSERT(member_sim_state(fleet.sim, i, victim) ==
+				  MEMBER_DEAD);
+	member_sim_run(fleet.sim, far_dead_ms - near_dead_ms);
+	fleet.assert_all_agree();
+}
+
+/* Within a domain that is cut off nobody is ever held dead. */
+void cut_off_domain_keeps_its_members()
+{
+	Fleet fleet(4, 2);
+	const uint32_t domain = *rc::gen::inRange<uint32_t>(0, fleet.domains);
+
+	member_sim_cut(fleet.sim, domain, true);
+	for (int i = 0; i < 100; i++) {
+		member_sim_run(fleet.sim, 300);
+		for (uint32_t a = 0; a < fleet.nodes; a++)
+			for (uint32_t b = 0; b < fleet.nodes; b++)
+				if (member_sim_domain(fleet.sim, a) ==
+				    member_sim_domain(fleet.sim, b))
+					RC_ASSERT(member_sim_state(fleet.sim, a,
+								   b) !=
+						  MEMBER_DEAD);
+	}
+	fleet.heal();
+	member_sim_run(fleet.sim, settle_ms);
+	fleet.assert_all_agree();
+}
+
+void slander_is_refuted()
+{
+	Fleet fleet(2, 1);
+	const uint32_t victim = fleet.any();
+	const uint32_t listener = (victim + 1) % fleet.nodes;
+
+	member_sim_slander(fleet.sim, listener, victim,
+			   *rc::gen::element(MEMBER_DEAD, MEMBER_SUSPECT));
+	member_sim_run(fleet.sim, settle_ms);
+	fleet.assert_all_agree();
+}
+
+} /* namespace */
+
+int main()
+{
+	bool ok = true;
+
+	ok &= rc::check("all agree once it is quiet",
+			all_agree_once_it_is_quiet);
+	ok &= rc::check("death is found in time", death_is_found_in_time);
+	ok &= rc::check("a domain that is cut off keeps its members",
+			cut_off_domain_keeps_its_members);
+	ok &= rc::check("slander is refuted", slander_is_refuted);
+	return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/sim/member_sim.c
@@ -0,0 +1,394 @@
+#include "sim/member_sim.h"
+
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include "protocol/peer_message.h"
+
+#define ORIGIN_MS 1000000
+
+/* What the configuration task adds to each heartbeat. */
+#define DIGEST_BYTES 16
+
+typedef struct {
+	uint64_t due_ms;
+	uint64_t order;
+	uint32_t node;
+	uint32_t sender;
+	uint64_t start; /* of the node that this is meant for */
+	bool is_beat;
+	uint64_t digest;
+	bool wants_reply;
+	uint32_t records_count;
+	member_record_t *records;
+} event_t;
+
+typedef struct {
+	member_t self;
+	membership_t *core;
+	uint64_t starts;
+	uint64_t started_ms;
+	uint64_t scheduled_ms; /* of its next run */
+} node_t;
+
+struct member_sim {
+	member_sim_settings_t settings;
+	GSequence *events;
+	GRand *random;
+	node_t *nodes;
+	member_t *list;
+	bool *cuts; /* by failure domain */
+	uint64_t now_ms;
+	uint64_t order;
+	member_sim_stats_t stats;
+};
+
+/* One run of one node. */
+typedef struct {
+	member_sim_t *sim;
+	uint32_t node;
+	uint64_t outside_us; /* spent on the simulation's own work */
+} sending_t;
+
+static uint64_t cpu_us(const member_sim_t *sim)
+{
+	struct timespec now;
+
+	if (!sim->settings.measures)
+		return 0;
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+static void event_free(gpointer data)
+{
+	event_t *event = data;
+
+	g_free(event->records);
+	g_free(event);
+}
+
+static gint compare_events(gconstpointer a, gconstpointer b, gpointer context)
+{
+	const event_t *left = a;
+	const event_t *right = b;
+
+	if (left->due_ms != right->due_ms)
+		return left->due_ms < right->due_ms ? -1 : 1;
+	return left->order < right->order ? -1 : left->order > right->order;
+}
+
+static void push(member_sim_t *sim, event_t *event)
+{
+	event->order = ++sim->order;
+	g_sequence_insert_sorted(sim->events, event, compare_events, NULL);
+}
+
+static void schedule(member_sim_t *sim, uint32_t index)
+{
+	node_t *node = &sim->nodes[index];
+	uint64_t due_ms = MAX(membership_next_ms(node->core), sim->now_ms);
+	event_t *event;
+
+	if (node->scheduled_ms > sim->now_ms && node->scheduled_ms <= due_ms)
+		return;
+	node->scheduled_ms = due_ms;
+	event = g_new0(event_t, 1);
+	event->due_ms = due_ms;
+	event->node = index;
+	event->start = node->starts;
+	push(sim, event);
+}
+
+static void describe(member_t *member, uint32_t index, uint32_t domains_count)
+{
+	g_snprintf(member->name, sizeof(member->name), "entry-%03u", index);
+	g_snprintf(member->address, sizeof(member->address), "10.%u.%u.%u",
+		   index % domains_count, index / 200, index % 200 + 1);
+	g_snprintf(member->failure_domain, sizeof(member->failure_domain),
+		   "zone-%02u", index % domains_count);
+	g_strlcpy(member->region, "region", sizeof(member->region));
+	member->peer_port = 7000;
+}
+
+member_sim_t *member_sim_create(const member_sim_settings_t *settings)
+{
+	member_sim_t *sim = g_new0(member_sim_t, 1);
+
+	sim->settings = *settings;
+	sim->events = g_sequence_new(event_free);
+	sim->random = g_rand_new_with_seed((guint32)settings->seed);
+	sim->nodes = g_new0(node_t, settings->nodes_count);
+	sim->list = g_new0(member_t, settings->nodes_count);
+	sim->cuts = g_new0(bool, settings->domains_count);
+	sim->now_ms = ORIGIN_MS;
+	for (uint32_t i = 0; i < settings->nodes_count; i++) {
+		describe(&sim->nodes[i].self, i, settings->domains_count);
+		sim->list[i] = sim->nodes[i].self;
+	}
+	return sim;
+}
+
+void member_sim_destroy(member_sim_t *sim)
+{
+	for (uint32_t i = 0; i < sim->settings.nodes_count; i++)
+		membership_destroy(sim->nodes[i].core);
+	g_sequence_free(sim->events);
+	g_rand_free(sim->random);
+	g_free(sim->nodes);
+	g_free(sim->list);
+	g_free(sim->cuts);
+	g_free(sim);
+}
+
+void member_sim_start(member_sim_t *sim, uint32_t index)
+{
+	node_t *node = &sim->nodes[index];
+
+	node->starts++;
+	node->self.incarnation = sim->now_ms * 1000 + node->starts;
+	node->started_ms = sim->now_ms;
+	node->scheduled_ms = 0;
+	node->core = membership_create(&node->self, sim->settings.seed + index,
+				       sim->now_ms);
+	membership_listed(node->core, sim->list, sim->settings.nodes_count,
+			  sim->now_ms);
+	schedule(sim, index);
+}
+
+void member_sim_stop(member_sim_t *sim, uint32_t index)
+{
+	node_t *node = &sim->nodes[index];
+
+	sim->stats.node_ms += sim->now_ms - node->started_ms;
+	g_clear_pointer(&node->core, membership_destroy);
+}
+
+void member_sim_leave(member_sim_t *sim, uint32_t node)
+{
+	membership_leave(sim->nodes[node].core, sim->now_ms);
+	schedule(sim, node);
+}
+
+void member_sim_cut(member_sim_t *sim, uint32_t domain, bool is_cut)
+{
+	sim->cuts[domain] = is_cut;
+}
+
+void member_sim_set_loss(member_sim_t *sim, uint32_t loss_percent)
+{
+	sim->settings.loss_percent = loss_percent;
+}
+
+void member_sim_slander(member_sim_t *sim, uint32_t listener, uint32_t victim,
+			member_state_t state)
+{
+	const member_view_t *view = membership_view(sim->nodes[listener].core);
+	member_record_t records[2] = {{.member = sim->nodes[listener].self}};
+	membership_beat_t beat = {.records = records, .records_count = 2};
+
+	records[0].member.name[0] = 'x';
+	records[1].member =
+		*member_view_find(view, sim->nodes[victim].self.name);
+	records[1].member.state = state;
+	records[1].version = UINT16_MAX;
+	membership_heard(sim->nodes[listener].core, &beat, sim->now_ms);
+	schedule(sim, listener);
+}
+
+uint32_t member_sim_domain(const member_sim_t *sim, uint32_t node)
+{
+	return node % sim->settings.domains_count;
+}
+
+static bool is_lost(member_sim_t *sim, uint32_t from, uint32_t to)
+{
+	const uint32_t near = member_sim_domain(sim, from);
+	const uint32_t far = member_sim_domain(sim, to);
+
+	if (near != far && (sim->cuts[near] || sim->cuts[far]))
+		return true;
+	return g_rand_int_range(sim->random, 0, 100) <
+	       (gint32)sim->settings.loss_percent;
+}
+
+static uint32_t delay_ms(const member_sim_t *sim, uint32_t from, uint32_t to)
+{
+	if (member_sim_domain(sim, from) == member_sim_domain(sim, to))
+		return sim->settings.near_delay_ms;
+	return sim->settings.far_delay_ms;
+}
+
+static uint64_t encoded_bytes(const node_t *node, const membership_beat_t *beat)
+{
+	g_autoptr(peer_message_t) message =
+		peer_message_new(PEER_MESSAGE_HEARTBEAT);
+	g_autoptr(GBytes) bytes = NULL;
+
+	g_strlcpy(message->sender, node->self.name, sizeof(message->sender));
+	message->incarnation = node->self.incarnation;
+	message->sequence = 100000;
+	message->heartbeat->members_digest = beat->digest;
+	message->heartbeat->wants_reply = beat->wants_reply;
+	message->heartbeat->digest_size_bytes = DIGEST_BYTES;
+	message->heartbeat->members_count = beat->records_count;
+	memcpy(message->heartbeat->members, beat->records,
+	       beat->records_count * sizeof(*beat->records));
+	bytes = peer_message_encode(message);
+	return g_bytes_get_size(bytes);
+}
+
+static uint32_t index_of(const char *name)
+{
+	return (uint32_t)g_ascii_strtoull(strchr(name, '-') + 1, NULL, 10);
+}
+
+static void deliver_later(sending_t *sending, uint32_t to,
+			  const membership_beat_t *beat)
+{
+	member_sim_t *sim = sending->sim;
+	event_t *event;
+
+	if (is_lost(sim, sending->node, to))
+		return;
+	event = g_new0(event_t, 1);
+	event->due_ms = sim->now_ms + delay_ms(sim, sending->node, to);
+	event->node = to;
+	event->sender = sending->node;
+	event->is_beat = true;
+	event->digest = beat->digest;
+	event->wants_reply = beat->wants_reply;
+	event->records_count = beat->records_count;
+	event->records = g_memdup2(
+		beat->records, beat->records_count * sizeof(*beat->records));
+	push(sim, event);
+}
+
+static void on_send(void *context, const member_t *to,
+		    const membership_beat_t *beat)
+{
+	sending_t *sending = context;
+	member_sim_t *sim = sending->sim;
+	const uint64_t before_us = cpu_us(sim);
+
+	sim->stats.messages_count++;
+	if (sim->settings.measures)
+		sim->stats.payload_bytes +=
+			encoded_bytes(&sim->nodes[sending->node], beat);
+	deliver_later(sending, index_of(to->name), beat);
+	sending->outside_us += cpu_us(sim) - before_us;
+}
+
+static void run_node(member_sim_t *sim, uint32_t index)
+{
+	sending_t sending = {.sim = sim, .node = index};
+	node_t *node = &sim->nodes[index];
+	const uint64_t before_us = cpu_us(sim);
+
+	membership_run(node->core, sim->now_ms, on_send, &sending);
+	sim->stats.cpu_us += cpu_us(sim) - before_us - sending.outside_us;
+	schedule(sim, index);
+}
+
+static void hear(member_sim_t *sim, const event_t *event)
+{
+	const membership_beat_t beat = {
+		.digest = event->digest,
+		.wants_reply = event->wants_reply,
+		.records = event->records,
+		.records_count = event->records_count,
+	};
+	const uint64_t before_us = cpu_us(sim);
+
+	membership_heard(sim->nodes[event->node].core, &beat, sim->now_ms);
+	sim->stats.cpu_us += cpu_us(sim) - before_us;
+	schedule(sim, event->node);
+}
+
+static void handle(member_sim_t *sim, const event_t *event)
+{
+	const node_t *node = &sim->nodes[event->node];
+
+	if (!node->core)
+		return;
+	if (event->is_beat)
+		hear(sim, event);
+	else if (event->start == node->starts &&
+		 node->scheduled_ms == event->due_ms)
+		run_node(sim, event->node);
+}
+
+void member_sim_run(member_sim_t *sim, uint64_t duration_ms)
+{
+	const uint64_t until_ms = sim->now_ms + duration_ms;
+
+	for (;;) {
+		GSequenceIter *first = g_sequence_get_begin_iter(sim->events);
+		event_t event;
+
+		if (g_sequence_iter_is_end(first))
+			break;
+		event = *(event_t *)g_sequence_get(first);
+		if (event.due_ms > until_ms)
+			break;
+		((event_t *)g_sequence_get(first))->records = NULL;
+		g_sequence_remove(first);
+		sim->now_ms = event.due_ms;
+		handle(sim, &event);
+		g_free(event.records);
+	}
+	sim->now_ms = until_ms;
+}
+
+bool member_sim_is_running(const member_sim_t *sim, uint32_t node)
+{
+	return sim->nodes[node].core;
+}
+
+uint64_t member_sim_now_ms(const member_sim_t *sim)
+{
+	return sim->now_ms;
+}
+
+member_sim_stats_t member_sim_stats(const member_sim_t *sim)
+{
+	member_sim_stats_t stats = sim->stats;
+
+	for (uint32_t i = 0; i < sim->settings.nodes_count; i++)
+		if (sim->nodes[i].core)
+			stats.node_ms += sim->now_ms - sim->nodes[i].started_ms;
+	return stats;
+}
+
+member_state_t member_sim_state(member_sim_t *sim, uint32_t observer,
+				uint32_t subject)
+{
+	const member_t *member =
+		member_view_find(membership_view(sim->nodes[observer].core),
+				 sim->nodes[subject].self.name);
+
+	return member ? member->state : MEMBER_DEAD;
+}
+
+uint32_t member_sim_count(member_sim_t *sim, uint32_t subject,
+			  member_state_t state)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < sim->settings.nodes_count; i++)
+		if (sim->nodes[i].core &&
+		    member_sim_state(sim, i, subject) == state)
+			count++;
+	return count;
+}
+
+uint32_t member_sim_running(const member_sim_t *sim)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < sim->settings.nodes_count; i++)
+		count += sim->nodes[i].core != NULL;
+	return count;
+}
