Serve the sessions of a leaving node on to their next pause

Seen: with callers that send without a pause, a goodbye crossed with a statement in one of some thousand requests, which left its caller in doubt (e2e test_drained_vm_cuts_no_request: 1 unknown). A FATAL answer with TH003 was tried and dropped: libpq's PQexec loses its SQLSTATE to the end of the stream. Now a session is closed in a silence of 100 ms; who never pauses is served for two seconds, then told TH003 in full answers.

--- a/src/daemon/callers_task.c
+++ b/src/daemon/callers_task.c
@@ -9,6 +9,7 @@
 #include <openssl/rand.h>
 #include <openssl/ssl.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "daemon/session.h"
 #include "protocol/pg_frame.h"
@@ -208,6 +209,7 @@
 	GList *link = NULL;
 
 	callers->host.draining = true;
+	callers->host.drain_started_ms = clock_now_ms();
 	if (callers->listener)
 		evconnlistener_free(callers->listener);
 	callers->listener = NULL;
--- a/src/daemon/session.c
+++ b/src/daemon/session.c
@@ -7,6 +7,7 @@
 
 #include <event2/buffer.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "daemon/session_login.h"
 #include "daemon/session_request.h"
@@ -15,6 +16,8 @@
 /* Longest time that a closing session waits for its caller to read. */
 #define CLOSE_TIMEOUT_S 5
 
+#define LEAVING "the entry VM is leaving"
+
 static void on_ending(evutil_socket_t fd, short what, void *context)
 {
 	session_destroy(context);
@@ -34,6 +37,11 @@
 		session_destroy(session);
 		return;
 	}
+	if (session->state == SESSION_READY || session->state == SESSION_BUSY) {
+		if (!session_is_busy(session))
+			session_fatal(session, "57P01", LEAVING);
+		return;
+	}
 	log_event(LOG_LEVEL_INFO, "login_timeout", "process_id=%u",
 		  session->process_id);
 	session_destroy(session);
@@ -116,11 +124,31 @@
 	return session->state == SESSION_BUSY || session->status != 'I';
 }
 
+/*
+ * A caller may be sending just now, and a closed connection would leave it in
+ * doubt. So the session is served on for a while, and is closed in a pause.
+ */
 void session_drain(session_t *session)
 {
+	const struct timeval silence = {
+		.tv_usec = SESSION_DRAIN_SILENCE_MS * 1000,
+	};
+
 	if (session->state == SESSION_CLOSING || session_is_busy(session))
 		return;
-	session_fatal(session, "57P01", "the entry VM is leaving");
+	if (session->state == SESSION_READY)
+		event_add(session->timer, &silence);
+	else
+		session_fatal(session, "57P01", LEAVING);
+}
+
+bool session_is_drained(const session_t *session)
+{
+	const session_host_t *host = session->host;
+
+	return host->draining && session->status == 'I' &&
+	       clock_now_ms() - host->drain_started_ms >=
+		       SESSION_DRAIN_SERVE_MS;
 }
 
 void session_cancel(session_t *session)
--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -27,6 +27,12 @@
 /** Bytes of a node's secret, from which unknown callers get their salt. */
 #define SESSION_HOST_SECRET_SIZE_BYTES 32
 
+/** Silence after which a session of a leaving node is closed. */
+#define SESSION_DRAIN_SILENCE_MS 100
+
+/** How long a leaving node still runs what its sessions ask for. */
+#define SESSION_DRAIN_SERVE_MS 2000
+
 /** One caller's connection. Its parts are private to session*.c. */
 typedef struct session session_t;
 
@@ -42,6 +48,7 @@
 	uint8_t secret[SESSION_HOST_SECRET_SIZE_BYTES]; /**< of this process */
 	uint64_t next_request_id;
 	bool draining;
+	uint64_t drain_started_ms;
 	/** A CancelRequest arrived; the key has not been checked. */
 	void (*cancel)(void *context, uint32_t process_id, uint32_t secret);
 	/** The session is about to be freed. */
@@ -133,9 +140,15 @@
 /** @return whether a request or a transaction is open. */
 bool session_is_busy(const session_t *session);
 
-/** Says goodbye (57P01) if nothing is open; otherwise once it has ended. */
+/**
+ * Says goodbye (57P01) once nothing is open and the caller has been silent
+ * for SESSION_DRAIN_SILENCE_MS.
+ */
 void session_drain(session_t *session);
 
+/** @return whether a new statement must be refused since the node leaves. */
+bool session_is_drained(const session_t *session);
+
 /** Appends bytes to what the caller gets. */
 void session_write(session_t *session, const GByteArray *bytes);
 
--- a/src/daemon/session_request.c
+++ b/src/daemon/session_request.c
@@ -273,6 +273,16 @@
 	session_request_refuse(session, "0A000", message, NULL);
 }
 
+/* An answer in full, so that the caller is in no doubt. */
+static void refuse_drained(session_t *session)
+{
+	const outcome_report_t report =
+		outcome_report(OUTCOME_NOT_RUN, REASON_LEAVING);
+
+	session_request_refuse(session, report.sqlstate, report.message,
+			       "Connect again; this entry VM is leaving.");
+}
+
 static void take_query(session_t *session, const pg_message_t *message)
 {
 	pg_reader_t reader = pg_reader(message);
@@ -287,6 +297,11 @@
 		return;
 	}
 	batch_clear(session->batch);
+	if (session_is_drained(session)) {
+		refuse_drained(session);
+		session_request_ready(session);
+		return;
+	}
 	statement = statement_cache_parse(session->host->statements, sql);
 	if (answer_locally(session, statement, out)) {
 		session_write(session, out);
@@ -346,6 +361,11 @@
 
 	if (!summary->steps)
 		return true;
+	if (session_is_drained(session)) {
+		refuse_drained(session);
+		session->discards = true;
+		return true;
+	}
 	if (is_lost(session) && ends && summary->executed == 1) {
 		session_local_rollback_batch(session);
 		return true;
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -218,15 +218,37 @@
 	g_string_append(context, message);
 }
 
+static void test_drain_refuses_who_never_pauses(void **state)
+{
+	PGconn *conn = connect_well("");
+	const char *sqlstate = NULL;
+	PGresult *result = NULL;
+
+	g_atomic_int_set(&entry.drain, 1);
+	do {
+		PQclear(result);
+		result = PQexec(conn, "INSERT INTO pairing VALUES (0)");
+		sqlstate = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+	} while (!sqlstate && PQstatus(conn) == CONNECTION_OK);
+	assert_string_equal(sqlstate ? sqlstate : "", "TH003");
+	assert_int_equal(PQtransactionStatus(conn), PQTRANS_IDLE);
+	PQclear(result);
+	wait_for(&entry.sessions, 0);
+	PQfinish(conn);
+}
+
 static void test_drain_lets_transactions_end(void **state)
 {
 	GString *notice = g_string_new(NULL);
 	PGconn *idle = connect_well("");
 	PGconn *busy = connect_well("");
+	PGconn *late = connect_well("");
 
 	PQsetNoticeProcessor(idle, keep_notice, notice);
 	assert_state(busy, "BEGIN", "");
 	g_atomic_int_set(&entry.drain, 1);
+	wait_for(&entry.drain, 2);
+	assert_state(late, "INSERT INTO pairing VALUES (0)", "");
 	wait_for(&entry.sessions, 1);
 	while (PQstatus(idle) != CONNECTION_BAD) {
 		PQisBusy(idle); /* takes in what was read before the end */
@@ -238,6 +260,7 @@
 	wait_for(&entry.sessions, 0);
 	PQfinish(idle);
 	PQfinish(busy);
+	PQfinish(late);
 	g_string_free(notice, TRUE);
 }
 
@@ -255,6 +278,7 @@
 		TEST(test_caller_that_does_not_read_is_closed),
 		TEST(test_broken_start_up_is_refused_at_once),
 		TEST(test_drain_lets_transactions_end),
+		TEST(test_drain_refuses_who_never_pauses),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
