--- a/src/coordination/config_spread.c
+++ b/src/coordination/config_spread.c
@@ -354,12 +354,13 @@
 	}
 	reads = spread->watches || !spread->revision ||
 		is_blind(spread, now_ms);
-	if (reads) {
+	if (reads)
 		read_platform(spread, &spread->config,
 			      CONFIG_ACTION_READ_CONFIG, now_ms, actions);
+	/* Every node needs the list once, to know who else may own servers. */
+	if (reads || !spread->list.index)
 		read_platform(spread, &spread->list, CONFIG_ACTION_READ_MEMBERS,
 			      now_ms, actions);
-	}
 	ask_peers(spread, now_ms, actions);
 	if (spread->wanted > spread->revision)
 		fetch(spread, now_ms, actions);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -153,9 +153,12 @@
 		      uint32_t members_count)
 {
 	node_t *node = context;
+	const bool is_first = !node->listed;
 
 	node->listed = true;
 	peers_task_listed(node->peers, members, members_count);
+	if (is_first)
+		ownership_refresh(node);
 }
 
 /* Peers */
