Read consistently, set aside reads that are older than one before

Without it a leader of the platform that was replaced could answer a read after a lost answer with an older index, and the apply would take this for proof that its swap never took effect. toucanctl ignores SIGPIPE, so that a broken connection is a lost answer and not its end.

--- a/daemons/toucanctl.c
+++ b/daemons/toucanctl.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -39,6 +40,8 @@
 
 int main(int argc, char **argv)
 {
+	/* A connection that breaks is an answer that was lost. */
+	signal(SIGPIPE, SIG_IGN);
 	if (argc > 1 &&
 	    (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h"))) {
 		print_help(stdout);
--- a/src/coordination/config_apply.c
+++ b/src/coordination/config_apply.c
@@ -14,7 +14,8 @@
 	uint64_t deadline_ms;
 	uint64_t index;	   /* at which the swap is due */
 	uint64_t revision; /* of the swap that is due, or that came in force */
-	bool in_doubt;	   /* a swap may have taken effect, or may yet */
+	uint64_t newest_index;
+	bool in_doubt; /* a swap may have taken effect, or may yet */
 	uint64_t doubtful_index;
 	uint64_t doubtful_revision;
 	uint32_t pause_ms;
@@ -84,6 +85,15 @@
 	       config->revision - revision <= config->changes_count;
 }
 
+/* A read older than one before it, from a leader that was replaced. */
+static bool is_stale(config_apply_t *apply, uint64_t index)
+{
+	if (index < apply->newest_index)
+		return true;
+	apply->newest_index = index;
+	return false;
+}
+
 /*
  * A swap in doubt can still take effect while the index is the one that it
  * was sent with; the same swap is then sent again, as one of the two at most
@@ -133,6 +143,8 @@
 				      bool same_content, uint64_t index,
 				      uint64_t now_ms)
 {
+	if (result == STORE_OK && is_stale(apply, index))
+		return read_again(apply, now_ms);
 	if (result == STORE_OK)
 		return decide(apply, current, same_content, index);
 	if (result == STORE_ABSENT)
--- a/src/platform/store_consul.c
+++ b/src/platform/store_consul.c
@@ -102,6 +102,7 @@
 	return wait_ms + wait_ms / WAIT_JITTER_PART + CALL_TIMEOUT_MS;
 }
 
+/* A read that does not wait is never answered by a replaced leader. */
 static void send_read(consul_t *consul, const char *path, uint64_t after_index,
 		      uint32_t wait_ms, http_done_t done, call_t *call)
 {
@@ -110,7 +111,9 @@
 	if (after_index)
 		full = g_strdup_printf("%s?index=%" PRIu64 "&wait=%ums", path,
 				       after_index, wait_ms);
-	http_client_send(consul->client, HTTP_GET, full ? full : path, NULL, 0,
+	else
+		full = g_strconcat(path, "?consistent", NULL);
+	http_client_send(consul->client, HTTP_GET, full, NULL, 0,
 			 watch_timeout_ms(after_index, wait_ms), done, call,
 			 g_free);
 }
--- a/tests/property/prop_config_apply.cpp
+++ b/tests/property/prop_config_apply.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr uint64_t deadline_ms = 20000;
+constexpr uint64_t index_step = 3;
 
 config_t *config_new(uint64_t revision, const std::string &change_id)
 {
@@ -37,10 +38,12 @@
 	config_t *current = nullptr;
 	uint64_t index = 0;
 	std::vector<std::string> history; /* change id of each revision */
+	std::vector<config_t *> values;	  /* of each revision */
 
 	~Platform()
 	{
-		config_delete(current);
+		for (config_t *value : values)
+			config_delete(value);
 	}
 
 	bool swap(const Swap &swap)
@@ -54,9 +57,9 @@
 		next = config_new(0, "");
 		config_apply_stamp(next, current, swap.revision,
 				   swap.change_id.c_str());
-		config_delete(current);
+		values.push_back(next);
 		current = next;
-		index += 3;
+		index += index_step;
 		history.push_back(swap.change_id);
 		return true;
 	}
@@ -76,6 +79,7 @@
 	std::string change_id;
 	config_apply_step_t step = CONFIG_APPLY_READ;
 	uint64_t now_ms = 0;
+	uint32_t reads = 0;
 };
 
 struct Race {
@@ -113,19 +117,26 @@
 
 	void read(Operator &one)
 	{
-		const config_t *current = platform.current;
-		const bool same =
-			current && current->change_id == one.change_id;
+		const config_t *value = platform.current;
+		uint64_t index = platform.index;
 
 		one.now_ms += 10 + config_apply_pause_ms(one.apply);
-		if (outage || !below(5))
+		if (outage || !below(5)) {
 			one.step = config_apply_read(one.apply, STORE_UNKNOWN,
 						     nullptr, false, 0,
 						     one.now_ms);
-		else
-			one.step = config_apply_read(
-				one.apply, current ? STORE_OK : STORE_ABSENT,
-				current, same, platform.index, one.now_ms);
+			return;
+		}
+		/* A leader that was replaced answers once more. */
+		if (value && value->revision > 1 && one.reads && !below(5)) {
+			value = platform.values[value->revision - 2];
+			index -= index_step;
+		}
+		one.reads++;
+		one.step = config_apply_read(
+			one.apply, value ? STORE_OK : STORE_ABSENT, value,
+			value && value->change_id == one.change_id, index,
+			one.now_ms);
 	}
 
 	store_result_t send(const Swap &swap)
--- a/tests/unit/test_store_consul.c
+++ b/tests/unit/test_store_consul.c
@@ -200,7 +200,8 @@
 		assert_string_equal(answer.bytes, "hello");
 		assert_int_equal(answer.index, 7);
 		assert_true(g_str_has_prefix(
-			fake->last, "GET /v1/kv/toucanhook/a%20b HTTP/1.1"));
+			fake->last,
+			"GET /v1/kv/toucanhook/a%20b?consistent HTTP/1.1"));
 	}
 	g_free(answer.bytes);
 	store_destroy(store);
