--- a/tests/unit/test_config_table.c
+++ b/tests/unit/test_config_table.c
@@ -386,6 +386,62 @@
 	config_delete(decoded);
 }
 
+static void check_example(const char *const *paths, uint32_t count)
+{
+	g_autoptr(GError) error = NULL;
+	config_t *config = config_load(paths, count, &error);
+
+	if (!config) {
+		fail_msg("%s", error->message);
+		return;
+	}
+	assert_int_equal(config->services_count, 3);
+	assert_int_equal(config->services[2].databases_count, 3);
+	assert_int_equal(config->services[2].databases[2].servers_count, 3);
+	config_delete(config);
+}
+
+/* Run from the root of the repository, as all tests are. */
+static void test_examples_are_correct(void **state)
+{
+	static const char *const examples[][4] = {
+		{"examples/tauhara/base.yaml", "examples/tauhara/akl-a.yaml",
+		 "examples/tauhara/wlg-a.yaml", "examples/tauhara/chc-a.yaml"},
+		{"examples/tikva/base.yaml", "examples/tikva/plovdiv-a.yaml",
+		 "examples/tikva/gabrovo-a.yaml",
+		 "examples/tikva/varna-a.yaml"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(examples); i++) {
+		check_example(examples[i], 1);
+		check_example(examples[i], 4);
+		for (size_t j = 1; j < 4; j++)
+			check_example((const char *[]){examples[i][0],
+						       examples[i][j]},
+				      2);
+	}
+}
+
+/* Seeded changes of a base file are taken or refused, never a crash. */
+static void test_mutated_files_are_taken_or_refused(void **state)
+{
+	GRand *random = g_rand_new_with_seed(20261204);
+	g_autofree char *base = change_line(0, NULL);
+	const gint32 length = (gint32)strlen(base);
+
+	for (uint32_t round = 0; round < 2000; round++) {
+		g_autofree char *mutant = g_strdup(base);
+		g_autofree char *message = NULL;
+
+		for (gint32 n = g_rand_int_range(random, 1, 4); n; n--)
+			mutant[g_rand_int_range(random, 0, length)] =
+				(char)g_rand_int_range(random, 1, 256);
+		config_delete(load(mutant, round % 2 ? good_overlay : NULL,
+				   NULL, &message));
+	}
+	g_rand_free(random);
+}
+
 /* Seeded changes of the stored form are taken or refused, never a crash. */
 static void test_mutated_stored_form_is_taken_or_refused(void **state)
 {
@@ -429,6 +485,8 @@
 		cmocka_unit_test(test_all_problems_are_reported_at_once),
 		cmocka_unit_test(test_overlay_changes_only_what_differs),
 		cmocka_unit_test(test_stored_form_keeps_everything),
+		cmocka_unit_test(test_examples_are_correct),
+		cmocka_unit_test(test_mutated_files_are_taken_or_refused),
 		cmocka_unit_test(test_mutated_stored_form_is_taken_or_refused),
 	};
 
