Spread the platform's list of VMs by peers, too

Only the watchers read the list again after a node's start, so a VM that the platform lists as leaving stayed live in the views of all others, and their owners differed from the watchers' for good. The list now travels as the configuration does: its index rides in the digest, and who is behind fetches it. What the platform itself says is taken whatever its index, as the list is no promise. Weighed: every node reading the list (calls grow with nodes) and telling the leaving VM alone (a dead one tells nobody).

--- a/src/coordination/config_spread.c
+++ b/src/coordination/config_spread.c
@@ -42,7 +42,9 @@
 	bool started;
 	reader_t config;
 	reader_t list;
-	uint64_t wanted; /* highest revision heard of */
+	uint64_t list_index;	    /* of the list of VMs, 0 for none */
+	uint64_t wanted;	    /* highest revision heard of */
+	uint64_t wanted_list_index; /* highest index heard of */
 	char sources[SOURCES_MAX][NODE_NAME_SIZE];
 	uint32_t sources_count;
 	uint64_t fetch_until_ms; /* 0 while no fetch is outstanding */
@@ -166,15 +168,35 @@
 	}
 }
 
+static bool is_behind(const config_spread_t *spread)
+{
+	return spread->wanted > spread->revision ||
+	       spread->wanted_list_index > spread->list_index;
+}
+
+static void caught_up(config_spread_t *spread)
+{
+	spread->fetch_until_ms = 0;
+	if (!is_behind(spread))
+		spread->sources_count = 0;
+}
+
+bool config_spread_offer_list(config_spread_t *spread, uint64_t index)
+{
+	if (index <= spread->list_index)
+		return false;
+	spread->list_index = index;
+	caught_up(spread);
+	return true;
+}
+
 bool config_spread_offer(config_spread_t *spread, uint64_t revision,
 			 GArray *actions)
 {
 	if (revision <= spread->revision)
 		return false;
 	spread->revision = revision;
-	spread->fetch_until_ms = 0;
-	if (spread->wanted <= revision)
-		spread->sources_count = 0;
+	caught_up(spread);
 	if (spread->watches)
 		tell(spread, actions);
 	return true;
@@ -212,16 +234,19 @@
 	return (config_digest_t){
 		.revision = spread->revision,
 		.age_ms = (uint32_t)MIN(age_ms, UINT32_MAX),
+		.list_index = spread->list_index,
 	};
 }
 
 static void source_add(config_spread_t *spread, const char *from,
-		       uint64_t revision)
+		       const config_digest_t *digest)
 {
-	if (revision > spread->wanted) {
-		spread->wanted = revision;
+	if (digest->revision > spread->wanted ||
+	    digest->list_index > spread->wanted_list_index)
 		spread->sources_count = 0;
-	}
+	spread->wanted = MAX(spread->wanted, digest->revision);
+	spread->wanted_list_index =
+		MAX(spread->wanted_list_index, digest->list_index);
 	for (uint32_t i = 0; i < spread->sources_count; i++)
 		if (!strcmp(spread->sources[i], from))
 			return;
@@ -253,9 +278,10 @@
 	if (digest->age_ms < now_ms &&
 	    now_ms - digest->age_ms > spread->heard_ms)
 		spread->heard_ms = now_ms - digest->age_ms;
-	if (digest->revision <= spread->revision)
+	if (digest->revision <= spread->revision &&
+	    digest->list_index <= spread->list_index)
 		return;
-	source_add(spread, from, digest->revision);
+	source_add(spread, from, digest);
 	fetch(spread, now_ms, actions);
 }
 
@@ -295,9 +321,18 @@
 }
 
 void config_spread_members_read(config_spread_t *spread, config_read_t result,
-				uint64_t index, uint64_t now_ms)
+				uint64_t index, uint64_t now_ms,
+				GArray *actions)
 {
+	const bool changed = index != spread->list_index;
+
 	reader_ended(spread, &spread->list, result, index, now_ms);
+	if (result != CONFIG_READ_DONE || !index || !changed)
+		return;
+	spread->list_index = index;
+	caught_up(spread);
+	if (spread->watches)
+		tell(spread, actions);
 }
 
 static void read_platform(const config_spread_t *spread, reader_t *reader,
@@ -361,6 +396,6 @@
 			      now_ms, actions);
 	}
 	ask_peers(spread, now_ms, actions);
-	if (spread->wanted > spread->revision)
+	if (is_behind(spread))
 		fetch(spread, now_ms, actions);
 }
--- a/src/coordination/config_spread.h
+++ b/src/coordination/config_spread.h
@@ -92,9 +92,16 @@
 void config_spread_config_read(config_spread_t *spread, config_read_t result,
 			       uint64_t index, uint64_t now_ms);
 
-/** A read of the list of VMs ended. */
+/**
+ * A read of the list of VMs ended; what the platform itself says is taken,
+ * whatever its index.
+ */
 void config_spread_members_read(config_spread_t *spread, config_read_t result,
-				uint64_t index, uint64_t now_ms);
+				uint64_t index, uint64_t now_ms,
+				GArray *actions);
+
+/** @return whether a peer's list of VMs is newer; it then counts as taken. */
+bool config_spread_offer_list(config_spread_t *spread, uint64_t index);
 
 /** Time passed: begins what is due. Called at least each 250 ms. */
 void config_spread_tick(config_spread_t *spread, uint64_t now_ms,
--- a/src/daemon/config_task.c
+++ b/src/daemon/config_task.c
@@ -1,16 +1,22 @@
 #include "daemon/config_task.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "base/clock.h"
 #include "base/deflate.h"
 #include "base/log.h"
 #include "coordination/config_spread.h"
 #include "protocol/config_note.h"
+#include "protocol/member_list.h"
 #include "state/config_codec.h"
 
 #define TICK_MS 200
+/* A list of MEMBER_LIST_MAX VMs takes less. */
+#define LIST_SIZE_BYTES_MAX (2u * 1024 * 1024)
 #define SOURCE_PLATFORM "platform"
 
 struct config_task {
@@ -21,6 +27,7 @@
 	config_t *config;
 	GBytes *stored; /* the stored form of config */
 	GBytes *packed; /* the same, as it is sent to peers */
+	GBytes *list;	/* the list of VMs, as it is sent to peers */
 	metric_t *revision;
 	metric_t *reads;
 	metric_t *failed_reads;
@@ -193,16 +200,36 @@
 				  clock_now_ms());
 }
 
+/* Keeps the list as `[index, [VMs]]` for peers who ask. */
+static void keep_list(config_task_t *task, const member_t *members,
+		      uint32_t members_count, uint64_t index)
+{
+	json_t *json = json_pack("[I, o]", (json_int_t)index,
+				 member_list_write(members, members_count));
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	json_decref(json);
+	if (!text)
+		return;
+	g_clear_pointer(&task->list, g_bytes_unref);
+	task->list = deflate_pack((const uint8_t *)text, strlen(text));
+	free(text);
+}
+
 static void on_members_read(void *context, store_result_t result,
 			    const member_t *members, uint32_t members_count,
 			    uint64_t index)
 {
 	config_task_t *task = context;
+	GArray *actions = actions_new();
 
-	if (result != STORE_OK)
+	if (result == STORE_OK)
+		keep_list(task, members, members_count, index);
+	else
 		metric_add(task->failed_reads, 1);
 	config_spread_members_read(task->spread, read_result(result), index,
-				   clock_now_ms());
+				   clock_now_ms(), actions);
+	run(task, actions);
 	if (result == STORE_OK)
 		task->handlers.listed(task->handlers.context, members,
 				      members_count);
@@ -251,6 +278,7 @@
 	config_delete(task->config);
 	g_clear_pointer(&task->stored, g_bytes_unref);
 	g_clear_pointer(&task->packed, g_bytes_unref);
+	g_clear_pointer(&task->list, g_bytes_unref);
 	g_free(task);
 }
 
@@ -269,15 +297,25 @@
 	run(task, actions);
 }
 
+static void send_packed(const config_task_t *task, const char *to,
+			config_note_kind_t kind, GBytes *packed)
+{
+	config_note_t note = {.kind = kind};
+
+	note.packed = g_bytes_get_data(packed, &note.packed_size_bytes);
+	send_note(task, to, &note);
+}
+
 static void answer_fetch(const config_task_t *task, const char *from,
-			 uint64_t revision)
+			 const config_digest_t *theirs)
 {
-	config_note_t note = {.kind = CONFIG_NOTE_VALUE};
+	const config_digest_t ours =
+		config_spread_digest(task->spread, clock_now_ms());
 
-	if (!task->config || revision >= task->config->revision)
-		return;
-	note.packed = g_bytes_get_data(task->packed, &note.packed_size_bytes);
-	send_note(task, from, &note);
+	if (task->packed && ours.revision > theirs->revision)
+		send_packed(task, from, CONFIG_NOTE_VALUE, task->packed);
+	if (task->list && ours.list_index > theirs->list_index)
+		send_packed(task, from, CONFIG_NOTE_LIST, task->list);
 }
 
 static void refuse_note(const char *from, size_t size_bytes)
@@ -302,6 +340,38 @@
 	offer(task, bytes, size_bytes, from);
 }
 
+static void offer_list(config_task_t *task, const json_t *list, uint64_t index)
+{
+	g_autofree member_t *members = NULL;
+	uint32_t count = 0;
+
+	if (!config_spread_offer_list(task->spread, index))
+		return;
+	members = member_list_read(list, &count);
+	keep_list(task, members, count, index);
+	task->handlers.listed(task->handlers.context, members, count);
+}
+
+static void take_list(config_task_t *task, const char *from,
+		      const config_note_t *note)
+{
+	g_autoptr(GBytes) text = deflate_unpack(
+		note->packed, note->packed_size_bytes, LIST_SIZE_BYTES_MAX);
+	json_int_t index = 0;
+	json_t *list = NULL;
+	json_t *json = NULL;
+
+	if (text)
+		json = json_loadb(g_bytes_get_data(text, NULL),
+				  g_bytes_get_size(text), 0, NULL);
+	if (json && !json_unpack(json, "[I, o!]", &index, &list) && index > 0 &&
+	    json_is_array(list))
+		offer_list(task, list, (uint64_t)index);
+	else
+		refuse_note(from, note->packed_size_bytes);
+	json_decref(json);
+}
+
 void config_task_note(config_task_t *task, const char *from,
 		      const uint8_t *bytes, size_t size_bytes)
 {
@@ -316,11 +386,14 @@
 		heard(task, from, &note.digest);
 		return;
 	case CONFIG_NOTE_FETCH:
-		answer_fetch(task, from, note.digest.revision);
+		answer_fetch(task, from, &note.digest);
 		return;
 	case CONFIG_NOTE_VALUE:
 		take_value(task, from, &note);
 		return;
+	case CONFIG_NOTE_LIST:
+		take_list(task, from, &note);
+		return;
 	}
 }
 
--- a/src/platform/store_consul.c
+++ b/src/platform/store_consul.c
@@ -3,19 +3,17 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include <arpa/inet.h>
-
 #include <glib.h>
 #include <jansson.h>
 
 #include "base/log.h"
+#include "protocol/member_list.h"
 #include "transport/http_client.h"
 
 /* Time beyond a watch's own wait until an answer counts as lost. */
 #define CALL_TIMEOUT_MS 5000u
 /* The service adds up to this part of the wait, to spread its answers. */
 #define WAIT_JITTER_PART 16
-#define MEMBERS_MAX 4096
 #define VALUE_SIZE_BYTES_MAX (1024u * 1024)
 
 typedef struct {
@@ -167,43 +165,6 @@
 			 call_new(done, NULL, context), g_free);
 }
 
-static bool copy_text(char *to, size_t size_bytes, const json_t *json)
-{
-	const char *text = json_string_value(json);
-
-	return text && *text && g_strlcpy(to, text, size_bytes) < size_bytes;
-}
-
-static bool read_member(const json_t *node, member_t *member)
-{
-	const json_t *meta = json_object_get(node, "Meta");
-	const char *port =
-		json_string_value(json_object_get(meta, "peer_port"));
-	const char *state = json_string_value(json_object_get(meta, "state"));
-	struct in6_addr address;
-	guint64 number;
-
-	if (!copy_text(member->name, sizeof(member->name),
-		       json_object_get(node, "Node")) ||
-	    !copy_text(member->address, sizeof(member->address),
-		       json_object_get(node, "Address")) ||
-	    !copy_text(member->failure_domain, sizeof(member->failure_domain),
-		       json_object_get(meta, "failure_domain")) ||
-	    !copy_text(member->region, sizeof(member->region),
-		       json_object_get(meta, "region")))
-		return false;
-	if (inet_pton(AF_INET, member->address, &address) != 1 &&
-	    inet_pton(AF_INET6, member->address, &address) != 1)
-		return false;
-	if (!port ||
-	    !g_ascii_string_to_unsigned(port, 10, 1, UINT16_MAX, &number, NULL))
-		return false;
-	member->peer_port = (uint16_t)number;
-	member->state =
-		g_strcmp0(state, "leaving") ? MEMBER_LIVE : MEMBER_LEAVING;
-	return true;
-}
-
 static uint64_t index_header(const http_response_t *response)
 {
 	const char *text = http_response_header(response, "X-Consul-Index");
@@ -217,15 +178,9 @@
 
 static void give_members(const call_t *call, const json_t *json, uint64_t index)
 {
-	const size_t size = MIN(json_array_size(json), MEMBERS_MAX);
-	g_autofree member_t *members = g_new0(member_t, size + 1);
 	uint32_t count = 0;
+	g_autofree member_t *members = member_list_read(json, &count);
 
-	for (size_t i = 0; i < size; i++) {
-		memset(&members[count], 0, sizeof(members[count]));
-		if (read_member(json_array_get(json, i), &members[count]))
-			count++;
-	}
 	if (count < json_array_size(json))
 		log_event(LOG_LEVEL_WARNING, "member_refused",
 			  "listed=%zu taken=%u", json_array_size(json), count);
--- a/src/protocol/config_note.c
+++ b/src/protocol/config_note.c
@@ -5,13 +5,14 @@
 #include <jansson.h>
 
 /* The first byte of a note, by its kind. */
-static const uint8_t kind_bytes[] = {'D', 'F', 'V'};
+static const uint8_t kind_bytes[] = {'D', 'F', 'V', 'L'};
 
 size_t config_digest_encode(const config_digest_t *digest, uint8_t *bytes,
 			    size_t limit_bytes)
 {
-	json_t *json = json_pack("[I, I]", (json_int_t)digest->revision,
-				 (json_int_t)digest->age_ms);
+	json_t *json = json_pack("[I, I, I]", (json_int_t)digest->revision,
+				 (json_int_t)digest->age_ms,
+				 (json_int_t)digest->list_index);
 	const size_t size_bytes =
 		json_dumpb(json, (char *)bytes, limit_bytes, JSON_COMPACT);
 
@@ -24,19 +25,29 @@
 {
 	json_int_t revision = 0;
 	json_int_t age_ms = 0;
+	json_int_t list_index = 0;
 	json_t *json = NULL;
 	bool taken;
 
 	if (size_bytes <= CONFIG_DIGEST_SIZE_BYTES_MAX)
 		json = json_loadb((const char *)bytes, size_bytes, 0, NULL);
-	taken = json && !json_unpack(json, "[I, I!]", &revision, &age_ms) &&
-		revision >= 0 && age_ms >= 0 && age_ms <= UINT32_MAX;
+	taken = json &&
+		!json_unpack(json, "[I, I, I!]", &revision, &age_ms,
+			     &list_index) &&
+		revision >= 0 && age_ms >= 0 && age_ms <= UINT32_MAX &&
+		list_index >= 0;
 	json_decref(json);
 	digest->revision = (uint64_t)revision;
 	digest->age_ms = (uint32_t)age_ms;
+	digest->list_index = (uint64_t)list_index;
 	return taken;
 }
 
+static bool is_packed(config_note_kind_t kind)
+{
+	return kind == CONFIG_NOTE_VALUE || kind == CONFIG_NOTE_LIST;
+}
+
 GBytes *config_note_encode(const config_note_t *note)
 {
 	uint8_t head[1 + CONFIG_DIGEST_SIZE_BYTES_MAX];
@@ -44,11 +55,11 @@
 	size_t size_bytes = 0;
 
 	head[0] = kind_bytes[note->kind];
-	if (note->kind != CONFIG_NOTE_VALUE)
+	if (!is_packed(note->kind))
 		size_bytes = config_digest_encode(&note->digest, head + 1,
 						  CONFIG_DIGEST_SIZE_BYTES_MAX);
 	g_byte_array_append(bytes, head, (guint)(1 + size_bytes));
-	if (note->kind == CONFIG_NOTE_VALUE)
+	if (is_packed(note->kind))
 		g_byte_array_append(bytes, note->packed,
 				    (guint)note->packed_size_bytes);
 	return g_byte_array_free_to_bytes(bytes);
@@ -66,7 +77,7 @@
 	if (!kind)
 		return false;
 	note->kind = (config_note_kind_t)(kind - kind_bytes);
-	if (note->kind != CONFIG_NOTE_VALUE)
+	if (!is_packed(note->kind))
 		return config_digest_decode(bytes + 1, size_bytes - 1,
 					    &note->digest);
 	note->packed = bytes + 1;
--- a/src/protocol/config_note.h
+++ b/src/protocol/config_note.h
@@ -12,21 +12,24 @@
 
 /** What a node tells of the configuration that it has in force. */
 typedef struct {
-	uint64_t revision; /**< 0 for none */
-	uint32_t age_ms;   /**< since the platform was known to be heard */
+	uint64_t revision;   /**< 0 for none */
+	uint32_t age_ms;     /**< since the platform was known to be heard */
+	uint64_t list_index; /**< of the platform's list of VMs, 0 for none */
 } config_digest_t;
 
 typedef enum {
 	CONFIG_NOTE_DIGEST, /**< tells of a revision */
-	CONFIG_NOTE_FETCH,  /**< asks for a revision above the one given */
+	CONFIG_NOTE_FETCH,  /**< asks for what is newer than the digest */
 	CONFIG_NOTE_VALUE,  /**< carries the stored form, packed */
+	CONFIG_NOTE_LIST,   /**< carries the list of VMs, packed */
 } config_note_kind_t;
 
 /** A note between the configuration tasks of two nodes; plain data. */
 typedef struct {
 	config_note_kind_t kind;
 	config_digest_t digest; /**< of the sender; for digest and fetch */
-	const uint8_t *packed;	/**< value: points into what was decoded */
+	const uint8_t
+		*packed; /**< of value and list; inside what was decoded */
 	size_t packed_size_bytes;
 } config_note_t;
 
--- a/tests/property/prop_config_spread.cpp
+++ b/tests/property/prop_config_spread.cpp
@@ -49,6 +49,7 @@
 	GRand *random;
 	uint64_t now_ms = start_ms;
 	uint64_t accepted = 0;
+	uint64_t list_index = 1; /* of the platform's list of VMs */
 	uint32_t loss_percent = 0;
 	uint32_t platform_calls = 0;
 	bool heartbeats = true;
@@ -159,6 +160,11 @@
 		return g_array_new(FALSE, FALSE, sizeof(config_action_t));
 	}
 
+	uint64_t listed(size_t i) const
+	{
+		return config_spread_digest(nodes[i].spread, now_ms).list_index;
+	}
+
 	void offer(size_t i, uint64_t revision)
 	{
 		GArray *found = actions();
@@ -187,6 +193,13 @@
 			if (nodes[message.to].seen > message.digest.revision)
 				send(message.to, message.from,
 				     CONFIG_ACTION_READ_CONFIG);
+			if (listed(message.to) > message.digest.list_index)
+				send(message.to, message.from,
+				     CONFIG_ACTION_READ_MEMBERS);
+			break;
+		case CONFIG_ACTION_READ_MEMBERS:
+			config_spread_offer_list(nodes[message.to].spread,
+						 message.digest.list_index);
 			break;
 		default:
 			offer(message.to, message.digest.revision);
@@ -204,11 +217,14 @@
 							CONFIG_READ_ABSENT;
 
 		if (read.kind == CONFIG_ACTION_READ_MEMBERS) {
+			GArray *found = actions();
+
 			config_spread_members_read(node.spread,
 						   node.platform ?
 							   CONFIG_READ_DONE :
 							   CONFIG_READ_FAILED,
-						   1, now_ms);
+						   list_index, now_ms, found);
+			run(read.node, found);
 			return;
 		}
 		if (result == CONFIG_READ_DONE)
@@ -219,10 +235,13 @@
 
 	bool is_due(const Read &read) const
 	{
+		const uint64_t index = read.kind == CONFIG_ACTION_READ_CONFIG ?
+					       accepted + 1 :
+					       list_index;
+
 		return now_ms >= read.due_ms ||
-		       (read.kind == CONFIG_ACTION_READ_CONFIG &&
-			nodes[read.node].platform && read.after &&
-			accepted + 1 > read.after);
+		       (nodes[read.node].platform && read.after &&
+			index > read.after);
 	}
 
 	void step()
@@ -283,6 +302,14 @@
 				return false;
 		return true;
 	}
+
+	bool all_listed() const
+	{
+		for (size_t i = 0; i < nodes.size(); i++)
+			if (listed(i) != list_index)
+				return false;
+		return true;
+	}
 };
 
 /* Random changes, restarts, losses and outages. */
@@ -295,6 +322,7 @@
 		switch (fleet.below(8)) {
 		case 0:
 			fleet.accepted += 1 + fleet.below(3);
+			fleet.list_index += fleet.below(2);
 			break;
 		case 1:
 			node.platform = !node.platform;
@@ -328,9 +356,12 @@
 	/* Longest back-off of a watcher, and the time to spread. */
 	fleet.run_ms(75000);
 	RC_ASSERT(fleet.all_at(fleet.accepted));
+	RC_ASSERT(fleet.all_listed());
 	fleet.accepted++;
+	fleet.list_index++;
 	fleet.run_ms(5000);
 	RC_ASSERT(fleet.all_at(fleet.accepted));
+	RC_ASSERT(fleet.all_listed());
 }
 
 void converges_while_the_platform_is_down()
@@ -357,8 +388,10 @@
 	fleet.run_ms(5000);
 	fleet.heartbeats = false;
 	fleet.accepted = 2;
+	fleet.list_index = 2;
 	fleet.run_ms(2000);
 	RC_ASSERT(fleet.all_at(2));
+	RC_ASSERT(fleet.all_listed());
 }
 
 void a_new_node_asks_peers()
--- a/tests/unit/test_config_task.c
+++ b/tests/unit/test_config_task.c
@@ -24,6 +24,7 @@
 	store_t store;
 	char *value;
 	uint64_t index;
+	uint64_t list_index;
 	bool down;
 	GArray *held; /* held_t */
 	uint32_t reads;
@@ -38,6 +39,7 @@
 	uint64_t lowest_allowed; /* revision that was in force last */
 	uint32_t changes;
 	uint32_t listed;
+	uint32_t leaving; /* VMs of the list */
 } fake_node_t;
 
 typedef struct {
@@ -83,7 +85,7 @@
 	if (held->members_done) {
 		held->members_done(held->context,
 				   platform->down ? STORE_UNKNOWN : STORE_OK,
-				   fleet->members, NODES, 1);
+				   fleet->members, NODES, platform->list_index);
 		return;
 	}
 	if (platform->down)
@@ -105,7 +107,9 @@
 	platform->held = g_array_new(FALSE, FALSE, sizeof(held_t));
 	for (guint i = 0; i < due->len; i++) {
 		const held_t held = g_array_index(due, held_t, i);
-		const uint64_t index = held.members_done ? 1 : platform->index;
+		const uint64_t index = held.members_done ?
+					       platform->list_index :
+					       platform->index;
 
 		if (!platform->down && held.after_index >= index &&
 		    held.after_index)
@@ -159,7 +163,12 @@
 static void on_listed(void *context, const member_t *members,
 		      uint32_t members_count)
 {
-	((fake_node_t *)context)->listed = members_count;
+	fake_node_t *node = context;
+
+	node->listed = members_count;
+	node->leaving = 0;
+	for (uint32_t i = 0; i < members_count; i++)
+		node->leaving += members[i].state == MEMBER_LEAVING;
 }
 
 static void start(fleet_t *fleet, uint32_t n)
@@ -187,6 +196,7 @@
 	fleet->metrics = metrics_create(16);
 	fleet->notes = g_array_new(FALSE, FALSE, sizeof(note_t));
 	fleet->platform.store.calls = &calls;
+	fleet->platform.list_index = 1;
 	fleet->platform.store.self = &fleet->platform;
 	fleet->platform.held = g_array_new(FALSE, FALSE, sizeof(held_t));
 	for (uint32_t n = 0; n < NODES; n++) {
@@ -279,6 +289,26 @@
 			 2);
 }
 
+static void test_a_leaving_vm_is_known_everywhere(void **state)
+{
+	fleet_t *fleet = *state;
+	uint32_t knowing = 0;
+
+	put(fleet, 1);
+	wait_for_all(fleet, 1);
+	for (uint32_t i = 0; i < 20; i++)
+		turn(fleet);
+	fleet->members[2].state = MEMBER_LEAVING;
+	fleet->platform.list_index++;
+	for (uint32_t i = 0; i < 1000 && knowing < NODES; i++) {
+		turn(fleet);
+		knowing = 0;
+		for (uint32_t n = 0; n < NODES; n++)
+			knowing += fleet->nodes[n].leaving == 1;
+	}
+	assert_int_equal(knowing, NODES);
+}
+
 static void test_nothing_goes_back(void **state)
 {
 	fleet_t *fleet = *state;
@@ -338,7 +368,7 @@
 		for (size_t i = 0; i < size_bytes; i++)
 			bytes[i] = (uint8_t)g_rand_int_range(random, 0, 256);
 		if (size_bytes)
-			bytes[0] = (uint8_t) "DFV["[round % 4];
+			bytes[0] = (uint8_t) "DFVL["[round % 5];
 		config_task_note(fleet->nodes[0].task, "akl-1", bytes,
 				 size_bytes);
 		config_task_digest_seen(fleet->nodes[0].task, "akl-1", bytes,
@@ -375,6 +405,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 			test_a_change_reaches_every_node, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_a_leaving_vm_is_known_everywhere, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_nothing_goes_back, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(
