--- a/tests/world/world.c
+++ b/tests/world/world.c
@@ -9,13 +9,12 @@
 #include <zmq.h>
 
 #include "base/clock.h"
-#include "state/config_codec.h"
-#include "state/config_load.h"
 #include "world/world_files.h"
 #include "world/world_links.h"
 
 #define START_TIMEOUT_MS 10000u
 #define READY_TIMEOUT_MS 20000u
+#define TOOL_TIMEOUT_MS 20000u
 #define CONDITION_POLL_MS 5u
 #define LOG_LINES 25u
 
@@ -422,25 +421,28 @@
 			nodes, NULL) == 200;
 }
 
-/* Until toucanctl can: straight into the platform's key. */
 bool world_apply(world_t *world, GError **error)
 {
 	g_autofree char *base = world_files_base(world);
 	g_autofree char *path =
 		g_build_filename(world->directory, "base.yaml", NULL);
-	const char *paths[] = {path};
-	g_autofree char *text = NULL;
-	config_t *config;
+	g_autoptr(GPtrArray) arguments = arguments_new("toucanctl");
+	process_t *tool;
+	int status = -1;
 
 	if (!g_file_set_contents(path, base, -1, error))
 		return false;
-	config = config_load(paths, 1, error);
-	if (!config)
+	add(arguments, "apply");
+	add(arguments, "--platform=127.0.0.1:%u", world->platform_port);
+	add(arguments, "--base=%s", path);
+	tool = start(world, "toucanctl", arguments, error);
+	if (!tool)
 		return false;
-	config->revision = 1;
-	config->change_id = g_strdup("world");
-	text = config_codec_encode(config);
-	config_delete(config);
-	return http_ask(HTTP_ASK_PUT, world->platform_port,
-			"/v1/kv/toucanhook/config", text, NULL) == 200;
+	process_wait(tool, TOOL_TIMEOUT_MS, &status);
+	if (status) {
+		process_print_log(tool, LOG_LINES);
+		g_set_error(error, WORLD_ERROR, 0, "toucanctl apply failed");
+	}
+	process_destroy(tool);
+	return status == 0;
 }
--- a/tests/world/world_files.c
+++ b/tests/world/world_files.c
@@ -102,11 +102,6 @@
 	return g_string_free(text, FALSE);
 }
 
-char *world_files_overlay(const world_t *world)
-{
-	return g_strdup_printf("site: %s\n", world->deployment.site);
-}
-
 char *world_files_nodes(const world_t *world)
 {
 	json_t *list = json_array();
--- a/tests/world/world_files.h
+++ b/tests/world/world_files.h
@@ -6,9 +6,6 @@
 /** @return the operators' base file of a world, as YAML. */
 char *world_files_base(const world_t *world);
 
-/** @return the overlay of its site, as YAML. */
-char *world_files_overlay(const world_t *world);
-
 /** @return the platform's list of VMs, as JSON. */
 char *world_files_nodes(const world_t *world);
 
