Connect again to a backend server that was down

While a control connection waited for its next attempt, each poll failed and put the attempt off once more; polls come more often than the longest wait, so a server that was down for a second was never reached again: it stayed unknown until the entry VM was restarted, and was not told whom to follow. Asking in the meantime ends at once and leaves the time of the attempt alone.

Seen: the new test of a replaced server fails without the change (30 s) and passes 3 of 3 with it. Found in make demo KEEP=1: no connection was accepted by the restarted server in 11 s.

--- a/src/backend/backend_control.c
+++ b/src/backend/backend_control.c
@@ -73,22 +73,28 @@
 		MIN(control->backoff_ms * 2, CONTROL_BACKOFF_MAX_MS);
 }
 
-/* What was sent may have run; what only waited certainly did not. */
+/* What only waited certainly did not run. */
+static void control_end_waiting(backend_control_t *control)
+{
+	GQueue waiting = *control->queue;
+	control_entry_t *entry;
+
+	g_queue_init(control->queue);
+	while ((entry = g_queue_pop_head(&waiting)))
+		entry_end(entry, SERVER_UNREACHABLE, NULL);
+}
+
+/* What was sent may have run. */
 static void control_fail(backend_control_t *control)
 {
 	control_entry_t *running = g_steal_pointer(&control->running);
 	const bool idle = control->connected && !running;
-	GQueue waiting = G_QUEUE_INIT;
-	control_entry_t *entry;
 
 	control_close(control);
 	control_backoff(control);
-	while ((entry = g_queue_pop_head(control->queue)))
-		g_queue_push_tail(&waiting, entry);
 	if (running)
 		entry_end(running, SERVER_UNKNOWN, NULL);
-	while ((entry = g_queue_pop_head(&waiting)))
-		entry_end(entry, SERVER_UNREACHABLE, NULL);
+	control_end_waiting(control);
 	if (idle && control->broken)
 		control->broken(control->context);
 }
@@ -312,8 +318,9 @@
 	if (!control->connection) {
 		if (g_queue_is_empty(control->queue))
 			return;
+		/* Asking must not put off the next attempt. */
 		if (clock_now_ms() < control->retry_at_ms) {
-			control_fail(control);
+			control_end_waiting(control);
 			return;
 		}
 		control_connect(control);
--- a/tests/e2e/test_failover.c
+++ b/tests/e2e/test_failover.c
@@ -131,6 +131,28 @@
 	assert_promises_kept(NULL);
 }
 
+static bool has_rejoined(void *context)
+{
+	const world_server_t *server = context;
+	json_t *state = http_ask_json(server->control_port, "/state");
+	bool rejoined = load_run_number(state, "last_term") > 1;
+
+	json_decref(state);
+	return rejoined;
+}
+
+/* A server that comes back empty must be taken in as a replica. */
+static void test_replaced_server_rejoins(void **state)
+{
+	start_load(LOAD_ARGUMENTS);
+	process_signal(old_primary->process, SIGKILL);
+	await_new_primary();
+	assert_true(world_start_server(world, old_primary, true, NULL));
+	world->failed = !world_wait(WAIT_MS, has_rejoined, old_primary);
+	assert_false(world->failed);
+	assert_promises_kept(NULL);
+}
+
 /* A primary that wakes up must not acknowledge what its successor lacks. */
 static void test_frozen_primary_that_wakes(void **state)
 {
@@ -219,6 +241,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		TEST(test_killed_primary),
+		TEST(test_replaced_server_rejoins),
 		TEST(test_frozen_primary_that_wakes),
 		TEST(test_primary_domain_cut_off_and_healed),
 		TEST(test_killed_primary_in_an_outage_of_the_platform),
