--- a/tests/standin/relay/main.c
+++ b/tests/standin/relay/main.c
@@ -131,6 +131,18 @@
 	event_base_dispatch(relay->base);
 }
 
+/* A base whose timers are not rounded up to milliseconds. */
+static struct event_base *precise_base(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 int main(int argc, char **argv)
 {
 	relay_t relay = {0};
@@ -154,7 +166,7 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	log_open("standin-relay", LOG_LEVEL_INFO);
-	relay.base = event_base_new();
+	relay.base = precise_base();
 	relay.links = g_ptr_array_new();
 	relay.random_state = (uint64_t)options.seed->ival[0];
 	for (int i = 0; i < options.link->count; i++) {
