Keep news of members within a budget, urgent news first

Now digests are compared only when no news is under way, a node sends records to a partner at most once a second, and what is urgent (failures, returns, leaving) has a budget of its own; the rest goes to two partners. Digest and counts of the suspected and dead are kept until something changes.

--- a/src/coordination/member_table.c
+++ b/src/coordination/member_table.c
@@ -39,12 +39,24 @@
 	return g_hash_table_lookup(table->entries, name);
 }
 
-static void mark_news(member_table_t *table, member_entry_t *entry,
-		      uint64_t now_ms)
+void member_table_passed_on(member_table_t *table, member_entry_t *entry)
 {
 	if (!entry->is_news)
-		table->news_count++;
+		return;
+	table->news_count--;
+	table->urgent_count -= entry->is_urgent;
+	entry->is_news = false;
+	entry->is_urgent = false;
+}
+
+static void mark_news(member_table_t *table, member_entry_t *entry,
+		      bool is_urgent, uint64_t now_ms)
+{
+	member_table_passed_on(table, entry);
 	entry->is_news = true;
+	entry->is_urgent = is_urgent;
+	table->news_count++;
+	table->urgent_count += is_urgent;
 	entry->order = ++table->changes;
 	table->changed_ms = now_ms;
 	table->view_changes = true;
@@ -59,6 +71,7 @@
 	entry->heard_ms = now_ms;
 	entry->state_ms = now_ms;
 	g_hash_table_insert(table->entries, entry->record.member.name, entry);
+	table->changes++;
 	table->partners_change = true;
 	table->view_changes = true;
 	return entry;
@@ -87,8 +100,8 @@
 static void remove_entry(member_table_t *table, GHashTableIter *iter,
 			 member_entry_t *entry)
 {
-	if (entry->is_news)
-		table->news_count--;
+	member_table_passed_on(table, entry);
+	table->changes++;
 	table->partners_change = true;
 	table->view_changes = true;
 	g_hash_table_iter_remove(iter);
@@ -185,6 +198,7 @@
 {
 	const member_state_t before = entry->record.member.state;
 	member_record_t fresh = *record;
+	bool is_urgent;
 
 	keep_place(&fresh, &entry->record);
 	if (fresh.member.incarnation == entry->record.member.incarnation)
@@ -196,8 +210,10 @@
 	    strcmp(fresh.member.failure_domain,
 		   entry->record.member.failure_domain))
 		table->partners_change = true;
+	is_urgent = fresh.leaving || before != MEMBER_LIVE ||
+		    fresh.member.state != MEMBER_LIVE;
 	entry->record = fresh;
-	mark_news(table, entry, now_ms);
+	mark_news(table, entry, is_urgent, now_ms);
 }
 
 void member_table_merge(member_table_t *table, const member_record_t *record,
@@ -215,7 +231,8 @@
 		if (record->member.state == MEMBER_DEAD ||
 		    !*record->member.address)
 			return;
-		mark_news(table, add_entry(table, record, now_ms), now_ms);
+		mark_news(table, add_entry(table, record, now_ms), false,
+			  now_ms);
 		return;
 	}
 	if (member_record_supersedes(record, &entry->record))
@@ -229,13 +246,13 @@
 	entry->state_ms = now_ms;
 	if (state == MEMBER_DEAD)
 		table->partners_change = true;
-	mark_news(table, entry, now_ms);
+	mark_news(table, entry, true, now_ms);
 }
 
 void member_table_speak(member_table_t *table, uint64_t now_ms)
 {
 	table->self->record.version++;
-	mark_news(table, table->self, now_ms);
+	mark_news(table, table->self, true, now_ms);
 }
 
 void member_table_forget(member_table_t *table, uint64_t dead_before_ms)
@@ -253,22 +270,31 @@
 	}
 }
 
-uint64_t member_table_digest(const member_table_t *table)
+static void count_entry(member_census_t *census, const member_entry_t *entry)
+{
+	const member_record_t *record = &entry->record;
+
+	if (record->member.state == MEMBER_SUSPECT)
+		census->suspects_count++;
+	if (record->member.state == MEMBER_DEAD)
+		census->dead_count++;
+	else if (record->member.incarnation)
+		census->digest ^= member_record_digest(record);
+}
+
+member_census_t member_table_census(member_table_t *table)
 {
 	GHashTableIter iter;
 	gpointer value;
-	uint64_t digest = 0;
 
+	if (table->census_changes == table->changes)
+		return table->census;
+	table->census_changes = table->changes;
+	table->census = (member_census_t){0};
 	g_hash_table_iter_init(&iter, table->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const member_record_t *record =
-			&((const member_entry_t *)value)->record;
-
-		if (record->member.state != MEMBER_DEAD &&
-		    record->member.incarnation)
-			digest ^= member_record_digest(record);
-	}
-	return digest;
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count_entry(&table->census, value);
+	return table->census;
 }
 
 static int compare_members(const void *a, const void *b)
--- a/src/coordination/member_table.h
+++ b/src/coordination/member_table.h
@@ -15,6 +15,7 @@
 	bool is_listed;
 	bool is_listed_leaving;
 	bool is_news;	   /**< has not been passed on yet */
+	bool is_urgent;	   /**< the news is of a failure or of leaving */
 	bool is_accused;   /**< this node itself suspects it */
 	bool is_watched;   /**< its heartbeats come to this node */
 	bool wants_reply;  /**< it waits for a heartbeat */
@@ -30,16 +31,26 @@
 	uint64_t order;	     /**< grows with each change of the table */
 } member_entry_t;
 
+/** What is to be known of all members at once. */
+typedef struct {
+	uint64_t digest; /**< of the records of those who are not dead */
+	uint32_t suspects_count;
+	uint32_t dead_count;
+} member_census_t;
+
 /** All members known to one node, itself included. */
 typedef struct {
 	GHashTable *entries; /**< name to member_entry_t */
 	member_entry_t *self;
-	uint64_t changes;     /**< grows with each change of a record */
-	uint64_t changed_ms;  /**< time of the last one */
-	uint32_t news_count;  /**< entries with is_news */
-	bool partners_change; /**< who takes part has changed */
-	bool view_changes;    /**< the view is out of date */
-	GArray *members;      /**< of member_t, behind the view */
+	uint64_t changes; /**< grows with each change of a record */
+	member_census_t census;
+	uint64_t census_changes; /**< changes when the census was taken */
+	uint64_t changed_ms;	 /**< time of the last one */
+	uint32_t news_count;	 /**< entries with is_news */
+	uint32_t urgent_count;	 /**< those that are urgent */
+	bool partners_change;	 /**< who takes part has changed */
+	bool view_changes;	 /**< the view is out of date */
+	GArray *members;	 /**< of member_t, behind the view */
 	member_view_t view;
 } member_table_t;
 
@@ -66,11 +77,14 @@
 /** Says something new of this node itself. */
 void member_table_speak(member_table_t *table, uint64_t now_ms);
 
+/** Takes an entry's news as passed on. */
+void member_table_passed_on(member_table_t *table, member_entry_t *entry);
+
 /** Forgets the dead who are not listed and have been dead for a while. */
 void member_table_forget(member_table_t *table, uint64_t dead_before_ms);
 
-/** @return a digest of all records of members who are not dead. */
-uint64_t member_table_digest(const member_table_t *table);
+/** @return the census of the table as it is. */
+member_census_t member_table_census(member_table_t *table);
 
 /** @return the view; valid until the next change. */
 const member_view_t *member_table_view(member_table_t *table);
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -52,7 +52,8 @@
 	membership->ran_ms = now_ms;
 	membership->next_ms = now_ms;
 	membership->budget_ms = now_ms;
-	membership->budget_bytes = MEMBERSHIP_NEWS_BURST_BYTES;
+	membership->urgent_bytes = MEMBERSHIP_NEWS_BURST_BYTES;
+	membership->calm_bytes = MEMBERSHIP_NEWS_BURST_BYTES;
 	return membership;
 }
 
@@ -97,16 +98,19 @@
 	hurry(membership, now_ms);
 }
 
+/* Differing digests matter only once there is no news under way. */
 static void compare_digests(membership_t *membership, member_entry_t *sender,
 			    uint64_t digest, uint64_t now_ms)
 {
-	if (now_ms < membership->table.changed_ms + QUIET_MS ||
-	    now_ms < sender->synced_ms + SYNC_MS)
-		return;
-	if (digest == member_table_digest(&membership->table))
+	member_table_t *table = &membership->table;
+
+	if (table->news_count || now_ms < table->changed_ms + QUIET_MS ||
+	    now_ms < sender->synced_ms + SYNC_MS ||
+	    digest == member_table_census(table).digest)
 		return;
 	sender->is_stale = true;
-	owe_reply(membership, sender, now_ms);
+	membership->has_replies = true;
+	hurry(membership, now_ms);
 }
 
 void membership_heard(membership_t *membership, const membership_beat_t *beat,
@@ -270,6 +274,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!member_table_census(table).suspects_count)
+		return;
 	g_hash_table_iter_init(&iter, table->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		member_entry_t *entry = value;
@@ -305,22 +311,25 @@
 static void knock(const run_t *run)
 {
 	membership_t *membership = run->membership;
-	g_autoptr(GPtrArray) dead = g_ptr_array_new();
+	const member_census_t census = member_table_census(&membership->table);
 	GHashTableIter iter;
 	gpointer value;
+	uint32_t skip;
 
-	if (run->now_ms < membership->knocked_ms + KNOCK_MS)
+	if (!census.dead_count ||
+	    run->now_ms < membership->knocked_ms + KNOCK_MS)
 		return;
 	membership->knocked_ms = run->now_ms;
+	skip = (uint32_t)(draw(membership) % census.dead_count);
 	g_hash_table_iter_init(&iter, membership->table.entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((member_entry_t *)value)->record.member.state ==
-		    MEMBER_DEAD)
-			g_ptr_array_add(dead, value);
-	if (!dead->len)
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		member_entry_t *entry = value;
+
+		if (entry->record.member.state != MEMBER_DEAD || skip--)
+			continue;
+		membership_send_beat(run, entry, true);
 		return;
-	membership_send_beat(run, dead->pdata[draw(membership) % dead->len],
-			     true);
+	}
 }
 
 static void settle(const run_t *run)
@@ -350,10 +359,11 @@
 	for (uint32_t i = 0; i < membership->watched_count; i++)
 		suspect(&run, &membership->watched[i]);
 	bury(&run);
-	if (now_ms > FORGET_MS)
+	if (now_ms > FORGET_MS &&
+	    member_table_census(&membership->table).dead_count)
 		member_table_forget(&membership->table, now_ms - FORGET_MS);
 	choose_partners(membership, now_ms);
-	run.digest = member_table_digest(&membership->table);
+	run.digest = member_table_census(&membership->table).digest;
 	membership_send_news(&run);
 	membership_send_replies(&run);
 	beat_targets(&run);
@@ -399,7 +409,7 @@
 {
 	*record = membership->table.self->record;
 	*beat = (membership_beat_t){
-		.digest = member_table_digest(&membership->table),
+		.digest = member_table_census(&membership->table).digest,
 		.wants_reply = true,
 		.records = record,
 		.records_count = 1,
--- a/src/coordination/membership_private.h
+++ b/src/coordination/membership_private.h
@@ -29,7 +29,8 @@
 	uint64_t next_ms;
 	uint64_t knocked_ms;
 	uint64_t budget_ms;
-	int64_t budget_bytes;
+	int64_t urgent_bytes;
+	int64_t calm_bytes;
 	uint64_t sync_order;
 	bool has_replies;
 	partner_t targets[WATCH_RING_TARGETS_MAX];
--- a/src/coordination/membership_send.c
+++ b/src/coordination/membership_send.c
@@ -12,6 +12,7 @@
 #define NEWS_BYTES_PER_SECOND 1000
 #define NEWS_RECORD_BYTES 40
 #define NEWS_BEAT_BYTES 100
+#define CALM_TARGETS 2
 
 /* The records of one beat, the own one first. */
 typedef struct {
@@ -68,59 +69,72 @@
 	send_parcel(run, to, &parcel, wants_reply);
 }
 
-static bool afford(membership_t *membership, uint32_t beats, uint32_t records)
+static bool afford(int64_t *budget_bytes, uint32_t beats, uint32_t records)
 {
 	const int64_t cost_bytes =
 		(int64_t)beats *
 		(NEWS_BEAT_BYTES + (int64_t)records * NEWS_RECORD_BYTES);
 
-	if (membership->budget_bytes < cost_bytes)
+	if (*budget_bytes < cost_bytes)
 		return false;
-	membership->budget_bytes -= cost_bytes;
+	*budget_bytes -= cost_bytes;
 	return true;
 }
 
-static void earn(membership_t *membership, uint64_t now_ms)
+static int64_t earn(int64_t budget_bytes, uint64_t passed_ms)
 {
-	const uint64_t passed_ms = now_ms - membership->budget_ms;
+	const uint64_t earned_bytes = passed_ms * NEWS_BYTES_PER_SECOND / 1000;
 
-	membership->budget_ms = now_ms;
-	membership->budget_bytes = MIN(
-		MEMBERSHIP_NEWS_BURST_BYTES,
-		membership->budget_bytes +
-			(int64_t)(passed_ms * NEWS_BYTES_PER_SECOND / 1000));
+	return MIN(MEMBERSHIP_NEWS_BURST_BYTES,
+		   budget_bytes + (int64_t)earned_bytes);
 }
 
 /* The dead are known by name already; a newcomer's place may not be. */
 static void add_news(parcel_t *parcel, member_table_t *table,
 		     member_entry_t *entry)
 {
-	entry->is_news = false;
-	table->news_count--;
+	member_table_passed_on(table, entry);
 	if (entry != table->self)
 		add_record(parcel, &entry->record,
 			   entry->record.member.state == MEMBER_LIVE);
 }
 
-static bool spread_some(const run_t *run)
+static void pack_news(parcel_t *parcel, member_table_t *table, bool is_urgent)
 {
-	membership_t *membership = run->membership;
-	member_table_t *table = &membership->table;
-	const uint32_t count =
-		MIN(table->news_count, MEMBERSHIP_RECORDS_MAX - 1);
 	GHashTableIter iter;
 	gpointer value;
+
+	add_record(parcel, &table->self->record, true);
+	g_hash_table_iter_init(&iter, table->entries);
+	while (parcel->count < MEMBERSHIP_RECORDS_MAX &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		member_entry_t *entry = value;
+
+		if (entry->is_news && entry->is_urgent == is_urgent)
+			add_news(parcel, table, entry);
+	}
+}
+
+/* What is not urgent takes the first ring of each kind, at half the cost. */
+static bool spread_some(const run_t *run, bool is_urgent)
+{
+	membership_t *membership = run->membership;
+	member_table_t *table = &membership->table;
+	const uint32_t waiting =
+		is_urgent ? table->urgent_count :
+			    table->news_count - table->urgent_count;
+	const uint32_t beats =
+		is_urgent ? membership->targets_count :
+			    MIN(membership->targets_count, CALM_TARGETS);
 	parcel_t parcel = {0};
 
-	if (!count || !afford(membership, membership->targets_count, count))
+	if (!waiting ||
+	    !afford(is_urgent ? &membership->urgent_bytes :
+				&membership->calm_bytes,
+		    beats, MIN(waiting, MEMBERSHIP_RECORDS_MAX - 1)))
 		return false;
-	add_record(&parcel, &table->self->record, true);
-	g_hash_table_iter_init(&iter, table->entries);
-	while (parcel.count < MEMBERSHIP_RECORDS_MAX &&
-	       g_hash_table_iter_next(&iter, NULL, &value))
-		if (((member_entry_t *)value)->is_news)
-			add_news(&parcel, table, value);
-	for (uint32_t i = 0; i < membership->targets_count; i++)
+	pack_news(&parcel, table, is_urgent);
+	for (uint32_t i = 0; i < beats; i++)
 		send_parcel(run, membership->targets[i].entry, &parcel, false);
 	return true;
 }
@@ -165,11 +179,9 @@
 	parcel_t parcel = {0};
 
 	to->is_stale = false;
-	if (!afford(run->membership, 1, MEMBERSHIP_RECORDS_MAX)) {
-		membership_send_beat(run, to, false);
-		return;
-	}
 	to->synced_ms = run->now_ms;
+	if (!afford(&run->membership->calm_bytes, 1, MEMBERSHIP_RECORDS_MAX))
+		return;
 	add_record(&parcel, &run->membership->table.self->record, true);
 	add_sync(run->membership, to, &parcel);
 	send_parcel(run, to, &parcel, false);
@@ -197,7 +209,14 @@
 
 void membership_send_news(const run_t *run)
 {
-	earn(run->membership, run->now_ms);
-	while (spread_some(run))
+	membership_t *membership = run->membership;
+	const uint64_t passed_ms = run->now_ms - membership->budget_ms;
+
+	membership->budget_ms = run->now_ms;
+	membership->urgent_bytes = earn(membership->urgent_bytes, passed_ms);
+	membership->calm_bytes = earn(membership->calm_bytes, passed_ms);
+	while (spread_some(run, true))
+		;
+	while (spread_some(run, false))
 		;
 }
