Compare digests now and then under constant change, too

Where members always come and go no quiet second would ever come, and what was missed would stay missed; every 30 s the records are sent all the same.

--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -21,6 +21,7 @@
 /* Differing digests count once news had time to spread. */
 #define QUIET_MS 1000
 #define SYNC_MS 1000
+#define SYNC_RESTLESS_MS 30000
 
 static const pace_t near_pace = {.beat_ms = 300,
 				 .ping_ms = 400,
@@ -98,15 +99,26 @@
 	hurry(membership, now_ms);
 }
 
-/* Differing digests matter only once there is no news under way. */
+/*
+ * Differing digests matter once no news is under way. Where there always is
+ * some, the records are sent now and then all the same.
+ */
+static bool is_sync_due(const membership_t *membership,
+			const member_entry_t *sender, uint64_t now_ms)
+{
+	const member_table_t *table = &membership->table;
+	const uint64_t last_ms = MAX(sender->synced_ms, membership->started_ms);
+	const bool is_quiet =
+		!table->news_count && now_ms >= table->changed_ms + QUIET_MS;
+
+	return now_ms >= last_ms + (is_quiet ? SYNC_MS : SYNC_RESTLESS_MS);
+}
+
 static void compare_digests(membership_t *membership, member_entry_t *sender,
 			    uint64_t digest, uint64_t now_ms)
 {
-	member_table_t *table = &membership->table;
-
-	if (table->news_count || now_ms < table->changed_ms + QUIET_MS ||
-	    now_ms < sender->synced_ms + SYNC_MS ||
-	    digest == member_table_census(table).digest)
+	if (!is_sync_due(membership, sender, now_ms) ||
+	    digest == member_table_census(&membership->table).digest)
 		return;
 	sender->is_stale = true;
 	membership->has_replies = true;
