List the owners that hold connections

Ranking the newest view names a node that has just become an owner and still waits to take over; requests sent to it come back as not run. ownership_owners() ranks the candidates that ownership itself counts and leaves out who is gone or has not settled.

--- a/src/coordination/owner.c
+++ b/src/coordination/owner.c
@@ -9,13 +9,6 @@
 /* A pool connection besides those for control makes an owner of use. */
 #define OWNER_CONNECTIONS_MIN (OWNER_CONTROL_CONNECTIONS + 1)
 
-typedef struct {
-	const char *nodes[OWNER_LIMIT];
-	uint64_t weights[OWNER_LIMIT];
-	uint32_t count;
-	uint32_t wanted;
-} ranking_t;
-
 uint64_t owner_key(const char *name)
 {
 	return XXH3_64bits(name, strlen(name));
@@ -29,15 +22,16 @@
 }
 
 /* Two nodes of one weight are ordered by name, so all agree. */
-static bool ranks_above(const ranking_t *ranking, uint32_t i, uint64_t weight,
-			const char *node)
+static bool ranks_above(const owner_ranking_t *ranking, uint32_t i,
+			uint64_t weight, const char *node)
 {
 	if (ranking->weights[i] != weight)
 		return ranking->weights[i] > weight;
 	return strcmp(ranking->nodes[i], node) < 0;
 }
 
-static void ranking_add(ranking_t *ranking, const char *node, uint64_t weight)
+void owner_ranking_add(owner_ranking_t *ranking, const char *node,
+		       uint64_t weight)
 {
 	uint32_t place = ranking->count;
 
@@ -65,9 +59,9 @@
 		    const char **nodes)
 {
 	const uint64_t server_key = owner_key(server);
-	ranking_t near = {.wanted = MIN(wanted, OWNER_LIMIT)};
-	ranking_t all = {.wanted = MIN(wanted, OWNER_LIMIT)};
-	const ranking_t *chosen;
+	owner_ranking_t near = {.wanted = MIN(wanted, OWNER_LIMIT)};
+	owner_ranking_t all = {.wanted = MIN(wanted, OWNER_LIMIT)};
+	const owner_ranking_t *chosen;
 
 	for (uint32_t i = 0; i < view->members_count; i++) {
 		const member_t *member = &view->members[i];
@@ -77,7 +71,7 @@
 		if (!owner_is_candidate(member) || (near.count && !is_near))
 			continue;
 		weight = owner_weight(owner_key(member->name), server_key);
-		ranking_add(is_near ? &near : &all, member->name, weight);
+		owner_ranking_add(is_near ? &near : &all, member->name, weight);
 	}
 	chosen = near.count ? &near : &all;
 	for (uint32_t i = 0; i < chosen->count; i++)
--- a/src/coordination/owner.h
+++ b/src/coordination/owner.h
@@ -12,6 +12,18 @@
 /** Connections of its share that an owner keeps for watching the server. */
 #define OWNER_CONTROL_CONNECTIONS 2
 
+/** The best nodes for one server so far; zeroes but for @p wanted. */
+typedef struct {
+	const char *nodes[OWNER_LIMIT];
+	uint64_t weights[OWNER_LIMIT];
+	uint32_t count;
+	uint32_t wanted;
+} owner_ranking_t;
+
+/** Puts a node where its weight belongs, if it is among the best. */
+void owner_ranking_add(owner_ranking_t *ranking, const char *node,
+		       uint64_t weight);
+
 /**
  * Ranks the owners of a backend server by rendezvous hashing over the live
  * members of its failure domain; over all live members if it has none left.
--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -12,6 +12,7 @@
 	uint64_t key;
 	uint64_t counted_ms; /* when it was last a candidate */
 	bool is_counted;     /* it is one in the newest view */
+	bool is_settled;
 } candidate_t;
 
 typedef struct {
@@ -105,6 +106,7 @@
 		  sizeof(candidate->failure_domain));
 	candidate->counted_ms = now_ms;
 	candidate->is_counted = true;
+	candidate->is_settled = member->settled;
 }
 
 static void forget_candidates(ownership_t *ownership, uint64_t now_ms)
@@ -380,6 +382,48 @@
 	}
 }
 
+static uint32_t pick_owners(const ownership_t *ownership,
+			    const owner_ranking_t *ranking, bool settled_only,
+			    const char **nodes)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < ranking->count; i++) {
+		const candidate_t *candidate = g_hash_table_lookup(
+			ownership->candidates, ranking->nodes[i]);
+
+		if (candidate->is_counted &&
+		    (candidate->is_settled || !settled_only))
+			nodes[count++] = candidate->name;
+	}
+	return count;
+}
+
+uint32_t ownership_owners(const ownership_t *ownership,
+			  const config_service_t *service,
+			  const config_server_t *server, const char **nodes)
+{
+	const GPtrArray *near =
+		g_hash_table_lookup(ownership->domains, server->failure_domain);
+	const GPtrArray *candidates = near ? near : ownership->all;
+	const uint64_t key = owner_key(server->name);
+	owner_ranking_t ranking = {
+		.wanted = owner_wanted(service->connections, service->owners),
+	};
+	uint32_t count;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		const candidate_t *candidate = candidates->pdata[i];
+
+		owner_ranking_add(&ranking, candidate->name,
+				  owner_weight(candidate->key, key));
+	}
+	count = pick_owners(ownership, &ranking, true, nodes);
+	if (count)
+		return count;
+	return pick_owners(ownership, &ranking, false, nodes);
+}
+
 uint64_t ownership_next_ms(const ownership_t *ownership)
 {
 	return ownership->next_ms;
--- a/src/coordination/ownership.h
+++ b/src/coordination/ownership.h
@@ -60,6 +60,18 @@
 		      const config_t *config, uint64_t now_ms,
 		      ownership_change_t change, void *context);
 
+/**
+ * Lists the owners of a server that hold connections, as far as this node
+ * knows: during a take-over the one that is to take over is left out.
+ *
+ * @param nodes receives at most OWNER_LIMIT names, best first; they are valid
+ *              until the next update
+ * @return how many there are
+ */
+uint32_t ownership_owners(const ownership_t *ownership,
+			  const config_service_t *service,
+			  const config_server_t *server, const char **nodes);
+
 /** @return when to update next without an event; UINT64_MAX for never. */
 uint64_t ownership_next_ms(const ownership_t *ownership);
 
