--- a/src/daemon/peer_calls.c
+++ b/src/daemon/peer_calls.c
@@ -5,7 +5,7 @@
 #include <glib.h>
 
 #include "base/log.h"
-#include "protocol/answer_parts.h"
+#include "daemon/peer_call.h"
 
 /* What the owner and the way may take beyond the request's own deadline. */
 #define GRACE_MS 2000
@@ -13,62 +13,26 @@
 /* A request that has not left by then goes elsewhere. */
 #define HANDOVER_MS 1000
 
+/* After so long without a sign the owner is asked about a request. */
+#define INQUIRY_MS 1000
+
 /* How long an abandoned call is kept to release a lease that it brings. */
 #define ABANDONED_MS 60000
 
-typedef enum {
-	CALL_WAITING,
-	CALL_SETTLED,	/* its end is told by the next run */
-	CALL_ABANDONED, /* nobody waits any more */
-} call_state_t;
-
-typedef struct {
-	uint64_t call_id;
-	char node[sizeof(((member_t *)0)->name)];
-	uint64_t own_incarnation;
-	uint64_t peer_incarnation; /* 0 until it is known */
-	uint64_t request_id;
-	uint64_t lease_id;
-	request_kind_t kind;
-	answer_sink_t sink;
-	call_state_t state;
-	answer_t verdict; /* SETTLED */
-	bool may_answer;  /* SETTLED: the peer may still send a lease */
-	bool has_left;
-	bool has_delivered;
-	answer_parts_t parts;
-	uint64_t handover_ms;
-	uint64_t deadline_ms;
-} call_t;
-
 struct peer_calls {
 	peer_calls_link_t link;
-	GHashTable *calls; /* call_id to call_t */
+	GHashTable *calls; /* call_id to peer_call_t */
 	uint64_t last_id;
 	peer_calls_drops_t drops;
 };
 
-/* Why a call ends without an answer. */
-typedef struct {
-	reason_t reason;
-	bool peer_is_gone;
-} loss_t;
-
-static void call_free(gpointer data)
-{
-	call_t *call = data;
-
-	answer_parts_clear(&call->parts);
-	g_free(call);
-}
-
 peer_calls_t *peer_calls_create(peer_calls_link_t link)
 {
 	peer_calls_t *calls = g_new0(peer_calls_t, 1);
 
 	calls->link = link;
 	calls->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					     call_free);
+					     peer_call_free);
 	return calls;
 }
 
@@ -80,11 +44,11 @@
 	g_free(calls);
 }
 
-static call_t *add_call(peer_calls_t *calls, const char *node,
-			const request_t *request, answer_sink_t sink,
-			uint64_t now_ms)
+static peer_call_t *add_call(peer_calls_t *calls, const char *node,
+			     const request_t *request, answer_sink_t sink,
+			     uint64_t now_ms)
 {
-	call_t *call = g_new0(call_t, 1);
+	peer_call_t *call = g_new0(peer_call_t, 1);
 
 	call->call_id = ++calls->last_id;
 	g_strlcpy(call->node, node, sizeof(call->node));
@@ -93,6 +57,7 @@
 	call->kind = request->kind;
 	call->sink = sink;
 	call->handover_ms = now_ms + HANDOVER_MS;
+	call->inquiry_ms = now_ms + INQUIRY_MS;
 	call->deadline_ms = now_ms + request->timeout_ms + GRACE_MS;
 	g_hash_table_insert(calls->calls, &call->call_id, call);
 	return call;
@@ -104,28 +69,10 @@
 	       g_bytes_get_size(request->bytes) > PEER_MESSAGE_BYTES_MAX;
 }
 
-static void settle(call_t *call, const answer_t *verdict)
-{
-	call->state = CALL_SETTLED;
-	call->verdict = *verdict;
-}
-
-static void refuse(call_t *call, reason_t reason)
-{
-	const answer_t verdict = {
-		.outcome = OUTCOME_NOT_RUN,
-		.reason = reason,
-		.transaction_status = call->lease_id ? 'T' : 'I',
-		.lease_id = call->lease_id,
-	};
-
-	settle(call, &verdict);
-}
-
 void peer_calls_refuse(peer_calls_t *calls, const request_t *request,
 		       reason_t reason, answer_sink_t sink, uint64_t now_ms)
 {
-	refuse(add_call(calls, "", request, sink, now_ms), reason);
+	peer_call_refuse(add_call(calls, "", request, sink, now_ms), reason);
 }
 
 void peer_calls_submit(peer_calls_t *calls, const char *node, uint64_t own,
@@ -134,7 +81,7 @@
 {
 	g_autoptr(peer_message_t) message =
 		peer_message_new(PEER_MESSAGE_REQUEST);
-	call_t *call;
+	peer_call_t *call;
 
 	if (is_too_large(request)) {
 		peer_calls_refuse(calls, request, REASON_OVERLOADED, sink,
@@ -149,10 +96,10 @@
 	message->request = request_copy(request);
 	if (calls->link.send(calls->link.context, node, message))
 		return;
-	refuse(call, REASON_OVERLOADED);
+	peer_call_refuse(call, REASON_OVERLOADED);
 }
 
-static void send_cancel(peer_calls_t *calls, const call_t *call)
+static void send_cancel(peer_calls_t *calls, const peer_call_t *call)
 {
 	g_autoptr(peer_message_t) message =
 		peer_message_new(PEER_MESSAGE_CANCEL);
@@ -171,7 +118,7 @@
 	calls->link.send(calls->link.context, node, message);
 }
 
-static bool take_back(peer_calls_t *calls, call_t *call)
+static bool take_back(peer_calls_t *calls, peer_call_t *call)
 {
 	if (call->has_left)
 		return false;
@@ -181,13 +128,13 @@
 }
 
 /* From now on only a lease that the answer may bring matters. */
-static void abandon(call_t *call, uint64_t now_ms)
+static void abandon(peer_call_t *call, uint64_t now_ms)
 {
 	call->state = CALL_ABANDONED;
 	call->deadline_ms = now_ms + ABANDONED_MS;
 }
 
-static void tell_end(peer_calls_t *calls, call_t *call, uint64_t now_ms)
+static void tell_end(peer_calls_t *calls, peer_call_t *call, uint64_t now_ms)
 {
 	const answer_sink_t sink = call->sink;
 	const uint64_t request_id = call->request_id;
@@ -200,34 +147,13 @@
 	sink.end(sink.context, request_id, &verdict);
 }
 
-static answer_t lost_answer(const call_t *call, bool never_left, loss_t loss)
-{
-	const bool is_clean_read =
-		call->kind == REQUEST_READ && !call->has_delivered;
-	const bool keeps_lease = never_left && !loss.peer_is_gone;
-	answer_t answer = {
-		.outcome = never_left || is_clean_read ? OUTCOME_NOT_RUN :
-							 OUTCOME_UNKNOWN,
-		.reason = loss.reason,
-		.transaction_status = 'I',
-	};
-
-	if (never_left && loss.peer_is_gone)
-		answer.reason = REASON_UNREACHABLE;
-	if (keeps_lease && call->lease_id) {
-		answer.lease_id = call->lease_id;
-		answer.transaction_status = 'T';
-	}
-	return answer;
-}
-
 /* Settles a call that got no answer, and stops the peer's work for it. */
-static void lose(peer_calls_t *calls, call_t *call, loss_t loss)
+static void lose(peer_calls_t *calls, peer_call_t *call, peer_call_loss_t loss)
 {
 	const bool never_left = take_back(calls, call);
-	const answer_t verdict = lost_answer(call, never_left, loss);
+	const answer_t verdict = peer_call_lost_answer(call, never_left, loss);
 
-	settle(call, &verdict);
+	peer_call_settle(call, &verdict);
 	if (never_left || loss.peer_is_gone)
 		return;
 	call->may_answer = true;
@@ -236,15 +162,15 @@
 		send_release(calls, call->node, call->lease_id);
 }
 
-static call_t *find_request(const peer_calls_t *calls, uint64_t request_id,
-			    const void *sink_context)
+static peer_call_t *find_request(const peer_calls_t *calls, uint64_t request_id,
+				 const void *sink_context)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, calls->calls);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		call_t *call = value;
+		peer_call_t *call = value;
 
 		if (call->request_id == request_id &&
 		    call->sink.context == sink_context &&
@@ -257,7 +183,7 @@
 void peer_calls_cancel(peer_calls_t *calls, uint64_t request_id,
 		       void *sink_context, uint64_t now_ms)
 {
-	call_t *call = find_request(calls, request_id, sink_context);
+	peer_call_t *call = find_request(calls, request_id, sink_context);
 
 	if (!call)
 		return;
@@ -271,7 +197,8 @@
 	abandon(call, now_ms);
 }
 
-static bool is_from_callee(const call_t *call, const peer_message_t *message)
+static bool is_from_callee(const peer_call_t *call,
+			   const peer_message_t *message)
 {
 	return !strcmp(call->node, message->sender) &&
 	       call->own_incarnation == message->receiver_incarnation &&
@@ -279,9 +206,9 @@
 		call->peer_incarnation == message->incarnation);
 }
 
-static void break_off(peer_calls_t *calls, call_t *call)
+static void break_off(peer_calls_t *calls, peer_call_t *call)
 {
-	const loss_t loss = {.reason = REASON_LOST_ANSWER};
+	const peer_call_loss_t loss = {.reason = REASON_LOST_ANSWER};
 
 	calls->drops.gap_count++;
 	log_event(LOG_LEVEL_WARNING, "answer_broken",
@@ -290,7 +217,7 @@
 	lose(calls, call, loss);
 }
 
-static void take_chunk(peer_calls_t *calls, call_t *call,
+static void take_chunk(peer_calls_t *calls, peer_call_t *call,
 		       const peer_message_t *message)
 {
 	g_autoptr(GBytes) chunk = NULL;
@@ -314,7 +241,7 @@
 }
 
 /* Nobody waits for it any more, so nobody will use its lease. */
-static void take_late_end(peer_calls_t *calls, call_t *call,
+static void take_late_end(peer_calls_t *calls, peer_call_t *call,
 			  const answer_t *answer)
 {
 	if (answer->lease_id)
@@ -324,9 +251,10 @@
 		g_hash_table_remove(calls->calls, &call->call_id);
 }
 
-static void take_end(peer_calls_t *calls, call_t *call,
+static void take_end(peer_calls_t *calls, peer_call_t *call,
 		     const peer_message_t *message, uint64_t now_ms)
 {
+	const peer_call_loss_t lost = {.reason = REASON_LOST_ANSWER};
 	const bool is_whole =
 		answer_parts_are_whole(&call->parts, message->chunks_count);
 
@@ -340,13 +268,17 @@
 		return;
 	}
 	call->verdict = message->answer;
+	if (message->answer.outcome == OUTCOME_UNKNOWN &&
+	    message->answer.reason == REASON_LOST_ANSWER)
+		call->verdict = peer_call_lost_answer(call, false, lost);
 	tell_end(calls, call, now_ms);
 }
 
 void peer_calls_answer(peer_calls_t *calls, const peer_message_t *message,
 		       uint64_t now_ms)
 {
-	call_t *call = g_hash_table_lookup(calls->calls, &message->call_id);
+	peer_call_t *call =
+		g_hash_table_lookup(calls->calls, &message->call_id);
 
 	if (!call || !is_from_callee(call, message)) {
 		calls->drops.late_count++;
@@ -362,7 +294,7 @@
 
 /* Sinks may submit and cancel, so the calls are looked up again by id. */
 static GArray *collect(const peer_calls_t *calls,
-		       bool (*is_wanted)(const call_t *call,
+		       bool (*is_wanted)(const peer_call_t *call,
 					 const void *context),
 		       const void *context)
 {
@@ -372,7 +304,7 @@
 
 	g_hash_table_iter_init(&iter, calls->calls);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const call_t *call = value;
+		const peer_call_t *call = value;
 
 		if (is_wanted(call, context))
 			g_array_append_val(ids, call->call_id);
@@ -380,17 +312,18 @@
 	return ids;
 }
 
-static call_t *find_call(const peer_calls_t *calls, const GArray *ids,
-			 guint index)
+static peer_call_t *find_call(const peer_calls_t *calls, const GArray *ids,
+			      guint index)
 {
 	return g_hash_table_lookup(calls->calls,
 				   &g_array_index(ids, uint64_t, index));
 }
 
-static void lose_each(peer_calls_t *calls, const GArray *ids, loss_t loss)
+static void lose_each(peer_calls_t *calls, const GArray *ids,
+		      peer_call_loss_t loss)
 {
 	for (guint i = 0; i < ids->len; i++) {
-		call_t *call = find_call(calls, ids, i);
+		peer_call_t *call = find_call(calls, ids, i);
 
 		if (call->state == CALL_ABANDONED)
 			g_hash_table_remove(calls->calls, &call->call_id);
@@ -404,7 +337,7 @@
 	uint64_t incarnation;
 } gone_t;
 
-static bool is_gone(const call_t *call, const void *context)
+static bool is_gone(const peer_call_t *call, const void *context)
 {
 	const gone_t *gone = context;
 
@@ -419,7 +352,7 @@
 			     uint64_t incarnation)
 {
 	const gone_t gone = {.node = node, .incarnation = incarnation};
-	const loss_t loss = {
+	const peer_call_loss_t loss = {
 		.reason = REASON_LOST_ANSWER,
 		.peer_is_gone = true,
 	};
@@ -428,36 +361,62 @@
 	lose_each(calls, ids, loss);
 }
 
-static bool is_out_of_time(const call_t *call, const void *context)
+static bool is_out_of_time(const peer_call_t *call, const void *context)
 {
 	return call->state != CALL_SETTLED &&
 	       call->deadline_ms <= *(const uint64_t *)context;
 }
 
-static bool is_stuck(const call_t *call, const void *context)
+static bool is_stuck(const peer_call_t *call, const void *context)
 {
 	return call->state == CALL_WAITING && !call->has_left &&
 	       call->handover_ms <= *(const uint64_t *)context;
 }
 
-static bool is_settled(const call_t *call, const void *context)
+static bool is_settled(const peer_call_t *call, const void *context)
 {
 	return call->state == CALL_SETTLED;
 }
 
 static void lose_stuck(peer_calls_t *calls, uint64_t now_ms)
 {
-	const loss_t loss = {.reason = REASON_UNREACHABLE};
+	const peer_call_loss_t loss = {.reason = REASON_UNREACHABLE};
 	g_autoptr(GArray) ids = collect(calls, is_stuck, &now_ms);
 
 	for (guint i = 0; i < ids->len; i++) {
-		call_t *call = find_call(calls, ids, i);
+		peer_call_t *call = find_call(calls, ids, i);
 		answer_t verdict;
 
 		if (!take_back(calls, call))
 			continue;
-		verdict = lost_answer(call, true, loss);
-		settle(call, &verdict);
+		verdict = peer_call_lost_answer(call, true, loss);
+		peer_call_settle(call, &verdict);
+	}
+}
+
+static bool is_silent(const peer_call_t *call, const void *context)
+{
+	return call->state == CALL_WAITING && call->has_left &&
+	       call->peer_incarnation &&
+	       call->inquiry_ms <= *(const uint64_t *)context;
+}
+
+/*
+ * Its way may have been cut when the request or its answer was on it. Only
+ * the process that was asked can tell, so its incarnation has to be known.
+ */
+static void inquire(peer_calls_t *calls, uint64_t now_ms)
+{
+	g_autoptr(GArray) ids = collect(calls, is_silent, &now_ms);
+
+	for (guint i = 0; i < ids->len; i++) {
+		peer_call_t *call = find_call(calls, ids, i);
+		g_autoptr(peer_message_t) message =
+			peer_message_new(PEER_MESSAGE_INQUIRY);
+
+		call->inquiry_ms = now_ms + INQUIRY_MS;
+		message->call_id = call->call_id;
+		calls->link.send(calls->link.context, call->node, message);
 	}
 }
 
@@ -466,7 +425,7 @@
 	g_autoptr(GArray) ids = collect(calls, is_settled, NULL);
 
 	for (guint i = 0; i < ids->len; i++) {
-		call_t *call = find_call(calls, ids, i);
+		peer_call_t *call = find_call(calls, ids, i);
 
 		if (call)
 			tell_end(calls, call, now_ms);
@@ -475,11 +434,12 @@
 
 void peer_calls_run(peer_calls_t *calls, uint64_t now_ms)
 {
-	const loss_t loss = {.reason = REASON_DEADLINE};
+	const peer_call_loss_t loss = {.reason = REASON_DEADLINE};
 	g_autoptr(GArray) late = collect(calls, is_out_of_time, &now_ms);
 
 	lose_each(calls, late, loss);
 	lose_stuck(calls, now_ms);
+	inquire(calls, now_ms);
 	tell_ends(calls, now_ms);
 }
 
--- a/src/daemon/peer_served.c
+++ b/src/daemon/peer_served.c
@@ -263,8 +263,8 @@
 				 message->request, sink);
 }
 
-void peer_served_cancel(peer_served_t *served, const peer_message_t *message,
-			uint64_t now_ms)
+static served_t *find_running(const peer_served_t *served,
+			      const peer_message_t *message)
 {
 	GHashTableIter iter;
 	gpointer key;
@@ -273,14 +273,44 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		served_t *request = key;
 
-		if (request->call_id != message->call_id ||
-		    request->incarnation != message->incarnation ||
-		    strcmp(request->node, message->sender) ||
-		    request->is_cancelled)
-			continue;
+		if (request->call_id == message->call_id &&
+		    request->incarnation == message->incarnation &&
+		    !strcmp(request->node, message->sender))
+			return request;
+	}
+	return NULL;
+}
+
+void peer_served_cancel(peer_served_t *served, const peer_message_t *message,
+			uint64_t now_ms)
+{
+	served_t *request = find_running(served, message);
+
+	if (request && !request->is_cancelled)
 		cancel_request(request, now_ms);
+}
+
+/* An answer that was sent goes ahead of this one unless it was lost. */
+void peer_served_inquiry(peer_served_t *served, const peer_message_t *message)
+{
+	client_t *client =
+		find_client(served, message->sender, message->incarnation);
+	const served_t *running = find_running(served, message);
+	g_autoptr(peer_message_t) reply = NULL;
+
+	if (!client || (running && !running->is_cancelled))
 		return;
+	reply = peer_message_new(PEER_MESSAGE_END);
+	reply->call_id = message->call_id;
+	reply->receiver_incarnation = message->incarnation;
+	reply->answer.transaction_status = 'I';
+	reply->answer.outcome = OUTCOME_UNKNOWN;
+	reply->answer.reason = REASON_LOST_ANSWER;
+	if (window_take(&client->window, message->call_id)) {
+		reply->answer.outcome = OUTCOME_NOT_RUN;
+		reply->answer.reason = REASON_UNREACHABLE;
 	}
+	served->link.send(served->link.context, message->sender, reply);
 }
 
 void peer_served_release(peer_served_t *served, const peer_message_t *message)
--- a/src/daemon/peer_served.h
+++ b/src/daemon/peer_served.h
@@ -34,6 +34,12 @@
 /** Takes in a request, unless it was seen before. */
 void peer_served_request(peer_served_t *served, const peer_message_t *message);
 
+/**
+ * Takes in the question whether a request has arrived. If it has not, it is
+ * answered as not run, and refused should it still come.
+ */
+void peer_served_inquiry(peer_served_t *served, const peer_message_t *message);
+
 /** Takes in a cancel. */
 void peer_served_cancel(peer_served_t *served, const peer_message_t *message,
 			uint64_t now_ms);
--- a/src/daemon/peers_task.c
+++ b/src/daemon/peers_task.c
@@ -35,17 +35,12 @@
 	peer_traffic_t traffic;
 };
 
-static struct timeval timeval_ms(uint64_t delay_ms)
+static void arm(struct event *event, uint64_t delay_ms)
 {
-	return (struct timeval){
+	const struct timeval delay = {
 		.tv_sec = (time_t)(delay_ms / 1000),
 		.tv_usec = (suseconds_t)(delay_ms % 1000 * 1000),
 	};
-}
-
-static void arm(struct event *event, uint64_t delay_ms)
-{
-	const struct timeval delay = timeval_ms(delay_ms);
 
 	event_add(event, &delay);
 }
@@ -249,18 +244,6 @@
 	peer_served_request(peers->served, message);
 }
 
-static void take_answer(peers_task_t *peers, const peer_message_t *message)
-{
-	const peer_calls_drops_t before = peer_calls_drops(peers->calls);
-	peer_calls_drops_t after;
-
-	peer_calls_answer(peers->calls, message, clock_now_ms());
-	after = peer_calls_drops(peers->calls);
-	metric_add(peers->traffic.answers_dropped,
-		   after.late_count - before.late_count + after.twice_count -
-			   before.twice_count);
-}
-
 static void dispatch(peers_task_t *peers, const peer_message_t *message)
 {
 	switch (message->kind) {
@@ -269,11 +252,14 @@
 		return;
 	case PEER_MESSAGE_CHUNK:
 	case PEER_MESSAGE_END:
-		take_answer(peers, message);
+		peer_calls_answer(peers->calls, message, clock_now_ms());
 		return;
 	case PEER_MESSAGE_CANCEL:
 		peer_served_cancel(peers->served, message, clock_now_ms());
 		return;
+	case PEER_MESSAGE_INQUIRY:
+		peer_served_inquiry(peers->served, message);
+		return;
 	case PEER_MESSAGE_RELEASE:
 		peer_served_release(peers->served, message);
 		return;
@@ -328,6 +314,16 @@
 	introduce(peers, peer_directory_seed(peers->directory, seed, now_ms));
 }
 
+static void publish_drops(peers_task_t *peers)
+{
+	const peer_calls_drops_t drops = peer_calls_drops(peers->calls);
+
+	metric_set(peers->traffic.answers_dropped,
+		   (int64_t)(drops.late_count + drops.twice_count));
+	metric_set(peers->traffic.duplicates,
+		   (int64_t)peer_served_duplicates(peers->served));
+}
+
 static void sweep(evutil_socket_t fd, short what, void *context)
 {
 	peers_task_t *peers = context;
@@ -335,8 +331,7 @@
 
 	peer_calls_run(peers->calls, now_ms);
 	peer_served_run(peers->served, now_ms);
-	metric_set(peers->traffic.duplicates,
-		   (int64_t)peer_served_duplicates(peers->served));
+	publish_drops(peers);
 	peer_directory_close_idle(peers->directory, now_ms);
 	ask_seed(peers, now_ms);
 	arm(peers->sweep, SWEEP_MS);
--- a/src/daemon/peers_task.h
+++ b/src/daemon/peers_task.h
@@ -63,7 +63,8 @@
 /**
  * Forwards a request to the owner @p node. The sink's end is called exactly
  * once: a peer that dies before it took the request gives NOT_RUN, one that
- * dies afterwards NOT_RUN for reads and UNKNOWN for the rest.
+ * dies afterwards NOT_RUN for reads and UNKNOWN for the rest. A read of which
+ * a chunk was delivered ends as UNKNOWN, since a retry would mix two answers.
  */
 void peers_task_submit(peers_task_t *peers, const char *node,
 		       const request_t *request, answer_sink_t sink);
--- a/src/protocol/peer.pb-c.c
+++ b/src/protocol/peer.pb-c.c
@@ -7,1059 +7,1579 @@
 #endif
 
 #include "peer.pb-c.h"
-void peer__member__init(Peer__Member *message)
+void   peer__member__init
+                     (Peer__Member         *message)
 {
-	static const Peer__Member init_value = PEER__MEMBER__INIT;
-	*message = init_value;
+  static const Peer__Member init_value = PEER__MEMBER__INIT;
+  *message = init_value;
 }
-size_t peer__member__get_packed_size(const Peer__Member *message)
+size_t peer__member__get_packed_size
+                     (const Peer__Member *message)
 {
-	assert(message->base.descriptor == &peer__member__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__member__pack(const Peer__Member *message, uint8_t *out)
+size_t peer__member__pack
+                     (const Peer__Member *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__member__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__member__pack_to_buffer(const Peer__Member *message,
-				    ProtobufCBuffer *buffer)
+size_t peer__member__pack_to_buffer
+                     (const Peer__Member *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__member__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Member *peer__member__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+Peer__Member *
+       peer__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Member *)protobuf_c_message_unpack(
-		&peer__member__descriptor, allocator, len, data);
+  return (Peer__Member *)
+     protobuf_c_message_unpack (&peer__member__descriptor,
+                                allocator, len, data);
 }
-void peer__member__free_unpacked(Peer__Member *message,
-				 ProtobufCAllocator *allocator)
+void   peer__member__free_unpacked
+                     (Peer__Member *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__member__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__heartbeat__init(Peer__Heartbeat *message)
+void   peer__heartbeat__init
+                     (Peer__Heartbeat         *message)
 {
-	static const Peer__Heartbeat init_value = PEER__HEARTBEAT__INIT;
-	*message = init_value;
+  static const Peer__Heartbeat init_value = PEER__HEARTBEAT__INIT;
+  *message = init_value;
 }
-size_t peer__heartbeat__get_packed_size(const Peer__Heartbeat *message)
+size_t peer__heartbeat__get_packed_size
+                     (const Peer__Heartbeat *message)
 {
-	assert(message->base.descriptor == &peer__heartbeat__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__heartbeat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__heartbeat__pack(const Peer__Heartbeat *message, uint8_t *out)
+size_t peer__heartbeat__pack
+                     (const Peer__Heartbeat *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__heartbeat__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__heartbeat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__heartbeat__pack_to_buffer(const Peer__Heartbeat *message,
-				       ProtobufCBuffer *buffer)
+size_t peer__heartbeat__pack_to_buffer
+                     (const Peer__Heartbeat *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__heartbeat__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__heartbeat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Heartbeat *peer__heartbeat__unpack(ProtobufCAllocator *allocator,
-					 size_t len, const uint8_t *data)
+Peer__Heartbeat *
+       peer__heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Heartbeat *)protobuf_c_message_unpack(
-		&peer__heartbeat__descriptor, allocator, len, data);
+  return (Peer__Heartbeat *)
+     protobuf_c_message_unpack (&peer__heartbeat__descriptor,
+                                allocator, len, data);
 }
-void peer__heartbeat__free_unpacked(Peer__Heartbeat *message,
-				    ProtobufCAllocator *allocator)
+void   peer__heartbeat__free_unpacked
+                     (Peer__Heartbeat *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__heartbeat__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__heartbeat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__point__init(Peer__Point *message)
+void   peer__point__init
+                     (Peer__Point         *message)
 {
-	static const Peer__Point init_value = PEER__POINT__INIT;
-	*message = init_value;
+  static const Peer__Point init_value = PEER__POINT__INIT;
+  *message = init_value;
 }
-size_t peer__point__get_packed_size(const Peer__Point *message)
+size_t peer__point__get_packed_size
+                     (const Peer__Point *message)
 {
-	assert(message->base.descriptor == &peer__point__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__point__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__point__pack(const Peer__Point *message, uint8_t *out)
+size_t peer__point__pack
+                     (const Peer__Point *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__point__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__point__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__point__pack_to_buffer(const Peer__Point *message,
-				   ProtobufCBuffer *buffer)
+size_t peer__point__pack_to_buffer
+                     (const Peer__Point *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__point__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__point__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Point *peer__point__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+Peer__Point *
+       peer__point__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Point *)protobuf_c_message_unpack(
-		&peer__point__descriptor, allocator, len, data);
+  return (Peer__Point *)
+     protobuf_c_message_unpack (&peer__point__descriptor,
+                                allocator, len, data);
 }
-void peer__point__free_unpacked(Peer__Point *message,
-				ProtobufCAllocator *allocator)
+void   peer__point__free_unpacked
+                     (Peer__Point *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__point__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__point__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__request__init(Peer__Request *message)
+void   peer__request__init
+                     (Peer__Request         *message)
 {
-	static const Peer__Request init_value = PEER__REQUEST__INIT;
-	*message = init_value;
+  static const Peer__Request init_value = PEER__REQUEST__INIT;
+  *message = init_value;
 }
-size_t peer__request__get_packed_size(const Peer__Request *message)
+size_t peer__request__get_packed_size
+                     (const Peer__Request *message)
 {
-	assert(message->base.descriptor == &peer__request__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__request__pack(const Peer__Request *message, uint8_t *out)
+size_t peer__request__pack
+                     (const Peer__Request *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__request__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__request__pack_to_buffer(const Peer__Request *message,
-				     ProtobufCBuffer *buffer)
+size_t peer__request__pack_to_buffer
+                     (const Peer__Request *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__request__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Request *peer__request__unpack(ProtobufCAllocator *allocator, size_t len,
-				     const uint8_t *data)
+Peer__Request *
+       peer__request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Request *)protobuf_c_message_unpack(
-		&peer__request__descriptor, allocator, len, data);
+  return (Peer__Request *)
+     protobuf_c_message_unpack (&peer__request__descriptor,
+                                allocator, len, data);
 }
-void peer__request__free_unpacked(Peer__Request *message,
-				  ProtobufCAllocator *allocator)
+void   peer__request__free_unpacked
+                     (Peer__Request *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__request__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__chunk__init(Peer__Chunk *message)
+void   peer__chunk__init
+                     (Peer__Chunk         *message)
 {
-	static const Peer__Chunk init_value = PEER__CHUNK__INIT;
-	*message = init_value;
+  static const Peer__Chunk init_value = PEER__CHUNK__INIT;
+  *message = init_value;
 }
-size_t peer__chunk__get_packed_size(const Peer__Chunk *message)
+size_t peer__chunk__get_packed_size
+                     (const Peer__Chunk *message)
 {
-	assert(message->base.descriptor == &peer__chunk__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__chunk__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__chunk__pack(const Peer__Chunk *message, uint8_t *out)
+size_t peer__chunk__pack
+                     (const Peer__Chunk *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__chunk__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__chunk__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__chunk__pack_to_buffer(const Peer__Chunk *message,
-				   ProtobufCBuffer *buffer)
+size_t peer__chunk__pack_to_buffer
+                     (const Peer__Chunk *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__chunk__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__chunk__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Chunk *peer__chunk__unpack(ProtobufCAllocator *allocator, size_t len,
-				 const uint8_t *data)
+Peer__Chunk *
+       peer__chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Chunk *)protobuf_c_message_unpack(
-		&peer__chunk__descriptor, allocator, len, data);
+  return (Peer__Chunk *)
+     protobuf_c_message_unpack (&peer__chunk__descriptor,
+                                allocator, len, data);
 }
-void peer__chunk__free_unpacked(Peer__Chunk *message,
-				ProtobufCAllocator *allocator)
+void   peer__chunk__free_unpacked
+                     (Peer__Chunk *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__chunk__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__chunk__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__end__init(Peer__End *message)
+void   peer__end__init
+                     (Peer__End         *message)
 {
-	static const Peer__End init_value = PEER__END__INIT;
-	*message = init_value;
+  static const Peer__End init_value = PEER__END__INIT;
+  *message = init_value;
 }
-size_t peer__end__get_packed_size(const Peer__End *message)
+size_t peer__end__get_packed_size
+                     (const Peer__End *message)
 {
-	assert(message->base.descriptor == &peer__end__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__end__pack(const Peer__End *message, uint8_t *out)
+size_t peer__end__pack
+                     (const Peer__End *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__end__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__end__pack_to_buffer(const Peer__End *message,
-				 ProtobufCBuffer *buffer)
+size_t peer__end__pack_to_buffer
+                     (const Peer__End *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__end__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__End *peer__end__unpack(ProtobufCAllocator *allocator, size_t len,
-			     const uint8_t *data)
+Peer__End *
+       peer__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__End *)protobuf_c_message_unpack(&peer__end__descriptor,
-						      allocator, len, data);
+  return (Peer__End *)
+     protobuf_c_message_unpack (&peer__end__descriptor,
+                                allocator, len, data);
 }
-void peer__end__free_unpacked(Peer__End *message, ProtobufCAllocator *allocator)
+void   peer__end__free_unpacked
+                     (Peer__End *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__end__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__cancel__init(Peer__Cancel *message)
+void   peer__cancel__init
+                     (Peer__Cancel         *message)
 {
-	static const Peer__Cancel init_value = PEER__CANCEL__INIT;
-	*message = init_value;
+  static const Peer__Cancel init_value = PEER__CANCEL__INIT;
+  *message = init_value;
 }
-size_t peer__cancel__get_packed_size(const Peer__Cancel *message)
+size_t peer__cancel__get_packed_size
+                     (const Peer__Cancel *message)
 {
-	assert(message->base.descriptor == &peer__cancel__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__cancel__pack(const Peer__Cancel *message, uint8_t *out)
+size_t peer__cancel__pack
+                     (const Peer__Cancel *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__cancel__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__cancel__pack_to_buffer(const Peer__Cancel *message,
-				    ProtobufCBuffer *buffer)
+size_t peer__cancel__pack_to_buffer
+                     (const Peer__Cancel *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__cancel__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Cancel *peer__cancel__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+Peer__Cancel *
+       peer__cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Cancel *)protobuf_c_message_unpack(
-		&peer__cancel__descriptor, allocator, len, data);
+  return (Peer__Cancel *)
+     protobuf_c_message_unpack (&peer__cancel__descriptor,
+                                allocator, len, data);
 }
-void peer__cancel__free_unpacked(Peer__Cancel *message,
-				 ProtobufCAllocator *allocator)
+void   peer__cancel__free_unpacked
+                     (Peer__Cancel *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__cancel__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__release__init(Peer__Release *message)
+void   peer__inquiry__init
+                     (Peer__Inquiry         *message)
 {
-	static const Peer__Release init_value = PEER__RELEASE__INIT;
-	*message = init_value;
+  static const Peer__Inquiry init_value = PEER__INQUIRY__INIT;
+  *message = init_value;
 }
-size_t peer__release__get_packed_size(const Peer__Release *message)
+size_t peer__inquiry__get_packed_size
+                     (const Peer__Inquiry *message)
 {
-	assert(message->base.descriptor == &peer__release__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__inquiry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__release__pack(const Peer__Release *message, uint8_t *out)
+size_t peer__inquiry__pack
+                     (const Peer__Inquiry *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__release__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__inquiry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__release__pack_to_buffer(const Peer__Release *message,
-				     ProtobufCBuffer *buffer)
+size_t peer__inquiry__pack_to_buffer
+                     (const Peer__Inquiry *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__release__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__inquiry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Release *peer__release__unpack(ProtobufCAllocator *allocator, size_t len,
-				     const uint8_t *data)
+Peer__Inquiry *
+       peer__inquiry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Release *)protobuf_c_message_unpack(
-		&peer__release__descriptor, allocator, len, data);
+  return (Peer__Inquiry *)
+     protobuf_c_message_unpack (&peer__inquiry__descriptor,
+                                allocator, len, data);
 }
-void peer__release__free_unpacked(Peer__Release *message,
-				  ProtobufCAllocator *allocator)
+void   peer__inquiry__free_unpacked
+                     (Peer__Inquiry *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__release__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__inquiry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__note__init(Peer__Note *message)
+void   peer__release__init
+                     (Peer__Release         *message)
 {
-	static const Peer__Note init_value = PEER__NOTE__INIT;
-	*message = init_value;
+  static const Peer__Release init_value = PEER__RELEASE__INIT;
+  *message = init_value;
 }
-size_t peer__note__get_packed_size(const Peer__Note *message)
+size_t peer__release__get_packed_size
+                     (const Peer__Release *message)
 {
-	assert(message->base.descriptor == &peer__note__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__note__pack(const Peer__Note *message, uint8_t *out)
+size_t peer__release__pack
+                     (const Peer__Release *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__note__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__note__pack_to_buffer(const Peer__Note *message,
-				  ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &peer__note__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
-}
-Peer__Note *peer__note__unpack(ProtobufCAllocator *allocator, size_t len,
-			       const uint8_t *data)
-{
-	return (Peer__Note *)protobuf_c_message_unpack(&peer__note__descriptor,
-						       allocator, len, data);
-}
-void peer__note__free_unpacked(Peer__Note *message,
-			       ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__note__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
-}
-void peer__envelope__init(Peer__Envelope *message)
-{
-	static const Peer__Envelope init_value = PEER__ENVELOPE__INIT;
-	*message = init_value;
-}
-size_t peer__envelope__get_packed_size(const Peer__Envelope *message)
-{
-	assert(message->base.descriptor == &peer__envelope__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
-}
-size_t peer__envelope__pack(const Peer__Envelope *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &peer__envelope__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t peer__envelope__pack_to_buffer(const Peer__Envelope *message,
-				      ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &peer__envelope__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
-}
-Peer__Envelope *peer__envelope__unpack(ProtobufCAllocator *allocator,
-				       size_t len, const uint8_t *data)
-{
-	return (Peer__Envelope *)protobuf_c_message_unpack(
-		&peer__envelope__descriptor, allocator, len, data);
-}
-void peer__envelope__free_unpacked(Peer__Envelope *message,
-				   ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__envelope__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
-}
-static const ProtobufCFieldDescriptor peer__member__field_descriptors[10] = {
-	{
-		"name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__Member, name), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__Member, address), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"peer_port", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Member, peer_port), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"failure_domain", 4, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Peer__Member, failure_domain), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"region", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__Member, region), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 6, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Peer__Member, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Member, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"state", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Member, state), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"leaving", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Peer__Member, leaving), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"settled", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Peer__Member, settled), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+size_t peer__release__pack_to_buffer
+                     (const Peer__Release *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Release *
+       peer__release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Release *)
+     protobuf_c_message_unpack (&peer__release__descriptor,
+                                allocator, len, data);
+}
+void   peer__release__free_unpacked
+                     (Peer__Release *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__note__init
+                     (Peer__Note         *message)
+{
+  static const Peer__Note init_value = PEER__NOTE__INIT;
+  *message = init_value;
+}
+size_t peer__note__get_packed_size
+                     (const Peer__Note *message)
+{
+  assert(message->base.descriptor == &peer__note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__note__pack
+                     (const Peer__Note *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__note__pack_to_buffer
+                     (const Peer__Note *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Note *
+       peer__note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Note *)
+     protobuf_c_message_unpack (&peer__note__descriptor,
+                                allocator, len, data);
+}
+void   peer__note__free_unpacked
+                     (Peer__Note *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__envelope__init
+                     (Peer__Envelope         *message)
+{
+  static const Peer__Envelope init_value = PEER__ENVELOPE__INIT;
+  *message = init_value;
+}
+size_t peer__envelope__get_packed_size
+                     (const Peer__Envelope *message)
+{
+  assert(message->base.descriptor == &peer__envelope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__envelope__pack
+                     (const Peer__Envelope *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__envelope__pack_to_buffer
+                     (const Peer__Envelope *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Envelope *
+       peer__envelope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Envelope *)
+     protobuf_c_message_unpack (&peer__envelope__descriptor,
+                                allocator, len, data);
+}
+void   peer__envelope__free_unpacked
+                     (Peer__Envelope *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor peer__member__field_descriptors[10] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_port",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, peer_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settled",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Member, settled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__member__field_indices_by_name[] = {
-	1, /* field[1] = address */
-	3, /* field[3] = failure_domain */
-	5, /* field[5] = incarnation */
-	8, /* field[8] = leaving */
-	0, /* field[0] = name */
-	2, /* field[2] = peer_port */
-	4, /* field[4] = region */
-	9, /* field[9] = settled */
-	7, /* field[7] = state */
-	6, /* field[6] = version */
+  1,   /* field[1] = address */
+  3,   /* field[3] = failure_domain */
+  5,   /* field[5] = incarnation */
+  8,   /* field[8] = leaving */
+  0,   /* field[0] = name */
+  2,   /* field[2] = peer_port */
+  4,   /* field[4] = region */
+  9,   /* field[9] = settled */
+  7,   /* field[7] = state */
+  6,   /* field[6] = version */
 };
-static const ProtobufCIntRange peer__member__number_ranges[1 + 1] = {{1, 0},
-								     {0, 10}};
-const ProtobufCMessageDescriptor peer__member__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Member",
-	"Member",
-	"Peer__Member",
-	"peer",
-	sizeof(Peer__Member),
-	10,
-	peer__member__field_descriptors,
-	peer__member__field_indices_by_name,
-	1,
-	peer__member__number_ranges,
-	(ProtobufCMessageInit)peer__member__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
 };
-static const ProtobufCFieldDescriptor peer__heartbeat__field_descriptors[4] = {
-	{
-		"members_digest", 1, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Peer__Heartbeat, members_digest), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"digest", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0, /* quantifier_offset */
-		offsetof(Peer__Heartbeat, digest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"wants_reply", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Peer__Heartbeat, wants_reply), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"members", 4, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(Peer__Heartbeat, n_members),
-		offsetof(Peer__Heartbeat, members), &peer__member__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor peer__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Member",
+  "Member",
+  "Peer__Member",
+  "peer",
+  sizeof(Peer__Member),
+  10,
+  peer__member__field_descriptors,
+  peer__member__field_indices_by_name,
+  1,  peer__member__number_ranges,
+  (ProtobufCMessageInit) peer__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__heartbeat__field_descriptors[4] =
+{
+  {
+    "members_digest",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Heartbeat, members_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Heartbeat, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants_reply",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Heartbeat, wants_reply),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Heartbeat, n_members),
+    offsetof(Peer__Heartbeat, members),
+    &peer__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__heartbeat__field_indices_by_name[] = {
-	1, /* field[1] = digest */
-	3, /* field[3] = members */
-	0, /* field[0] = members_digest */
-	2, /* field[2] = wants_reply */
+  1,   /* field[1] = digest */
+  3,   /* field[3] = members */
+  0,   /* field[0] = members_digest */
+  2,   /* field[2] = wants_reply */
 };
-static const ProtobufCIntRange peer__heartbeat__number_ranges[1 + 1] = {{1, 0},
-									{0, 4}};
-const ProtobufCMessageDescriptor peer__heartbeat__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Heartbeat",
-	"Heartbeat",
-	"Peer__Heartbeat",
-	"peer",
-	sizeof(Peer__Heartbeat),
-	4,
-	peer__heartbeat__field_descriptors,
-	peer__heartbeat__field_indices_by_name,
-	1,
-	peer__heartbeat__number_ranges,
-	(ProtobufCMessageInit)peer__heartbeat__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Heartbeat",
+  "Heartbeat",
+  "Peer__Heartbeat",
+  "peer",
+  sizeof(Peer__Heartbeat),
+  4,
+  peer__heartbeat__field_descriptors,
+  peer__heartbeat__field_indices_by_name,
+  1,  peer__heartbeat__number_ranges,
+  (ProtobufCMessageInit) peer__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__point__field_descriptors[2] = {
-	{
-		"term", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Point, term), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"position", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Point, position), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor peer__point__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Point, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Point, position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__point__field_indices_by_name[] = {
-	1, /* field[1] = position */
-	0, /* field[0] = term */
+  1,   /* field[1] = position */
+  0,   /* field[0] = term */
 };
-static const ProtobufCIntRange peer__point__number_ranges[1 + 1] = {{1, 0},
-								    {0, 2}};
-const ProtobufCMessageDescriptor peer__point__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Point",
-	"Point",
-	"Peer__Point",
-	"peer",
-	sizeof(Peer__Point),
-	2,
-	peer__point__field_descriptors,
-	peer__point__field_indices_by_name,
-	1,
-	peer__point__number_ranges,
-	(ProtobufCMessageInit)peer__point__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__point__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCFieldDescriptor peer__request__field_descriptors[16] = {
-	{
-		"call_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, call_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"request_id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, request_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"session_id", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, session_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"lease_id", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, lease_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"database", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, database), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"server", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, server), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"tenant", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, tenant), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"class_index", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, class_index), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"kind", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, kind), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"term", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, term), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"at_least", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, at_least), &peer__point__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"max_age_ms", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, max_age_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"timeout_ms", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, timeout_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"has_request_key", 14, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(Peer__Request, has_request_key), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"request_key", 15, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Peer__Request, request_key), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"bytes", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0, /* quantifier_offset */
-		offsetof(Peer__Request, bytes), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor peer__point__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Point",
+  "Point",
+  "Peer__Point",
+  "peer",
+  sizeof(Peer__Point),
+  2,
+  peer__point__field_descriptors,
+  peer__point__field_indices_by_name,
+  1,  peer__point__number_ranges,
+  (ProtobufCMessageInit) peer__point__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__request__field_descriptors[16] =
+{
+  {
+    "call_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, call_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, request_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, session_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, lease_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "database",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, database),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenant",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_index",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, class_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at_least",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, at_least),
+    &peer__point__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, max_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_request_key",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, has_request_key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_key",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, request_key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Request, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__request__field_indices_by_name[] = {
-	10, /* field[10] = at_least */
-	15, /* field[15] = bytes */
-	0,  /* field[0] = call_id */
-	7,  /* field[7] = class_index */
-	4,  /* field[4] = database */
-	13, /* field[13] = has_request_key */
-	8,  /* field[8] = kind */
-	3,  /* field[3] = lease_id */
-	11, /* field[11] = max_age_ms */
-	1,  /* field[1] = request_id */
-	14, /* field[14] = request_key */
-	5,  /* field[5] = server */
-	2,  /* field[2] = session_id */
-	6,  /* field[6] = tenant */
-	9,  /* field[9] = term */
-	12, /* field[12] = timeout_ms */
+  10,   /* field[10] = at_least */
+  15,   /* field[15] = bytes */
+  0,   /* field[0] = call_id */
+  7,   /* field[7] = class_index */
+  4,   /* field[4] = database */
+  13,   /* field[13] = has_request_key */
+  8,   /* field[8] = kind */
+  3,   /* field[3] = lease_id */
+  11,   /* field[11] = max_age_ms */
+  1,   /* field[1] = request_id */
+  14,   /* field[14] = request_key */
+  5,   /* field[5] = server */
+  2,   /* field[2] = session_id */
+  6,   /* field[6] = tenant */
+  9,   /* field[9] = term */
+  12,   /* field[12] = timeout_ms */
+};
+static const ProtobufCIntRange peer__request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
 };
-static const ProtobufCIntRange peer__request__number_ranges[1 + 1] = {{1, 0},
-								      {0, 16}};
-const ProtobufCMessageDescriptor peer__request__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Request",
-	"Request",
-	"Peer__Request",
-	"peer",
-	sizeof(Peer__Request),
-	16,
-	peer__request__field_descriptors,
-	peer__request__field_indices_by_name,
-	1,
-	peer__request__number_ranges,
-	(ProtobufCMessageInit)peer__request__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor peer__request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Request",
+  "Request",
+  "Peer__Request",
+  "peer",
+  sizeof(Peer__Request),
+  16,
+  peer__request__field_descriptors,
+  peer__request__field_indices_by_name,
+  1,  peer__request__number_ranges,
+  (ProtobufCMessageInit) peer__request__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__chunk__field_descriptors[4] = {
-	{
-		"call_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Chunk, call_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"index", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Chunk, index), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"bytes", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0, /* quantifier_offset */
-		offsetof(Peer__Chunk, bytes), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"continues", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(Peer__Chunk, continues), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor peer__chunk__field_descriptors[4] =
+{
+  {
+    "call_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Chunk, call_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Chunk, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Chunk, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "continues",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Chunk, continues),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__chunk__field_indices_by_name[] = {
-	2, /* field[2] = bytes */
-	0, /* field[0] = call_id */
-	3, /* field[3] = continues */
-	1, /* field[1] = index */
+  2,   /* field[2] = bytes */
+  0,   /* field[0] = call_id */
+  3,   /* field[3] = continues */
+  1,   /* field[1] = index */
 };
-static const ProtobufCIntRange peer__chunk__number_ranges[1 + 1] = {{1, 0},
-								    {0, 4}};
-const ProtobufCMessageDescriptor peer__chunk__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Chunk",
-	"Chunk",
-	"Peer__Chunk",
-	"peer",
-	sizeof(Peer__Chunk),
-	4,
-	peer__chunk__field_descriptors,
-	peer__chunk__field_indices_by_name,
-	1,
-	peer__chunk__number_ranges,
-	(ProtobufCMessageInit)peer__chunk__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__chunk__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
 };
-static const ProtobufCFieldDescriptor peer__end__field_descriptors[9] = {
-	{
-		"call_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__End, call_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"chunks_count", 2, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Peer__End, chunks_count), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"outcome", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__End, outcome), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"reason", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__End, reason), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"transaction_status", 5, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Peer__End, transaction_status), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"lease_id", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__End, lease_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"point", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(Peer__End, point), &peer__point__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"primary_term", 8, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(Peer__End, primary_term), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"primary", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__End, primary), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor peer__chunk__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Chunk",
+  "Chunk",
+  "Peer__Chunk",
+  "peer",
+  sizeof(Peer__Chunk),
+  4,
+  peer__chunk__field_descriptors,
+  peer__chunk__field_indices_by_name,
+  1,  peer__chunk__number_ranges,
+  (ProtobufCMessageInit) peer__chunk__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__end__field_descriptors[9] =
+{
+  {
+    "call_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, call_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunks_count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, chunks_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, reason),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transaction_status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, transaction_status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_id",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, lease_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "point",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, point),
+    &peer__point__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primary_term",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, primary_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "primary",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__End, primary),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__end__field_indices_by_name[] = {
-	0, /* field[0] = call_id */
-	1, /* field[1] = chunks_count */
-	5, /* field[5] = lease_id */
-	2, /* field[2] = outcome */
-	6, /* field[6] = point */
-	8, /* field[8] = primary */
-	7, /* field[7] = primary_term */
-	3, /* field[3] = reason */
-	4, /* field[4] = transaction_status */
+  0,   /* field[0] = call_id */
+  1,   /* field[1] = chunks_count */
+  5,   /* field[5] = lease_id */
+  2,   /* field[2] = outcome */
+  6,   /* field[6] = point */
+  8,   /* field[8] = primary */
+  7,   /* field[7] = primary_term */
+  3,   /* field[3] = reason */
+  4,   /* field[4] = transaction_status */
 };
-static const ProtobufCIntRange peer__end__number_ranges[1 + 1] = {{1, 0},
-								  {0, 9}};
-const ProtobufCMessageDescriptor peer__end__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.End",
-	"End",
-	"Peer__End",
-	"peer",
-	sizeof(Peer__End),
-	9,
-	peer__end__field_descriptors,
-	peer__end__field_indices_by_name,
-	1,
-	peer__end__number_ranges,
-	(ProtobufCMessageInit)peer__end__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
 };
-static const ProtobufCFieldDescriptor peer__cancel__field_descriptors[1] = {
-	{
-		"call_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Cancel, call_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor peer__end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.End",
+  "End",
+  "Peer__End",
+  "peer",
+  sizeof(Peer__End),
+  9,
+  peer__end__field_descriptors,
+  peer__end__field_indices_by_name,
+  1,  peer__end__number_ranges,
+  (ProtobufCMessageInit) peer__end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__cancel__field_descriptors[1] =
+{
+  {
+    "call_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Cancel, call_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__cancel__field_indices_by_name[] = {
-	0, /* field[0] = call_id */
+  0,   /* field[0] = call_id */
+};
+static const ProtobufCIntRange peer__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Cancel",
+  "Cancel",
+  "Peer__Cancel",
+  "peer",
+  sizeof(Peer__Cancel),
+  1,
+  peer__cancel__field_descriptors,
+  peer__cancel__field_indices_by_name,
+  1,  peer__cancel__number_ranges,
+  (ProtobufCMessageInit) peer__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__inquiry__field_descriptors[1] =
+{
+  {
+    "call_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Inquiry, call_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__inquiry__field_indices_by_name[] = {
+  0,   /* field[0] = call_id */
+};
+static const ProtobufCIntRange peer__inquiry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
 };
-static const ProtobufCIntRange peer__cancel__number_ranges[1 + 1] = {{1, 0},
-								     {0, 1}};
-const ProtobufCMessageDescriptor peer__cancel__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Cancel",
-	"Cancel",
-	"Peer__Cancel",
-	"peer",
-	sizeof(Peer__Cancel),
-	1,
-	peer__cancel__field_descriptors,
-	peer__cancel__field_indices_by_name,
-	1,
-	peer__cancel__number_ranges,
-	(ProtobufCMessageInit)peer__cancel__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor peer__inquiry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Inquiry",
+  "Inquiry",
+  "Peer__Inquiry",
+  "peer",
+  sizeof(Peer__Inquiry),
+  1,
+  peer__inquiry__field_descriptors,
+  peer__inquiry__field_indices_by_name,
+  1,  peer__inquiry__number_ranges,
+  (ProtobufCMessageInit) peer__inquiry__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__release__field_descriptors[1] = {
-	{
-		"lease_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Release, lease_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor peer__release__field_descriptors[1] =
+{
+  {
+    "lease_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Release, lease_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__release__field_indices_by_name[] = {
-	0, /* field[0] = lease_id */
+  0,   /* field[0] = lease_id */
 };
-static const ProtobufCIntRange peer__release__number_ranges[1 + 1] = {{1, 0},
-								      {0, 1}};
-const ProtobufCMessageDescriptor peer__release__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Release",
-	"Release",
-	"Peer__Release",
-	"peer",
-	sizeof(Peer__Release),
-	1,
-	peer__release__field_descriptors,
-	peer__release__field_indices_by_name,
-	1,
-	peer__release__number_ranges,
-	(ProtobufCMessageInit)peer__release__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
 };
-static const ProtobufCFieldDescriptor peer__note__field_descriptors[2] = {
-	{
-		"kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Note, kind), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"bytes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0, /* quantifier_offset */
-		offsetof(Peer__Note, bytes), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor peer__release__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Release",
+  "Release",
+  "Peer__Release",
+  "peer",
+  sizeof(Peer__Release),
+  1,
+  peer__release__field_descriptors,
+  peer__release__field_indices_by_name,
+  1,  peer__release__number_ranges,
+  (ProtobufCMessageInit) peer__release__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__note__field_descriptors[2] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__note__field_indices_by_name[] = {
-	1, /* field[1] = bytes */
-	0, /* field[0] = kind */
+  1,   /* field[1] = bytes */
+  0,   /* field[0] = kind */
 };
-static const ProtobufCIntRange peer__note__number_ranges[1 + 1] = {{1, 0},
-								   {0, 2}};
-const ProtobufCMessageDescriptor peer__note__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Note",
-	"Note",
-	"Peer__Note",
-	"peer",
-	sizeof(Peer__Note),
-	2,
-	peer__note__field_descriptors,
-	peer__note__field_indices_by_name,
-	1,
-	peer__note__number_ranges,
-	(ProtobufCMessageInit)peer__note__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[11] = {
-	{
-		"sender", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__Envelope, sender), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 2, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Peer__Envelope, incarnation), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"receiver_incarnation", 3, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Peer__Envelope, receiver_incarnation), NULL, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"sequence", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Envelope, sequence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"heartbeat", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Envelope, body_case),
-		offsetof(Peer__Envelope, heartbeat),
-		&peer__heartbeat__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"request", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Envelope, body_case),
-		offsetof(Peer__Envelope, request), &peer__request__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"chunk", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Envelope, body_case),
-		offsetof(Peer__Envelope, chunk), &peer__chunk__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"end", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Envelope, body_case),
-		offsetof(Peer__Envelope, end), &peer__end__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"cancel", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Envelope, body_case),
-		offsetof(Peer__Envelope, cancel), &peer__cancel__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"release", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Envelope, body_case),
-		offsetof(Peer__Envelope, release), &peer__release__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"note", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Envelope, body_case),
-		offsetof(Peer__Envelope, note), &peer__note__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor peer__note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Note",
+  "Note",
+  "Peer__Note",
+  "peer",
+  sizeof(Peer__Note),
+  2,
+  peer__note__field_descriptors,
+  peer__note__field_indices_by_name,
+  1,  peer__note__number_ranges,
+  (ProtobufCMessageInit) peer__note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__envelope__field_descriptors[12] =
+{
+  {
+    "sender",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Envelope, sender),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Envelope, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "receiver_incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Envelope, receiver_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Envelope, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, heartbeat),
+    &peer__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, request),
+    &peer__request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunk",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, chunk),
+    &peer__chunk__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, end),
+    &peer__end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, cancel),
+    &peer__cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, release),
+    &peer__release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "note",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, note),
+    &peer__note__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "inquiry",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Envelope, body_case),
+    offsetof(Peer__Envelope, inquiry),
+    &peer__inquiry__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__envelope__field_indices_by_name[] = {
-	8,  /* field[8] = cancel */
-	6,  /* field[6] = chunk */
-	7,  /* field[7] = end */
-	4,  /* field[4] = heartbeat */
-	1,  /* field[1] = incarnation */
-	10, /* field[10] = note */
-	2,  /* field[2] = receiver_incarnation */
-	9,  /* field[9] = release */
-	5,  /* field[5] = request */
-	0,  /* field[0] = sender */
-	3,  /* field[3] = sequence */
+  8,   /* field[8] = cancel */
+  6,   /* field[6] = chunk */
+  7,   /* field[7] = end */
+  4,   /* field[4] = heartbeat */
+  1,   /* field[1] = incarnation */
+  11,   /* field[11] = inquiry */
+  10,   /* field[10] = note */
+  2,   /* field[2] = receiver_incarnation */
+  9,   /* field[9] = release */
+  5,   /* field[5] = request */
+  0,   /* field[0] = sender */
+  3,   /* field[3] = sequence */
+};
+static const ProtobufCIntRange peer__envelope__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
 };
-static const ProtobufCIntRange peer__envelope__number_ranges[1 + 1] = {{1, 0},
-								       {0, 11}};
-const ProtobufCMessageDescriptor peer__envelope__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Envelope",
-	"Envelope",
-	"Peer__Envelope",
-	"peer",
-	sizeof(Peer__Envelope),
-	11,
-	peer__envelope__field_descriptors,
-	peer__envelope__field_indices_by_name,
-	1,
-	peer__envelope__number_ranges,
-	(ProtobufCMessageInit)peer__envelope__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor peer__envelope__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Envelope",
+  "Envelope",
+  "Peer__Envelope",
+  "peer",
+  sizeof(Peer__Envelope),
+  12,
+  peer__envelope__field_descriptors,
+  peer__envelope__field_indices_by_name,
+  1,  peer__envelope__number_ranges,
+  (ProtobufCMessageInit) peer__envelope__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/protocol/peer_message.c
+++ b/src/protocol/peer_message.c
@@ -178,6 +178,17 @@
 	return pack(envelope);
 }
 
+static GBytes *encode_inquiry(const peer_message_t *message,
+			      Peer__Envelope *envelope)
+{
+	Peer__Inquiry wire = PEER__INQUIRY__INIT;
+
+	wire.call_id = message->call_id;
+	envelope->body_case = PEER__ENVELOPE__BODY_INQUIRY;
+	envelope->inquiry = &wire;
+	return pack(envelope);
+}
+
 static GBytes *encode_release(const peer_message_t *message,
 			      Peer__Envelope *envelope)
 {
@@ -209,6 +220,7 @@
 		[PEER_MESSAGE_CHUNK] = encode_chunk,
 		[PEER_MESSAGE_END] = encode_end,
 		[PEER_MESSAGE_CANCEL] = encode_cancel,
+		[PEER_MESSAGE_INQUIRY] = encode_inquiry,
 		[PEER_MESSAGE_RELEASE] = encode_release,
 		[PEER_MESSAGE_NOTE] = encode_note,
 	};
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -31,6 +31,7 @@
 	PEER_MESSAGE_CHUNK,
 	PEER_MESSAGE_END,
 	PEER_MESSAGE_CANCEL,
+	PEER_MESSAGE_INQUIRY, /**< has the request arrived? */
 	PEER_MESSAGE_RELEASE,
 	PEER_MESSAGE_NOTE,
 	PEER_MESSAGE_KIND_COUNT,
@@ -54,9 +55,9 @@
 	uint64_t sequence;	       /**< of this message at its sender */
 	peer_message_kind_t kind;
 	peer_heartbeat_t *heartbeat; /**< HEARTBEAT */
-	uint64_t call_id;	     /**< REQUEST, CHUNK, END, CANCEL */
-	request_t *request;	     /**< REQUEST */
-	uint32_t chunk_index;	     /**< CHUNK: 0, 1, 2 and so on */
+	uint64_t call_id;      /**< REQUEST, CHUNK, END, CANCEL, INQUIRY */
+	request_t *request;    /**< REQUEST */
+	uint32_t chunk_index;  /**< CHUNK: 0, 1, 2 and so on */
 	bool chunk_continues;  /**< CHUNK: the next is a part of the same */
 	uint32_t chunks_count; /**< END: how many chunks there were */
 	answer_t answer;       /**< END */
--- a/src/protocol/peer_message_decode.c
+++ b/src/protocol/peer_message_decode.c
@@ -180,6 +180,13 @@
 	return true;
 }
 
+static bool decode_inquiry(const Peer__Envelope *envelope,
+			   peer_message_t *message)
+{
+	message->call_id = envelope->inquiry->call_id;
+	return true;
+}
+
 static bool decode_release(const Peer__Envelope *envelope,
 			   peer_message_t *message)
 {
@@ -208,6 +215,7 @@
 			[PEER_MESSAGE_CHUNK] = PEER__ENVELOPE__BODY_CHUNK,
 			[PEER_MESSAGE_END] = PEER__ENVELOPE__BODY_END,
 			[PEER_MESSAGE_CANCEL] = PEER__ENVELOPE__BODY_CANCEL,
+			[PEER_MESSAGE_INQUIRY] = PEER__ENVELOPE__BODY_INQUIRY,
 			[PEER_MESSAGE_RELEASE] = PEER__ENVELOPE__BODY_RELEASE,
 			[PEER_MESSAGE_NOTE] = PEER__ENVELOPE__BODY_NOTE,
 		};
@@ -229,6 +237,7 @@
 		[PEER_MESSAGE_CHUNK] = decode_chunk,
 		[PEER_MESSAGE_END] = decode_end,
 		[PEER_MESSAGE_CANCEL] = decode_cancel,
+		[PEER_MESSAGE_INQUIRY] = decode_inquiry,
 		[PEER_MESSAGE_RELEASE] = decode_release,
 		[PEER_MESSAGE_NOTE] = decode_note,
 	};
--- a/tests/unit/test_peer_calls.c
+++ b/tests/unit/test_peer_calls.c
@@ -20,6 +20,7 @@
 	bool is_queued; /* what is sent stays in the queue */
 	uint64_t call_id;
 	uint32_t cancels_sent;
+	uint32_t inquiries_sent;
 	uint64_t released;
 	uint32_t ends_count;
 	answer_t answer;
@@ -52,6 +53,8 @@
 		rig->call_id = message->call_id;
 	if (message->kind == PEER_MESSAGE_CANCEL)
 		rig->cancels_sent++;
+	if (message->kind == PEER_MESSAGE_INQUIRY)
+		rig->inquiries_sent++;
 	if (message->kind == PEER_MESSAGE_RELEASE)
 		rig->released = message->lease_id;
 	return true;
@@ -323,6 +326,65 @@
 	assert_int_equal(rig->requests_count, 5);
 }
 
+/* Brings the question to the owner and its answer back. */
+static void inquire(rig_t *rig)
+{
+	g_autoptr(peer_message_t) message =
+		peer_message_new(PEER_MESSAGE_INQUIRY);
+
+	peer_calls_run(rig->calls, NOW_MS + 1500);
+	assert_int_equal(rig->inquiries_sent, 1);
+	strcpy(message->sender, "entry");
+	message->incarnation = OWN;
+	message->call_id = rig->call_id;
+	peer_served_inquiry(rig->served, message);
+	for (guint i = 0; i < rig->answers->len; i++)
+		peer_calls_answer(rig->calls, rig->answers->pdata[i], NOW_MS);
+}
+
+static void test_request_lost_on_its_way_is_not_run(void **state)
+{
+	rig_t *rig = *state;
+
+	submit(rig, REQUEST_WRITE);
+	inquire(rig);
+	assert_int_equal(rig->ends_count, 1);
+	assert_int_equal(rig->answer.outcome, OUTCOME_NOT_RUN);
+	serve(rig, rig->call_id, OWN);
+	assert_int_equal(rig->requests_count, 0);
+}
+
+static void test_request_that_runs_is_waited_for(void **state)
+{
+	rig_t *rig = *state;
+
+	submit(rig, REQUEST_WRITE);
+	serve(rig, rig->call_id, OWN);
+	inquire(rig);
+	assert_int_equal(rig->ends_count, 0);
+}
+
+static void lose_answer(rig_t *rig, request_kind_t kind, outcome_t expected)
+{
+	const answer_t done = {.outcome = OUTCOME_DONE};
+
+	submit(rig, kind);
+	serve(rig, rig->call_id, OWN);
+	rig->sink.end(rig->sink.context, 0, &done);
+	g_ptr_array_set_size(rig->answers, 0);
+	rig->inquiries_sent = 0;
+	inquire(rig);
+	assert_int_equal(rig->ends_count, 1);
+	assert_int_equal(rig->answer.outcome, expected);
+	g_ptr_array_set_size(rig->answers, 0);
+}
+
+static void test_lost_answer_is_unknown_except_for_reads(void **state)
+{
+	lose_answer(*state, REQUEST_WRITE, OUTCOME_UNKNOWN);
+	lose_answer(*state, REQUEST_READ, OUTCOME_NOT_RUN);
+}
+
 static void test_answer_to_a_cancelled_request_is_not_sent(void **state)
 {
 	rig_t *rig = *state;
@@ -370,6 +432,9 @@
 		TEST(test_deadline_ends_what_hangs),
 		TEST(test_write_still_queued_when_its_owner_dies_is_not_run),
 		TEST(test_request_that_comes_twice_runs_once),
+		TEST(test_request_lost_on_its_way_is_not_run),
+		TEST(test_request_that_runs_is_waited_for),
+		TEST(test_lost_answer_is_unknown_except_for_reads),
 		TEST(test_answer_to_a_cancelled_request_is_not_sent),
 		TEST(test_large_chunk_travels_in_parts),
 	};
