Let every end of a transaction raise the session's token

A caller that was told of its row by a 23505 inside a transaction knows more than its token said; a ROLLBACK now brings the primary's point, too, without waiting for its confirmation. Behind a change of unknown outcome or a lost transaction the next read proves a fresh point first, since the caller will look up what became of it. Seen failing before in the unit test.

--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -117,6 +117,7 @@
 	batch_t *batch;
 
 	char status;	   /**< as in ReadyForQuery */
+	bool must_prove;   /**< it may know of more than its token says */
 	uint64_t lease_id; /**< transaction's connection, 0 for none */
 	session_run_t run;
 	GHashTable *counters; /**< label text -> metric_t, not owned */
--- a/src/daemon/session_outcome.c
+++ b/src/daemon/session_outcome.c
@@ -140,6 +140,9 @@
 		session->status = 'E';
 	if (session->status == 'I')
 		session_release(session);
+	if (run->work.kind == REQUEST_TRANSACTION && session->status == 'I' &&
+	    !answer->point.term)
+		session->must_prove = true;
 	if (run->work.kind != REQUEST_READ ||
 	    session->settings->consistency != CONSISTENCY_AGE)
 		raise_token(session, answer->point);
@@ -160,6 +163,8 @@
 	const outcome_report_t report = outcome_report(outcome, answer->reason);
 
 	session_release(session);
+	if (work->kind != REQUEST_READ)
+		session->must_prove = true;
 	if (inside && work->rolls_back) {
 		if (work->extended)
 			session_local_rollback_batch(session);
--- a/src/daemon/session_request.c
+++ b/src/daemon/session_request.c
@@ -36,6 +36,7 @@
 	if (session->status == 'I')
 		return;
 	session_release(session);
+	session->must_prove = true;
 	session->status = 'E';
 }
 
@@ -128,6 +129,7 @@
 		session_outcome_fail(session, OUTCOME_NOT_RUN,
 				     REASON_NO_PRIMARY);
 	} else {
+		session->must_prove = false;
 		session_token_raise(session->settings->token, session->database,
 				    point);
 		request->at_least = session_token_point(
@@ -137,13 +139,20 @@
 	request_delete(request);
 }
 
-/* A strong read asks each time, a session's first read once. */
+/*
+ * A strong read asks each time, a session's first read once, and so does one
+ * behind a change of unknown outcome or a transaction without a point: the
+ * caller may look up what became of it.
+ */
 static bool needs_barrier(const session_t *session, const request_t *request)
 {
-	if (request->kind != REQUEST_READ || request->max_age_ms)
+	if (request->kind != REQUEST_READ)
 		return false;
-	return session->settings->consistency == CONSISTENCY_STRONG ||
-	       !request->at_least.term;
+	if (session->must_prove)
+		return true;
+	return !request->max_age_ms &&
+	       (session->settings->consistency == CONSISTENCY_STRONG ||
+		!request->at_least.term);
 }
 
 static void ask_barrier(session_t *session, request_t *request)
--- a/src/protocol/exchange.c
+++ b/src/protocol/exchange.c
@@ -356,13 +356,17 @@
 	}
 }
 
-/* A COMMIT that was not foreseen needs its point, too. */
+/*
+ * A COMMIT that was not foreseen needs its point, too, and so does a ROLLBACK:
+ * the caller may have seen rows, or been told of them by an error.
+ */
 static void finish_statement(exchange_t *exchange)
 {
 	const bool planned = exchange->current + 1 < exchange->steps_count;
 
-	if (!planned && exchange->committed && exchange->term &&
-	    exchange->status == 'I' && !exchange->not_run)
+	if (!planned && exchange->term && exchange->status == 'I' &&
+	    !exchange->not_run &&
+	    exchange->request->kind == REQUEST_TRANSACTION)
 		add_step(exchange, STEP_POINT);
 }
 
--- a/tests/unit/test_exchange.c
+++ b/tests/unit/test_exchange.c
@@ -240,13 +240,17 @@
 	exchange_destroy(t.exchange);
 }
 
-static void test_rollback_needs_nothing(void **state)
+static void test_rollback_brings_a_point_but_waits_for_nobody(void **state)
 {
 	talk_t t = talk(REQUEST_TRANSACTION, "ROLLBACK", NULL, inside);
 
 	assert_sent(&t, "ROLLBACK");
 	done(&t, "ROLLBACK", 'I');
+	assert_int_equal(t.state, EXCHANGE_SEND);
+	assert_sent(&t, "SELECT * FROM group_point()");
+	point(&t, "3", "5");
 	assert_int_equal(t.state, EXCHANGE_ENDED);
+	assert_int_equal(exchange_result(t.exchange).point.position, 5);
 	assert_false(exchange_result(t.exchange).needs_confirm);
 	exchange_destroy(t.exchange);
 }
@@ -359,7 +363,8 @@
 		cmocka_unit_test(test_commit_is_held_with_its_point),
 		cmocka_unit_test(
 			test_commit_that_was_not_foreseen_asks_for_its_point),
-		cmocka_unit_test(test_rollback_needs_nothing),
+		cmocka_unit_test(
+			test_rollback_brings_a_point_but_waits_for_nobody),
 		cmocka_unit_test(test_key_is_written_in_the_same_transaction),
 		cmocka_unit_test(test_key_that_is_there_stops_the_change),
 		cmocka_unit_test(test_key_goes_in_before_commit),
--- a/tests/unit/test_session.c
+++ b/tests/unit/test_session.c
@@ -24,6 +24,45 @@
 	PQfinish(conn);
 }
 
+/* Runs a read and tells whether it asked a barrier first. */
+static bool asks_barrier(PGconn *conn)
+{
+	const gint before = g_atomic_int_get(&entry.barriers);
+
+	assert_state(conn, "SELECT conn", "");
+	return g_atomic_int_get(&entry.barriers) > before;
+}
+
+static void test_read_behind_an_unknown_change_is_proven(void **state)
+{
+	PGconn *conn = connect_well("");
+
+	assert_state(conn, "INSERT INTO pairing VALUES (1)", "");
+	assert_false(asks_barrier(conn));
+	assert_state(conn, "die in a change", "TH004");
+	assert_true(asks_barrier(conn));
+	assert_false(asks_barrier(conn));
+	assert_state(conn, "BEGIN", "");
+	assert_state(conn, "die inside", "TH003");
+	assert_state(conn, "ROLLBACK", "");
+	assert_true(asks_barrier(conn));
+	PQfinish(conn);
+}
+
+static void test_end_of_a_transaction_raises_the_token(void **state)
+{
+	PGconn *conn = connect_well("");
+
+	assert_state(conn, "BEGIN", "");
+	assert_state(conn, "fail 23505", "23505");
+	assert_string_equal(PQparameterStatus(conn, "toucanhook.token"), "");
+	assert_state(conn, "ROLLBACK", "");
+	assert_string_equal(PQparameterStatus(conn, "toucanhook.token"),
+			    "match:1:1");
+	assert_false(asks_barrier(conn));
+	PQfinish(conn);
+}
+
 static void test_transactions_do_not_share_a_connection(void **state)
 {
 	PGconn *first = connect_well("");
@@ -234,6 +273,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		TEST(test_unconfirmed_change_is_unknown),
+		TEST(test_read_behind_an_unknown_change_is_proven),
+		TEST(test_end_of_a_transaction_raises_the_token),
 		TEST(test_transactions_do_not_share_a_connection),
 		TEST(test_lost_transaction_fails_until_its_end),
 		TEST(test_refused_statement_fails_its_transaction),
