Let a key go with its change

Seen in a load with lost answers: a transaction that met its own row (23505) rolled back and left its key behind; the session's next change was answered TH005 and never made. A key is now taken by the change or transaction that it was set for, whatever comes of it; only a change outside a transaction that was refused as not run leaves it, since it was not attempted. Keeping it after TH004 was ruled out for the same reason: who repeats sets it again.

--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -87,7 +87,6 @@
 	uint64_t started_us;
 	bool failed;		    /**< an ErrorResponse went by */
 	bool keyed;		    /**< it carries the request key */
-	bool already_done;	    /**< its key was used before (TH005) */
 	request_t *request;	    /**< kept while a barrier is awaited */
 	session_barrier_t *barrier; /**< NULL when none is awaited */
 } session_run_t;
--- a/src/daemon/session_local.c
+++ b/src/daemon/session_local.c
@@ -157,6 +157,7 @@
 void session_local_rollback(session_t *session, GByteArray *out)
 {
 	session->status = 'I';
+	g_clear_pointer(&session->settings->request_key, g_free);
 	write_complete(out, "ROLLBACK");
 }
 
--- a/src/daemon/session_outcome.c
+++ b/src/daemon/session_outcome.c
@@ -22,7 +22,7 @@
 		dispatch->release(dispatch->context, lease_id);
 }
 
-/* Notes the errors that go by; they decide on the request key. */
+/* Notes the errors that go by; behind one, a Flush skips up to Sync. */
 static void look_for_errors(session_t *session, GBytes *bytes)
 {
 	gsize size_bytes = 0;
@@ -33,12 +33,7 @@
 	while (pg_frame_next(data + used, size_bytes - used, SIZE_MAX,
 			     &message) == PG_FRAME_READY) {
 		used += message.size_bytes;
-		if (message.type != 'E')
-			continue;
-		session->run.failed = true;
-		if (!g_strcmp0(pg_error_field(&message, 'C'),
-			       SQLSTATE_ALREADY_DONE))
-			session->run.already_done = true;
+		session->run.failed |= message.type == 'E';
 	}
 }
 
@@ -68,7 +63,7 @@
 {
 	const struct evbuffer *output = bufferevent_get_output(session->bev);
 
-	if (session->run.work.kind != REQUEST_READ || session->run.work.flushes)
+	if (session->run.work.flushes)
 		look_for_errors(session, bytes);
 	if (evbuffer_get_length(output) + g_bytes_get_size(bytes) >
 	    SESSION_OUTPUT_SIZE_BYTES_MAX) {
@@ -146,8 +141,6 @@
 	if (run->work.kind != REQUEST_READ ||
 	    session->settings->consistency != CONSISTENCY_AGE)
 		raise_token(session, answer->point);
-	if (run->keyed && (!run->failed || run->already_done))
-		g_clear_pointer(&session->settings->request_key, g_free);
 }
 
 /*
@@ -183,6 +176,23 @@
 	session->run.failed = true;
 }
 
+/*
+ * A key belongs to one change. Left behind, it would make the next one look
+ * like it; so the change takes it along unless it never was attempted.
+ */
+static void settle_key(session_t *session, outcome_t outcome)
+{
+	const session_run_t *run = &session->run;
+	const bool ended =
+		run->work.kind == REQUEST_TRANSACTION && session->status == 'I';
+
+	if (outcome == OUTCOME_NOT_RUN &&
+	    (run->work.begins || run->work.kind == REQUEST_WRITE))
+		return;
+	if (run->keyed || ended)
+		g_clear_pointer(&session->settings->request_key, g_free);
+}
+
 void session_outcome_end(session_t *session, const answer_t *answer)
 {
 	const session_work_t work = session->run.work;
@@ -193,6 +203,7 @@
 		take_done(session, answer);
 	else
 		take_failure(session, answer);
+	settle_key(session, answer->outcome);
 	batch_clear(session->batch);
 	if (work.flushes)
 		session->discards = session->run.failed;
--- a/src/protocol/exchange.c
+++ b/src/protocol/exchange.c
@@ -104,24 +104,9 @@
 	g_free(exchange);
 }
 
-/* In an E'' constant both the quote and the backslash are doubled. */
-static char *quote(const char *text)
-{
-	GString *quoted = g_string_new("E'");
-	const char *c = NULL;
-
-	for (c = text; *c; c++) {
-		if (*c == '\'' || *c == '\\')
-			g_string_append_c(quoted, *c);
-		g_string_append_c(quoted, *c);
-	}
-	g_string_append_c(quoted, '\'');
-	return g_string_free(quoted, FALSE);
-}
-
 static void write_key(const exchange_t *exchange, GByteArray *out)
 {
-	g_autofree char *key = quote(exchange->request->request_key);
+	g_autofree char *key = pg_quote(exchange->request->request_key);
 	g_autofree char *sql = g_strdup_printf(
 		"INSERT INTO toucanhook_requests (key, value) VALUES (%s, '')",
 		key);
--- a/src/protocol/outcome_report.c
+++ b/src/protocol/outcome_report.c
@@ -43,8 +43,9 @@
 	if (outcome == OUTCOME_UNKNOWN) {
 		report.sqlstate = SQLSTATE_UNKNOWN;
 		report.message = unknown_messages[reason];
-		report.hint = "It may have taken effect. Look it up, or repeat "
-			      "it with the same toucanhook.request_key.";
+		report.hint = "It may have taken effect. Look it up, or set "
+			      "the same toucanhook.request_key again and "
+			      "repeat it.";
 		if (!report.message)
 			report.message = UNKNOWN "its answer was lost";
 		return report;
--- a/src/protocol/pg_frame.c
+++ b/src/protocol/pg_frame.c
@@ -201,6 +201,21 @@
 	pg_write_end(out, mark);
 }
 
+/* In an E'' constant both the quote and the backslash are doubled. */
+char *pg_quote(const char *text)
+{
+	GString *quoted = g_string_new("E'");
+	const char *c = NULL;
+
+	for (c = text; *c; c++) {
+		if (*c == '\'' || *c == '\\')
+			g_string_append_c(quoted, *c);
+		g_string_append_c(quoted, *c);
+	}
+	g_string_append_c(quoted, '\'');
+	return g_string_free(quoted, FALSE);
+}
+
 void pg_write_query(GByteArray *out, const char *sql)
 {
 	pg_write_text(out, 'Q', sql);
--- a/src/protocol/pg_frame.h
+++ b/src/protocol/pg_frame.h
@@ -98,6 +98,9 @@
 /** Writes a message whose only field is a string. */
 void pg_write_text(GByteArray *out, char type, const char *text);
 
+/** @return @p text as an SQL string constant; free with g_free(). */
+char *pg_quote(const char *text);
+
 void pg_write_query(GByteArray *out, const char *sql);
 
 /** @param status 'I', 'T' or 'E' */
--- a/src/state/session_settings.h
+++ b/src/state/session_settings.h
@@ -33,7 +33,7 @@
 	consistency_t consistency;
 	uint32_t max_age_ms; /**< 0 for the class's own */
 	uint32_t timeout_ms; /**< 0 for the class's own */
-	char *request_key;   /**< of the next change, or NULL */
+	char *request_key;   /**< of the next change, which takes it; or NULL */
 } session_settings_t;
 
 /** Why a setting was not taken. */
--- a/tests/unit/test_session.c
+++ b/tests/unit/test_session.c
@@ -63,6 +63,35 @@
 	PQfinish(conn);
 }
 
+static void assert_key(PGconn *conn, const char *expected)
+{
+	g_autofree char *key = value_of(conn, "SHOW toucanhook.request_key");
+
+	assert_string_equal(key, expected);
+}
+
+static void test_key_goes_with_its_change(void **state)
+{
+	PGconn *conn = connect_well("");
+
+	assert_state(conn, "SET toucanhook.request_key = 'a'", "");
+	assert_state(conn, "SELECT conn", "");
+	assert_key(conn, "a");
+	assert_state(conn, "fail TH001", "TH003");
+	assert_key(conn, "a");
+	assert_state(conn, "fail 22000", "22000");
+	assert_key(conn, "");
+	assert_state(conn, "BEGIN", "");
+	assert_state(conn, "SET toucanhook.request_key = 'b'", "");
+	assert_state(conn, "fail 23505", "23505");
+	assert_state(conn, "ROLLBACK", "");
+	assert_key(conn, "");
+	assert_state(conn, "SET toucanhook.request_key = 'c'", "");
+	assert_state(conn, "die in a change", "TH004");
+	assert_key(conn, "");
+	PQfinish(conn);
+}
+
 static void test_transactions_do_not_share_a_connection(void **state)
 {
 	PGconn *first = connect_well("");
@@ -275,6 +304,7 @@
 		TEST(test_unconfirmed_change_is_unknown),
 		TEST(test_read_behind_an_unknown_change_is_proven),
 		TEST(test_end_of_a_transaction_raises_the_token),
+		TEST(test_key_goes_with_its_change),
 		TEST(test_transactions_do_not_share_a_connection),
 		TEST(test_lost_transaction_fails_until_its_end),
 		TEST(test_refused_statement_fails_its_transaction),
