Fuzz batches and gauge the queues

Mutated extended-query messages are taken or refused, and what is sent stays well framed; seeded by SEED.

--- a/src/daemon/pool.h
+++ b/src/daemon/pool.h
@@ -47,7 +47,8 @@
 	uint32_t backoff_ms;
 	bool unreachable; /**< the last attempt to connect failed */
 	bool full;	  /**< the last attempt met the server's limit */
-	metric_t *open;
+	metric_t *open;	  /**< connections */
+	metric_t *queued; /**< requests */
 };
 
 typedef enum {
--- a/src/daemon/pool_server.c
+++ b/src/daemon/pool_server.c
@@ -42,6 +42,8 @@
 	server->retry = evtimer_new(pool->base, on_pump, server);
 	server->open = metrics_gauge(pool->metrics,
 				     "toucanhook_server_connections", labels);
+	server->queued = metrics_gauge(pool->metrics,
+				       "toucanhook_queued_requests", labels);
 	return server;
 }
 
@@ -389,4 +391,5 @@
 	shrink(server);
 	start_queued(server);
 	open_wanted(server);
+	metric_set(server->queued, admission_count(server->admission));
 }
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -1,6 +1,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -195,6 +196,41 @@
 	assert_string_equal(error.sqlstate, "53400");
 }
 
+/* Bytes that no client would send change nothing but the error. */
+static void test_mutated_messages_are_taken_or_refused(void **state)
+{
+	const char *seed_text = getenv("SEED");
+	g_autoptr(GRand) rand = g_rand_new_with_seed(
+		seed_text ? (guint32)strtoul(seed_text, NULL, 10) : 1);
+	g_autoptr(batch_t) batch = batch_create(cache);
+	static const char types[] = "PBDECHQ";
+	int round;
+
+	for (round = 0; round < 20000; round++) {
+		GByteArray *bytes = g_rand_boolean(rand) ?
+					    parse("a", "SELECT 1") :
+					    bind("", "a");
+		batch_error_t error = {0};
+		int changes = g_rand_int_range(rand, 0, 4);
+
+		if (g_rand_int_range(rand, 0, 4) == 0)
+			bytes->data[0] = (guint8)types[g_rand_int_range(
+				rand, 0, sizeof(types) - 1)];
+		for (; changes; changes--)
+			bytes->data[g_rand_int_range(rand, PG_HEADER_SIZE_BYTES,
+						     (int)bytes->len)] =
+				(guint8)g_rand_int_range(rand, 0, 256);
+		if (!add(batch, bytes, &error)) {
+			assert_non_null(error.sqlstate);
+			batch_clear(batch);
+		}
+		g_free(sent(batch));
+		batch_summarize(batch);
+		if (g_rand_int_range(rand, 0, 8) == 0)
+			batch_clear(batch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -203,6 +239,7 @@
 		cmocka_unit_test(test_missing_statement_is_an_error),
 		cmocka_unit_test(test_summary_tells_what_is_executed),
 		cmocka_unit_test(test_table_is_bounded),
+		cmocka_unit_test(test_mutated_messages_are_taken_or_refused),
 	};
 
 	cache = statement_cache_create(8);
