Release a transaction that began for a session that is closing

A session that is closed for reading too slowly no longer waits for its answer; the lease in that answer would have stayed until it was idle too long.

--- a/src/daemon/session_request.c
+++ b/src/daemon/session_request.c
@@ -65,6 +65,8 @@
 	session->run.request_id = 0;
 	if (session->state == SESSION_BUSY)
 		session_outcome_end(session, answer);
+	else if (answer->lease_id)
+		session->lease_id = answer->lease_id; /* to be released */
 }
 
 static request_t *make_request(session_t *session, GBytes *bytes,
