--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -87,7 +87,6 @@
 	uint64_t started_us;
 	bool failed;		    /**< an ErrorResponse went by */
 	bool keyed;		    /**< it carries the request key */
-	bool already_done;	    /**< its key was used before (TH005) */
 	request_t *request;	    /**< kept while a barrier is awaited */
 	session_barrier_t *barrier; /**< NULL when none is awaited */
 } session_run_t;
@@ -117,6 +116,7 @@
 	batch_t *batch;
 
 	char status;	   /**< as in ReadyForQuery */
+	bool must_prove;   /**< it may know of more than its token says */
 	uint64_t lease_id; /**< transaction's connection, 0 for none */
 	session_run_t run;
 	GHashTable *counters; /**< label text -> metric_t, not owned */
--- a/src/protocol/exchange.c
+++ b/src/protocol/exchange.c
@@ -104,24 +104,9 @@
 	g_free(exchange);
 }
 
-/* In an E'' constant both the quote and the backslash are doubled. */
-static char *quote(const char *text)
-{
-	GString *quoted = g_string_new("E'");
-	const char *c = NULL;
-
-	for (c = text; *c; c++) {
-		if (*c == '\'' || *c == '\\')
-			g_string_append_c(quoted, *c);
-		g_string_append_c(quoted, *c);
-	}
-	g_string_append_c(quoted, '\'');
-	return g_string_free(quoted, FALSE);
-}
-
 static void write_key(const exchange_t *exchange, GByteArray *out)
 {
-	g_autofree char *key = quote(exchange->request->request_key);
+	g_autofree char *key = pg_quote(exchange->request->request_key);
 	g_autofree char *sql = g_strdup_printf(
 		"INSERT INTO toucanhook_requests (key, value) VALUES (%s, '')",
 		key);
@@ -356,13 +341,17 @@
 	}
 }
 
-/* A COMMIT that was not foreseen needs its point, too. */
+/*
+ * A COMMIT that was not foreseen needs its point, too, and so does a ROLLBACK:
+ * the caller may have seen rows, or been told of them by an error.
+ */
 static void finish_statement(exchange_t *exchange)
 {
 	const bool planned = exchange->current + 1 < exchange->steps_count;
 
-	if (!planned && exchange->committed && exchange->term &&
-	    exchange->status == 'I' && !exchange->not_run)
+	if (!planned && exchange->term && exchange->status == 'I' &&
+	    !exchange->not_run &&
+	    exchange->request->kind == REQUEST_TRANSACTION)
 		add_step(exchange, STEP_POINT);
 }
 
