--- a/src/coordination/evidence.c
+++ b/src/coordination/evidence.c
@@ -320,6 +320,16 @@
 	return due_ms;
 }
 
+void evidence_replaced(evidence_t *evidence, uint64_t term)
+{
+	for (GList *link = evidence->waiters->head; link; link = link->next) {
+		evidence_waiter_t *waiter = link->data;
+
+		if (!waiter->barrier && waiter->point.term < term)
+			waiter->deadline_ms = 0;
+	}
+}
+
 void evidence_abandon(evidence_t *evidence)
 {
 	waiters_end(evidence, UINT64_MAX);
--- a/src/coordination/evidence.h
+++ b/src/coordination/evidence.h
@@ -82,6 +82,12 @@
 /** @return when evidence_step() is due, or UINT64_MAX. */
 uint64_t evidence_due_ms(const evidence_t *evidence);
 
+/**
+ * A server was promoted for @p term: commits of older terms that wait can no
+ * longer be proven and end in the next call of evidence_step().
+ */
+void evidence_replaced(evidence_t *evidence, uint64_t term);
+
 /** Ends all that wait as not proven. */
 void evidence_abandon(evidence_t *evidence);
 
--- a/src/daemon/group_database.c
+++ b/src/daemon/group_database.c
@@ -38,6 +38,7 @@
 		  "database=%s term=%" G_GUINT64_FORMAT " primary=%s",
 		  database->name, term, primary);
 	group_failover_view(database, &view);
+	group_rounds_view(database, &view);
 	group_database_wake(database);
 	task->handlers.changed(task->handlers.context, database->name, &view);
 }
--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -242,6 +242,9 @@
 /** Ends what is proven or late. @return when the next step is due */
 uint64_t group_rounds_step(group_database_t *database, uint64_t now_ms);
 
+/** A newer term is known: nobody waits for the old primary any longer. */
+void group_rounds_view(group_database_t *database, const group_view_t *view);
+
 /** Adds a barrier, here or at an owner of the primary. */
 void group_rounds_barrier(group_database_t *database, uint32_t timeout_ms,
 			  group_barrier_done_t done, void *context);
--- a/src/daemon/group_rounds.c
+++ b/src/daemon/group_rounds.c
@@ -127,6 +127,13 @@
 	g_queue_free(database->barriers.waiting);
 }
 
+void group_rounds_view(group_database_t *database, const group_view_t *view)
+{
+	evidence_replaced(database->evidence, view->term);
+	database->barriers.next_try_ms = 0;
+	database->barriers.tries = 0;
+}
+
 static bool primary_is_here(const group_database_t *database,
 			    const group_view_t *view)
 {
