Give up attempts at a primary that was replaced

An attempt now gets 200 ms more once a later term is known and then ends as unknown, a read as not run.

The group task also looks at the table itself, which answers of requests write too; it missed terms learnt there.

--- a/src/daemon/dispatch_task.c
+++ b/src/daemon/dispatch_task.c
@@ -13,6 +13,8 @@
 #define PROBE_TIMEOUT_MS 1000u
 /* A waiting read asks the replicas again this often: one may catch up. */
 #define READ_AGAIN_MS 100u
+/* Time in which an answer of a replaced primary may still arrive. */
+#define REPLACED_GRACE_MS 200u
 /* Waiting requests of one database; more are refused. */
 #define WAITING_MAX 10000u
 
@@ -69,6 +71,7 @@
 };
 
 static void entry_try(dispatch_entry_t *entry);
+static void on_end(void *context, uint64_t request_id, const answer_t *answer);
 static void entry_wait(dispatch_entry_t *entry);
 
 static void lease_free(gpointer data)
@@ -222,10 +225,32 @@
 	entry->tried = 0;
 }
 
+/*
+ * The server of the attempt was replaced and may never answer: it can be
+ * frozen, or cut off together with its owners.
+ */
+static void entry_abandon(dispatch_entry_t *entry)
+{
+	dispatch_handlers_t *handlers = &entry->dispatch->handlers;
+	const bool read = entry->request->kind == REQUEST_READ;
+	const answer_t answer = {
+		.outcome = read ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
+		.reason = read ? REASON_UNREACHABLE : REASON_LOST_ANSWER,
+		.transaction_status = 'I',
+	};
+
+	handlers->cancel(handlers->context, entry->node, entry->id, entry);
+	on_end(entry, entry->id, &answer);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	dispatch_entry_t *entry = context;
 
+	if (entry->node) {
+		entry_abandon(entry);
+		return;
+	}
 	if (entry->waiting && clock_now_ms() >= entry->deadline_ms) {
 		entry_refuse(entry, REASON_NO_PRIMARY);
 		return;
@@ -317,6 +342,8 @@
 	uint64_t term;
 
 	entry_learn(entry, answer);
+	if (entry->timer)
+		event_del(entry->timer);
 	verdict = retry_decide(budget_get(dispatch, entry->request->tenant),
 			       &(retry_attempt_t){
 				       .request = entry->request,
@@ -440,6 +467,25 @@
 	waiting_resume(waiting);
 }
 
+/* Attempts at a replaced primary get a moment more. */
+static void attempts_expire(dispatch_task_t *dispatch, const char *database)
+{
+	const group_view_t view = group_table_view(dispatch->table, database);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		dispatch_entry_t *entry = value;
+
+		if (entry->node && entry->server &&
+		    (entry->at_primary || entry->request->lease_id) &&
+		    strcmp(entry->server, view.primary) != 0 &&
+		    !strcmp(entry->request->database, database))
+			entry_set_timer(entry, REPLACED_GRACE_MS);
+	}
+}
+
 void dispatch_task_primary_changed(dispatch_task_t *dispatch,
 				   const char *database)
 {
@@ -448,6 +494,7 @@
 
 	if (waiting)
 		waiting_resume(waiting);
+	attempts_expire(dispatch, database);
 }
 
 /* Where a barrier asked for one entry ends; the entry may be gone. */
--- a/src/daemon/group_database.c
+++ b/src/daemon/group_database.c
@@ -25,6 +25,23 @@
 				     server->name);
 }
 
+/* The table is also written by others, who hear of terms in answers. */
+static void database_check_view(group_database_t *database)
+{
+	const group_view_t view =
+		group_table_view(database->task->table, database->name);
+
+	if (view.term <= database->term)
+		return;
+	database->term = view.term;
+	log_event(LOG_LEVEL_NOTICE, "primary_changed",
+		  "database=%s term=%" G_GUINT64_FORMAT " primary=%s",
+		  database->name, view.term, view.primary);
+	group_failover_view(database, &view);
+	group_rounds_view(database, &view);
+	group_database_wake(database);
+}
+
 void group_database_offer(group_database_t *database, uint64_t term,
 			  const char *primary)
 {
@@ -34,12 +51,7 @@
 	if (!group_table_offer(task->table, database->name, term, primary))
 		return;
 	view = group_table_view(task->table, database->name);
-	log_event(LOG_LEVEL_NOTICE, "primary_changed",
-		  "database=%s term=%" G_GUINT64_FORMAT " primary=%s",
-		  database->name, term, primary);
-	group_failover_view(database, &view);
-	group_rounds_view(database, &view);
-	group_database_wake(database);
+	database_check_view(database);
 	task->handlers.changed(task->handlers.context, database->name, &view);
 }
 
@@ -66,6 +78,7 @@
 
 uint64_t group_database_step(group_database_t *database, uint64_t now_ms)
 {
+	database_check_view(database);
 	group_ages_step(database, now_ms);
 	group_record_step(database, now_ms);
 	return MIN(group_failover_step(database, now_ms),
--- a/src/daemon/group_failover.c
+++ b/src/daemon/group_failover.c
@@ -282,13 +282,9 @@
 		.event = on_promotion_event,
 		.context = database,
 	};
-	const group_view_t view =
-		group_table_view(database->task->table, database->name);
-
 	database->detector = detector_create(detector_rule, detector_handlers);
 	database->promotion =
 		promotion_create(promotion_rule, promotion_handlers);
-	group_failover_view(database, &view);
 }
 
 void group_failover_close(group_database_t *database)
--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -90,6 +90,7 @@
 	group_server_t servers[GROUP_SERVER_LIMIT];
 	evidence_t *evidence;
 	group_barriers_t barriers;
+	uint64_t term; /**< newest term that the parts below know of */
 	detector_t *detector;
 	promotion_t *promotion;
 	uint64_t suspected_ms; /**< when this node began to doubt */
