Tell why nothing is promoted, and describe the rule

A primary that stays suspect without a promotion is told every 10 s with the answers and silent replicas that were had and are needed; the status shows the same.

--- a/src/coordination/detector.c
+++ b/src/coordination/detector.c
@@ -55,6 +55,8 @@
 	uint32_t pending;
 	uint64_t canvass_ms;
 	uint64_t next_canvass_ms;
+	uint32_t last_answers; /**< of the last canvass that ended */
+	uint32_t last_silent;
 };
 
 static const char *const reason_names[DETECTOR_REASON_COUNT] = {
@@ -309,6 +311,9 @@
 	if (detector->pending &&
 	    now_ms < detector->canvass_ms + DETECTOR_CANVASS_MS)
 		return;
+	detector->last_answers = count_answers(detector);
+	detector->last_silent =
+		count_silent(detector, detector->rule.suspect_ms, now_ms);
 	detector->pending = 0;
 	detector->canvass++;
 	detector->next_canvass_ms = now_ms + DETECTOR_PAUSE_MS;
@@ -354,9 +359,14 @@
 		canvass_start(detector, now_ms);
 }
 
-bool detector_suspects(const detector_t *detector)
+detector_report_t detector_report(const detector_t *detector)
 {
-	return detector->suspected_ms != 0;
+	return (detector_report_t){
+		.suspected_ms = detector->suspected_ms,
+		.answers = detector->last_answers,
+		.silent = detector->last_silent,
+		.needed = detector->rule.servers - detector->rule.replicas,
+	};
 }
 
 uint64_t detector_due_ms(const detector_t *detector)
--- a/src/coordination/detector.h
+++ b/src/coordination/detector.h
@@ -71,8 +71,15 @@
 
 void detector_step(detector_t *detector, uint64_t now_ms);
 
-/** @return whether the primary is suspect. */
-bool detector_suspects(const detector_t *detector);
+/** What the last canvass showed. */
+typedef struct {
+	uint64_t suspected_ms; /**< since when, 0 if the primary is not */
+	uint32_t answers;      /**< servers that answered */
+	uint32_t silent;       /**< replicas that do not hear the primary */
+	uint32_t needed;       /**< servers that a promotion needs */
+} detector_report_t;
+
+detector_report_t detector_report(const detector_t *detector);
 
 /** @return when detector_step() is due, or UINT64_MAX. */
 uint64_t detector_due_ms(const detector_t *detector);
--- a/src/daemon/group_failover.c
+++ b/src/daemon/group_failover.c
@@ -15,6 +15,10 @@
 /** Pause before a server is told again to follow. */
 #define FAILOVER_FOLLOW_MS 300
 
+/** Time after which it is told why nothing is promoted, and told again. */
+#define FAILOVER_REFUSAL_MS 2000
+#define FAILOVER_REFUSAL_REPEAT_MS 10000
+
 /** Most owners ranked for one server. */
 #define FAILOVER_OWNER_LIMIT 8
 
@@ -235,6 +239,17 @@
 	group_record_write(database);
 }
 
+static void count_event(const group_database_t *database,
+			promotion_event_t event)
+{
+	g_autofree char *labels =
+		g_strdup_printf("event=\"%s\"", promotion_event_name(event));
+
+	metric_add(metrics_counter(database->task->metrics,
+				   "toucanhook_promotions_total", labels),
+		   1);
+}
+
 static void on_promotion_event(void *context, promotion_event_t event,
 			       uint64_t term, uint32_t server)
 {
@@ -252,6 +267,7 @@
 		  database->name, term, subject ? subject->name : "",
 		  report.fenced, report.needed,
 		  clock_now_ms() - report.started_ms);
+	count_event(database, event);
 	if (event == PROMOTION_ENDED)
 		promotion_ended(database, term, subject);
 }
@@ -355,12 +371,35 @@
 	}
 }
 
+/* Tells operators what a promotion would still need. */
+static void tell_refusal(group_database_t *database, uint64_t now_ms)
+{
+	const detector_report_t doubts = detector_report(database->detector);
+
+	if (!doubts.suspected_ms) {
+		database->refusal_at_ms = 0;
+		return;
+	}
+	if (!database->refusal_at_ms)
+		database->refusal_at_ms = now_ms + FAILOVER_REFUSAL_MS;
+	if (now_ms < database->refusal_at_ms)
+		return;
+	database->refusal_at_ms = now_ms + FAILOVER_REFUSAL_REPEAT_MS;
+	log_event(LOG_LEVEL_WARNING, "promotion_refused",
+		  "database=%s reason=%s answers=%u silent=%u needed=%u",
+		  database->name,
+		  doubts.answers < doubts.needed ? "too_few_answers" :
+						   "primary_heard",
+		  doubts.answers, doubts.silent, doubts.needed);
+}
+
 uint64_t group_failover_step(group_database_t *database, uint64_t now_ms)
 {
 	reconcile(database, now_ms);
 	promotion_step(database->promotion, now_ms);
 	if (promotion_report(database->promotion).state == PROMOTION_IDLE)
 		detector_step(database->detector, now_ms);
+	tell_refusal(database, now_ms);
 	return MIN(promotion_due_ms(database->promotion),
 		   detector_due_ms(database->detector));
 }
--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -93,8 +93,8 @@
 	uint64_t term; /**< newest term that the parts below know of */
 	detector_t *detector;
 	promotion_t *promotion;
-	uint64_t suspected_ms; /**< when this node began to doubt */
-	uint64_t promoted_ms; /**< when the last promotion of this node ended */
+	uint64_t suspected_ms;	/**< when this node began to doubt */
+	uint64_t refusal_at_ms; /**< when to tell why none is promoted */
 	group_record_t record;
 	group_ages_t ages;
 	bool woken; /**< in the list of those that step next */
--- a/src/daemon/group_status.c
+++ b/src/daemon/group_status.c
@@ -32,18 +32,21 @@
 		server->watch ? (int)group_watch_failures(server->watch) : 0);
 }
 
-static json_t *promotion_json(const group_database_t *database)
+static json_t *promotion_json(const group_database_t *database,
+			      const detector_report_t *doubts)
 {
 	const promotion_report_t report = promotion_report(database->promotion);
 
-	return json_pack("{s:s, s:I, s:i, s:i}", "state",
+	return json_pack("{s:s, s:I, s:i, s:i, s:i, s:i}", "state",
 			 promotion_state_name(report.state), "term",
 			 (json_int_t)report.term, "fenced", (int)report.fenced,
-			 "needed", (int)report.needed);
+			 "needed", (int)report.needed, "answers",
+			 (int)doubts->answers, "silent", (int)doubts->silent);
 }
 
 static json_t *database_json(const group_database_t *database, uint64_t now_ms)
 {
+	const detector_report_t doubts = detector_report(database->detector);
 	const group_view_t view =
 		group_table_view(database->task->table, database->name);
 	json_t *servers = json_array();
@@ -55,8 +58,8 @@
 			 database->name, "term", (json_int_t)view.term,
 			 "primary", view.primary, "waiting",
 			 (int)evidence_waiting(database->evidence), "suspect",
-			 detector_suspects(database->detector), "promotion",
-			 promotion_json(database), "servers", servers);
+			 doubts.suspected_ms != 0, "promotion",
+			 promotion_json(database, &doubts), "servers", servers);
 }
 
 char *group_task_status(const group_task_t *group)
