Ask other owners where a change of primary was missed

A node cut off during a promotion kept asking the owners of the old primary for barriers until the cut healed. Owners of the other servers are asked in turn now, and whoever is asked by an older term tells the newer one.

--- a/src/daemon/group_asks.c
+++ b/src/daemon/group_asks.c
@@ -163,6 +163,9 @@
 		.timeout_ms = operation->wait_ms,
 	};
 
+	/* Whoever knows of a newer term tells it. */
+	if (operation->operation == SERVER_STATUS)
+		note.term = ask->server->database->term;
 	g_strlcpy(note.database, ask->server->database->name,
 		  sizeof(note.database));
 	g_strlcpy(note.server, ask->server->name, sizeof(note.server));
--- a/src/daemon/group_rounds.c
+++ b/src/daemon/group_rounds.c
@@ -19,8 +19,8 @@
 /** Most barriers of one database that wait for another node. */
 #define BARRIER_WAITER_LIMIT 8192
 
-/** Most owners of the primary that are asked. */
-#define BARRIER_OWNER_LIMIT 8
+/** Most nodes that are asked. */
+#define BARRIER_NODE_LIMIT 32
 
 /** Longest deadline that a peer may ask for. */
 #define BARRIER_TIMEOUT_MS_MAX 5000
@@ -174,15 +174,34 @@
 	g_queue_push_tail(barriers->waiting, waiter);
 }
 
+/*
+ * Owners of the primary come first. The others follow because this node may
+ * have missed a change of primary: they tell of it.
+ */
+static uint32_t barrier_nodes(const group_database_t *database,
+			      const group_view_t *view, const char **nodes)
+{
+	const group_handlers_t *handlers = &database->task->handlers;
+	uint32_t count =
+		handlers->owners(handlers->context, database->name,
+				 view->primary, nodes, BARRIER_NODE_LIMIT);
+
+	for (uint32_t i = 0; i < database->servers_count; i++)
+		if (strcmp(database->servers[i].name, view->primary))
+			count += handlers->owners(
+				handlers->context, database->name,
+				database->servers[i].name, nodes + count,
+				BARRIER_NODE_LIMIT - count);
+	return count;
+}
+
 static void barriers_send(group_database_t *database, uint64_t now_ms)
 {
 	group_task_t *task = database->task;
 	group_barriers_t *barriers = &database->barriers;
 	const group_view_t view = group_table_view(task->table, database->name);
-	const char *nodes[BARRIER_OWNER_LIMIT];
-	const uint32_t owners =
-		task->handlers.owners(task->handlers.context, database->name,
-				      view.primary, nodes, BARRIER_OWNER_LIMIT);
+	const char *nodes[BARRIER_NODE_LIMIT];
+	const uint32_t count = barrier_nodes(database, &view, nodes);
 	group_note_t note = {
 		.kind = GROUP_NOTE_BARRIER,
 		.id = barriers->id,
@@ -191,7 +210,7 @@
 	};
 
 	barriers->next_try_ms = now_ms + BARRIER_RETRY_MS;
-	if (!owners)
+	if (!count)
 		return;
 	for (GList *link = barriers->asked->head; link; link = link->next) {
 		const barrier_waiter_t *waiter = link->data;
@@ -202,7 +221,7 @@
 				      (uint32_t)(waiter->deadline_ms - now_ms));
 	}
 	g_strlcpy(note.database, database->name, sizeof(note.database));
-	group_task_send(task, nodes[barriers->tries++ % owners], &note);
+	group_task_send(task, nodes[barriers->tries++ % count], &note);
 }
 
 /* One question is out at a time; who comes later rides on the next. */
--- a/src/daemon/group_task.c
+++ b/src/daemon/group_task.c
@@ -228,6 +228,8 @@
 	}
 	database = g_hash_table_lookup(group->databases, note.database);
 	if (note.kind == GROUP_NOTE_ASK) {
+		if (database && note.operation == SERVER_STATUS)
+			tell_newer(database, from, note.term);
 		group_asks_serve(group->asks, from, &note);
 		return;
 	}
