Test the group's record in the platform's store

Seen failing without the guards: a record of a higher term overwritten (test_lost_answer_is_looked_up, test_higher_record_is_learnt_and_kept), a server that the configuration does not name taken in.

--- /dev/null
+++ b/tests/unit/test_group_record.c
@@ -0,0 +1,183 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "daemon/group_private.h"
+
+#define LATER_MS UINT64_MAX
+
+/* A store whose answers the test gives. */
+typedef struct {
+	store_t store;
+	store_value_t get;
+	store_value_t swap;
+	void *context;
+	char written[256];
+	uint64_t index;
+	struct event_base *base;
+	metrics_t *metrics;
+	group_table_t *table;
+	group_task_t *task;
+	group_database_t *database;
+} trial_t;
+
+static trial_t trial;
+
+static void on_get(void *self, const char *key, uint64_t after_index,
+		   uint32_t wait_ms, store_value_t done, void *context)
+{
+	assert_string_equal(key, "toucanhook/groups/match");
+	trial.get = done;
+	trial.context = context;
+}
+
+static void on_swap(void *self, const char *key, const uint8_t *bytes,
+		    size_t size_bytes, uint64_t index, store_value_t done,
+		    void *context)
+{
+	g_strlcpy(trial.written, (const char *)bytes,
+		  MIN(size_bytes + 1, sizeof(trial.written)));
+	trial.index = index;
+	trial.swap = done;
+	trial.context = context;
+}
+
+static void on_send(void *context, const char *node, const uint8_t *bytes,
+		    size_t size_bytes)
+{
+}
+
+static uint32_t on_owners(void *context, const char *database,
+			  const char *server, const char **nodes,
+			  uint32_t limit)
+{
+	return 0;
+}
+
+static void on_changed(void *context, const char *database,
+		       const group_view_t *view)
+{
+}
+
+static int trial_open(void **state)
+{
+	static const store_calls_t calls = {.get = on_get, .swap = on_swap};
+	static config_server_t servers[] = {
+		{.name = "a", .failure_domain = "a", .address = "127.0.0.1"},
+		{.name = "b", .failure_domain = "b", .address = "127.0.0.1"},
+		{.name = "c", .failure_domain = "c", .address = "127.0.0.1"},
+	};
+	static config_database_t database = {.name = "match",
+					     .first_primary = "a",
+					     .servers = servers,
+					     .servers_count = 3};
+	static config_service_t service = {.confirm_replicas = 1,
+					   .backend_user = "toucanhook",
+					   .databases = &database,
+					   .databases_count = 1};
+	static config_t config = {.services = &service, .services_count = 1};
+	const group_handlers_t handlers = {
+		.send = on_send, .owners = on_owners, .changed = on_changed};
+
+	trial = (trial_t){.store = {.calls = &calls}};
+	trial.base = event_base_new();
+	trial.metrics = metrics_create(100);
+	trial.table = group_table_create();
+	trial.task = group_task_create(trial.base, trial.metrics, "n",
+				       trial.table, &trial.store, handlers);
+	group_task_configure(trial.task, &config);
+	trial.database = g_hash_table_lookup(trial.task->databases, "match");
+	group_database_offer(trial.database, 9, "b");
+	group_record_write(trial.database);
+	return 0;
+}
+
+static int trial_close(void **state)
+{
+	group_task_destroy(trial.task);
+	group_table_destroy(trial.table);
+	metrics_destroy(trial.metrics);
+	event_base_free(trial.base);
+	return 0;
+}
+
+static void answer_get(store_result_t result, const char *text)
+{
+	const store_value_t done = g_steal_pointer(&trial.get);
+
+	assert_non_null(done);
+	done(trial.context, result, (const uint8_t *)text,
+	     text ? strlen(text) : 0, 7);
+}
+
+static void answer_swap(store_result_t result)
+{
+	const store_value_t done = g_steal_pointer(&trial.swap);
+
+	assert_non_null(done);
+	done(trial.context, result, NULL, 0, 8);
+}
+
+static void test_lost_answer_is_looked_up(void **state)
+{
+	group_record_step(trial.database, LATER_MS);
+	answer_get(STORE_ABSENT, NULL);
+	assert_string_equal(trial.written, "{\"term\":9,\"primary\":\"b\"}");
+	assert_int_equal(trial.index, 0);
+	answer_swap(STORE_UNKNOWN);
+	group_record_step(trial.database, LATER_MS);
+	answer_get(STORE_OK, trial.written);
+	assert_null(trial.swap);
+	group_record_step(trial.database, LATER_MS);
+	assert_null(trial.get);
+}
+
+static void test_lower_record_is_replaced_at_its_index(void **state)
+{
+	group_record_step(trial.database, LATER_MS);
+	answer_get(STORE_OK, "{\"term\":4,\"primary\":\"c\"}");
+	assert_int_equal(trial.index, 7);
+	answer_swap(STORE_CONFLICT);
+	group_record_step(trial.database, LATER_MS);
+	answer_get(STORE_OK, "{\"term\":5,\"primary\":\"c\"}");
+	answer_swap(STORE_OK);
+	group_record_step(trial.database, LATER_MS);
+	assert_null(trial.get);
+}
+
+static void test_higher_record_is_learnt_and_kept(void **state)
+{
+	group_record_step(trial.database, LATER_MS);
+	answer_get(STORE_OK, "{\"term\":12,\"primary\":\"c\"}");
+	assert_null(trial.swap);
+	assert_int_equal(group_table_view(trial.table, "match").term, 12);
+	assert_string_equal(group_table_view(trial.table, "match").primary,
+			    "c");
+}
+
+static void test_damaged_record_is_replaced(void **state)
+{
+	group_record_step(trial.database, LATER_MS);
+	answer_get(STORE_OK, "{\"term\":99,\"primary\":\"nobody\"}");
+	assert_string_equal(trial.written, "{\"term\":9,\"primary\":\"b\"}");
+	answer_swap(STORE_OK);
+	assert_int_equal(group_table_view(trial.table, "match").term, 9);
+}
+
+#define TRIAL(test) \
+	cmocka_unit_test_setup_teardown(test, trial_open, trial_close)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TRIAL(test_lost_answer_is_looked_up),
+		TRIAL(test_lower_record_is_replaced_at_its_index),
+		TRIAL(test_higher_record_is_learnt_and_kept),
+		TRIAL(test_damaged_record_is_replaced),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
