Test that attempts at a replaced primary are given up

What was refused after the change of primary had been heard of waited for a probe, as if the change were still to come; it goes to the new primary at once now. The new test found it.

--- a/src/daemon/dispatch_task.c
+++ b/src/daemon/dispatch_task.c
@@ -46,6 +46,7 @@
 	uint32_t tried;
 	char *node; /* that runs the attempt, or NULL */
 	char *server;
+	uint64_t term; /* that the attempt was sent for */
 	bool answer_begun;
 	bool at_primary;
 	bool awaits_replay; /* the attempt may wait for a replica */
@@ -335,9 +336,6 @@
 	dispatch_entry_t *entry = context;
 	dispatch_task_t *dispatch = entry->dispatch;
 	const uint64_t now_ms = clock_now_ms();
-	const uint64_t term_before =
-		group_table_view(dispatch->table, entry->request->database)
-			.term;
 	retry_verdict_t verdict;
 	uint64_t term;
 
@@ -369,7 +367,7 @@
 		entry_set_timer(entry, verdict.delay_ms);
 		return;
 	}
-	if (verdict.kind == RETRY_PARK && term == term_before) {
+	if (verdict.kind == RETRY_PARK && term == entry->term) {
 		entry_wait(entry);
 		return;
 	}
@@ -568,6 +566,7 @@
 	entry->node = g_strdup(node);
 	g_free(entry->server);
 	entry->server = g_strdup(server);
+	entry->term = term;
 	entry->attempt_ms = clock_now_ms();
 	entry->attempts++;
 	copy->request_id = entry->id;
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -25,6 +25,7 @@
 	void (*barrier_done)(void *context, log_point_t point);
 	void *barrier_context;
 	uint32_t ended;
+	uint32_t cancelled;
 	answer_t answer;
 } fake_t;
 
@@ -63,6 +64,7 @@
 static void fake_cancel(void *context, const char *node, uint64_t request_id,
 			void *sink_context)
 {
+	((fake_t *)context)->cancelled++;
 }
 
 static void fake_release(void *context, const char *node, uint64_t lease_id)
@@ -237,6 +239,36 @@
 	assert_int_equal(fake->answer.reason, REASON_UNKNOWN_LEASE);
 }
 
+/* A primary that is frozen or cut off never answers. */
+static void test_attempt_at_a_replaced_primary_is_given_up(void **state)
+{
+	fake_t *fake = *state;
+
+	ask(fake, REQUEST_WRITE, NULL, 0);
+	promote(fake);
+	assert_int_equal(fake->ended, 0);
+	while (!fake->ended)
+		event_base_loop(fake->base, EVLOOP_ONCE);
+	assert_int_equal(fake->answer.outcome, OUTCOME_UNKNOWN);
+	assert_int_equal(fake->cancelled, 1);
+}
+
+static void test_answer_of_a_replaced_primary_in_time_counts(void **state)
+{
+	fake_t *fake = *state;
+
+	ask(fake, REQUEST_WRITE, NULL, 0);
+	promote(fake);
+	answer(fake, OUTCOME_NOT_RUN, REASON_OTHER_TERM, 0);
+	assert_int_equal(fake->submitted, 1);
+	assert_string_equal(fake->server, "s-b");
+	/* The next attempt is not given up in the place of the first. */
+	assert_int_equal(event_base_loop(fake->base, EVLOOP_ONCE), 1);
+	assert_int_equal(fake->cancelled, 0);
+	answer(fake, OUTCOME_DONE, REASON_NONE, 0);
+	assert_int_equal(fake->answer.outcome, OUTCOME_DONE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -254,6 +286,12 @@
 			teardown),
 		cmocka_unit_test_setup_teardown(
 			test_transaction_stays_on_its_lease, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_attempt_at_a_replaced_primary_is_given_up, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_answer_of_a_replaced_primary_in_time_counts, setup,
+			teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
