--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -90,10 +90,11 @@
 	group_server_t servers[GROUP_SERVER_LIMIT];
 	evidence_t *evidence;
 	group_barriers_t barriers;
+	uint64_t term; /**< newest term that the parts below know of */
 	detector_t *detector;
 	promotion_t *promotion;
-	uint64_t suspected_ms; /**< when this node began to doubt */
-	uint64_t promoted_ms; /**< when the last promotion of this node ended */
+	uint64_t suspected_ms;	/**< when this node began to doubt */
+	uint64_t refusal_at_ms; /**< when to tell why none is promoted */
 	group_record_t record;
 	group_ages_t ages;
 	bool woken; /**< in the list of those that step next */
@@ -242,6 +243,9 @@
 /** Ends what is proven or late. @return when the next step is due */
 uint64_t group_rounds_step(group_database_t *database, uint64_t now_ms);
 
+/** A newer term is known: nobody waits for the old primary any longer. */
+void group_rounds_view(group_database_t *database, const group_view_t *view);
+
 /** Adds a barrier, here or at an owner of the primary. */
 void group_rounds_barrier(group_database_t *database, uint32_t timeout_ms,
 			  group_barrier_done_t done, void *context);
