--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
 # Runs the built tests: all kinds, or those named (unit sanitize property e2e).
+# Tests run side by side, a few at once; the verdict does not depend on speed.
 # A failing test listed in KNOWN-RED.txt is printed and passed over.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -7,57 +8,75 @@
 export SEED=${SEED:-20261204}
 export RC_PARAMS="seed=$SEED max_success=${RC_SUCCESS:-200}"
 export ASAN_OPTIONS=detect_leaks=0
-passed=0
-failed=0
-red=0
+LIGHT_AT_ONCE=${LIGHT_AT_ONCE:-6}
+WORLDS_AT_ONCE=${WORLDS_AT_ONCE:-3}
 kinds=${*:-unit sanitize property e2e}
+results=build/logs/results
 echo "seed $SEED"
+mkdir -p build/logs
+: >$results
 
 known_red() {
 	grep -q "^test: $1\$" KNOWN-RED.txt 2>/dev/null
 }
 
-run() {
+# Runs one test and adds its verdict to the results.
+run_one() {
 	name=$1
 	log=build/logs/$name.log
 	mkdir -p "$(dirname "$log")"
 	if "$2" >"$log" 2>&1
 	then
-		passed=$((passed + 1))
-		echo "ok $name"
+		verdict=ok
 	elif known_red "$name"
 	then
-		red=$((red + 1))
-		echo "KNOWN RED $name"
-		tail -5 "$log"
+		verdict=red
 	else
-		failed=$((failed + 1))
-		echo "FAILED $name"
-		tail -60 "$log"
+		verdict=FAILED
 	fi
+	echo "$verdict $name" >>$results
+	echo "$verdict $name"
 }
 
-for kind in $kinds
-do
-	case $kind in
-	sanitize) programs=build-asan/tests/unit/test_* ;;
-	unit) programs=build/tests/unit/test_* ;;
-	property) programs=build/tests/property/prop_* ;;
-	e2e) programs=build/tests/e2e/test_* ;;
+# Lists "name program" of one kind.
+list_kind() {
+	case $1 in
+	sanitize) pattern='build-asan/tests/unit/test_*' ;;
+	unit) pattern='build/tests/unit/test_*' ;;
+	property) pattern='build/tests/property/prop_*' ;;
+	e2e) pattern='build/tests/e2e/test_*' ;;
 	esac
-	for program in $programs
+	for program in $pattern
 	do
 		case $program in *.o | *.d) continue ;; esac
-		test -x "$program" || continue
-		run "$kind/$(basename "$program")" "$program"
+		test -x "$program" && echo "$1/$(basename "$program") $program"
 	done
+}
+
+export -f known_red run_one
+export results
+
+for kind in $kinds
+do
+	at_once=$LIGHT_AT_ONCE
+	test "$kind" = e2e && at_once=$WORLDS_AT_ONCE
+	list_kind "$kind" |
+	xargs -r -P "$at_once" -L 1 bash -c 'run_one "$0" "$1"'
 done
 
-test $red -gt 0 && cat KNOWN-RED.txt
+for name in $(sed -n 's/^FAILED //p' $results)
+do
+	echo "== $name"
+	tail -60 "build/logs/$name.log"
+done
+passed=$(grep -c '^ok ' $results)
+failed=$(grep -c '^FAILED ' $results)
+red=$(grep -c '^red ' $results)
+test "$red" -gt 0 && cat KNOWN-RED.txt
 if test $((passed + failed)) -eq 0
 then
 	echo "no test ran"
 	exit 1
 fi
 echo "$passed passed, $failed failed, $red skipped"
-test $failed -eq 0
+test "$failed" -eq 0
