--- /dev/null
+++ b/tests/bench/bench_control.c
@@ -0,0 +1,321 @@
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "world/load_run.h"
+#include "world/world.h"
+
+#define SETTLE_MS 4000
+#define SAMPLE_MS 8000
+#define LOAD_SAMPLE_MS 5000
+#define LOAD_ARGUMENTS "--seconds=60 --sessions=6 --rate=200 --reads=0.8"
+#define TERMS 4
+#define VALUES 4
+#define CALLERS_STEP 500
+#define CALLERS_STEPS 4
+
+/** What one sample of a whole world shows; counters since its start. */
+typedef struct {
+	uint64_t at_us;
+	uint64_t processor_us;
+	uint64_t memory_kb;
+	int64_t bytes; /**< sent and received, control alone */
+	int64_t messages;
+	int64_t platform_calls;
+} sample_t;
+
+/** One size that was measured: terms of the fit, then values per node. */
+typedef struct {
+	double terms[TERMS];
+	double values[VALUES];
+} row_t;
+
+static const char *const term_names[TERMS] = {
+	"each node",
+	"each further node",
+	"each database",
+	"each watched server",
+};
+
+static const char *const value_names[VALUES] = {
+	"control B/s (sent and received)",
+	"control messages/s (sent and received)",
+	"processor us/s",
+	"memory KB",
+};
+
+static uint64_t processor_us(int id)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/stat", id);
+	g_autofree char *text = NULL;
+	unsigned long user = 0;
+	unsigned long system = 0;
+	const char *rest;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return 0;
+	rest = strrchr(text, ')');
+	for (int field = 0; rest && field < 12; field++)
+		rest = strchr(rest + 1, ' ');
+	if (!rest)
+		return 0;
+	user = strtoul(rest, (char **)&rest, 10);
+	system = strtoul(rest, NULL, 10);
+	return (user + system) * 1000000u / (uint64_t)sysconf(_SC_CLK_TCK);
+}
+
+static uint64_t memory_kb(int id)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/status", id);
+	g_autofree char *text = NULL;
+	const char *line;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return 0;
+	line = strstr(text, "VmRSS:");
+	return line ? strtoul(line + strlen("VmRSS:"), NULL, 10) : 0;
+}
+
+static int64_t platform_calls(const world_t *world)
+{
+	json_t *calls = http_ask_json(world->platform_control_port, "/calls");
+	int64_t total = json_integer_value(json_object_get(calls, "total")) +
+			json_integer_value(json_object_get(calls, "watches"));
+
+	json_decref(calls);
+	return total;
+}
+
+static sample_t take(const world_t *world)
+{
+	sample_t sample = {.at_us = clock_now_us()};
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const world_node_t *node = world->nodes->pdata[i];
+		int id = process_id(node->process);
+
+		sample.processor_us += processor_us(id);
+		sample.memory_kb += memory_kb(id);
+	}
+	sample.bytes = world_metric(world, "toucanhook_peer_bytes_total",
+				    "class=\"control\"");
+	sample.messages = world_metric(world, "toucanhook_peer_messages_total",
+				       "class=\"control\"");
+	sample.platform_calls = platform_calls(world);
+	return sample;
+}
+
+/* Rates per node between two samples, and memory at the second. */
+static void rates(const world_t *world, uint32_t wait_ms, double values[VALUES])
+{
+	const double nodes = world->nodes->len;
+	const sample_t before = take(world);
+	sample_t after;
+	double seconds;
+
+	g_usleep(wait_ms * 1000ul);
+	after = take(world);
+	seconds = (double)(after.at_us - before.at_us) / 1e6 * nodes;
+	values[0] = (double)(after.bytes - before.bytes) / seconds;
+	values[1] = (double)(after.messages - before.messages) / seconds;
+	values[2] =
+		(double)(after.processor_us - before.processor_us) / seconds;
+	values[3] = (double)after.memory_kb / nodes;
+	printf("  control B/s %.0f, messages/s %.1f, processor %.2f %% of a "
+	       "core, memory %.0f KB; platform calls/s of all %.2f\n",
+	       values[0], values[1], values[2] / 1e4, values[3],
+	       (double)(after.platform_calls - before.platform_calls) * nodes /
+		       seconds);
+}
+
+static world_t *start(uint32_t nodes_per_domain, uint32_t databases)
+{
+	deployment_t deployment = deployment_tauhara();
+	g_autoptr(GError) error = NULL;
+	world_t *world;
+
+	deployment.relay = false;
+	deployment.nodes_per_domain = nodes_per_domain;
+	deployment.databases = databases;
+	world = world_create(&deployment, &error);
+	if (!world)
+		fprintf(stderr, "%s\n", error->message);
+	else
+		g_usleep(SETTLE_MS * 1000ul);
+	return world;
+}
+
+static bool measure_size(uint32_t nodes_per_domain, uint32_t databases,
+			 row_t *row)
+{
+	world_t *world = start(nodes_per_domain, databases);
+	const deployment_t *deployment;
+	double nodes;
+	double watched;
+
+	if (!world)
+		return false;
+	deployment = &world->deployment;
+	nodes = world->nodes->len;
+	watched = (double)databases * deployment->slots * deployment->owners /
+		  nodes;
+	*row = (row_t){.terms = {1, nodes, databases, watched}};
+	printf("nodes %.0f, databases %u, watched servers of a node %.2f, "
+	       "idle\n",
+	       nodes, databases, watched);
+	rates(world, SAMPLE_MS, row->values);
+	world_destroy(world);
+	return true;
+}
+
+/* Solves the square system by elimination; the last column is the answer. */
+static bool solve(double system[TERMS][TERMS + 1])
+{
+	for (int i = 0; i < TERMS; i++) {
+		int pivot = i;
+
+		for (int j = i + 1; j < TERMS; j++)
+			if (fabs(system[j][i]) > fabs(system[pivot][i]))
+				pivot = j;
+		if (fabs(system[pivot][i]) < 1e-9)
+			return false;
+		for (int k = 0; k <= TERMS; k++) {
+			double kept = system[i][k];
+
+			system[i][k] = system[pivot][k];
+			system[pivot][k] = kept;
+		}
+		for (int j = 0; j < TERMS; j++) {
+			double factor = system[j][i] / system[i][i];
+
+			for (int k = 0; j != i && k <= TERMS; k++)
+				system[j][k] -= factor * system[i][k];
+		}
+	}
+	return true;
+}
+
+/* Least squares over all sizes, by the normal equations. */
+static void print_fit(const row_t *rows, uint32_t count, int value)
+{
+	double system[TERMS][TERMS + 1] = {0};
+	double residue = 0;
+
+	for (uint32_t r = 0; r < count; r++)
+		for (int i = 0; i < TERMS; i++) {
+			for (int j = 0; j < TERMS; j++)
+				system[i][j] +=
+					rows[r].terms[i] * rows[r].terms[j];
+			system[i][TERMS] +=
+				rows[r].terms[i] * rows[r].values[value];
+		}
+	if (!solve(system))
+		return;
+	printf("fit %s:", value_names[value]);
+	for (int i = 0; i < TERMS; i++)
+		printf(" %s %.3f;", term_names[i],
+		       system[i][TERMS] / system[i][i]);
+	for (uint32_t r = 0; r < count; r++) {
+		double error = rows[r].values[value];
+
+		for (int i = 0; i < TERMS; i++)
+			error -= rows[r].terms[i] * system[i][TERMS] /
+				 system[i][i];
+		residue = MAX(residue, fabs(error));
+	}
+	printf(" largest residue %.3f\n", residue);
+}
+
+static bool measure_sizes(void)
+{
+	static const uint32_t sizes[][2] = {
+		{2, 1},	 {2, 3}, {2, 9}, {4, 1},
+		{4, 27}, {8, 1}, {8, 9}, {12, 1},
+	};
+	row_t rows[G_N_ELEMENTS(sizes)];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		if (!measure_size(sizes[i][0], sizes[i][1], &rows[i]))
+			return false;
+	for (int value = 0; value < VALUES; value++)
+		print_fit(rows, G_N_ELEMENTS(rows), value);
+	return true;
+}
+
+/* What callers that are connected and silent cost one VM. */
+static bool measure_callers(world_t *world)
+{
+	const world_node_t *node = world_node(world, 0, 0);
+	g_autofree char *database = world_database(world, 0, 0);
+	g_autoptr(GPtrArray) callers =
+		g_ptr_array_new_with_free_func((GDestroyNotify)PQfinish);
+	int id = process_id(node->process);
+	uint64_t before_kb = memory_kb(id);
+
+	for (int step = 1; step <= CALLERS_STEPS; step++) {
+		uint64_t time_us = processor_us(id);
+		uint64_t idle_us;
+
+		for (int i = 0; i < CALLERS_STEP; i++) {
+			PGconn *caller = world_connect(world, node, database);
+
+			g_ptr_array_add(callers, caller);
+			if (PQstatus(caller) == CONNECTION_OK)
+				continue;
+			fprintf(stderr, "%s", PQerrorMessage(caller));
+			return false;
+		}
+		time_us = processor_us(id) - time_us;
+		idle_us = processor_us(id);
+		g_usleep(LOAD_SAMPLE_MS * 1000ul);
+		idle_us = processor_us(id) - idle_us;
+		printf("callers %u: memory %" PRIu64 " KB, %.2f KB a caller; "
+		       "processor %" PRIu64 " us a login, %.2f %% of a core "
+		       "when silent\n",
+		       callers->len, memory_kb(id),
+		       (double)(memory_kb(id) - before_kb) / callers->len,
+		       time_us / CALLERS_STEP,
+		       (double)idle_us / LOAD_SAMPLE_MS / 10);
+	}
+	return true;
+}
+
+/* The control traffic of a fleet under load, beside an idle one's. */
+static bool measure_load(const world_t *world)
+{
+	g_autofree char *database = world_database(world, 0, 0);
+	g_autoptr(GError) error = NULL;
+	load_run_t *run = load_run_start(world, "light", database,
+					 world->deployment.classes[0].name,
+					 LOAD_ARGUMENTS, &error);
+	double values[VALUES];
+	bool kept;
+
+	if (!run)
+		return false;
+	g_usleep(1000000);
+	printf("nodes %u, databases 1, light load\n", world->nodes->len);
+	rates(world, LOAD_SAMPLE_MS, values);
+	load_run_stop(run);
+	kept = load_run_finish(run, 30000, NULL);
+	printf("  promises kept: %s\n", kept ? "yes" : "no");
+	return kept;
+}
+
+int main(void)
+{
+	world_t *world;
+	bool passed;
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	printf("seed %" PRIu64 "; rates are for each node\n",
+	       deployment_tauhara().seed);
+	world = start(2, 1);
+	passed = world && measure_load(world) && measure_callers(world);
+	world_destroy(world);
+	return passed && measure_sizes() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/bench/bench_lookup.c
@@ -0,0 +1,164 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "coordination/owner.h"
+#include "state/config_codec.h"
+
+#define STORED_SERVICES_MAX 100
+#define STORED_DATABASES 16 /* of each service */
+#define STORED_SLOTS 3
+#define STORED_CLASSES 3
+#define STORED_CALLERS 4
+#define VERIFIER_LENGTH 133
+#define NODES_PER_DOMAIN 60
+#define FIND_ROUNDS 20
+#define RANK_ROUNDS 10000
+
+static char *name_new(const char *kind, uint32_t service, uint32_t number)
+{
+	return g_strdup_printf("%s-%03u-%02u", kind, service, number);
+}
+
+static void fill_database(config_database_t *database, uint32_t service,
+			  uint32_t number)
+{
+	database->name = name_new("orders", service, number);
+	database->servers = g_new0(config_server_t, STORED_SLOTS);
+	database->servers_count = STORED_SLOTS;
+	for (uint32_t i = 0; i < STORED_SLOTS; i++) {
+		config_server_t *server = &database->servers[i];
+
+		server->name = g_strdup_printf("%s-%u", database->name, i + 1);
+		server->failure_domain = g_strdup_printf("plovdiv-%u", i + 1);
+		server->address = g_strdup_printf("10.%u.%u.%u", 100 + i,
+						  100 + service, 100 + number);
+		server->port = 15432;
+	}
+	database->first_primary = g_strdup(database->servers[0].name);
+}
+
+static void fill_service(config_service_t *service, uint32_t number)
+{
+	service->name = name_new("tikva", number, 0);
+	service->slots = STORED_SLOTS;
+	service->connections = 40;
+	service->confirm_replicas = 1;
+	service->owners = 2;
+	service->backend_user = g_strdup("toucanhook");
+	service->databases = g_new0(config_database_t, STORED_DATABASES);
+	service->databases_count = STORED_DATABASES;
+	for (uint32_t i = 0; i < STORED_DATABASES; i++)
+		fill_database(&service->databases[i], number, i);
+	service->classes = g_new0(config_class_t, STORED_CLASSES);
+	service->classes_count = STORED_CLASSES;
+	for (uint32_t i = 0; i < STORED_CLASSES; i++)
+		service->classes[i] = (config_class_t){
+			name_new("class", number, i), 4, 4000, 2000, 10000};
+	service->callers = g_new0(config_caller_t, STORED_CALLERS);
+	service->callers_count = STORED_CALLERS;
+	for (uint32_t i = 0; i < STORED_CALLERS; i++)
+		service->callers[i] = (config_caller_t){
+			name_new("caller", number, i),
+			name_new("class", number, i % STORED_CLASSES),
+			g_strnfill(VERIFIER_LENGTH, 'v')};
+}
+
+/* What finding each database once costs. */
+static void measure_find(const config_t *config)
+{
+	const uint32_t count = config->services_count * STORED_DATABASES;
+	uint64_t start_us = clock_now_us();
+	uint32_t found = 0;
+
+	for (uint32_t round = 0; round < FIND_ROUNDS; round++)
+		for (uint32_t i = 0; i < count; i++) {
+			g_autofree char *name =
+				name_new("orders", i / STORED_DATABASES,
+					 i % STORED_DATABASES);
+			config_place_t place;
+
+			found += config_find_database(config, name, &place);
+		}
+	printf("  finding a database: %.2f us (%u found)\n",
+	       (double)(clock_now_us() - start_us) / (FIND_ROUNDS * count),
+	       found / FIND_ROUNDS);
+}
+
+/* The stored form of a configuration beside the platform's bound. */
+static void measure_stored(uint32_t services)
+{
+	g_autoptr(GError) error = NULL;
+	config_t *config = g_new0(config_t, 1);
+	g_autofree char *text = NULL;
+	uint64_t start_us;
+	config_t *decoded;
+
+	config->revision = 1;
+	config->limits = (config_limits_t){300, 2000, 1000, 250, 100, 30000};
+	config->change_id = g_strdup("bench");
+	config->site = g_strdup("tikva");
+	config->services = g_new0(config_service_t, services);
+	config->services_count = services;
+	for (uint32_t i = 0; i < services; i++)
+		fill_service(&config->services[i], i);
+	start_us = clock_now_us();
+	text = config_codec_encode(config);
+	printf("configuration of %u databases, %u callers: %zu bytes of at "
+	       "most %u, encoded in %" PRIu64 " us",
+	       services * STORED_DATABASES, services * STORED_CALLERS,
+	       strlen(text), CONFIG_SIZE_BYTES_MAX, clock_now_us() - start_us);
+	start_us = clock_now_us();
+	decoded = config_codec_decode((const uint8_t *)text, strlen(text),
+				      &error);
+	printf(", decoded in %" PRIu64 " us%s%s\n", clock_now_us() - start_us,
+	       error ? ": " : "", error ? error->message : "");
+	if (decoded)
+		measure_find(decoded);
+	config_delete(decoded);
+	config_delete(config);
+}
+
+/* What ranking the owners of one server costs, as for each statement. */
+static void measure_rank(uint32_t nodes_count)
+{
+	g_autofree member_t *members = g_new0(member_t, nodes_count);
+	const member_view_t view = {members, nodes_count, 1};
+	const uint32_t domains = MAX(3, nodes_count / NODES_PER_DOMAIN);
+	uint64_t start_us;
+
+	for (uint32_t i = 0; i < nodes_count; i++) {
+		g_snprintf(members[i].name, sizeof(members[i].name),
+			   "entry-%03u", i);
+		g_snprintf(members[i].failure_domain,
+			   sizeof(members[i].failure_domain), "plovdiv-%u",
+			   i * domains / nodes_count);
+	}
+	start_us = clock_now_us();
+	for (uint32_t i = 0; i < RANK_ROUNDS; i++) {
+		g_autofree char *server = name_new("orders", i, 1);
+		g_autofree char *domain =
+			g_strdup_printf("plovdiv-%u", i % domains);
+		const char *nodes[OWNER_LIMIT];
+
+		owner_rank(&view, server, domain, 2, nodes);
+	}
+	printf("ranking owners among %u nodes: %.2f us\n", nodes_count,
+	       (double)(clock_now_us() - start_us) / RANK_ROUNDS);
+}
+
+int main(void)
+{
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	printf("no seed: nothing is drawn\n");
+	for (uint32_t i = 1; i <= STORED_SERVICES_MAX; i *= 10)
+		measure_stored(i);
+	measure_rank(66);
+	measure_rank(330);
+	measure_rank(660);
+	return EXIT_SUCCESS;
+}
