Rank owners without hashing those of other domains

Every statement ranks the owners of its server. Weighed and left: keys kept in the view, which would change a type of all layers.

The new property fails without the fall-back to all (after 1 test) and without the filter of the failure domain (after 14).

--- a/src/coordination/owner.c
+++ b/src/coordination/owner.c
@@ -54,29 +54,36 @@
 	return member->state == MEMBER_LIVE || member->state == MEMBER_SUSPECT;
 }
 
-uint32_t owner_rank(const member_view_t *view, const char *server,
-		    const char *failure_domain, uint32_t wanted,
-		    const char **nodes)
+/* Ranks those of a failure domain, or of all if it is NULL. */
+static void rank_members(const member_view_t *view, uint64_t server_key,
+			 const char *failure_domain, owner_ranking_t *ranking)
 {
-	const uint64_t server_key = owner_key(server);
-	owner_ranking_t near = {.wanted = MIN(wanted, OWNER_LIMIT)};
-	owner_ranking_t all = {.wanted = MIN(wanted, OWNER_LIMIT)};
-	const owner_ranking_t *chosen;
-
 	for (uint32_t i = 0; i < view->members_count; i++) {
 		const member_t *member = &view->members[i];
-		bool is_near = !strcmp(member->failure_domain, failure_domain);
-		uint64_t weight;
 
-		if (!owner_is_candidate(member) || (near.count && !is_near))
+		if (!owner_is_candidate(member) ||
+		    (failure_domain &&
+		     strcmp(member->failure_domain, failure_domain) != 0))
 			continue;
-		weight = owner_weight(owner_key(member->name), server_key);
-		owner_ranking_add(is_near ? &near : &all, member->name, weight);
+		owner_ranking_add(
+			ranking, member->name,
+			owner_weight(owner_key(member->name), server_key));
 	}
-	chosen = near.count ? &near : &all;
-	for (uint32_t i = 0; i < chosen->count; i++)
-		nodes[i] = chosen->nodes[i];
-	return chosen->count;
+}
+
+uint32_t owner_rank(const member_view_t *view, const char *server,
+		    const char *failure_domain, uint32_t wanted,
+		    const char **nodes)
+{
+	const uint64_t server_key = owner_key(server);
+	owner_ranking_t ranking = {.wanted = MIN(wanted, OWNER_LIMIT)};
+
+	rank_members(view, server_key, failure_domain, &ranking);
+	if (!ranking.count)
+		rank_members(view, server_key, NULL, &ranking);
+	for (uint32_t i = 0; i < ranking.count; i++)
+		nodes[i] = ranking.nodes[i];
+	return ranking.count;
 }
 
 uint32_t owner_share(uint32_t connections, uint32_t owners, uint32_t rank)
--- a/tests/property/prop_ownership.cpp
+++ b/tests/property/prop_ownership.cpp
@@ -402,6 +402,35 @@
 	}
 }
 
+void owners_are_near_unless_nobody_is()
+{
+	auto members = make_members(*rc::gen::inRange<size_t>(1, 12));
+	bool any_near = false;
+	size_t candidates = 0;
+
+	for (auto &member : members) {
+		const bool is_near = *rc::gen::arbitrary<bool>();
+
+		g_strlcpy(member.failure_domain, is_near ? "akl-a" : "wlg-a",
+			  sizeof(member.failure_domain));
+		member.state = *rc::gen::element(MEMBER_LIVE, MEMBER_SUSPECT,
+						 MEMBER_LEAVING, MEMBER_DEAD);
+		any_near |= is_near && owner_is_candidate(&member);
+	}
+	const auto chosen = rank(members, "s1", OWNER_LIMIT);
+
+	for (const auto &member : members) {
+		const bool is_near =
+			!strcmp(member.failure_domain, "akl-a") || !any_near;
+		const bool expected = owner_is_candidate(&member) && is_near;
+
+		candidates += expected;
+		RC_ASSERT(expected || !std::count(chosen.begin(), chosen.end(),
+						  std::string(member.name)));
+	}
+	RC_ASSERT(chosen.size() == std::min<size_t>(candidates, OWNER_LIMIT));
+}
+
 void servers_are_spread_evenly()
 {
 	const auto members = make_members(20);
@@ -426,6 +455,8 @@
 			shares_never_exceed_the_limit);
 	ok &= rc::check("the loss of a node moves only its servers",
 			loss_of_a_node_moves_only_its_servers);
+	ok &= rc::check("owners are near unless nobody is",
+			owners_are_near_unless_nobody_is);
 	ok &= rc::check("servers are spread evenly", servers_are_spread_evenly);
 	return ok ? 0 : 1;
 }
