--- a/tests/bench/bench_lookup.c
+++ b/tests/bench/bench_lookup.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,7 +7,9 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "coordination/owner.h"
+#include "daemon/group_task.h"
 #include "state/config_codec.h"
 
 #define STORED_SERVICES_MAX 100
@@ -68,6 +71,32 @@
 			g_strnfill(VERIFIER_LENGTH, 'v')};
 }
 
+static void on_changed(void *context, const char *database,
+		       const group_view_t *view)
+{
+}
+
+/* What a node that owns nothing holds of each database. */
+static void measure_memory(const config_t *config)
+{
+	struct event_base *base = event_base_new();
+	metrics_t *metrics = metrics_create(1);
+	group_table_t *table = group_table_create();
+	group_task_t *group =
+		group_task_create(base, metrics, "bench", table, NULL,
+				  (group_handlers_t){.changed = on_changed});
+	size_t before_bytes = mallinfo2().uordblks;
+	uint64_t start_us = clock_now_us();
+
+	group_task_configure(group, config);
+	printf("  group tasks: %zu bytes, made in %" PRIu64 " us\n",
+	       mallinfo2().uordblks - before_bytes, clock_now_us() - start_us);
+	group_task_destroy(group);
+	group_table_destroy(table);
+	metrics_destroy(metrics);
+	event_base_free(base);
+}
+
 /* What finding each database once costs. */
 static void measure_find(const config_t *config)
 {
@@ -96,6 +125,7 @@
 	config_t *config = g_new0(config_t, 1);
 	g_autofree char *text = NULL;
 	uint64_t start_us;
+	size_t before_bytes;
 	config_t *decoded;
 
 	config->revision = 1;
@@ -113,12 +143,17 @@
 	       services * STORED_DATABASES, services * STORED_CALLERS,
 	       strlen(text), CONFIG_SIZE_BYTES_MAX, clock_now_us() - start_us);
 	start_us = clock_now_us();
+	before_bytes = mallinfo2().uordblks;
 	decoded = config_codec_decode((const uint8_t *)text, strlen(text),
 				      &error);
 	printf(", decoded in %" PRIu64 " us%s%s\n", clock_now_us() - start_us,
 	       error ? ": " : "", error ? error->message : "");
-	if (decoded)
+	printf("  decoded form: %zu bytes\n",
+	       mallinfo2().uordblks - before_bytes);
+	if (decoded) {
 		measure_find(decoded);
+		measure_memory(decoded);
+	}
 	config_delete(decoded);
 	config_delete(config);
 }
@@ -153,6 +188,7 @@
 
 int main(void)
 {
+	log_open("bench_lookup", LOG_LEVEL_ERROR);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	printf("no seed: nothing is drawn\n");
 	for (uint32_t i = 1; i <= STORED_SERVICES_MAX; i *= 10)
