Ask the owners that hold connections

During a hand-over the newest view named a VM that still waits, so a request met refusals until the hand-over ended.

--- a/src/daemon/dispatch_task.c
+++ b/src/daemon/dispatch_task.c
@@ -61,7 +61,6 @@
 	group_table_t *table;
 	dispatch_handlers_t handlers;
 	const config_t *config;
-	const member_view_t *view;
 	route_t *route;
 	GHashTable *entries; /* id -> dispatch_entry_t */
 	GHashTable *leases;  /* id -> dispatch_lease_t */
@@ -152,11 +151,6 @@
 	route_configure(dispatch->route, config);
 }
 
-void dispatch_task_members(dispatch_task_t *dispatch, const member_view_t *view)
-{
-	dispatch->view = view;
-}
-
 uint32_t dispatch_task_busy(const dispatch_task_t *dispatch)
 {
 	return g_hash_table_size(dispatch->entries);
@@ -535,16 +529,14 @@
 
 /* An owner of the server; attempts and sessions spread over all of them. */
 static const char *owner_choose(const dispatch_entry_t *entry,
-				const config_server_t *server, uint32_t owners)
+				const config_service_t *service,
+				const config_server_t *server)
 {
 	const dispatch_task_t *dispatch = entry->dispatch;
 	const char *nodes[OWNER_LIMIT];
-	uint32_t count;
+	const uint32_t count = dispatch->handlers.owners(
+		dispatch->handlers.context, service, server, nodes);
 
-	if (!dispatch->view)
-		return NULL;
-	count = owner_rank(dispatch->view, server->name, server->failure_domain,
-			   MIN(owners, OWNER_LIMIT), nodes);
 	if (!count)
 		return NULL;
 	if (entry->attempts == 0)
@@ -598,7 +590,7 @@
 
 	config_find_database(entry->dispatch->config, entry->request->database,
 			     &place);
-	node = owner_choose(entry, choice->server, place.service->owners);
+	node = owner_choose(entry, place.service, choice->server);
 	if (!node) {
 		entry_wait(entry);
 		return;
--- a/src/daemon/dispatch_task.h
+++ b/src/daemon/dispatch_task.h
@@ -7,7 +7,6 @@
 #include "protocol/request.h"
 #include "state/config.h"
 #include "state/group_table.h"
-#include "state/member_view.h"
 
 /**
  * Takes the requests of this node's callers through to an end: chooses a
@@ -24,6 +23,9 @@
 	void (*cancel)(void *context, const char *node, uint64_t request_id,
 		       void *sink_context);
 	void (*release)(void *context, const char *node, uint64_t lease_id);
+	/** Lists up to OWNER_LIMIT owners of a server. @return their number */
+	uint32_t (*owners)(void *context, const config_service_t *service,
+			   const config_server_t *server, const char **nodes);
 	void (*barrier)(void *context, const char *database,
 			uint32_t timeout_ms,
 			void (*done)(void *done_context, log_point_t point),
@@ -41,10 +43,6 @@
 /** Takes a new configuration; kept until the next call. */
 void dispatch_task_configure(dispatch_task_t *dispatch, const config_t *config);
 
-/** Members changed; @p view stays valid until the next call. */
-void dispatch_task_members(dispatch_task_t *dispatch,
-			   const member_view_t *view);
-
 /** A newer primary of @p database is known: what waits goes on. */
 void dispatch_task_primary_changed(dispatch_task_t *dispatch,
 				   const char *database);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -114,17 +114,29 @@
 {
 	node_t *node = context;
 	const config_t *config = config_task_current(node->config);
+	const char *ranked[OWNER_LIMIT];
 	const config_server_t *found;
 	config_place_t place;
+	uint32_t count;
 
 	if (!config || !config_find_database(config, database, &place))
 		return 0;
 	found = config_find_server(place.database, server);
 	if (!found)
 		return 0;
-	return owner_rank(peers_task_view(node->peers), server,
-			  found->failure_domain,
-			  MIN(limit, place.service->owners), nodes);
+	count = ownership_owners(node->ownership, place.service, found, ranked);
+	count = MIN(count, limit);
+	memcpy(nodes, ranked, count * sizeof(*nodes));
+	return count;
+}
+
+static uint32_t dispatch_owners(void *context, const config_service_t *service,
+				const config_server_t *server,
+				const char **nodes)
+{
+	const node_t *node = context;
+
+	return ownership_owners(node->ownership, service, server, nodes);
 }
 
 /* Configuration */
@@ -208,7 +220,6 @@
 {
 	node_t *node = context;
 
-	dispatch_task_members(node->dispatch, view);
 	config_task_members(node->config, view);
 	group_task_members(node->group, view);
 	ownership_refresh(node);
@@ -554,6 +565,7 @@
 		.submit = on_submit,
 		.cancel = on_cancel,
 		.release = on_release,
+		.owners = dispatch_owners,
 		.barrier = on_barrier,
 		.context = node,
 	};
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -43,10 +43,6 @@
 static const config_t config = {.limits = {.catch_up_ms = 100},
 				.services = &service,
 				.services_count = 1};
-static const member_t member = {.name = "n1",
-				.failure_domain = "akl-a",
-				.state = MEMBER_LIVE};
-static const member_view_t view = {.members = &member, .members_count = 1};
 
 static void fake_submit(void *context, const char *node,
 			const request_t *request, answer_sink_t sink)
@@ -72,6 +68,13 @@
 	((fake_t *)context)->lease_id = lease_id;
 }
 
+static uint32_t fake_owners(void *context, const config_service_t *of,
+			    const config_server_t *server, const char **nodes)
+{
+	nodes[0] = "n1";
+	return 1;
+}
+
 static void fake_barrier(void *context, const char *name, uint32_t timeout_ms,
 			 void (*done)(void *context, log_point_t point),
 			 void *done_context)
@@ -105,9 +108,8 @@
 	fake->dispatch = dispatch_task_create(
 		fake->base, fake->metrics, "n1", "akl-a", fake->table,
 		(dispatch_handlers_t){fake_submit, fake_cancel, fake_release,
-				      fake_barrier, fake});
+				      fake_owners, fake_barrier, fake});
 	dispatch_task_configure(fake->dispatch, &config);
-	dispatch_task_members(fake->dispatch, &view);
 	group_table_offer(fake->table, "pairs", 1, "s-a");
 	*state = fake;
 	return 0;
