--- a/tests/world/deployment.c
+++ b/tests/world/deployment.c
@@ -1,7 +1,13 @@
 #include "world/deployment.h"
 
+#include <glib.h>
+
+#define SEED_DEFAULT "20261204"
+
 static deployment_t deployment_small(void)
 {
+	const char *seed = g_getenv("SEED");
+
 	return (deployment_t){
 		.domains_count = 3,
 		.nodes_per_domain = 2,
@@ -12,7 +18,7 @@
 		.owners = 2,
 		.open_delay_ms = 12,
 		.relay = true,
-		.seed = 20261204,
+		.seed = g_ascii_strtoull(seed ? seed : SEED_DEFAULT, NULL, 10),
 	};
 }
 
--- a/tests/world/load_run.c
+++ b/tests/world/load_run.c
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 
 #define LOG_LINES 60u
+#define SEED_LIMIT 1000000000u
 
 struct load_run {
 	process_t *process;
@@ -30,6 +31,9 @@
 	g_ptr_array_add(arguments, g_strdup_printf("--prefix=%s", name));
 	g_ptr_array_add(arguments,
 			g_strdup_printf("--json=%s", run->results_path));
+	g_ptr_array_add(arguments,
+			g_strdup_printf("--seed=%" G_GUINT64_FORMAT,
+					world->deployment.seed % SEED_LIMIT));
 	for (char **word = words; *word; word++)
 		if (**word)
 			g_ptr_array_add(arguments, g_strdup(*word));
