Learn a replica's lag from the reads that it kept waiting

Cause: an answer "behind" carried no point, so routing learnt nothing from it, and each read after a write waited in vain at one replica, then at the next: 228 ms a read at a lag of 1,000 ms, seen with psql. A wait that is cut short also says only that the lag is longer. Now the refusal tells what the replica has, such a wait doubles the estimate, a point that is new at the replica lowers it, and a read waits at one replica only. Ruled out: no wait at all, which gives up the share at 200 ms.

--- a/src/coordination/route.c
+++ b/src/coordination/route.c
@@ -124,6 +124,10 @@
 
 	if (now_ms < server->penalty_until_ms)
 		return UINT32_MAX;
+	/* A read waits at one replica only: the next one must have it. */
+	if (ask->tried &&
+	    !log_point_covers(server->lag.replayed, ask->at_least))
+		return UINT32_MAX;
 	wait_ms = lag_estimate_wait_ms(&server->lag, &database->points,
 				       ask->at_least, now_ms);
 	if (wait_ms > route->config->limits.catch_up_ms)
--- a/src/daemon/pool_run.c
+++ b/src/daemon/pool_run.c
@@ -61,12 +61,18 @@
 
 void pool_run_refuse(pool_run_t *run, reason_t reason)
 {
-	const answer_t answer = {
+	const request_t *request = run->request;
+	const pool_group_t *group = &run->pool->group;
+	answer_t answer = {
 		.outcome = OUTCOME_NOT_RUN,
 		.reason = reason,
 		.transaction_status = 'I',
 	};
 
+	/* Routing learns the replica's lag from what it had by now. */
+	if (reason == REASON_BEHIND)
+		answer.point = group->replayed(
+			group->context, request->database, request->server);
 	end_run(run, answer);
 }
 
--- a/src/state/config_schema.c
+++ b/src/state/config_schema.c
@@ -103,7 +103,7 @@
 	TIME_MS(config_limits_t, confirm_timeout_ms, 50, 60000, 2000),
 	TIME_MS(config_limits_t, suspect_ms, 100, 60000, 1000),
 	TIME_MS(config_limits_t, poll_ms, 10, 10000, 250),
-	TIME_MS(config_limits_t, catch_up_ms, 0, 10000, 100),
+	TIME_MS(config_limits_t, catch_up_ms, 0, 10000, 250),
 	TIME_MS(config_limits_t, drain_ms, 100, 600000, 30000),
 	{NULL},
 };
--- a/src/state/lag_estimate.c
+++ b/src/state/lag_estimate.c
@@ -1,7 +1,11 @@
 #include "state/lag_estimate.h"
 
+#include <glib.h>
+
 /* Weight of a new sample in the smoothed lag, in eighths. */
 #define LAG_SAMPLE_EIGHTHS 2
+/* Longest lag that is told apart. */
+#define LAG_MAX_MS 60000u
 
 void lag_points_add(lag_points_t *points, log_point_t point, uint64_t now_ms)
 {
@@ -38,33 +42,63 @@
 	return now_ms;
 }
 
-/* When the first point that the replica lacks was heard; else now. */
-static uint64_t first_missing_at(const lag_points_t *points,
-				 log_point_t replayed, uint64_t now_ms)
+/* When the newest point that @p replayed covers was heard; 0 for none. */
+static uint64_t newest_covered_at(const lag_points_t *points,
+				  log_point_t replayed)
+{
+	for (uint32_t i = 1; i <= points->count; i++) {
+		const uint32_t at = (points->head + LAG_POINTS_COUNT - i) %
+				    LAG_POINTS_COUNT;
+
+		if (log_point_covers(replayed, points->points[at]))
+			return points->seen_at_ms[at];
+	}
+	return 0;
+}
+
+/* What the replica still lacks shows that its lag is no less. */
+static uint32_t shortest_lag_ms(const lag_points_t *points,
+				log_point_t replayed, uint64_t now_ms)
 {
 	const log_point_t next = {
 		.term = replayed.term,
 		.position = replayed.position + 1,
 	};
 
-	return lag_points_seen_at(points, next, now_ms);
+	return (uint32_t)(now_ms - lag_points_seen_at(points, next, now_ms));
+}
+
+/* A point that is new at the replica shows that its lag is no more. */
+static void lower(lag_estimate_t *estimate, const lag_points_t *points,
+		  log_point_t replayed, uint64_t now_ms)
+{
+	const uint64_t seen_at_ms = newest_covered_at(points, replayed);
+	uint64_t longest_ms;
+
+	if (!seen_at_ms || log_point_covers(estimate->replayed, replayed))
+		return;
+	longest_ms = now_ms - seen_at_ms;
+	if (longest_ms < estimate->lag_ms)
+		estimate->lag_ms =
+			(uint32_t)((estimate->lag_ms *
+					    (8 - LAG_SAMPLE_EIGHTHS) +
+				    longest_ms * LAG_SAMPLE_EIGHTHS) /
+				   8);
 }
 
 void lag_estimate_update(lag_estimate_t *estimate, const lag_points_t *points,
 			 log_point_t replayed, bool behind, uint64_t now_ms)
 {
-	const uint64_t since = first_missing_at(points, replayed, now_ms);
-	const uint32_t sample_ms = (uint32_t)(now_ms - since);
+	uint32_t shortest_ms = shortest_lag_ms(points, replayed, now_ms);
 
+	/* A wait in vain tells only that the lag is longer than the wait. */
+	if (behind)
+		shortest_ms = MIN(shortest_ms * 2, LAG_MAX_MS);
+	lower(estimate, points, replayed, now_ms);
+	if (shortest_ms > estimate->lag_ms)
+		estimate->lag_ms = shortest_ms;
 	estimate->replayed = log_point_max(estimate->replayed, replayed);
-	if (!estimate->known || (behind && sample_ms > estimate->lag_ms)) {
-		estimate->lag_ms = sample_ms;
-		estimate->known = true;
-		return;
-	}
-	estimate->lag_ms = (estimate->lag_ms * (8 - LAG_SAMPLE_EIGHTHS) +
-			    sample_ms * LAG_SAMPLE_EIGHTHS) /
-			   8;
+	estimate->known = true;
 }
 
 uint32_t lag_estimate_wait_ms(const lag_estimate_t *estimate,
--- a/src/state/lag_estimate.h
+++ b/src/state/lag_estimate.h
@@ -19,7 +19,7 @@
 /** What is known of one replica. */
 typedef struct {
 	log_point_t replayed; /**< newest point it was seen to have */
-	uint32_t lag_ms;      /**< smoothed */
+	uint32_t lag_ms;      /**< as far as answers bound it */
 	bool known;
 } lag_estimate_t;
 
@@ -33,7 +33,7 @@
 /**
  * Takes in that a replica had replayed @p replayed at @p now_ms.
  *
- * @param behind it kept a read waiting in vain: a longer lag counts at once
+ * @param behind it kept a read waiting in vain
  */
 void lag_estimate_update(lag_estimate_t *estimate, const lag_points_t *points,
 			 log_point_t replayed, bool behind, uint64_t now_ms);
--- a/tests/bench/bench_reads.c
+++ b/tests/bench/bench_reads.c
@@ -10,7 +10,7 @@
 #define FINISH_MS 60000u
 
 static const uint32_t lags_ms[] = {0, 50, 200, 1000};
-static const double read_shares[] = {0.95, 0.8, 0.5};
+static const double read_shares[] = {0.95, 0.9, 0.5};
 
 typedef struct {
 	int64_t replica;
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -99,6 +99,47 @@
 	route_destroy(route);
 }
 
+/* A wait cut short tells little: the estimate must outgrow the wait. */
+static void test_reads_stop_waiting_for_a_replica_that_lags(void **state)
+{
+	route_t *route = route_new("chc-a");
+	uint64_t now_ms = 1000;
+	uint32_t waited = 0;
+
+	for (uint64_t write = 1; write <= 20; write++) {
+		const log_point_t point = {3, write};
+		const log_point_t before = {3, write - 1};
+		const route_ask_t ask = ask_read(point);
+		route_choice_t choice;
+
+		route_point_seen(route, "pairs", point, now_ms);
+		choice = route_choose(route, &ask, now_ms);
+		if (choice.kind == ROUTE_REPLICA) {
+			waited++;
+			now_ms += CATCH_UP_MS;
+			route_answered(route, "pairs", choice.server->name,
+				       REASON_BEHIND, before, 0, now_ms);
+		}
+		now_ms += 10 * CATCH_UP_MS;
+	}
+	/* Each of two replicas may be tried a few times, not each time. */
+	assert_in_range(waited, 1, 4);
+	route_destroy(route);
+}
+
+static void test_read_waits_at_one_replica_only(void **state)
+{
+	route_t *route = route_new("chc-a");
+	route_ask_t ask = ask_read((log_point_t){3, 10});
+
+	ask.tried = 1 << 2;
+	assert_int_equal(route_choose(route, &ask, 0).kind, ROUTE_PRIMARY);
+	route_answered(route, "pairs", "s-b", REASON_NONE, (log_point_t){3, 10},
+		       1, 0);
+	assert_string_equal(route_choose(route, &ask, 0).server->name, "s-b");
+	route_destroy(route);
+}
+
 static void test_token_of_a_later_term_never_meets_the_old_primary(void **state)
 {
 	route_t *route = route_new("akl-a");
@@ -202,6 +243,9 @@
 		cmocka_unit_test(test_read_prefers_the_replica_of_its_domain),
 		cmocka_unit_test(
 			test_read_avoids_replicas_that_will_not_catch_up),
+		cmocka_unit_test(
+			test_reads_stop_waiting_for_a_replica_that_lags),
+		cmocka_unit_test(test_read_waits_at_one_replica_only),
 		cmocka_unit_test(
 			test_token_of_a_later_term_never_meets_the_old_primary),
 		cmocka_unit_test(test_aged_read_proves_the_primary_first),
