Name the setting of a connection's term so that PostgreSQL can parse it

"group" is a reserved word: SET group.term is a syntax error there, which the stand-in hid by quoting it. It is SET replication.term now and the stand-in parses what it is given. 36 unit and property tests and make demo passed.

--- a/src/protocol/exchange.c
+++ b/src/protocol/exchange.c
@@ -14,7 +14,7 @@
 
 /* One part of the talk; each ends with a ReadyForQuery. */
 typedef enum {
-	STEP_TERM,	/* SET group.term */
+	STEP_TERM,	/* SET replication.term */
 	STEP_BEGIN,	/* opens the transaction of a keyed change */
 	STEP_KEY,	/* writes the idempotency key */
 	STEP_STATEMENT, /* the caller's own messages */
@@ -116,8 +116,8 @@
 
 static void write_term(const exchange_t *exchange, GByteArray *out)
 {
-	g_autofree char *sql = g_strdup_printf("SET group.term = '%" PRIu64 "'",
-					       exchange->term);
+	g_autofree char *sql = g_strdup_printf(
+		"SET replication.term = '%" PRIu64 "'", exchange->term);
 
 	pg_write_query(out, sql);
 }
--- a/src/protocol/exchange.h
+++ b/src/protocol/exchange.h
@@ -20,8 +20,8 @@
  * mean. Pure: messages in; bytes to send, bytes to pass on and an outcome
  * out.
  *
- * Around the caller's messages stand, as needed: SET group.term; BEGIN and
- * the idempotency key in front; COMMIT and a question for the point behind.
+ * Around the caller's messages stand, as needed: SET replication.term; BEGIN
+ * and the idempotency key in front; COMMIT and a question for the point behind.
  * The answers to these never reach the caller. The answer of a change is held
  * back until its commit is known to be safe.
  */
--- a/tests/e2e/test_group.c
+++ b/tests/e2e/test_group.c
@@ -320,7 +320,7 @@
 {
 	PGconn *connection = connect_to(fleet, server);
 	g_autofree char *set = g_strdup_printf(
-		"SET group.term = '%" G_GUINT64_FORMAT "'", term);
+		"SET replication.term = '%" G_GUINT64_FORMAT "'", term);
 	g_autofree char *insert = g_strdup_printf(
 		"INSERT INTO toucanhook_requests (key, value) VALUES "
 		"('%s', 'x')",
--- a/tests/property/prop_exchange.cpp
+++ b/tests/property/prop_exchange.cpp
@@ -90,7 +90,7 @@
 /* Runs one query as a server would, with its answer up to ReadyForQuery. */
 void run(server_t &server, const std::string &sql, GByteArray *out)
 {
-	if (sql.rfind("SET group.term", 0) == 0) {
+	if (sql.rfind("SET replication.term", 0) == 0) {
 		server.term_set = true;
 		pg_write_text(out, 'C', "SET");
 	} else if (!server.term_set) {
--- a/tests/standin/backend/execute.c
+++ b/tests/standin/backend/execute.c
@@ -148,7 +148,7 @@
 				const sql_statement_t *statement,
 				const char *value, execute_answer_t *answer)
 {
-	if (!strcmp(statement->name, "group.term"))
+	if (!strcmp(statement->name, "replication.term"))
 		transaction->group_term =
 			g_ascii_strtoull(value ?: "0", NULL, 10);
 	return answer_done(answer, "SET");
--- a/tests/standin/backend/sql.c
+++ b/tests/standin/backend/sql.c
@@ -357,21 +357,10 @@
 	json_decref(root);
 }
 
-/* "group" is a reserved word, which DESIGN's SET group.term leaves bare. */
-static char *quote_group(const char *text)
-{
-	g_autoptr(GRegex) bare =
-		g_regex_new("^\\s*SET\\s+group\\.", G_REGEX_CASELESS, 0, NULL);
-
-	return g_regex_replace_literal(bare, text, -1, 0, "SET \"group\".", 0, NULL) ?:
-		       g_strdup(text);
-}
-
 sql_script_t *sql_script_new(const char *text)
 {
 	sql_script_t *script = g_new0(sql_script_t, 1);
-	g_autofree char *quoted = quote_group(text);
-	PgQueryParseResult result = pg_query_parse(quoted);
+	PgQueryParseResult result = pg_query_parse(text);
 
 	script->references = 1;
 	script->statements = g_ptr_array_new_with_free_func(statement_delete);
--- a/tests/standin/backend/transaction.h
+++ b/tests/standin/backend/transaction.h
@@ -8,7 +8,7 @@
 typedef struct {
 	char status;	     /**< as in ReadyForQuery: I, T or E */
 	bool read_only;	     /**< BEGIN READ ONLY */
-	uint64_t group_term; /**< SET group.term; 0 for none */
+	uint64_t group_term; /**< SET replication.term; 0 for none */
 	GPtrArray *changes;  /**< of change_t, in order */
 	uint64_t sleep_until_ms;
 	uint64_t lock_until_ms;
--- a/tests/unit/test_exchange.c
+++ b/tests/unit/test_exchange.c
@@ -129,14 +129,14 @@
 {
 	talk_t t = talk(REQUEST_WRITE, "w", NULL, fresh);
 
-	assert_sent(&t, "SET group.term = '3'");
+	assert_sent(&t, "SET replication.term = '3'");
 	done(&t, "SET", 'I');
 	assert_int_equal(t.state, EXCHANGE_SEND);
 	assert_sent(&t, "w|SELECT * FROM group_point()");
 	exchange_destroy(t.exchange);
 
 	t = talk(REQUEST_WRITE, "w", NULL, fresh);
-	assert_sent(&t, "SET group.term = '3'");
+	assert_sent(&t, "SET replication.term = '3'");
 	error(&t, "42601", 'I');
 	assert_int_equal(t.state, EXCHANGE_ENDED);
 	assert_int_equal(exchange_result(t.exchange).outcome, OUTCOME_NOT_RUN);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -282,11 +282,11 @@
 	    REASON_NOT_PRIMARY);
 	assert_int_equal(g_atomic_int_get(&world.backend->connections), 0);
 	ask(request(REQUEST_WRITE, "INSERT", 3), OUTCOME_DONE, REASON_NONE);
-	assert_said("1 SET group.term = '3'\n1 INSERT\n1 SELECT * FROM "
+	assert_said("1 SET replication.term = '3'\n1 INSERT\n1 SELECT * FROM "
 		    "group_point()\n");
 	assert_int_equal(world.confirms, 1);
 	ask(request(REQUEST_READ, "SELECT conn", 0), OUTCOME_DONE, REASON_NONE);
-	assert_said("1 SET group.term = '0'\n1 SELECT conn\n");
+	assert_said("1 SET replication.term = '0'\n1 SELECT conn\n");
 }
 
 static void test_only_an_owner_serves(void **state)
