--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CC = $(CCACHE) gcc
 CXX = $(CCACHE) g++
 PKGS = libevent libevent_openssl libzmq libprotobuf-c glib-2.0 gio-2.0 \
-	libcyaml jansson argtable2 libpq libgsasl libxxhash libsodium openssl
+	libcyaml jansson argtable2 libpq libxxhash libsodium openssl
 WARN = -Wall -Wextra -Werror -Wno-unused-parameter
 INCLUDES = -Isrc -Itests -Itools
 SAN = $(if $(SANITIZE),-fsanitize=address$(comma)undefined -fno-omit-frame-pointer)
