Test sessions behind lag, across VMs and over failovers

Real processes so far showed own writes with replicas that keep up, and promises under load as a whole. These tests aim at single promises: a write read by token and by a new session on every VM while replicas lag 200 and 1,000 ms, the same after the primary was killed right behind its answer, two connections of one worker open at once, reads of a stated age while nobody can prove anything new, and a primary cut off together with its VMs.

The age test bounds by a time taken after the freeze: what is proven was asked before, so a later read that is answered is too old on a machine of any speed.

Each test failed without its guard: a replica that answers whatever the token says (check_replica: both lag and open connections); no barrier for a session without a token (needs_barrier: lag and failover); no barrier for strong reads (needs_barrier: open connections); commits answered without confirmation (pool run: failover and cut-off); a replica taken as fresh once it was proven (freshness_within: age). The cut-off test's reads do not fail without the session's barrier.

--- /dev/null
+++ b/tests/e2e/test_sessions.c
@@ -0,0 +1,285 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <signal.h>
+
+#include "base/clock.h"
+#include "world/world.h"
+#include "world/world_ask.h"
+
+#define WAIT_MS 30000u
+#define LAG_SHORT_MS 200u
+#define LAG_LONG_MS 1000u
+#define SHIP_DELAY_MS 100u
+#define MAX_AGE_MS 4000u
+#define SHORT_TIMEOUT "SET toucanhook.timeout_ms = 1500"
+
+static world_t *world;
+static char *database;
+
+static int set_up(void **state)
+{
+	deployment_t deployment = deployment_tauhara();
+	g_autoptr(GError) error = NULL;
+
+	world = world_create(&deployment, &error);
+	if (!world) {
+		fprintf(stderr, "%s\n", error->message);
+		return -1;
+	}
+	database = world_database(world, 0, 0);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	world_destroy(world);
+	g_free(database);
+	return 0;
+}
+
+static PGconn *connect_to(uint32_t domain, uint32_t index)
+{
+	PGconn *connection = world_connect(
+		world, world_node(world, domain, index), database);
+
+	if (PQstatus(connection) != CONNECTION_OK)
+		fail_msg("%s", PQerrorMessage(connection));
+	return connection;
+}
+
+static void create_table(void)
+{
+	PGconn *connection = connect_to(0, 0);
+
+	world_ask_run(connection, "CREATE TABLE shifts "
+				  "(key text PRIMARY KEY, value text)");
+	PQfinish(connection);
+}
+
+static void set_servers(const char *name, uint32_t number)
+{
+	g_autofree char *path = g_strdup_printf("/set?%s=%u", name, number);
+
+	for (guint i = 0; i < world->servers->len; i++) {
+		const world_server_t *server = world->servers->pdata[i];
+
+		assert_true(world_fault(server->control_port, path));
+	}
+}
+
+/* A write on one VM, read by a new connection on each VM in turn. */
+static void read_on_every_vm(uint32_t lag_ms, bool token)
+{
+	PGconn *writing = connect_to(0, 0);
+
+	set_servers("replay_lag_ms", lag_ms);
+	for (uint32_t i = 0; i < world->nodes->len; i++) {
+		g_autofree char *select = g_strdup_printf(
+			"SELECT value FROM shifts WHERE key = 'k%u-%u-%d'",
+			lag_ms, i, token);
+		PGconn *reading = connect_to(i % 3, i / 3);
+
+		world_ask_run(writing,
+			      "INSERT INTO shifts VALUES ('k%u-%u-%d', 'on')",
+			      lag_ms, i, token);
+		if (token)
+			world_ask_hand_token(writing, reading);
+		world_ask_assert(reading, select, "on");
+		PQfinish(reading);
+	}
+	PQfinish(writing);
+}
+
+static void test_acknowledged_write_is_read_behind_lag(void **state)
+{
+	create_table();
+	read_on_every_vm(LAG_SHORT_MS, true);
+	read_on_every_vm(LAG_SHORT_MS, false);
+	read_on_every_vm(LAG_LONG_MS, true);
+	read_on_every_vm(LAG_LONG_MS, false);
+}
+
+/* Two connections of one worker, open at once on two VMs. */
+static void test_open_connections_of_one_worker(void **state)
+{
+	PGconn *first = connect_to(1, 0);
+	PGconn *second = connect_to(2, 1);
+
+	create_table();
+	set_servers("replay_lag_ms", LAG_LONG_MS);
+	world_ask_assert(second, "SELECT value FROM shifts WHERE key = 'a'",
+			 NULL);
+	world_ask_run(first, "INSERT INTO shifts VALUES ('a', 'first')");
+	world_ask_run(second, "INSERT INTO shifts VALUES ('b', 'second')");
+	world_ask_assert(first, "SELECT value FROM shifts WHERE key = 'a'",
+			 "first");
+	world_ask_assert(second, "SELECT value FROM shifts WHERE key = 'b'",
+			 "second");
+	world_ask_run(second, "SET toucanhook.consistency = 'strong'");
+	for (int i = 0; i < 10; i++) {
+		g_autofree char *select = g_strdup_printf(
+			"SELECT value FROM shifts WHERE key = 's%d'", i);
+
+		world_ask_run(first, "INSERT INTO shifts VALUES ('s%d', 'on')",
+			      i);
+		world_ask_assert(second, select, "on");
+	}
+	PQfinish(first);
+	PQfinish(second);
+}
+
+static bool is_replaced(void *context)
+{
+	return world_primary(world, database) != context &&
+	       world_primary(world, database);
+}
+
+static void await_new_primary(world_server_t *old)
+{
+	world->failed = !world_wait(WAIT_MS, is_replaced, old);
+	assert_false(world->failed);
+}
+
+/* The primary dies at once after its answer; records are slow to leave it. */
+static void test_acknowledged_write_outlives_its_primary(void **state)
+{
+	world_server_t *primary = world_primary(world, database);
+	PGconn *writing = connect_to(1, 0);
+
+	create_table();
+	set_servers("replay_lag_ms", LAG_SHORT_MS);
+	set_servers("ship_delay_ms", SHIP_DELAY_MS);
+	world_ask_run(writing, "INSERT INTO shifts VALUES ('last', 'on')");
+	process_signal(primary->process, SIGKILL);
+	for (uint32_t i = 0; i < world->nodes->len; i++) {
+		PGconn *reading = connect_to(i % 3, i / 3);
+
+		world_ask_assert(reading,
+				 "SELECT value FROM shifts "
+				 "WHERE key = 'last'",
+				 "on");
+		PQfinish(reading);
+	}
+	world_ask_assert(writing, "SELECT value FROM shifts WHERE key = 'last'",
+			 "on");
+	PQfinish(writing);
+}
+
+static bool replica_answers(void *context)
+{
+	const int64_t before = world_metric(world, "toucanhook_reads_total",
+					    "server=\"replica\"");
+
+	world_ask_assert(context, "SELECT value FROM shifts WHERE key = 'a'",
+			 "on");
+	return world_metric(world, "toucanhook_reads_total",
+			    "server=\"replica\"") > before;
+}
+
+/* @return whether a read that began after @p end_ms was refused */
+static bool read_is_refused(PGconn *reading, uint64_t end_ms, uint32_t *served)
+{
+	const uint64_t began_ms = clock_now_ms();
+	g_autofree char *value = NULL;
+	g_autofree char *sqlstate = world_ask(
+		reading, "SELECT value FROM shifts WHERE key = 'a'", &value);
+
+	if (sqlstate) {
+		assert_string_equal(sqlstate, "TH003");
+		return began_ms > end_ms;
+	}
+	assert_string_equal(value, "on");
+	assert_true(began_ms <= end_ms);
+	(*served)++;
+	return false;
+}
+
+/*
+ * With the primary and one replica frozen nobody can prove what is new: the
+ * other replica answers until the stated age is over, and not any longer.
+ */
+static void test_stated_age_holds_while_primary_is_frozen(void **state)
+{
+	PGconn *reading = connect_to(2, 0);
+	uint32_t served = 0;
+	uint64_t end_ms;
+
+	create_table();
+	world_ask_run(reading, "INSERT INTO shifts VALUES ('a', 'on')");
+	world_ask_run(reading, SHORT_TIMEOUT);
+	world_ask_run(reading, "SET toucanhook.consistency = 'age'");
+	world_ask_run(reading, "SET toucanhook.max_age_ms = %u", MAX_AGE_MS);
+	world->failed = !world_wait(WAIT_MS, replica_answers, reading);
+	assert_false(world->failed);
+	for (uint32_t i = 0; i < 2; i++)
+		process_signal(world_server(world, database, i)->process,
+			       SIGSTOP);
+	end_ms = clock_now_ms() + MAX_AGE_MS;
+	while (!read_is_refused(reading, end_ms, &served))
+		g_usleep(5000);
+	assert_true(served > 0);
+	PQfinish(reading);
+}
+
+static void assert_not_committed(PGconn *connection, const char *statement)
+{
+	g_autofree char *sqlstate = world_ask(connection, statement, NULL);
+
+	world->failed = !sqlstate;
+	assert_non_null(sqlstate);
+	if (g_strcmp0(sqlstate, "TH003") != 0)
+		assert_string_equal(sqlstate, "TH004");
+}
+
+/* A VM that is cut off with the primary must not speak for the database. */
+static void test_primary_cut_off_with_its_vm(void **state)
+{
+	world_server_t *primary = world_primary(world, database);
+	PGconn *inside = connect_to(primary->domain, 0);
+	PGconn *outside = connect_to((primary->domain + 1) % 3, 0);
+	PGconn *fresh;
+
+	create_table();
+	world_ask_run(outside, "INSERT INTO shifts VALUES ('a', 'old')");
+	world_ask_run(inside, SHORT_TIMEOUT);
+	assert_true(world_cut_domain(world, primary->domain, true));
+	assert_not_committed(inside, "INSERT INTO shifts VALUES ('b', 'lost')");
+	await_new_primary(primary);
+	world_ask_run(outside, "INSERT INTO shifts VALUES ('c', 'new')");
+	fresh = connect_to(primary->domain, 1);
+	world_ask_run(fresh, SHORT_TIMEOUT);
+	assert_not_committed(fresh, "SELECT value FROM shifts WHERE key = 'c'");
+	assert_not_committed(fresh, "INSERT INTO shifts VALUES ('d', 'lost')");
+	assert_true(world_cut_domain(world, primary->domain, false));
+	world_ask_run(fresh, "SET toucanhook.timeout_ms = 10000");
+	world_ask_assert(fresh, "SELECT value FROM shifts WHERE key = 'c'",
+			 "new");
+	PQfinish(inside);
+	PQfinish(outside);
+	PQfinish(fresh);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+/** @param argv one test's name, or none for all */
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(test_acknowledged_write_is_read_behind_lag),
+		TEST(test_open_connections_of_one_worker),
+		TEST(test_acknowledged_write_outlives_its_primary),
+		TEST(test_stated_age_holds_while_primary_is_frozen),
+		TEST(test_primary_cut_off_with_its_vm),
+	};
+
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
