--- /dev/null
+++ b/tests/e2e/test_leaving.c
@@ -0,0 +1,225 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include <sys/wait.h>
+
+#include "world/load_run.h"
+#include "world/world.h"
+#include "world/world_ask.h"
+#include "world/world_files.h"
+
+#define WAIT_MS 30000u
+#define ROUNDS 60u
+
+static world_t *world;
+static char *database;
+
+static int set_up(void **state)
+{
+	deployment_t deployment = deployment_tauhara();
+	g_autoptr(GError) error = NULL;
+
+	world = world_create(&deployment, &error);
+	if (!world) {
+		fprintf(stderr, "%s\n", error->message);
+		return -1;
+	}
+	database = world_database(world, 0, 0);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	world_destroy(world);
+	g_free(database);
+	return 0;
+}
+
+static PGconn *connect_to(uint32_t domain, uint32_t index)
+{
+	PGconn *connection = world_connect(
+		world, world_node(world, domain, index), database);
+
+	if (PQstatus(connection) != CONNECTION_OK)
+		fail_msg("%s", PQerrorMessage(connection));
+	return connection;
+}
+
+/* Runs toucanctl to its end, which must be well. */
+static void run_tool(char *const *words)
+{
+	g_autofree char *program =
+		g_build_filename(world->programs, "toucanctl", NULL);
+	g_autofree char *log =
+		g_build_filename(world->directory, "tool.log", NULL);
+	char *arguments[8] = {program};
+	process_t *tool;
+	int status = -1;
+
+	for (uint32_t i = 0; words[i]; i++)
+		arguments[i + 1] = words[i];
+	tool = process_start("toucanctl", log, arguments, NULL);
+	assert_non_null(tool);
+	assert_true(process_wait(tool, WAIT_MS, &status));
+	if (status)
+		process_print_log(tool, 20);
+	process_destroy(tool);
+	assert_int_equal(status, 0);
+}
+
+static bool has_revision(void *context)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const world_node_t *node = world->nodes->pdata[i];
+		json_t *status = http_ask_json(node->operators_port, "/status");
+		const json_int_t revision = json_integer_value(
+			json_object_get(status, "config_revision"));
+
+		json_decref(status);
+		if (revision < 2)
+			return false;
+	}
+	return true;
+}
+
+/* Marks a server as leaving by an overlay and waits until it is in force. */
+static void leave(const world_server_t *server)
+{
+	g_autofree char *base = world_files_base(world);
+	g_autofree char *base_path =
+		g_build_filename(world->directory, "operators.yaml", NULL);
+	g_autofree char *path =
+		g_build_filename(world->directory, "leaving.yaml", NULL);
+	g_autofree char *text = g_strdup_printf(
+		"site: tauhara\nservices:\n  - name: %s-1\n    databases:\n"
+		"      - name: %s\n        servers:\n          - name: %s\n"
+		"            leaving: true\n",
+		world->deployment.service, database, server->name);
+	g_autofree char *platform = g_strdup_printf("--platform=127.0.0.1:%u",
+						    world->platform_port);
+	g_autofree char *base_word = g_strdup_printf("--base=%s", base_path);
+	g_autofree char *overlay = g_strdup_printf("--overlay=%s", path);
+	char *words[] = {"apply", platform, base_word, overlay, NULL};
+
+	assert_true(g_file_set_contents(base_path, base, -1, NULL));
+	assert_true(g_file_set_contents(path, text, -1, NULL));
+	run_tool(words);
+	world->failed = !world_wait(WAIT_MS, has_revision, NULL);
+	assert_false(world->failed);
+}
+
+static double reads_of(const world_server_t *server)
+{
+	json_t *state = http_ask_json(server->control_port, "/state");
+	const double reads = load_run_number(state, "counts.reads");
+
+	json_decref(state);
+	return reads;
+}
+
+static void create_table(void)
+{
+	PGconn *connection = connect_to(0, 0);
+
+	world_ask_run(connection, "CREATE TABLE lots "
+				  "(key text PRIMARY KEY, value text)");
+	world_ask_run(connection, "INSERT INTO lots VALUES ('a', 'on')");
+	PQfinish(connection);
+}
+
+/* Reads on each VM, by a session that replicas may answer. */
+static void read_everywhere(void)
+{
+	for (uint32_t i = 0; i < ROUNDS; i++) {
+		PGconn *connection = connect_to(i % 3, i / 3 % 2);
+
+		world_ask_assert(connection,
+				 "SELECT value FROM lots WHERE key = 'a'",
+				 "on");
+		PQfinish(connection);
+	}
+}
+
+static void test_leaving_replica_takes_no_statement(void **state)
+{
+	const world_server_t *leaving = world_server(world, database, 1);
+	const world_server_t *other = world_server(world, database, 2);
+	double before;
+	double others;
+
+	create_table();
+	before = reads_of(leaving);
+	read_everywhere();
+	/* It was in use, or its silence below would say nothing. */
+	assert_true(reads_of(leaving) > before);
+	leave(leaving);
+	before = reads_of(leaving);
+	others = reads_of(other);
+	read_everywhere();
+	assert_true(reads_of(leaving) == before);
+	assert_true(reads_of(other) > others);
+}
+
+static bool has_moved(void *context)
+{
+	return world_primary(world, database) == context;
+}
+
+static void promote(world_server_t *server)
+{
+	g_autofree char *node = g_strdup_printf(
+		"--node=127.0.0.1:%u", world_node(world, 0, 0)->operators_port);
+	g_autofree char *wanted = g_strdup_printf("--server=%s", server->name);
+	g_autofree char *confirm = g_strdup_printf("--confirm=%s", database);
+	char *words[] = {"promote", node, wanted, confirm, database, NULL};
+
+	run_tool(words);
+	world->failed = !world_wait(WAIT_MS, has_moved, server);
+	assert_false(world->failed);
+}
+
+/* What an operator does: another server is promoted, then this one leaves. */
+static void test_primary_leaves_after_a_promotion(void **state)
+{
+	world_server_t *leaving = world_primary(world, database);
+	world_server_t *next =
+		world_server(world, database, (leaving->domain + 1) % 3);
+	double before;
+
+	create_table();
+	promote(next);
+	leave(leaving);
+	before = reads_of(leaving);
+	for (uint32_t i = 0; i < ROUNDS; i++) {
+		PGconn *connection = connect_to(i % 3, i / 3 % 2);
+
+		world_ask_run(connection,
+			      "INSERT INTO lots VALUES ('w%u', 'on')", i);
+		world_ask_assert(connection,
+				 "SELECT value FROM lots WHERE key = 'a'",
+				 "on");
+		PQfinish(connection);
+	}
+	assert_true(reads_of(leaving) == before);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+/** @param argv one test's name, or none for all */
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(test_leaving_replica_takes_no_statement),
+		TEST(test_primary_leaves_after_a_promotion),
+	};
+
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
