Print the baselines beside our reads

The callers reach the servers by links with the same delays as the entry VMs have.

Weighed: the same rules through entry VMs, by session settings; ruled out, as even a strong read may be served by a replica behind its barrier. Every line shows reads/s and stale reads, too.

--- a/tests/bench/bench_reads.c
+++ b/tests/bench/bench_reads.c
@@ -8,6 +8,8 @@
 
 #define SECONDS_DEFAULT 5
 #define FINISH_MS 60000u
+#define STICK_MS 1000u
+#define LOAD_FORMAT "--seconds=%d --sessions=24 --reads=%.2f --rate=800 --roam"
 
 static const uint32_t lags_ms[] = {0, 50, 200, 1000};
 static const double read_shares[] = {0.95, 0.9, 0.5};
@@ -38,16 +40,35 @@
 	}
 }
 
+static void print_head(const world_t *world, const char *rule, uint32_t lag_ms,
+		       double read_share)
+{
+	printf("reads %s %s: lag %u ms, reads %.0f %%, ",
+	       world->deployment.site, rule, lag_ms, read_share * 100);
+}
+
+static void print_results(const json_t *results, int64_t replica, int64_t all)
+{
+	double seconds = load_run_number(results, "seconds");
+
+	printf("%.1f %% of %" G_GINT64_FORMAT " by replicas, %.0f reads/s, "
+	       "p50 %.0f us, p99 %.0f us, stale %.0f",
+	       all > 0 ? 100.0 * (double)replica / (double)all : 0.0, all,
+	       seconds > 0 ? load_run_number(results, "reads") / seconds : 0,
+	       load_run_number(results, "read_delays.p50_us"),
+	       load_run_number(results, "read_delays.p99_us"),
+	       load_run_number(results, "faults.stale_reads"));
+}
+
 /* Prints one line of the table. @return whether every promise was kept */
 static bool measure(world_t *world, const char *database, uint32_t lag_ms,
 		    double read_share, int seconds, uint32_t max_age_ms)
 {
 	g_autofree char *name = g_strdup_printf("r%u-%.0f-%u", lag_ms,
 						read_share * 100, max_age_ms);
-	g_autofree char *arguments = g_strdup_printf(
-		"--seconds=%d --sessions=24 --reads=%.2f --rate=800 --roam "
-		"--max-age-ms=%u",
-		seconds, read_share, max_age_ms);
+	g_autofree char *arguments =
+		g_strdup_printf(LOAD_FORMAT " --max-age-ms=%u", seconds,
+				read_share, max_age_ms);
 	reads_t before;
 	reads_t after;
 	json_t *results = NULL;
@@ -61,22 +82,105 @@
 			      NULL);
 	kept = load_run_finish(load, FINISH_MS, &results);
 	after = count_reads(world);
-	printf("reads %s: lag %u ms, reads %.0f %%, stated age %u ms: "
-	       "%.1f %% of %" G_GINT64_FORMAT " by replicas, p50 %.0f us, "
-	       "p99 %.0f us%s\n",
-	       world->deployment.site, lag_ms, read_share * 100, max_age_ms,
-	       after.all > before.all ?
-		       100.0 * (double)(after.replica - before.replica) /
-			       (double)(after.all - before.all) :
-		       0.0,
-	       after.all - before.all,
-	       load_run_number(results, "read_delays.p50_us"),
-	       load_run_number(results, "read_delays.p99_us"),
-	       kept ? "" : " (promise broken)");
+	print_head(world, "toucanhook", lag_ms, read_share);
+	printf("stated age %u ms: ", max_age_ms);
+	print_results(results, after.replica - before.replica,
+		      after.all - before.all);
+	puts(kept ? "" : " (promise broken)");
 	json_decref(results);
 	return kept;
 }
 
+/* The server that callers of a domain use; the primary is no replica. */
+static world_server_t *near_server(world_t *world, const char *database,
+				   uint32_t domain, bool replica)
+{
+	world_server_t *primary = world_primary(world, database);
+
+	if (!replica || !primary)
+		return primary;
+	if (primary->domain == domain)
+		domain = (domain + 1) % world->deployment.domains_count;
+	return world_server(world, database, domain);
+}
+
+/* Writes how callers reach the servers of one kind from each domain. */
+static bool add_targets(world_t *world, const char *database, bool replica,
+			GString *arguments)
+{
+	for (uint32_t i = 0; i < world->deployment.domains_count; i++) {
+		const world_server_t *server =
+			near_server(world, database, i, replica);
+		uint16_t port =
+			server ? world_direct_link(world, i, server) : 0;
+
+		if (!port)
+			return false;
+		g_string_append_printf(
+			arguments,
+			" --%s=postgresql://direct@127.0.0.1:%u/%s"
+			"?gssencmode=disable&connect_timeout=10",
+			replica ? "replica" : "connect", port, database);
+	}
+	return true;
+}
+
+/*
+ * Callers that choose the server themselves, without entry VMs: always the
+ * primary, or a replica unless they have just written.
+ *
+ * @return whether nothing but stale reads of the second went wrong
+ */
+static bool measure_baseline(world_t *world, const char *database,
+			     uint32_t lag_ms, int seconds, const char *targets,
+			     bool stick)
+{
+	g_autofree char *name =
+		g_strdup_printf("%s%u", stick ? "s" : "p", lag_ms);
+	g_autofree char *arguments = g_strdup_printf(LOAD_FORMAT "%s", seconds,
+						     read_shares[1], targets);
+	json_t *results = NULL;
+	load_run_t *load;
+	double faults;
+	double stale;
+
+	set_lag(world, lag_ms);
+	load = load_run_start(world, name, database,
+			      world->deployment.classes[0].name, arguments,
+			      NULL);
+	load_run_finish(load, FINISH_MS, &results);
+	stale = load_run_number(results, "faults.stale_reads");
+	faults = load_run_number(results, "faults.total");
+	print_head(world, stick ? "stick after a write" : "primary only",
+		   lag_ms, read_shares[1]);
+	print_results(results,
+		      (int64_t)load_run_number(results, "replica_reads"),
+		      (int64_t)load_run_number(results, "reads"));
+	puts("");
+	json_decref(results);
+	return faults >= 0 && faults == (stick ? stale : 0);
+}
+
+static bool measure_baselines(world_t *world, const char *database, int seconds)
+{
+	g_autoptr(GString) targets = g_string_new(NULL);
+	g_autofree char *primary_only = NULL;
+	bool passed = true;
+
+	if (!add_targets(world, database, false, targets))
+		return false;
+	primary_only = g_strdup(targets->str);
+	g_string_append_printf(targets, " --stick-ms=%u", STICK_MS);
+	if (!add_targets(world, database, true, targets))
+		return false;
+	for (size_t i = 0; i < G_N_ELEMENTS(lags_ms); i++)
+		passed &= measure_baseline(world, database, lags_ms[i], seconds,
+					   primary_only, false) &&
+			  measure_baseline(world, database, lags_ms[i], seconds,
+					   targets->str, true);
+	return passed;
+}
+
 int main(int argc, char **argv)
 {
 	struct arg_int *seconds =
@@ -111,6 +215,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(lags_ms); i++)
 		kept &= measure(world, database, lags_ms[i], read_shares[1],
 				seconds->ival[0], 2000);
+	kept &= measure_baselines(world, database, seconds->ival[0]);
 	world_destroy(world);
 	return kept ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/world/load_run.c
+++ b/tests/world/load_run.c
@@ -1,6 +1,7 @@
 #include "world/load_run.h"
 
 #include <signal.h>
+#include <string.h>
 #include <sys/wait.h>
 
 #define LOG_LINES 60u
@@ -20,7 +21,8 @@
 
 	g_ptr_array_add(arguments,
 			g_build_filename(world->programs, "toucanload", NULL));
-	for (guint i = 0; i < world->nodes->len; i++) {
+	for (guint i = 0; !strstr(more, "--connect=") && i < world->nodes->len;
+	     i++) {
 		g_autofree char *conninfo = world_conninfo(
 			world, world->nodes->pdata[i], database, user,
 			"connect_timeout=10 gssencmode=disable");
--- a/tests/world/load_run.h
+++ b/tests/world/load_run.h
@@ -7,7 +7,8 @@
 typedef struct load_run load_run_t;
 
 /**
- * Starts toucanload on every entry VM's address.
+ * Starts toucanload on every entry VM's address, or on those that the
+ * arguments name by --connect.
  *
  * @param name      distinguishes the runs of one world; prefix of the keys
  * @param arguments further arguments, divided by spaces
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -117,6 +117,15 @@
 /** Cuts or heals a failure domain from the others and the platform. */
 bool world_cut_domain(world_t *world, uint32_t domain, bool cut);
 
+/**
+ * Opens a link by which callers in a failure domain reach a server without
+ * entry VMs, with the delays of the callers' and the domains' links.
+ *
+ * @return its port, or 0 if it was not opened
+ */
+uint16_t world_direct_link(world_t *world, uint32_t domain,
+			   const world_server_t *server);
+
 /** Starts an entry VM that has ended. */
 bool world_start_node(world_t *world, world_node_t *node, GError **error);
 
--- a/tests/world/world_links.c
+++ b/tests/world/world_links.c
@@ -166,6 +166,26 @@
 	return taken;
 }
 
+uint16_t world_direct_link(world_t *world, uint32_t domain,
+			   const world_server_t *server)
+{
+	const deployment_t *deployment = &world->deployment;
+	const uint16_t port = world_links_port();
+	g_autofree char *tag = g_strdup_printf(
+		"direct~%s~%s", deployment->domains[domain].name, server->name);
+	g_autofree char *link = g_strdup_printf("%s=127.0.0.1:%u=127.0.0.1:%u",
+						tag, port, server->port);
+	uint32_t delay_ms = deployment->caller_delay_ms;
+
+	if (domain != server->domain)
+		delay_ms += deployment->domain_delay_ms;
+	if (http_ask(HTTP_ASK_POST, world->relay_control_port, "/link", link,
+		     NULL) != 200 ||
+	    !set_delay(world, tag, delay_ms, 0))
+		return 0;
+	return port;
+}
+
 static bool set_cut(const world_t *world, const char *tag, bool cut)
 {
 	g_autofree char *path = g_strdup_printf("/set?tag=%s&cut=%d", tag, cut);
--- a/tools/load/load.c
+++ b/tools/load/load.c
@@ -80,7 +80,7 @@
 
 		if (load->ending || load->next_due_us > now_us)
 			return;
-		if (!worker->ready)
+		if (!worker_ready(worker))
 			continue;
 		worker_start(worker, load->next_due_us);
 		load->next_due_us += interval_us;
@@ -112,10 +112,14 @@
 
 	event_add(stop, NULL);
 	load->workers = g_new0(worker_t, options->sessions);
+	load->readers = options->replicas_count ?
+				g_new0(worker_t, options->sessions) :
+				NULL;
 	load->results.started_us = clock_now_us();
 	load->next_due_us = load->results.started_us;
 	for (uint32_t i = 0; i < options->sessions; i++)
-		worker_open(&load->workers[i], load, i);
+		worker_open(&load->workers[i], load, i,
+			    load->readers ? &load->readers[i] : NULL);
 	load->end_timer = event_new(load->base, -1, 0, on_end, load);
 	event_add(load->end_timer, &duration);
 	load->pace_timer = event_new(load->base, -1, EV_PERSIST, on_pace, load);
@@ -128,6 +132,7 @@
 	event_free(load->end_timer);
 	event_free(load->pace_timer);
 	g_free(load->workers);
+	g_free(load->readers);
 }
 
 /* Reads a key of this run: PREFIX-SESSION or PREFIX-SESSION-NUMBER. */
@@ -220,8 +225,9 @@
 		(double)(results->ended_us - results->started_us) / 1e6;
 
 	return json_pack(
-		"{s:f,s:I,s:I,s:I,s:I,s:I,s:f,s:I,s:o,s:o,s:o,s:o}", "seconds",
-		seconds, "reads", (json_int_t)results->reads, "writes",
+		"{s:f,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:I,s:o,s:o,s:o,s:o}",
+		"seconds", seconds, "reads", (json_int_t)results->reads,
+		"replica_reads", (json_int_t)results->replica_reads, "writes",
 		(json_int_t)results->writes, "not_run",
 		(json_int_t)results->not_run, "unknown",
 		(json_int_t)results->unknown, "connects",
--- a/tools/load/load.h
+++ b/tools/load/load.h
@@ -14,6 +14,9 @@
 typedef struct {
 	const char **targets; /**< libpq connection strings */
 	uint32_t targets_count;
+	const char **replicas; /**< read there, but for the time below */
+	uint32_t replicas_count;
+	uint32_t stick_ms; /**< reads follow the session's own write */
 	uint32_t sessions;
 	uint32_t duration_ms;
 	double read_share;
@@ -36,6 +39,7 @@
 	metric_histogram_t *read_delays;
 	metric_histogram_t *write_delays;
 	uint64_t reads;
+	uint64_t replica_reads; /**< sent to the replicas above */
 	uint64_t writes;
 	uint64_t not_run;
 	uint64_t unknown;
@@ -56,6 +60,7 @@
 	checker_t *checker;
 	struct event_base *base;
 	struct worker *workers;
+	struct worker *readers; /**< one for each, or NULL */
 	struct event *pace_timer;
 	struct event *end_timer;
 	uint64_t next_due_us; /**< of the next operation in an open loop */
--- a/tools/load/operation.c
+++ b/tools/load/operation.c
@@ -229,6 +229,7 @@
 		return;
 	}
 	load->results.reads++;
+	load->results.replica_reads += worker->reads_only;
 	metric_histogram_record(load->results.read_delays,
 				clock_now_us() - operation->due_us);
 	if (load->options.max_age_ms)
@@ -254,6 +255,8 @@
 		results->longest_gap_us = MAX(results->longest_gap_us,
 					      now_us - results->last_write_us);
 	results->last_write_us = now_us;
+	worker->write_until_us =
+		now_us + worker->load->options.stick_ms * 1000ul;
 	worker->counter_made |= !worker->operation.insert;
 }
 
--- a/tools/load/worker.c
+++ b/tools/load/worker.c
@@ -252,8 +252,11 @@
 {
 	const load_options_t *options = &worker->load->options;
 
-	worker->target %= options->targets_count;
-	worker->connection = PQconnectStart(options->targets[worker->target]);
+	worker->target %= worker->reads_only ? options->replicas_count :
+					       options->targets_count;
+	worker->connection = PQconnectStart(
+		worker->reads_only ? options->replicas[worker->target] :
+				     options->targets[worker->target]);
 	set_timer(worker, CONNECT_TIMEOUT_MS);
 	if (PQstatus(worker->connection) == CONNECTION_BAD) {
 		lose_connection(worker);
@@ -262,26 +265,48 @@
 	watch_socket(worker, EV_WRITE);
 }
 
-void worker_open(worker_t *worker, load_t *load, uint32_t index)
+void worker_open(worker_t *worker, load_t *load, uint32_t index,
+		 worker_t *reader)
 {
 	worker->load = load;
 	worker->index = index;
 	worker->target = index;
 	worker->timer = event_new(load->base, -1, 0, on_timer, worker);
+	worker->reader = reader;
+	if (reader) {
+		reader->reads_only = true;
+		worker_open(reader, load, index, NULL);
+	}
 	worker_connect(worker);
 }
 
 void worker_close(worker_t *worker)
 {
+	if (worker->reader)
+		worker_close(worker->reader);
 	drop_connection(worker);
 	event_free(worker->timer);
 	operation_clear(&worker->operation);
 	g_free(worker->token);
 }
 
+bool worker_ready(const worker_t *worker)
+{
+	return worker->ready && (!worker->reader || worker->reader->ready);
+}
+
 void worker_start(worker_t *worker, uint64_t due_us)
 {
+	worker_t *reader = worker->reader;
+
 	worker->load->busy++;
 	operation_choose(worker, due_us);
-	send_operation(worker);
+	if (worker->operation.kind == OPERATION_WRITE || !reader ||
+	    clock_now_us() < worker->write_until_us) {
+		send_operation(worker);
+		return;
+	}
+	reader->operation = worker->operation;
+	worker->operation = (operation_t){0};
+	send_operation(reader);
 }
--- a/tools/load/worker.h
+++ b/tools/load/worker.h
@@ -36,9 +36,15 @@
 	bool failed;
 } operation_t;
 
-/** One session: one connection at a time, to one of the targets. */
+/**
+ * One session: one connection at a time, to one of the targets. Where
+ * replicas are given, a second worker reads there for the same session.
+ */
 typedef struct worker {
 	load_t *load;
+	struct worker *reader;	 /**< at a replica, or NULL */
+	bool reads_only;	 /**< is such a reader */
+	uint64_t write_until_us; /**< till then reads stay */
 	uint32_t index;
 	uint32_t target;
 	PGconn *connection;
@@ -52,9 +58,14 @@
 	bool counter_made;
 } worker_t;
 
-void worker_open(worker_t *worker, load_t *load, uint32_t index);
+/** @param reader opened before, or NULL */
+void worker_open(worker_t *worker, load_t *load, uint32_t index,
+		 worker_t *reader);
 void worker_close(worker_t *worker);
 
+/** @return whether the session can begin an operation. */
+bool worker_ready(const worker_t *worker);
+
 /** Starts an operation on a worker that is ready. */
 void worker_start(worker_t *worker, uint64_t due_us);
 
--- a/tools/toucanload.c
+++ b/tools/toucanload.c
@@ -15,6 +15,8 @@
 
 typedef struct {
 	struct arg_str *connect;
+	struct arg_str *replica;
+	struct arg_int *stick_ms;
 	struct arg_int *sessions;
 	struct arg_dbl *seconds;
 	struct arg_dbl *reads;
@@ -38,6 +40,10 @@
 {
 	options->connect = arg_strn(NULL, "connect", "CONNINFO", 1, TARGETS_MAX,
 				    "libpq connection string; may be repeated");
+	options->replica = arg_strn(NULL, "replica", "CONNINFO", 0, TARGETS_MAX,
+				    "read there; needs --rate");
+	options->stick_ms = arg_int0(NULL, "stick-ms", "MS",
+				     "but not so soon after an own write");
 	options->sessions = arg_int0(NULL, "sessions", "N", "sessions at once");
 	options->seconds = arg_dbl0(NULL, "seconds", "S", "length of the run");
 	options->reads = arg_dbl0(NULL, "reads", "SHARE", "share of reads");
@@ -62,6 +68,7 @@
 	options->json = arg_file0(NULL, "json", "FILE", "write the results");
 	options->help = arg_lit0(NULL, "help", "print this and exit");
 	options->end = arg_end(8);
+	options->stick_ms->ival[0] = 0;
 	options->sessions->ival[0] = SESSIONS_DEFAULT;
 	options->seconds->dval[0] = SECONDS_DEFAULT;
 	options->reads->dval[0] = READ_SHARE_DEFAULT;
@@ -80,6 +87,9 @@
 	return (load_options_t){
 		.targets = options->connect->sval,
 		.targets_count = (uint32_t)options->connect->count,
+		.replicas = options->replica->sval,
+		.replicas_count = (uint32_t)options->replica->count,
+		.stick_ms = (uint32_t)MAX(options->stick_ms->ival[0], 0),
 		.sessions = (uint32_t)MAX(options->sessions->ival[0], 1),
 		.duration_ms = (uint32_t)(options->seconds->dval[0] * 1000),
 		.read_share = options->reads->dval[0],
@@ -146,6 +156,10 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	wanted = options_read(&options);
+	if (wanted.replicas_count && !wanted.rate_per_second) {
+		fprintf(stderr, "--replica needs --rate\n");
+		return EXIT_FAILURE;
+	}
 	load_open(&load, &wanted);
 	if (!load_prepare(&load))
 		return EXIT_FAILURE;
