--- a/tests/bench/bench_reads.c
+++ b/tests/bench/bench_reads.c
@@ -148,6 +148,8 @@
 	load = load_run_start(world, name, database,
 			      world->deployment.classes[0].name, arguments,
 			      NULL);
+	if (!load)
+		return false;
 	load_run_finish(load, FINISH_MS, &results);
 	stale = load_run_number(results, "faults.stale_reads");
 	faults = load_run_number(results, "faults.total");
