--- a/tests/world/world_links.c
+++ b/tests/world/world_links.c
@@ -131,11 +131,12 @@
 	return port;
 }
 
-static bool set_delay(const world_t *world, const char *tag, uint32_t delay_ms)
+static bool set_delay(const world_t *world, const char *tag, uint32_t delay_ms,
+		      uint32_t loss_percent)
 {
-	g_autofree char *path =
-		g_strdup_printf("/set?tag=%s&delay_ms=%u&jitter_ms=%u", tag,
-				delay_ms, world->deployment.jitter_ms);
+	g_autofree char *path = g_strdup_printf(
+		"/set?tag=%s&delay_ms=%u&jitter_ms=%u&loss_percent=%u", tag,
+		delay_ms, world->deployment.jitter_ms, loss_percent);
 
 	return world_fault(world->relay_control_port, path);
 }
@@ -151,19 +152,40 @@
 
 		if (!deployment->backends_only)
 			taken &= set_delay(world, callers,
-					   deployment->caller_delay_ms);
-		taken &=
-			set_delay(world, platform, deployment->domain_delay_ms);
+					   deployment->caller_delay_ms, 0);
+		taken &= set_delay(world, platform, deployment->domain_delay_ms,
+				   deployment->loss_percent);
 		for (uint32_t j = 0; j < i; j++) {
 			g_autofree char *tag = world_links_tag(world, j, i);
 
 			taken &= set_delay(world, tag,
-					   deployment->domain_delay_ms);
+					   deployment->domain_delay_ms,
+					   deployment->loss_percent);
 		}
 	}
 	return taken;
 }
 
+uint16_t world_direct_link(world_t *world, uint32_t domain,
+			   const world_server_t *server)
+{
+	const deployment_t *deployment = &world->deployment;
+	const uint16_t port = world_links_port();
+	g_autofree char *tag = g_strdup_printf(
+		"direct~%s~%s", deployment->domains[domain].name, server->name);
+	g_autofree char *link = g_strdup_printf("%s=127.0.0.1:%u=127.0.0.1:%u",
+						tag, port, server->port);
+	uint32_t delay_ms = deployment->caller_delay_ms;
+
+	if (domain != server->domain)
+		delay_ms += deployment->domain_delay_ms;
+	if (http_ask(HTTP_ASK_POST, world->relay_control_port, "/link", link,
+		     NULL) != 200 ||
+	    !set_delay(world, tag, delay_ms, 0))
+		return 0;
+	return port;
+}
+
 static bool set_cut(const world_t *world, const char *tag, bool cut)
 {
 	g_autofree char *path = g_strdup_printf("/set?tag=%s&cut=%d", tag, cut);
