Split the node by the task that each part joins

Each task's callbacks now stand beside its creation in node_TASK.c; ownership and draining, which belong to the node itself, have their own files. node.c keeps the order of creation and of destruction. One file for all callbacks was ruled out, as it would have kept most of the length.

--- /dev/null
+++ b/src/daemon/node_drain.c
@@ -0,0 +1,49 @@
+#include "daemon/node_private.h"
+
+#include <inttypes.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#define DRAIN_POLL_MS 50u
+/* Idle time after which nobody forwards to a leaving node any more. */
+#define DRAIN_QUIET_MS 1500u
+
+static uint32_t node_busy(const node_t *node)
+{
+	return callers_task_busy(node->callers) +
+	       dispatch_task_busy(node->dispatch) + pool_task_busy(node->pool);
+}
+
+void node_drain_on_timer(evutil_socket_t fd, short what, void *context)
+{
+	node_t *node = context;
+	const config_t *config = config_task_current(node->config);
+	const uint32_t limit_ms = config ? config->limits.drain_ms : 0;
+	const uint64_t now_ms = clock_now_ms();
+	const uint32_t busy = node_busy(node);
+
+	if (busy)
+		node->drain_busy_ms = now_ms;
+	if (now_ms - node->drain_busy_ms < DRAIN_QUIET_MS &&
+	    now_ms - node->drain_started_ms < limit_ms)
+		return;
+	log_event(LOG_LEVEL_NOTICE, "drained", "cut=%u took_ms=%" PRIu64, busy,
+		  now_ms - node->drain_started_ms);
+	event_base_loopbreak(node->base);
+}
+
+void node_drain(node_t *node)
+{
+	const struct timeval interval = node_timeval_ms(DRAIN_POLL_MS);
+
+	if (node->draining)
+		return;
+	node->draining = true;
+	node->drain_started_ms = clock_now_ms();
+	node->drain_busy_ms = node->drain_started_ms;
+	log_event(LOG_LEVEL_NOTICE, "draining", "busy=%u", node_busy(node));
+	peers_task_leave(node->peers);
+	callers_task_drain(node->callers);
+	event_add(node->drain_timer, &interval);
+}
--- /dev/null
+++ b/src/daemon/node_private.h
@@ -0,0 +1,74 @@
+#ifndef DAEMON_NODE_PRIVATE_H
+#define DAEMON_NODE_PRIVATE_H
+
+#include "base/metrics.h"
+#include "coordination/ownership.h"
+#include "daemon/callers_task.h"
+#include "daemon/config_task.h"
+#include "daemon/dispatch_task.h"
+#include "daemon/group_task.h"
+#include "daemon/node.h"
+#include "daemon/operators_task.h"
+#include "daemon/peers_task.h"
+#include "daemon/pool_task.h"
+
+struct node {
+	struct event_base *base;
+	const settings_t *settings;
+	metrics_t *metrics;
+	store_t *store;
+	group_table_t *table;
+	ownership_t *ownership;
+	peers_task_t *peers;
+	pool_task_t *pool;
+	group_task_t *group;
+	dispatch_task_t *dispatch;
+	callers_task_t *callers;
+	config_task_t *config;
+	operators_task_t *operators;
+	struct event *ownership_timer;
+	struct event *drain_timer;
+	uint64_t started_ms;
+	bool listed; /**< the platform's list of VMs was read once */
+	uint64_t drain_started_ms;
+	uint64_t drain_busy_ms;
+	bool draining;
+};
+
+/** @return a delay as libevent takes it. */
+struct timeval node_timeval_ms(uint64_t delay_ms);
+
+/** Start one task each, joined to the node's other tasks. */
+void node_config_create(node_t *node);
+void node_dispatch_create(node_t *node);
+void node_group_create(node_t *node);
+void node_pool_create(node_t *node);
+
+/** Start one task each. @return false with @p error set */
+bool node_callers_create(node_t *node, GError **error);
+bool node_operators_create(node_t *node, GError **error);
+bool node_peers_create(node_t *node, GError **error);
+
+/** Has the node own what it shall by its newest view of the others. */
+void node_ownership_refresh(node_t *node);
+
+/** Refreshes the ownership of the node in @p context. */
+void node_ownership_on_timer(evutil_socket_t fd, short what, void *context);
+
+/** Lists up to @p limit owners of a server by names. @return their number */
+uint32_t node_ownership_owners(void *context, const char *database,
+			       const char *server, const char **nodes,
+			       uint32_t limit);
+
+/** Lists up to OWNER_LIMIT owners of a server. @return their number */
+uint32_t node_ownership_ranked(void *context, const config_service_t *service,
+			       const config_server_t *server,
+			       const char **nodes);
+
+/** Passes a newer view of the nodes on to the tasks. */
+void node_peers_on_members(void *context, const member_view_t *view);
+
+/** Ends the event loop once the node in @p context has drained. */
+void node_drain_on_timer(evutil_socket_t fd, short what, void *context);
+
+#endif
