Make delays and read the asked node in one place each

Eleven places turned milliseconds into a timeval by hand, in several spellings; clock_timeval() does so now. The three subcommands that ask a node shared the reading of its address. The stand-ins and the load tool still spell it out.

--- a/src/backend/backend_control.c
+++ b/src/backend/backend_control.c
@@ -125,10 +125,7 @@
 
 static void control_start_timeout(backend_control_t *control)
 {
-	const struct timeval wait = {
-		.tv_sec = control->timeout_ms / 1000,
-		.tv_usec = control->timeout_ms % 1000 * 1000,
-	};
+	const struct timeval wait = clock_timeval(control->timeout_ms);
 
 	event_add(control->timeout, &wait);
 }
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -14,3 +14,11 @@
 {
 	return clock_now_us() / 1000;
 }
+
+struct timeval clock_timeval(uint64_t delay_ms)
+{
+	return (struct timeval){
+		.tv_sec = (time_t)(delay_ms / 1000),
+		.tv_usec = (suseconds_t)(delay_ms % 1000 * 1000),
+	};
+}
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -2,6 +2,7 @@
 #define BASE_CLOCK_H
 
 #include <stdint.h>
+#include <sys/time.h>
 
 /** @return monotonic time in milliseconds; decision cores never call this. */
 uint64_t clock_now_ms(void);
@@ -9,4 +10,7 @@
 /** @return monotonic time in microseconds; decision cores never call this. */
 uint64_t clock_now_us(void);
 
+/** @return a delay as libevent and the kernel take it. */
+struct timeval clock_timeval(uint64_t delay_ms);
+
 #endif
--- a/src/ctl/ctl_node.c
+++ b/src/ctl/ctl_node.c
@@ -113,6 +113,15 @@
 	return node;
 }
 
+/* Parses a command line. @return whether the node can be asked */
+static bool read_node(const ctl_arguments_t *arguments, int argc, char **argv,
+		      const struct arg_str *node, ctl_endpoint_t *endpoint,
+		      ctl_exit_t *code)
+{
+	return ctl_parse(arguments, argc, argv, code) &&
+	       ctl_endpoint_parse("node", node->sval[0], endpoint);
+}
+
 ctl_exit_t ctl_status(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "show this help");
@@ -129,8 +138,7 @@
 	ctl_endpoint_t endpoint;
 	ctl_exit_t code = CTL_USAGE;
 
-	if (ctl_parse(&arguments, argc, argv, &code) &&
-	    ctl_endpoint_parse("node", node->sval[0], &endpoint))
+	if (read_node(&arguments, argc, argv, node, &endpoint, &code))
 		code = status(&endpoint, json->count > 0);
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return code;
@@ -150,8 +158,7 @@
 	ctl_endpoint_t endpoint;
 	ctl_exit_t code = CTL_USAGE;
 
-	if (ctl_parse(&arguments, argc, argv, &code) &&
-	    ctl_endpoint_parse("node", node->sval[0], &endpoint))
+	if (read_node(&arguments, argc, argv, node, &endpoint, &code))
 		code = order(&endpoint, "/drain");
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return code;
@@ -219,8 +226,7 @@
 	ctl_endpoint_t endpoint;
 	ctl_exit_t code = CTL_USAGE;
 
-	if (ctl_parse(&arguments, argc, argv, &code) &&
-	    ctl_endpoint_parse("node", node->sval[0], &endpoint))
+	if (read_node(&arguments, argc, argv, node, &endpoint, &code))
 		code = promote(&endpoint, database->sval[0], server, confirm);
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return code;
--- a/src/daemon/config_task.c
+++ b/src/daemon/config_task.c
@@ -248,7 +248,7 @@
 				  const char *node, const char *failure_domain,
 				  store_t *store, config_handlers_t handlers)
 {
-	const struct timeval interval = {.tv_usec = TICK_MS * 1000};
+	const struct timeval interval = clock_timeval(TICK_MS);
 	config_task_t *task = g_new0(config_task_t, 1);
 
 	task->handlers = handlers;
--- a/src/daemon/dispatch_entry.c
+++ b/src/daemon/dispatch_entry.c
@@ -117,10 +117,7 @@
 
 void dispatch_entry_set_timer(dispatch_entry_t *entry, uint64_t delay_ms)
 {
-	const struct timeval delay = {
-		.tv_sec = (time_t)(delay_ms / 1000),
-		.tv_usec = (suseconds_t)(delay_ms % 1000 * 1000),
-	};
+	const struct timeval delay = clock_timeval(delay_ms);
 
 	if (!entry->timer)
 		entry->timer =
--- a/src/daemon/dispatch_waiting.c
+++ b/src/daemon/dispatch_waiting.c
@@ -51,9 +51,7 @@
 static void on_probe(evutil_socket_t fd, short what, void *context)
 {
 	dispatch_waiting_t *waiting = context;
-	const struct timeval interval = {
-		.tv_usec = PROBE_INTERVAL_MS * 1000,
-	};
+	const struct timeval interval = clock_timeval(PROBE_INTERVAL_MS);
 	dispatch_handlers_t *handlers = &waiting->dispatch->handlers;
 
 	if (g_queue_is_empty(&waiting->entries))
@@ -87,9 +85,7 @@
 {
 	dispatch_waiting_t *waiting =
 		waiting_get(entry->dispatch, entry->request->database);
-	const struct timeval interval = {
-		.tv_usec = PROBE_INTERVAL_MS * 1000,
-	};
+	const struct timeval interval = clock_timeval(PROBE_INTERVAL_MS);
 	const uint64_t now_ms = clock_now_ms();
 	uint64_t wait_ms;
 
--- a/src/daemon/group_task.c
+++ b/src/daemon/group_task.c
@@ -69,10 +69,8 @@
 		g_queue_push_tail(task->woken, database);
 		due_ms = MIN(due_ms, next_ms);
 	}
-	if (due_ms > now_ms) {
-		wait.tv_sec = (time_t)((due_ms - now_ms) / 1000);
-		wait.tv_usec = (suseconds_t)((due_ms - now_ms) % 1000 * 1000);
-	}
+	if (due_ms > now_ms)
+		wait = clock_timeval(due_ms - now_ms);
 	event_add(task->timer, &wait);
 }
 
--- a/src/daemon/group_watch.c
+++ b/src/daemon/group_watch.c
@@ -88,7 +88,7 @@
 		wait_ms = MIN(wait_ms, WATCH_FAILED_POLL_MS);
 	else if (!g_queue_is_empty(watch->waiters))
 		wait_ms = WATCH_FAST_POLL_MS;
-	wait = (struct timeval){wait_ms / 1000, wait_ms % 1000 * 1000};
+	wait = clock_timeval(wait_ms);
 	event_add(watch->timer, &wait);
 }
 
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,14 +5,6 @@
 /* Series of one metric before further labels share one. */
 #define METRIC_SERIES_MAX 256u
 
-struct timeval node_timeval_ms(uint64_t delay_ms)
-{
-	return (struct timeval){
-		.tv_sec = (time_t)(delay_ms / 1000),
-		.tv_usec = (suseconds_t)(delay_ms % 1000 * 1000),
-	};
-}
-
 node_t *node_create(struct event_base *base, const settings_t *settings,
 		    GError **error)
 {
--- a/src/daemon/node_drain.c
+++ b/src/daemon/node_drain.c
@@ -35,7 +35,7 @@
 
 void node_drain(node_t *node)
 {
-	const struct timeval interval = node_timeval_ms(DRAIN_POLL_MS);
+	const struct timeval interval = clock_timeval(DRAIN_POLL_MS);
 
 	if (node->draining)
 		return;
--- a/src/daemon/node_ownership.c
+++ b/src/daemon/node_ownership.c
@@ -21,7 +21,7 @@
 static void ownership_wake_at(node_t *node, uint64_t at_ms, uint64_t now_ms)
 {
 	const struct timeval delay =
-		node_timeval_ms(at_ms > now_ms ? at_ms - now_ms : 1);
+		clock_timeval(at_ms > now_ms ? at_ms - now_ms : 1);
 
 	if (at_ms == UINT64_MAX)
 		event_del(node->ownership_timer);
--- a/src/daemon/node_private.h
+++ b/src/daemon/node_private.h
@@ -35,9 +35,6 @@
 	bool draining;
 };
 
-/** @return a delay as libevent takes it. */
-struct timeval node_timeval_ms(uint64_t delay_ms);
-
 /** Start one task each, joined to the node's other tasks. */
 void node_config_create(node_t *node);
 void node_dispatch_create(node_t *node);
--- a/src/daemon/peers_task.c
+++ b/src/daemon/peers_task.c
@@ -37,10 +37,7 @@
 
 static void arm(struct event *event, uint64_t delay_ms)
 {
-	const struct timeval delay = {
-		.tv_sec = (time_t)(delay_ms / 1000),
-		.tv_usec = (suseconds_t)(delay_ms % 1000 * 1000),
-	};
+	const struct timeval delay = clock_timeval(delay_ms);
 
 	event_add(event, &delay);
 }
--- a/src/daemon/session.c
+++ b/src/daemon/session.c
@@ -130,9 +130,7 @@
  */
 void session_drain(session_t *session)
 {
-	const struct timeval silence = {
-		.tv_usec = SESSION_DRAIN_SILENCE_MS * 1000,
-	};
+	const struct timeval silence = clock_timeval(SESSION_DRAIN_SILENCE_MS);
 
 	if (session->state == SESSION_CLOSING || session_is_busy(session))
 		return;
--- a/src/transport/server_cancel.c
+++ b/src/transport/server_cancel.c
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 
+#include "base/clock.h"
 #include "protocol/pg_frame.h"
 
 #define CANCEL_SIZE_BYTES 16
@@ -16,10 +17,7 @@
 void server_cancel(struct event_base *base, const struct sockaddr_in *address,
 		   uint32_t process_id, uint32_t secret)
 {
-	const struct timeval timeout = {
-		.tv_sec = SERVER_CANCEL_TIMEOUT_MS / 1000,
-		.tv_usec = SERVER_CANCEL_TIMEOUT_MS % 1000 * 1000,
-	};
+	const struct timeval timeout = clock_timeval(SERVER_CANCEL_TIMEOUT_MS);
 	struct bufferevent *bev =
 		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 	g_autoptr(GByteArray) out = g_byte_array_new();
