--- a/src/daemon/node_peers.c
+++ b/src/daemon/node_peers.c
@@ -5,7 +5,7 @@
 {
 	node_t *node = context;
 
-	pool_task_submit(node->pool, request, sink);
+	pool_task_submit_forwarded(node->pool, request, sink);
 }
 
 static void on_peer_cancel(void *context, uint64_t request_id,
--- a/src/daemon/pool.h
+++ b/src/daemon/pool.h
@@ -3,6 +3,7 @@
 
 #include "coordination/admission.h"
 #include "coordination/lease_table.h"
+#include "coordination/pause_watch.h"
 #include "daemon/pool_task.h"
 #include "protocol/exchange.h"
 #include "transport/server_connection.h"
@@ -87,6 +88,8 @@
 	GHashTable *runs;	 /**< run id -> pool_run_t */
 	GHashTable *connections; /**< id -> pool_connection_t, not owned */
 	lease_table_t *leases;
+	pause_watch_t pause;
+	struct event *tick;  /**< notes that the process runs */
 	struct event *sweep; /**< ends transactions that stay idle */
 	GRand *jitter;
 	uint64_t next_run_id;
@@ -94,6 +97,9 @@
 	bool destroying;
 };
 
+/** @return whether the process stood still since @p since_us */
+bool pool_paused_since(pool_task_t *pool, uint64_t since_us);
+
 /** @return the server, or NULL if this node never owned it. */
 pool_server_t *pool_find_server(pool_task_t *pool, const char *database,
 				const char *name);
--- a/src/daemon/pool_run.c
+++ b/src/daemon/pool_run.c
@@ -222,10 +222,10 @@
 	pool_run_free(run);
 }
 
-static void expire_running(pool_run_t *run)
+void pool_run_give_up(pool_run_t *run, reason_t reason)
 {
 	pool_connection_abandon(run->connection);
-	pool_run_broken(run, REASON_DEADLINE);
+	pool_run_broken(run, reason);
 }
 
 static void expire_queued(pool_run_t *run)
@@ -250,7 +250,7 @@
 		expire_queued(run);
 		return;
 	case POOL_RUN_RUNNING:
-		expire_running(run);
+		pool_run_give_up(run, REASON_DEADLINE);
 		return;
 	case POOL_RUN_CONFIRMING:
 		end_with_result(run, run->result.unconfirmed,
@@ -428,11 +428,10 @@
 	event_add(run->timer, &timeout);
 }
 
-void pool_run_submit(pool_task_t *pool, const request_t *request,
-		     answer_sink_t sink)
+static pool_run_t *run_new(pool_task_t *pool, const request_t *request,
+			   answer_sink_t sink)
 {
 	pool_run_t *run = g_new0(pool_run_t, 1);
-	reason_t reason;
 
 	run->pool = pool;
 	run->run_id = ++pool->next_run_id;
@@ -441,6 +440,21 @@
 	run->queued_us = clock_now_us();
 	set_deadline(run);
 	g_hash_table_insert(pool->runs, &run->run_id, run);
+	return run;
+}
+
+void pool_run_submit_refused(pool_task_t *pool, const request_t *request,
+			     answer_sink_t sink, reason_t reason)
+{
+	refuse_later(run_new(pool, request, sink), reason);
+}
+
+void pool_run_submit(pool_task_t *pool, const request_t *request,
+		     answer_sink_t sink)
+{
+	pool_run_t *run = run_new(pool, request, sink);
+	reason_t reason;
+
 	if (request->lease_id) {
 		go_on_with_lease(run);
 		return;
--- a/src/daemon/pool_run.h
+++ b/src/daemon/pool_run.h
@@ -22,6 +22,13 @@
 /** Passes on what may be passed on. @return false if the run is gone */
 bool pool_run_flush(pool_run_t *run);
 
+/** Takes a request only to refuse it. */
+void pool_run_submit_refused(pool_task_t *pool, const request_t *request,
+			     answer_sink_t sink, reason_t reason);
+
+/** Ends a run that is running; its connection is abandoned. */
+void pool_run_give_up(pool_run_t *run, reason_t reason);
+
 /** The run's connection broke. */
 void pool_run_broken(pool_run_t *run, reason_t reason);
 
--- a/src/daemon/pool_server.c
+++ b/src/daemon/pool_server.c
@@ -226,7 +226,11 @@
 	case EXCHANGE_RUNNING:
 		return;
 	case EXCHANGE_SEND:
-		send_next(connection);
+		if (pool_paused_since(connection->server->pool,
+				      connection->run->started_us))
+			pool_run_give_up(connection->run, REASON_PAUSED);
+		else
+			send_next(connection);
 		return;
 	case EXCHANGE_ENDED:
 		pool_run_answered(connection->run);
@@ -367,6 +371,10 @@
 			g_hash_table_lookup(server->pool->runs, &run_id);
 
 		g_assert(run);
+		if (pool_paused_since(server->pool, run->queued_us)) {
+			pool_run_refuse(run, REASON_PAUSED);
+			continue;
+		}
 		pool_run_begin(run, find_idle(server, run->request->term));
 	}
 }
--- a/src/daemon/pool_task.c
+++ b/src/daemon/pool_task.c
@@ -10,6 +10,7 @@
 /* Longest pause inside a transaction before it is rolled back. */
 #define LEASE_IDLE_MS 60000
 #define SWEEP_INTERVAL_S 1
+#define TICK_INTERVAL_US (PAUSE_NOTICED_MS * 1000 / 4)
 
 static void on_sweep(evutil_socket_t fd, short what, void *context)
 {
@@ -24,6 +25,19 @@
 	}
 }
 
+static void on_tick(evutil_socket_t fd, short what, void *context)
+{
+	pool_task_t *pool = context;
+
+	pause_watch_note(&pool->pause, clock_now_ms());
+}
+
+bool pool_paused_since(pool_task_t *pool, uint64_t since_us)
+{
+	pause_watch_note(&pool->pause, clock_now_ms());
+	return pause_watch_paused_since(&pool->pause, since_us / 1000);
+}
+
 static void free_server(gpointer data)
 {
 	pool_server_destroy(data);
@@ -43,6 +57,7 @@
 {
 	pool_task_t *pool = g_new0(pool_task_t, 1);
 	const struct timeval interval = {.tv_sec = SWEEP_INTERVAL_S};
+	const struct timeval tick = {.tv_usec = TICK_INTERVAL_US};
 
 	pool->base = base;
 	pool->metrics = metrics;
@@ -55,6 +70,8 @@
 	pool->jitter = g_rand_new();
 	pool->sweep = event_new(base, -1, EV_PERSIST, on_sweep, pool);
 	event_add(pool->sweep, &interval);
+	pool->tick = event_new(base, -1, EV_PERSIST, on_tick, pool);
+	event_add(pool->tick, &tick);
 	return pool;
 }
 
@@ -75,6 +92,7 @@
 	lease_table_destroy(pool->leases);
 	g_rand_free(pool->jitter);
 	event_free(pool->sweep);
+	event_free(pool->tick);
 	g_free(pool);
 }
 
@@ -127,6 +145,21 @@
 	pool_run_submit(pool, request, sink);
 }
 
+void pool_task_submit_forwarded(pool_task_t *pool, const request_t *request,
+				answer_sink_t sink)
+{
+	const uint64_t now_ms = clock_now_ms();
+
+	pause_watch_note(&pool->pause, now_ms);
+	if (!pause_watch_is_draining(&pool->pause, now_ms)) {
+		pool_run_submit(pool, request, sink);
+		return;
+	}
+	if (request->lease_id)
+		pool_task_release(pool, request->lease_id);
+	pool_run_submit_refused(pool, request, sink, REASON_PAUSED);
+}
+
 void pool_task_cancel(pool_task_t *pool, uint64_t request_id,
 		      void *sink_context)
 {
--- a/src/daemon/pool_task.h
+++ b/src/daemon/pool_task.h
@@ -62,6 +62,13 @@
 void pool_task_submit(pool_task_t *pool, const request_t *request,
 		      answer_sink_t sink);
 
+/**
+ * As pool_task_submit(), for a request that a peer has forwarded. It is not
+ * run just after a pause of this process: it may have been sent before.
+ */
+void pool_task_submit_forwarded(pool_task_t *pool, const request_t *request,
+				answer_sink_t sink);
+
 /** Cancels what (@p sink.context, @p request_id) has asked for. */
 void pool_task_cancel(pool_task_t *pool, uint64_t request_id,
 		      void *sink_context);
--- a/src/protocol/outcome_report.c
+++ b/src/protocol/outcome_report.c
@@ -18,6 +18,7 @@
 	[REASON_LOST_ANSWER] = NOT_RUN "the connection broke",
 	[REASON_NO_PRIMARY] = NOT_RUN "no primary is available",
 	[REASON_CANCELLED] = "canceling statement due to user request",
+	[REASON_PAUSED] = NOT_RUN "the owner of the server was paused",
 	[REASON_UNKNOWN_LEASE] = NOT_RUN "the transaction was lost",
 };
 
--- a/src/protocol/request.c
+++ b/src/protocol/request.c
@@ -21,6 +21,7 @@
 	[REASON_LOST_ANSWER] = "lost_answer",
 	[REASON_NO_PRIMARY] = "no_primary",
 	[REASON_CANCELLED] = "cancelled",
+	[REASON_PAUSED] = "paused",
 	[REASON_UNKNOWN_LEASE] = "unknown_lease",
 };
 
--- a/src/protocol/request.h
+++ b/src/protocol/request.h
@@ -31,6 +31,7 @@
 	REASON_LOST_ANSWER,   /**< the connection broke before the answer */
 	REASON_NO_PRIMARY,    /**< no primary is known or safe */
 	REASON_CANCELLED,     /**< the caller cancelled or went away */
+	REASON_PAUSED,	      /**< the owner stood still meanwhile */
 	REASON_UNKNOWN_LEASE, /**< the transaction's connection is gone */
 	REASON_COUNT,
 } reason_t;
--- /dev/null
+++ b/tests/unit/test_pause_watch.c
@@ -0,0 +1,41 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "coordination/pause_watch.h"
+
+static void test_ticks_in_time_show_no_pause(void **state)
+{
+	pause_watch_t watch = {0};
+
+	for (uint64_t now_ms = 1000; now_ms < 9000; now_ms += PAUSE_NOTICED_MS)
+		pause_watch_note(&watch, now_ms);
+	assert_false(pause_watch_paused_since(&watch, 0));
+	assert_false(pause_watch_is_draining(&watch, 9000));
+}
+
+static void test_what_came_before_a_pause_is_distrusted(void **state)
+{
+	pause_watch_t watch = {0};
+	const uint64_t resumed_ms = 2000 + PAUSE_NOTICED_MS + 1;
+
+	pause_watch_note(&watch, 2000);
+	pause_watch_note(&watch, resumed_ms);
+	assert_true(pause_watch_paused_since(&watch, 2000));
+	assert_false(pause_watch_paused_since(&watch, resumed_ms));
+	assert_true(pause_watch_is_draining(&watch, resumed_ms));
+	assert_false(
+		pause_watch_is_draining(&watch, resumed_ms + PAUSE_DRAIN_MS));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_ticks_in_time_show_no_pause),
+		cmocka_unit_test(test_what_came_before_a_pause_is_distrusted),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
