--- a/tests/bench/bench_control.c
+++ b/tests/bench/bench_control.c
@@ -152,7 +152,8 @@
 	return (double)after.descriptors / nodes;
 }
 
-static world_t *start(uint32_t nodes_per_domain, uint32_t databases)
+static world_t *start(uint32_t nodes_per_domain, uint32_t databases,
+		      uint32_t owners)
 {
 	deployment_t deployment = deployment_tauhara();
 	g_autoptr(GError) error = NULL;
@@ -161,6 +162,7 @@
 	deployment.relay = false;
 	deployment.nodes_per_domain = nodes_per_domain;
 	deployment.databases = databases;
+	deployment.owners = owners;
 	world = world_create(&deployment, &error);
 	if (!world)
 		fprintf(stderr, "%s\n", error->message);
@@ -170,9 +172,9 @@
 }
 
 static bool measure_size(uint32_t nodes_per_domain, uint32_t databases,
-			 row_t *row)
+			 uint32_t owners, row_t *row)
 {
-	world_t *world = start(nodes_per_domain, databases);
+	world_t *world = start(nodes_per_domain, databases, owners);
 	const deployment_t *deployment;
 	double nodes;
 	double watched;
@@ -253,14 +255,16 @@
 /* A ring of fewer than four has fewer neighbours, so it would mislead. */
 static bool measure_sizes(void)
 {
-	static const uint32_t sizes[][2] = {
-		{4, 1}, {4, 3},	 {4, 9},  {4, 27}, {8, 1},
-		{8, 9}, {8, 27}, {12, 1}, {12, 9},
+	static const uint32_t sizes[][3] = {
+		{4, 1, 2},  {4, 3, 2},	{4, 9, 2},  {4, 27, 2},
+		{4, 27, 1}, {8, 1, 2},	{8, 9, 2},  {8, 27, 2},
+		{8, 27, 1}, {12, 1, 2}, {12, 9, 2},
 	};
 	row_t rows[G_N_ELEMENTS(sizes)];
 
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
-		if (!measure_size(sizes[i][0], sizes[i][1], &rows[i]))
+		if (!measure_size(sizes[i][0], sizes[i][1], sizes[i][2],
+				  &rows[i]))
 			return false;
 	for (int value = 0; value < VALUES; value++)
 		print_fit(rows, G_N_ELEMENTS(rows), value);
@@ -335,7 +339,7 @@
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	printf("seed %" PRIu64 "; rates are for each node\n",
 	       deployment_tauhara().seed);
-	world = start(2, 1);
+	world = start(2, 1, 2);
 	passed = world && measure_load(world) && measure_callers(world);
 	world_destroy(world);
 	return passed && measure_sizes() ? EXIT_SUCCESS : EXIT_FAILURE;
