Share what the end-to-end tests do around their world

Five tests each started and ended a world, read a server's counts and waited for commits in their own words; tests/world/fixture.c does so now, for the demo and the fail-over bench too. It does not use cmocka, as the demo and the benches link it, so each assertion stays in its test. None is weaker: conditions and patience are the same.

--- a/tests/bench/bench_failover.c
+++ b/tests/bench/bench_failover.c
@@ -5,6 +5,7 @@
 
 #include <argtable2.h>
 
+#include "world/fixture.h"
 #include "world/load_run.h"
 #include "world/world.h"
 
@@ -26,7 +27,7 @@
 typedef struct {
 	const world_t *world;
 	const world_server_t *except;
-	uint64_t commits;
+	json_int_t commits;
 } progress_t;
 
 static void fail_killed(world_t *world, world_server_t *primary)
@@ -70,15 +71,9 @@
 
 	for (guint i = 0; i < wanted->world->servers->len; i++) {
 		const world_server_t *server = wanted->world->servers->pdata[i];
-		json_t *state;
-		double commits;
-
-		if (server == wanted->except)
-			continue;
-		state = http_ask_json(server->control_port, "/state");
-		commits = load_run_number(state, "counts.commits");
-		json_decref(state);
-		if (commits >= (double)wanted->commits)
+
+		if (server != wanted->except &&
+		    fixture_count(server, "commits") >= wanted->commits)
 			return true;
 	}
 	return false;
--- a/tests/bench/demo.c
+++ b/tests/bench/demo.c
@@ -6,6 +6,7 @@
 #include <argtable2.h>
 
 #include "base/clock.h"
+#include "world/fixture.h"
 #include "world/load_run.h"
 #include "world/world.h"
 
@@ -71,12 +72,8 @@
 static bool has_commits(void *context)
 {
 	const commits_t *wanted = context;
-	json_t *state = http_ask_json(wanted->primary->control_port, "/state");
-	json_int_t commits = json_integer_value(
-		json_object_get(json_object_get(state, "counts"), "commits"));
 
-	json_decref(state);
-	return commits >= wanted->commits;
+	return fixture_count(wanted->primary, "commits") >= wanted->commits;
 }
 
 /* Kills the primary under load. @return whether every promise was kept */
--- a/tests/e2e/test_config.c
+++ b/tests/e2e/test_config.c
@@ -10,28 +10,24 @@
 #include <signal.h>
 #include <sys/wait.h>
 
-#include "world/world.h"
+#include "world/fixture.h"
 #include "world/world_files.h"
 
-#define WAIT_MS 30000u
 #define OPERATORS 5u
 #define EXIT_APPLIED 0
 #define EXIT_CONFLICT 3
 
 static world_t *world;
+static char *database;
 static char *base_path;
 
 static int set_up(void **state)
 {
 	deployment_t deployment = deployment_tauhara();
-	g_autoptr(GError) error = NULL;
 	g_autofree char *base = NULL;
 
-	world = world_create(&deployment, &error);
-	if (!world) {
-		fprintf(stderr, "%s\n", error->message);
+	if (fixture_start(&deployment, &world, &database))
 		return -1;
-	}
 	base = world_files_base(world);
 	base_path = g_build_filename(world->directory, "operators.yaml", NULL);
 	return g_file_set_contents(base_path, base, -1, NULL) ? 0 : -1;
@@ -39,9 +35,8 @@
 
 static int tear_down(void **state)
 {
-	world_destroy(world);
 	g_free(base_path);
-	return 0;
+	return fixture_end(world, database);
 }
 
 /* Starts an operator who sets drain_ms; @p number keeps the files apart. */
@@ -73,7 +68,7 @@
 {
 	int status = -1;
 
-	assert_true(process_wait(process, WAIT_MS, &status));
+	assert_true(process_wait(process, FIXTURE_WAIT_MS, &status));
 	process_destroy(process);
 	assert_true(WIFEXITED(status));
 	return WEXITSTATUS(status);
@@ -128,8 +123,7 @@
 
 static void await_revision(target_t *target)
 {
-	world->failed = !world_wait(WAIT_MS, in_force, target);
-	assert_false(world->failed);
+	assert_true(fixture_wait(world, in_force, target));
 	assert_false(target->reverted);
 }
 
--- a/tests/e2e/test_failover.c
+++ b/tests/e2e/test_failover.c
@@ -9,12 +9,11 @@
 
 #include <signal.h>
 
+#include "world/fixture.h"
 #include "world/load_run.h"
-#include "world/world.h"
 
 #define FAULT_AFTER_COMMITS 100
 #define COMMITS_AFTER_FAULT 100
-#define WAIT_MS 30000u
 #define LOAD_ARGUMENTS                                                   \
 	"--seconds=90 --sessions=12 --reads=0.6 --hand-over=0.3 --roam " \
 	"--transactions=0.2 --request-keys"
@@ -27,63 +26,25 @@
 static int set_up(void **state)
 {
 	deployment_t deployment = deployment_tauhara();
-	g_autoptr(GError) error = NULL;
 
-	world = world_create(&deployment, &error);
-	if (!world) {
-		fprintf(stderr, "%s\n", error->message);
-		return -1;
-	}
-	database = world_database(world, 0, 0);
-	return 0;
+	return fixture_start(&deployment, &world, &database);
 }
 
 static int tear_down(void **state)
 {
-	world_destroy(world);
-	g_free(database);
-	return 0;
-}
-
-/** Commits that a server made itself in at least some term. */
-typedef struct {
-	const world_server_t *except; /**< not asked, as it may not answer */
-	json_int_t term;
-	json_int_t commits;
-} progress_t;
-
-static bool has_progressed(void *context)
-{
-	const progress_t *wanted = context;
-	bool progressed = false;
-
-	for (guint i = 0; i < world->servers->len; i++) {
-		const world_server_t *server = world->servers->pdata[i];
-		json_t *state;
-
-		if (server == wanted->except)
-			continue;
-		state = http_ask_json(server->control_port, "/state");
-		if (json_integer_value(json_object_get(state, "term")) >=
-			    wanted->term &&
-		    load_run_number(state, "counts.commits") >=
-			    (double)wanted->commits)
-			progressed = true;
-		json_decref(state);
-	}
-	return progressed;
+	return fixture_end(world, database);
 }
 
 static void start_load(const char *arguments)
 {
-	progress_t enough = {NULL, 1, FAULT_AFTER_COMMITS};
+	const fixture_progress_t enough = {NULL, 1, FAULT_AFTER_COMMITS};
 	g_autoptr(GError) error = NULL;
 
 	load = load_run_start(world, "e2e", database,
 			      world->deployment.classes[0].name, arguments,
 			      &error);
 	assert_non_null(load);
-	assert_true(world_wait(WAIT_MS, has_progressed, &enough));
+	assert_true(fixture_wait_progress(world, &enough));
 	old_primary = world_primary(world, database);
 	assert_non_null(old_primary);
 }
@@ -91,36 +52,27 @@
 /* Writes must go on at a primary of a later term. */
 static void await_new_primary(void)
 {
-	progress_t enough = {old_primary, 2, COMMITS_AFTER_FAULT};
+	const fixture_progress_t enough = {old_primary, 2, COMMITS_AFTER_FAULT};
 
-	world->failed = !world_wait(WAIT_MS, has_progressed, &enough);
-	assert_false(world->failed);
+	assert_true(fixture_wait_progress(world, &enough));
 }
 
 static void await_commits(json_int_t more)
 {
-	json_t *state = http_ask_json(old_primary->control_port, "/state");
-	progress_t enough = {
+	const fixture_progress_t enough = {
 		.term = 1,
-		.commits =
-			(json_int_t)load_run_number(state, "counts.commits") +
-			more,
+		.commits = fixture_count(old_primary, "commits") + more,
 	};
 
-	json_decref(state);
-	world->failed = !world_wait(WAIT_MS, has_progressed, &enough);
-	assert_false(world->failed);
+	assert_true(fixture_wait_progress(world, &enough));
 }
 
 /* Ends the load; the tool has checked every promise. */
 static void assert_promises_kept(json_t **results)
 {
-	bool kept;
-
 	load_run_stop(load);
-	kept = load_run_finish(load, WAIT_MS, results);
-	world->failed = !kept;
-	assert_true(kept);
+	assert_true(fixture_check(
+		world, load_run_finish(load, FIXTURE_WAIT_MS, results)));
 }
 
 static void test_killed_primary(void **state)
@@ -148,8 +100,7 @@
 	process_signal(old_primary->process, SIGKILL);
 	await_new_primary();
 	assert_true(world_start_server(world, old_primary, true, NULL));
-	world->failed = !world_wait(WAIT_MS, has_rejoined, old_primary);
-	assert_false(world->failed);
+	assert_true(fixture_wait(world, has_rejoined, old_primary));
 	assert_promises_kept(NULL);
 }
 
@@ -223,12 +174,11 @@
 	start_load("--seconds=90 --sessions=12 --reads=0.6 --roam "
 		   "--transactions=0.3");
 	process_signal(leaving->process, SIGTERM);
-	assert_true(process_wait(leaving->process, WAIT_MS, &status));
+	assert_true(process_wait(leaving->process, FIXTURE_WAIT_MS, &status));
 	assert_int_equal(status, 0);
 	await_commits(COMMITS_AFTER_FAULT);
 	assert_promises_kept(&results);
-	world->failed = load_run_number(results, "unknown") != 0;
-	if (world->failed)
+	if (!fixture_check(world, load_run_number(results, "unknown") == 0))
 		json_dumpf(results, stderr, JSON_INDENT(2));
 	assert_false(world->failed);
 	json_decref(results);
--- a/tests/e2e/test_hostile.c
+++ b/tests/e2e/test_hostile.c
@@ -13,7 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "world/world.h"
+#include "world/fixture.h"
 
 #define STREAMS 200
 #define STREAM_SIZE_BYTES_MAX 4096u
@@ -26,24 +26,15 @@
 static int set_up(void **state)
 {
 	deployment_t deployment = deployment_tauhara();
-	g_autoptr(GError) error = NULL;
 
 	deployment.relay = false;
 	deployment.nodes_per_domain = 1;
-	world = world_create(&deployment, &error);
-	if (!world) {
-		fprintf(stderr, "%s\n", error->message);
-		return -1;
-	}
-	database = world_database(world, 0, 0);
-	return 0;
+	return fixture_start(&deployment, &world, &database);
 }
 
 static int tear_down(void **state)
 {
-	world_destroy(world);
-	g_free(database);
-	return 0;
+	return fixture_end(world, database);
 }
 
 static int open_socket(void)
--- a/tests/e2e/test_limits.c
+++ b/tests/e2e/test_limits.c
@@ -11,11 +11,10 @@
 #include <signal.h>
 
 #include "coordination/ownership.h"
+#include "world/fixture.h"
 #include "world/load_run.h"
-#include "world/world.h"
 #include "world/world_files.h"
 
-#define WAIT_MS 30000u
 #define SHIFT_LOGINS 2000u
 /* A VM may take a server over this long after the start. */
 #define SETTLED_US ((OWNERSHIP_TAKEOVER_MS + 1000) * 1000u)
@@ -31,41 +30,13 @@
 static int set_up(void **state)
 {
 	deployment_t deployment = deployment_tauhara();
-	g_autoptr(GError) error = NULL;
 
-	world = world_create(&deployment, &error);
-	if (!world) {
-		fprintf(stderr, "%s\n", error->message);
-		return -1;
-	}
-	database = world_database(world, 0, 0);
-	return 0;
+	return fixture_start(&deployment, &world, &database);
 }
 
 static int tear_down(void **state)
 {
-	world_destroy(world);
-	g_free(database);
-	return 0;
-}
-
-static json_int_t count_of(const world_server_t *server, const char *name)
-{
-	json_t *state = http_ask_json(server->control_port, "/state");
-	const json_int_t count = json_integer_value(
-		json_object_get(json_object_get(state, "counts"), name));
-
-	json_decref(state);
-	return count;
-}
-
-static json_int_t count_all(const char *name)
-{
-	json_int_t sum = 0;
-
-	for (guint i = 0; i < world->servers->len; i++)
-		sum += count_of(world->servers->pdata[i], name);
-	return sum;
+	return fixture_end(world, database);
 }
 
 /* A step of one login or statement. @return the events it waits for */
@@ -96,7 +67,8 @@
 	uint32_t waiting = SHIFT_LOGINS;
 
 	while (waiting) {
-		assert_true(poll(polls, SHIFT_LOGINS, (int)WAIT_MS) > 0);
+		assert_true(poll(polls, SHIFT_LOGINS, (int)FIXTURE_WAIT_MS) >
+			    0);
 		for (uint32_t i = 0; i < SHIFT_LOGINS; i++) {
 			if (!polls[i].revents)
 				continue;
@@ -153,12 +125,12 @@
 static json_int_t await_settled_connections(void)
 {
 	json_int_t before = -1;
-	json_int_t now = count_all("connections_open");
+	json_int_t now = fixture_count_all(world, "connections_open");
 
 	while (now != before) {
 		g_usleep(SETTLED_US);
 		before = now;
-		now = count_all("connections_open");
+		now = fixture_count_all(world, "connections_open");
 	}
 	return now;
 }
@@ -176,8 +148,8 @@
 	shift_log_on(conns, polls);
 	for (uint32_t i = 0; i < SHIFT_LOGINS; i++)
 		assert_int_equal(PQstatus(conns[i]), CONNECTION_OK);
-	world->failed = count_all("connections_open") != opened;
-	assert_false(world->failed);
+	assert_true(fixture_check(
+		world, fixture_count_all(world, "connections_open") == opened));
 	shift_books(conns, polls);
 	for (uint32_t i = 0; i < SHIFT_LOGINS; i++) {
 		PGresult *result = PQgetResult(conns[i]);
@@ -189,24 +161,23 @@
 		PQclear(result);
 		PQfinish(conns[i]);
 	}
-	world->failed = served != SHIFT_LOGINS;
+	fixture_check(world, served == SHIFT_LOGINS);
 	assert_int_equal(served, SHIFT_LOGINS);
-	assert_int_equal(count_all("connections_refused"), 0);
+	assert_int_equal(fixture_count_all(world, "connections_refused"), 0);
 	g_free(conns);
 	g_free(polls);
 }
 
 static bool has_commits(void *context)
 {
-	return count_all("commits") >= *(json_int_t *)context;
+	return fixture_count_all(world, "commits") >= *(json_int_t *)context;
 }
 
 static void await_commits(json_int_t more)
 {
-	json_int_t enough = count_all("commits") + more;
+	json_int_t enough = fixture_count_all(world, "commits") + more;
 
-	world->failed = !world_wait(WAIT_MS, has_commits, &enough);
-	assert_false(world->failed);
+	assert_true(fixture_wait(world, has_commits, &enough));
 }
 
 /* Views of who owns what differ while VMs die and come back. */
@@ -217,7 +188,6 @@
 	load_run_t *load = load_run_start(world, "e2e", database,
 					  world->deployment.classes[0].name,
 					  LOAD_ARGUMENTS, &error);
-	bool kept;
 
 	assert_non_null(load);
 	for (uint32_t i = 0; i < RESTARTS; i++) {
@@ -230,15 +200,15 @@
 	}
 	await_commits(LOAD_COMMITS);
 	load_run_stop(load);
-	kept = load_run_finish(load, WAIT_MS, NULL);
-	world->failed = !kept;
-	assert_true(kept);
+	assert_true(fixture_check(
+		world, load_run_finish(load, FIXTURE_WAIT_MS, NULL)));
 	for (guint i = 0; i < world->servers->len; i++) {
 		const world_server_t *server = world->servers->pdata[i];
 
-		assert_in_range(count_of(server, "connections_highest"), 1,
+		assert_in_range(fixture_count(server, "connections_highest"), 1,
 				limit);
-		assert_int_equal(count_of(server, "connections_refused"), 0);
+		assert_int_equal(fixture_count(server, "connections_refused"),
+				 0);
 	}
 }
 
--- a/tests/e2e/test_path.c
+++ b/tests/e2e/test_path.c
@@ -9,7 +9,7 @@
 #include <cmocka.h>
 
 #include "base/clock.h"
-#include "world/world.h"
+#include "world/fixture.h"
 
 #define BIG_ROWS 10240
 #define BIG_ROW_SIZE_BYTES 1024
@@ -21,23 +21,14 @@
 static int set_up(void **state)
 {
 	deployment_t deployment = deployment_tikva();
-	g_autoptr(GError) error = NULL;
 
 	deployment.relay = false;
-	world = world_create(&deployment, &error);
-	if (!world) {
-		fprintf(stderr, "%s\n", error->message);
-		return -1;
-	}
-	database = world_database(world, 0, 0);
-	return 0;
+	return fixture_start(&deployment, &world, &database);
 }
 
 static int tear_down(void **state)
 {
-	world_destroy(world);
-	g_free(database);
-	return 0;
+	return fixture_end(world, database);
 }
 
 static PGconn *connect_to(uint32_t domain, uint32_t index)
