--- a/Makefile
+++ b/Makefile
@@ -135,6 +135,7 @@
 	$(BUILD)/tests/standin/backend/engine.o \
 	$(BUILD)/tests/standin/backend/journal.o
 $(BUILD)/tests/unit/test_standin_kv: $(BUILD)/tests/standin/platform/kv.o
+$(BUILD)/tests/e2e/test_group: $(BUILD)/tests/e2e/fleet.o
 
 .SECONDEXPANSION:
 $(BUILD)/bin/standin-%: $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard tests/standin/$$*/*.c))) $(COMMON_OBJ) $(LIB)
@@ -148,7 +149,7 @@
 	$(CXX) -o $@ $^ -lrapidcheck $(LDLIBS)
 
 $(BUILD)/tests/e2e/%: $(BUILD)/tests/e2e/%.o $(WORLD_OBJ) $(LIB)
-	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
+	$(CC) -o $@ $(filter %.o,$^) $(LIB) -lcmocka $(LDLIBS)
 
 $(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(WORLD_OBJ) $(SIM_OBJ) $(LIB)
 	$(CC) -o $@ $^ $(LDLIBS)
