--- a/Makefile
+++ b/Makefile
@@ -151,7 +151,7 @@
 	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
 
 $(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(WORLD_OBJ) $(SIM_OBJ) $(LIB)
-	$(CC) -o $@ $^ $(LDLIBS)
+	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
 
 regenerate:
 	cd src/protocol && protoc-c --c_out=. peer.proto
