Hand over from a primary that is leaving

A primary that an overlay marked as leaving refused every change until an operator thought of `toucanctl promote`: the pool gives it no new work, and nobody promoted another server. Writes ended as not run at their deadline of 10 s each (seen on real processes), although the manual says that marking and applying is all there is to do.

Now the first ranked node that owns a server of the database orders a promotion among the servers that stay, as an operator would; a staying server that is out of reach is passed over at the next try. Weighed: letting a leaving primary go on until it is replaced by hand, which keeps giving it new work; and a refusal of such a configuration, which only moves the trap. Transactions open at the hand-over are rolled back and told as not run, as they are by an operator's promotion.

A VM that starts knows the configured first primary before it hears who leads. So the order waits for an own server that is of the same term; without that check the restart test saw a second promotion. Without the hand-over its test ended with TH003 at the first write.

--- a/src/daemon/group_database.c
+++ b/src/daemon/group_database.c
@@ -124,6 +124,14 @@
 	return true;
 }
 
+void group_database_configure(group_database_t *database,
+			      const config_database_t *config)
+{
+	for (uint32_t i = 0; i < database->servers_count; i++)
+		database->servers[i].leaving = config->servers[i].leaving;
+	group_database_wake(database);
+}
+
 char *group_owned_key(const char *database, const char *server)
 {
 	return g_strdup_printf("%s/%s", database, server);
--- a/src/daemon/group_failover.c
+++ b/src/daemon/group_failover.c
@@ -77,11 +77,7 @@
 		nodes[(*count)++] = node;
 }
 
-/*
- * Owners of replicas come before those of the primary, which may be cut off
- * together with it.
- */
-static uint32_t rank_of_all(const group_database_t *database)
+uint32_t group_failover_rank(const group_database_t *database)
 {
 	const group_task_t *task = database->task;
 	const group_view_t view = group_table_view(task->table, database->name);
@@ -132,7 +128,7 @@
 
 	if (primary && primary->watch && group_watch_failures(primary->watch))
 		return rank_at(database, primary->name);
-	return rank_of_all(database);
+	return group_failover_rank(database);
 }
 
 static void on_suspect(void *context)
@@ -393,17 +389,6 @@
 		  doubts.answers, doubts.silent, doubts.needed);
 }
 
-uint64_t group_failover_step(group_database_t *database, uint64_t now_ms)
-{
-	reconcile(database, now_ms);
-	promotion_step(database->promotion, now_ms);
-	if (promotion_report(database->promotion).state == PROMOTION_IDLE)
-		detector_step(database->detector, now_ms);
-	tell_refusal(database, now_ms);
-	return MIN(promotion_due_ms(database->promotion),
-		   detector_due_ms(database->detector));
-}
-
 static uint32_t furthest_replica(const group_database_t *database,
 				 uint32_t primary)
 {
@@ -412,7 +397,7 @@
 	for (uint32_t i = 0; i < database->servers_count; i++) {
 		const group_server_t *server = &database->servers[i];
 
-		if (i == primary)
+		if (i == primary || server->leaving)
 			continue;
 		if (found == PROMOTION_ANY ||
 		    (server->known &&
@@ -448,3 +433,15 @@
 			index);
 	group_database_wake(database);
 }
+
+uint64_t group_failover_step(group_database_t *database, uint64_t now_ms)
+{
+	reconcile(database, now_ms);
+	promotion_step(database->promotion, now_ms);
+	if (promotion_report(database->promotion).state == PROMOTION_IDLE)
+		detector_step(database->detector, now_ms);
+	tell_refusal(database, now_ms);
+	group_hand_over_step(database, now_ms);
+	return MIN(promotion_due_ms(database->promotion),
+		   detector_due_ms(database->detector));
+}
--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -49,6 +49,7 @@
 	uint64_t status_at_ms;	/**< when it was asked for */
 	group_watch_t *watch;	/**< NULL unless this node owns it */
 	uint64_t follow_at_ms;	/**< when it may be told to follow again */
+	bool leaving;		/**< takes no new work */
 };
 
 /** A barrier of this node that an owner of the primary works on. */
@@ -93,8 +94,10 @@
 	uint64_t term; /**< newest term that the parts below know of */
 	detector_t *detector;
 	promotion_t *promotion;
-	uint64_t suspected_ms;	/**< when this node began to doubt */
-	uint64_t refusal_at_ms; /**< when to tell why none is promoted */
+	uint64_t suspected_ms;	  /**< when this node began to doubt */
+	uint64_t refusal_at_ms;	  /**< when to tell why none is promoted */
+	uint64_t hand_over_at_ms; /**< when a leaving primary is replaced */
+	uint32_t hand_over_tries;
 	group_record_t record;
 	group_ages_t ages;
 	bool woken; /**< in the list of those that step next */
@@ -144,6 +147,10 @@
 /** Adds a database of the configuration. */
 void group_database_add(group_task_t *task, const config_place_t *place);
 
+/** Takes in which servers are leaving. */
+void group_database_configure(group_database_t *database,
+			      const config_database_t *config);
+
 /** Frees a database; all that wait end in vain. */
 void group_database_delete(gpointer database);
 
@@ -281,6 +288,16 @@
 /** Promotes by operators' order; NULL for the best replica. */
 void group_failover_order(group_database_t *database, const char *server);
 
+/**
+ * @return this node's place among those that may promote. Owners of replicas
+ *         come before those of the primary, which may be cut off together
+ *         with it; those who own no server come last
+ */
+uint32_t group_failover_rank(const group_database_t *database);
+
+/** Orders that another server leads if the primary is leaving. */
+void group_hand_over_step(group_database_t *database, uint64_t now_ms);
+
 /** @} */
 /** @name The group's record in the platform's store */
 /** @{ */
--- a/src/daemon/group_task.c
+++ b/src/daemon/group_task.c
@@ -156,6 +156,10 @@
 			if (!g_hash_table_contains(group->databases,
 						   place.database->name))
 				group_database_add(group, &place);
+			group_database_configure(
+				g_hash_table_lookup(group->databases,
+						    place.database->name),
+				place.database);
 		}
 	}
 }
--- a/tests/e2e/test_leaving.c
+++ b/tests/e2e/test_leaving.c
@@ -7,15 +7,19 @@
 
 #include <cmocka.h>
 
+#include <signal.h>
 #include <sys/wait.h>
 
+#include "coordination/ownership.h"
 #include "world/load_run.h"
 #include "world/world.h"
 #include "world/world_ask.h"
 #include "world/world_files.h"
 
 #define WAIT_MS 30000u
-#define ROUNDS 60u
+#define ROUNDS 24u
+/* By then a started VM watches the servers that it owns. */
+#define SETTLED_US ((OWNERSHIP_TAKEOVER_MS + 1000) * 1000u)
 
 static world_t *world;
 static char *database;
@@ -209,6 +213,77 @@
 	assert_true(reads_of(leaving) == before);
 }
 
+/* Marked without a promotion: a staying server takes over by itself. */
+static void test_leaving_primary_hands_over(void **state)
+{
+	world_server_t *leaving = world_primary(world, database);
+	world_server_t *primary;
+
+	create_table();
+	leave(leaving);
+	for (uint32_t i = 0; i < ROUNDS; i++) {
+		PGconn *connection = connect_to(i % 3, i / 3 % 2);
+
+		world_ask_run(connection,
+			      "INSERT INTO lots VALUES ('h%u', 'on')", i);
+		PQfinish(connection);
+	}
+	primary = world_primary(world, database);
+	assert_non_null(primary);
+	assert_string_not_equal(primary->name, leaving->name);
+}
+
+static json_int_t term_of(const world_server_t *server)
+{
+	json_t *state = http_ask_json(server->control_port, "/state");
+	const double term = load_run_number(state, "term");
+
+	json_decref(state);
+	return (json_int_t)term;
+}
+
+static bool is_written(void *context)
+{
+	PGconn *connection = world_connect(world, context, database);
+	g_autofree char *sqlstate = world_ask(connection,
+					      "UPDATE lots SET value = 'off' "
+					      "WHERE key = 'a'",
+					      NULL);
+
+	PQfinish(connection);
+	return !sqlstate;
+}
+
+/*
+ * VMs that start know the first primary, which is leaving, before they hear
+ * who leads now; that must not bring about another promotion.
+ */
+static void test_restarted_vms_order_no_second_hand_over(void **state)
+{
+	world_server_t *leaving = world_primary(world, database);
+	world_server_t *primary;
+	json_int_t term;
+
+	create_table();
+	leave(leaving);
+	assert_true(world_wait(WAIT_MS, is_written, world_node(world, 1, 0)));
+	primary = world_primary(world, database);
+	assert_string_not_equal(primary->name, leaving->name);
+	term = term_of(primary);
+	for (guint i = 0; i < world->nodes->len; i++)
+		process_signal(
+			((world_node_t *)world->nodes->pdata[i])->process,
+			SIGKILL);
+	for (guint i = 0; i < world->nodes->len; i++)
+		assert_true(
+			world_start_node(world, world->nodes->pdata[i], NULL));
+	g_usleep(SETTLED_US);
+	for (guint i = 0; i < world->nodes->len; i++)
+		assert_true(world_wait(WAIT_MS, is_written,
+				       world->nodes->pdata[i]));
+	assert_int_equal(term_of(primary), term);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 /** @param argv one test's name, or none for all */
@@ -217,6 +292,8 @@
 	const struct CMUnitTest tests[] = {
 		TEST(test_leaving_replica_takes_no_statement),
 		TEST(test_primary_leaves_after_a_promotion),
+		TEST(test_leaving_primary_hands_over),
+		TEST(test_restarted_vms_order_no_second_hand_over),
 	};
 
 	if (argc > 1)
