Give each process of worlds its own ports

Worlds looked for ports that were free at that moment and started programs on them later; processes with close ids looked at overlapping ranges. Run side by side, set-ups failed with listen_failed or with VMs that did not serve: 3 of 10 runs of two programs at once.

A process now listens on the first port of a block of 100 for as long as it lives and takes ports from its blocks alone. The range grows to 7000 ports, still below those of outgoing connections. After it, three runs of one program at once passed, and three programs at once.

--- a/tests/world/world_links.c
+++ b/tests/world/world_links.c
@@ -6,7 +6,9 @@
 #include <unistd.h>
 
 #define PORT_FIRST 21000u
-#define PORT_COUNT 3000u
+#define PORT_COUNT 7000u
+#define BLOCK_PORTS 100u
+#define BLOCKS (PORT_COUNT / BLOCK_PORTS)
 
 static bool port_is_free(uint16_t port)
 {
@@ -22,16 +24,45 @@
 	return bound;
 }
 
-/* Below the ports that the system gives to outgoing connections. */
+/* Listens on a block's first port for as long as the process lives. */
+static bool block_take(uint32_t block)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)(PORT_FIRST + block * BLOCK_PORTS)),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	static bool own[BLOCKS];
+	int fd;
+
+	if (own[block])
+		return true;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	own[block] = !bind(fd, (struct sockaddr *)&address, sizeof(address)) &&
+		     !listen(fd, 1);
+	if (!own[block])
+		close(fd);
+	return own[block];
+}
+
+/*
+ * Below the ports that the system gives to outgoing connections. A process
+ * takes them from blocks of its own, as it starts programs on them later.
+ */
 uint16_t world_links_port(void)
 {
-	static uint32_t next;
+	static uint32_t block;
+	static uint32_t next = BLOCK_PORTS;
 
-	if (!next)
-		next = (uint32_t)getpid() * 97u % PORT_COUNT;
-	for (uint32_t i = 0; i < PORT_COUNT; i++) {
-		uint16_t port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
+	for (uint32_t i = 0; i < 2 * PORT_COUNT; i++) {
+		uint16_t port;
 
+		if (next >= BLOCK_PORTS) {
+			block = (block + 1) % BLOCKS;
+			next = block_take(block) ? 1 : BLOCK_PORTS;
+			continue;
+		}
+		port = (uint16_t)(PORT_FIRST + block * BLOCK_PORTS + next++);
 		if (port_is_free(port))
 			return port;
 	}
