--- a/tests/world/world_links.c
+++ b/tests/world/world_links.c
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #define PORT_FIRST 21000u
-#define PORT_COUNT 3000u
+#define PORT_COUNT 7000u
 
 /* Sockets by which this process holds its ports against other worlds. */
 static GArray *held;
