--- a/tests/e2e/fleet.c
+++ b/tests/e2e/fleet.c
@@ -17,6 +17,8 @@
 #define NEAR_DELAY_MS 1
 #define FAR_DELAY_MS 5
 #define PATIENCE_MS 15000
+#define CONNECT_PAUSE_US 10000
+#define CONNECT_TRIES (PATIENCE_MS * 1000 / CONNECT_PAUSE_US)
 
 typedef struct {
 	fleet_node_t *to;
@@ -281,6 +283,13 @@
 		fleet->servers[server].port);
 	PGconn *connection = PQconnectdb(info);
 
+	/* A server that was just started does not listen yet. */
+	for (int i = 0; i < CONNECT_TRIES; i++) {
+		if (PQstatus(connection) == CONNECTION_OK)
+			break;
+		g_usleep(CONNECT_PAUSE_US);
+		PQreset(connection);
+	}
 	assert_int_equal(PQstatus(connection), CONNECTION_OK);
 	return connection;
 }
