--- a/tests/e2e/test_sessions.c
+++ b/tests/e2e/test_sessions.c
@@ -10,6 +10,7 @@
 #include <signal.h>
 
 #include "base/clock.h"
+#include "world/fixture.h"
 #include "world/world.h"
 #include "world/world_ask.h"
 
@@ -25,23 +26,14 @@
 
 static int set_up(void **state)
 {
-	deployment_t deployment = deployment_tauhara();
-	g_autoptr(GError) error = NULL;
+	const deployment_t deployment = deployment_tauhara();
 
-	world = world_create(&deployment, &error);
-	if (!world) {
-		fprintf(stderr, "%s\n", error->message);
-		return -1;
-	}
-	database = world_database(world, 0, 0);
-	return 0;
+	return fixture_start(&deployment, &world, &database);
 }
 
 static int tear_down(void **state)
 {
-	world_destroy(world);
-	g_free(database);
-	return 0;
+	return fixture_end(world, database);
 }
 
 static PGconn *connect_to(uint32_t domain, uint32_t index)
