--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PKGS = libevent libevent_openssl libzmq libprotobuf-c glib-2.0 gio-2.0 \
 	libcyaml jansson argtable2 libpq libxxhash libsodium openssl
 WARN = -Wall -Wextra -Werror -Wno-unused-parameter
-INCLUDES = -Isrc -Itests -Itools
+INCLUDES = -I. -Isrc -Itests -Itools
 SAN = $(if $(SANITIZE),-fsanitize=address$(comma)undefined -fno-omit-frame-pointer)
 comma = ,
 DEPFLAGS = -MMD -MP
@@ -21,6 +21,11 @@
 LIB = $(BUILD)/libtoucanhook.a
 SHARED = $(BUILD)/libtoucanhook.so
 
+# What speaks the platform's protocols, and the node made with it.
+PLATFORM_OBJ = $(patsubst %.c,$(BUILD)/%.o,\
+	$(filter-out platform/main.c,$(wildcard platform/*.c)))
+PLATFORM_NODE = $(BUILD)/bin/toucanhook-node
+
 DAEMONS = $(patsubst daemons/%.c,$(BUILD)/bin/%,$(wildcard daemons/*.c))
 TOOLS = $(patsubst tools/%.c,$(BUILD)/bin/%,$(wildcard tools/*.c))
 # Each stand-in is a folder; common/ is shared by them.
@@ -45,7 +50,8 @@
 LINT_FILES = $(filter-out %.h %.cpp,$(C_FILES))
 LINT_STAMPS = $(LINT_FILES:%=build/lint/%.ok)
 
-.PHONY: all setup check check-inner sanitize demo bench soak format \
+PLATFORM_PHONY = platform-node
+.PHONY: $(PLATFORM_PHONY) all setup check check-inner sanitize demo bench soak format \
 	format-check lint unit property e2e regenerate \
 	clean
 .SECONDARY:
@@ -53,7 +59,9 @@
 all: setup
 	$(MAKE) binaries
 
-binaries: $(LIB) $(SHARED) $(DAEMONS) $(TOOLS) $(STANDINS)
+binaries: $(LIB) $(SHARED) $(DAEMONS) $(TOOLS) $(STANDINS) $(PLATFORM_NODE)
+
+platform-node: $(PLATFORM_NODE)
 
 setup:
 	@scripts/setup.sh
@@ -125,6 +133,10 @@
 	@mkdir -p $(@D)
 	$(CC) -o $@ $^ $(LDLIBS)
 
+$(PLATFORM_NODE): $(BUILD)/platform/main.o $(PLATFORM_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) -Wl,--as-needed -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bin/%: $(BUILD)/tools/%.o $(LIB)
 	@mkdir -p $(@D)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -15,6 +15,14 @@
 	return clock_now_us() / 1000;
 }
 
+uint64_t clock_boot_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
 struct timeval clock_timeval(uint64_t delay_ms)
 {
 	return (struct timeval){
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -2,17 +2,21 @@
 
 #include <inttypes.h>
 #include <stdarg.h>
+#include <poll.h>
 #include <stdio.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/log_limit.h"
 
 #define LOG_FIELDS_SIZE 1024
+#define LOG_HEAD_SIZE 256
 
 static const char *log_program = "toucanhook";
 static log_level_t log_highest = LOG_LEVEL_INFO;
 static log_limit_t *log_limit;
+static uint64_t lines_lost;
 
 static const char *level_name(log_level_t level)
 {
@@ -45,21 +49,37 @@
 			*text = '?';
 }
 
+/* A reader that does not read must not hold the process up. */
+static void put_line(const char *line, size_t size)
+{
+	struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line, size) != (ssize_t)size)
+		lines_lost++;
+}
+
 static void write_line(log_level_t level, const char *event, const char *fields,
 		       uint32_t left_out)
 {
+	char line[LOG_FIELDS_SIZE + LOG_HEAD_SIZE];
 	char stamp[32];
 	struct timespec now;
 	struct tm parts;
+	int size;
 
 	clock_gettime(CLOCK_REALTIME, &now);
 	gmtime_r(&now.tv_sec, &parts);
 	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
-	fprintf(stderr, "%s.%03ldZ %s %s: event=%s", stamp,
-		now.tv_nsec / 1000000, log_program, level_name(level), event);
+	size = snprintf(line, sizeof(line), "%s.%03ldZ %s %s: event=%s", stamp,
+			now.tv_nsec / 1000000, log_program, level_name(level),
+			event);
 	if (left_out)
-		fprintf(stderr, " left_out=%" PRIu32, left_out);
-	fprintf(stderr, "%s%s\n", *fields ? " " : "", fields);
+		size += snprintf(line + size, sizeof(line) - (size_t)size,
+				 " left_out=%" PRIu32, left_out);
+	size += snprintf(line + size, sizeof(line) - (size_t)size, "%s%s\n",
+			 *fields ? " " : "", fields);
+	put_line(line, (size_t)size);
 }
 
 void log_event(log_level_t level, const char *event, const char *format, ...)
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -16,9 +16,10 @@
 void log_open(const char *program, log_level_t highest);
 
 /**
- * Writes one syslog-style line to standard error: time, program, level,
+ * Writes one syslog-style line to standard output: time, program, level,
  * event name, then the formatted key=value fields. A repeating event is
- * limited in rate; the next line written tells how many were left out.
+ * limited in rate; the next line written tells how many were left out. A line
+ * is dropped when the reader is too slow to take it.
  * Neither secrets nor row data may be given.
  *
  * @param event  one snake_case name for each kind of decision
--- a/src/coordination/config_apply.h
+++ b/src/coordination/config_apply.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "platform/store.h"
+#include "store/store.h"
 #include "state/config.h"
 
 /** What is to be done next. */
--- /dev/null
+++ b/src/coordination/connection_share.h
@@ -0,0 +1,24 @@
+#ifndef COORDINATION_CONNECTION_SHARE_H
+#define COORDINATION_CONNECTION_SHARE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** What a node knows when it decides how many connections it may hold. */
+typedef struct {
+	uint32_t limit;	      /**< of the server, from all nodes */
+	uint32_t nodes_near;  /**< in the server's failure domain */
+	uint32_t nodes_far;   /**< elsewhere */
+	bool near;	      /**< this node is in the server's domain */
+} connection_share_ask_t;
+
+/**
+ * Splits a server's connections between nodes. Nodes of its own failure
+ * domain read there and get more; some are left over for nodes that come and
+ * for the control connections.
+ *
+ * @return at least 1
+ */
+uint32_t connection_share(const connection_share_ask_t *ask);
+
+#endif
--- /dev/null
+++ b/src/coordination/primary_lease.c
@@ -0,0 +1,106 @@
+#include "coordination/primary_lease.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+void node_lease_renewed(node_lease_t *lease, uint64_t sent_ms)
+{
+	lease->valid_until_ms =
+		MAX(lease->valid_until_ms, sent_ms + PRIMARY_LEASE_VALID_MS);
+	lease->reached_ms = MAX(lease->reached_ms, sent_ms);
+}
+
+void node_lease_lost(node_lease_t *lease)
+{
+	lease->lease = 0;
+	lease->registered_at = 0;
+	lease->valid_until_ms = 0;
+}
+
+void primary_lease_record(primary_lease_t *service, uint64_t term,
+			  const char *primary, bool takeover, int64_t revision)
+{
+	if (revision < service->read_at || term < service->term)
+		return;
+	if (term != service->term || strcmp(primary, service->primary))
+		for (uint32_t i = 0; i < service->replicas_count; i++)
+			service->replicas[i].unfenced_until_ms = 0;
+	service->term = term;
+	g_strlcpy(service->primary, primary, sizeof(service->primary));
+	service->takeover = takeover;
+	service->read_at = revision;
+}
+
+void primary_lease_unchanged(primary_lease_t *service, int64_t revision)
+{
+	service->read_at = MAX(service->read_at, revision);
+}
+
+static uint64_t proof_of(const primary_lease_t *service, const char *id)
+{
+	for (uint32_t i = 0; i < service->replicas_count; i++)
+		if (!strcmp(service->replicas[i].id, id))
+			return service->replicas[i].unfenced_until_ms;
+	return 0;
+}
+
+void primary_lease_replicas(primary_lease_t *service, const char *const *ids,
+			    uint32_t count)
+{
+	const primary_lease_t old = *service;
+
+	service->replicas_count = MIN(count, PRIMARY_LEASE_REPLICAS_MAX);
+	for (uint32_t i = 0; i < service->replicas_count; i++) {
+		g_strlcpy(service->replicas[i].id, ids[i],
+			  sizeof(service->replicas[i].id));
+		service->replicas[i].unfenced_until_ms = proof_of(&old, ids[i]);
+	}
+}
+
+void primary_lease_replica_answer(primary_lease_t *service, const char *id,
+				  bool fenced, uint64_t sent_ms)
+{
+	for (uint32_t i = 0; i < service->replicas_count; i++) {
+		if (strcmp(service->replicas[i].id, id))
+			continue;
+		service->replicas[i].unfenced_until_ms =
+			fenced ? 0 : sent_ms + PRIMARY_LEASE_VALID_MS;
+	}
+}
+
+static uint64_t proved_by_store(const primary_lease_t *service,
+				const node_lease_t *node)
+{
+	if (!node->registered_at || service->read_at < node->registered_at)
+		return 0;
+	return node->valid_until_ms;
+}
+
+static uint64_t proved_by_replicas(const primary_lease_t *service,
+				   const node_lease_t *node)
+{
+	uint64_t until_ms = node->reached_ms + PRIMARY_LEASE_REPLICA_PROOF_MS;
+
+	if (service->replicas_count < PRIMARY_LEASE_REPLICAS_MIN)
+		return 0;
+	for (uint32_t i = 0; i < service->replicas_count; i++)
+		until_ms = MIN(until_ms,
+			       service->replicas[i].unfenced_until_ms);
+	return until_ms;
+}
+
+uint64_t primary_lease_until_ms(const primary_lease_t *service,
+				const node_lease_t *node)
+{
+	if (!*service->primary || service->takeover)
+		return 0;
+	return MAX(proved_by_store(service, node),
+		   proved_by_replicas(service, node));
+}
+
+bool primary_lease_valid(const primary_lease_t *service,
+			 const node_lease_t *node, uint64_t now_ms)
+{
+	return now_ms < primary_lease_until_ms(service, node);
+}
--- /dev/null
+++ b/src/coordination/primary_lease.h
@@ -0,0 +1,88 @@
+#ifndef COORDINATION_PRIMARY_LEASE_H
+#define COORDINATION_PRIMARY_LEASE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * Whether a node may still use the primary of a service. Two kinds of proof,
+ * each good for PRIMARY_LEASE_VALID_MS after the question was sent:
+ *
+ * - the store renewed the node's lease, and the service's record was read
+ *   after that lease was registered and showed no takeover;
+ * - every replica answered that it is not fenced, on a connection that was
+ *   opened before the record was last read.
+ *
+ * A takeover first writes its intent into the record, then ends every
+ * registered lease and fences a replica, then waits until what was proved
+ * before has run out. All times count suspended time too.
+ */
+
+/** How long one proof is good. */
+#define PRIMARY_LEASE_VALID_MS 1000u
+
+/** Longest time without the store for which replicas may stand in for it. */
+#define PRIMARY_LEASE_REPLICA_PROOF_MS 10000u
+
+/** Replicas that must prove it where the store can't. */
+#define PRIMARY_LEASE_REPLICAS_MIN 2u
+
+/** Most replicas of one service. */
+#define PRIMARY_LEASE_REPLICAS_MAX 8u
+
+/** The node's own lease at the store; shared by all services. */
+typedef struct {
+	int64_t lease;		 /**< 0 for none */
+	int64_t registered_at;	 /**< store revision of its registration, or 0 */
+	uint64_t valid_until_ms; /**< renewed up to here */
+	uint64_t reached_ms;	 /**< when a call that succeeded was sent */
+} node_lease_t;
+
+/** What is known of one service's primary. */
+typedef struct {
+	uint64_t term;
+	char primary[64]; /**< id, empty when unknown */
+	bool takeover;	  /**< a replacement is under way */
+	int64_t read_at;  /**< store revision as of which this holds */
+	struct {
+		char id[64];
+		uint64_t unfenced_until_ms;
+	} replicas[PRIMARY_LEASE_REPLICAS_MAX];
+	uint32_t replicas_count;
+} primary_lease_t;
+
+/** Takes in that a renewal sent at @p sent_ms succeeded. */
+void node_lease_renewed(node_lease_t *lease, uint64_t sent_ms);
+
+/** Takes in that the store does not know the lease any more. */
+void node_lease_lost(node_lease_t *lease);
+
+/** Takes in the record as of a store revision; older ones are ignored. */
+void primary_lease_record(primary_lease_t *service, uint64_t term,
+			  const char *primary, bool takeover, int64_t revision);
+
+/** Takes in that the record is unchanged up to a store revision. */
+void primary_lease_unchanged(primary_lease_t *service, int64_t revision);
+
+/** Names the replicas; what was proved by those that stay is kept. */
+void primary_lease_replicas(primary_lease_t *service, const char *const *ids,
+			    uint32_t count);
+
+/**
+ * Takes in a replica's answer.
+ *
+ * @param fenced  it follows another term or is fenced
+ * @param sent_ms when it was asked
+ */
+void primary_lease_replica_answer(primary_lease_t *service, const char *id,
+				  bool fenced, uint64_t sent_ms);
+
+/** @return until when the primary may be used; 0 when it may not be */
+uint64_t primary_lease_until_ms(const primary_lease_t *service,
+				const node_lease_t *node);
+
+/** @return whether the primary may be used now */
+bool primary_lease_valid(const primary_lease_t *service,
+			 const node_lease_t *node, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/coordination/primary_watch.c
@@ -0,0 +1,43 @@
+#include "coordination/primary_watch.h"
+
+/* Failures that must agree. */
+#define FAILURES_MIN 2
+#define REFUSALS_MIN 3
+
+/* Time over which refusals must have gone on. */
+#define REFUSED_MS 120
+
+void primary_watch_heard(primary_watch_t *watch, uint64_t heard_ms)
+{
+	if (heard_ms <= watch->heard_ms)
+		return;
+	watch->heard_ms = heard_ms;
+	if (heard_ms < watch->failing_ms)
+		return;
+	watch->failing_ms = 0;
+	watch->refused = 0;
+	watch->failures = 0;
+}
+
+void primary_watch_failed(primary_watch_t *watch, bool refused, uint64_t now_ms)
+{
+	if (!watch->failing_ms)
+		watch->failing_ms = now_ms;
+	watch->failures++;
+	watch->refused = refused ? watch->refused + 1 : 0;
+}
+
+bool primary_watch_must_ask(const primary_watch_t *watch, uint64_t now_ms)
+{
+	return watch->failures ||
+	       now_ms >= watch->heard_ms + PRIMARY_WATCH_SILENCE_MS;
+}
+
+bool primary_watch_is_lost(const primary_watch_t *watch, uint64_t now_ms)
+{
+	if (watch->refused >= REFUSALS_MIN &&
+	    now_ms >= watch->failing_ms + REFUSED_MS)
+		return true;
+	return watch->failures >= FAILURES_MIN &&
+	       now_ms >= watch->heard_ms + PRIMARY_WATCH_LOST_MS;
+}
--- /dev/null
+++ b/src/coordination/read_placement.c
@@ -0,0 +1,33 @@
+#include "coordination/read_placement.h"
+
+/* Delay that a caller may have more before a read leaves the domain. */
+#define DOMAIN_PENALTY_MS 80
+
+/* The same for a read that leaves the region. */
+#define REGION_PENALTY_MS 250
+
+static uint64_t cost_ms(const read_candidate_t *candidate)
+{
+	uint64_t cost = candidate->wait_ms + candidate->run_ms +
+			candidate->behind_ms;
+
+	if (!candidate->same_region)
+		cost += REGION_PENALTY_MS;
+	else if (!candidate->near)
+		cost += DOMAIN_PENALTY_MS;
+	return cost;
+}
+
+int read_placement_choose(const read_candidate_t *candidates, uint32_t count)
+{
+	int best = -1;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (!candidates[i].usable)
+			continue;
+		if (best < 0 || cost_ms(&candidates[i]) <
+					cost_ms(&candidates[best]))
+			best = (int)i;
+	}
+	return best;
+}
--- a/src/ctl/ctl_platform.h
+++ b/src/ctl/ctl_platform.h
@@ -4,7 +4,7 @@
 #include <event2/event.h>
 
 #include "ctl/ctl.h"
-#include "platform/store.h"
+#include "store/store.h"
 #include "state/config.h"
 
 /** The platform, asked one thing after the other. */
--- a/src/daemon/callers_task.c
+++ b/src/daemon/callers_task.c
@@ -122,7 +122,7 @@
 }
 
 static struct evconnlistener *open_listener(callers_task_t *callers,
-					    const settings_endpoint_t *endpoint)
+					    const endpoint_t *endpoint)
 {
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
@@ -143,7 +143,7 @@
 				    callers_dispatch_t dispatch, GError **error)
 {
 	callers_task_t *callers = g_new0(callers_task_t, 1);
-	const settings_endpoint_t *endpoint = &settings->callers;
+	const endpoint_t *endpoint = &settings->callers;
 
 	callers->host = (session_host_t){
 		.base = base,
--- a/src/daemon/group_task.h
+++ b/src/daemon/group_task.h
@@ -4,7 +4,7 @@
 #include <event2/event.h>
 
 #include "base/metrics.h"
-#include "platform/store.h"
+#include "store/store.h"
 #include "state/config.h"
 #include "state/group_table.h"
 #include "state/log_point.h"
--- a/src/daemon/operators_task.c
+++ b/src/daemon/operators_task.c
@@ -209,7 +209,7 @@
 }
 
 static bool bind_to(operators_task_t *operators,
-		    const settings_endpoint_t *endpoint, GError **error)
+		    const endpoint_t *endpoint, GError **error)
 {
 	struct evhttp_bound_socket *socket = evhttp_bind_socket_with_handle(
 		operators->http, endpoint->address, endpoint->port);
--- a/src/daemon/peer_directory.c
+++ b/src/daemon/peer_directory.c
@@ -70,7 +70,7 @@
 static peer_link_t *open_link(peer_directory_t *directory, peer_t *peer,
 			      uint64_t now_ms)
 {
-	settings_endpoint_t endpoint;
+	endpoint_t endpoint;
 
 	peer->used_ms = now_ms;
 	if (peer->link)
@@ -94,7 +94,7 @@
 }
 
 peer_link_t *peer_directory_seed(peer_directory_t *directory,
-				 const settings_endpoint_t *seed,
+				 const endpoint_t *seed,
 				 uint64_t now_ms)
 {
 	g_autofree char *name =
--- a/src/daemon/peers_task.c
+++ b/src/daemon/peers_task.c
@@ -302,7 +302,7 @@
 static void ask_seed(peers_task_t *peers, uint64_t now_ms)
 {
 	const settings_t *settings = peers->settings;
-	const settings_endpoint_t *seed;
+	const endpoint_t *seed;
 
 	if (!settings->seeds_count || now_ms < peers->seeded_ms + SEED_MS ||
 	    !membership_is_alone(peers->membership))
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -29,14 +29,14 @@
 
 static const cyaml_schema_field_t endpoint_fields[] = {
 	CYAML_FIELD_STRING_PTR("address", CYAML_FLAG_DEFAULT,
-			       settings_endpoint_t, address, 0,
+			       endpoint_t, address, 0,
 			       CYAML_UNLIMITED),
-	CYAML_FIELD_UINT("port", CYAML_FLAG_DEFAULT, settings_endpoint_t, port),
+	CYAML_FIELD_UINT("port", CYAML_FLAG_DEFAULT, endpoint_t, port),
 	CYAML_FIELD_END,
 };
 
 static const cyaml_schema_value_t endpoint_value = {
-	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, settings_endpoint_t,
+	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, endpoint_t,
 			    endpoint_fields),
 };
 
@@ -182,7 +182,7 @@
 }
 
 static bool check_endpoint(const checker_t *checker, const char *name,
-			   const settings_endpoint_t *endpoint)
+			   const endpoint_t *endpoint)
 {
 	g_autofree char *address = g_strdup_printf("%s.address", name);
 	g_autofree char *port = g_strdup_printf("%s.port", name);
@@ -355,7 +355,7 @@
 	return g_steal_pointer(&settings);
 }
 
-settings_endpoint_t settings_route(const settings_t *settings,
+endpoint_t settings_route(const settings_t *settings,
 				   const char *address, uint16_t port)
 {
 	for (uint32_t i = 0; i < settings->routes_count; i++) {
@@ -365,5 +365,5 @@
 		    !strcmp(route->endpoint.address, address))
 			return route->via;
 	}
-	return (settings_endpoint_t){.address = (char *)address, .port = port};
+	return (endpoint_t){.address = (char *)address, .port = port};
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -5,16 +5,12 @@
 
 #include <glib.h>
 
-/** An IP number and port. */
-typedef struct {
-	char *address;
-	uint16_t port;
-} settings_endpoint_t;
+#include "state/endpoint.h"
 
 /** An endpoint of another failure domain as it is reached from here. */
 typedef struct {
-	settings_endpoint_t endpoint;
-	settings_endpoint_t via;
+	endpoint_t endpoint;
+	endpoint_t via;
 } settings_route_t;
 
 /** The settings of one process, read once and checked. */
@@ -22,16 +18,16 @@
 	char *node; /**< name of this VM, unique in the fleet */
 	char *region;
 	char *failure_domain;
-	settings_endpoint_t callers;
-	settings_endpoint_t peers;
-	settings_endpoint_t operators;
-	settings_endpoint_t platform;
+	endpoint_t callers;
+	endpoint_t peers;
+	endpoint_t operators;
+	endpoint_t platform;
 	char *fleet_public_key; /**< CURVE key, Z85; the same on every node */
 	char *fleet_secret_key; /**< CURVE key, Z85 */
 	char *tls_certificate;	/**< path, or NULL for no TLS */
 	char *tls_key;		/**< path, or NULL for no TLS */
 	char *log_level;	/**< error warning notice info debug */
-	settings_endpoint_t *seeds; /**< peers asked before the list is known */
+	endpoint_t *seeds; /**< peers asked before the list is known */
 	uint32_t seeds_count;
 	settings_route_t *routes; /**< address translations, mostly none */
 	uint32_t routes_count;
@@ -46,7 +42,7 @@
 settings_t *settings_load(const char *path, GError **error);
 
 /** @return the endpoint to connect to for @p address and @p port. */
-settings_endpoint_t settings_route(const settings_t *settings,
+endpoint_t settings_route(const settings_t *settings,
 				   const char *address, uint16_t port);
 
 /** Frees the settings; NULL is allowed. */
--- /dev/null
+++ b/src/relay/relay_callers.c
@@ -0,0 +1,133 @@
+#include "relay/relay_callers.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+
+#include <event2/listener.h>
+#include <gio/gio.h>
+
+#include "base/log.h"
+
+/* Connections that the kernel keeps until they are accepted. */
+#define BACKLOG 1024
+
+struct relay_callers {
+	relay_session_host_t host;
+	struct evconnlistener *listener;
+	GHashTable *sessions;
+};
+
+static void on_ended(void *context, relay_session_t *session)
+{
+	relay_callers_t *callers = context;
+
+	g_hash_table_remove(callers->sessions, session);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int size, void *context)
+{
+	relay_callers_t *callers = context;
+
+	g_hash_table_add(callers->sessions,
+			 relay_session_create(&callers->host, fd));
+}
+
+static void on_accept_error(struct evconnlistener *listener, void *context)
+{
+	log_event(LOG_LEVEL_WARNING, "accept_failed", "reason=\"%s\"",
+		  strerror(errno));
+}
+
+relay_callers_t *relay_callers_create(struct event_base *base,
+				      const relay_codec_t *codec,
+				      relay_services_t *services,
+				      const endpoint_t *endpoint,
+				      GError **error)
+{
+	relay_callers_t *callers = g_new0(relay_callers_t, 1);
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_port = htons(endpoint->port)};
+
+	callers->host = (relay_session_host_t){
+		.base = base,
+		.codec = codec,
+		.services = services,
+		.ended = on_ended,
+		.context = callers,
+	};
+	callers->sessions = g_hash_table_new(g_direct_hash, g_direct_equal);
+	inet_pton(AF_INET, endpoint->address, &address.sin_addr);
+	callers->listener = evconnlistener_new_bind(
+		base, on_accept, callers,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		BACKLOG, (struct sockaddr *)&address, sizeof(address));
+	if (!callers->listener) {
+		g_set_error(error, G_IO_ERROR, g_io_error_from_errno(errno),
+			    "cannot listen on %s:%u: %s", endpoint->address,
+			    endpoint->port, strerror(errno));
+		relay_callers_destroy(callers);
+		return NULL;
+	}
+	evconnlistener_set_error_cb(callers->listener, on_accept_error);
+	return callers;
+}
+
+static GPtrArray *list_sessions(const relay_callers_t *callers)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer session;
+
+	g_hash_table_iter_init(&iter, callers->sessions);
+	while (g_hash_table_iter_next(&iter, &session, NULL))
+		g_ptr_array_add(list, session);
+	return list;
+}
+
+void relay_callers_destroy(relay_callers_t *callers)
+{
+	g_autoptr(GPtrArray) sessions = NULL;
+
+	if (!callers)
+		return;
+	sessions = list_sessions(callers);
+	for (guint i = 0; i < sessions->len; i++)
+		relay_session_destroy(sessions->pdata[i]);
+	if (callers->listener)
+		evconnlistener_free(callers->listener);
+	catalog_unref(callers->host.catalog);
+	g_hash_table_destroy(callers->sessions);
+	g_free(callers);
+}
+
+void relay_callers_configure(relay_callers_t *callers, catalog_t *catalog)
+{
+	catalog_unref(callers->host.catalog);
+	callers->host.catalog = catalog_ref(catalog);
+}
+
+void relay_callers_drain(relay_callers_t *callers)
+{
+	g_autoptr(GPtrArray) sessions = list_sessions(callers);
+
+	callers->host.draining = true;
+	for (guint i = 0; i < sessions->len; i++)
+		relay_session_drain(sessions->pdata[i]);
+}
+
+void relay_callers_stop(relay_callers_t *callers)
+{
+	g_autoptr(GPtrArray) sessions = list_sessions(callers);
+
+	g_clear_pointer(&callers->listener, evconnlistener_free);
+	for (guint i = 0; i < sessions->len; i++)
+		relay_session_end_transaction(sessions->pdata[i]);
+}
+
+uint32_t relay_callers_count(const relay_callers_t *callers)
+{
+	return g_hash_table_size(callers->sessions);
+}
--- /dev/null
+++ b/src/relay/relay_duty_service.c
@@ -0,0 +1,292 @@
+#include "relay/relay_duty_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/relay_control.h"
+
+/* Longest wait for the answer of a primary that is watched. */
+#define ASK_TIMEOUT_MS 600
+
+/* Longest wait for any other operation at a server. */
+#define CONTROL_TIMEOUT_MS 500
+
+/* Pause between two rounds of questions for the first record. */
+#define DUTY_ASK_AGAIN_MS 300
+
+/* Time without an entry after which a primary is replaced. */
+#define ABSENT_MS 1500
+
+/* Wait for all servers before the first record of a service is written. */
+#define FIRST_RECORD_MS 1500
+
+/* One operation at a server, or call to the store, of a service. */
+typedef struct {
+	duty_service_t *entry;
+	char *server;
+} ask_t;
+
+static ask_t *ask_new(duty_service_t *entry, const char *server)
+{
+	ask_t *ask = g_new0(ask_t, 1);
+
+	ask->entry = entry;
+	ask->server = g_strdup(server);
+	return ask;
+}
+
+static void ask_free(ask_t *ask)
+{
+	g_free(ask->server);
+	g_free(ask);
+}
+
+static relay_service_t *service_of(const duty_service_t *entry)
+{
+	return relay_services_find(entry->duty->services, entry->name);
+}
+
+static uint64_t first_seen_ms(relay_duty_t *duty, const char *server,
+			      uint64_t now_ms)
+{
+	uint64_t *seen = g_hash_table_lookup(duty->first_seen, server);
+
+	if (seen)
+		return *seen;
+	seen = g_new(uint64_t, 1);
+	*seen = now_ms;
+	g_hash_table_insert(duty->first_seen, g_strdup(server), seen);
+	return now_ms;
+}
+
+/* For how long a server has been known: by its own start, or seen here. */
+static uint64_t known_ms(relay_duty_t *duty, const backend_entry_t *entry,
+			 uint64_t now_ms)
+{
+	const uint64_t wall_ms = (uint64_t)(g_get_real_time() / 1000);
+	const uint64_t here_ms =
+		now_ms - first_seen_ms(duty, entry->id, now_ms);
+
+	if (entry->started_ms && entry->started_ms < wall_ms)
+		return MAX(here_ms, wall_ms - entry->started_ms);
+	return here_ms;
+}
+
+void duty_takeover_start(duty_service_t *entry, bool planned,
+			 const char *reason)
+{
+	const GPtrArray *servers = relay_service_servers(service_of(entry));
+	takeover_server_t known[TAKEOVER_SERVERS_MAX];
+	const uint64_t now_ms = clock_boot_ms();
+	uint32_t count = 0;
+
+	for (guint i = 0; i < servers->len && count < TAKEOVER_SERVERS_MAX;
+	     i++) {
+		const backend_entry_t *server =
+			relay_server_entry(servers->pdata[i]);
+
+		known[count++] = (takeover_server_t){
+			.id = server->id,
+			.draining = server->draining,
+			.known_ms = known_ms(entry->duty, server, now_ms),
+		};
+	}
+	log_event(LOG_LEVEL_NOTICE, "takeover_started",
+		  "service=%s term=%" PRIu64 " primary=%s reason=%s planned=%d "
+		  "servers=%u heard_ms_ago=%" PRIu64,
+		  entry->name, entry->record.term, entry->record.primary,
+		  reason, planned, count, now_ms - entry->watch.heard_ms);
+	takeover_start(entry->takeover, entry->record.term,
+		       entry->record.primary, planned, known, count, now_ms);
+}
+
+static void on_primary_asked(void *context,
+			     const relay_control_answer_t *answer)
+{
+	ask_t *ask = context;
+	duty_service_t *entry = ask->entry;
+	const uint64_t now_ms = clock_boot_ms();
+
+	entry->asking = false;
+	if (!strcmp(ask->server, entry->record.primary)) {
+		if (answer->result == RELAY_CONTROL_DONE ||
+		    answer->result == RELAY_CONTROL_BUSY)
+			primary_watch_heard(&entry->watch, now_ms);
+		else
+			primary_watch_failed(&entry->watch,
+					     answer->result ==
+						     RELAY_CONTROL_UNREACHABLE,
+					     now_ms);
+	}
+	ask_free(ask);
+}
+
+static void ask_primary(duty_service_t *entry, uint64_t now_ms)
+{
+	if (entry->asking)
+		return;
+	entry->asking = true;
+	entry->asked_ms = now_ms;
+	relay_control_ask(service_of(entry), entry->record.primary,
+			  RELAY_CONTROL_STATUS, 0, ASK_TIMEOUT_MS,
+			  on_primary_asked,
+			  ask_new(entry, entry->record.primary));
+}
+
+static void on_first_written(void *context, const kv_answer_t *answer)
+{
+	duty_service_t *entry = context;
+
+	entry->writing_first = false;
+	log_event(LOG_LEVEL_NOTICE, "first_record_written",
+		  "service=%s result=%s", entry->name,
+		  kv_result_name(answer->result));
+}
+
+static void on_first_status(void *context,
+			    const relay_control_answer_t *answer)
+{
+	ask_t *ask = context;
+	duty_service_t *entry = ask->entry;
+
+	if (answer->result == RELAY_CONTROL_DONE) {
+		relay_status_t *status = g_new(relay_status_t, 1);
+
+		*status = answer->status;
+		g_hash_table_replace(entry->statuses, g_strdup(ask->server),
+				     status);
+	}
+	ask_free(ask);
+}
+
+static const char *first_primary(const duty_service_t *entry, uint64_t *term)
+{
+	const char *primary = NULL;
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+
+	*term = 0;
+	g_hash_table_iter_init(&iter, entry->statuses);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const relay_status_t *status = value;
+
+		if (status->term < *term)
+			continue;
+		if (status->term > *term)
+			primary = NULL;
+		*term = status->term;
+		if (status->role == SERVER_PRIMARY)
+			primary = id;
+	}
+	return primary;
+}
+
+/* No record yet: whoever leads now is written down. */
+static void step_first(duty_service_t *entry, uint64_t now_ms)
+{
+	relay_service_t *service = service_of(entry);
+	const GPtrArray *servers = relay_service_servers(service);
+	primary_record_t record = {
+		.token = (uint64_t)entry->duty->held_revision};
+	const char *primary;
+	const bool complete = servers->len > 1 &&
+			      g_hash_table_size(entry->statuses) >=
+				      servers->len;
+
+	if (!servers->len || entry->writing_first)
+		return;
+	if (!entry->first_ms)
+		entry->first_ms = now_ms;
+	if (!complete && now_ms < entry->first_ms + FIRST_RECORD_MS) {
+		if (now_ms < entry->asked_ms + DUTY_ASK_AGAIN_MS)
+			return;
+		entry->asked_ms = now_ms;
+		for (guint i = 0; i < servers->len; i++) {
+			const char *id =
+				relay_server_entry(servers->pdata[i])->id;
+
+			relay_control_ask(service, id, RELAY_CONTROL_STATUS, 0,
+					  CONTROL_TIMEOUT_MS, on_first_status,
+					  ask_new(entry, id));
+		}
+		return;
+	}
+	primary = first_primary(entry, &record.term);
+	if (!record.term) {
+		entry->first_ms = 0;
+		return;
+	}
+	if (primary)
+		g_strlcpy(record.primary, primary, sizeof(record.primary));
+	entry->writing_first = true;
+	duty_write(entry, &record, on_first_written, entry);
+}
+
+/* @return whether another server could take over */
+static bool has_successor(const duty_service_t *entry)
+{
+	const GPtrArray *servers = relay_service_servers(service_of(entry));
+
+	for (guint i = 0; i < servers->len; i++) {
+		const backend_entry_t *server =
+			relay_server_entry(servers->pdata[i]);
+
+		if (!server->draining &&
+		    strcmp(server->id, entry->record.primary))
+			return true;
+	}
+	return false;
+}
+
+static void step_absent(duty_service_t *entry, uint64_t now_ms)
+{
+	if (!entry->absent_ms)
+		entry->absent_ms = now_ms;
+	if (now_ms >= entry->absent_ms + ABSENT_MS)
+		duty_takeover_start(entry, false, "absent");
+}
+
+void duty_service_reset(duty_service_t *entry)
+{
+	entry->watch = (primary_watch_t){.heard_ms = clock_boot_ms()};
+	entry->absent_ms = 0;
+}
+
+void duty_service_step(duty_service_t *entry, uint64_t now_ms)
+{
+	relay_server_t *primary;
+
+	if (takeover_phase(entry->takeover) != TAKEOVER_IDLE) {
+		takeover_step(entry->takeover, now_ms);
+		return;
+	}
+	if (!entry->revision) {
+		step_first(entry, now_ms);
+		return;
+	}
+	if (now_ms < entry->duty->settled_ms || !has_successor(entry))
+		return;
+	if (entry->record.takeover_term) {
+		duty_takeover_start(entry, false, "unfinished");
+		return;
+	}
+	primary = relay_service_server(service_of(entry),
+				       entry->record.primary);
+	if (!primary) {
+		step_absent(entry, now_ms);
+		return;
+	}
+	entry->absent_ms = 0;
+	if (relay_server_entry(primary)->draining) {
+		duty_takeover_start(entry, true, "draining");
+		return;
+	}
+	primary_watch_heard(&entry->watch, relay_server_heard_ms(primary));
+	if (primary_watch_is_lost(&entry->watch, now_ms))
+		duty_takeover_start(entry, false, "lost");
+	else if (primary_watch_must_ask(&entry->watch, now_ms))
+		ask_primary(entry, now_ms);
+}
--- /dev/null
+++ b/src/relay/relay_duty_takeover.c
@@ -0,0 +1,348 @@
+#include "relay/relay_duty_private.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/relay_control.h"
+#include "relay/relay_registration.h"
+
+/* Longest wait for an operation at a server. */
+#define CONTROL_TIMEOUT_MS 400
+
+/* Pause before leases that could not be ended are ended again. */
+#define REVOKE_AGAIN_MS 150
+
+/* Keys that one transaction may remove. */
+#define REMOVALS_MAX 30
+
+/* One action of a takeover under way. */
+typedef struct {
+	duty_service_t *entry;
+	uint64_t round;
+	char *server;
+} action_t;
+
+/* The ending of all leases that stood in the store. */
+typedef struct {
+	action_t *action;
+	GPtrArray *keys;
+	uint32_t pending;
+	bool failed;
+	struct event *timer;
+} revocation_t;
+
+static void revoke(void *context);
+
+static action_t *action_new(duty_service_t *entry, const char *server)
+{
+	action_t *action = g_new0(action_t, 1);
+
+	action->entry = entry;
+	action->round = entry->round;
+	action->server = g_strdup(server);
+	return action;
+}
+
+static void action_free(action_t *action)
+{
+	g_free(action->server);
+	g_free(action);
+}
+
+static bool is_current(const action_t *action)
+{
+	return action->round == action->entry->round &&
+	       takeover_phase(action->entry->takeover) != TAKEOVER_IDLE;
+}
+
+static relay_service_t *service_of(const duty_service_t *entry)
+{
+	return relay_services_find(entry->duty->services, entry->name);
+}
+
+static void log_step(const duty_service_t *entry, const char *step,
+		     const char *detail)
+{
+	log_event(LOG_LEVEL_NOTICE, "takeover_step",
+		  "service=%s phase=%s step=%s detail=%s", entry->name,
+		  takeover_phase_name(takeover_phase(entry->takeover)), step,
+		  detail);
+}
+
+static void on_written(void *context, const kv_answer_t *answer)
+{
+	action_t *action = context;
+	duty_service_t *entry = action->entry;
+
+	if (is_current(action)) {
+		log_step(entry, "written", kv_result_name(answer->result));
+		if (answer->result == KV_OK)
+			entry->revision =
+				MAX(entry->revision, answer->revision);
+		takeover_written(entry->takeover, answer->result == KV_OK,
+				 clock_boot_ms());
+	}
+	action_free(action);
+}
+
+static void write_record(void *context, uint64_t term, const char *primary,
+			 uint64_t takeover_term)
+{
+	duty_service_t *entry = context;
+	primary_record_t record = {
+		.term = term,
+		.takeover_term = takeover_term,
+		.token = (uint64_t)entry->duty->held_revision,
+	};
+
+	if (takeover_phase(entry->takeover) == TAKEOVER_INTENT)
+		entry->round++;
+	g_strlcpy(record.primary, primary, sizeof(record.primary));
+	duty_write(entry, &record, on_written, action_new(entry, primary));
+}
+
+static void revocation_free(revocation_t *revocation)
+{
+	if (revocation->timer)
+		event_free(revocation->timer);
+	g_ptr_array_unref(revocation->keys);
+	action_free(revocation->action);
+	g_free(revocation);
+}
+
+/* The leases are gone for good: so may be their keys. */
+static void remove_keys(const revocation_t *revocation)
+{
+	kv_store_t *store = revocation->action->entry->duty->store;
+	const GPtrArray *keys = revocation->keys;
+
+	for (guint i = 0; i < keys->len; i += REMOVALS_MAX) {
+		const kv_transaction_t transaction = {
+			.removals = (const char *const *)&keys->pdata[i],
+			.removals_count = MIN(keys->len - i, REMOVALS_MAX),
+		};
+
+		store->calls->commit(store->self, &transaction, NULL, NULL);
+	}
+}
+
+static void on_revoke_again(evutil_socket_t fd, short what, void *context)
+{
+	revocation_t *revocation = context;
+	duty_service_t *entry = revocation->action->entry;
+	const bool current = is_current(revocation->action);
+
+	revocation_free(revocation);
+	if (current)
+		revoke(entry);
+}
+
+static void revocation_end(revocation_t *revocation)
+{
+	duty_service_t *entry = revocation->action->entry;
+	const struct timeval delay = clock_timeval(REVOKE_AGAIN_MS);
+	g_autofree char *count = g_strdup_printf("%u", revocation->keys->len);
+
+	if (revocation->failed) {
+		revocation->timer = evtimer_new(entry->duty->base,
+						on_revoke_again, revocation);
+		event_add(revocation->timer, &delay);
+		return;
+	}
+	if (is_current(revocation->action)) {
+		log_step(entry, "leases_ended", count);
+		remove_keys(revocation);
+		takeover_revoked(entry->takeover, clock_boot_ms());
+	}
+	revocation_free(revocation);
+}
+
+static void on_lease_ended(void *context, const kv_answer_t *answer)
+{
+	revocation_t *revocation = context;
+
+	if (answer->result != KV_OK && answer->result != KV_ABSENT)
+		revocation->failed = true;
+	if (!--revocation->pending)
+		revocation_end(revocation);
+}
+
+static void on_leases(void *context, const kv_answer_t *answer)
+{
+	revocation_t *revocation = context;
+	kv_store_t *store = revocation->action->entry->duty->store;
+
+	/* One more, so that it does not end while calls are still made. */
+	revocation->pending = 1;
+	revocation->failed = answer->result != KV_OK || answer->has_more;
+	for (guint i = 0; i < answer->items->len; i++) {
+		const kv_item_t *item = answer->items->pdata[i];
+		gsize size;
+		const char *text =
+			item->value ? g_bytes_get_data(item->value, &size) :
+				      NULL;
+		g_autofree char *number = text ? g_strndup(text, size) : NULL;
+		const int64_t lease = number ? atoll(number) : 0;
+
+		if (!lease)
+			continue;
+		g_ptr_array_add(revocation->keys, g_strdup(item->key));
+		revocation->pending++;
+		store->calls->lease_end(store->self, lease, on_lease_ended,
+					revocation);
+	}
+	if (!--revocation->pending)
+		revocation_end(revocation);
+}
+
+static void revoke(void *context)
+{
+	duty_service_t *entry = context;
+	kv_store_t *store = entry->duty->store;
+	revocation_t *revocation = g_new0(revocation_t, 1);
+
+	revocation->action = action_new(entry, "");
+	revocation->keys = g_ptr_array_new_with_free_func(g_free);
+	store->calls->range(store->self, RELAY_LEASES_PREFIX, NULL, on_leases,
+			    revocation);
+}
+
+static takeover_status_t status_of(const relay_control_answer_t *answer)
+{
+	return (takeover_status_t){
+		.answered = answer->result == RELAY_CONTROL_DONE,
+		.unreachable = answer->result == RELAY_CONTROL_UNREACHABLE,
+		.role = answer->status.role,
+		.term = answer->status.term,
+		.fence = answer->status.fence,
+		.received = answer->status.received,
+	};
+}
+
+static void on_status(void *context, const relay_control_answer_t *answer)
+{
+	action_t *action = context;
+	const takeover_status_t status = status_of(answer);
+
+	if (is_current(action))
+		takeover_status(action->entry->takeover, action->server,
+				&status, clock_boot_ms());
+	action_free(action);
+}
+
+static void ask_status(void *context, const char *server)
+{
+	duty_service_t *entry = context;
+
+	relay_control_ask(service_of(entry), server, RELAY_CONTROL_STATUS, 0,
+			  CONTROL_TIMEOUT_MS, on_status,
+			  action_new(entry, server));
+}
+
+static void on_fenced(void *context, const relay_control_answer_t *answer)
+{
+	action_t *action = context;
+	const takeover_status_t status = status_of(answer);
+
+	log_step(action->entry, "fenced",
+		 relay_control_result_name(answer->result));
+	if (is_current(action))
+		takeover_fenced(action->entry->takeover, action->server,
+				&status, clock_boot_ms());
+	action_free(action);
+}
+
+static void fence(void *context, const char *server, uint64_t term)
+{
+	duty_service_t *entry = context;
+
+	relay_control_ask(service_of(entry), server, RELAY_CONTROL_FENCE, term,
+			  CONTROL_TIMEOUT_MS, on_fenced,
+			  action_new(entry, server));
+}
+
+static void on_promoted(void *context, takeover_promoted_t result)
+{
+	static const char *const names[] = {"accepted", "not_running",
+					    "unknown"};
+	action_t *action = context;
+
+	log_step(action->entry, "promoted", names[result]);
+	if (is_current(action))
+		takeover_promoted(action->entry->takeover, result,
+				  clock_boot_ms());
+	action_free(action);
+}
+
+static void promote(void *context, const char *server)
+{
+	duty_service_t *entry = context;
+	relay_duty_t *duty = entry->duty;
+	const relay_promotion_t promotion = {
+		.service = entry->name,
+		.server = server,
+		.holder = duty->node,
+		.token = (uint64_t)duty->held_revision,
+	};
+
+	if (!duty_is_safe(duty)) {
+		log_step(entry, "promotion_unsafe", server);
+		return;
+	}
+	log_step(entry, "promoting", server);
+	duty->promoter.promote(duty->promoter.self, &promotion, on_promoted,
+			       action_new(entry, server));
+}
+
+static void on_released(void *context, const relay_control_answer_t *answer)
+{
+	action_t *action = context;
+
+	log_event(LOG_LEVEL_INFO, "server_released",
+		  "service=%s server=%s result=%s", action->entry->name,
+		  action->server, relay_control_result_name(answer->result));
+	action_free(action);
+}
+
+static void on_done(void *context, bool led, uint64_t term, const char *primary)
+{
+	duty_service_t *entry = context;
+	g_autofree char *old = g_strdup(entry->record.primary);
+	const GPtrArray *servers = relay_service_servers(service_of(entry));
+
+	log_event(LOG_LEVEL_NOTICE, led ? "takeover_done" : "takeover_failed",
+		  "service=%s term=%" PRIu64 " primary=%s", entry->name, term,
+		  primary);
+	duty_service_reset(entry);
+	/* A holder that died may have left fences behind, too. */
+	for (guint i = 0; i < servers->len; i++) {
+		const char *id = relay_server_entry(servers->pdata[i])->id;
+
+		if (strcmp(id, primary))
+			relay_control_ask(service_of(entry), id,
+					  RELAY_CONTROL_RELEASE, 0,
+					  CONTROL_TIMEOUT_MS, on_released,
+					  action_new(entry, id));
+	}
+	if (led && strcmp(old, primary))
+		relay_control_ask(service_of(entry), old,
+				  RELAY_CONTROL_STEP_DOWN, term,
+				  CONTROL_TIMEOUT_MS, on_released,
+				  action_new(entry, old));
+}
+
+void duty_takeover_create(duty_service_t *entry)
+{
+	entry->takeover = takeover_create((takeover_actions_t){
+		.write = write_record,
+		.revoke = revoke,
+		.status = ask_status,
+		.fence = fence,
+		.promote = promote,
+		.done = on_done,
+		.context = entry,
+	});
+}
--- /dev/null
+++ b/src/relay/relay_job.c
@@ -0,0 +1,768 @@
+#include "relay/relay_job.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/read_placement.h"
+#include "relay/relay_attempt.h"
+
+/* Tries of one statement at once: the second when the first is slow. */
+#define TRIES_AT_ONCE 2
+
+/* Servers that answered in vain and are passed over. */
+#define TRIED_MAX 8
+
+/* Silence after which a read is tried elsewhere, as a multiple of its mean. */
+#define HEDGE_FACTOR 4
+#define HEDGE_MS_MIN 150
+#define HEDGE_MS_MAX 450
+
+/* Pause before a statement that did not run is tried again. */
+#define RETRY_MS 20
+#define RETRY_MS_MAX 160
+
+/* Pause between two looks whether a change may be acknowledged. */
+#define LEASE_POLL_MS 20
+
+/* Longest wait for the proof that a change may be acknowledged. */
+#define ACKNOWLEDGE_MS_MAX 1500
+
+/* Wait for a replica to catch up with the session's own change. */
+#define CATCH_UP_MS_MAX 60
+
+/* When callers may come back, as the refusal tells them. */
+#define COME_BACK_MS 300
+
+struct relay_hold {
+	relay_service_t *service;
+	relay_server_t *server;
+	relay_link_t *link;
+	uint64_t term; /* of the primary, 0 at a replica */
+	uint64_t started_ms;
+	bool wrote;
+};
+
+struct relay_job {
+	relay_service_t *service;
+	relay_ask_t ask;
+	relay_job_done_t done;
+	void *context;
+	struct event *timer;
+	uint64_t deadline_ms;
+	uint64_t retry_at_ms; /* 0: none is due */
+	uint64_t hedge_at_ms; /* 0: none is due */
+	uint32_t retry_ms;
+	relay_waiter_t waiter;
+	relay_server_t *waiting_at;
+	relay_parked_t parked;
+	relay_attempt_t *attempts[TRIES_AT_ONCE];
+	uint32_t attempts_count;
+	uint32_t tries;
+	uint64_t term; /* of the primary that was asked, 0 for a replica */
+	log_point_t after;
+	const relay_server_t *tried[TRIED_MAX]; /* compared, never used */
+	uint32_t tried_count;
+	bool only_primary; /* replicas could not serve it */
+	relay_hold_t *hold;
+	/* Ends with this result at the next turn of the loop. */
+	bool ending;
+	relay_error_t error;
+	const char *error_text;
+	/* A change whose acknowledgement needs proof. */
+	relay_result_t unproved;
+	uint64_t prove_until_ms;
+};
+
+static void place(relay_job_t *job);
+
+static bool needs_primary(const relay_job_t *job)
+{
+	const relay_ask_t *ask = &job->ask;
+
+	if (ask->writes || job->only_primary)
+		return true;
+	if (ask->begin_id && !ask->read_only)
+		return true;
+	return ask->database->reads == READS_AT_PRIMARY;
+}
+
+/* Whether it may run twice without any effect. */
+static bool is_repeatable(const relay_job_t *job)
+{
+	return !job->ask.writes && !job->ask.begin_id && !job->hold;
+}
+
+static void schedule(relay_job_t *job)
+{
+	const uint64_t now_ms = clock_boot_ms();
+	uint64_t due_ms = job->deadline_ms;
+	struct timeval delay;
+
+	if (job->retry_at_ms)
+		due_ms = MIN(due_ms, job->retry_at_ms);
+	if (job->hedge_at_ms)
+		due_ms = MIN(due_ms, job->hedge_at_ms);
+	if (job->ending || job->unproved.body)
+		due_ms = job->ending ? now_ms : now_ms + LEASE_POLL_MS;
+	delay = clock_timeval(due_ms > now_ms ? due_ms - now_ms : 0);
+	event_add(job->timer, &delay);
+}
+
+static void stop_waiting(relay_job_t *job)
+{
+	if (job->waiting_at)
+		relay_server_leave(job->waiting_at, &job->waiter);
+	job->waiting_at = NULL;
+	relay_service_unpark(job->service, &job->parked);
+	job->retry_at_ms = 0;
+}
+
+static void abandon_attempts(relay_job_t *job)
+{
+	for (uint32_t i = 0; i < job->attempts_count; i++)
+		if (job->ask.writes || job->ask.begin_id)
+			relay_attempt_discard(job->attempts[i]);
+		else
+			relay_attempt_abandon(job->attempts[i]);
+	job->attempts_count = 0;
+}
+
+static void job_free(relay_job_t *job)
+{
+	stop_waiting(job);
+	abandon_attempts(job);
+	if (job->unproved.body)
+		g_byte_array_unref(job->unproved.body);
+	event_free(job->timer);
+	g_free(job);
+}
+
+static void log_end(const relay_job_t *job, const relay_result_t *result)
+{
+	const uint64_t now_ms = clock_boot_ms();
+
+	log_event(LOG_LEVEL_INFO,
+		  result->failed ? "statement_failed" : "statement_done",
+		  "id=%s service=%s kind=%s outcome=%s tries=%u "
+		  "delay_ms=%" PRIu64 " term=%" PRIu64 " after=%" PRIu64
+		  ".%" PRIu64 " point=%" PRIu64 ".%" PRIu64,
+		  job->ask.id, relay_service_name(job->service),
+		  command_kind_name(job->ask.kind),
+		  result->failed ? relay_error_name(result->error) : "done",
+		  job->tries, now_ms - job->ask.received_ms, job->term,
+		  job->after.term, job->after.position, result->point.term,
+		  result->point.position);
+}
+
+static void finish(relay_job_t *job, const relay_result_t *result)
+{
+	const relay_job_done_t done = job->done;
+	void *const context = job->context;
+
+	log_end(job, result);
+	job_free(job);
+	done(context, result);
+}
+
+static void drop_hold(relay_job_t *job)
+{
+	if (!job->hold)
+		return;
+	if (job->attempts_count)
+		relay_attempt_steal(job->attempts[0]);
+	job->attempts_count = 0;
+	relay_hold_release(job->hold);
+	job->hold = NULL;
+}
+
+/* Ends it at the next turn of the loop. */
+static void fail(relay_job_t *job, relay_error_t error, const char *text)
+{
+	stop_waiting(job);
+	job->ending = true;
+	job->error = error;
+	job->error_text = text;
+	schedule(job);
+}
+
+static void finish_failed(relay_job_t *job, relay_error_t error,
+			  const char *text)
+{
+	const bool in_transaction = (job->hold || job->ask.begin_id) &&
+				    job->ask.kind != COMMAND_COMMIT;
+	const relay_result_t result = {
+		.failed = true,
+		.error = error,
+		.text = text,
+		.status = in_transaction ? 'E' : 'I',
+	};
+
+	drop_hold(job);
+	finish(job, &result);
+}
+
+static void refuse(relay_job_t *job, const char *reason)
+{
+	log_event(LOG_LEVEL_INFO, "statement_refused",
+		  "id=%s service=%s reason=%s waited_ms=%" PRIu64
+		  " parked=%u lease_ms=%" PRId64,
+		  job->ask.id, relay_service_name(job->service), reason,
+		  clock_boot_ms() - job->ask.received_ms,
+		  relay_service_parked(job->service),
+		  (int64_t)(primary_lease_until_ms(
+				    relay_service_lease(job->service),
+				    relay_services_lease(relay_service_services(
+					    job->service))) -
+			    clock_boot_ms()));
+	fail(job,
+	     job->hold || job->ask.begin_id ? RELAY_ERROR_ABORTED :
+					      RELAY_ERROR_OVERLOADED,
+	     "not run, come back in " G_STRINGIFY(COME_BACK_MS) " ms");
+}
+
+static void retry_later(relay_job_t *job)
+{
+	job->retry_at_ms = clock_boot_ms() + job->retry_ms;
+	job->retry_ms = MIN(2 * job->retry_ms, RETRY_MS_MAX);
+	schedule(job);
+}
+
+static void retry_now(relay_job_t *job)
+{
+	job->retry_at_ms = clock_boot_ms();
+	schedule(job);
+}
+
+static bool was_tried(const relay_job_t *job, const relay_server_t *server)
+{
+	for (uint32_t i = 0; i < job->tried_count; i++)
+		if (job->tried[i] == server)
+			return true;
+	return false;
+}
+
+static void note_tried(relay_job_t *job, const relay_server_t *server)
+{
+	if (job->tried_count < TRIED_MAX && !was_tried(job, server))
+		job->tried[job->tried_count++] = server;
+}
+
+static void attempt_remove(relay_job_t *job, const relay_attempt_t *attempt)
+{
+	for (uint32_t i = 0; i < job->attempts_count; i++)
+		if (job->attempts[i] == attempt)
+			job->attempts[i] =
+				job->attempts[--job->attempts_count];
+}
+
+static bool may_acknowledge(const relay_job_t *job)
+{
+	const primary_lease_t *lease = relay_service_lease(job->service);
+
+	return relay_service_lead_valid(job->service) &&
+	       lease->term == job->term;
+}
+
+static relay_hold_t *hold_new(const relay_job_t *job, relay_server_t *server,
+			      relay_link_t *link)
+{
+	relay_hold_t *hold = g_new0(relay_hold_t, 1);
+
+	hold->service = job->service;
+	hold->server = server;
+	hold->link = link;
+	hold->term = job->term;
+	hold->started_ms = clock_boot_ms();
+	hold->wrote = job->ask.writes;
+	return hold;
+}
+
+void relay_hold_release(relay_hold_t *hold)
+{
+	relay_server_discard(hold->server, hold->link);
+	g_free(hold);
+}
+
+/* Keeps the connection for the transaction, or gives it back. */
+static void settle_link(relay_job_t *job, relay_attempt_t *attempt,
+			relay_result_t *result)
+{
+	relay_server_t *server = relay_attempt_server(attempt);
+
+	if (result->status == 'I') {
+		relay_attempt_finish(attempt);
+		g_clear_pointer(&job->hold, g_free);
+		return;
+	}
+	if (job->hold) {
+		relay_attempt_steal(attempt);
+		job->hold->wrote |= job->ask.writes;
+		result->hold = g_steal_pointer(&job->hold);
+		return;
+	}
+	result->hold = hold_new(job, server, relay_attempt_steal(attempt));
+}
+
+static bool changed_data(const relay_job_t *job, const relay_result_t *result)
+{
+	if (result->failed || result->status != 'I' || !job->term)
+		return false;
+	if (job->ask.kind == COMMAND_COMMIT)
+		return !job->hold || job->hold->wrote;
+	return job->ask.writes;
+}
+
+static void deliver(relay_job_t *job, relay_attempt_t *attempt,
+		    const relay_answer_t *answer)
+{
+	relay_result_t result = {
+		.failed = answer->failed,
+		.error = answer->error,
+		.text = answer->error_text,
+		.body = answer->body,
+		.status = answer->status,
+		.point = answer->point,
+		.term = job->term,
+	};
+	const bool must_prove =
+		changed_data(job, &result) && !may_acknowledge(job);
+
+	attempt_remove(job, attempt);
+	settle_link(job, attempt, &result);
+	if (!must_prove) {
+		finish(job, &result);
+		return;
+	}
+	log_event(LOG_LEVEL_WARNING, "acknowledgement_held",
+		  "id=%s service=%s term=%" PRIu64, job->ask.id,
+		  relay_service_name(job->service), job->term);
+	abandon_attempts(job);
+	job->unproved = result;
+	job->unproved.body = g_byte_array_ref(answer->body);
+	job->unproved.text = NULL;
+	job->prove_until_ms = clock_boot_ms() + ACKNOWLEDGE_MS_MAX;
+	schedule(job);
+}
+
+static void prove(relay_job_t *job)
+{
+	const primary_lease_t *lease = relay_service_lease(job->service);
+	g_autoptr(GByteArray) body = job->unproved.body;
+	relay_result_t result = job->unproved;
+
+	if (may_acknowledge(job)) {
+		job->unproved.body = NULL;
+		finish(job, &result);
+		return;
+	}
+	if (lease->term == job->term && clock_boot_ms() < job->prove_until_ms) {
+		g_steal_pointer(&body);
+		schedule(job);
+		return;
+	}
+	job->unproved.body = NULL;
+	finish_failed(job, RELAY_ERROR_IN_DOUBT,
+		      "the primary may have been replaced");
+}
+
+/* The statement was sent and its answer is lost. */
+static void on_lost(relay_job_t *job)
+{
+	if (job->ask.kind == COMMAND_COMMIT) {
+		finish_failed(job, RELAY_ERROR_IN_DOUBT,
+			      "connection lost while committing");
+		return;
+	}
+	if (job->hold) {
+		finish_failed(job, RELAY_ERROR_ABORTED,
+			      "connection lost, rolled back");
+		return;
+	}
+	/* Where it began a transaction, that was rolled back with it. */
+	if (job->ask.writes && !job->ask.begin_id) {
+		finish_failed(job, RELAY_ERROR_IN_DOUBT,
+			      "connection lost while writing");
+		return;
+	}
+	if (!job->attempts_count)
+		retry_now(job);
+}
+
+/* Nothing ran: tries elsewhere, later, or waits for another primary. */
+static void on_not_run(relay_job_t *job, const relay_server_t *server,
+		       relay_error_t error)
+{
+	if (job->attempts_count)
+		return;
+	switch (error) {
+	case RELAY_ERROR_BEHIND:
+		note_tried(job, server);
+		retry_now(job);
+		return;
+	case RELAY_ERROR_READ_ONLY:
+	case RELAY_ERROR_OVERLOADED:
+	case RELAY_ERROR_OTHER_SERVER:
+		if (!needs_primary(job))
+			note_tried(job, server);
+		retry_later(job);
+		return;
+	default:
+		retry_later(job);
+		return;
+	}
+}
+
+static bool not_run(relay_error_t error)
+{
+	return error == RELAY_ERROR_OVERLOADED || error == RELAY_ERROR_BEHIND ||
+	       error == RELAY_ERROR_READ_ONLY ||
+	       error == RELAY_ERROR_UNKNOWN_NAME ||
+	       error == RELAY_ERROR_OTHER_SERVER;
+}
+
+static void on_refused_by_server(relay_job_t *job, relay_attempt_t *attempt,
+				 relay_error_t error)
+{
+	relay_server_t *server = relay_attempt_server(attempt);
+
+	log_event(LOG_LEVEL_INFO, "statement_not_run",
+		  "id=%s server=%s reason=%s term=%" PRIu64 " after=%" PRIu64
+		  ".%" PRIu64,
+		  job->ask.id, relay_server_entry(server)->id,
+		  relay_error_name(error), job->term, job->after.term,
+		  job->after.position);
+	attempt_remove(job, attempt);
+	if (error == RELAY_ERROR_UNKNOWN_NAME)
+		relay_attempt_discard(attempt);
+	else
+		relay_attempt_finish(attempt);
+	on_not_run(job, server, error);
+}
+
+static void on_attempt(void *context, relay_attempt_t *attempt,
+		       relay_attempt_end_t end, const relay_answer_t *answer)
+{
+	relay_job_t *job = context;
+	relay_server_t *server = relay_attempt_server(attempt);
+
+	job->hedge_at_ms = 0;
+	if (!answer) {
+		attempt_remove(job, attempt);
+		if (job->hold) {
+			relay_attempt_steal(attempt);
+			on_lost(job);
+			return;
+		}
+		relay_attempt_discard(attempt);
+		if (end == RELAY_ATTEMPT_LOST)
+			on_lost(job);
+		else
+			on_not_run(job, server, RELAY_ERROR_OTHER);
+		return;
+	}
+	relay_server_ran(server, clock_boot_ms() - answer->sent_ms);
+	if (job->hold && answer->failed && answer->status == 'T' &&
+	    answer->error == RELAY_ERROR_OVERLOADED) {
+		attempt_remove(job, attempt);
+		relay_attempt_steal(attempt);
+		retry_later(job);
+		return;
+	}
+	if (answer->failed && !job->hold && not_run(answer->error)) {
+		on_refused_by_server(job, attempt, answer->error);
+		return;
+	}
+	deliver(job, attempt, answer);
+}
+
+static void run_on(relay_job_t *job, relay_server_t *server, relay_link_t *link)
+{
+	job->tries++;
+	job->attempts[job->attempts_count++] =
+		relay_attempt_start(job->service, server, link, &job->ask,
+				    job->after, on_attempt, job);
+	if (is_repeatable(job) && job->attempts_count < TRIES_AT_ONCE)
+		job->hedge_at_ms =
+			clock_boot_ms() +
+			CLAMP(HEDGE_FACTOR * relay_server_run_ms(server),
+			      HEDGE_MS_MIN, HEDGE_MS_MAX);
+	schedule(job);
+}
+
+static void on_granted(void *context, relay_server_t *server,
+		       relay_link_t *link)
+{
+	relay_job_t *job = context;
+
+	job->waiting_at = NULL;
+	run_on(job, server, link);
+}
+
+static void on_refused(void *context, relay_server_t *server)
+{
+	relay_job_t *job = context;
+
+	job->waiting_at = NULL;
+	if (!needs_primary(job))
+		note_tried(job, server);
+	if (!job->attempts_count)
+		retry_later(job);
+}
+
+static void wait_at(relay_job_t *job, relay_server_t *server)
+{
+	if (!relay_server_can_serve(server, &job->waiter, clock_boot_ms())) {
+		if (!job->attempts_count)
+			refuse(job, "queue");
+		return;
+	}
+	job->waiting_at = server;
+	relay_server_ask(server, &job->waiter);
+	if (job->waiting_at)
+		schedule(job);
+}
+
+static void place_at_primary(relay_job_t *job)
+{
+	relay_server_t *primary = relay_service_primary(job->service);
+
+	job->after = (log_point_t){0};
+	if (!primary) {
+		relay_service_park(job->service, &job->parked);
+		schedule(job);
+		return;
+	}
+	job->term = relay_service_lease(job->service)->term;
+	wait_at(job, primary);
+}
+
+/* Finds the point that a replica must have; false when none is known. */
+static bool point_needed(relay_job_t *job, log_point_t *point)
+{
+	const relay_ask_t *ask = &job->ask;
+	const point_samples_t *samples = relay_service_samples(job->service);
+	const uint64_t age_ms = ask->database->max_age_ms;
+	const uint64_t since_ms =
+		ask->received_ms > age_ms ? ask->received_ms - age_ms : 0;
+
+	if (!point_samples_since(samples, since_ms, point))
+		return false;
+	/* A point of an older term may have been rolled back; all that was
+	 * kept of it lies before the samples of the present primary. */
+	if (ask->database->reads == READS_OWN_WRITES &&
+	    ask->own_term == relay_service_lease(job->service)->term)
+		*point = log_point_max(*point, ask->own_point);
+	return true;
+}
+
+static uint64_t behind_ms(const relay_job_t *job, const relay_server_t *server,
+			  log_point_t point)
+{
+	const uint64_t age_ms =
+		point_samples_age_ms(relay_service_samples(job->service), point,
+				     clock_boot_ms());
+	const uint64_t lag_ms = relay_server_lag_ms(server);
+
+	return lag_ms > age_ms ? lag_ms - age_ms : 0;
+}
+
+static relay_server_t *choose_for_read(relay_job_t *job, log_point_t point)
+{
+	relay_services_t *services = relay_service_services(job->service);
+	const char *domain = relay_services_settings(services)->failure_domain;
+	const GPtrArray *servers = relay_service_servers(job->service);
+	read_candidate_t candidates[READ_PLACEMENT_SERVERS_MAX] = {{0}};
+	const uint32_t count = MIN(servers->len, READ_PLACEMENT_SERVERS_MAX);
+	const uint64_t now_ms = clock_boot_ms();
+	int chosen;
+
+	for (uint32_t i = 0; i < count; i++) {
+		relay_server_t *server = servers->pdata[i];
+		const backend_entry_t *entry = relay_server_entry(server);
+		read_candidate_t *candidate = &candidates[i];
+
+		candidate->usable = !entry->draining &&
+				    !was_tried(job, server) &&
+				    relay_server_usable(server, now_ms);
+		candidate->near = !strcmp(entry->failure_domain, domain);
+		candidate->same_region = relay_services_same_region(
+			services, entry->failure_domain);
+		candidate->wait_ms = relay_server_wait_ms(server);
+		candidate->run_ms = relay_server_run_ms(server);
+		candidate->behind_ms = behind_ms(job, server, point);
+	}
+	chosen = read_placement_choose(candidates, count);
+	return chosen < 0 ? NULL : servers->pdata[chosen];
+}
+
+static void place_read(relay_job_t *job)
+{
+	log_point_t point;
+	relay_server_t *server;
+
+	if (!point_needed(job, &point)) {
+		place_at_primary(job);
+		return;
+	}
+	server = choose_for_read(job, point);
+	if (!server) {
+		if (job->attempts_count)
+			return;
+		job->tried_count = 0;
+		if (relay_service_primary(job->service))
+			place_at_primary(job);
+		else
+			retry_later(job);
+		return;
+	}
+	job->after = point;
+	job->term = 0;
+	wait_at(job, server);
+}
+
+static void place(relay_job_t *job)
+{
+	if (job->hold)
+		run_on(job, job->hold->server, job->hold->link);
+	else if (needs_primary(job))
+		place_at_primary(job);
+	else
+		place_read(job);
+}
+
+static void on_wake(void *context)
+{
+	place(context);
+}
+
+/* The attempt is slow: another server may be faster. */
+static void hedge(relay_job_t *job)
+{
+	relay_server_t *server = relay_attempt_server(job->attempts[0]);
+
+	job->hedge_at_ms = 0;
+	if (job->attempts_count >= TRIES_AT_ONCE || job->waiting_at) {
+		schedule(job);
+		return;
+	}
+	relay_server_silent(server);
+	if (!needs_primary(job))
+		note_tried(job, server);
+	place(job);
+	schedule(job);
+}
+
+static void on_deadline(relay_job_t *job)
+{
+	bool sent = false;
+
+	for (uint32_t i = 0; i < job->attempts_count; i++) {
+		sent |= relay_attempt_is_sent(job->attempts[i]);
+		relay_server_silent(relay_attempt_server(job->attempts[i]));
+	}
+	if (!sent) {
+		refuse(job, "deadline");
+		return;
+	}
+	if (job->ask.kind == COMMAND_COMMIT ||
+	    (job->ask.writes && !job->hold && !job->ask.begin_id))
+		finish_failed(job, RELAY_ERROR_IN_DOUBT, "no answer in time");
+	else if (job->hold || job->ask.begin_id)
+		finish_failed(job, RELAY_ERROR_ABORTED,
+			      "no answer in time, rolled back");
+	else
+		finish_failed(job, RELAY_ERROR_TIMEOUT, "no answer in time");
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	relay_job_t *job = context;
+	const uint64_t now_ms = clock_boot_ms();
+
+	if (job->ending)
+		finish_failed(job, job->error, job->error_text);
+	else if (job->unproved.body)
+		prove(job);
+	else if (now_ms >= job->deadline_ms)
+		on_deadline(job);
+	else if (job->retry_at_ms && now_ms >= job->retry_at_ms) {
+		job->retry_at_ms = 0;
+		place(job);
+	} else if (job->hedge_at_ms && now_ms >= job->hedge_at_ms)
+		hedge(job);
+	else
+		schedule(job);
+}
+
+static relay_job_t *job_new(relay_services_t *services,
+			    relay_service_t *service, const relay_ask_t *ask,
+			    relay_job_done_t done, void *context)
+{
+	const catalog_database_t *database = ask->database;
+	relay_job_t *job = g_new0(relay_job_t, 1);
+
+	job->service = service;
+	job->ask = *ask;
+	job->done = done;
+	job->context = context;
+	job->retry_ms = RETRY_MS;
+	job->deadline_ms = ask->received_ms + database->timeout_ms;
+	job->timer = evtimer_new(relay_services_settings(services)->base,
+				 on_timer, job);
+	job->waiter = (relay_waiter_t){
+		.entry = {.priority = database->priority,
+			  .target_ms = ask->received_ms +
+				       database->target_latency_ms,
+			  .deadline_ms = job->deadline_ms},
+		.values = ask->values,
+		.granted = on_granted,
+		.refused = on_refused,
+		.context = job,
+	};
+	job->parked.wake = on_wake;
+	job->parked.context = job;
+	return job;
+}
+
+relay_job_t *relay_job_start(relay_services_t *services, const relay_ask_t *ask,
+			     relay_job_done_t done, void *context)
+{
+	relay_service_t *service =
+		relay_services_find(services, ask->database->service);
+	relay_job_t *job = job_new(services, service, ask, done, context);
+
+	if (service)
+		place(job);
+	else
+		fail(job, RELAY_ERROR_OVERLOADED, "the service is not known");
+	return job;
+}
+
+relay_job_t *relay_job_continue(relay_hold_t *hold, const relay_ask_t *ask,
+				relay_job_done_t done, void *context)
+{
+	relay_job_t *job = job_new(relay_service_services(hold->service),
+				   hold->service, ask, done, context);
+	const bool needs_lease =
+		hold->term && (ask->writes || (ask->kind == COMMAND_COMMIT &&
+					       hold->wrote));
+
+	job->hold = hold;
+	job->term = hold->term;
+	if (!relay_link_is_open(hold->link))
+		fail(job, RELAY_ERROR_ABORTED, "connection lost, rolled back");
+	else if (needs_lease && !may_acknowledge(job))
+		fail(job, RELAY_ERROR_ABORTED,
+		     "the primary may have been replaced, rolled back");
+	else
+		run_on(job, hold->server, hold->link);
+	return job;
+}
+
+void relay_job_cancel(relay_job_t *job)
+{
+	drop_hold(job);
+	job_free(job);
+}
--- /dev/null
+++ b/src/relay/relay_link.c
@@ -0,0 +1,275 @@
+#include "relay/relay_link.h"
+
+#include <string.h>
+
+#include <event2/bufferevent.h>
+
+#include <netinet/in.h>
+#include <arpa/inet.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "transport/socket_options.h"
+
+/* Time for the connection and the server's welcome. */
+#define OPEN_TIMEOUT_MS 1500
+
+/* Silence of the server's machine after which the connection is given up. */
+#define SILENCE_S 3
+
+struct relay_link {
+	struct bufferevent *bev;
+	const relay_codec_t *codec;
+	relay_link_handlers_t handlers;
+	char *server; /* id */
+	bool open;
+	bool busy;
+	uint64_t opened_ms;
+	uint64_t heard_ms;
+	relay_link_done_t done;
+	void *context;
+	/* The answer so far. */
+	GByteArray *body;
+	bool failed;
+	relay_error_t error;
+	char *error_text;
+	char *row;
+	uint64_t sent_ms;
+	relay_link_state_t state;
+};
+
+static void answer_reset(relay_link_t *link)
+{
+	g_byte_array_set_size(link->body, 0);
+	link->failed = false;
+	g_clear_pointer(&link->error_text, g_free);
+	g_clear_pointer(&link->row, g_free);
+}
+
+/* The callbacks may destroy the link: nothing of it is used behind them. */
+static void link_ended(relay_link_t *link, relay_error_t error)
+{
+	const relay_link_handlers_t handlers = link->handlers;
+	const relay_link_done_t done = link->busy ? link->done : NULL;
+	void *const context = link->context;
+	const relay_answer_t answer = {.broken = true,
+				       .status = 'E',
+				       .error = error,
+				       .sent_ms = link->sent_ms};
+	const bool was_open = link->open;
+
+	bufferevent_disable(link->bev, EV_READ | EV_WRITE);
+	link->open = false;
+	link->busy = false;
+	handlers.closed(handlers.context, link, error, was_open);
+	if (done)
+		done(context, &answer);
+}
+
+static void on_ready(relay_link_t *link, const relay_message_t *message)
+{
+	g_autoptr(GByteArray) body = link->body;
+	g_autofree char *error_text = g_steal_pointer(&link->error_text);
+	g_autofree char *row = g_steal_pointer(&link->row);
+	const relay_answer_t answer = {
+		.failed = link->failed,
+		.error = link->error,
+		.error_text = error_text ? error_text : "",
+		.row = row,
+		.status = message->status,
+		.point = message->point,
+		.body = body,
+		.sent_ms = link->sent_ms,
+	};
+
+	if (!link->open) {
+		link->open = true;
+		link->opened_ms = clock_boot_ms();
+		link->body = g_steal_pointer(&body);
+		bufferevent_set_timeouts(link->bev, NULL, NULL);
+		link->handlers.opened(link->handlers.context, link,
+				      message->point);
+		return;
+	}
+	link->body = g_byte_array_new();
+	link->busy = false;
+	link->state.in_transaction = message->status != 'I';
+	link->done(link->context, &answer);
+}
+
+static void take_part(relay_link_t *link, relay_message_t *message)
+{
+	if (message->kind == RELAY_MESSAGE_ERROR) {
+		link->failed = true;
+		link->error = message->error;
+		g_free(link->error_text);
+		link->error_text = g_steal_pointer(&message->text);
+	} else if (message->kind == RELAY_MESSAGE_ROW && !link->row) {
+		link->row = g_steal_pointer(&message->text);
+	}
+	g_byte_array_append(link->body, (const guint8 *)message->encoded,
+			    (guint)message->encoded_size);
+}
+
+static void on_invalid(relay_link_t *link, const GError *error)
+{
+	log_event(LOG_LEVEL_WARNING, "server_message_invalid",
+		  "server=%s reason=\"%s\"", link->server, error->message);
+	link_ended(link, RELAY_ERROR_OTHER);
+}
+
+static void on_unasked(relay_link_t *link)
+{
+	log_event(LOG_LEVEL_WARNING, "server_message_unasked", "server=%s",
+		  link->server);
+	link_ended(link, RELAY_ERROR_OTHER);
+}
+
+/* Only one statement runs, so nothing may stand behind its end. */
+static void take_ready(relay_link_t *link, const relay_message_t *message)
+{
+	if (link->open && !link->busy)
+		on_unasked(link);
+	else if (evbuffer_get_length(bufferevent_get_input(link->bev)))
+		on_unasked(link);
+	else
+		on_ready(link, message);
+}
+
+/* Before the welcome an error is the refusal of the connection. */
+static bool refused(relay_link_t *link, const relay_message_t *message)
+{
+	if (link->open || message->kind != RELAY_MESSAGE_ERROR)
+		return false;
+	link_ended(link, message->error);
+	return true;
+}
+
+static void on_read(struct bufferevent *bev, void *context)
+{
+	relay_link_t *link = context;
+	struct evbuffer *input = bufferevent_get_input(bev);
+
+	link->heard_ms = clock_boot_ms();
+	for (;;) {
+		g_auto(relay_message_t) message = {0};
+		g_autoptr(GError) error = NULL;
+
+		switch (link->codec->decode(input, &message, &error)) {
+		case RELAY_INCOMPLETE:
+			return;
+		case RELAY_INVALID:
+			on_invalid(link, error);
+			return;
+		case RELAY_DECODED:
+			break;
+		}
+		if (refused(link, &message))
+			return;
+		if (message.kind == RELAY_MESSAGE_READY) {
+			take_ready(link, &message);
+			return;
+		}
+		if (!link->busy) {
+			on_unasked(link);
+			return;
+		}
+		take_part(link, &message);
+	}
+}
+
+static void on_event(struct bufferevent *bev, short what, void *context)
+{
+	relay_link_t *link = context;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		socket_options_set(bufferevent_getfd(bev), SILENCE_S);
+		return;
+	}
+	link_ended(link, what & BEV_EVENT_TIMEOUT ? RELAY_ERROR_TIMEOUT :
+						    RELAY_ERROR_OTHER);
+}
+
+relay_link_t *relay_link_open(struct event_base *base,
+			      const relay_codec_t *codec,
+			      const backend_entry_t *entry,
+			      relay_link_handlers_t handlers)
+{
+	relay_link_t *link = g_new0(relay_link_t, 1);
+	const struct timeval timeout = clock_timeval(OPEN_TIMEOUT_MS);
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_port = htons(entry->port)};
+
+	inet_pton(AF_INET, entry->address, &address.sin_addr);
+	link->codec = codec;
+	link->handlers = handlers;
+	link->server = g_strdup(entry->id);
+	link->body = g_byte_array_new();
+	link->heard_ms = clock_boot_ms();
+	link->state.values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	link->state.prepared =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	link->bev = bufferevent_socket_new(base, -1,
+					   BEV_OPT_CLOSE_ON_FREE |
+						   BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
+	bufferevent_set_timeouts(link->bev, &timeout, &timeout);
+	bufferevent_enable(link->bev, EV_READ | EV_WRITE);
+	codec->put_startup(bufferevent_get_output(link->bev), entry->service,
+			   entry->id);
+	bufferevent_socket_connect(link->bev, (struct sockaddr *)&address,
+				   sizeof(address));
+	return link;
+}
+
+void relay_link_destroy(relay_link_t *link)
+{
+	if (!link)
+		return;
+	bufferevent_free(link->bev);
+	g_byte_array_unref(link->body);
+	g_free(link->error_text);
+	g_free(link->row);
+	g_free(link->server);
+	g_hash_table_destroy(link->state.values);
+	g_hash_table_destroy(link->state.prepared);
+	g_free(link);
+}
+
+void relay_link_run(relay_link_t *link, const char *id, log_point_t after,
+		    const char *text, relay_link_done_t done, void *context)
+{
+	answer_reset(link);
+	link->busy = true;
+	link->done = done;
+	link->context = context;
+	link->sent_ms = clock_boot_ms();
+	link->codec->put_query(bufferevent_get_output(link->bev), id, after,
+			       text);
+}
+
+bool relay_link_is_open(const relay_link_t *link)
+{
+	return link->open;
+}
+
+bool relay_link_is_busy(const relay_link_t *link)
+{
+	return link->busy;
+}
+
+uint64_t relay_link_opened_ms(const relay_link_t *link)
+{
+	return link->opened_ms;
+}
+
+uint64_t relay_link_heard_ms(const relay_link_t *link)
+{
+	return link->heard_ms;
+}
+
+relay_link_state_t *relay_link_state(relay_link_t *link)
+{
+	return &link->state;
+}
--- /dev/null
+++ b/src/relay/relay_node.c
@@ -0,0 +1,379 @@
+#include "relay/relay_node.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/relay_callers.h"
+#include "relay/relay_duty.h"
+#include "relay/relay_registration.h"
+#include "relay/relay_status_page.h"
+#include "store/kv_follow.h"
+
+/* Series of one metric before further labels share one. */
+#define METRIC_SERIES_MAX 256u
+
+/* Changes within this time cost one call to the store. */
+#define CATALOG_PAUSE_MS 300
+#define BACKENDS_PAUSE_MS 150
+#define NODES_PAUSE_MS 1000
+
+/* Time for which a server whose entry vanished is still used. */
+#define BACKEND_LAPSE_MS 2500
+
+/* Time for which the balancer may still send new callers to a leaving node. */
+#define DRAIN_ACCEPT_MS 2500
+
+/* End of a drain before the kill, as a part of the grace. */
+#define DRAIN_PARTS 12
+#define DRAIN_PARTS_USED 11
+
+#define DRAIN_STEP_MS 50
+
+struct relay_node {
+	struct event_base *base;
+	const relay_settings_t *settings;
+	relay_platform_t platform;
+	metrics_t *metrics;
+	relay_services_t *services;
+	relay_callers_t *callers;
+	relay_registration_t *registration;
+	relay_duty_t *duty;
+	relay_status_page_t *page;
+	kv_follow_t *catalogs;
+	kv_follow_t *backends;
+	kv_follow_t *nodes;
+	kv_follow_t *primaries;
+	catalog_t *catalog;
+	GHashTable *node_domains; /* key -> failure domain */
+	GHashTable *lapsing;	  /* server id -> struct event */
+	bool backends_synced;
+	struct event *drain_timer;
+	uint64_t drain_ms; /* when it began, 0 before */
+	bool stopped;
+};
+
+typedef struct {
+	relay_node_t *node;
+	char *server;
+	struct event *timer;
+} lapse_t;
+
+static bool is_ready(void *context)
+{
+	const relay_node_t *node = context;
+
+	return node->catalog && node->backends_synced && !node->drain_ms;
+}
+
+static void lapse_free(gpointer data)
+{
+	lapse_t *lapse = data;
+
+	event_free(lapse->timer);
+	g_free(lapse->server);
+	g_free(lapse);
+}
+
+static void on_lapsed(evutil_socket_t fd, short what, void *context)
+{
+	lapse_t *lapse = context;
+	relay_node_t *node = lapse->node;
+
+	relay_services_remove(node->services, lapse->server);
+	g_hash_table_remove(node->lapsing, lapse->server);
+}
+
+/* Entries vanish for a moment when the store was away. */
+static void backend_lapse(relay_node_t *node, const char *server)
+{
+	const struct timeval delay = clock_timeval(BACKEND_LAPSE_MS);
+	lapse_t *lapse = g_new0(lapse_t, 1);
+
+	log_event(LOG_LEVEL_NOTICE, "server_lapsed", "server=%s", server);
+	lapse->node = node;
+	lapse->server = g_strdup(server);
+	lapse->timer = evtimer_new(node->base, on_lapsed, lapse);
+	event_add(lapse->timer, &delay);
+	g_hash_table_replace(node->lapsing, lapse->server, lapse);
+}
+
+static void on_backend(void *context, const kv_item_t *item)
+{
+	relay_node_t *node = context;
+	const relay_source_t *source = node->platform.source;
+	const char *id = item->key + strlen(source->backends_prefix);
+	g_autoptr(GError) error = NULL;
+	backend_entry_t *entry;
+
+	if (item->deleted || !item->value) {
+		backend_lapse(node, id);
+		return;
+	}
+	entry = source->decode_backend(item->key, item->value, &error);
+	if (!entry) {
+		log_event(LOG_LEVEL_WARNING, "server_entry_invalid",
+			  "server=%s reason=\"%s\"", id, error->message);
+		return;
+	}
+	g_hash_table_remove(node->lapsing, id);
+	relay_services_put(node->services, entry);
+}
+
+static void on_backends_synced(void *context, int64_t revision,
+			       uint64_t asked_ms)
+{
+	relay_node_t *node = context;
+
+	node->backends_synced = true;
+}
+
+static void on_catalog(void *context, const kv_item_t *item)
+{
+	relay_node_t *node = context;
+	const relay_source_t *source = node->platform.source;
+	g_autoptr(GError) error = NULL;
+	catalog_t *catalog;
+
+	if (strcmp(item->key, source->catalog_key) || item->deleted)
+		return;
+	catalog = source->decode_catalog(item->value, &error);
+	if (!catalog) {
+		log_event(LOG_LEVEL_ERROR, "catalog_invalid",
+			  "revision=%" PRId64 " reason=\"%s\"", item->revision,
+			  error->message);
+		return;
+	}
+	if (node->catalog && catalog->version < node->catalog->version) {
+		log_event(LOG_LEVEL_WARNING, "catalog_older",
+			  "version=%" PRIu64 " known=%" PRIu64,
+			  catalog->version, node->catalog->version);
+		catalog_unref(catalog);
+		return;
+	}
+	log_event(LOG_LEVEL_NOTICE, "catalog_applied",
+		  "version=%" PRIu64 " revision=%" PRId64 " databases=%u",
+		  catalog->version, item->revision,
+		  g_hash_table_size(catalog->databases));
+	relay_services_configure(node->services, catalog);
+	relay_callers_configure(node->callers, catalog);
+	catalog_unref(node->catalog);
+	node->catalog = catalog;
+}
+
+static void on_catalog_synced(void *context, int64_t revision,
+			      uint64_t asked_ms)
+{
+}
+
+static void on_node(void *context, const kv_item_t *item)
+{
+	relay_node_t *node = context;
+	gsize size;
+	const char *text;
+
+	if (item->deleted || !item->value) {
+		const char *name = item->key + strlen(RELAY_NODES_PREFIX);
+
+		g_hash_table_remove(node->node_domains, item->key);
+		if (!strcmp(name, node->settings->node))
+			relay_registration_repeat(node->registration,
+						  item->revision);
+		return;
+	}
+	text = g_bytes_get_data(item->value, &size);
+	g_hash_table_replace(node->node_domains, g_strdup(item->key),
+			     g_strndup(text, size));
+}
+
+static void on_nodes_synced(void *context, int64_t revision, uint64_t asked_ms)
+{
+	relay_node_t *node = context;
+	GHashTable *counts = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, NULL);
+	GHashTableIter iter;
+	gpointer domain;
+
+	g_hash_table_iter_init(&iter, node->node_domains);
+	while (g_hash_table_iter_next(&iter, NULL, &domain)) {
+		const guint count =
+			GPOINTER_TO_UINT(g_hash_table_lookup(counts, domain));
+
+		g_hash_table_replace(counts, g_strdup(domain),
+				     GUINT_TO_POINTER(count + 1));
+	}
+	relay_services_set_nodes(node->services, counts);
+}
+
+static void on_primary(void *context, const kv_item_t *item)
+{
+	relay_node_t *node = context;
+
+	relay_duty_changed(node->duty, item);
+}
+
+static void on_primaries_synced(void *context, int64_t revision,
+				uint64_t asked_ms)
+{
+	relay_node_t *node = context;
+
+	relay_duty_synced(node->duty);
+	relay_services_unchanged(node->services, revision, asked_ms);
+}
+
+static void on_troubled(void *context, const char *service, const char *server)
+{
+	relay_node_t *node = context;
+
+	if (node->duty)
+		relay_duty_troubled(node->duty, service, server);
+}
+
+/* The records must be read after the lease was registered. */
+static void on_registered(void *context)
+{
+	relay_node_t *node = context;
+
+	kv_follow_refresh(node->primaries);
+}
+
+static kv_follow_t *
+follow(relay_node_t *node, const char *prefix, uint32_t pause_ms,
+       void (*changed)(void *context, const kv_item_t *item),
+       void (*synced)(void *context, int64_t revision, uint64_t asked_ms))
+{
+	const kv_follow_handlers_t handlers = {
+		.changed = changed,
+		.synced = synced,
+		.context = node,
+	};
+
+	return kv_follow_create(node->base, node->platform.store, prefix,
+				pause_ms, handlers);
+}
+
+static void create_follows(relay_node_t *node)
+{
+	const relay_source_t *source = node->platform.source;
+
+	node->catalogs = follow(node, source->catalog_prefix, CATALOG_PAUSE_MS,
+				on_catalog, on_catalog_synced);
+	node->backends =
+		follow(node, source->backends_prefix, BACKENDS_PAUSE_MS,
+		       on_backend, on_backends_synced);
+	node->nodes = follow(node, RELAY_NODES_PREFIX, NODES_PAUSE_MS, on_node,
+			     on_nodes_synced);
+	node->primaries = follow(node, RELAY_PRIMARIES_PREFIX, 0, on_primary,
+				 on_primaries_synced);
+}
+
+static void on_drain(evutil_socket_t fd, short what, void *context);
+
+relay_node_t *relay_node_create(struct event_base *base,
+				const relay_settings_t *settings,
+				relay_platform_t platform, GError **error)
+{
+	relay_node_t *node = g_new0(relay_node_t, 1);
+
+	node->base = base;
+	node->settings = settings;
+	node->platform = platform;
+	node->metrics = metrics_create(METRIC_SERIES_MAX);
+	node->node_domains =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	node->lapsing = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      lapse_free);
+	node->drain_timer =
+		event_new(base, -1, EV_PERSIST, on_drain, node);
+	node->services = relay_services_create((relay_services_settings_t){
+		.base = base,
+		.codec = platform.codec,
+		.metrics = node->metrics,
+		.failure_domain = settings->failure_domain,
+		.regions = settings->regions,
+		.troubled = on_troubled,
+		.context = node,
+	});
+	node->duty = relay_duty_create(base, platform.store, node->services,
+				       platform.promoter, settings->node);
+	node->registration = relay_registration_create(
+		base, platform.store, node->services, settings->node,
+		settings->failure_domain, on_registered, node);
+	create_follows(node);
+	node->callers = relay_callers_create(base, platform.codec,
+					     node->services,
+					     &settings->callers, error);
+	if (node->callers)
+		node->page = relay_status_page_create(
+			base, &settings->readiness, &settings->metrics,
+			node->metrics, is_ready, node, error);
+	if (!node->page) {
+		relay_node_destroy(node);
+		return NULL;
+	}
+	return node;
+}
+
+void relay_node_destroy(relay_node_t *node)
+{
+	if (!node)
+		return;
+	relay_status_page_destroy(node->page);
+	relay_callers_destroy(node->callers);
+	kv_follow_destroy(node->catalogs);
+	kv_follow_destroy(node->backends);
+	kv_follow_destroy(node->nodes);
+	kv_follow_destroy(node->primaries);
+	g_hash_table_destroy(node->lapsing);
+	relay_registration_destroy(node->registration);
+	relay_services_destroy(node->services);
+	relay_duty_destroy(node->duty);
+	kv_store_destroy(node->platform.store);
+	catalog_unref(node->catalog);
+	g_hash_table_destroy(node->node_domains);
+	event_free(node->drain_timer);
+	metrics_destroy(node->metrics);
+	g_free(node);
+}
+
+static void leave(relay_node_t *node, const char *reason)
+{
+	log_event(LOG_LEVEL_NOTICE, "drained",
+		  "reason=%s callers=%u after_ms=%" PRIu64, reason,
+		  relay_callers_count(node->callers),
+		  clock_boot_ms() - node->drain_ms);
+	event_base_loopexit(node->base, NULL);
+}
+
+static void on_drain(evutil_socket_t fd, short what, void *context)
+{
+	relay_node_t *node = context;
+	const uint64_t since_ms = clock_boot_ms() - node->drain_ms;
+	const uint32_t grace_ms = node->settings->grace_ms;
+
+	relay_callers_drain(node->callers);
+	if (!node->stopped && since_ms >= grace_ms / 2) {
+		node->stopped = true;
+		relay_callers_stop(node->callers);
+	}
+	if (!relay_callers_count(node->callers) &&
+	    since_ms >= MIN(DRAIN_ACCEPT_MS, grace_ms / 2))
+		leave(node, "idle");
+	else if (since_ms >= grace_ms / DRAIN_PARTS * DRAIN_PARTS_USED)
+		leave(node, "time");
+}
+
+void relay_node_drain(relay_node_t *node)
+{
+	const struct timeval step = clock_timeval(DRAIN_STEP_MS);
+
+	if (node->drain_ms)
+		return;
+	node->drain_ms = clock_boot_ms();
+	log_event(LOG_LEVEL_NOTICE, "draining", "callers=%u",
+		  relay_callers_count(node->callers));
+	relay_duty_leave(node->duty);
+	relay_callers_drain(node->callers);
+	event_add(node->drain_timer, &step);
+}
--- /dev/null
+++ b/src/relay/relay_registration.c
@@ -0,0 +1,269 @@
+#include "relay/relay_registration.h"
+
+#include <inttypes.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* Time after which the store forgets a node that does not renew. */
+#define LEASE_TTL_MS 5000
+
+/* Time between renewals; several fit into the time that each is good. */
+#define RENEW_MS 300
+
+/* Pause before a registration that failed is tried again. */
+#define REGISTER_RETRY_MS 200
+
+/* Renewals that may be unanswered at once. */
+#define RENEWALS_MAX 6
+
+struct relay_registration {
+	kv_store_t *store;
+	node_lease_t *lease;
+	relay_services_t *services;
+	char *node;
+	char *lease_key; /* of the lease last registered, or NULL */
+	char *node_key;
+	char *domain;
+	struct event *timer;
+	GHashTable *calls; /* call_t under way */
+	uint32_t renewals;
+	bool opening;
+	bool leaving;
+	bool valid; /* as last logged */
+	void (*registered)(void *context);
+	void *context;
+};
+
+typedef struct {
+	relay_registration_t *registration;
+	int64_t lease;
+	uint64_t sent_ms;
+} call_t;
+
+static void register_keys(relay_registration_t *registration, int64_t lease,
+			  uint64_t sent_ms);
+
+static call_t *call_new(relay_registration_t *registration, int64_t lease)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->registration = registration;
+	call->lease = lease;
+	call->sent_ms = clock_boot_ms();
+	g_hash_table_add(registration->calls, call);
+	return call;
+}
+
+static call_t call_end(call_t *call)
+{
+	const call_t copy = *call;
+
+	g_hash_table_remove(call->registration->calls, call);
+	return copy;
+}
+
+static void tick_after(relay_registration_t *registration, uint32_t delay_ms)
+{
+	const struct timeval delay = clock_timeval(delay_ms);
+
+	event_add(registration->timer, &delay);
+}
+
+static void log_validity(relay_registration_t *registration)
+{
+	const bool valid = clock_boot_ms() < registration->lease->valid_until_ms;
+
+	if (valid == registration->valid)
+		return;
+	registration->valid = valid;
+	log_event(LOG_LEVEL_NOTICE, valid ? "lease_valid" : "lease_lapsed",
+		  "lease=%" PRId64 " registered_at=%" PRId64,
+		  registration->lease->lease,
+		  registration->lease->registered_at);
+}
+
+static void on_registered(void *context, const kv_answer_t *answer)
+{
+	const call_t call = call_end(context);
+	relay_registration_t *registration = call.registration;
+
+	registration->opening = false;
+	if (answer->result != KV_OK) {
+		log_event(LOG_LEVEL_NOTICE, "registration_failed", "result=%s",
+			  kv_result_name(answer->result));
+		tick_after(registration, REGISTER_RETRY_MS);
+		return;
+	}
+	registration->lease->lease = call.lease;
+	registration->lease->registered_at = answer->revision;
+	node_lease_renewed(registration->lease, call.sent_ms);
+	log_event(LOG_LEVEL_NOTICE, "registered",
+		  "lease=%" PRId64 " revision=%" PRId64, call.lease,
+		  answer->revision);
+	tick_after(registration, RENEW_MS);
+	registration->registered(registration->context);
+}
+
+static void register_keys(relay_registration_t *registration, int64_t lease,
+			  uint64_t sent_ms)
+{
+	/* A key for each lease: a transaction that is carried out late can't
+	 * hide the lease that runs by then. */
+	g_autofree char *value = g_strdup_printf("%" PRId64, lease);
+	g_autofree char *old_key = g_steal_pointer(&registration->lease_key);
+	const char *const removals[] = {old_key};
+	g_autofree char *key = g_strdup_printf(RELAY_LEASES_PREFIX "%s/%s",
+					       registration->node, value);
+	const kv_put_t puts[] = {
+		{.key = key, .value = value},
+		{.key = registration->node_key,
+		 .value = registration->domain,
+		 .lease = lease},
+	};
+	const kv_transaction_t transaction = {
+		.puts = puts,
+		.puts_count = G_N_ELEMENTS(puts),
+		.removals = removals,
+		.removals_count = old_key ? 1 : 0,
+	};
+	call_t *call = call_new(registration, lease);
+
+	registration->lease_key = g_strdup(key);
+	/* The lease runs from when it was opened. */
+	call->sent_ms = sent_ms;
+	registration->store->calls->commit(registration->store->self,
+					   &transaction, on_registered, call);
+}
+
+static void on_opened(void *context, const kv_answer_t *answer)
+{
+	const call_t call = call_end(context);
+	relay_registration_t *registration = call.registration;
+
+	if (answer->result != KV_OK || !answer->lease) {
+		registration->opening = false;
+		log_event(LOG_LEVEL_NOTICE, "lease_refused", "result=%s",
+			  kv_result_name(answer->result));
+		tick_after(registration, REGISTER_RETRY_MS);
+		return;
+	}
+	register_keys(registration, answer->lease, call.sent_ms);
+}
+
+static void on_renewed(void *context, const kv_answer_t *answer)
+{
+	const call_t call = call_end(context);
+	relay_registration_t *registration = call.registration;
+	node_lease_t *lease = registration->lease;
+
+	registration->renewals--;
+	if (call.lease != lease->lease)
+		return;
+	if (answer->result == KV_OK) {
+		const bool lapsed = clock_boot_ms() >= lease->valid_until_ms;
+
+		node_lease_renewed(lease, call.sent_ms);
+		log_validity(registration);
+		if (lapsed)
+			relay_services_wake(registration->services);
+	} else if (answer->result == KV_ABSENT) {
+		log_event(LOG_LEVEL_NOTICE, "lease_ended", "lease=%" PRId64,
+			  lease->lease);
+		node_lease_lost(lease);
+		tick_after(registration, 0);
+	}
+}
+
+static void open_lease(relay_registration_t *registration)
+{
+	registration->opening = true;
+	registration->store->calls->lease_open(registration->store->self,
+					       LEASE_TTL_MS, on_opened,
+					       call_new(registration, 0));
+}
+
+static void renew(relay_registration_t *registration)
+{
+	if (registration->renewals >= RENEWALS_MAX)
+		return;
+	registration->renewals++;
+	registration->store->calls->lease_renew(
+		registration->store->self, registration->lease->lease,
+		on_renewed, call_new(registration, registration->lease->lease));
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	relay_registration_t *registration = context;
+
+	if (registration->leaving || registration->opening)
+		return;
+	log_validity(registration);
+	if (!registration->lease->lease) {
+		open_lease(registration);
+		return;
+	}
+	renew(registration);
+	tick_after(registration, RENEW_MS);
+}
+
+relay_registration_t *
+relay_registration_create(struct event_base *base, kv_store_t *store,
+			  relay_services_t *services, const char *node,
+			  const char *failure_domain,
+			  void (*registered)(void *context), void *context)
+{
+	relay_registration_t *registration = g_new0(relay_registration_t, 1);
+
+	registration->store = store;
+	registration->services = services;
+	registration->lease = relay_services_lease(services);
+	registration->node = g_strdup(node);
+	registration->node_key = g_strconcat(RELAY_NODES_PREFIX, node, NULL);
+	registration->domain = g_strdup(failure_domain);
+	registration->calls = g_hash_table_new_full(
+		g_direct_hash, g_direct_equal, g_free, NULL);
+	registration->timer = evtimer_new(base, on_timer, registration);
+	registration->registered = registered;
+	registration->context = context;
+	tick_after(registration, 0);
+	return registration;
+}
+
+void relay_registration_destroy(relay_registration_t *registration)
+{
+	if (!registration)
+		return;
+	event_free(registration->timer);
+	g_hash_table_destroy(registration->calls);
+	g_free(registration->node);
+	g_free(registration->lease_key);
+	g_free(registration->node_key);
+	g_free(registration->domain);
+	g_free(registration);
+}
+
+void relay_registration_repeat(relay_registration_t *registration,
+			       int64_t revision)
+{
+	if (registration->leaving || registration->opening ||
+	    !registration->lease->lease ||
+	    revision <= registration->lease->registered_at)
+		return;
+	log_event(LOG_LEVEL_NOTICE, "registration_vanished", "lease=%" PRId64,
+		  registration->lease->lease);
+	node_lease_lost(registration->lease);
+	tick_after(registration, 0);
+}
+
+void relay_registration_leave(relay_registration_t *registration)
+{
+	if (registration->leaving)
+		return;
+	registration->leaving = true;
+	if (registration->lease->lease)
+		registration->store->calls->lease_end(
+			registration->store->self, registration->lease->lease,
+			NULL, NULL);
+}
--- /dev/null
+++ b/src/relay/relay_registration.h
@@ -0,0 +1,41 @@
+#ifndef RELAY_RELAY_REGISTRATION_H
+#define RELAY_RELAY_REGISTRATION_H
+
+#include <event2/event.h>
+
+#include "relay/relay_service.h"
+#include "store/kv_store.h"
+
+/** Keys of registered leases; kept until the lease was ended by a takeover. */
+#define RELAY_LEASES_PREFIX "toucanhook/leases/"
+
+/** Keys of the nodes that live; they go with the node's lease. */
+#define RELAY_NODES_PREFIX "toucanhook/nodes/"
+
+/**
+ * Holds the node's own lease at the store: opens and registers it, renews
+ * it, and starts anew when the store does not know it any more.
+ */
+typedef struct relay_registration relay_registration_t;
+
+/** @param registered called once the lease stands in the store */
+relay_registration_t *
+relay_registration_create(struct event_base *base, kv_store_t *store,
+			  relay_services_t *services, const char *node,
+			  const char *failure_domain,
+			  void (*registered)(void *context), void *context);
+
+/** Must be called before the store is destroyed. */
+void relay_registration_destroy(relay_registration_t *registration);
+
+/**
+ * The node's key was removed at a revision; if that was after its
+ * registration, it registers anew.
+ */
+void relay_registration_repeat(relay_registration_t *registration,
+			       int64_t revision);
+
+/** Ends the lease, so that others know at once; nothing is renewed after. */
+void relay_registration_leave(relay_registration_t *registration);
+
+#endif
--- /dev/null
+++ b/src/relay/relay_server.c
@@ -0,0 +1,386 @@
+#include "relay/relay_server.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* Pause after a failed attempt to connect, doubled up to the longest. */
+#define REOPEN_MS 50
+#define REOPEN_MS_MAX 800
+
+/* Connections that may be opened at the same time. */
+#define OPENING_MAX 4
+
+/* The mean run time moves by this part of each new value. */
+#define RUN_WEIGHT 0.1
+#define RUN_MS_DEFAULT 25.0
+
+/* Time for which a server that did not answer gets no reads. */
+#define AVOID_MS 1000
+#define AVOID_AFTER 2
+
+struct relay_server {
+	const relay_server_host_t *host;
+	backend_entry_t *entry;
+	GPtrArray *links; /* relay_link_t: opening, idle and granted */
+	GPtrArray *idle;
+	uint32_t opening;
+	uint32_t limit;
+	wait_queue_t queue;
+	struct event *pump;
+	uint64_t reopen_at_ms;
+	uint32_t reopen_ms;
+	uint32_t unanswered; /* in a row */
+	uint64_t avoid_until_ms;
+	uint64_t heard_ms;
+	double run_ms;
+	uint64_t lag_ms;
+	bool retired;
+};
+
+static void pump(relay_server_t *server);
+
+static void pump_after(relay_server_t *server, uint64_t delay_ms)
+{
+	const struct timeval delay = clock_timeval(delay_ms);
+
+	event_add(server->pump, &delay);
+}
+
+static void refuse_all(relay_server_t *server)
+{
+	wait_entry_t *entry;
+
+	while ((entry = wait_queue_next(&server->queue, 0))) {
+		relay_waiter_t *waiter = entry->owner;
+
+		waiter->waiting = false;
+		waiter->refused(waiter->context, server);
+	}
+}
+
+static void back_off(relay_server_t *server)
+{
+	server->reopen_at_ms = clock_boot_ms() + server->reopen_ms;
+	server->reopen_ms = MIN(2 * server->reopen_ms, REOPEN_MS_MAX);
+}
+
+static void on_opened(void *context, relay_link_t *link, log_point_t point)
+{
+	relay_server_t *server = context;
+
+	server->opening--;
+	server->reopen_ms = REOPEN_MS;
+	server->heard_ms = clock_boot_ms();
+	g_ptr_array_add(server->idle, link);
+	server->host->opened(server->host->context, server, point);
+	pump(server);
+}
+
+static void on_closed(void *context, relay_link_t *link, relay_error_t error,
+		      bool was_open)
+{
+	relay_server_t *server = context;
+	const bool granted = was_open && !g_ptr_array_remove(server->idle, link);
+
+	if (!was_open) {
+		server->opening--;
+		back_off(server);
+		log_event(LOG_LEVEL_INFO, "server_connect_failed",
+			  "server=%s reason=%s open=%u", server->entry->id,
+			  relay_error_name(error), server->links->len - 1);
+	}
+	if (granted) /* its user discards it */
+		return;
+	g_ptr_array_remove_fast(server->links, link);
+	relay_link_destroy(link);
+	if (error != RELAY_ERROR_CONNECTION_LIMIT)
+		server->host->troubled(server->host->context, server);
+	if (!server->links->len && error != RELAY_ERROR_CONNECTION_LIMIT)
+		refuse_all(server);
+	pump_after(server, 0);
+}
+
+static bool has_urgent(const relay_server_t *server)
+{
+	for (guint i = 0; i < server->queue.entries->len; i++) {
+		const wait_entry_t *entry = server->queue.entries->pdata[i];
+
+		if (((relay_waiter_t *)entry->owner)->urgent)
+			return true;
+	}
+	return false;
+}
+
+static void open_more(relay_server_t *server)
+{
+	const relay_link_handlers_t handlers = {
+		.opened = on_opened,
+		.closed = on_closed,
+		.context = server,
+	};
+	const uint64_t now_ms = clock_boot_ms();
+	const uint32_t limit = server->limit + (has_urgent(server) ? 1 : 0);
+
+	if (now_ms < server->reopen_at_ms) {
+		pump_after(server, server->reopen_at_ms - now_ms);
+		return;
+	}
+	while (server->opening < MIN(OPENING_MAX, server->queue.entries->len) &&
+	       server->links->len < limit) {
+		g_ptr_array_add(server->links,
+				relay_link_open(server->host->base,
+						server->host->codec,
+						server->entry, handlers));
+		server->opening++;
+	}
+}
+
+static bool values_match(GHashTable *wanted, GHashTable *held)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	if ((wanted ? g_hash_table_size(wanted) : 0) != g_hash_table_size(held))
+		return false;
+	if (!wanted)
+		return true;
+	g_hash_table_iter_init(&iter, wanted);
+	while (g_hash_table_iter_next(&iter, &name, &value))
+		if (g_strcmp0(g_hash_table_lookup(held, name), value))
+			return false;
+	return true;
+}
+
+/* Prefers a connection whose variables need no change. */
+static relay_link_t *take_idle(relay_server_t *server, GHashTable *values)
+{
+	guint chosen = server->idle->len - 1;
+
+	for (guint i = server->idle->len; i > 0; i--) {
+		relay_link_t *link = server->idle->pdata[i - 1];
+
+		if (values_match(values, relay_link_state(link)->values)) {
+			chosen = i - 1;
+			break;
+		}
+	}
+	return g_ptr_array_steal_index(server->idle, chosen);
+}
+
+static void pump(relay_server_t *server)
+{
+	while (server->idle->len && server->queue.entries->len) {
+		wait_entry_t *entry =
+			wait_queue_next(&server->queue, clock_boot_ms());
+		relay_waiter_t *waiter = entry->owner;
+
+		waiter->waiting = false;
+		waiter->granted(waiter->context, server,
+				take_idle(server, waiter->values));
+	}
+	if (server->queue.entries->len)
+		open_more(server);
+}
+
+static void server_free(relay_server_t *server);
+
+static void on_pump(evutil_socket_t fd, short what, void *context)
+{
+	relay_server_t *server = context;
+
+	if (!server->retired)
+		pump(server);
+	else if (!server->links->len)
+		server_free(server);
+}
+
+relay_server_t *relay_server_create(const relay_server_host_t *host,
+				    backend_entry_t *entry)
+{
+	relay_server_t *server = g_new0(relay_server_t, 1);
+
+	server->host = host;
+	server->entry = entry;
+	server->links = g_ptr_array_new();
+	server->idle = g_ptr_array_new();
+	server->limit = 1;
+	server->reopen_ms = REOPEN_MS;
+	server->run_ms = RUN_MS_DEFAULT;
+	server->pump = evtimer_new(host->base, on_pump, server);
+	wait_queue_init(&server->queue);
+	return server;
+}
+
+static void server_free(relay_server_t *server)
+{
+	g_ptr_array_unref(server->links);
+	g_ptr_array_unref(server->idle);
+	event_free(server->pump);
+	wait_queue_clear(&server->queue);
+	backend_entry_delete(server->entry);
+	g_free(server);
+}
+
+static void close_unused(relay_server_t *server)
+{
+	for (guint i = server->links->len; i > 0; i--) {
+		relay_link_t *link = server->links->pdata[i - 1];
+
+		if (relay_link_is_open(link) &&
+		    !g_ptr_array_find(server->idle, link, NULL))
+			continue;
+		if (relay_link_is_busy(link))
+			continue;
+		g_ptr_array_remove_index_fast(server->links, i - 1);
+		relay_link_destroy(link);
+	}
+	g_ptr_array_set_size(server->idle, 0);
+	server->opening = 0;
+}
+
+void relay_server_destroy(relay_server_t *server)
+{
+	server->retired = true;
+	refuse_all(server);
+	close_unused(server);
+	pump_after(server, 0);
+}
+
+bool relay_server_is_retired(const relay_server_t *server)
+{
+	return server->retired;
+}
+
+void relay_server_update(relay_server_t *server, backend_entry_t *entry)
+{
+	backend_entry_delete(server->entry);
+	server->entry = entry;
+}
+
+const backend_entry_t *relay_server_entry(const relay_server_t *server)
+{
+	return server->entry;
+}
+
+void relay_server_set_limit(relay_server_t *server, uint32_t limit)
+{
+	server->limit = limit;
+	while (server->links->len > limit && server->idle->len) {
+		relay_link_t *link = g_ptr_array_steal_index(
+			server->idle, server->idle->len - 1);
+
+		g_ptr_array_remove_fast(server->links, link);
+		relay_link_destroy(link);
+	}
+	pump_after(server, 0);
+}
+
+void relay_server_ask(relay_server_t *server, relay_waiter_t *waiter)
+{
+	waiter->entry.owner = waiter;
+	waiter->waiting = true;
+	wait_queue_add(&server->queue, &waiter->entry);
+	pump(server);
+}
+
+void relay_server_leave(relay_server_t *server, relay_waiter_t *waiter)
+{
+	if (!waiter->waiting)
+		return;
+	waiter->waiting = false;
+	wait_queue_remove(&server->queue, &waiter->entry);
+}
+
+void relay_server_give_back(relay_server_t *server, relay_link_t *link,
+			    uint64_t held_ms)
+{
+	wait_queue_served(&server->queue, held_ms);
+	if (server->retired || server->links->len > server->limit ||
+	    !relay_link_is_open(link) || relay_link_is_busy(link)) {
+		relay_server_discard(server, link);
+		return;
+	}
+	g_ptr_array_add(server->idle, link);
+	pump(server);
+}
+
+void relay_server_discard(relay_server_t *server, relay_link_t *link)
+{
+	server->heard_ms = MAX(server->heard_ms, relay_link_heard_ms(link));
+	g_ptr_array_remove_fast(server->links, link);
+	relay_link_destroy(link);
+	pump_after(server, 0);
+}
+
+void relay_server_ran(relay_server_t *server, uint64_t run_ms)
+{
+	server->run_ms += RUN_WEIGHT * ((double)run_ms - server->run_ms);
+	server->unanswered = 0;
+	server->avoid_until_ms = 0;
+	server->heard_ms = clock_boot_ms();
+}
+
+void relay_server_silent(relay_server_t *server)
+{
+	if (++server->unanswered < AVOID_AFTER)
+		return;
+	server->avoid_until_ms = clock_boot_ms() + AVOID_MS;
+	server->host->troubled(server->host->context, server);
+}
+
+bool relay_server_usable(const relay_server_t *server, uint64_t now_ms)
+{
+	if (now_ms < server->avoid_until_ms)
+		return false;
+	return server->links->len > server->opening ||
+	       now_ms >= server->reopen_at_ms;
+}
+
+uint64_t relay_server_heard_ms(const relay_server_t *server)
+{
+	uint64_t heard_ms = server->heard_ms;
+
+	for (guint i = 0; i < server->links->len; i++)
+		if (relay_link_is_open(server->links->pdata[i]))
+			heard_ms = MAX(heard_ms, relay_link_heard_ms(
+							 server->links
+								 ->pdata[i]));
+	return heard_ms;
+}
+
+uint64_t relay_server_wait_ms(const relay_server_t *server)
+{
+	if (server->idle->len > server->queue.entries->len)
+		return 0;
+	return wait_queue_estimate_ms(&server->queue, server->limit);
+}
+
+uint64_t relay_server_run_ms(const relay_server_t *server)
+{
+	return (uint64_t)server->run_ms;
+}
+
+bool relay_server_can_serve(const relay_server_t *server,
+			    const relay_waiter_t *waiter, uint64_t now_ms)
+{
+	return wait_queue_can_serve(&server->queue, &waiter->entry,
+				    server->limit, now_ms);
+}
+
+uint32_t relay_server_open_count(const relay_server_t *server)
+{
+	return server->links->len - server->opening;
+}
+
+uint64_t relay_server_lag_ms(const relay_server_t *server)
+{
+	return server->lag_ms;
+}
+
+void relay_server_set_lag(relay_server_t *server, uint64_t lag_ms)
+{
+	server->lag_ms = lag_ms;
+}
--- /dev/null
+++ b/src/relay/relay_service.c
@@ -0,0 +1,458 @@
+#include "relay/relay_service.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/connection_share.h"
+
+/* Connections to a server before the catalog states a limit. */
+#define CONNECTIONS_DEFAULT 2
+
+struct relay_service {
+	relay_services_t *services;
+	char *name;
+	GPtrArray *servers; /* relay_server_t */
+	primary_lease_t lease;
+	point_samples_t samples;
+	uint64_t verified_ms;
+	GQueue parked; /* relay_parked_t */
+};
+
+struct relay_services {
+	relay_services_settings_t settings;
+	relay_server_host_t host;
+	node_lease_t lease;
+	const catalog_t *catalog;
+	GHashTable *nodes;    /* domain -> count */
+	GHashTable *services; /* name -> relay_service_t */
+};
+
+static void service_free(gpointer data)
+{
+	relay_service_t *service = data;
+
+	for (guint i = 0; i < service->servers->len; i++)
+		relay_server_destroy(service->servers->pdata[i]);
+	g_ptr_array_unref(service->servers);
+	g_queue_clear(&service->parked);
+	g_free(service->name);
+	g_free(service);
+}
+
+static relay_service_t *service_of(relay_services_t *services,
+				   const relay_server_t *server)
+{
+	return relay_services_find(services,
+				   relay_server_entry(server)->service);
+}
+
+static void on_opened(void *context, relay_server_t *server, log_point_t point)
+{
+	relay_service_t *service = service_of(context, server);
+
+	if (service)
+		relay_service_seen(service, server, point, clock_boot_ms());
+}
+
+static void on_troubled(void *context, relay_server_t *server)
+{
+	relay_services_t *services = context;
+	const backend_entry_t *entry = relay_server_entry(server);
+
+	if (!relay_server_is_retired(server))
+		services->settings.troubled(services->settings.context,
+					    entry->service, entry->id);
+}
+
+relay_services_t *relay_services_create(relay_services_settings_t settings)
+{
+	relay_services_t *services = g_new0(relay_services_t, 1);
+
+	services->settings = settings;
+	services->host = (relay_server_host_t){
+		.base = settings.base,
+		.codec = settings.codec,
+		.opened = on_opened,
+		.troubled = on_troubled,
+		.context = services,
+	};
+	services->services = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, service_free);
+	return services;
+}
+
+void relay_services_destroy(relay_services_t *services)
+{
+	if (!services)
+		return;
+	g_hash_table_destroy(services->services);
+	g_clear_pointer(&services->nodes, g_hash_table_destroy);
+	g_free(services);
+}
+
+const relay_services_settings_t *
+relay_services_settings(const relay_services_t *services)
+{
+	return &services->settings;
+}
+
+node_lease_t *relay_services_lease(relay_services_t *services)
+{
+	return &services->lease;
+}
+
+relay_service_t *relay_services_find(relay_services_t *services,
+				     const char *name)
+{
+	return g_hash_table_lookup(services->services, name);
+}
+
+static relay_service_t *service_get(relay_services_t *services,
+				    const char *name)
+{
+	relay_service_t *service = relay_services_find(services, name);
+
+	if (service)
+		return service;
+	service = g_new0(relay_service_t, 1);
+	service->services = services;
+	service->name = g_strdup(name);
+	service->servers = g_ptr_array_new();
+	g_queue_init(&service->parked);
+	g_hash_table_insert(services->services, service->name, service);
+	return service;
+}
+
+GPtrArray *relay_services_names(relay_services_t *services)
+{
+	GPtrArray *names = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, services->services);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		g_ptr_array_add(names, name);
+	return names;
+}
+
+static uint32_t nodes_in(const relay_services_t *services, const char *domain)
+{
+	if (!services->nodes)
+		return 0;
+	return GPOINTER_TO_UINT(g_hash_table_lookup(services->nodes, domain));
+}
+
+static uint32_t nodes_all(const relay_services_t *services)
+{
+	GHashTableIter iter;
+	gpointer count;
+	uint32_t all = 0;
+
+	if (!services->nodes)
+		return 0;
+	g_hash_table_iter_init(&iter, services->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &count))
+		all += GPOINTER_TO_UINT(count);
+	return all;
+}
+
+static void apply_limits(relay_service_t *service)
+{
+	relay_services_t *services = service->services;
+	const catalog_service_t *limits =
+		services->catalog ?
+			catalog_service(services->catalog, service->name) :
+			NULL;
+
+	for (guint i = 0; i < service->servers->len; i++) {
+		relay_server_t *server = service->servers->pdata[i];
+		const char *domain = relay_server_entry(server)->failure_domain;
+		const uint32_t near = nodes_in(services, domain);
+		const connection_share_ask_t ask = {
+			.limit = limits ? limits->connections_max : 0,
+			.nodes_near = near,
+			.nodes_far = nodes_all(services) - near,
+			.near = !strcmp(domain,
+					services->settings.failure_domain),
+		};
+
+		relay_server_set_limit(server, limits && services->nodes ?
+						       connection_share(&ask) :
+						       CONNECTIONS_DEFAULT);
+	}
+}
+
+static void apply_all_limits(relay_services_t *services)
+{
+	GHashTableIter iter;
+	gpointer service;
+
+	g_hash_table_iter_init(&iter, services->services);
+	while (g_hash_table_iter_next(&iter, NULL, &service))
+		apply_limits(service);
+}
+
+void relay_services_configure(relay_services_t *services,
+			      const catalog_t *catalog)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer database;
+
+	services->catalog = catalog;
+	g_hash_table_iter_init(&iter, catalog->services);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		service_get(services, name);
+	g_hash_table_iter_init(&iter, catalog->databases);
+	while (g_hash_table_iter_next(&iter, NULL, &database))
+		service_get(services,
+			    ((catalog_database_t *)database)->service);
+	apply_all_limits(services);
+}
+
+void relay_services_set_nodes(relay_services_t *services,
+			      GHashTable *nodes_by_domain)
+{
+	g_clear_pointer(&services->nodes, g_hash_table_destroy);
+	services->nodes = nodes_by_domain;
+	apply_all_limits(services);
+}
+
+static void name_replicas(relay_service_t *service)
+{
+	const char *ids[PRIMARY_LEASE_REPLICAS_MAX];
+	uint32_t count = 0;
+
+	for (guint i = 0; i < service->servers->len; i++) {
+		const backend_entry_t *entry =
+			relay_server_entry(service->servers->pdata[i]);
+
+		if (strcmp(entry->id, service->lease.primary) &&
+		    count < PRIMARY_LEASE_REPLICAS_MAX)
+			ids[count++] = entry->id;
+	}
+	primary_lease_replicas(&service->lease, ids, count);
+}
+
+relay_server_t *relay_service_server(const relay_service_t *service,
+				     const char *id)
+{
+	for (guint i = 0; i < service->servers->len; i++) {
+		relay_server_t *server = service->servers->pdata[i];
+
+		if (!strcmp(relay_server_entry(server)->id, id))
+			return server;
+	}
+	return NULL;
+}
+
+static bool same_start(const backend_entry_t *a, const backend_entry_t *b)
+{
+	return a->started_ms == b->started_ms && a->port == b->port &&
+	       !strcmp(a->address, b->address);
+}
+
+static void retire(relay_service_t *service, relay_server_t *server)
+{
+	g_ptr_array_remove(service->servers, server);
+	relay_server_destroy(server);
+}
+
+void relay_services_put(relay_services_t *services, backend_entry_t *entry)
+{
+	relay_service_t *service = service_get(services, entry->service);
+	relay_server_t *server = relay_service_server(service, entry->id);
+
+	if (server && same_start(relay_server_entry(server), entry)) {
+		const bool left = relay_server_entry(server)->draining !=
+				  entry->draining;
+
+		if (left)
+			log_event(LOG_LEVEL_NOTICE, "server_draining",
+				  "service=%s server=%s", service->name,
+				  entry->id);
+		relay_server_update(server, entry);
+		return;
+	}
+	if (server)
+		retire(service, server);
+	log_event(LOG_LEVEL_NOTICE, "server_added",
+		  "service=%s server=%s address=%s:%u domain=%s primary=%d",
+		  service->name, entry->id, entry->address, entry->port,
+		  entry->failure_domain, entry->says_primary);
+	g_ptr_array_add(service->servers,
+			relay_server_create(&services->host, entry));
+	name_replicas(service);
+	apply_limits(service);
+	relay_services_wake(services);
+}
+
+void relay_services_remove(relay_services_t *services, const char *id)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, services->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		relay_service_t *service = value;
+		relay_server_t *server = relay_service_server(service, id);
+
+		if (!server)
+			continue;
+		log_event(LOG_LEVEL_NOTICE, "server_removed",
+			  "service=%s server=%s", service->name, id);
+		retire(service, server);
+		name_replicas(service);
+	}
+}
+
+void relay_service_lead(relay_service_t *service, uint64_t term,
+			const char *primary, bool takeover, int64_t revision)
+{
+	const bool changed = term != service->lease.term ||
+			     takeover != service->lease.takeover ||
+			     strcmp(primary, service->lease.primary);
+
+	if (strcmp(primary, service->lease.primary))
+		service->samples = (point_samples_t){0};
+	primary_lease_record(&service->lease, term, primary, takeover,
+			     revision);
+	if (!changed)
+		return;
+	log_event(LOG_LEVEL_NOTICE, "primary_changed",
+		  "service=%s term=%" PRIu64 " primary=%s takeover=%d "
+		  "revision=%" PRId64 " waiting=%u",
+		  service->name, term, primary, takeover, revision,
+		  service->parked.length);
+	name_replicas(service);
+	relay_services_wake(service->services);
+}
+
+void relay_services_unchanged(relay_services_t *services, int64_t revision,
+			      uint64_t asked_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, services->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		relay_service_t *service = value;
+
+		primary_lease_unchanged(&service->lease, revision);
+		service->verified_ms = asked_ms;
+	}
+	relay_services_wake(services);
+}
+
+static void service_wake(relay_service_t *service)
+{
+	uint32_t count = service->parked.length;
+
+	if (!relay_service_primary(service))
+		return;
+	while (count-- > 0 && service->parked.length) {
+		relay_parked_t *parked = g_queue_peek_head(&service->parked);
+
+		relay_service_unpark(service, parked);
+		parked->wake(parked->context);
+	}
+}
+
+void relay_services_wake(relay_services_t *services)
+{
+	g_autoptr(GPtrArray) names = relay_services_names(services);
+
+	for (guint i = 0; i < names->len; i++)
+		service_wake(relay_services_find(services, names->pdata[i]));
+}
+
+const char *relay_service_name(const relay_service_t *service)
+{
+	return service->name;
+}
+
+relay_services_t *relay_service_services(const relay_service_t *service)
+{
+	return service->services;
+}
+
+primary_lease_t *relay_service_lease(relay_service_t *service)
+{
+	return &service->lease;
+}
+
+point_samples_t *relay_service_samples(relay_service_t *service)
+{
+	return &service->samples;
+}
+
+uint64_t relay_service_verified_ms(const relay_service_t *service)
+{
+	return service->verified_ms;
+}
+
+const GPtrArray *relay_service_servers(const relay_service_t *service)
+{
+	return service->servers;
+}
+
+bool relay_service_lead_valid(const relay_service_t *service)
+{
+	return primary_lease_valid(&service->lease, &service->services->lease,
+				   clock_boot_ms());
+}
+
+relay_server_t *relay_service_primary(const relay_service_t *service)
+{
+	if (!relay_service_lead_valid(service))
+		return NULL;
+	return relay_service_server(service, service->lease.primary);
+}
+
+void relay_service_seen(relay_service_t *service, relay_server_t *server,
+			log_point_t point, uint64_t sent_ms)
+{
+	const uint64_t now_ms = clock_boot_ms();
+
+	if (!point.term || relay_server_is_retired(server))
+		return;
+	/* A lease that runs now also ran when the question was sent. */
+	if (server == relay_service_primary(service)) {
+		point_samples_add(&service->samples, sent_ms, point);
+		relay_server_set_lag(server, 0);
+		return;
+	}
+	relay_server_set_lag(server, point_samples_age_ms(&service->samples,
+							  point, now_ms));
+}
+
+void relay_service_park(relay_service_t *service, relay_parked_t *parked)
+{
+	g_queue_push_tail(&service->parked, parked);
+	parked->place = service->parked.tail;
+}
+
+void relay_service_unpark(relay_service_t *service, relay_parked_t *parked)
+{
+	if (!parked->place)
+		return;
+	g_queue_delete_link(&service->parked, parked->place);
+	parked->place = NULL;
+}
+
+uint32_t relay_service_parked(const relay_service_t *service)
+{
+	return service->parked.length;
+}
+
+bool relay_services_same_region(const relay_services_t *services,
+				const char *domain)
+{
+	GHashTable *regions = services->settings.regions;
+
+	return !g_strcmp0(g_hash_table_lookup(regions, domain),
+			  g_hash_table_lookup(
+				  regions, services->settings.failure_domain));
+}
--- /dev/null
+++ b/src/relay/relay_session.c
@@ -0,0 +1,553 @@
+#include "relay/relay_session.h"
+
+#include <inttypes.h>
+
+#include <event2/bufferevent.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/relay_job.h"
+#include "transport/socket_options.h"
+
+/* Silence of the caller's machine after which the session is given up. */
+#define SILENCE_S 20
+
+/* Bytes read ahead while a statement runs. */
+#define READ_AHEAD_SIZE_BYTES (RELAY_MESSAGE_SIZE_BYTES_MAX + 65536u)
+
+typedef enum {
+	TRANSACTION_NONE,
+	TRANSACTION_BEGUN, /* as the caller knows; no server does yet */
+	TRANSACTION_OPEN,  /* a connection is held */
+	TRANSACTION_FAILED,
+} transaction_t;
+
+/* What a prepared name stands for. */
+typedef struct {
+	char *definition;
+	bool writes;
+} prepared_t;
+
+struct relay_session {
+	relay_session_host_t *host;
+	struct bufferevent *bev;
+	struct event *idle; /* ends a transaction that rests */
+	catalog_t *catalog; /* of the transaction or statement */
+	const catalog_database_t *database;
+	char *database_name; /* NULL before the start-up */
+	GHashTable *values;
+	GHashTable *prepared; /* name -> prepared_t */
+	transaction_t transaction;
+	bool read_only;
+	char *begin_id;
+	char *begin_text;
+	relay_hold_t *hold;
+	relay_job_t *job;
+	/* The statement that runs; kept for the job. */
+	relay_message_t message;
+	command_t command;
+	log_point_t own_point;
+	uint64_t own_term;
+	bool closing;
+};
+
+static void process(relay_session_t *session);
+
+static void prepared_free(gpointer data)
+{
+	prepared_t *prepared = data;
+
+	g_free(prepared->definition);
+	g_free(prepared);
+}
+
+static struct evbuffer *output_of(const relay_session_t *session)
+{
+	return bufferevent_get_output(session->bev);
+}
+
+static char status_of(const relay_session_t *session)
+{
+	switch (session->transaction) {
+	case TRANSACTION_NONE:
+		return 'I';
+	case TRANSACTION_FAILED:
+		return 'E';
+	default:
+		return 'T';
+	}
+}
+
+static void end_transaction(relay_session_t *session)
+{
+	g_clear_pointer(&session->hold, relay_hold_release);
+	g_clear_pointer(&session->begin_id, g_free);
+	g_clear_pointer(&session->begin_text, g_free);
+	session->transaction = TRANSACTION_NONE;
+	evtimer_del(session->idle);
+}
+
+void relay_session_destroy(relay_session_t *session)
+{
+	if (session->job)
+		relay_job_cancel(session->job);
+	end_transaction(session);
+	relay_message_clear(&session->message);
+	command_clear(&session->command);
+	bufferevent_free(session->bev);
+	event_free(session->idle);
+	if (session->values)
+		g_hash_table_destroy(session->values);
+	if (session->prepared)
+		g_hash_table_destroy(session->prepared);
+	catalog_unref(session->catalog);
+	g_free(session->database_name);
+	g_free(session);
+}
+
+static void end_session(relay_session_t *session)
+{
+	session->host->ended(session->host->context, session);
+	relay_session_destroy(session);
+}
+
+static void on_written(struct bufferevent *bev, void *context)
+{
+	relay_session_t *session = context;
+
+	if (session->closing)
+		end_session(session);
+}
+
+/* Ends it once the caller has what was written. */
+static void close_soon(relay_session_t *session)
+{
+	session->closing = true;
+	bufferevent_disable(session->bev, EV_READ);
+	bufferevent_trigger(session->bev, EV_WRITE, BEV_OPT_DEFER_CALLBACKS);
+}
+
+static void answer_ready(relay_session_t *session, log_point_t point)
+{
+	session->host->codec->put_ready(output_of(session), status_of(session),
+					point);
+	if (session->transaction != TRANSACTION_NONE) {
+		const struct timeval idle =
+			clock_timeval(session->catalog->transaction_idle_ms);
+
+		event_add(session->idle, &idle);
+	}
+}
+
+static void answer_complete(relay_session_t *session)
+{
+	session->host->codec->put_complete(output_of(session));
+	answer_ready(session, (log_point_t){0});
+}
+
+static void answer_error(relay_session_t *session, relay_error_t error,
+			 const char *text)
+{
+	session->host->codec->put_error(output_of(session), error, text);
+	answer_ready(session, (log_point_t){0});
+}
+
+static void refuse_locally(relay_session_t *session, relay_error_t error,
+			   const char *text)
+{
+	log_event(LOG_LEVEL_INFO, "statement_invalid",
+		  "id=%s database=%s kind=%s outcome=%s reason=\"%s\"",
+		  session->message.id, session->database_name,
+		  command_kind_name(session->command.kind),
+		  relay_error_name(error), text);
+	if (session->transaction != TRANSACTION_NONE)
+		session->transaction = TRANSACTION_FAILED;
+	answer_error(session, error, text);
+}
+
+static void take_result(relay_session_t *session, const relay_result_t *result)
+{
+	session->hold = result->hold;
+	if (!result->failed && result->term && result->point.term) {
+		session->own_point = result->point;
+		session->own_term = result->term;
+	}
+	switch (result->status) {
+	case 'I':
+		end_transaction(session);
+		break;
+	case 'T':
+		session->transaction = TRANSACTION_OPEN;
+		break;
+	default:
+		session->transaction = TRANSACTION_FAILED;
+	}
+	if (result->body)
+		evbuffer_add(output_of(session), result->body->data,
+			     result->body->len);
+	else
+		session->host->codec->put_error(output_of(session),
+						result->error, result->text);
+	answer_ready(session, result->point);
+}
+
+static void statement_done(relay_session_t *session)
+{
+	relay_message_clear(&session->message);
+	command_clear(&session->command);
+}
+
+static void on_result(void *context, const relay_result_t *result)
+{
+	relay_session_t *session = context;
+
+	session->job = NULL;
+	take_result(session, result);
+	statement_done(session);
+	process(session);
+}
+
+/* Takes the newest catalog at the start of each transaction. */
+static bool refresh_catalog(relay_session_t *session)
+{
+	relay_session_host_t *host = session->host;
+
+	if (!host->catalog)
+		return false;
+	if (session->catalog != host->catalog) {
+		catalog_unref(session->catalog);
+		session->catalog = catalog_ref(host->catalog);
+	}
+	session->database =
+		catalog_database(session->catalog, session->database_name);
+	return session->database;
+}
+
+static bool writes(const relay_session_t *session, const prepared_t *prepared)
+{
+	return session->command.kind == COMMAND_WRITE ||
+	       (prepared && prepared->writes);
+}
+
+static void run(relay_session_t *session)
+{
+	const command_t *command = &session->command;
+	const prepared_t *prepared = NULL;
+	relay_ask_t ask = {
+		.id = session->message.id,
+		.text = session->message.text,
+		.kind = command->kind,
+		.database = session->database,
+		.values = session->values,
+		.own_point = session->own_point,
+		.own_term = session->own_term,
+		.received_ms = clock_boot_ms(),
+	};
+
+	if (command->kind == COMMAND_EXECUTE) {
+		prepared = session->prepared ?
+				   g_hash_table_lookup(session->prepared,
+						       command->name) :
+				   NULL;
+		if (!prepared) {
+			refuse_locally(session, RELAY_ERROR_UNKNOWN_NAME,
+				       "no such prepared statement");
+			statement_done(session);
+			return;
+		}
+		ask.definition = prepared->definition;
+		ask.arguments = command->value;
+	}
+	ask.writes = writes(session, prepared);
+	evtimer_del(session->idle);
+	if (session->transaction == TRANSACTION_BEGUN) {
+		ask.begin_id = session->begin_id;
+		ask.begin_text = session->begin_text;
+		ask.read_only = session->read_only;
+	}
+	if (session->hold)
+		session->job =
+			relay_job_continue(g_steal_pointer(&session->hold),
+					   &ask, on_result, session);
+	else
+		session->job = relay_job_start(session->host->services, &ask,
+					       on_result, session);
+}
+
+static void begin(relay_session_t *session)
+{
+	session->transaction = TRANSACTION_BEGUN;
+	session->read_only = session->command.kind == COMMAND_BEGIN_READ;
+	session->begin_id = g_strdup(session->message.id);
+	session->begin_text = g_strdup(session->message.text);
+	answer_complete(session);
+}
+
+static void set_value(relay_session_t *session)
+{
+	if (!session->values)
+		session->values = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(session->values, g_strdup(session->command.name),
+			    g_strdup(session->command.value));
+	answer_complete(session);
+}
+
+static void prepare(relay_session_t *session)
+{
+	prepared_t *prepared = g_new0(prepared_t, 1);
+
+	if (!session->prepared)
+		session->prepared = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, prepared_free);
+	prepared->definition = g_strdup(session->command.value);
+	prepared->writes = session->command.writes;
+	g_hash_table_insert(session->prepared, g_strdup(session->command.name),
+			    prepared);
+	answer_complete(session);
+}
+
+static void close_prepared(relay_session_t *session)
+{
+	if (session->prepared &&
+	    g_hash_table_remove(session->prepared, session->command.name))
+		answer_complete(session);
+	else
+		refuse_locally(session, RELAY_ERROR_UNKNOWN_NAME,
+			       "no such prepared statement");
+}
+
+/* The server rolls back at either end of a failed transaction. */
+static void end_failed(relay_session_t *session)
+{
+	const bool commit = session->command.kind == COMMAND_COMMIT;
+
+	end_transaction(session);
+	if (commit)
+		answer_error(session, RELAY_ERROR_ABORTED,
+			     "the transaction had failed and is rolled back");
+	else
+		answer_complete(session);
+}
+
+static void dispatch_failed(relay_session_t *session)
+{
+	switch (session->command.kind) {
+	case COMMAND_COMMIT:
+	case COMMAND_ROLLBACK:
+		end_failed(session);
+		break;
+	default:
+		refuse_locally(session, RELAY_ERROR_MALFORMED,
+			       "the transaction has failed");
+	}
+	statement_done(session);
+}
+
+static void dispatch_local(relay_session_t *session)
+{
+	const bool in_transaction = session->transaction != TRANSACTION_NONE;
+
+	switch (session->command.kind) {
+	case COMMAND_BEGIN:
+	case COMMAND_BEGIN_READ:
+		if (in_transaction)
+			refuse_locally(session, RELAY_ERROR_MALFORMED,
+				       "a transaction is open");
+		else
+			begin(session);
+		break;
+	case COMMAND_SET:
+		set_value(session);
+		break;
+	case COMMAND_PREPARE:
+		prepare(session);
+		break;
+	case COMMAND_CLOSE:
+		close_prepared(session);
+		break;
+	case COMMAND_ROLLBACK:
+		if (in_transaction) {
+			end_transaction(session);
+			answer_complete(session);
+		} else {
+			refuse_locally(session, RELAY_ERROR_MALFORMED,
+				       "no transaction is open");
+		}
+		break;
+	default:
+		refuse_locally(session, RELAY_ERROR_MALFORMED,
+			       "unknown or incomplete statement");
+	}
+	statement_done(session);
+}
+
+/* @return whether a server must run it */
+static bool is_remote(const relay_session_t *session)
+{
+	switch (session->command.kind) {
+	case COMMAND_READ:
+	case COMMAND_WRITE:
+	case COMMAND_EXECUTE:
+		return true;
+	case COMMAND_COMMIT:
+		return session->transaction != TRANSACTION_NONE;
+	case COMMAND_ROLLBACK:
+		return session->hold;
+	default:
+		return false;
+	}
+}
+
+static void refuse_database(relay_session_t *session)
+{
+	log_event(LOG_LEVEL_INFO, "database_unknown", "database=%s",
+		  session->database_name);
+	session->host->codec->put_error(output_of(session),
+					RELAY_ERROR_NO_DATABASE,
+					"no such database");
+	close_soon(session);
+}
+
+static void dispatch(relay_session_t *session)
+{
+	session->host->codec->parse(session->message.text, &session->command);
+	if (session->transaction == TRANSACTION_FAILED) {
+		dispatch_failed(session);
+		return;
+	}
+	if (session->transaction == TRANSACTION_NONE &&
+	    !refresh_catalog(session)) {
+		refuse_database(session);
+		return;
+	}
+	if (is_remote(session))
+		run(session);
+	else
+		dispatch_local(session);
+}
+
+static void start_up(relay_session_t *session)
+{
+	session->database_name = g_steal_pointer(&session->message.text);
+	relay_message_clear(&session->message);
+	if (refresh_catalog(session))
+		answer_ready(session, (log_point_t){0});
+	else
+		refuse_database(session);
+}
+
+static void take_message(relay_session_t *session)
+{
+	switch (session->message.kind) {
+	case RELAY_MESSAGE_STARTUP:
+		if (!session->database_name) {
+			start_up(session);
+			return;
+		}
+		break;
+	case RELAY_MESSAGE_QUERY:
+		if (session->database_name) {
+			dispatch(session);
+			return;
+		}
+		break;
+	case RELAY_MESSAGE_TERMINATE:
+		relay_message_clear(&session->message);
+		close_soon(session);
+		return;
+	default:
+		break;
+	}
+	session->host->codec->put_error(output_of(session),
+					RELAY_ERROR_MALFORMED,
+					"unexpected message");
+	close_soon(session);
+}
+
+static void process(relay_session_t *session)
+{
+	struct evbuffer *input = bufferevent_get_input(session->bev);
+
+	while (!session->job && !session->closing) {
+		g_autoptr(GError) error = NULL;
+
+		relay_message_clear(&session->message);
+		switch (session->host->codec->decode(input, &session->message,
+						     &error)) {
+		case RELAY_INCOMPLETE:
+			if (session->host->draining)
+				relay_session_drain(session);
+			return;
+		case RELAY_INVALID:
+			log_event(LOG_LEVEL_INFO, "caller_message_invalid",
+				  "reason=\"%s\"", error->message);
+			session->host->codec->put_error(output_of(session),
+							RELAY_ERROR_MALFORMED,
+							error->message);
+			close_soon(session);
+			return;
+		case RELAY_DECODED:
+			take_message(session);
+		}
+	}
+}
+
+static void on_read(struct bufferevent *bev, void *context)
+{
+	process(context);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *context)
+{
+	end_session(context);
+}
+
+void relay_session_end_transaction(relay_session_t *session)
+{
+	if (session->job || session->transaction == TRANSACTION_NONE)
+		return;
+	g_clear_pointer(&session->hold, relay_hold_release);
+	session->transaction = TRANSACTION_FAILED;
+}
+
+static void on_idle(evutil_socket_t fd, short what, void *context)
+{
+	relay_session_t *session = context;
+
+	log_event(LOG_LEVEL_INFO, "transaction_idle", "database=%s",
+		  session->database_name);
+	relay_session_end_transaction(session);
+}
+
+relay_session_t *relay_session_create(relay_session_host_t *host,
+				      evutil_socket_t fd)
+{
+	relay_session_t *session = g_new0(relay_session_t, 1);
+
+	session->host = host;
+	session->bev = bufferevent_socket_new(
+		host->base, fd,
+		BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	session->idle = evtimer_new(host->base, on_idle, session);
+	socket_options_set(fd, SILENCE_S);
+	bufferevent_setcb(session->bev, on_read, on_written, on_event, session);
+	bufferevent_setwatermark(session->bev, EV_READ, 0,
+				 READ_AHEAD_SIZE_BYTES);
+	bufferevent_enable(session->bev, EV_READ | EV_WRITE);
+	return session;
+}
+
+bool relay_session_is_busy(const relay_session_t *session)
+{
+	return session->job || session->transaction != TRANSACTION_NONE;
+}
+
+void relay_session_drain(relay_session_t *session)
+{
+	if (relay_session_is_busy(session) || session->closing)
+		return;
+	if (evbuffer_get_length(bufferevent_get_input(session->bev)))
+		return;
+	close_soon(session);
+}
--- /dev/null
+++ b/src/state/endpoint.c
@@ -0,0 +1,26 @@
+#include "state/endpoint.h"
+
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <glib.h>
+
+bool endpoint_parse(const char *text, char **address, uint16_t *port)
+{
+	const char *colon = strrchr(text, ':');
+	g_autofree char *host = NULL;
+	struct in_addr ip;
+	guint64 number;
+
+	if (!colon)
+		return false;
+	host = g_strndup(text, (gsize)(colon - text));
+	if (inet_pton(AF_INET, host, &ip) != 1)
+		return false;
+	if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &number,
+					NULL))
+		return false;
+	*address = g_steal_pointer(&host);
+	*port = (uint16_t)number;
+	return true;
+}
--- /dev/null
+++ b/src/state/primary_record.c
@@ -0,0 +1,42 @@
+#include "state/primary_record.h"
+
+#include <inttypes.h>
+
+#include <jansson.h>
+
+char *primary_record_encode(const primary_record_t *record)
+{
+	return g_strdup_printf("{\"term\":%" PRIu64 ",\"primary\":\"%s\","
+			       "\"takeover\":%" PRIu64 ",\"token\":%" PRIu64
+			       "}",
+			       record->term, record->primary,
+			       record->takeover_term, record->token);
+}
+
+static bool number_of(json_t *json, const char *name, uint64_t *number)
+{
+	json_t *value = json_object_get(json, name);
+
+	if (!json_is_integer(value) || json_integer_value(value) < 0)
+		return false;
+	*number = (uint64_t)json_integer_value(value);
+	return true;
+}
+
+bool primary_record_decode(GBytes *bytes, primary_record_t *record)
+{
+	gsize size;
+	const char *text = g_bytes_get_data(bytes, &size);
+	json_t *json = json_loadb(text, size, 0, NULL);
+	const char *primary = json_string_value(json_object_get(json, "primary"));
+	bool valid = primary && number_of(json, "term", &record->term) &&
+		     number_of(json, "takeover", &record->takeover_term) &&
+		     number_of(json, "token", &record->token);
+
+	if (valid)
+		valid = g_strlcpy(record->primary, primary,
+				  sizeof(record->primary)) <
+			sizeof(record->primary);
+	json_decref(json);
+	return valid;
+}
--- /dev/null
+++ b/src/store/kv_follow.c
@@ -0,0 +1,244 @@
+#include "store/kv_follow.h"
+
+#include <inttypes.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* How long the store may hold a watch without a change. */
+#define KV_FOLLOW_WAIT_MS 8000
+
+/* Pause before a failed call is made again, doubled up to the longest. */
+#define KV_FOLLOW_RETRY_MS 100
+#define KV_FOLLOW_RETRY_MS_MAX 800
+
+/* One listing or watch under way; an abandoned one reports to nobody. */
+typedef struct {
+	kv_follow_t *follow;
+	uint32_t round;
+	uint64_t asked_ms;
+} follow_call_t;
+
+struct kv_follow {
+	struct event_base *base;
+	kv_store_t *store;
+	char *prefix;
+	uint32_t pause_ms;
+	kv_follow_handlers_t handlers;
+	struct event *timer;
+	GHashTable *calls;   /* follow_call_t under way */
+	GHashTable *known;   /* keys told and not removed since */
+	GHashTable *listing; /* keys of the listing under way, or NULL */
+	int64_t listing_revision;
+	uint64_t listing_asked_ms;
+	int64_t revision; /* 0: the keys must be listed */
+	uint32_t round;	  /* answers of earlier rounds are dropped */
+	uint32_t retry_ms;
+	bool reached;
+};
+
+static void list_page(kv_follow_t *follow, const char *after_key);
+
+static follow_call_t *call_new(kv_follow_t *follow)
+{
+	follow_call_t *call = g_new0(follow_call_t, 1);
+
+	call->follow = follow;
+	call->round = follow->round;
+	call->asked_ms = clock_boot_ms();
+	g_hash_table_add(follow->calls, call);
+	return call;
+}
+
+/* @return the follower, or NULL when the answer comes too late */
+static kv_follow_t *call_end(follow_call_t *call)
+{
+	kv_follow_t *follow = call->follow;
+	const uint32_t round = call->round;
+
+	g_hash_table_remove(follow->calls, call);
+	return round == follow->round ? follow : NULL;
+}
+
+static void set_reached(kv_follow_t *follow, bool reached)
+{
+	if (reached)
+		follow->retry_ms = KV_FOLLOW_RETRY_MS;
+	if (follow->reached == reached)
+		return;
+	follow->reached = reached;
+	log_event(LOG_LEVEL_NOTICE, reached ? "store_reached" : "store_lost",
+		  "prefix=%s revision=%" PRId64, follow->prefix,
+		  follow->revision);
+	if (follow->handlers.reached)
+		follow->handlers.reached(follow->handlers.context, reached);
+}
+
+static void go_on_after(kv_follow_t *follow, uint32_t delay_ms)
+{
+	const struct timeval delay = clock_timeval(delay_ms);
+
+	event_add(follow->timer, &delay);
+}
+
+static void retry(kv_follow_t *follow)
+{
+	set_reached(follow, false);
+	go_on_after(follow, follow->retry_ms);
+	follow->retry_ms = MIN(2 * follow->retry_ms, KV_FOLLOW_RETRY_MS_MAX);
+}
+
+static void tell(kv_follow_t *follow, const kv_item_t *item)
+{
+	if (item->deleted)
+		g_hash_table_remove(follow->known, item->key);
+	else
+		g_hash_table_add(follow->known, g_strdup(item->key));
+	follow->handlers.changed(follow->handlers.context, item);
+}
+
+static void tell_removed(kv_follow_t *follow)
+{
+	g_autoptr(GPtrArray) gone = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, follow->known);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (!g_hash_table_contains(follow->listing, key))
+			g_ptr_array_add(gone, g_strdup(key));
+	for (guint i = 0; i < gone->len; i++) {
+		const kv_item_t item = {.key = gone->pdata[i],
+					.revision = follow->listing_revision,
+					.deleted = true};
+
+		tell(follow, &item);
+	}
+}
+
+static void synced(kv_follow_t *follow, int64_t revision, uint64_t asked_ms)
+{
+	follow->revision = revision;
+	follow->handlers.synced(follow->handlers.context, revision, asked_ms);
+}
+
+static void on_watched(void *context, const kv_answer_t *answer)
+{
+	const uint64_t asked_ms = ((follow_call_t *)context)->asked_ms;
+	kv_follow_t *follow = call_end(context);
+
+	if (!follow)
+		return;
+	if (answer->result == KV_COMPACTED) {
+		log_event(LOG_LEVEL_NOTICE, "store_history_lost",
+			  "prefix=%s revision=%" PRId64, follow->prefix,
+			  follow->revision);
+		follow->revision = 0;
+		go_on_after(follow, 0);
+		return;
+	}
+	if (answer->result != KV_OK) {
+		retry(follow);
+		return;
+	}
+	set_reached(follow, true);
+	for (guint i = 0; i < answer->items->len; i++)
+		tell(follow, answer->items->pdata[i]);
+	synced(follow, MAX(answer->revision, follow->revision), asked_ms);
+	go_on_after(follow, answer->items->len ? follow->pause_ms : 0);
+}
+
+static void on_listed(void *context, const kv_answer_t *answer)
+{
+	kv_follow_t *follow = call_end(context);
+	const kv_item_t *item = NULL;
+
+	if (!follow)
+		return;
+	if (answer->result != KV_OK) {
+		retry(follow);
+		return;
+	}
+	set_reached(follow, true);
+	/* Changes made between the pages are seen by the watch. */
+	if (!follow->listing_revision)
+		follow->listing_revision = answer->revision;
+	for (guint i = 0; i < answer->items->len; i++) {
+		item = answer->items->pdata[i];
+		g_hash_table_add(follow->listing, g_strdup(item->key));
+		tell(follow, item);
+	}
+	if (answer->has_more && item) {
+		list_page(follow, item->key);
+		return;
+	}
+	tell_removed(follow);
+	g_clear_pointer(&follow->listing, g_hash_table_destroy);
+	synced(follow, follow->listing_revision, follow->listing_asked_ms);
+	go_on_after(follow, 0);
+}
+
+static void list_page(kv_follow_t *follow, const char *after_key)
+{
+	follow->store->calls->range(follow->store->self, follow->prefix,
+				    after_key, on_listed, call_new(follow));
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	kv_follow_t *follow = context;
+
+	if (follow->revision) {
+		follow->store->calls->watch(
+			follow->store->self, follow->prefix, follow->revision,
+			KV_FOLLOW_WAIT_MS, on_watched, call_new(follow));
+		return;
+	}
+	g_clear_pointer(&follow->listing, g_hash_table_destroy);
+	follow->listing =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	follow->listing_revision = 0;
+	follow->listing_asked_ms = clock_boot_ms();
+	list_page(follow, NULL);
+}
+
+kv_follow_t *kv_follow_create(struct event_base *base, kv_store_t *store,
+			      const char *prefix, uint32_t pause_ms,
+			      kv_follow_handlers_t handlers)
+{
+	kv_follow_t *follow = g_new0(kv_follow_t, 1);
+
+	follow->base = base;
+	follow->store = store;
+	follow->prefix = g_strdup(prefix);
+	follow->pause_ms = pause_ms;
+	follow->handlers = handlers;
+	follow->retry_ms = KV_FOLLOW_RETRY_MS;
+	follow->calls =
+		g_hash_table_new_full(g_direct_hash, g_direct_equal, g_free,
+				      NULL);
+	follow->known =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	follow->timer = evtimer_new(base, on_timer, follow);
+	go_on_after(follow, 0);
+	return follow;
+}
+
+void kv_follow_refresh(kv_follow_t *follow)
+{
+	follow->round++;
+	follow->revision = 0;
+	go_on_after(follow, 0);
+}
+
+void kv_follow_destroy(kv_follow_t *follow)
+{
+	if (!follow)
+		return;
+	event_free(follow->timer);
+	g_hash_table_destroy(follow->calls);
+	g_hash_table_destroy(follow->known);
+	g_clear_pointer(&follow->listing, g_hash_table_destroy);
+	g_free(follow->prefix);
+	g_free(follow);
+}
--- a/src/platform/store.h
+++ b/src/store/store.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_STORE_H
-#define PLATFORM_STORE_H
+#ifndef STORE_STORE_H
+#define STORE_STORE_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/platform/store_consul.c
+++ b/src/store/store_consul.c
@@ -1,4 +1,4 @@
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -1,19 +1,26 @@
 #include "transport/http_client.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
 #include <glib.h>
 
+#include "transport/socket_options.h"
+
 #define HEADERS_SIZE_BYTES_MAX (16 * 1024)
 
+/* Silence of the server's machine after which a connection is given up. */
+#define SILENCE_S 3
+
 typedef struct {
 	http_client_t *client;
 	http_method_t method;
 	char *path;
 	GBytes *body;
+	GPtrArray *headers; /* char *: name, value, and so on */
 	uint32_t timeout_ms;
 	http_done_t done;
 	void *context;
@@ -56,6 +63,7 @@
 	event_free(call->timer);
 	g_free(call->path);
 	g_bytes_unref(call->body);
+	g_ptr_array_unref(call->headers);
 	g_free(call);
 }
 
@@ -112,6 +120,9 @@
 		call->client->address, call->client->port);
 
 	evhttp_add_header(headers, "Host", host);
+	for (guint i = 0; i + 1 < call->headers->len; i += 2)
+		evhttp_add_header(headers, call->headers->pdata[i],
+				  call->headers->pdata[i + 1]);
 	if (call->body)
 		evbuffer_add(evhttp_request_get_output_buffer(request),
 			     g_bytes_get_data(call->body, NULL),
@@ -119,17 +130,30 @@
 	return request;
 }
 
+/* The socket exists as soon as the first request was made. */
+static void watch_silence(struct evhttp_connection *connection)
+{
+	const evutil_socket_t fd = bufferevent_getfd(
+		evhttp_connection_get_bufferevent(connection));
+
+	if (fd >= 0)
+		socket_options_set(fd, SILENCE_S);
+}
+
 static void call_start(call_t *call)
 {
 	static const enum evhttp_cmd_type commands[] = {
-		EVHTTP_REQ_GET, EVHTTP_REQ_PUT, EVHTTP_REQ_POST};
+		EVHTTP_REQ_GET, EVHTTP_REQ_PUT, EVHTTP_REQ_POST,
+		EVHTTP_REQ_DELETE};
 	http_client_t *client = call->client;
 	const struct timeval timeout = {
 		.tv_sec = call->timeout_ms / 1000,
 		.tv_usec = (suseconds_t)(call->timeout_ms % 1000) * 1000};
 
+	const bool fresh = !client->idle->len;
+
 	g_ptr_array_add(client->active, call);
-	if (client->idle->len)
+	if (!fresh)
 		call->connection = g_ptr_array_steal_index(
 			client->idle, client->idle->len - 1);
 	else
@@ -138,8 +162,12 @@
 	event_add(call->timer, &timeout);
 	call->sent = true;
 	if (evhttp_make_request(call->connection, request_new_for(call),
-				commands[call->method], call->path))
+				commands[call->method], call->path)) {
 		event_active(call->timer, EV_TIMEOUT, 0);
+		return;
+	}
+	if (fresh)
+		watch_silence(call->connection);
 }
 
 static void start_waiting(http_client_t *client)
@@ -190,6 +218,17 @@
 		      const char *path, const uint8_t *bytes, size_t size_bytes,
 		      uint32_t timeout_ms, http_done_t done, void *context,
 		      void (*release)(void *context))
+{
+	http_client_send_with(client, method, path, NULL, 0, bytes, size_bytes,
+			      timeout_ms, done, context, release);
+}
+
+void http_client_send_with(http_client_t *client, http_method_t method,
+			   const char *path, const http_header_t *headers,
+			   size_t headers_count, const uint8_t *bytes,
+			   size_t size_bytes, uint32_t timeout_ms,
+			   http_done_t done, void *context,
+			   void (*release)(void *context))
 {
 	call_t *call = g_new0(call_t, 1);
 
@@ -197,6 +236,11 @@
 	call->method = method;
 	call->path = g_strdup(path);
 	call->body = bytes ? g_bytes_new(bytes, size_bytes) : NULL;
+	call->headers = g_ptr_array_new_with_free_func(g_free);
+	for (size_t i = 0; i < headers_count; i++) {
+		g_ptr_array_add(call->headers, g_strdup(headers[i].name));
+		g_ptr_array_add(call->headers, g_strdup(headers[i].value));
+	}
 	call->timeout_ms = timeout_ms;
 	call->done = done;
 	call->context = context;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -21,6 +21,7 @@
 	HTTP_GET,
 	HTTP_PUT,
 	HTTP_POST,
+	HTTP_DELETE,
 } http_method_t;
 
 /** What came back. */
@@ -55,6 +56,20 @@
 		      uint32_t timeout_ms, http_done_t done, void *context,
 		      void (*release)(void *context));
 
+/** A header of a request. */
+typedef struct {
+	const char *name;
+	const char *value;
+} http_header_t;
+
+/** As http_client_send(), with headers of its own. */
+void http_client_send_with(http_client_t *client, http_method_t method,
+			   const char *path, const http_header_t *headers,
+			   size_t headers_count, const uint8_t *bytes,
+			   size_t size_bytes, uint32_t timeout_ms,
+			   http_done_t done, void *context,
+			   void (*release)(void *context));
+
 /** @return a header of the answer, or NULL. */
 const char *http_response_header(const http_response_t *response,
 				 const char *name);
--- /dev/null
+++ b/src/transport/socket_options.c
@@ -0,0 +1,31 @@
+#include "transport/socket_options.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/log.h"
+
+/* Unanswered probes after which the kernel gives up. */
+#define PROBES 2
+
+static void set(evutil_socket_t fd, int level, int option, int value)
+{
+	if (setsockopt(fd, level, option, &value, sizeof(value)))
+		log_event(LOG_LEVEL_WARNING, "socket_option_refused",
+			  "option=%d reason=\"%s\"", option, strerror(errno));
+}
+
+void socket_options_set(evutil_socket_t fd, int silence_s)
+{
+	set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set(fd, IPPROTO_TCP, TCP_KEEPIDLE, silence_s > PROBES
+						   ? silence_s - PROBES
+						   : 1);
+	set(fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+	set(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBES);
+	set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, silence_s * 1000);
+}
--- a/tests/unit/test_peers_task.c
+++ b/tests/unit/test_peers_task.c
@@ -615,7 +615,7 @@
 static void test_seed_replaces_the_list(void **state)
 {
 	rig_t *rig = create_rig(1);
-	settings_endpoint_t seed = {.address = "127.0.0.1"};
+	endpoint_t seed = {.address = "127.0.0.1"};
 
 	seed.port = self_of(&rig->nodes[0])->peer_port;
 	create_node(rig, 1);
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -54,7 +54,7 @@
 	g_autofree char *text = g_strjoinv("\n", (char **)good);
 	g_autoptr(GError) error = NULL;
 	settings_t *settings = load(text, &error);
-	settings_endpoint_t endpoint;
+	endpoint_t endpoint;
 
 	assert_null(error);
 	assert_string_equal(settings->node, "akl-1");
--- a/tests/unit/test_store_consul.c
+++ b/tests/unit/test_store_consul.c
@@ -12,7 +12,7 @@
 #include <event2/listener.h>
 #include <glib.h>
 
-#include "platform/store.h"
+#include "store/store.h"
 #include "transport/http_client.h"
 
 /* A service that gives the same answer to every request. */
