--- a/src/base/log_limit.h
+++ b/src/base/log_limit.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 /** Lines of one event that are written within one window. */
-#define LOG_LIMIT_LINES 20
+#define LOG_LIMIT_LINES 3000
 #define LOG_LIMIT_WINDOW_MS 10000
 /** Events counted each on its own; all further ones share one count. */
 #define LOG_LIMIT_EVENTS 128
--- a/src/coordination/connection_share.c
+++ b/src/coordination/connection_share.c
@@ -31,3 +31,11 @@
 		return 1;
 	return CLAMP((usable - taken) / MAX(ask->nodes_near, 1), 1, NEAR_MAX);
 }
+
+uint32_t connection_most(const connection_share_ask_t *ask)
+{
+	const uint32_t nodes = ask->nodes_near + ask->nodes_far;
+
+	return CLAMP(MAX(ask->limit / 2, ask->limit / MAX(nodes, 1)), 1,
+		     NEAR_MAX);
+}
--- a/src/coordination/connection_share.h
+++ b/src/coordination/connection_share.h
@@ -21,4 +21,7 @@
  */
 uint32_t connection_share(const connection_share_ask_t *ask);
 
+/** @return most connections that a node may hold while there is room */
+uint32_t connection_most(const connection_share_ask_t *ask);
+
 #endif
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -497,6 +497,13 @@
 	relay_job_t *job = context;
 
 	job->waiting_at = NULL;
+	if (job->ask.writes && clock_boot_ms() + relay_server_run_ms(server) >=
+				       job->deadline_ms) {
+		/* Better surely not run than with an unknown end. */
+		relay_server_give_back(server, link, 0);
+		refuse(job, "late");
+		return;
+	}
 	run_on(job, server, link);
 }
 
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -12,6 +12,12 @@
 /* Connections that may be opened at the same time. */
 #define OPENING_MAX 4
 
+/* Time for which a server at its limit is asked for no more than the share. */
+#define FULL_MS 1000
+
+/* Rest after which a connection above the share is closed. */
+#define REST_MS 1000
+
 /* The mean run time moves by this part of each new value. */
 #define RUN_WEIGHT 0.1
 #define RUN_MS_DEFAULT 25.0
@@ -26,7 +32,10 @@
 	GPtrArray *links; /* relay_link_t: opening, idle and granted */
 	GPtrArray *idle;
 	uint32_t opening;
-	uint32_t limit;
+	uint32_t share;
+	uint32_t most;
+	uint64_t full_until_ms; /* it refused connections at its limit */
+	struct event *sweep;	/* closes what rests above the share */
 	wait_queue_t queue;
 	struct event *pump;
 	uint64_t reopen_at_ms;
@@ -95,13 +104,21 @@
 		return;
 	g_ptr_array_remove_fast(server->links, link);
 	relay_link_destroy(link);
-	if (error != RELAY_ERROR_CONNECTION_LIMIT)
+	if (error == RELAY_ERROR_CONNECTION_LIMIT) {
+		server->full_until_ms = clock_boot_ms() + FULL_MS;
+		server->heard_ms = clock_boot_ms();
+	} else
 		server->host->troubled(server->host->context, server);
 	if (!server->links->len && error != RELAY_ERROR_CONNECTION_LIMIT)
 		refuse_all(server);
 	pump_after(server, 0);
 }
 
+static uint32_t limit_now(const relay_server_t *server, uint64_t now_ms)
+{
+	return now_ms < server->full_until_ms ? server->share : server->most;
+}
+
 static bool has_urgent(const relay_server_t *server)
 {
 	for (guint i = 0; i < server->queue.entries->len; i++) {
@@ -121,7 +138,8 @@
 		.context = server,
 	};
 	const uint64_t now_ms = clock_boot_ms();
-	const uint32_t limit = server->limit + (has_urgent(server) ? 1 : 0);
+	const uint32_t limit =
+		limit_now(server, now_ms) + (has_urgent(server) ? 1 : 0);
 
 	if (now_ms < server->reopen_at_ms) {
 		pump_after(server, server->reopen_at_ms - now_ms);
@@ -185,6 +203,32 @@
 		open_more(server);
 }
 
+static void sweep_after(relay_server_t *server, uint64_t delay_ms)
+{
+	const struct timeval delay = clock_timeval(delay_ms);
+
+	event_add(server->sweep, &delay);
+}
+
+static void on_sweep(evutil_socket_t fd, short what, void *context)
+{
+	relay_server_t *server = context;
+	const uint64_t now_ms = clock_boot_ms();
+
+	for (guint i = server->idle->len;
+	     i > 0 && server->links->len > server->share; i--) {
+		relay_link_t *link = server->idle->pdata[i - 1];
+
+		if (now_ms < relay_link_heard_ms(link) + REST_MS)
+			continue;
+		g_ptr_array_remove_index_fast(server->idle, i - 1);
+		g_ptr_array_remove_fast(server->links, link);
+		relay_link_destroy(link);
+	}
+	if (server->links->len > server->share)
+		sweep_after(server, REST_MS / 2);
+}
+
 static void server_free(relay_server_t *server);
 
 static void on_pump(evutil_socket_t fd, short what, void *context)
@@ -206,7 +250,9 @@
 	server->entry = entry;
 	server->links = g_ptr_array_new();
 	server->idle = g_ptr_array_new();
-	server->limit = 1;
+	server->share = 1;
+	server->most = 1;
+	server->sweep = evtimer_new(host->base, on_sweep, server);
 	server->reopen_ms = REOPEN_MS;
 	server->run_ms = RUN_MS_DEFAULT;
 	server->pump = evtimer_new(host->base, on_pump, server);
@@ -219,6 +265,7 @@
 	g_ptr_array_unref(server->links);
 	g_ptr_array_unref(server->idle);
 	event_free(server->pump);
+	event_free(server->sweep);
 	wait_queue_clear(&server->queue);
 	backend_entry_delete(server->entry);
 	g_free(server);
@@ -265,16 +312,11 @@
 	return server->entry;
 }
 
-void relay_server_set_limit(relay_server_t *server, uint32_t limit)
+void relay_server_set_limit(relay_server_t *server, uint32_t share,
+			    uint32_t most)
 {
-	server->limit = limit;
-	while (server->links->len > limit && server->idle->len) {
-		relay_link_t *link = g_ptr_array_steal_index(
-			server->idle, server->idle->len - 1);
-
-		g_ptr_array_remove_fast(server->links, link);
-		relay_link_destroy(link);
-	}
+	server->share = share;
+	server->most = MAX(share, most);
 	pump_after(server, 0);
 }
 
@@ -298,13 +340,16 @@
 			    uint64_t held_ms)
 {
 	wait_queue_served(&server->queue, held_ms);
-	if (server->retired || server->links->len > server->limit ||
+	if (server->retired || server->links->len > server->most ||
 	    !relay_link_is_open(link) || relay_link_is_busy(link)) {
 		relay_server_discard(server, link);
 		return;
 	}
 	g_ptr_array_add(server->idle, link);
 	pump(server);
+	if (server->links->len > server->share &&
+	    !evtimer_pending(server->sweep, NULL))
+		sweep_after(server, REST_MS);
 }
 
 void relay_server_discard(relay_server_t *server, relay_link_t *link)
@@ -351,11 +396,16 @@
 	return heard_ms;
 }
 
+static uint32_t capacity(const relay_server_t *server)
+{
+	return MAX(server->share, server->links->len - server->opening);
+}
+
 uint64_t relay_server_wait_ms(const relay_server_t *server)
 {
 	if (server->idle->len > server->queue.entries->len)
 		return 0;
-	return wait_queue_estimate_ms(&server->queue, server->limit);
+	return wait_queue_estimate_ms(&server->queue, capacity(server));
 }
 
 uint64_t relay_server_run_ms(const relay_server_t *server)
@@ -367,7 +417,7 @@
 			    const relay_waiter_t *waiter, uint64_t now_ms)
 {
 	return wait_queue_can_serve(&server->queue, &waiter->entry,
-				    server->limit, now_ms);
+				    capacity(server), now_ms);
 }
 
 uint32_t relay_server_open_count(const relay_server_t *server)
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -56,8 +56,15 @@
 /** @return whether it was destroyed and only waits for its connections */
 bool relay_server_is_retired(const relay_server_t *server);
 
-/** Sets how many connections may be open. */
-void relay_server_set_limit(relay_server_t *server, uint32_t limit);
+/**
+ * Sets how many connections may be open.
+ *
+ * @param share what this node can count on
+ * @param most  what it may open while the server has room; those above the
+ *        share are closed when they rest
+ */
+void relay_server_set_limit(relay_server_t *server, uint32_t share,
+			    uint32_t most);
 
 /** Waits for a connection; the grant may come from inside the call. */
 void relay_server_ask(relay_server_t *server, relay_waiter_t *waiter);
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -178,9 +178,12 @@
 					services->settings.failure_domain),
 		};
 
-		relay_server_set_limit(server, limits && services->nodes ?
-						       connection_share(&ask) :
-						       CONNECTIONS_DEFAULT);
+		if (limits && services->nodes)
+			relay_server_set_limit(server, connection_share(&ask),
+					       connection_most(&ask));
+		else
+			relay_server_set_limit(server, CONNECTIONS_DEFAULT,
+					       CONNECTIONS_DEFAULT);
 	}
 }
 
