--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -178,6 +178,7 @@
 			takeover->phase = TAKEOVER_IDLE;
 			takeover->actions.done(takeover->actions.context, false,
 					       takeover->term,
+					       takeover->primary,
 					       takeover->primary);
 			return;
 		}
@@ -196,7 +197,7 @@
 			return;
 		takeover->phase = TAKEOVER_IDLE;
 		takeover->actions.done(takeover->actions.context, true,
-				       takeover->new_term,
+				       takeover->new_term, takeover->primary,
 				       takeover->candidate->id);
 		return;
 	default:
--- a/src/coordination/takeover.h
+++ b/src/coordination/takeover.h
@@ -73,7 +73,7 @@
 	void (*fence)(void *context, const char *server, uint64_t term);
 	void (*promote)(void *context, const char *server);
 	/** It is over; servers may be released and old primaries stopped. */
-	void (*done)(void *context, bool led, uint64_t term,
+	void (*done)(void *context, bool led, uint64_t term, const char *old,
 		     const char *primary);
 	void *context;
 } takeover_actions_t;
--- a/src/relay/relay_duty.c
+++ b/src/relay/relay_duty.c
@@ -7,15 +7,15 @@
 #include "base/log.h"
 
 /* Time after which the store gives the duty to others. */
-#define DUTY_TTL_MS 3000
+#define DUTY_TTL_MS 2000
 
-#define DUTY_RENEW_MS 700
+#define DUTY_RENEW_MS 400
 
 /* Age of the last renewal up to which a promotion may be asked for. */
-#define DUTY_SAFE_MS 1500
+#define DUTY_SAFE_MS 1000
 
 /* Wait of a new holder for the promotions of the one before. */
-#define DUTY_SETTLE_MS 2000
+#define DUTY_SETTLE_MS 1200
 
 /* Time between two looks at the primaries. */
 #define DUTY_STEP_MS 50
@@ -267,6 +267,9 @@
 			  item->revision, item->deleted);
 		return;
 	}
+	if (service)
+		relay_service_lead(service, record.term, record.primary,
+				   record.takeover_term, item->revision);
 	if (item->revision <= entry->revision)
 		return;
 	if (strcmp(entry->record.primary, record.primary))
@@ -274,9 +277,6 @@
 	entry->revision = item->revision;
 	entry->record = record;
 	entry->first_ms = 0;
-	if (service)
-		relay_service_lead(service, record.term, record.primary,
-				   record.takeover_term, item->revision);
 }
 
 void relay_duty_changed(relay_duty_t *duty, const kv_item_t *item)
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -267,7 +267,7 @@
 		step_first(entry, now_ms);
 		return;
 	}
-	if (now_ms < entry->duty->settled_ms || !has_successor(entry))
+	if (!has_successor(entry))
 		return;
 	if (entry->record.takeover_term) {
 		duty_takeover_start(entry, false, "unfinished");
--- a/src/relay/relay_duty_takeover.c
+++ b/src/relay/relay_duty_takeover.c
@@ -23,6 +23,7 @@
 	duty_service_t *entry;
 	uint64_t round;
 	char *server;
+	primary_record_t record; /* that is being written */
 } action_t;
 
 /* The ending of all leases that stood in the store. */
@@ -79,9 +80,11 @@
 
 	if (is_current(action)) {
 		log_step(entry, "written", kv_result_name(answer->result));
-		if (answer->result == KV_OK)
-			entry->revision =
-				MAX(entry->revision, answer->revision);
+		if (answer->result == KV_OK &&
+		    answer->revision > entry->revision) {
+			entry->revision = answer->revision;
+			entry->record = action->record;
+		}
 		takeover_written(entry->takeover, answer->result == KV_OK,
 				 clock_boot_ms());
 	}
@@ -97,11 +100,14 @@
 		.takeover_term = takeover_term,
 		.token = (uint64_t)entry->duty->held_revision,
 	};
+	action_t *action;
 
 	if (takeover_phase(entry->takeover) == TAKEOVER_INTENT)
 		entry->round++;
 	g_strlcpy(record.primary, primary, sizeof(record.primary));
-	duty_write(entry, &record, on_written, action_new(entry, primary));
+	action = action_new(entry, primary);
+	action->record = record;
+	duty_write(entry, &record, on_written, action);
 }
 
 static void revocation_free(revocation_t *revocation)
@@ -307,10 +313,10 @@
 	action_free(action);
 }
 
-static void on_done(void *context, bool led, uint64_t term, const char *primary)
+static void on_done(void *context, bool led, uint64_t term, const char *old,
+		    const char *primary)
 {
 	duty_service_t *entry = context;
-	g_autofree char *old = g_strdup(entry->record.primary);
 	const GPtrArray *servers = relay_service_servers(service_of(entry));
 
 	log_event(LOG_LEVEL_NOTICE, led ? "takeover_done" : "takeover_failed",
@@ -321,17 +327,15 @@
 	for (guint i = 0; i < servers->len; i++) {
 		const char *id = relay_server_entry(servers->pdata[i])->id;
 
-		if (strcmp(id, primary))
-			relay_control_ask(service_of(entry), id,
-					  RELAY_CONTROL_RELEASE, 0,
-					  CONTROL_TIMEOUT_MS, on_released,
-					  action_new(entry, id));
+		if (!strcmp(id, primary))
+			continue;
+		relay_control_ask(service_of(entry), id,
+				  led && !strcmp(id, old) ?
+					  RELAY_CONTROL_STEP_DOWN :
+					  RELAY_CONTROL_RELEASE,
+				  term, CONTROL_TIMEOUT_MS, on_released,
+				  action_new(entry, id));
 	}
-	if (led && strcmp(old, primary))
-		relay_control_ask(service_of(entry), old,
-				  RELAY_CONTROL_STEP_DOWN, term,
-				  CONTROL_TIMEOUT_MS, on_released,
-				  action_new(entry, old));
 }
 
 void duty_takeover_create(duty_service_t *entry)
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "relay/relay_callers.h"
 #include "relay/relay_duty.h"
+#include "relay/relay_proof.h"
 #include "relay/relay_registration.h"
 #include "relay/relay_status_page.h"
 #include "store/kv_follow.h"
@@ -40,6 +41,7 @@
 	relay_callers_t *callers;
 	relay_registration_t *registration;
 	relay_duty_t *duty;
+	relay_proof_t *proof;
 	relay_status_page_t *page;
 	kv_follow_t *catalogs;
 	kv_follow_t *backends;
@@ -230,8 +232,9 @@
 		relay_duty_troubled(node->duty, service, server);
 }
 
-/* The records must be read after the lease was registered. */
-static void on_registered(void *context)
+/* The records must be read after the lease was registered, and after the
+ * connections were opened whose answers shall prove who leads. */
+static void read_primaries(void *context)
 {
 	relay_node_t *node = context;
 
@@ -299,7 +302,9 @@
 				       platform.promoter, settings->node);
 	node->registration = relay_registration_create(
 		base, platform.store, node->services, settings->node,
-		settings->failure_domain, on_registered, node);
+		settings->failure_domain, read_primaries, node);
+	node->proof =
+		relay_proof_create(node->services, read_primaries, node);
 	create_follows(node);
 	node->callers = relay_callers_create(base, platform.codec,
 					     node->services,
@@ -327,6 +332,7 @@
 	kv_follow_destroy(node->primaries);
 	g_hash_table_destroy(node->lapsing);
 	relay_registration_destroy(node->registration);
+	relay_proof_destroy(node->proof);
 	relay_services_destroy(node->services);
 	relay_duty_destroy(node->duty);
 	kv_store_destroy(node->platform.store);
--- /dev/null
+++ b/src/relay/relay_proof.c
@@ -0,0 +1,194 @@
+#include "relay/relay_proof.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/relay_control.h"
+
+/* Time between two looks. */
+#define PROOF_STEP_MS 150
+
+/* Time that the store's proof must still run, or replicas are asked. */
+#define PROOF_LEFT_MS 450
+
+/* Time between two questions to the same replica. */
+#define PROOF_ASK_MS 300
+
+#define PROOF_TIMEOUT_MS 600
+
+/* Time between two readings of the records for new connections. */
+#define PROOF_VERIFY_MS 4000
+
+struct relay_proof {
+	relay_services_t *services;
+	struct event *timer;
+	GHashTable *asked; /* server id -> uint64_t, when it was asked */
+	GHashTable *asks;  /* ask_t under way */
+	uint64_t verified_ms;
+	bool by_replicas; /* as last logged */
+	void (*verify)(void *context);
+	void *context;
+};
+
+typedef struct {
+	relay_proof_t *proof;
+	relay_service_t *service;
+	char *server;
+	uint64_t term;
+} ask_t;
+
+static void ask_free(gpointer data)
+{
+	ask_t *ask = data;
+
+	g_free(ask->server);
+	g_free(ask);
+}
+
+static void on_answer(void *context, const relay_control_answer_t *answer)
+{
+	ask_t *ask = context;
+	relay_proof_t *proof = ask->proof;
+	primary_lease_t *lease = relay_service_lease(ask->service);
+	const bool verified = answer->link_opened_ms <
+			      relay_service_verified_ms(ask->service);
+	const bool fenced = answer->status.role != SERVER_REPLICA ||
+			    answer->status.fence > ask->term ||
+			    answer->status.term > ask->term;
+
+	if (answer->result == RELAY_CONTROL_DONE && lease->term == ask->term &&
+	    (verified || fenced)) {
+		primary_lease_replica_answer(lease, ask->server, fenced,
+					     answer->sent_ms);
+		relay_services_wake(proof->services);
+	} else {
+		log_event(LOG_LEVEL_INFO, "proof_missing",
+			  "service=%s server=%s result=%s verified=%d",
+			  relay_service_name(ask->service), ask->server,
+			  relay_control_result_name(answer->result), verified);
+	}
+	g_hash_table_remove(proof->asks, ask);
+}
+
+static bool is_due(relay_proof_t *proof, const char *server, uint64_t now_ms)
+{
+	uint64_t *asked_ms = g_hash_table_lookup(proof->asked, server);
+
+	if (asked_ms && now_ms < *asked_ms + PROOF_ASK_MS)
+		return false;
+	if (!asked_ms) {
+		asked_ms = g_new(uint64_t, 1);
+		g_hash_table_insert(proof->asked, g_strdup(server), asked_ms);
+	}
+	*asked_ms = now_ms;
+	return true;
+}
+
+static void ask_replicas(relay_proof_t *proof, relay_service_t *service,
+			 uint64_t now_ms)
+{
+	const primary_lease_t *lease = relay_service_lease(service);
+
+	for (uint32_t i = 0; i < lease->replicas_count; i++) {
+		const char *id = lease->replicas[i].id;
+		ask_t *ask;
+
+		if (!is_due(proof, id, now_ms))
+			continue;
+		ask = g_new0(ask_t, 1);
+		ask->proof = proof;
+		ask->service = service;
+		ask->server = g_strdup(id);
+		ask->term = lease->term;
+		g_hash_table_add(proof->asks, ask);
+		relay_control_ask(service, id, RELAY_CONTROL_STATUS, 0,
+				  PROOF_TIMEOUT_MS, on_answer, ask);
+	}
+}
+
+/* @return whether a connection is younger than the last reading */
+static bool keep_open(relay_service_t *service)
+{
+	const GPtrArray *servers = relay_service_servers(service);
+	bool younger = false;
+
+	for (guint i = 0; i < servers->len; i++) {
+		relay_server_t *server = servers->pdata[i];
+		const uint64_t oldest_ms = relay_server_oldest_ms(server);
+
+		if (relay_server_entry(server)->draining)
+			continue;
+		relay_server_keep_open(server);
+		younger |= oldest_ms != UINT64_MAX &&
+			   oldest_ms >= relay_service_verified_ms(service);
+	}
+	return younger;
+}
+
+static void log_kind(relay_proof_t *proof, bool by_replicas)
+{
+	if (by_replicas == proof->by_replicas)
+		return;
+	proof->by_replicas = by_replicas;
+	log_event(LOG_LEVEL_NOTICE, "proof_changed", "by=%s",
+		  by_replicas ? "replicas" : "store");
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	relay_proof_t *proof = context;
+	const uint64_t now_ms = clock_boot_ms();
+	const node_lease_t *node = relay_services_lease(proof->services);
+	const bool by_replicas = now_ms + PROOF_LEFT_MS > node->valid_until_ms;
+	const struct timeval delay = clock_timeval(PROOF_STEP_MS);
+	g_autoptr(GPtrArray) names = relay_services_names(proof->services);
+	bool younger = false;
+
+	event_add(proof->timer, &delay);
+	log_kind(proof, by_replicas);
+	for (guint i = 0; i < names->len; i++) {
+		relay_service_t *service =
+			relay_services_find(proof->services, names->pdata[i]);
+		const primary_lease_t *lease = relay_service_lease(service);
+
+		younger |= keep_open(service);
+		if (by_replicas && *lease->primary && !lease->takeover &&
+		    now_ms < node->reached_ms + PRIMARY_LEASE_REPLICA_PROOF_MS)
+			ask_replicas(proof, service, now_ms);
+	}
+	if (younger && !by_replicas &&
+	    now_ms >= proof->verified_ms + PROOF_VERIFY_MS) {
+		proof->verified_ms = now_ms;
+		proof->verify(proof->context);
+	}
+}
+
+relay_proof_t *relay_proof_create(relay_services_t *services,
+				  void (*verify)(void *context), void *context)
+{
+	relay_proof_t *proof = g_new0(relay_proof_t, 1);
+	const struct timeval delay = clock_timeval(PROOF_STEP_MS);
+
+	proof->services = services;
+	proof->verify = verify;
+	proof->context = context;
+	proof->asked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	proof->asks = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					    ask_free, NULL);
+	proof->timer = evtimer_new(relay_services_settings(services)->base,
+				   on_timer, proof);
+	event_add(proof->timer, &delay);
+	return proof;
+}
+
+void relay_proof_destroy(relay_proof_t *proof)
+{
+	if (!proof)
+		return;
+	event_free(proof->timer);
+	g_hash_table_destroy(proof->asks);
+	g_hash_table_destroy(proof->asked);
+	g_free(proof);
+}
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -31,6 +31,7 @@
 	backend_entry_t *entry;
 	GPtrArray *links; /* relay_link_t: opening, idle and granted */
 	GPtrArray *idle;
+	GPtrArray *granted;
 	uint32_t opening;
 	uint32_t share;
 	uint32_t most;
@@ -91,7 +92,7 @@
 		      bool was_open)
 {
 	relay_server_t *server = context;
-	const bool granted = was_open && !g_ptr_array_remove(server->idle, link);
+	const bool granted = g_ptr_array_find(server->granted, link, NULL);
 
 	if (!was_open) {
 		server->opening--;
@@ -102,6 +103,7 @@
 	}
 	if (granted) /* its user discards it */
 		return;
+	g_ptr_array_remove_fast(server->idle, link);
 	g_ptr_array_remove_fast(server->links, link);
 	relay_link_destroy(link);
 	if (error == RELAY_ERROR_CONNECTION_LIMIT) {
@@ -130,7 +132,7 @@
 	return false;
 }
 
-static void open_more(relay_server_t *server)
+static void open_more(relay_server_t *server, uint32_t wanted)
 {
 	const relay_link_handlers_t handlers = {
 		.opened = on_opened,
@@ -145,7 +147,7 @@
 		pump_after(server, server->reopen_at_ms - now_ms);
 		return;
 	}
-	while (server->opening < MIN(OPENING_MAX, server->queue.entries->len) &&
+	while (server->opening < MIN(OPENING_MAX, wanted) &&
 	       server->links->len < limit) {
 		g_ptr_array_add(server->links,
 				relay_link_open(server->host->base,
@@ -172,20 +174,42 @@
 	return true;
 }
 
+static guint oldest_idle(const relay_server_t *server)
+{
+	guint oldest = 0;
+
+	for (guint i = 1; i < server->idle->len; i++)
+		if (relay_link_opened_ms(server->idle->pdata[i]) <
+		    relay_link_opened_ms(server->idle->pdata[oldest]))
+			oldest = i;
+	return oldest;
+}
+
+static relay_link_t *take_granted(relay_server_t *server, guint index)
+{
+	g_ptr_array_add(server->granted, server->idle->pdata[index]);
+	return g_ptr_array_steal_index(server->idle, index);
+}
+
 /* Prefers a connection whose variables need no change. */
-static relay_link_t *take_idle(relay_server_t *server, GHashTable *values)
+static relay_link_t *take_idle(relay_server_t *server,
+			       const relay_waiter_t *waiter)
 {
 	guint chosen = server->idle->len - 1;
 
+	if (waiter->urgent)
+		return take_granted(server, oldest_idle(server));
+
 	for (guint i = server->idle->len; i > 0; i--) {
 		relay_link_t *link = server->idle->pdata[i - 1];
 
-		if (values_match(values, relay_link_state(link)->values)) {
+		if (values_match(waiter->values,
+				 relay_link_state(link)->values)) {
 			chosen = i - 1;
 			break;
 		}
 	}
-	return g_ptr_array_steal_index(server->idle, chosen);
+	return take_granted(server, chosen);
 }
 
 static void pump(relay_server_t *server)
@@ -197,10 +221,10 @@
 
 		waiter->waiting = false;
 		waiter->granted(waiter->context, server,
-				take_idle(server, waiter->values));
+				take_idle(server, waiter));
 	}
 	if (server->queue.entries->len)
-		open_more(server);
+		open_more(server, server->queue.entries->len);
 }
 
 static void sweep_after(relay_server_t *server, uint64_t delay_ms)
@@ -250,6 +274,7 @@
 	server->entry = entry;
 	server->links = g_ptr_array_new();
 	server->idle = g_ptr_array_new();
+	server->granted = g_ptr_array_new();
 	server->share = 1;
 	server->most = 1;
 	server->sweep = evtimer_new(host->base, on_sweep, server);
@@ -264,6 +289,7 @@
 {
 	g_ptr_array_unref(server->links);
 	g_ptr_array_unref(server->idle);
+	g_ptr_array_unref(server->granted);
 	event_free(server->pump);
 	event_free(server->sweep);
 	wait_queue_clear(&server->queue);
@@ -276,10 +302,7 @@
 	for (guint i = server->links->len; i > 0; i--) {
 		relay_link_t *link = server->links->pdata[i - 1];
 
-		if (relay_link_is_open(link) &&
-		    !g_ptr_array_find(server->idle, link, NULL))
-			continue;
-		if (relay_link_is_busy(link))
+		if (g_ptr_array_find(server->granted, link, NULL))
 			continue;
 		g_ptr_array_remove_index_fast(server->links, i - 1);
 		relay_link_destroy(link);
@@ -345,6 +368,7 @@
 		relay_server_discard(server, link);
 		return;
 	}
+	g_ptr_array_remove_fast(server->granted, link);
 	g_ptr_array_add(server->idle, link);
 	pump(server);
 	if (server->links->len > server->share &&
@@ -355,6 +379,7 @@
 void relay_server_discard(relay_server_t *server, relay_link_t *link)
 {
 	server->heard_ms = MAX(server->heard_ms, relay_link_heard_ms(link));
+	g_ptr_array_remove_fast(server->granted, link);
 	g_ptr_array_remove_fast(server->links, link);
 	relay_link_destroy(link);
 	pump_after(server, 0);
@@ -425,6 +450,25 @@
 	return server->links->len - server->opening;
 }
 
+void relay_server_keep_open(relay_server_t *server)
+{
+	if (!server->links->len)
+		open_more(server, 1);
+}
+
+uint64_t relay_server_oldest_ms(const relay_server_t *server)
+{
+	uint64_t oldest_ms = UINT64_MAX;
+
+	for (guint i = 0; i < server->links->len; i++) {
+		const relay_link_t *link = server->links->pdata[i];
+
+		if (relay_link_is_open(link))
+			oldest_ms = MIN(oldest_ms, relay_link_opened_ms(link));
+	}
+	return oldest_ms;
+}
+
 uint64_t relay_server_lag_ms(const relay_server_t *server)
 {
 	return server->lag_ms;
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -104,6 +104,12 @@
 /** @return connections that are open */
 uint32_t relay_server_open_count(const relay_server_t *server);
 
+/** Opens a connection if there is none, for questions that can't wait. */
+void relay_server_keep_open(relay_server_t *server);
+
+/** @return when the oldest open connection was opened, or UINT64_MAX */
+uint64_t relay_server_oldest_ms(const relay_server_t *server);
+
 /** Replication lag as the service's part learned it. */
 uint64_t relay_server_lag_ms(const relay_server_t *server);
 void relay_server_set_lag(relay_server_t *server, uint64_t lag_ms);
