--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -631,6 +631,7 @@
 
 static void place(relay_job_t *job)
 {
+	stop_waiting(job);
 	if (job->hold)
 		run_on(job, job->hold->server, job->hold->link);
 	else if (needs_primary(job))
