--- a/src/coordination/connection_share.h
+++ b/src/coordination/connection_share.h
@@ -6,10 +6,10 @@
 
 /** What a node knows when it decides how many connections it may hold. */
 typedef struct {
-	uint32_t limit;	      /**< of the server, from all nodes */
-	uint32_t nodes_near;  /**< in the server's failure domain */
-	uint32_t nodes_far;   /**< elsewhere */
-	bool near;	      /**< this node is in the server's domain */
+	uint32_t limit;	     /**< of the server, from all nodes */
+	uint32_t nodes_near; /**< in the server's failure domain */
+	uint32_t nodes_far;  /**< elsewhere */
+	bool near;	     /**< this node is in the server's domain */
 } connection_share_ask_t;
 
 /**
--- a/src/coordination/primary_lease.c
+++ b/src/coordination/primary_lease.c
@@ -85,8 +85,8 @@
 	if (service->replicas_count < PRIMARY_LEASE_REPLICAS_MIN)
 		return 0;
 	for (uint32_t i = 0; i < service->replicas_count; i++)
-		until_ms = MIN(until_ms,
-			       service->replicas[i].unfenced_until_ms);
+		until_ms =
+			MIN(until_ms, service->replicas[i].unfenced_until_ms);
 	return until_ms;
 }
 
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -32,8 +32,8 @@
 
 /** The node's own lease at the store; shared by all services. */
 typedef struct {
-	int64_t lease;		 /**< 0 for none */
-	int64_t registered_at;	 /**< store revision of its registration, or 0 */
+	int64_t lease;	       /**< 0 for none */
+	int64_t registered_at; /**< store revision of its registration, or 0 */
 	uint64_t valid_until_ms; /**< renewed up to here */
 	uint64_t reached_ms;	 /**< when a call that succeeded was sent */
 } node_lease_t;
--- a/src/coordination/read_placement.c
+++ b/src/coordination/read_placement.c
@@ -8,8 +8,8 @@
 
 static uint64_t cost_ms(const read_candidate_t *candidate)
 {
-	uint64_t cost = candidate->wait_ms + candidate->run_ms +
-			candidate->behind_ms;
+	uint64_t cost =
+		candidate->wait_ms + candidate->run_ms + candidate->behind_ms;
 
 	if (!candidate->same_region)
 		cost += REGION_PENALTY_MS;
@@ -25,8 +25,8 @@
 	for (uint32_t i = 0; i < count; i++) {
 		if (!candidates[i].usable)
 			continue;
-		if (best < 0 || cost_ms(&candidates[i]) <
-					cost_ms(&candidates[best]))
+		if (best < 0 ||
+		    cost_ms(&candidates[i]) < cost_ms(&candidates[best]))
 			best = (int)i;
 	}
 	return best;
--- a/src/coordination/read_placement.h
+++ b/src/coordination/read_placement.h
@@ -9,11 +9,11 @@
 
 /** What is known of one server that could run a read. */
 typedef struct {
-	bool usable;	   /**< reachable, not leaving, not tried in vain */
-	bool near;	   /**< in the node's failure domain */
+	bool usable; /**< reachable, not leaving, not tried in vain */
+	bool near;   /**< in the node's failure domain */
 	bool same_region;
-	uint64_t wait_ms;  /**< expected before the read starts */
-	uint64_t run_ms;   /**< mean time of recent reads, network included */
+	uint64_t wait_ms;   /**< expected before the read starts */
+	uint64_t run_ms;    /**< mean time of recent reads, network included */
 	uint64_t behind_ms; /**< expected until it has caught up */
 } read_candidate_t;
 
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -214,8 +214,7 @@
 	    !takeover->fenced_ms)
 		return;
 	takeover->wait_until_ms =
-		since_ms +
-		(takeover->fenced_known ? WAIT_MS : WAIT_UNKNOWN_MS);
+		since_ms + (takeover->fenced_known ? WAIT_MS : WAIT_UNKNOWN_MS);
 	enter(takeover, TAKEOVER_WAIT, now_ms);
 }
 
@@ -426,8 +425,8 @@
 
 const char *takeover_phase_name(takeover_phase_t phase)
 {
-	static const char *const names[] = {"idle",    "intent",  "revoke",
-					    "wait",    "choose",  "confirm",
+	static const char *const names[] = {"idle",    "intent", "revoke",
+					    "wait",    "choose", "confirm",
 					    "promote", "publish"};
 
 	return names[phase];
--- a/src/daemon/operators_task.c
+++ b/src/daemon/operators_task.c
@@ -208,8 +208,8 @@
 	return ntohs(((struct sockaddr_in *)&address)->sin_port);
 }
 
-static bool bind_to(operators_task_t *operators,
-		    const endpoint_t *endpoint, GError **error)
+static bool bind_to(operators_task_t *operators, const endpoint_t *endpoint,
+		    GError **error)
 {
 	struct evhttp_bound_socket *socket = evhttp_bind_socket_with_handle(
 		operators->http, endpoint->address, endpoint->port);
--- a/src/daemon/peer_directory.c
+++ b/src/daemon/peer_directory.c
@@ -94,8 +94,7 @@
 }
 
 peer_link_t *peer_directory_seed(peer_directory_t *directory,
-				 const endpoint_t *seed,
-				 uint64_t now_ms)
+				 const endpoint_t *seed, uint64_t now_ms)
 {
 	g_autofree char *name =
 		g_strdup_printf("%s:%u", seed->address, seed->port);
--- a/src/daemon/peer_directory.h
+++ b/src/daemon/peer_directory.h
@@ -53,8 +53,7 @@
 
 /** @return the link to a seed, opened if need be. */
 peer_link_t *peer_directory_seed(peer_directory_t *directory,
-				 const endpoint_t *seed,
-				 uint64_t now_ms);
+				 const endpoint_t *seed, uint64_t now_ms);
 
 /** Brings peers and links in line with a view. */
 void peer_directory_follow(peer_directory_t *directory,
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -28,16 +28,14 @@
 	CYAML_FIELD_MAPPING(#name, (flags), settings_t, name, endpoint_fields)
 
 static const cyaml_schema_field_t endpoint_fields[] = {
-	CYAML_FIELD_STRING_PTR("address", CYAML_FLAG_DEFAULT,
-			       endpoint_t, address, 0,
-			       CYAML_UNLIMITED),
+	CYAML_FIELD_STRING_PTR("address", CYAML_FLAG_DEFAULT, endpoint_t,
+			       address, 0, CYAML_UNLIMITED),
 	CYAML_FIELD_UINT("port", CYAML_FLAG_DEFAULT, endpoint_t, port),
 	CYAML_FIELD_END,
 };
 
 static const cyaml_schema_value_t endpoint_value = {
-	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, endpoint_t,
-			    endpoint_fields),
+	CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, endpoint_t, endpoint_fields),
 };
 
 static const cyaml_schema_field_t route_fields[] = {
@@ -355,8 +353,8 @@
 	return g_steal_pointer(&settings);
 }
 
-endpoint_t settings_route(const settings_t *settings,
-				   const char *address, uint16_t port)
+endpoint_t settings_route(const settings_t *settings, const char *address,
+			  uint16_t port)
 {
 	for (uint32_t i = 0; i < settings->routes_count; i++) {
 		const settings_route_t *route = &settings->routes[i];
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -27,7 +27,7 @@
 	char *tls_certificate;	/**< path, or NULL for no TLS */
 	char *tls_key;		/**< path, or NULL for no TLS */
 	char *log_level;	/**< error warning notice info debug */
-	endpoint_t *seeds; /**< peers asked before the list is known */
+	endpoint_t *seeds;	/**< peers asked before the list is known */
 	uint32_t seeds_count;
 	settings_route_t *routes; /**< address translations, mostly none */
 	uint32_t routes_count;
@@ -42,8 +42,8 @@
 settings_t *settings_load(const char *path, GError **error);
 
 /** @return the endpoint to connect to for @p address and @p port. */
-endpoint_t settings_route(const settings_t *settings,
-				   const char *address, uint16_t port);
+endpoint_t settings_route(const settings_t *settings, const char *address,
+			  uint16_t port);
 
 /** Frees the settings; NULL is allowed. */
 void settings_delete(settings_t *settings);
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -135,8 +135,8 @@
 static void run_statement(relay_attempt_t *attempt)
 {
 	g_autofree char *text = statement_text(attempt);
-	const bool in_transaction = relay_link_state(attempt->link)
-					    ->in_transaction;
+	const bool in_transaction =
+		relay_link_state(attempt->link)->in_transaction;
 
 	attempt->sent = true;
 	relay_link_run(attempt->link, attempt->ask.id,
@@ -210,9 +210,9 @@
 	name = name_of(attempt->ask.definition);
 	if (g_hash_table_contains(state->prepared, name))
 		return;
-	g_queue_push_tail(&attempt->steps,
-			  codec_of(attempt)->text_prepare(
-				  name, attempt->ask.definition));
+	g_queue_push_tail(
+		&attempt->steps,
+		codec_of(attempt)->text_prepare(name, attempt->ask.definition));
 	g_hash_table_add(state->prepared, g_steal_pointer(&name));
 }
 
--- a/src/relay/relay_codec.c
+++ b/src/relay/relay_codec.c
@@ -8,10 +8,9 @@
 const char *relay_error_name(relay_error_t error)
 {
 	static const char *const names[RELAY_ERROR_COUNT] = {
-		"overloaded", "aborted",	  "behind",
-		"read_only",  "other_server",	  "connection_limit",
-		"in_doubt",   "timeout",	  "failed",
-		"unknown",    "malformed",	  "no_database",
+		"overloaded",	"aborted",	    "behind",	 "read_only",
+		"other_server", "connection_limit", "in_doubt",	 "timeout",
+		"failed",	"unknown",	    "malformed", "no_database",
 		"other"};
 
 	return names[error];
--- a/src/relay/relay_control.h
+++ b/src/relay/relay_control.h
@@ -14,9 +14,9 @@
 /** What came back. */
 typedef struct {
 	relay_control_result_t result;
-	relay_status_t status;	  /**< of RELAY_CONTROL_DONE */
-	uint64_t sent_ms;	  /**< when it was sent, boot clock */
-	uint64_t link_opened_ms;  /**< of the connection that carried it */
+	relay_status_t status;	 /**< of RELAY_CONTROL_DONE */
+	uint64_t sent_ms;	 /**< when it was sent, boot clock */
+	uint64_t link_opened_ms; /**< of the connection that carried it */
 } relay_control_answer_t;
 
 /** Called once, never from inside the call that asks. */
--- a/src/relay/relay_duty.c
+++ b/src/relay/relay_duty.c
@@ -169,8 +169,7 @@
 	bool busy = false;
 
 	for (guint i = 0; i < names->len; i++) {
-		duty_service_t *entry =
-			duty_service_get(duty, names->pdata[i]);
+		duty_service_t *entry = duty_service_get(duty, names->pdata[i]);
 
 		duty_service_step(entry, now_ms);
 		busy |= entry->asking ||
@@ -244,10 +243,9 @@
 	if (item->deleted) {
 		if (item->revision > duty->held_revision)
 			lose(duty, "key_removed");
-		duty->try_at_ms =
-			clock_boot_ms() +
-			(uint64_t)g_rand_int_range(duty->random, 0,
-						   DUTY_TRY_SPREAD_MS);
+		duty->try_at_ms = clock_boot_ms() +
+				  (uint64_t)g_rand_int_range(
+					  duty->random, 0, DUTY_TRY_SPREAD_MS);
 	} else if (item->revision > duty->held_revision) {
 		lose(duty, "key_taken");
 	}
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -14,13 +14,13 @@
 	int64_t revision; /**< of the record, 0 when there is none */
 	primary_record_t record;
 	primary_watch_t watch;
-	bool asking;	       /**< the primary is being asked */
-	uint64_t asked_ms;     /**< when it was asked last */
+	bool asking;	   /**< the primary is being asked */
+	uint64_t asked_ms; /**< when it was asked last */
 	takeover_t *takeover;
-	GHashTable *statuses;  /**< id -> relay_status_t, for a first record */
-	uint64_t first_ms;     /**< since when a record is missing, or 0 */
-	uint64_t absent_ms;    /**< since when the primary has no entry, or 0 */
-	uint64_t round;	       /**< of takeovers; answers of others are dropped */
+	GHashTable *statuses; /**< id -> relay_status_t, for a first record */
+	uint64_t first_ms;    /**< since when a record is missing, or 0 */
+	uint64_t absent_ms;   /**< since when the primary has no entry, or 0 */
+	uint64_t round; /**< of takeovers; answers of others are dropped */
 	bool writing_first;
 } duty_service_t;
 
@@ -31,16 +31,16 @@
 	relay_promoter_t promoter;
 	char *node;
 	struct event *timer;
-	GHashTable *entries; /**< service name -> duty_service_t */
+	GHashTable *entries;	/**< service name -> duty_service_t */
 	GHashTable *first_seen; /**< server id -> uint64_t, boot clock */
 	GRand *random;
 	int64_t lease;	       /**< of the duty, 0 for none */
 	int64_t held_revision; /**< of the duty's key while held, else 0 */
 	int64_t key_revision;  /**< of the duty's key, 0 when it is free */
 	char *last_holder;
-	uint64_t renewed_ms;   /**< when the last renewal was sent */
+	uint64_t renewed_ms; /**< when the last renewal was sent */
 	uint64_t renew_sent_ms;
-	uint64_t settled_ms;   /**< from when promotions are allowed */
+	uint64_t settled_ms; /**< from when promotions are allowed */
 	uint64_t try_at_ms;
 	bool acquiring;
 	bool synced;
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -145,8 +145,7 @@
 		  kv_result_name(answer->result));
 }
 
-static void on_first_status(void *context,
-			    const relay_control_answer_t *answer)
+static void on_first_status(void *context, const relay_control_answer_t *answer)
 {
 	ask_t *ask = context;
 	duty_service_t *entry = ask->entry;
@@ -192,9 +191,9 @@
 	primary_record_t record = {
 		.token = (uint64_t)entry->duty->held_revision};
 	const char *primary;
-	const bool complete = servers->len > 1 &&
-			      g_hash_table_size(entry->statuses) >=
-				      servers->len;
+	const bool complete =
+		servers->len > 1 &&
+		g_hash_table_size(entry->statuses) >= servers->len;
 
 	if (!servers->len || entry->writing_first)
 		return;
@@ -273,8 +272,8 @@
 		duty_takeover_start(entry, false, "unfinished");
 		return;
 	}
-	primary = relay_service_server(service_of(entry),
-				       entry->record.primary);
+	primary =
+		relay_service_server(service_of(entry), entry->record.primary);
 	if (!primary) {
 		step_absent(entry, now_ms);
 		return;
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -253,8 +253,7 @@
 {
 	for (uint32_t i = 0; i < job->attempts_count; i++)
 		if (job->attempts[i] == attempt)
-			job->attempts[i] =
-				job->attempts[--job->attempts_count];
+			job->attempts[i] = job->attempts[--job->attempts_count];
 }
 
 static bool may_acknowledge(const relay_job_t *job)
@@ -497,8 +496,8 @@
 	relay_job_t *job = context;
 
 	job->waiting_at = NULL;
-	if (job->ask.writes && clock_boot_ms() + relay_server_run_ms(server) >=
-				       job->deadline_ms) {
+	if (job->ask.writes &&
+	    clock_boot_ms() + relay_server_run_ms(server) >= job->deadline_ms) {
 		/* Better surely not run than with an unknown end. */
 		relay_server_give_back(server, link, 0);
 		refuse(job, "late");
@@ -567,9 +566,8 @@
 static uint64_t behind_ms(const relay_job_t *job, const relay_server_t *server,
 			  log_point_t point)
 {
-	const uint64_t age_ms =
-		point_samples_age_ms(relay_service_samples(job->service), point,
-				     clock_boot_ms());
+	const uint64_t age_ms = point_samples_age_ms(
+		relay_service_samples(job->service), point, clock_boot_ms());
 	const uint64_t lag_ms = relay_server_lag_ms(server);
 
 	return lag_ms > age_ms ? lag_ms - age_ms : 0;
@@ -754,8 +752,8 @@
 	relay_job_t *job = job_new(relay_service_services(hold->service),
 				   hold->service, ask, done, context);
 	const bool needs_lease =
-		hold->term && (ask->writes || (ask->kind == COMMAND_COMMIT &&
-					       hold->wrote));
+		hold->term &&
+		(ask->writes || (ask->kind == COMMAND_COMMIT && hold->wrote));
 
 	job->hold = hold;
 	job->term = hold->term;
--- a/src/relay/relay_job.h
+++ b/src/relay/relay_job.h
@@ -34,11 +34,11 @@
 typedef struct {
 	bool failed;
 	relay_error_t error;
-	const char *text;  /**< of the error */
-	GByteArray *body;  /**< the server's answer as encoded, or NULL */
-	char status;	   /**< 'I', 'T' or 'E' */
-	log_point_t point; /**< of the server's log */
-	uint64_t term;	   /**< of the primary that ran it, or 0 */
+	const char *text;   /**< of the error */
+	GByteArray *body;   /**< the server's answer as encoded, or NULL */
+	char status;	    /**< 'I', 'T' or 'E' */
+	log_point_t point;  /**< of the server's log */
+	uint64_t term;	    /**< of the primary that ran it, or 0 */
 	relay_hold_t *hold; /**< kept for the transaction, or NULL */
 } relay_result_t;
 
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -210,9 +210,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	link->state.prepared =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	link->bev = bufferevent_socket_new(base, -1,
-					   BEV_OPT_CLOSE_ON_FREE |
-						   BEV_OPT_DEFER_CALLBACKS);
+	link->bev = bufferevent_socket_new(
+		base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
 	bufferevent_set_timeouts(link->bev, &timeout, &timeout);
 	bufferevent_enable(link->bev, EV_READ | EV_WRITE);
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -192,8 +192,8 @@
 static void on_nodes_synced(void *context, int64_t revision, uint64_t asked_ms)
 {
 	relay_node_t *node = context;
-	GHashTable *counts = g_hash_table_new_full(g_str_hash, g_str_equal,
-						   g_free, NULL);
+	GHashTable *counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	GHashTableIter iter;
 	gpointer domain;
 
@@ -287,8 +287,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->lapsing = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      lapse_free);
-	node->drain_timer =
-		event_new(base, -1, EV_PERSIST, on_drain, node);
+	node->drain_timer = event_new(base, -1, EV_PERSIST, on_drain, node);
 	node->services = relay_services_create((relay_services_settings_t){
 		.base = base,
 		.codec = platform.codec,
@@ -303,12 +302,11 @@
 	node->registration = relay_registration_create(
 		base, platform.store, node->services, settings->node,
 		settings->failure_domain, read_primaries, node);
-	node->proof =
-		relay_proof_create(node->services, read_primaries, node);
+	node->proof = relay_proof_create(node->services, read_primaries, node);
 	create_follows(node);
-	node->callers = relay_callers_create(base, platform.codec,
-					     node->services,
-					     &settings->callers, error);
+	node->callers =
+		relay_callers_create(base, platform.codec, node->services,
+				     &settings->callers, error);
 	if (node->callers)
 		node->page = relay_status_page_create(
 			base, &settings->readiness, &settings->metrics,
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -72,7 +72,8 @@
 
 static void log_validity(relay_registration_t *registration)
 {
-	const bool valid = clock_boot_ms() < registration->lease->valid_until_ms;
+	const bool valid =
+		clock_boot_ms() < registration->lease->valid_until_ms;
 
 	if (valid == registration->valid)
 		return;
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -415,9 +415,9 @@
 
 	for (guint i = 0; i < server->links->len; i++)
 		if (relay_link_is_open(server->links->pdata[i]))
-			heard_ms = MAX(heard_ms, relay_link_heard_ms(
-							 server->links
-								 ->pdata[i]));
+			heard_ms = MAX(
+				heard_ms,
+				relay_link_heard_ms(server->links->pdata[i]));
 	return heard_ms;
 }
 
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -269,8 +269,8 @@
 	relay_server_t *server = relay_service_server(service, entry->id);
 
 	if (server && same_start(relay_server_entry(server), entry)) {
-		const bool left = relay_server_entry(server)->draining !=
-				  entry->draining;
+		const bool left =
+			relay_server_entry(server)->draining != entry->draining;
 
 		if (left)
 			log_event(LOG_LEVEL_NOTICE, "server_draining",
@@ -427,8 +427,8 @@
 		relay_server_set_lag(server, 0);
 		return;
 	}
-	relay_server_set_lag(server, point_samples_age_ms(&service->samples,
-							  point, now_ms));
+	relay_server_set_lag(
+		server, point_samples_age_ms(&service->samples, point, now_ms));
 }
 
 void relay_service_park(relay_service_t *service, relay_parked_t *parked)
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -286,8 +286,8 @@
 static void set_value(relay_session_t *session)
 {
 	if (!session->values)
-		session->values = g_hash_table_new_full(
-			g_str_hash, g_str_equal, g_free, g_free);
+		session->values = g_hash_table_new_full(g_str_hash, g_str_equal,
+							g_free, g_free);
 	g_hash_table_insert(session->values, g_strdup(session->command.name),
 			    g_strdup(session->command.value));
 	answer_complete(session);
@@ -526,9 +526,9 @@
 	relay_session_t *session = g_new0(relay_session_t, 1);
 
 	session->host = host;
-	session->bev = bufferevent_socket_new(
-		host->base, fd,
-		BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	session->bev = bufferevent_socket_new(host->base, fd,
+					      BEV_OPT_CLOSE_ON_FREE |
+						      BEV_OPT_DEFER_CALLBACKS);
 	session->idle = evtimer_new(host->base, on_idle, session);
 	socket_options_set(fd, SILENCE_S);
 	bufferevent_setcb(session->bev, on_read, on_written, on_event, session);
--- a/src/relay/relay_status_page.c
+++ b/src/relay/relay_status_page.c
@@ -53,12 +53,10 @@
 	return http;
 }
 
-relay_status_page_t *
-relay_status_page_create(struct event_base *base, const endpoint_t *readiness,
-			 const endpoint_t *metrics_endpoint,
-			 const metrics_t *metrics,
-			 bool (*is_ready)(void *context), void *context,
-			 GError **error)
+relay_status_page_t *relay_status_page_create(
+	struct event_base *base, const endpoint_t *readiness,
+	const endpoint_t *metrics_endpoint, const metrics_t *metrics,
+	bool (*is_ready)(void *context), void *context, GError **error)
 {
 	relay_status_page_t *page = g_new0(relay_status_page_t, 1);
 
--- a/src/relay/relay_status_page.h
+++ b/src/relay/relay_status_page.h
@@ -15,12 +15,10 @@
  * @param metrics_endpoint where every path answers the metrics
  * @return NULL with @p error set when it cannot listen
  */
-relay_status_page_t *
-relay_status_page_create(struct event_base *base, const endpoint_t *readiness,
-			 const endpoint_t *metrics_endpoint,
-			 const metrics_t *metrics,
-			 bool (*is_ready)(void *context), void *context,
-			 GError **error);
+relay_status_page_t *relay_status_page_create(
+	struct event_base *base, const endpoint_t *readiness,
+	const endpoint_t *metrics_endpoint, const metrics_t *metrics,
+	bool (*is_ready)(void *context), void *context, GError **error);
 void relay_status_page_destroy(relay_status_page_t *page);
 
 #endif
--- a/src/state/backend_entry.h
+++ b/src/state/backend_entry.h
@@ -13,9 +13,9 @@
 	char *address; /**< IP number */
 	uint16_t port;
 	char *failure_domain;
-	uint32_t slots;	  /**< statements that it runs at once */
-	bool draining;	  /**< it leaves and takes no new work */
-	bool says_primary; /**< it holds itself for the primary */
+	uint32_t slots;	     /**< statements that it runs at once */
+	bool draining;	     /**< it leaves and takes no new work */
+	bool says_primary;   /**< it holds itself for the primary */
 	uint64_t started_ms; /**< Unix time of its start, by its own clock */
 } backend_entry_t;
 
--- a/src/state/catalog.h
+++ b/src/state/catalog.h
@@ -19,9 +19,9 @@
 	char *service;
 	catalog_reads_t reads;
 	uint32_t max_age_ms;
-	uint32_t timeout_ms;	     /**< of one statement */
-	uint32_t target_latency_ms;  /**< of a whole operation */
-	uint32_t priority;	     /**< 0 goes first */
+	uint32_t timeout_ms;	    /**< of one statement */
+	uint32_t target_latency_ms; /**< of a whole operation */
+	uint32_t priority;	    /**< 0 goes first */
 } catalog_database_t;
 
 /** One replicated service behind the databases. */
--- a/src/state/point_samples.c
+++ b/src/state/point_samples.c
@@ -62,11 +62,11 @@
 		const uint32_t at = slot(samples, i - 1);
 
 		if (log_point_covers(point, samples->entries[at].point))
-			return i == samples->count
-				       ? 0
-				       : now_ms - samples->entries[at].asked_ms;
+			return i == samples->count ?
+				       0 :
+				       now_ms - samples->entries[at].asked_ms;
 	}
-	return samples->count ? now_ms - samples->entries[samples->first]
-						 .asked_ms
-			      : 0;
+	return samples->count ?
+		       now_ms - samples->entries[samples->first].asked_ms :
+		       0;
 }
--- a/src/state/primary_record.c
+++ b/src/state/primary_record.c
@@ -28,7 +28,8 @@
 	gsize size;
 	const char *text = g_bytes_get_data(bytes, &size);
 	json_t *json = json_loadb(text, size, 0, NULL);
-	const char *primary = json_string_value(json_object_get(json, "primary"));
+	const char *primary =
+		json_string_value(json_object_get(json, "primary"));
 	bool valid = primary && number_of(json, "term", &record->term) &&
 		     number_of(json, "takeover", &record->takeover_term) &&
 		     number_of(json, "token", &record->token);
--- a/src/state/primary_record.h
+++ b/src/state/primary_record.h
@@ -9,9 +9,9 @@
 /** What the store holds on the primary of a service. */
 typedef struct {
 	uint64_t term;
-	char primary[64];	 /**< id, empty when none is known */
+	char primary[64];	/**< id, empty when none is known */
 	uint64_t takeover_term; /**< of the replacement under way, or 0 */
-	uint64_t token;	 /**< fencing token of who wrote it */
+	uint64_t token;		/**< fencing token of who wrote it */
 } primary_record_t;
 
 /** @return the record as it is stored; free with g_free() */
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -189,9 +189,9 @@
 	kv_follow_t *follow = context;
 
 	if (follow->revision) {
-		follow->store->calls->watch(
-			follow->store->self, follow->prefix, follow->revision,
-			KV_FOLLOW_WAIT_MS, on_watched, call_new(follow));
+		follow->store->calls->watch(follow->store->self, follow->prefix,
+					    follow->revision, KV_FOLLOW_WAIT_MS,
+					    on_watched, call_new(follow));
 		return;
 	}
 	g_clear_pointer(&follow->listing, g_hash_table_destroy);
@@ -214,9 +214,8 @@
 	follow->pause_ms = pause_ms;
 	follow->handlers = handlers;
 	follow->retry_ms = KV_FOLLOW_RETRY_MS;
-	follow->calls =
-		g_hash_table_new_full(g_direct_hash, g_direct_equal, g_free,
-				      NULL);
+	follow->calls = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					      g_free, NULL);
 	follow->known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	follow->timer = evtimer_new(base, on_timer, follow);
--- a/src/transport/socket_options.c
+++ b/src/transport/socket_options.c
@@ -22,9 +22,8 @@
 {
 	set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 	set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-	set(fd, IPPROTO_TCP, TCP_KEEPIDLE, silence_s > PROBES
-						   ? silence_s - PROBES
-						   : 1);
+	set(fd, IPPROTO_TCP, TCP_KEEPIDLE,
+	    silence_s > PROBES ? silence_s - PROBES : 1);
 	set(fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
 	set(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBES);
 	set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, silence_s * 1000);
