Send what a statement needs first in one packet with it

Cause: SET, PREPARE and BEGIN each cost a round trip of 44 ms to a primary in another region before the statement itself ran, while the connection was held; and nodes near a primary kept connections that others waited for. A read that opens a transaction is still sent only after BEGIN was answered. Ruled out: queues at the servers (statements near by ran in 12 to 45 ms).

--- a/Makefile
+++ b/Makefile
@@ -172,4 +172,4 @@
 clean:
 	rm -rf build build-asan
 
--include $(shell find build build-asan -name '*.d' 2>/dev/null)
+-include $(shell find build build-asan $(BUILD) -name '*.d' 2>/dev/null)
--- a/src/coordination/connection_share.h
+++ b/src/coordination/connection_share.h
@@ -13,11 +13,9 @@
 } connection_share_ask_t;
 
 /**
- * Splits a server's connections between nodes. Nodes of its own failure
- * domain read there and get more; some are left over for nodes that come and
- * for the control connections.
- *
- * @return at least 1
+ * @return connections that a node keeps open while they rest; all nodes
+ *         together keep no more than a part of the limit, so that the rest
+ *         goes to the nodes that need it
  */
 uint32_t connection_share(const connection_share_ask_t *ask);
 
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -23,7 +23,7 @@
 	void *context;
 };
 
-static void run_next(relay_attempt_t *attempt);
+static void run_statement(relay_attempt_t *attempt);
 
 static const relay_codec_t *codec_of(const relay_attempt_t *attempt)
 {
@@ -90,29 +90,37 @@
 	end(attempt, RELAY_ATTEMPT_ANSWERED, answer);
 }
 
-static void on_prepared(relay_attempt_t *attempt, const relay_answer_t *answer)
+/* A step failed or its answer is lost. */
+static void fail_step(relay_attempt_t *attempt, const relay_answer_t *answer)
 {
-	if (answer->broken || answer->failed)
-		end(attempt, RELAY_ATTEMPT_NOT_RUN,
-		    answer->broken ? NULL : answer);
-	else
-		run_next(attempt);
+	attempt->dirty = true;
+	end(attempt,
+	    attempt->sent ? RELAY_ATTEMPT_LOST : RELAY_ATTEMPT_NOT_RUN,
+	    answer->broken || attempt->sent ? NULL : answer);
 }
 
 static void on_step(void *context, const relay_answer_t *answer)
 {
-	relay_attempt_t *attempt = context;
-
-	attempt->dirty = answer->broken || answer->failed;
-	on_prepared(attempt, answer);
+	if (answer->broken || answer->failed)
+		fail_step(context, answer);
 }
 
 static void on_begin(void *context, const relay_answer_t *answer)
 {
 	relay_attempt_t *attempt = context;
 
-	attempt->ask.begin_id = NULL;
-	on_prepared(attempt, answer);
+	if (answer->broken) {
+		fail_step(attempt, answer);
+	} else if (answer->failed) {
+		/* A change that was sent along is refused for the same reason:
+		 * the server does not lead. */
+		attempt->dirty = attempt->sent;
+		end(attempt, RELAY_ATTEMPT_NOT_RUN, answer);
+	} else if (attempt->abandoned) {
+		end(attempt, RELAY_ATTEMPT_NOT_RUN, NULL);
+	} else if (!attempt->sent) {
+		run_statement(attempt);
+	}
 }
 
 /* A definition has the same name on every connection of the node. */
@@ -136,6 +144,7 @@
 {
 	g_autofree char *text = statement_text(attempt);
 	const bool in_transaction =
+		attempt->ask.begin_id ||
 		relay_link_state(attempt->link)->in_transaction;
 
 	attempt->sent = true;
@@ -144,20 +153,24 @@
 		       on_answer, attempt);
 }
 
-static void run_next(relay_attempt_t *attempt)
+/*
+ * Sends all at once, but for a read that opens a transaction: where the
+ * server does not lead any more it would run outside of one.
+ */
+static void run_all(relay_attempt_t *attempt)
 {
-	g_autofree char *step = g_queue_pop_head(&attempt->steps);
 	const relay_ask_t *ask = &attempt->ask;
+	char *step;
 
-	if (attempt->abandoned)
-		end(attempt, RELAY_ATTEMPT_NOT_RUN, NULL);
-	else if (step)
+	while ((step = g_queue_pop_head(&attempt->steps))) {
 		relay_link_run(attempt->link, NULL, (log_point_t){0}, step,
 			       on_step, attempt);
-	else if (ask->begin_id)
+		g_free(step);
+	}
+	if (ask->begin_id)
 		relay_link_run(attempt->link, ask->begin_id, attempt->after,
 			       ask->begin_text, on_begin, attempt);
-	else
+	if (!ask->begin_id || ask->writes)
 		run_statement(attempt);
 }
 
@@ -239,7 +252,7 @@
 	g_queue_init(&attempt->steps);
 	plan_values(attempt);
 	plan_definition(attempt);
-	run_next(attempt);
+	run_all(attempt);
 	return attempt;
 }
 
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -41,6 +41,8 @@
 	relay_link_t *link;
 	uint64_t term; /* of the primary, 0 at a replica */
 	uint64_t started_ms;
+	uint64_t running_ms; /* spent in statements, not between them */
+	uint32_t statements;
 	bool wrote;
 };
 
@@ -60,6 +62,8 @@
 	relay_attempt_t *attempts[TRIES_AT_ONCE];
 	uint32_t attempts_count;
 	uint32_t tries;
+	uint64_t ran_ms; /* when the last try got its connection */
+	char server[64]; /* of the last try */
 	uint64_t term; /* of the primary that was asked, 0 for a replica */
 	log_point_t after;
 	const relay_server_t *tried[TRIED_MAX]; /* compared, never used */
@@ -145,13 +149,14 @@
 
 	log_event(LOG_LEVEL_INFO,
 		  result->failed ? "statement_failed" : "statement_done",
-		  "id=%s service=%s kind=%s outcome=%s tries=%u "
-		  "delay_ms=%" PRIu64 " term=%" PRIu64 " after=%" PRIu64
+		  "id=%s service=%s kind=%s outcome=%s server=%s tries=%u "
+		  "queued_ms=%" PRIu64 " delay_ms=%" PRIu64 " term=%" PRIu64 " after=%" PRIu64
 		  ".%" PRIu64 " point=%" PRIu64 ".%" PRIu64,
 		  job->ask.id, relay_service_name(job->service),
 		  command_kind_name(job->ask.kind),
 		  result->failed ? relay_error_name(result->error) : "done",
-		  job->tries, now_ms - job->ask.received_ms, job->term,
+		  job->server, job->tries,
+		  job->ran_ms ? job->ran_ms - job->ask.received_ms : 0, now_ms - job->ask.received_ms, job->term,
 		  job->after.term, job->after.position, result->point.term,
 		  result->point.position);
 }
@@ -273,13 +278,26 @@
 	hold->server = server;
 	hold->link = link;
 	hold->term = job->term;
-	hold->started_ms = clock_boot_ms();
+	hold->started_ms = job->ran_ms;
+	hold->running_ms = clock_boot_ms() - job->ran_ms;
+	hold->statements = 1;
 	hold->wrote = job->ask.writes;
 	return hold;
 }
 
+static void log_hold(const relay_hold_t *hold, const char *end)
+{
+	log_event(LOG_LEVEL_INFO, "transaction_ended",
+		  "service=%s server=%s end=%s statements=%u held_ms=%" PRIu64
+		  " running_ms=%" PRIu64,
+		  relay_service_name(hold->service),
+		  relay_server_entry(hold->server)->id, end, hold->statements,
+		  clock_boot_ms() - hold->started_ms, hold->running_ms);
+}
+
 void relay_hold_release(relay_hold_t *hold)
 {
+	log_hold(hold, "released");
 	relay_server_discard(hold->server, hold->link);
 	g_free(hold);
 }
@@ -290,8 +308,14 @@
 {
 	relay_server_t *server = relay_attempt_server(attempt);
 
+	if (job->hold) {
+		job->hold->statements++;
+		job->hold->running_ms += clock_boot_ms() - job->ran_ms;
+	}
 	if (result->status == 'I') {
 		relay_attempt_finish(attempt);
+		if (job->hold)
+			log_hold(job->hold, "ended");
 		g_clear_pointer(&job->hold, g_free);
 		return;
 	}
@@ -479,6 +503,9 @@
 static void run_on(relay_job_t *job, relay_server_t *server, relay_link_t *link)
 {
 	job->tries++;
+	job->ran_ms = clock_boot_ms();
+	g_strlcpy(job->server, relay_server_entry(server)->id,
+		  sizeof(job->server));
 	job->attempts[job->attempts_count++] =
 		relay_attempt_start(job->service, server, link, &job->ask,
 				    job->after, on_attempt, job);
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -17,57 +17,63 @@
 /* Silence of the server's machine after which the connection is given up. */
 #define SILENCE_S 3
 
+/* A statement that waits for its answer. */
+typedef struct {
+	relay_link_done_t done;
+	void *context;
+	uint64_t sent_ms;
+} pending_t;
+
 struct relay_link {
 	struct bufferevent *bev;
 	const relay_codec_t *codec;
 	relay_link_handlers_t handlers;
 	char *server; /* id */
 	bool open;
-	bool busy;
 	uint64_t opened_ms;
 	uint64_t heard_ms;
-	relay_link_done_t done;
-	void *context;
+	GQueue pending; /* pending_t */
 	/* The answer so far. */
 	GByteArray *body;
 	bool failed;
 	relay_error_t error;
 	char *error_text;
 	char *row;
-	uint64_t sent_ms;
 	relay_link_state_t state;
 };
 
-static void answer_reset(relay_link_t *link)
-{
-	g_byte_array_set_size(link->body, 0);
-	link->failed = false;
-	g_clear_pointer(&link->error_text, g_free);
-	g_clear_pointer(&link->row, g_free);
-}
-
 /* The callbacks may destroy the link: nothing of it is used behind them. */
 static void link_ended(relay_link_t *link, relay_error_t error)
 {
 	const relay_link_handlers_t handlers = link->handlers;
-	const relay_link_done_t done = link->busy ? link->done : NULL;
-	void *const context = link->context;
-	const relay_answer_t answer = {.broken = true,
-				       .status = 'E',
-				       .error = error,
-				       .sent_ms = link->sent_ms};
+	g_autofree pending_t *first = g_queue_pop_head(&link->pending);
+	const relay_answer_t answer = {
+		.broken = true,
+		.status = 'E',
+		.error = error,
+		.sent_ms = first ? first->sent_ms : 0,
+	};
 	const bool was_open = link->open;
 
 	bufferevent_disable(link->bev, EV_READ | EV_WRITE);
 	link->open = false;
-	link->busy = false;
+	g_queue_clear_full(&link->pending, g_free);
 	handlers.closed(handlers.context, link, error, was_open);
-	if (done)
-		done(context, &answer);
+	if (first)
+		first->done(first->context, &answer);
+}
+
+static void on_welcome(relay_link_t *link, const relay_message_t *message)
+{
+	link->open = true;
+	link->opened_ms = clock_boot_ms();
+	bufferevent_set_timeouts(link->bev, NULL, NULL);
+	link->handlers.opened(link->handlers.context, link, message->point);
 }
 
 static void on_ready(relay_link_t *link, const relay_message_t *message)
 {
+	g_autofree pending_t *first = g_queue_pop_head(&link->pending);
 	g_autoptr(GByteArray) body = link->body;
 	g_autofree char *error_text = g_steal_pointer(&link->error_text);
 	g_autofree char *row = g_steal_pointer(&link->row);
@@ -79,22 +85,13 @@
 		.status = message->status,
 		.point = message->point,
 		.body = body,
-		.sent_ms = link->sent_ms,
+		.sent_ms = first->sent_ms,
 	};
 
-	if (!link->open) {
-		link->open = true;
-		link->opened_ms = clock_boot_ms();
-		link->body = g_steal_pointer(&body);
-		bufferevent_set_timeouts(link->bev, NULL, NULL);
-		link->handlers.opened(link->handlers.context, link,
-				      message->point);
-		return;
-	}
 	link->body = g_byte_array_new();
-	link->busy = false;
+	link->failed = false;
 	link->state.in_transaction = message->status != 'I';
-	link->done(link->context, &answer);
+	first->done(first->context, &answer);
 }
 
 static void take_part(relay_link_t *link, relay_message_t *message)
@@ -125,15 +122,25 @@
 	link_ended(link, RELAY_ERROR_OTHER);
 }
 
-/* Only one statement runs, so nothing may stand behind its end. */
 static void take_ready(relay_link_t *link, const relay_message_t *message)
 {
-	if (link->open && !link->busy)
-		on_unasked(link);
-	else if (evbuffer_get_length(bufferevent_get_input(link->bev)))
+	const guint waiting = g_queue_get_length(&link->pending);
+	const bool more = evbuffer_get_length(bufferevent_get_input(link->bev));
+
+	/* Nothing may stand behind the end of the last answer. */
+	if ((link->open && !waiting) || (waiting <= 1 && more)) {
 		on_unasked(link);
-	else
-		on_ready(link, message);
+		return;
+	}
+	if (!link->open) {
+		on_welcome(link, message);
+		return;
+	}
+	/* The callback may destroy the link: what follows is read later. */
+	if (more)
+		bufferevent_trigger(link->bev, EV_READ,
+				    BEV_TRIG_DEFER_CALLBACKS);
+	on_ready(link, message);
 }
 
 /* Before the welcome an error is the refusal of the connection. */
@@ -170,7 +177,7 @@
 			take_ready(link, &message);
 			return;
 		}
-		if (!link->busy) {
+		if (g_queue_is_empty(&link->pending)) {
 			on_unasked(link);
 			return;
 		}
@@ -205,6 +212,7 @@
 	link->handlers = handlers;
 	link->server = g_strdup(entry->id);
 	link->body = g_byte_array_new();
+	g_queue_init(&link->pending);
 	link->heard_ms = clock_boot_ms();
 	link->state.values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -227,6 +235,7 @@
 	if (!link)
 		return;
 	bufferevent_free(link->bev);
+	g_queue_clear_full(&link->pending, g_free);
 	g_byte_array_unref(link->body);
 	g_free(link->error_text);
 	g_free(link->row);
@@ -239,11 +248,12 @@
 void relay_link_run(relay_link_t *link, const char *id, log_point_t after,
 		    const char *text, relay_link_done_t done, void *context)
 {
-	answer_reset(link);
-	link->busy = true;
-	link->done = done;
-	link->context = context;
-	link->sent_ms = clock_boot_ms();
+	pending_t *pending = g_new0(pending_t, 1);
+
+	pending->done = done;
+	pending->context = context;
+	pending->sent_ms = clock_boot_ms();
+	g_queue_push_tail(&link->pending, pending);
 	link->codec->put_query(bufferevent_get_output(link->bev), id, after,
 			       text);
 }
@@ -255,7 +265,7 @@
 
 bool relay_link_is_busy(const relay_link_t *link)
 {
-	return link->busy;
+	return link->pending.length > 0;
 }
 
 uint64_t relay_link_opened_ms(const relay_link_t *link)
--- a/src/relay/relay_link.h
+++ b/src/relay/relay_link.h
@@ -6,7 +6,10 @@
 #include "relay/relay_codec.h"
 #include "state/backend_entry.h"
 
-/** One connection to a backend server; runs one statement at a time. */
+/**
+ * One connection to a backend server. Statements are sent at once and are
+ * answered in their order.
+ */
 typedef struct relay_link relay_link_t;
 
 /** How one statement ended. */
@@ -22,7 +25,10 @@
 	uint64_t sent_ms; /**< when the statement was sent, on the boot clock */
 } relay_answer_t;
 
-/** Called once for each statement; the link may be closed from inside. */
+/**
+ * Called once for each statement; the link may be closed from inside. When
+ * the connection breaks, only the first that waits is called.
+ */
 typedef void (*relay_link_done_t)(void *context, const relay_answer_t *answer);
 
 typedef struct {
@@ -50,7 +56,7 @@
 void relay_link_destroy(relay_link_t *link);
 
 /**
- * Runs a statement; none may be running.
+ * Sends a statement, behind those that wait for their answers.
  *
  * @param id of the caller's statement, NULL for one of the proxy's own
  */
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -174,8 +174,6 @@
 			.limit = limits ? limits->connections_max : 0,
 			.nodes_near = near,
 			.nodes_far = nodes_all(services) - near,
-			.near = !strcmp(domain,
-					services->settings.failure_domain),
 		};
 
 		if (limits && services->nodes)
