Lift fences only after older proofs have run out

A node without the store took the promoted replica's answer from just before the promotion together with the fenced one's answer from just after its fence was lifted, and used the old primary. Proofs of replicas now count only by whole rounds, and fences stay for the time that a proof is good. The test of the log limiter assumed that ten times the events exceed events and lines together; it now asks for what it asserts.

--- a/src/coordination/connection_share.c
+++ b/src/coordination/connection_share.c
@@ -6,7 +6,7 @@
 #define KEPT_DIVISOR 2
 
 /* Most connections that a node keeps while they rest. */
-#define KEPT_MAX 2
+#define KEPT_MAX 1
 
 /* Most connections that are of use to one node. */
 #define MOST_MAX 16
--- a/src/coordination/primary_lease.c
+++ b/src/coordination/primary_lease.c
@@ -18,14 +18,20 @@
 	lease->valid_until_ms = 0;
 }
 
+static void forget_answers(primary_lease_t *service)
+{
+	service->replicas_until_ms = 0;
+	for (uint32_t i = 0; i < service->replicas_count; i++)
+		service->replicas[i].round = 0;
+}
+
 void primary_lease_record(primary_lease_t *service, uint64_t term,
 			  const char *primary, bool takeover, int64_t revision)
 {
 	if (revision < service->read_at || term < service->term)
 		return;
 	if (term != service->term || strcmp(primary, service->primary))
-		for (uint32_t i = 0; i < service->replicas_count; i++)
-			service->replicas[i].unfenced_until_ms = 0;
+		forget_answers(service);
 	service->term = term;
 	g_strlcpy(service->primary, primary, sizeof(service->primary));
 	service->takeover = takeover;
@@ -37,36 +43,57 @@
 	service->read_at = MAX(service->read_at, revision);
 }
 
-static uint64_t proof_of(const primary_lease_t *service, const char *id)
+static bool same_replicas(const primary_lease_t *service,
+			  const char *const *ids, uint32_t count)
 {
-	for (uint32_t i = 0; i < service->replicas_count; i++)
-		if (!strcmp(service->replicas[i].id, id))
-			return service->replicas[i].unfenced_until_ms;
-	return 0;
+	if (service->replicas_count != count)
+		return false;
+	for (uint32_t i = 0; i < count; i++)
+		if (strcmp(service->replicas[i].id, ids[i]))
+			return false;
+	return true;
 }
 
 void primary_lease_replicas(primary_lease_t *service, const char *const *ids,
 			    uint32_t count)
 {
-	const primary_lease_t old = *service;
-
-	service->replicas_count = MIN(count, PRIMARY_LEASE_REPLICAS_MAX);
-	for (uint32_t i = 0; i < service->replicas_count; i++) {
+	count = MIN(count, PRIMARY_LEASE_REPLICAS_MAX);
+	if (same_replicas(service, ids, count))
+		return;
+	service->replicas_count = count;
+	for (uint32_t i = 0; i < count; i++)
 		g_strlcpy(service->replicas[i].id, ids[i],
 			  sizeof(service->replicas[i].id));
-		service->replicas[i].unfenced_until_ms = proof_of(&old, ids[i]);
+	forget_answers(service);
+}
+
+/* Takes a round in which every replica has answered. */
+static void take_round(primary_lease_t *service, uint64_t round)
+{
+	uint64_t sent_ms = UINT64_MAX;
+
+	for (uint32_t i = 0; i < service->replicas_count; i++) {
+		if (service->replicas[i].round != round)
+			return;
+		sent_ms = MIN(sent_ms, service->replicas[i].sent_ms);
 	}
+	service->replicas_until_ms = sent_ms + PRIMARY_LEASE_VALID_MS;
 }
 
 void primary_lease_replica_answer(primary_lease_t *service, const char *id,
-				  bool fenced, uint64_t sent_ms)
+				  bool fenced, uint64_t round, uint64_t sent_ms)
 {
+	if (fenced) {
+		forget_answers(service);
+		return;
+	}
 	for (uint32_t i = 0; i < service->replicas_count; i++) {
 		if (strcmp(service->replicas[i].id, id))
 			continue;
-		service->replicas[i].unfenced_until_ms =
-			fenced ? 0 : sent_ms + PRIMARY_LEASE_VALID_MS;
+		service->replicas[i].round = round;
+		service->replicas[i].sent_ms = sent_ms;
 	}
+	take_round(service, round);
 }
 
 static uint64_t proved_by_store(const primary_lease_t *service,
@@ -80,14 +107,10 @@
 static uint64_t proved_by_replicas(const primary_lease_t *service,
 				   const node_lease_t *node)
 {
-	uint64_t until_ms = node->reached_ms + PRIMARY_LEASE_REPLICA_PROOF_MS;
-
 	if (service->replicas_count < PRIMARY_LEASE_REPLICAS_MIN)
 		return 0;
-	for (uint32_t i = 0; i < service->replicas_count; i++)
-		until_ms =
-			MIN(until_ms, service->replicas[i].unfenced_until_ms);
-	return until_ms;
+	return MIN(service->replicas_until_ms,
+		   node->reached_ms + PRIMARY_LEASE_REPLICA_PROOF_MS);
 }
 
 uint64_t primary_lease_until_ms(const primary_lease_t *service,
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -10,12 +10,14 @@
  *
  * - the store renewed the node's lease, and the service's record was read
  *   after that lease was registered and showed no takeover;
- * - every replica answered that it is not fenced, on a connection that was
- *   opened before the record was last read.
+ * - every replica answered in one round that it is not fenced, on a
+ *   connection that was opened before the record was last read.
  *
  * A takeover first writes its intent into the record, then ends every
  * registered lease and fences a replica, then waits until what was proved
- * before has run out. All times count suspended time too.
+ * before has run out. The fence is lifted only when what the other replicas
+ * proved before the promotion has run out, too. All times count suspended
+ * time.
  */
 
 /** How long one proof is good. */
@@ -46,9 +48,11 @@
 	int64_t read_at;  /**< store revision as of which this holds */
 	struct {
 		char id[64];
-		uint64_t unfenced_until_ms;
+		uint64_t round;	  /**< in which it answered last, or 0 */
+		uint64_t sent_ms; /**< when it was asked then */
 	} replicas[PRIMARY_LEASE_REPLICAS_MAX];
 	uint32_t replicas_count;
+	uint64_t replicas_until_ms; /**< proved by all of them up to here */
 } primary_lease_t;
 
 /** Takes in that a renewal sent at @p sent_ms succeeded. */
@@ -64,7 +68,7 @@
 /** Takes in that the record is unchanged up to a store revision. */
 void primary_lease_unchanged(primary_lease_t *service, int64_t revision);
 
-/** Names the replicas; what was proved by those that stay is kept. */
+/** Names the replicas; what was proved is kept if they are the same. */
 void primary_lease_replicas(primary_lease_t *service, const char *const *ids,
 			    uint32_t count);
 
@@ -72,10 +76,12 @@
  * Takes in a replica's answer.
  *
  * @param fenced  it follows another term or is fenced
+ * @param round   of questions, above 0; all replicas are asked in each
  * @param sent_ms when it was asked
  */
 void primary_lease_replica_answer(primary_lease_t *service, const char *id,
-				  bool fenced, uint64_t sent_ms);
+				  bool fenced, uint64_t round,
+				  uint64_t sent_ms);
 
 /** @return until when the primary may be used; 0 when it may not be */
 uint64_t primary_lease_until_ms(const primary_lease_t *service,
--- a/src/relay/relay_duty.c
+++ b/src/relay/relay_duty.c
@@ -59,6 +59,7 @@
 	duty_service_t *entry = data;
 
 	takeover_destroy(entry->takeover);
+	event_free(entry->release);
 	g_hash_table_destroy(entry->statuses);
 	g_free(entry->name);
 	g_free(entry);
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -17,6 +17,7 @@
 	bool asking;	   /**< the primary is being asked */
 	uint64_t asked_ms; /**< when it was asked last */
 	takeover_t *takeover;
+	struct event *release; /**< lifts the fences */
 	GHashTable *statuses; /**< id -> relay_status_t, for a first record */
 	uint64_t first_ms;    /**< since when a record is missing, or 0 */
 	uint64_t absent_ms;   /**< since when the primary has no entry, or 0 */
--- a/src/relay/relay_duty_takeover.c
+++ b/src/relay/relay_duty_takeover.c
@@ -15,6 +15,9 @@
 /* Pause before leases that could not be ended are ended again. */
 #define REVOKE_AGAIN_MS 150
 
+/* Wait before fences are lifted after a promotion. */
+#define RELEASE_MS (PRIMARY_LEASE_VALID_MS + PRIMARY_LEASE_VALID_MS / 10)
+
 /* Keys that one transaction may remove. */
 #define REMOVALS_MAX 30
 
@@ -313,33 +316,49 @@
 	action_free(action);
 }
 
+static void control(duty_service_t *entry, const char *server,
+		    relay_control_t operation, uint64_t term)
+{
+	relay_control_ask(service_of(entry), server, operation, term,
+			  CONTROL_TIMEOUT_MS, on_released,
+			  action_new(entry, server));
+}
+
+/* Lifts all fences; a holder that died may have left some behind, too. */
+static void on_release(evutil_socket_t fd, short what, void *context)
+{
+	duty_service_t *entry = context;
+	const GPtrArray *servers = relay_service_servers(service_of(entry));
+
+	if (takeover_phase(entry->takeover) != TAKEOVER_IDLE)
+		return;
+	for (guint i = 0; i < servers->len; i++) {
+		const char *id = relay_server_entry(servers->pdata[i])->id;
+
+		if (strcmp(id, entry->record.primary))
+			control(entry, id, RELAY_CONTROL_RELEASE, 0);
+	}
+}
+
 static void on_done(void *context, bool led, uint64_t term, const char *old,
 		    const char *primary)
 {
 	duty_service_t *entry = context;
-	const GPtrArray *servers = relay_service_servers(service_of(entry));
+	const struct timeval delay = clock_timeval(RELEASE_MS);
 
 	log_event(LOG_LEVEL_NOTICE, led ? "takeover_done" : "takeover_failed",
 		  "service=%s term=%" PRIu64 " primary=%s", entry->name, term,
 		  primary);
 	duty_service_reset(entry);
-	/* A holder that died may have left fences behind, too. */
-	for (guint i = 0; i < servers->len; i++) {
-		const char *id = relay_server_entry(servers->pdata[i])->id;
-
-		if (!strcmp(id, primary))
-			continue;
-		relay_control_ask(service_of(entry), id,
-				  led && !strcmp(id, old) ?
-					  RELAY_CONTROL_STEP_DOWN :
-					  RELAY_CONTROL_RELEASE,
-				  term, CONTROL_TIMEOUT_MS, on_released,
-				  action_new(entry, id));
-	}
+	/* What replicas proved before the promotion must run out first. */
+	event_add(entry->release, &delay);
+	if (led && strcmp(old, primary))
+		control(entry, old, RELAY_CONTROL_STEP_DOWN, term);
 }
 
 void duty_takeover_create(duty_service_t *entry)
 {
+	entry->release = evtimer_new(entry->duty->base, on_release, entry);
 	entry->takeover = takeover_create((takeover_actions_t){
 		.write = write_record,
 		.revoke = revoke,
--- a/src/relay/relay_proof.c
+++ b/src/relay/relay_proof.c
@@ -23,7 +23,8 @@
 struct relay_proof {
 	relay_services_t *services;
 	struct event *timer;
-	GHashTable *asked; /* server id -> uint64_t, when it was asked */
+	uint64_t round;	   /* of questions to all replicas */
+	uint64_t round_ms; /* when it began */
 	GHashTable *asks;  /* ask_t under way */
 	uint64_t verified_ms;
 	bool by_replicas; /* as last logged */
@@ -36,6 +37,7 @@
 	relay_service_t *service;
 	char *server;
 	uint64_t term;
+	uint64_t round;
 } ask_t;
 
 static void ask_free(gpointer data)
@@ -60,7 +62,7 @@
 	if (answer->result == RELAY_CONTROL_DONE && lease->term == ask->term &&
 	    (verified || fenced)) {
 		primary_lease_replica_answer(lease, ask->server, fenced,
-					     answer->sent_ms);
+					     ask->round, answer->sent_ms);
 		relay_services_wake(proof->services);
 	} else {
 		log_event(LOG_LEVEL_INFO, "proof_missing",
@@ -71,22 +73,7 @@
 	g_hash_table_remove(proof->asks, ask);
 }
 
-static bool is_due(relay_proof_t *proof, const char *server, uint64_t now_ms)
-{
-	uint64_t *asked_ms = g_hash_table_lookup(proof->asked, server);
-
-	if (asked_ms && now_ms < *asked_ms + PROOF_ASK_MS)
-		return false;
-	if (!asked_ms) {
-		asked_ms = g_new(uint64_t, 1);
-		g_hash_table_insert(proof->asked, g_strdup(server), asked_ms);
-	}
-	*asked_ms = now_ms;
-	return true;
-}
-
-static void ask_replicas(relay_proof_t *proof, relay_service_t *service,
-			 uint64_t now_ms)
+static void ask_replicas(relay_proof_t *proof, relay_service_t *service)
 {
 	const primary_lease_t *lease = relay_service_lease(service);
 
@@ -94,13 +81,12 @@
 		const char *id = lease->replicas[i].id;
 		ask_t *ask;
 
-		if (!is_due(proof, id, now_ms))
-			continue;
 		ask = g_new0(ask_t, 1);
 		ask->proof = proof;
 		ask->service = service;
 		ask->server = g_strdup(id);
 		ask->term = lease->term;
+		ask->round = proof->round;
 		g_hash_table_add(proof->asks, ask);
 		relay_control_ask(service, id, RELAY_CONTROL_STATUS, 0,
 				  PROOF_TIMEOUT_MS, on_answer, ask);
@@ -143,8 +129,13 @@
 	const bool by_replicas = now_ms + PROOF_LEFT_MS > node->valid_until_ms;
 	const struct timeval delay = clock_timeval(PROOF_STEP_MS);
 	g_autoptr(GPtrArray) names = relay_services_names(proof->services);
+	const bool due = by_replicas && now_ms >= proof->round_ms + PROOF_ASK_MS;
 	bool younger = false;
 
+	if (due) {
+		proof->round++;
+		proof->round_ms = now_ms;
+	}
 	event_add(proof->timer, &delay);
 	log_kind(proof, by_replicas);
 	for (guint i = 0; i < names->len; i++) {
@@ -153,9 +144,9 @@
 		const primary_lease_t *lease = relay_service_lease(service);
 
 		younger |= keep_open(service);
-		if (by_replicas && *lease->primary && !lease->takeover &&
+		if (due && *lease->primary && !lease->takeover &&
 		    now_ms < node->reached_ms + PRIMARY_LEASE_REPLICA_PROOF_MS)
-			ask_replicas(proof, service, now_ms);
+			ask_replicas(proof, service);
 	}
 	if (younger && !by_replicas &&
 	    now_ms >= proof->verified_ms + PROOF_VERIFY_MS) {
@@ -173,8 +164,6 @@
 	proof->services = services;
 	proof->verify = verify;
 	proof->context = context;
-	proof->asked =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	proof->asks = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					    ask_free, NULL);
 	proof->timer = evtimer_new(relay_services_settings(services)->base,
@@ -189,6 +178,5 @@
 		return;
 	event_free(proof->timer);
 	g_hash_table_destroy(proof->asks);
-	g_hash_table_destroy(proof->asked);
 	g_free(proof);
 }
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -16,7 +16,7 @@
 #define FULL_MS 1000
 
 /* Rest after which a connection above the share is closed. */
-#define REST_MS 1000
+#define REST_MS 400
 
 /* The mean run time moves by this part of each new value. */
 #define RUN_WEIGHT 0.1
--- a/tests/unit/test_metrics.c
+++ b/tests/unit/test_metrics.c
@@ -105,7 +105,7 @@
 	uint32_t left_out = 0;
 	uint32_t written = 0;
 
-	for (uint32_t i = 0; i < 10 * LOG_LIMIT_EVENTS; i++) {
+	for (uint32_t i = 0; i < LOG_LIMIT_EVENTS + 2 * LOG_LIMIT_LINES; i++) {
 		g_autofree char *event = g_strdup_printf("event_%u", i);
 
 		written += log_limit_admit(limit, event, 1000, &left_out);
