Lend connections to nodes that cannot reach a server

Cause: a primary that was cut from some of the nodes was lost to their callers for the whole cut, though other nodes reached it. A node now opens connections through another one for a while after its own failed. The oldest replica is fenced, which makes the limit on proofs by replicas needless.

--- a/src/coordination/primary_lease.c
+++ b/src/coordination/primary_lease.c
@@ -8,7 +8,6 @@
 {
 	lease->valid_until_ms =
 		MAX(lease->valid_until_ms, sent_ms + PRIMARY_LEASE_VALID_MS);
-	lease->reached_ms = MAX(lease->reached_ms, sent_ms);
 }
 
 void node_lease_lost(node_lease_t *lease)
@@ -104,13 +103,11 @@
 	return node->valid_until_ms;
 }
 
-static uint64_t proved_by_replicas(const primary_lease_t *service,
-				   const node_lease_t *node)
+static uint64_t proved_by_replicas(const primary_lease_t *service)
 {
 	if (service->replicas_count < PRIMARY_LEASE_REPLICAS_MIN)
 		return 0;
-	return MIN(service->replicas_until_ms,
-		   node->reached_ms + PRIMARY_LEASE_REPLICA_PROOF_MS);
+	return service->replicas_until_ms;
 }
 
 uint64_t primary_lease_until_ms(const primary_lease_t *service,
@@ -119,7 +116,7 @@
 	if (!*service->primary || service->takeover)
 		return 0;
 	return MAX(proved_by_store(service, node),
-		   proved_by_replicas(service, node));
+		   proved_by_replicas(service));
 }
 
 bool primary_lease_valid(const primary_lease_t *service,
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -23,9 +23,6 @@
 /** How long one proof is good. */
 #define PRIMARY_LEASE_VALID_MS 1000u
 
-/** Longest time without the store for which replicas may stand in for it. */
-#define PRIMARY_LEASE_REPLICA_PROOF_MS 10000u
-
 /** Replicas that must prove it where the store can't. */
 #define PRIMARY_LEASE_REPLICAS_MIN 2u
 
@@ -37,7 +34,6 @@
 	int64_t lease;	       /**< 0 for none */
 	int64_t registered_at; /**< store revision of its registration, or 0 */
 	uint64_t valid_until_ms; /**< renewed up to here */
-	uint64_t reached_ms;	 /**< when a call that succeeded was sent */
 } node_lease_t;
 
 /** What is known of one service's primary. */
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -9,9 +9,6 @@
 /* Proofs run out; clocks of two machines may differ a little in rate. */
 #define WAIT_MS (PRIMARY_LEASE_VALID_MS + PRIMARY_LEASE_VALID_MS / 20)
 
-/* Wait when only replicas could be fenced that nodes may not know. */
-#define WAIT_UNKNOWN_MS PRIMARY_LEASE_REPLICA_PROOF_MS
-
 /* Pause between two questions to the same server. */
 #define ASK_MS 60
 
@@ -30,7 +27,7 @@
 typedef struct {
 	char id[64];
 	bool draining;
-	uint64_t known_ms;
+	uint64_t started_ms;
 	bool fenced;
 	bool fence_asked;
 	uint64_t fence_asked_ms;
@@ -52,7 +49,6 @@
 	bool revoked;
 	uint64_t revoked_ms;
 	uint64_t fenced_ms; /* 0: none yet */
-	bool fenced_known;
 	uint64_t wait_until_ms;
 	server_t *candidate;
 	uint64_t promote_ms;
@@ -108,7 +104,7 @@
 		g_strlcpy(takeover->servers[i].id, servers[i].id,
 			  sizeof(takeover->servers[i].id));
 		takeover->servers[i].draining = servers[i].draining;
-		takeover->servers[i].known_ms = servers[i].known_ms;
+		takeover->servers[i].started_ms = servers[i].started_ms;
 	}
 	enter(takeover, TAKEOVER_INTENT, now_ms);
 	actions.write(actions.context, term, primary, term + 1);
@@ -119,7 +115,6 @@
 	takeover->phase = TAKEOVER_IDLE;
 }
 
-/* Fencing stops a replica's log: one that will not lead is better. */
 static server_t *choose_to_fence(takeover_t *takeover)
 {
 	server_t *chosen = NULL;
@@ -129,10 +124,7 @@
 
 		if (is_primary(takeover, server) || server->fence_asked)
 			continue;
-		if (!chosen || server->draining > chosen->draining ||
-		    (server->draining == chosen->draining &&
-		     server->known_ms >= TAKEOVER_KNOWN_MS &&
-		     chosen->known_ms < TAKEOVER_KNOWN_MS))
+		if (!chosen || server->started_ms < chosen->started_ms)
 			chosen = server;
 	}
 	return chosen;
@@ -213,8 +205,7 @@
 	if (takeover->phase != TAKEOVER_REVOKE || !takeover->revoked ||
 	    !takeover->fenced_ms)
 		return;
-	takeover->wait_until_ms =
-		since_ms + (takeover->fenced_known ? WAIT_MS : WAIT_UNKNOWN_MS);
+	takeover->wait_until_ms = since_ms + WAIT_MS;
 	enter(takeover, TAKEOVER_WAIT, now_ms);
 }
 
@@ -243,7 +234,6 @@
 	if (takeover->phase != TAKEOVER_REVOKE)
 		return;
 	takeover->fenced_ms = now_ms;
-	takeover->fenced_known |= server->known_ms >= TAKEOVER_KNOWN_MS;
 	wait_for_proofs(takeover, now_ms);
 }
 
--- a/src/coordination/takeover.h
+++ b/src/coordination/takeover.h
@@ -12,7 +12,8 @@
  * time it is given; the steps are
  *
  * 1. write the intent into the service's record,
- * 2. end every registered lease and fence a replica,
+ * 2. end every registered lease and fence the oldest replica that answers:
+ *    a node that has not heard of it has too few others to prove anything,
  * 3. wait until all that was proved before has run out,
  * 4. choose the replica with the longest log; a primary that still answers
  *    is first caught up with, so that nothing is lost,
@@ -24,9 +25,6 @@
 /** Most servers of one service. */
 #define TAKEOVER_SERVERS_MAX 8
 
-/** Replica that was known for less may be unknown to a node without store. */
-#define TAKEOVER_KNOWN_MS 11000u
-
 typedef enum {
 	TAKEOVER_IDLE,
 	TAKEOVER_INTENT,  /**< the intent is being written */
@@ -42,7 +40,7 @@
 typedef struct {
 	const char *id;
 	bool draining;
-	uint64_t known_ms; /**< for how long it has been known */
+	uint64_t started_ms; /**< when it started; the order counts */
 } takeover_server_t;
 
 /** What came of an operation at a server. */
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "state/log_point.h"
+
 /** What a statement asks for, whatever protocol carried it. */
 typedef enum {
 	COMMAND_BEGIN,
@@ -17,6 +19,7 @@
 	COMMAND_PREPARE, /**< names a statement within the session */
 	COMMAND_EXECUTE, /**< runs a prepared statement */
 	COMMAND_CLOSE,	 /**< forgets a prepared statement */
+	COMMAND_RESET,	 /**< forgets variables and prepared statements */
 	COMMAND_INVALID,
 } command_kind_t;
 
@@ -26,6 +29,8 @@
 	char *name;  /**< of the variable or prepared statement, or NULL */
 	char *value; /**< variable's value, definition, or arguments */
 	bool writes; /**< COMMAND_PREPARE: the prepared statement writes */
+	const char *text;  /**< the statement itself, within what was parsed */
+	log_point_t after; /**< point that the server must have, or zero */
 } command_t;
 
 /** Frees what the command holds. */
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -48,8 +48,8 @@
 	relay_message_kind_t kind;
 	char *encoded; /**< as received, to be passed on */
 	size_t encoded_size;
-	char *id;   /**< of a query */
-	char *text; /**< statement, database name, or row */
+	char *id;   /**< of a query; of the server that a start-up expects */
+	char *text; /**< statement, row, name of the database or service */
 	relay_error_t error;
 	char status;	   /**< of ready: 'I', 'T' or 'E' */
 	log_point_t point; /**< of ready; zero when there is none */
--- a/src/relay/relay_control.c
+++ b/src/relay/relay_control.c
@@ -44,6 +44,7 @@
 {
 	control_t *control = context;
 	relay_link_t *link = control->link;
+	const bool lent = relay_link_is_lent(link);
 
 	control->answer.sent_ms = answer->sent_ms;
 	control->answer.link_opened_ms = relay_link_opened_ms(link);
@@ -57,7 +58,10 @@
 			   answer->sent_ms);
 	relay_server_ran(control->server, clock_boot_ms() - answer->sent_ms);
 	relay_server_give_back(control->server, link, 0);
-	if (answer->failed || !answer->row ||
+	/* Another node's refusal says nothing of the server. */
+	if (answer->failed && lent)
+		end(control, RELAY_CONTROL_UNREACHABLE);
+	else if (answer->failed || !answer->row ||
 	    !settings_of(control)->codec->parse_status(answer->row,
 						       &control->answer.status))
 		end(control, RELAY_CONTROL_BUSY);
--- a/src/relay/relay_duty.c
+++ b/src/relay/relay_duty.c
@@ -217,8 +217,6 @@
 	duty->random = g_rand_new_with_seed(g_str_hash(node));
 	duty->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      duty_service_free);
-	duty->first_seen =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	duty->timer = evtimer_new(base, on_timer, duty);
 	event_add(duty->timer, &delay);
 	return duty;
@@ -230,7 +228,6 @@
 		return;
 	event_free(duty->timer);
 	g_hash_table_destroy(duty->entries);
-	g_hash_table_destroy(duty->first_seen);
 	g_rand_free(duty->random);
 	duty->promoter.destroy(duty->promoter.self);
 	g_free(duty->last_holder);
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -33,7 +33,6 @@
 	char *node;
 	struct event *timer;
 	GHashTable *entries;	/**< service name -> duty_service_t */
-	GHashTable *first_seen; /**< server id -> uint64_t, boot clock */
 	GRand *random;
 	int64_t lease;	       /**< of the duty, 0 for none */
 	int64_t held_revision; /**< of the duty's key while held, else 0 */
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -48,32 +48,6 @@
 	return relay_services_find(entry->duty->services, entry->name);
 }
 
-static uint64_t first_seen_ms(relay_duty_t *duty, const char *server,
-			      uint64_t now_ms)
-{
-	uint64_t *seen = g_hash_table_lookup(duty->first_seen, server);
-
-	if (seen)
-		return *seen;
-	seen = g_new(uint64_t, 1);
-	*seen = now_ms;
-	g_hash_table_insert(duty->first_seen, g_strdup(server), seen);
-	return now_ms;
-}
-
-/* For how long a server has been known: by its own start, or seen here. */
-static uint64_t known_ms(relay_duty_t *duty, const backend_entry_t *entry,
-			 uint64_t now_ms)
-{
-	const uint64_t wall_ms = (uint64_t)(g_get_real_time() / 1000);
-	const uint64_t here_ms =
-		now_ms - first_seen_ms(duty, entry->id, now_ms);
-
-	if (entry->started_ms && entry->started_ms < wall_ms)
-		return MAX(here_ms, wall_ms - entry->started_ms);
-	return here_ms;
-}
-
 void duty_takeover_start(duty_service_t *entry, bool planned,
 			 const char *reason)
 {
@@ -90,7 +64,7 @@
 		known[count++] = (takeover_server_t){
 			.id = server->id,
 			.draining = server->draining,
-			.known_ms = known_ms(entry->duty, server, now_ms),
+			.started_ms = server->started_ms,
 		};
 	}
 	log_event(LOG_LEVEL_NOTICE, "takeover_started",
--- /dev/null
+++ b/src/relay/relay_gate.c
@@ -0,0 +1,476 @@
+#include "relay/relay_gate.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/relay_attempt.h"
+#include "transport/socket_options.h"
+
+#define BACKLOG 256
+
+/* Silence of the other node after which its session is given up. */
+#define SILENCE_S 3
+
+/* Longest wait of another node's statement for a connection. */
+#define WAIT_MS 700
+
+struct relay_gate {
+	relay_services_t *services;
+	struct evconnlistener *listener;
+	GHashTable *sessions; /* gate_session_t */
+	bool draining;
+};
+
+/* One session of another node; it stands for one connection. */
+typedef struct {
+	relay_gate_t *gate;
+	struct bufferevent *bev;
+	relay_service_t *service; /* NULL before the start-up */
+	char *server_id;
+	GHashTable *values;
+	GHashTable *prepared; /* name -> definition */
+	char *begin_id;	      /* a transaction that no server knows yet */
+	char *begin_text;
+	log_point_t begin_after;
+	relay_server_t *server; /* of the connection that is held */
+	relay_link_t *link;
+	/* The statement that waits or runs. */
+	relay_message_t message;
+	command_t command;
+	relay_waiter_t waiter;
+	relay_server_t *waiting_at;
+	struct event *timer;
+	relay_attempt_t *attempt;
+	bool busy;
+	bool closing;
+} gate_session_t;
+
+G_DEFINE_QUARK(relay-gate-error-quark, relay_gate_error)
+
+static void process(gate_session_t *session);
+
+static const relay_codec_t *codec_of(const gate_session_t *session)
+{
+	return relay_services_settings(session->gate->services)->codec;
+}
+
+static struct evbuffer *output_of(const gate_session_t *session)
+{
+	return bufferevent_get_output(session->bev);
+}
+
+static void drop_link(gate_session_t *session)
+{
+	if (session->link)
+		relay_server_discard(session->server, session->link);
+	session->link = NULL;
+	g_clear_pointer(&session->begin_id, g_free);
+	g_clear_pointer(&session->begin_text, g_free);
+}
+
+static void session_free(gate_session_t *session)
+{
+	if (session->waiting_at)
+		relay_server_leave(session->waiting_at, &session->waiter);
+	if (session->attempt) {
+		relay_attempt_discard(session->attempt);
+		session->link = NULL;
+	}
+	drop_link(session);
+	relay_message_clear(&session->message);
+	command_clear(&session->command);
+	g_hash_table_destroy(session->values);
+	g_hash_table_destroy(session->prepared);
+	g_free(session->server_id);
+	event_free(session->timer);
+	bufferevent_free(session->bev);
+	g_free(session);
+}
+
+static void session_end(gate_session_t *session)
+{
+	g_hash_table_remove(session->gate->sessions, session);
+	session_free(session);
+}
+
+static void close_soon(gate_session_t *session)
+{
+	session->closing = true;
+	bufferevent_disable(session->bev, EV_READ);
+	bufferevent_trigger(session->bev, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static void answer_ready(gate_session_t *session, log_point_t point)
+{
+	const bool open = session->link || session->begin_id;
+
+	codec_of(session)->put_ready(output_of(session), open ? 'T' : 'I',
+				     point);
+}
+
+static void answer_complete(gate_session_t *session)
+{
+	codec_of(session)->put_complete(output_of(session));
+	answer_ready(session, (log_point_t){0});
+}
+
+static void statement_done(gate_session_t *session)
+{
+	session->busy = false;
+	event_del(session->timer);
+	relay_message_clear(&session->message);
+	command_clear(&session->command);
+}
+
+/* The statement surely did not run; an open transaction is rolled back. */
+static void refuse(gate_session_t *session, relay_error_t error,
+		   const char *reason)
+{
+	log_event(LOG_LEVEL_INFO, "lent_statement_refused",
+		  "id=%s server=%s reason=%s", session->message.id,
+		  session->server_id, reason);
+	drop_link(session);
+	codec_of(session)->put_error(output_of(session), error, reason);
+	answer_ready(session, (log_point_t){0});
+	statement_done(session);
+	process(session);
+}
+
+static void on_attempt(void *context, relay_attempt_t *attempt,
+		       relay_attempt_end_t end, const relay_answer_t *answer)
+{
+	gate_session_t *session = context;
+	g_autoptr(GByteArray) body = NULL;
+
+	session->attempt = NULL;
+	g_clear_pointer(&session->begin_id, g_free);
+	g_clear_pointer(&session->begin_text, g_free);
+	if (!answer) {
+		relay_attempt_discard(attempt);
+		session->link = NULL;
+		if (end == RELAY_ATTEMPT_NOT_RUN)
+			refuse(session, RELAY_ERROR_OVERLOADED, "unreachable");
+		else /* the other node finds its connection broken, too */
+			session_end(session);
+		return;
+	}
+	if (answer->status == 'I') {
+		relay_attempt_finish(attempt);
+		session->link = NULL;
+	} else {
+		session->link = relay_attempt_steal(attempt);
+	}
+	if (answer->body)
+		evbuffer_add(output_of(session), answer->body->data,
+			     answer->body->len);
+	codec_of(session)->put_ready(output_of(session), answer->status,
+				     answer->point);
+	statement_done(session);
+	process(session);
+}
+
+static void run_on(gate_session_t *session, relay_server_t *server,
+		   relay_link_t *link)
+{
+	const command_t *command = &session->command;
+	const bool single = !session->begin_id && !session->link;
+	relay_ask_t ask = {
+		.id = session->message.id,
+		.text = command->text,
+		.kind = command->kind,
+		.begin_id = session->begin_id,
+		.begin_text = session->begin_text,
+		.values = session->values,
+	};
+
+	if (command->kind == COMMAND_EXECUTE) {
+		ask.definition = g_hash_table_lookup(session->prepared,
+						     command->name);
+		ask.arguments = command->value;
+	}
+	session->server = server;
+	session->link = link;
+	session->attempt = relay_attempt_start(
+		session->service, server, link, &ask,
+		single ? command->after : session->begin_after, on_attempt,
+		session);
+}
+
+static void on_granted(void *context, relay_server_t *server,
+		       relay_link_t *link)
+{
+	gate_session_t *session = context;
+
+	session->waiting_at = NULL;
+	event_del(session->timer);
+	run_on(session, server, link);
+}
+
+static void refuse_later(gate_session_t *session)
+{
+	event_active(session->timer, EV_TIMEOUT, 0);
+}
+
+static void on_refused(void *context, relay_server_t *server)
+{
+	gate_session_t *session = context;
+
+	session->waiting_at = NULL;
+	refuse_later(session);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	gate_session_t *session = context;
+
+	if (session->waiting_at)
+		relay_server_leave(session->waiting_at, &session->waiter);
+	session->waiting_at = NULL;
+	if (session->busy && !session->attempt)
+		refuse(session, RELAY_ERROR_OVERLOADED, "no connection");
+}
+
+static void wait_for_link(gate_session_t *session)
+{
+	const uint64_t now_ms = clock_boot_ms();
+	const struct timeval wait = clock_timeval(WAIT_MS);
+	relay_server_t *server = relay_service_server(session->service,
+						      session->server_id);
+
+	session->waiter = (relay_waiter_t){
+		.entry = {.target_ms = now_ms + WAIT_MS,
+			  .deadline_ms = now_ms + WAIT_MS},
+		.values = session->values,
+		.direct = true,
+		.granted = on_granted,
+		.refused = on_refused,
+		.context = session,
+	};
+	if (!server) {
+		refuse_later(session);
+		return;
+	}
+	event_add(session->timer, &wait);
+	session->waiting_at = server;
+	relay_server_ask(server, &session->waiter);
+}
+
+static void run(gate_session_t *session)
+{
+	session->busy = true;
+	if (session->link && relay_link_is_open(session->link))
+		run_on(session, session->server, session->link);
+	else if (session->link)
+		session_end(session);
+	else
+		wait_for_link(session);
+}
+
+static void dispatch(gate_session_t *session)
+{
+	command_t *command = &session->command;
+
+	codec_of(session)->parse(session->message.text, command);
+	switch (command->kind) {
+	case COMMAND_BEGIN:
+	case COMMAND_BEGIN_READ:
+		session->begin_id = g_strdup(session->message.id);
+		session->begin_text = g_strdup(command->text);
+		session->begin_after = command->after;
+		answer_complete(session);
+		break;
+	case COMMAND_SET:
+		g_hash_table_replace(session->values, g_strdup(command->name),
+				     g_strdup(command->value));
+		answer_complete(session);
+		break;
+	case COMMAND_PREPARE:
+		g_hash_table_replace(session->prepared,
+				     g_strdup(command->name),
+				     g_strdup(command->value));
+		answer_complete(session);
+		break;
+	case COMMAND_RESET:
+		g_hash_table_remove_all(session->values);
+		g_hash_table_remove_all(session->prepared);
+		answer_complete(session);
+		break;
+	default:
+		if (command->kind == COMMAND_ROLLBACK && !session->link) {
+			drop_link(session);
+			answer_complete(session);
+			break;
+		}
+		run(session);
+		return;
+	}
+	statement_done(session);
+}
+
+static void refuse_session(gate_session_t *session, relay_error_t error)
+{
+	codec_of(session)->put_error(output_of(session), error, "not here");
+	close_soon(session);
+}
+
+static void start_up(gate_session_t *session)
+{
+	session->service = relay_services_find(session->gate->services,
+					       session->message.text);
+	session->server_id = g_strdup(session->message.id);
+	if (session->gate->draining)
+		refuse_session(session, RELAY_ERROR_CONNECTION_LIMIT);
+	else if (!session->service || !session->server_id ||
+		 !relay_service_server(session->service, session->server_id))
+		refuse_session(session, RELAY_ERROR_OTHER_SERVER);
+	else
+		answer_ready(session, (log_point_t){0});
+	relay_message_clear(&session->message);
+}
+
+static void process(gate_session_t *session)
+{
+	struct evbuffer *input = bufferevent_get_input(session->bev);
+
+	while (!session->busy && !session->closing) {
+		g_autoptr(GError) error = NULL;
+
+		relay_message_clear(&session->message);
+		switch (codec_of(session)->decode(input, &session->message,
+						  &error)) {
+		case RELAY_INCOMPLETE:
+			return;
+		case RELAY_INVALID:
+			log_event(LOG_LEVEL_WARNING, "peer_message_invalid",
+				  "reason=\"%s\"", error->message);
+			close_soon(session);
+			return;
+		case RELAY_DECODED:
+			break;
+		}
+		if (session->message.kind == RELAY_MESSAGE_QUERY &&
+		    session->service)
+			dispatch(session);
+		else if (session->message.kind == RELAY_MESSAGE_STARTUP &&
+			 !session->service)
+			start_up(session);
+		else
+			close_soon(session);
+	}
+}
+
+static void on_read(struct bufferevent *bev, void *context)
+{
+	process(context);
+}
+
+static void on_written(struct bufferevent *bev, void *context)
+{
+	gate_session_t *session = context;
+
+	if (session->closing)
+		session_end(session);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *context)
+{
+	session_end(context);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int size, void *context)
+{
+	relay_gate_t *gate = context;
+	struct event_base *base =
+		relay_services_settings(gate->services)->base;
+	gate_session_t *session = g_new0(gate_session_t, 1);
+
+	socket_options_set(fd, SILENCE_S);
+	session->gate = gate;
+	session->values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	session->prepared =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	session->timer = evtimer_new(base, on_timer, session);
+	session->bev = bufferevent_socket_new(
+		base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(session->bev, on_read, on_written, on_event, session);
+	bufferevent_enable(session->bev, EV_READ | EV_WRITE);
+	g_hash_table_add(gate->sessions, session);
+}
+
+relay_gate_t *relay_gate_create(relay_services_t *services,
+				const endpoint_t *endpoint, GError **error)
+{
+	relay_gate_t *gate = g_new0(relay_gate_t, 1);
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_port = htons(endpoint->port)};
+
+	gate->services = services;
+	gate->sessions = g_hash_table_new(g_direct_hash, g_direct_equal);
+	inet_pton(AF_INET, endpoint->address, &address.sin_addr);
+	gate->listener = evconnlistener_new_bind(
+		relay_services_settings(services)->base, on_accept, gate,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		BACKLOG, (struct sockaddr *)&address, sizeof(address));
+	if (gate->listener)
+		return gate;
+	g_set_error(error, relay_gate_error_quark(), 0,
+		    "cannot listen on %s:%u: %s", endpoint->address,
+		    endpoint->port, strerror(errno));
+	relay_gate_destroy(gate);
+	return NULL;
+}
+
+static GPtrArray *list_sessions(const relay_gate_t *gate)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer session;
+
+	g_hash_table_iter_init(&iter, gate->sessions);
+	while (g_hash_table_iter_next(&iter, &session, NULL))
+		g_ptr_array_add(list, session);
+	return list;
+}
+
+void relay_gate_destroy(relay_gate_t *gate)
+{
+	g_autoptr(GPtrArray) sessions = NULL;
+
+	if (!gate)
+		return;
+	sessions = list_sessions(gate);
+	for (guint i = 0; i < sessions->len; i++)
+		session_free(sessions->pdata[i]);
+	if (gate->listener)
+		evconnlistener_free(gate->listener);
+	g_hash_table_destroy(gate->sessions);
+	g_free(gate);
+}
+
+void relay_gate_drain(relay_gate_t *gate)
+{
+	g_autoptr(GPtrArray) sessions = list_sessions(gate);
+
+	gate->draining = true;
+	for (guint i = 0; i < sessions->len; i++) {
+		gate_session_t *session = sessions->pdata[i];
+
+		if (!session->busy && !session->link && !session->begin_id &&
+		    !session->closing)
+			close_soon(session);
+	}
+}
+
+uint32_t relay_gate_count(const relay_gate_t *gate)
+{
+	return g_hash_table_size(gate->sessions);
+}
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -30,6 +30,8 @@
 	relay_link_handlers_t handlers;
 	char *server; /* id */
 	bool open;
+	bool lent;
+	uint64_t created_ms;
 	uint64_t opened_ms;
 	uint64_t heard_ms;
 	GQueue pending; /* pending_t */
@@ -68,7 +70,8 @@
 	link->open = true;
 	link->opened_ms = clock_boot_ms();
 	bufferevent_set_timeouts(link->bev, NULL, NULL);
-	link->handlers.opened(link->handlers.context, link, message->point);
+	link->handlers.opened(link->handlers.context, link, message->point,
+			      link->created_ms);
 }
 
 static void on_ready(relay_link_t *link, const relay_message_t *message)
@@ -200,14 +203,19 @@
 relay_link_t *relay_link_open(struct event_base *base,
 			      const relay_codec_t *codec,
 			      const backend_entry_t *entry,
+			      const endpoint_t *via,
 			      relay_link_handlers_t handlers)
 {
 	relay_link_t *link = g_new0(relay_link_t, 1);
 	const struct timeval timeout = clock_timeval(OPEN_TIMEOUT_MS);
 	struct sockaddr_in address = {.sin_family = AF_INET,
-				      .sin_port = htons(entry->port)};
+				      .sin_port = htons(via ? via->port :
+							      entry->port)};
 
-	inet_pton(AF_INET, entry->address, &address.sin_addr);
+	inet_pton(AF_INET, via ? via->address : entry->address,
+		  &address.sin_addr);
+	link->lent = via;
+	link->created_ms = clock_boot_ms();
 	link->codec = codec;
 	link->handlers = handlers;
 	link->server = g_strdup(entry->id);
@@ -263,6 +271,11 @@
 	return link->open;
 }
 
+bool relay_link_is_lent(const relay_link_t *link)
+{
+	return link->lent;
+}
+
 bool relay_link_is_busy(const relay_link_t *link)
 {
 	return link->pending.length > 0;
--- a/src/relay/relay_link.h
+++ b/src/relay/relay_link.h
@@ -5,6 +5,7 @@
 
 #include "relay/relay_codec.h"
 #include "state/backend_entry.h"
+#include "state/endpoint.h"
 
 /**
  * One connection to a backend server. Statements are sent at once and are
@@ -32,8 +33,9 @@
 typedef void (*relay_link_done_t)(void *context, const relay_answer_t *answer);
 
 typedef struct {
-	/** The server accepted the connection; @p point is its log's end. */
-	void (*opened)(void *context, relay_link_t *link, log_point_t point);
+	/** Accepted; @p point is the log's end, asked for at @p asked_ms. */
+	void (*opened)(void *context, relay_link_t *link, log_point_t point,
+		       uint64_t asked_ms);
 	/** The link ended by itself; it must not be used any more. */
 	void (*closed)(void *context, relay_link_t *link, relay_error_t error,
 		       bool was_open);
@@ -47,9 +49,11 @@
 	bool in_transaction;
 } relay_link_state_t;
 
+/** @param via a node that lends its connections, or NULL */
 relay_link_t *relay_link_open(struct event_base *base,
 			      const relay_codec_t *codec,
 			      const backend_entry_t *entry,
+			      const endpoint_t *via,
 			      relay_link_handlers_t handlers);
 
 /** Closes the connection; a statement that runs gets no answer. */
@@ -64,6 +68,9 @@
 		    const char *text, relay_link_done_t done, void *context);
 
 bool relay_link_is_open(const relay_link_t *link);
+/** @return whether another node lends the connection */
+bool relay_link_is_lent(const relay_link_t *link);
+
 bool relay_link_is_busy(const relay_link_t *link);
 
 /** @return when it was opened, on the boot clock */
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "relay/relay_callers.h"
 #include "relay/relay_duty.h"
+#include "relay/relay_gate.h"
 #include "relay/relay_proof.h"
 #include "relay/relay_registration.h"
 #include "relay/relay_status_page.h"
@@ -39,6 +40,7 @@
 	metrics_t *metrics;
 	relay_services_t *services;
 	relay_callers_t *callers;
+	relay_gate_t *gate;
 	relay_registration_t *registration;
 	relay_duty_t *duty;
 	relay_proof_t *proof;
@@ -48,7 +50,7 @@
 	kv_follow_t *nodes;
 	kv_follow_t *primaries;
 	catalog_t *catalog;
-	GHashTable *node_domains; /* key -> failure domain */
+	GHashTable *node_values; /* key -> what the node wrote there */
 	GHashTable *lapsing;	  /* server id -> struct event */
 	bool backends_synced;
 	struct event *drain_timer;
@@ -178,34 +180,52 @@
 	if (item->deleted || !item->value) {
 		const char *name = item->key + strlen(RELAY_NODES_PREFIX);
 
-		g_hash_table_remove(node->node_domains, item->key);
+		g_hash_table_remove(node->node_values, item->key);
 		if (!strcmp(name, node->settings->node))
 			relay_registration_repeat(node->registration,
 						  item->revision);
 		return;
 	}
 	text = g_bytes_get_data(item->value, &size);
-	g_hash_table_replace(node->node_domains, g_strdup(item->key),
+	g_hash_table_replace(node->node_values, g_strdup(item->key),
 			     g_strndup(text, size));
 }
 
+/* What a node writes of itself: "DOMAIN IP:PORT". */
+static relay_peer_t *peer_parse(const char *key, const char *value)
+{
+	const char *space = strchr(value, ' ');
+	relay_peer_t *peer = g_new0(relay_peer_t, 1);
+
+	if (!space || !endpoint_parse(space + 1, &peer->gate.address,
+				      &peer->gate.port)) {
+		log_event(LOG_LEVEL_WARNING, "peer_invalid",
+			  "key=%s value=\"%s\"", key, value);
+		g_free(peer);
+		return NULL;
+	}
+	peer->name = g_strdup(key + strlen(RELAY_NODES_PREFIX));
+	peer->failure_domain = g_strndup(value, (gsize)(space - value));
+	return peer;
+}
+
 static void on_nodes_synced(void *context, int64_t revision, uint64_t asked_ms)
 {
 	relay_node_t *node = context;
-	GHashTable *counts =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GPtrArray *peers =
+		g_ptr_array_new_with_free_func((GDestroyNotify)relay_peer_free);
 	GHashTableIter iter;
-	gpointer domain;
+	gpointer key;
+	gpointer value;
 
-	g_hash_table_iter_init(&iter, node->node_domains);
-	while (g_hash_table_iter_next(&iter, NULL, &domain)) {
-		const guint count =
-			GPOINTER_TO_UINT(g_hash_table_lookup(counts, domain));
+	g_hash_table_iter_init(&iter, node->node_values);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		relay_peer_t *peer = peer_parse(key, value);
 
-		g_hash_table_replace(counts, g_strdup(domain),
-				     GUINT_TO_POINTER(count + 1));
+		if (peer)
+			g_ptr_array_add(peers, peer);
 	}
-	relay_services_set_nodes(node->services, counts);
+	relay_services_set_nodes(node->services, peers);
 }
 
 static void on_primary(void *context, const kv_item_t *item)
@@ -278,12 +298,13 @@
 				relay_platform_t platform, GError **error)
 {
 	relay_node_t *node = g_new0(relay_node_t, 1);
+	g_autofree char *description = NULL;
 
 	node->base = base;
 	node->settings = settings;
 	node->platform = platform;
 	node->metrics = metrics_create(METRIC_SERIES_MAX);
-	node->node_domains =
+	node->node_values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->lapsing = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      lapse_free);
@@ -292,6 +313,7 @@
 		.base = base,
 		.codec = platform.codec,
 		.metrics = node->metrics,
+		.node = settings->node,
 		.failure_domain = settings->failure_domain,
 		.regions = settings->regions,
 		.troubled = on_troubled,
@@ -299,15 +321,21 @@
 	});
 	node->duty = relay_duty_create(base, platform.store, node->services,
 				       platform.promoter, settings->node);
+	description = g_strdup_printf("%s %s:%u", settings->failure_domain,
+				      settings->gate.address,
+				      settings->gate.port);
 	node->registration = relay_registration_create(
 		base, platform.store, node->services, settings->node,
-		settings->failure_domain, read_primaries, node);
+		description, read_primaries, node);
 	node->proof = relay_proof_create(node->services, read_primaries, node);
 	create_follows(node);
 	node->callers =
 		relay_callers_create(base, platform.codec, node->services,
 				     &settings->callers, error);
 	if (node->callers)
+		node->gate = relay_gate_create(node->services, &settings->gate,
+					       error);
+	if (node->gate)
 		node->page = relay_status_page_create(
 			base, &settings->readiness, &settings->metrics,
 			node->metrics, is_ready, node, error);
@@ -324,6 +352,7 @@
 		return;
 	relay_status_page_destroy(node->page);
 	relay_callers_destroy(node->callers);
+	relay_gate_destroy(node->gate);
 	kv_follow_destroy(node->catalogs);
 	kv_follow_destroy(node->backends);
 	kv_follow_destroy(node->nodes);
@@ -335,7 +364,7 @@
 	relay_duty_destroy(node->duty);
 	kv_store_destroy(node->platform.store);
 	catalog_unref(node->catalog);
-	g_hash_table_destroy(node->node_domains);
+	g_hash_table_destroy(node->node_values);
 	event_free(node->drain_timer);
 	metrics_destroy(node->metrics);
 	g_free(node);
@@ -357,11 +386,13 @@
 	const uint32_t grace_ms = node->settings->grace_ms;
 
 	relay_callers_drain(node->callers);
+	relay_gate_drain(node->gate);
 	if (!node->stopped && since_ms >= grace_ms / 2) {
 		node->stopped = true;
 		relay_callers_stop(node->callers);
 	}
 	if (!relay_callers_count(node->callers) &&
+	    !relay_gate_count(node->gate) &&
 	    since_ms >= MIN(DRAIN_ACCEPT_MS, grace_ms / 2))
 		leave(node, "idle");
 	else if (since_ms >= grace_ms / DRAIN_PARTS * DRAIN_PARTS_USED)
--- a/src/relay/relay_proof.c
+++ b/src/relay/relay_proof.c
@@ -144,8 +144,7 @@
 		const primary_lease_t *lease = relay_service_lease(service);
 
 		younger |= keep_open(service);
-		if (due && *lease->primary && !lease->takeover &&
-		    now_ms < node->reached_ms + PRIMARY_LEASE_REPLICA_PROOF_MS)
+		if (due && *lease->primary && !lease->takeover)
 			ask_replicas(proof, service);
 	}
 	if (younger && !by_replicas &&
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -24,7 +24,7 @@
 	char *node;
 	char *lease_key; /* of the lease last registered, or NULL */
 	char *node_key;
-	char *domain;
+	char *description;
 	struct event *timer;
 	GHashTable *calls; /* call_t under way */
 	uint32_t renewals;
@@ -119,7 +119,7 @@
 	const kv_put_t puts[] = {
 		{.key = key, .value = value},
 		{.key = registration->node_key,
-		 .value = registration->domain,
+		 .value = registration->description,
 		 .lease = lease},
 	};
 	const kv_transaction_t transaction = {
@@ -212,7 +212,7 @@
 relay_registration_t *
 relay_registration_create(struct event_base *base, kv_store_t *store,
 			  relay_services_t *services, const char *node,
-			  const char *failure_domain,
+			  const char *description,
 			  void (*registered)(void *context), void *context)
 {
 	relay_registration_t *registration = g_new0(relay_registration_t, 1);
@@ -222,7 +222,7 @@
 	registration->lease = relay_services_lease(services);
 	registration->node = g_strdup(node);
 	registration->node_key = g_strconcat(RELAY_NODES_PREFIX, node, NULL);
-	registration->domain = g_strdup(failure_domain);
+	registration->description = g_strdup(description);
 	registration->calls = g_hash_table_new_full(
 		g_direct_hash, g_direct_equal, g_free, NULL);
 	registration->timer = evtimer_new(base, on_timer, registration);
@@ -241,7 +241,7 @@
 	g_free(registration->node);
 	g_free(registration->lease_key);
 	g_free(registration->node_key);
-	g_free(registration->domain);
+	g_free(registration->description);
 	g_free(registration);
 }
 
--- a/src/relay/relay_registration.h
+++ b/src/relay/relay_registration.h
@@ -18,11 +18,14 @@
  */
 typedef struct relay_registration relay_registration_t;
 
-/** @param registered called once the lease stands in the store */
+/**
+ * @param description what others read below RELAY_NODES_PREFIX
+ * @param registered called once the lease stands in the store
+ */
 relay_registration_t *
 relay_registration_create(struct event_base *base, kv_store_t *store,
 			  relay_services_t *services, const char *node,
-			  const char *failure_domain,
+			  const char *description,
 			  void (*registered)(void *context), void *context);
 
 /** Must be called before the store is destroyed. */
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -15,6 +15,9 @@
 /* Time for which a server at its limit is asked for no more than the share. */
 #define FULL_MS 1000
 
+/* Time for which connections are borrowed after the server's own failed. */
+#define BORROW_MS 2000
+
 /* Rest after which a connection above the share is closed. */
 #define REST_MS 400
 
@@ -36,6 +39,7 @@
 	uint32_t share;
 	uint32_t most;
 	uint64_t full_until_ms; /* it refused connections at its limit */
+	uint64_t borrow_until_ms; /* it could not be reached */
 	struct event *sweep;	/* closes what rests above the share */
 	wait_queue_t queue;
 	struct event *pump;
@@ -76,15 +80,39 @@
 	server->reopen_ms = MIN(2 * server->reopen_ms, REOPEN_MS_MAX);
 }
 
-static void on_opened(void *context, relay_link_t *link, log_point_t point)
+/* After a failure other nodes are tried, after theirs the server itself. */
+static void borrow(relay_server_t *server, const relay_link_t *link,
+		   relay_error_t error)
+{
+	if (relay_link_is_lent(link)) {
+		server->borrow_until_ms = 0;
+		return;
+	}
+	if (error == RELAY_ERROR_CONNECTION_LIMIT &&
+	    server->links->len > server->opening + 1)
+		return;
+	server->borrow_until_ms = clock_boot_ms() + BORROW_MS;
+	server->reopen_at_ms = 0;
+}
+
+/* What another node lends says nothing of the server itself. */
+static void note_heard(relay_server_t *server, const relay_link_t *link,
+		       uint64_t heard_ms)
+{
+	if (!relay_link_is_lent(link))
+		server->heard_ms = MAX(server->heard_ms, heard_ms);
+}
+
+static void on_opened(void *context, relay_link_t *link, log_point_t point,
+		      uint64_t asked_ms)
 {
 	relay_server_t *server = context;
 
 	server->opening--;
 	server->reopen_ms = REOPEN_MS;
-	server->heard_ms = clock_boot_ms();
+	note_heard(server, link, clock_boot_ms());
 	g_ptr_array_add(server->idle, link);
-	server->host->opened(server->host->context, server, point);
+	server->host->opened(server->host->context, server, point, asked_ms);
 	pump(server);
 }
 
@@ -97,6 +125,7 @@
 	if (!was_open) {
 		server->opening--;
 		back_off(server);
+		borrow(server, link, error);
 		log_event(LOG_LEVEL_INFO, "server_connect_failed",
 			  "server=%s reason=%s open=%u", server->entry->id,
 			  relay_error_name(error), server->links->len - 1);
@@ -105,10 +134,11 @@
 		return;
 	g_ptr_array_remove_fast(server->idle, link);
 	g_ptr_array_remove_fast(server->links, link);
+	if (error == RELAY_ERROR_CONNECTION_LIMIT)
+		note_heard(server, link, clock_boot_ms());
 	relay_link_destroy(link);
 	if (error == RELAY_ERROR_CONNECTION_LIMIT) {
 		server->full_until_ms = clock_boot_ms() + FULL_MS;
-		server->heard_ms = clock_boot_ms();
 	} else
 		server->host->troubled(server->host->context, server);
 	if (!server->links->len && error != RELAY_ERROR_CONNECTION_LIMIT)
@@ -116,6 +146,27 @@
 	pump_after(server, 0);
 }
 
+/* @return whether somebody waits who takes only the server's own */
+static bool has_direct(const relay_server_t *server)
+{
+	for (guint i = 0; i < server->queue.entries->len; i++) {
+		const wait_entry_t *entry = server->queue.entries->pdata[i];
+
+		if (((relay_waiter_t *)entry->owner)->direct)
+			return true;
+	}
+	return false;
+}
+
+/* Other nodes may still reach the server, or hold connections at rest. */
+static const endpoint_t *lender_of(const relay_server_t *server,
+				   uint64_t now_ms)
+{
+	if (now_ms >= server->borrow_until_ms || has_direct(server))
+		return NULL;
+	return server->host->lender(server->host->context, server);
+}
+
 static uint32_t limit_now(const relay_server_t *server, uint64_t now_ms)
 {
 	return now_ms < server->full_until_ms ? server->share : server->most;
@@ -152,7 +203,9 @@
 		g_ptr_array_add(server->links,
 				relay_link_open(server->host->base,
 						server->host->codec,
-						server->entry, handlers));
+						server->entry,
+						lender_of(server, now_ms),
+						handlers));
 		server->opening++;
 	}
 }
@@ -203,6 +256,10 @@
 	for (guint i = server->idle->len; i > 0; i--) {
 		relay_link_t *link = server->idle->pdata[i - 1];
 
+		if (waiter->direct && relay_link_is_lent(link))
+			continue;
+		if (waiter->direct)
+			chosen = i - 1;
 		if (values_match(waiter->values,
 				 relay_link_state(link)->values)) {
 			chosen = i - 1;
@@ -212,17 +269,35 @@
 	return take_granted(server, chosen);
 }
 
+static bool can_take(const relay_server_t *server, const relay_waiter_t *waiter)
+{
+	if (!waiter->direct)
+		return server->idle->len;
+	for (guint i = 0; i < server->idle->len; i++)
+		if (!relay_link_is_lent(server->idle->pdata[i]))
+			return true;
+	return false;
+}
+
 static void pump(relay_server_t *server)
 {
+	g_autoptr(GPtrArray) passed = g_ptr_array_new();
+
 	while (server->idle->len && server->queue.entries->len) {
 		wait_entry_t *entry =
 			wait_queue_next(&server->queue, clock_boot_ms());
 		relay_waiter_t *waiter = entry->owner;
 
+		if (!can_take(server, waiter)) {
+			g_ptr_array_add(passed, entry);
+			continue;
+		}
 		waiter->waiting = false;
 		waiter->granted(waiter->context, server,
 				take_idle(server, waiter));
 	}
+	for (guint i = 0; i < passed->len; i++)
+		wait_queue_add(&server->queue, passed->pdata[i]);
 	if (server->queue.entries->len)
 		open_more(server, server->queue.entries->len);
 }
@@ -346,6 +421,10 @@
 void relay_server_ask(relay_server_t *server, relay_waiter_t *waiter)
 {
 	waiter->entry.owner = waiter;
+	if (waiter->direct && clock_boot_ms() < server->borrow_until_ms) {
+		waiter->refused(waiter->context, server);
+		return;
+	}
 	waiter->waiting = true;
 	wait_queue_add(&server->queue, &waiter->entry);
 	pump(server);
@@ -378,7 +457,7 @@
 
 void relay_server_discard(relay_server_t *server, relay_link_t *link)
 {
-	server->heard_ms = MAX(server->heard_ms, relay_link_heard_ms(link));
+	note_heard(server, link, relay_link_heard_ms(link));
 	g_ptr_array_remove_fast(server->granted, link);
 	g_ptr_array_remove_fast(server->links, link);
 	relay_link_destroy(link);
@@ -390,7 +469,6 @@
 	server->run_ms += RUN_WEIGHT * ((double)run_ms - server->run_ms);
 	server->unanswered = 0;
 	server->avoid_until_ms = 0;
-	server->heard_ms = clock_boot_ms();
 }
 
 void relay_server_silent(relay_server_t *server)
@@ -413,11 +491,12 @@
 {
 	uint64_t heard_ms = server->heard_ms;
 
-	for (guint i = 0; i < server->links->len; i++)
-		if (relay_link_is_open(server->links->pdata[i]))
-			heard_ms = MAX(
-				heard_ms,
-				relay_link_heard_ms(server->links->pdata[i]));
+	for (guint i = 0; i < server->links->len; i++) {
+		const relay_link_t *link = server->links->pdata[i];
+
+		if (relay_link_is_open(link) && !relay_link_is_lent(link))
+			heard_ms = MAX(heard_ms, relay_link_heard_ms(link));
+	}
 	return heard_ms;
 }
 
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -17,6 +17,7 @@
 	wait_entry_t entry;
 	GHashTable *values; /**< session variables that it needs, or NULL */
 	bool urgent;	    /**< may exceed the limit by one connection */
+	bool direct;	    /**< takes no connection that another node lends */
 	/** A connection is there, for its sole use. */
 	void (*granted)(void *context, relay_server_t *server,
 			relay_link_t *link);
@@ -31,8 +32,11 @@
 	struct event_base *base;
 	const relay_codec_t *codec;
 	/** A log position was seen: at opening, before any statement. */
-	void (*opened)(void *context, relay_server_t *server,
-		       log_point_t point);
+	void (*opened)(void *context, relay_server_t *server, log_point_t point,
+		       uint64_t asked_ms);
+	/** @return a node that may lend a connection, or NULL */
+	const endpoint_t *(*lender)(void *context,
+				    const relay_server_t *server);
 	/** The server's connections failed: refused, reset or silent. */
 	void (*troubled)(void *context, relay_server_t *server);
 	void *context;
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -25,7 +25,8 @@
 	relay_server_host_t host;
 	node_lease_t lease;
 	const catalog_t *catalog;
-	GHashTable *nodes;    /* domain -> count */
+	GPtrArray *nodes;     /* relay_peer_t, or NULL before any is known */
+	uint32_t next_lender;
 	GHashTable *services; /* name -> relay_service_t */
 };
 
@@ -48,12 +49,13 @@
 				   relay_server_entry(server)->service);
 }
 
-static void on_opened(void *context, relay_server_t *server, log_point_t point)
+static void on_opened(void *context, relay_server_t *server, log_point_t point,
+		      uint64_t asked_ms)
 {
 	relay_service_t *service = service_of(context, server);
 
 	if (service)
-		relay_service_seen(service, server, point, clock_boot_ms());
+		relay_service_seen(service, server, point, asked_ms);
 }
 
 static void on_troubled(void *context, relay_server_t *server)
@@ -66,6 +68,8 @@
 					    entry->service, entry->id);
 }
 
+static const endpoint_t *on_lender(void *context, const relay_server_t *server);
+
 relay_services_t *relay_services_create(relay_services_settings_t settings)
 {
 	relay_services_t *services = g_new0(relay_services_t, 1);
@@ -75,6 +79,7 @@
 		.base = settings.base,
 		.codec = settings.codec,
 		.opened = on_opened,
+		.lender = on_lender,
 		.troubled = on_troubled,
 		.context = services,
 	};
@@ -88,7 +93,7 @@
 	if (!services)
 		return;
 	g_hash_table_destroy(services->services);
-	g_clear_pointer(&services->nodes, g_hash_table_destroy);
+	g_clear_pointer(&services->nodes, g_ptr_array_unref);
 	g_free(services);
 }
 
@@ -139,23 +144,19 @@
 
 static uint32_t nodes_in(const relay_services_t *services, const char *domain)
 {
-	if (!services->nodes)
-		return 0;
-	return GPOINTER_TO_UINT(g_hash_table_lookup(services->nodes, domain));
+	uint32_t count = 0;
+
+	for (guint i = 0; services->nodes && i < services->nodes->len; i++) {
+		const relay_peer_t *peer = services->nodes->pdata[i];
+
+		count += !strcmp(peer->failure_domain, domain);
+	}
+	return count;
 }
 
 static uint32_t nodes_all(const relay_services_t *services)
 {
-	GHashTableIter iter;
-	gpointer count;
-	uint32_t all = 0;
-
-	if (!services->nodes)
-		return 0;
-	g_hash_table_iter_init(&iter, services->nodes);
-	while (g_hash_table_iter_next(&iter, NULL, &count))
-		all += GPOINTER_TO_UINT(count);
-	return all;
+	return services->nodes ? services->nodes->len : 0;
 }
 
 static void apply_limits(relay_service_t *service)
@@ -213,14 +214,54 @@
 	apply_all_limits(services);
 }
 
-void relay_services_set_nodes(relay_services_t *services,
-			      GHashTable *nodes_by_domain)
+void relay_peer_free(relay_peer_t *peer)
+{
+	g_free(peer->name);
+	g_free(peer->failure_domain);
+	g_free(peer->gate.address);
+	g_free(peer);
+}
+
+void relay_services_set_nodes(relay_services_t *services, GPtrArray *peers)
 {
-	g_clear_pointer(&services->nodes, g_hash_table_destroy);
-	services->nodes = nodes_by_domain;
+	g_clear_pointer(&services->nodes, g_ptr_array_unref);
+	services->nodes = peers;
 	apply_all_limits(services);
 }
 
+static bool is_lender(const relay_services_t *services,
+		      const relay_peer_t *peer, const char *domain)
+{
+	return strcmp(peer->name, services->settings.node) &&
+	       (!domain || !strcmp(peer->failure_domain, domain));
+}
+
+static const endpoint_t *next_lender(relay_services_t *services,
+				     const char *domain)
+{
+	for (guint i = 0; i < nodes_all(services); i++) {
+		const relay_peer_t *peer =
+			services->nodes->pdata[services->next_lender++ %
+					       services->nodes->len];
+
+		if (is_lender(services, peer, domain))
+			return &peer->gate;
+	}
+	return NULL;
+}
+
+/* Nodes beside the server first, every other time any. */
+static const endpoint_t *on_lender(void *context, const relay_server_t *server)
+{
+	relay_services_t *services = context;
+	const endpoint_t *lender = NULL;
+
+	if (services->next_lender % 2)
+		lender = next_lender(
+			services, relay_server_entry(server)->failure_domain);
+	return lender ? lender : next_lender(services, NULL);
+}
+
 static void name_replicas(relay_service_t *service)
 {
 	const char *ids[PRIMARY_LEASE_REPLICAS_MAX];
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -21,6 +21,7 @@
 	struct event_base *base;
 	const relay_codec_t *codec;
 	metrics_t *metrics;
+	const char *node;
 	const char *failure_domain;
 	GHashTable *regions; /**< failure domain -> region */
 	/** A server's connections failed. */
@@ -49,9 +50,21 @@
 void relay_services_configure(relay_services_t *services,
 			      const catalog_t *catalog);
 
-/** Takes in how many nodes each failure domain has; takes the table over. */
-void relay_services_set_nodes(relay_services_t *services,
-			      GHashTable *nodes_by_domain);
+/** Another node, which may lend its connections. */
+typedef struct {
+	char *name;
+	char *failure_domain;
+	endpoint_t gate;
+} relay_peer_t;
+
+void relay_peer_free(relay_peer_t *peer);
+
+/**
+ * Takes in all nodes that live, this one included.
+ *
+ * @param peers relay_peer_t; taken over
+ */
+void relay_services_set_nodes(relay_services_t *services, GPtrArray *peers);
 
 /** Takes in a server's entry; takes it over. */
 void relay_services_put(relay_services_t *services, backend_entry_t *entry);
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -15,6 +15,7 @@
 	endpoint_t callers;
 	endpoint_t readiness;
 	endpoint_t metrics;
+	endpoint_t gate; /**< where connections are lent to other nodes */
 	endpoint_t store;
 	endpoint_t control; /**< of the platform: promotions */
 	uint32_t grace_ms;  /**< from the order to stop to the kill */
