Go on with a takeover once all nodes have forgotten their proofs

Cause: each takeover waited 1.05 s for proofs to run out and 0.4 s for the lost primary's answer. Nodes that see a takeover register anew at once and need a reading of the record from then on; the holder looks for that.

--- a/src/coordination/primary_lease.c
+++ b/src/coordination/primary_lease.c
@@ -17,7 +17,7 @@
 	lease->valid_until_ms = 0;
 }
 
-static void forget_answers(primary_lease_t *service)
+void primary_lease_forget(primary_lease_t *service)
 {
 	service->replicas_until_ms = 0;
 	for (uint32_t i = 0; i < service->replicas_count; i++)
@@ -30,7 +30,7 @@
 	if (revision < service->read_at || term < service->term)
 		return;
 	if (term != service->term || strcmp(primary, service->primary))
-		forget_answers(service);
+		primary_lease_forget(service);
 	service->term = term;
 	g_strlcpy(service->primary, primary, sizeof(service->primary));
 	service->takeover = takeover;
@@ -63,7 +63,7 @@
 	for (uint32_t i = 0; i < count; i++)
 		g_strlcpy(service->replicas[i].id, ids[i],
 			  sizeof(service->replicas[i].id));
-	forget_answers(service);
+	primary_lease_forget(service);
 }
 
 /* Takes a round in which every replica has answered. */
@@ -83,7 +83,7 @@
 				  bool fenced, uint64_t round, uint64_t sent_ms)
 {
 	if (fenced) {
-		forget_answers(service);
+		primary_lease_forget(service);
 		return;
 	}
 	for (uint32_t i = 0; i < service->replicas_count; i++) {
@@ -95,14 +95,6 @@
 	take_round(service, round);
 }
 
-static uint64_t proved_by_store(const primary_lease_t *service,
-				const node_lease_t *node)
-{
-	if (!node->registered_at || service->read_at < node->registered_at)
-		return 0;
-	return node->valid_until_ms;
-}
-
 static uint64_t proved_by_replicas(const primary_lease_t *service)
 {
 	if (service->replicas_count < PRIMARY_LEASE_REPLICAS_MIN)
@@ -115,8 +107,9 @@
 {
 	if (!*service->primary || service->takeover)
 		return 0;
-	return MAX(proved_by_store(service, node),
-		   proved_by_replicas(service));
+	if (!node->registered_at || service->read_at < node->registered_at)
+		return 0;
+	return MAX(node->valid_until_ms, proved_by_replicas(service));
 }
 
 bool primary_lease_valid(const primary_lease_t *service,
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -5,17 +5,19 @@
 #include <stdint.h>
 
 /**
- * Whether a node may still use the primary of a service. Two kinds of proof,
- * each good for PRIMARY_LEASE_VALID_MS after the question was sent:
+ * Whether a node may still use the primary of a service. The node must have
+ * registered a lease, and read the service's record after that without seeing
+ * a takeover. Then there are two kinds of proof, each good for
+ * PRIMARY_LEASE_VALID_MS after the question was sent:
  *
- * - the store renewed the node's lease, and the service's record was read
- *   after that lease was registered and showed no takeover;
+ * - the store renewed the lease;
  * - every replica answered in one round that it is not fenced, on a
  *   connection that was opened before the record was last read.
  *
  * A takeover first writes its intent into the record, then ends every
  * registered lease and fences a replica, then waits until what was proved
- * before has run out. The fence is lifted only when what the other replicas
+ * before has run out, or every node has registered anew: from then on that
+ * node needs a reading of the record, which shows the takeover. The fence is lifted only when what the other replicas
  * proved before the promotion has run out, too. All times count suspended
  * time.
  */
@@ -64,6 +66,9 @@
 /** Takes in that the record is unchanged up to a store revision. */
 void primary_lease_unchanged(primary_lease_t *service, int64_t revision);
 
+/** Forgets what replicas have proved. */
+void primary_lease_forget(primary_lease_t *service);
+
 /** Names the replicas; what was proved is kept if they are the same. */
 void primary_lease_replicas(primary_lease_t *service, const char *const *ids,
 			    uint32_t count);
--- a/src/coordination/primary_watch.h
+++ b/src/coordination/primary_watch.h
@@ -16,10 +16,10 @@
 } primary_watch_t;
 
 /** Silence after which the primary is asked. */
-#define PRIMARY_WATCH_SILENCE_MS 400u
+#define PRIMARY_WATCH_SILENCE_MS 300u
 
 /** Silence after which a primary that does not answer is lost. */
-#define PRIMARY_WATCH_LOST_MS 1100u
+#define PRIMARY_WATCH_LOST_MS 900u
 
 /** It sent something at @p heard_ms. */
 void primary_watch_heard(primary_watch_t *watch, uint64_t heard_ms);
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -10,7 +10,7 @@
 #define WAIT_MS (PRIMARY_LEASE_VALID_MS + PRIMARY_LEASE_VALID_MS / 20)
 
 /* Pause between two questions to the same server. */
-#define ASK_MS 60
+#define ASK_MS 80
 
 /* Longest wait for a replica to catch up with a primary that answers. */
 #define CATCH_UP_MS 1200
@@ -218,6 +218,13 @@
 	wait_for_proofs(takeover, now_ms);
 }
 
+void takeover_forgotten(takeover_t *takeover, uint64_t now_ms)
+{
+	if (takeover->phase == TAKEOVER_WAIT)
+		takeover->wait_until_ms = now_ms;
+	takeover_step(takeover, now_ms);
+}
+
 void takeover_fenced(takeover_t *takeover, const char *id,
 		     const takeover_status_t *status, uint64_t now_ms)
 {
@@ -295,12 +302,18 @@
 	return NULL;
 }
 
+/* A lost primary was asked while proofs ran out: it is not waited for. */
 static bool all_answered(const takeover_t *takeover)
 {
-	for (uint32_t i = 0; i < takeover->count; i++)
-		if (!takeover->servers[i].answered &&
-		    !takeover->servers[i].status.unreachable)
-			return false;
+	for (uint32_t i = 0; i < takeover->count; i++) {
+		const server_t *server = &takeover->servers[i];
+
+		if (server->answered || server->status.unreachable)
+			continue;
+		if (is_primary(takeover, server) && !takeover->planned)
+			continue;
+		return false;
+	}
 	return true;
 }
 
@@ -311,6 +324,13 @@
 	       old->status.term == takeover->term;
 }
 
+static void keep_primary(takeover_t *takeover, server_t *old, uint64_t now_ms)
+{
+	takeover->candidate = old;
+	takeover->new_term = takeover->term;
+	publish(takeover, now_ms);
+}
+
 static void choose(takeover_t *takeover, uint64_t now_ms)
 {
 	server_t *old = find(takeover, takeover->primary);
@@ -328,9 +348,7 @@
 		ask(takeover, &takeover->servers[i], now_ms);
 	if (old && leads_still(takeover, old) &&
 	    (!takeover->planned || (!best && waited_ms >= CATCH_UP_MS))) {
-		takeover->candidate = old;
-		takeover->new_term = takeover->term;
-		publish(takeover, now_ms);
+		keep_primary(takeover, old, now_ms);
 		return;
 	}
 	if (!best || (!all_answered(takeover) && waited_ms < COMPARE_MS))
@@ -357,6 +375,11 @@
 		choose(takeover, now_ms);
 		return;
 	}
+	if (takeover->phase == TAKEOVER_WAIT && !takeover->planned &&
+	    is_primary(takeover, server) && leads_still(takeover, server)) {
+		keep_primary(takeover, server, now_ms);
+		return;
+	}
 	if (takeover->phase != TAKEOVER_PROMOTE ||
 	    server != takeover->candidate || !status->answered)
 		return;
@@ -390,6 +413,9 @@
 	case TAKEOVER_WAIT:
 		if (now_ms >= takeover->wait_until_ms)
 			begin_choice(takeover, now_ms);
+		else if (find(takeover, takeover->primary))
+			ask(takeover, find(takeover, takeover->primary),
+			    now_ms);
 		return;
 	case TAKEOVER_CHOOSE:
 		choose(takeover, now_ms);
--- a/src/coordination/takeover.h
+++ b/src/coordination/takeover.h
@@ -14,7 +14,7 @@
  * 1. write the intent into the service's record,
  * 2. end every registered lease and fence the oldest replica that answers:
  *    a node that has not heard of it has too few others to prove anything,
- * 3. wait until all that was proved before has run out,
+ * 3. wait until all that was proved before has run out or is forgotten,
  * 4. choose the replica with the longest log; a primary that still answers
  *    is first caught up with, so that nothing is lost,
  * 5. check that the duty is still held, promote, and
@@ -98,6 +98,9 @@
 /** Every lease was ended. */
 void takeover_revoked(takeover_t *takeover, uint64_t now_ms);
 
+/** Every node whose lease was ended has forgotten what it had proved. */
+void takeover_forgotten(takeover_t *takeover, uint64_t now_ms);
+
 void takeover_status(takeover_t *takeover, const char *server,
 		     const takeover_status_t *status, uint64_t now_ms);
 void takeover_fenced(takeover_t *takeover, const char *server,
--- a/src/relay/relay_duty.c
+++ b/src/relay/relay_duty.c
@@ -204,7 +204,8 @@
 
 relay_duty_t *relay_duty_create(struct event_base *base, kv_store_t *store,
 				relay_services_t *services,
-				relay_promoter_t promoter, const char *node)
+				relay_promoter_t promoter, const char *node,
+				void (*takeover)(void *context), void *context)
 {
 	relay_duty_t *duty = g_new0(relay_duty_t, 1);
 	const struct timeval delay = clock_timeval(DUTY_REST_MS);
@@ -214,6 +215,8 @@
 	duty->services = services;
 	duty->promoter = promoter;
 	duty->node = g_strdup(node);
+	duty->takeover = takeover;
+	duty->context = context;
 	duty->random = g_rand_new_with_seed(g_str_hash(node));
 	duty->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      duty_service_free);
@@ -266,6 +269,10 @@
 	if (service)
 		relay_service_lead(service, record.term, record.primary,
 				   record.takeover_term, item->revision);
+	if (record.takeover_term > entry->seen_takeover) {
+		entry->seen_takeover = record.takeover_term;
+		duty->takeover(duty->context);
+	}
 	if (item->revision <= entry->revision)
 		return;
 	if (strcmp(entry->record.primary, record.primary))
--- a/src/relay/relay_duty.h
+++ b/src/relay/relay_duty.h
@@ -16,9 +16,11 @@
  */
 typedef struct relay_duty relay_duty_t;
 
+/** @param takeover called when a record tells of a new takeover */
 relay_duty_t *relay_duty_create(struct event_base *base, kv_store_t *store,
 				relay_services_t *services,
-				relay_promoter_t promoter, const char *node);
+				relay_promoter_t promoter, const char *node,
+				void (*takeover)(void *context), void *context);
 
 /** Must be called before the store is destroyed. */
 void relay_duty_destroy(relay_duty_t *duty);
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -19,6 +19,7 @@
 	takeover_t *takeover;
 	struct event *release; /**< lifts the fences */
 	GHashTable *statuses; /**< id -> relay_status_t, for a first record */
+	uint64_t seen_takeover; /**< highest term of one that was told */
 	uint64_t first_ms;    /**< since when a record is missing, or 0 */
 	uint64_t absent_ms;   /**< since when the primary has no entry, or 0 */
 	uint64_t round; /**< of takeovers; answers of others are dropped */
@@ -45,6 +46,8 @@
 	bool acquiring;
 	bool synced;
 	bool leaving;
+	void (*takeover)(void *context);
+	void *context;
 };
 
 #define DUTY_KEY RELAY_PRIMARIES_PREFIX "duty"
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -8,7 +8,7 @@
 #include "relay/relay_control.h"
 
 /* Longest wait for the answer of a primary that is watched. */
-#define ASK_TIMEOUT_MS 600
+#define ASK_TIMEOUT_MS 400
 
 /* Longest wait for any other operation at a server. */
 #define CONTROL_TIMEOUT_MS 500
--- a/src/relay/relay_duty_takeover.c
+++ b/src/relay/relay_duty_takeover.c
@@ -15,6 +15,10 @@
 /* Pause before leases that could not be ended are ended again. */
 #define REVOKE_AGAIN_MS 150
 
+/* Pause before it is looked whether all nodes have registered anew. */
+#define LOOK_AGAIN_MS 150
+#define LOOKS_MAX 4
+
 /* Wait before fences are lifted after a promotion. */
 #define RELEASE_MS (PRIMARY_LEASE_VALID_MS + PRIMARY_LEASE_VALID_MS / 10)
 
@@ -35,6 +39,7 @@
 	GPtrArray *keys;
 	uint32_t pending;
 	bool failed;
+	uint32_t looks;
 	struct event *timer;
 } revocation_t;
 
@@ -149,10 +154,65 @@
 		revoke(entry);
 }
 
+/* @return whether another lease of the key's node stands in the store */
+static bool has_newer(const GPtrArray *items, const char *key)
+{
+	const char *lease = strrchr(key, '/');
+	const size_t size = (size_t)(lease - key) + 1;
+
+	for (guint i = 0; i < items->len; i++) {
+		const kv_item_t *item = items->pdata[i];
+
+		if (!strncmp(item->key, key, size) && strcmp(item->key, key))
+			return true;
+	}
+	return false;
+}
+
+static bool all_newer(const revocation_t *revocation, const GPtrArray *items)
+{
+	for (guint i = 0; i < revocation->keys->len; i++)
+		if (!has_newer(items, revocation->keys->pdata[i]))
+			return false;
+	return true;
+}
+
+/* A node that registered anew has forgotten what it had proved. */
+static void on_looked(void *context, const kv_answer_t *answer)
+{
+	revocation_t *revocation = context;
+	duty_service_t *entry = revocation->action->entry;
+	const struct timeval look = clock_timeval(LOOK_AGAIN_MS);
+	const bool forgotten = answer->result == KV_OK && !answer->has_more &&
+			       all_newer(revocation, answer->items);
+
+	if (is_current(revocation->action) && !forgotten &&
+	    ++revocation->looks < LOOKS_MAX) {
+		event_add(revocation->timer, &look);
+		return;
+	}
+	if (is_current(revocation->action) && forgotten) {
+		log_step(entry, "proofs_forgotten", "all");
+		takeover_forgotten(entry->takeover, clock_boot_ms());
+	}
+	remove_keys(revocation);
+	revocation_free(revocation);
+}
+
+static void on_look_again(evutil_socket_t fd, short what, void *context)
+{
+	revocation_t *revocation = context;
+	kv_store_t *store = revocation->action->entry->duty->store;
+
+	store->calls->range(store->self, RELAY_LEASES_PREFIX, NULL, on_looked,
+			    revocation);
+}
+
 static void revocation_end(revocation_t *revocation)
 {
 	duty_service_t *entry = revocation->action->entry;
 	const struct timeval delay = clock_timeval(REVOKE_AGAIN_MS);
+	const struct timeval look = clock_timeval(LOOK_AGAIN_MS);
 	g_autofree char *count = g_strdup_printf("%u", revocation->keys->len);
 
 	if (revocation->failed) {
@@ -161,12 +221,15 @@
 		event_add(revocation->timer, &delay);
 		return;
 	}
-	if (is_current(revocation->action)) {
-		log_step(entry, "leases_ended", count);
-		remove_keys(revocation);
-		takeover_revoked(entry->takeover, clock_boot_ms());
+	if (!is_current(revocation->action)) {
+		revocation_free(revocation);
+		return;
 	}
-	revocation_free(revocation);
+	log_step(entry, "leases_ended", count);
+	takeover_revoked(entry->takeover, clock_boot_ms());
+	revocation->timer =
+		evtimer_new(entry->duty->base, on_look_again, revocation);
+	event_add(revocation->timer, &look);
 }
 
 static void on_lease_ended(void *context, const kv_answer_t *answer)
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -261,6 +261,14 @@
 	kv_follow_refresh(node->primaries);
 }
 
+static void on_takeover(void *context)
+{
+	relay_node_t *node = context;
+
+	if (node->registration)
+		relay_registration_renew(node->registration);
+}
+
 static kv_follow_t *
 follow(relay_node_t *node, const char *prefix, uint32_t pause_ms,
        void (*changed)(void *context, const kv_item_t *item),
@@ -320,7 +328,8 @@
 		.context = node,
 	});
 	node->duty = relay_duty_create(base, platform.store, node->services,
-				       platform.promoter, settings->node);
+				       platform.promoter, settings->node,
+				       on_takeover, node);
 	description = g_strdup_printf("%s %s:%u", settings->failure_domain,
 				      settings->gate.address,
 				      settings->gate.port);
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -171,7 +171,7 @@
 	} else if (answer->result == KV_ABSENT) {
 		log_event(LOG_LEVEL_NOTICE, "lease_ended", "lease=%" PRId64,
 			  lease->lease);
-		node_lease_lost(lease);
+		relay_services_forget(registration->services);
 		tick_after(registration, 0);
 	}
 }
@@ -254,7 +254,16 @@
 		return;
 	log_event(LOG_LEVEL_NOTICE, "registration_vanished", "lease=%" PRId64,
 		  registration->lease->lease);
-	node_lease_lost(registration->lease);
+	relay_services_forget(registration->services);
+	tick_after(registration, 0);
+}
+
+void relay_registration_renew(relay_registration_t *registration)
+{
+	if (registration->leaving || registration->opening ||
+	    !registration->lease->lease)
+		return;
+	relay_services_forget(registration->services);
 	tick_after(registration, 0);
 }
 
--- a/src/relay/relay_registration.h
+++ b/src/relay/relay_registration.h
@@ -38,6 +38,12 @@
 void relay_registration_repeat(relay_registration_t *registration,
 			       int64_t revision);
 
+/**
+ * A takeover is under way, which ends all leases: forgets what was proved
+ * and registers a new lease at once.
+ */
+void relay_registration_renew(relay_registration_t *registration);
+
 /** Ends the lease, so that others know at once; nothing is renewed after. */
 void relay_registration_leave(relay_registration_t *registration);
 
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -388,6 +388,17 @@
 	relay_services_wake(services);
 }
 
+void relay_services_forget(relay_services_t *services)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	node_lease_lost(&services->lease);
+	g_hash_table_iter_init(&iter, services->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		primary_lease_forget(&((relay_service_t *)value)->lease);
+}
+
 static void service_wake(relay_service_t *service)
 {
 	uint32_t count = service->parked.length;
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -87,6 +87,9 @@
 void relay_services_unchanged(relay_services_t *services, int64_t revision,
 			      uint64_t asked_ms);
 
+/** Forgets everything that proves who leads. */
+void relay_services_forget(relay_services_t *services);
+
 /** Wakes all that wait for a primary, if one may be used now. */
 void relay_services_wake(relay_services_t *services);
 
