--- a/Makefile
+++ b/Makefile
@@ -100,10 +100,11 @@
 	scripts/soak.sh $(SEED) $(ROUNDS)
 
 format:
-	clang-format -i $(C_FILES)
+	@clang-format -i $(C_FILES)
 
 format-check:
-	clang-format --dry-run -Werror $(C_FILES)
+	@clang-format --dry-run -Werror $(C_FILES)
+	@scripts/check_names.sh
 
 lint: $(LINT_STAMPS)
 
@@ -147,6 +148,8 @@
 	$(BUILD)/tests/standin/backend/engine.o \
 	$(BUILD)/tests/standin/backend/journal.o
 $(BUILD)/tests/unit/test_standin_kv: $(BUILD)/tests/standin/platform/kv.o
+$(BUILD)/tests/unit/test_platform_codec: $(PLATFORM_OBJ)
+$(BUILD)/tests/unit/test_platform_documents: $(PLATFORM_OBJ)
 $(BUILD)/tests/e2e/test_group: $(BUILD)/tests/e2e/fleet.o
 
 .SECONDEXPANSION:
--- a/src/coordination/connection_share.c
+++ b/src/coordination/connection_share.c
@@ -20,7 +20,7 @@
 {
 	const uint32_t kept = ask->limit / KEPT_DIVISOR / nodes_of(ask);
 
-	return CLAMP(kept, 1, KEPT_MAX);
+	return MIN(kept, KEPT_MAX);
 }
 
 uint32_t connection_most(const connection_share_ask_t *ask)
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -17,9 +17,9 @@
  * A takeover first writes its intent into the record, then ends every
  * registered lease and fences a replica, then waits until what was proved
  * before has run out, or every node has registered anew: from then on that
- * node needs a reading of the record, which shows the takeover. The fence is lifted only when what the other replicas
- * proved before the promotion has run out, too. All times count suspended
- * time.
+ * node needs a reading of the record, which shows the takeover. The fence is
+ * lifted only when what the other replicas proved before the promotion has run
+ * out, too. All times count suspended time.
  */
 
 /** How long one proof is good. */
--- a/src/protocol/command.c
+++ b/src/protocol/command.c
@@ -9,8 +9,9 @@
 const char *command_kind_name(command_kind_t kind)
 {
 	static const char *const names[] = {
-		"begin", "begin_read", "commit",  "rollback", "read", "write",
-		"set",	 "prepare",    "execute", "close",    "reset", "invalid"};
+		"begin",   "begin_read", "commit", "rollback",
+		"read",	   "write",	 "set",	   "prepare",
+		"execute", "close",	 "reset",  "invalid"};
 
 	return names[kind];
 }
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -26,10 +26,10 @@
 /** One statement, split into what session and routing need of it. */
 typedef struct {
 	command_kind_t kind;
-	char *name;  /**< of the variable or prepared statement, or NULL */
-	char *value; /**< variable's value, definition, or arguments */
-	bool writes; /**< COMMAND_PREPARE: the prepared statement writes */
-	const char *text;  /**< the statement itself, within what was parsed */
+	char *name;	  /**< of the variable or prepared statement, or NULL */
+	char *value;	  /**< variable's value, definition, or arguments */
+	bool writes;	  /**< COMMAND_PREPARE: the prepared statement writes */
+	const char *text; /**< the statement itself, within what was parsed */
 	log_point_t after; /**< point that the server must have, or zero */
 } command_t;
 
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -94,8 +94,7 @@
 static void fail_step(relay_attempt_t *attempt, const relay_answer_t *answer)
 {
 	attempt->dirty = true;
-	end(attempt,
-	    attempt->sent ? RELAY_ATTEMPT_LOST : RELAY_ATTEMPT_NOT_RUN,
+	end(attempt, attempt->sent ? RELAY_ATTEMPT_LOST : RELAY_ATTEMPT_NOT_RUN,
 	    answer->broken || attempt->sent ? NULL : answer);
 }
 
--- a/src/relay/relay_control.c
+++ b/src/relay/relay_control.c
@@ -62,8 +62,8 @@
 	if (answer->failed && lent)
 		end(control, RELAY_CONTROL_UNREACHABLE);
 	else if (answer->failed || !answer->row ||
-	    !settings_of(control)->codec->parse_status(answer->row,
-						       &control->answer.status))
+		 !settings_of(control)->codec->parse_status(
+			 answer->row, &control->answer.status))
 		end(control, RELAY_CONTROL_BUSY);
 	else
 		end(control, RELAY_CONTROL_DONE);
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -17,12 +17,12 @@
 	bool asking;	   /**< the primary is being asked */
 	uint64_t asked_ms; /**< when it was asked last */
 	takeover_t *takeover;
-	struct event *release; /**< lifts the fences */
-	GHashTable *statuses; /**< id -> relay_status_t, for a first record */
+	struct event *release;	/**< lifts the fences */
+	GHashTable *statuses;	/**< id -> relay_status_t, for a first record */
 	uint64_t seen_takeover; /**< highest term of one that was told */
-	uint64_t first_ms;    /**< since when a record is missing, or 0 */
-	uint64_t absent_ms;   /**< since when the primary has no entry, or 0 */
-	uint64_t round; /**< of takeovers; answers of others are dropped */
+	uint64_t first_ms;	/**< since when a record is missing, or 0 */
+	uint64_t absent_ms; /**< since when the primary has no entry, or 0 */
+	uint64_t round;	    /**< of takeovers; answers of others are dropped */
 	bool writing_first;
 } duty_service_t;
 
@@ -33,7 +33,7 @@
 	relay_promoter_t promoter;
 	char *node;
 	struct event *timer;
-	GHashTable *entries;	/**< service name -> duty_service_t */
+	GHashTable *entries; /**< service name -> duty_service_t */
 	GRand *random;
 	int64_t lease;	       /**< of the duty, 0 for none */
 	int64_t held_revision; /**< of the duty's key while held, else 0 */
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -6,10 +6,14 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "relay/relay_control.h"
+#include "transport/port_probe.h"
 
 /* Longest wait for the answer of a primary that is watched. */
 #define ASK_TIMEOUT_MS 400
 
+/* Longest wait until the primary's machine takes a connection. */
+#define PROBE_TIMEOUT_MS 350
+
 /* Longest wait for any other operation at a server. */
 #define CONTROL_TIMEOUT_MS 500
 
@@ -76,37 +80,71 @@
 		       entry->record.primary, planned, known, count, now_ms);
 }
 
-static void on_primary_asked(void *context,
-			     const relay_control_answer_t *answer)
+/* Two questions to the primary: one to its port, one to itself. */
+typedef struct {
+	duty_service_t *entry;
+	char *server;
+	uint32_t pending;
+	bool alive;
+	bool refused;
+} look_t;
+
+static void look_end(look_t *look)
 {
-	ask_t *ask = context;
-	duty_service_t *entry = ask->entry;
+	duty_service_t *entry = look->entry;
 	const uint64_t now_ms = clock_boot_ms();
 
+	if (--look->pending)
+		return;
 	entry->asking = false;
-	if (!strcmp(ask->server, entry->record.primary)) {
-		if (answer->result == RELAY_CONTROL_DONE ||
-		    answer->result == RELAY_CONTROL_BUSY)
-			primary_watch_heard(&entry->watch, now_ms);
-		else
-			primary_watch_failed(&entry->watch,
-					     answer->result ==
-						     RELAY_CONTROL_UNREACHABLE,
-					     now_ms);
-	}
-	ask_free(ask);
+	if (strcmp(look->server, entry->record.primary))
+		log_event(LOG_LEVEL_INFO, "primary_look_outdated",
+			  "service=%s server=%s", entry->name, look->server);
+	else if (look->alive)
+		primary_watch_heard(&entry->watch, now_ms);
+	else
+		primary_watch_failed(&entry->watch, look->refused, now_ms);
+	g_free(look->server);
+	g_free(look);
 }
 
-static void ask_primary(duty_service_t *entry, uint64_t now_ms)
+static void on_probed(void *context, bool connected)
 {
+	look_t *look = context;
+
+	look->alive |= connected;
+	look_end(look);
+}
+
+static void on_primary_asked(void *context,
+			     const relay_control_answer_t *answer)
+{
+	look_t *look = context;
+
+	look->alive |= answer->result == RELAY_CONTROL_DONE ||
+		       answer->result == RELAY_CONTROL_BUSY;
+	look->refused = answer->result == RELAY_CONTROL_UNREACHABLE;
+	look_end(look);
+}
+
+static void ask_primary(duty_service_t *entry, const relay_server_t *primary)
+{
+	const backend_entry_t *server = relay_server_entry(primary);
+	const endpoint_t endpoint = {.address = server->address,
+				     .port = server->port};
+	look_t *look;
+
 	if (entry->asking)
 		return;
 	entry->asking = true;
-	entry->asked_ms = now_ms;
-	relay_control_ask(service_of(entry), entry->record.primary,
-			  RELAY_CONTROL_STATUS, 0, ASK_TIMEOUT_MS,
-			  on_primary_asked,
-			  ask_new(entry, entry->record.primary));
+	look = g_new0(look_t, 1);
+	look->entry = entry;
+	look->server = g_strdup(server->id);
+	look->pending = 2;
+	port_probe_start(entry->duty->base, &endpoint, PROBE_TIMEOUT_MS,
+			 on_probed, look);
+	relay_control_ask(service_of(entry), server->id, RELAY_CONTROL_STATUS,
+			  0, ASK_TIMEOUT_MS, on_primary_asked, look);
 }
 
 static void on_first_written(void *context, const kv_answer_t *answer)
@@ -261,5 +299,5 @@
 	if (primary_watch_is_lost(&entry->watch, now_ms))
 		duty_takeover_start(entry, false, "lost");
 	else if (primary_watch_must_ask(&entry->watch, now_ms))
-		ask_primary(entry, now_ms);
+		ask_primary(entry, primary);
 }
--- a/src/relay/relay_gate.c
+++ b/src/relay/relay_gate.c
@@ -51,7 +51,7 @@
 	bool closing;
 } gate_session_t;
 
-G_DEFINE_QUARK(relay-gate-error-quark, relay_gate_error)
+G_DEFINE_QUARK(relay - gate - error - quark, relay_gate_error)
 
 static void process(gate_session_t *session);
 
@@ -190,8 +190,8 @@
 	};
 
 	if (command->kind == COMMAND_EXECUTE) {
-		ask.definition = g_hash_table_lookup(session->prepared,
-						     command->name);
+		ask.definition =
+			g_hash_table_lookup(session->prepared, command->name);
 		ask.arguments = command->value;
 	}
 	session->server = server;
@@ -240,8 +240,8 @@
 {
 	const uint64_t now_ms = clock_boot_ms();
 	const struct timeval wait = clock_timeval(WAIT_MS);
-	relay_server_t *server = relay_service_server(session->service,
-						      session->server_id);
+	relay_server_t *server =
+		relay_service_server(session->service, session->server_id);
 
 	session->waiter = (relay_waiter_t){
 		.entry = {.target_ms = now_ms + WAIT_MS,
@@ -291,8 +291,7 @@
 		answer_complete(session);
 		break;
 	case COMMAND_PREPARE:
-		g_hash_table_replace(session->prepared,
-				     g_strdup(command->name),
+		g_hash_table_replace(session->prepared, g_strdup(command->name),
 				     g_strdup(command->value));
 		answer_complete(session);
 		break;
@@ -387,8 +386,7 @@
 		      struct sockaddr *address, int size, void *context)
 {
 	relay_gate_t *gate = context;
-	struct event_base *base =
-		relay_services_settings(gate->services)->base;
+	struct event_base *base = relay_services_settings(gate->services)->base;
 	gate_session_t *session = g_new0(gate_session_t, 1);
 
 	socket_options_set(fd, SILENCE_S);
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -64,7 +64,7 @@
 	uint32_t tries;
 	uint64_t ran_ms; /* when the last try got its connection */
 	char server[64]; /* of the last try */
-	uint64_t term; /* of the primary that was asked, 0 for a replica */
+	uint64_t term;	 /* of the primary that was asked, 0 for a replica */
 	log_point_t after;
 	const relay_server_t *tried[TRIED_MAX]; /* compared, never used */
 	uint32_t tried_count;
@@ -150,14 +150,15 @@
 	log_event(LOG_LEVEL_INFO,
 		  result->failed ? "statement_failed" : "statement_done",
 		  "id=%s service=%s kind=%s outcome=%s server=%s tries=%u "
-		  "queued_ms=%" PRIu64 " delay_ms=%" PRIu64 " term=%" PRIu64 " after=%" PRIu64
-		  ".%" PRIu64 " point=%" PRIu64 ".%" PRIu64,
+		  "queued_ms=%" PRIu64 " delay_ms=%" PRIu64 " term=%" PRIu64
+		  " after=%" PRIu64 ".%" PRIu64 " point=%" PRIu64 ".%" PRIu64,
 		  job->ask.id, relay_service_name(job->service),
 		  command_kind_name(job->ask.kind),
 		  result->failed ? relay_error_name(result->error) : "done",
 		  job->server, job->tries,
-		  job->ran_ms ? job->ran_ms - job->ask.received_ms : 0, now_ms - job->ask.received_ms, job->term,
-		  job->after.term, job->after.position, result->point.term,
+		  job->ran_ms ? job->ran_ms - job->ask.received_ms : 0,
+		  now_ms - job->ask.received_ms, job->term, job->after.term,
+		  job->after.position, result->point.term,
 		  result->point.position);
 }
 
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -208,9 +208,9 @@
 {
 	relay_link_t *link = g_new0(relay_link_t, 1);
 	const struct timeval timeout = clock_timeval(OPEN_TIMEOUT_MS);
-	struct sockaddr_in address = {.sin_family = AF_INET,
-				      .sin_port = htons(via ? via->port :
-							      entry->port)};
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(via ? via->port : entry->port)};
 
 	inet_pton(AF_INET, via ? via->address : entry->address,
 		  &address.sin_addr);
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -51,7 +51,7 @@
 	kv_follow_t *primaries;
 	catalog_t *catalog;
 	GHashTable *node_values; /* key -> what the node wrote there */
-	GHashTable *lapsing;	  /* server id -> struct event */
+	GHashTable *lapsing;	 /* server id -> struct event */
 	bool backends_synced;
 	struct event *drain_timer;
 	uint64_t drain_ms; /* when it began, 0 before */
@@ -197,8 +197,8 @@
 	const char *space = strchr(value, ' ');
 	relay_peer_t *peer = g_new0(relay_peer_t, 1);
 
-	if (!space || !endpoint_parse(space + 1, &peer->gate.address,
-				      &peer->gate.port)) {
+	if (!space ||
+	    !endpoint_parse(space + 1, &peer->gate.address, &peer->gate.port)) {
 		log_event(LOG_LEVEL_WARNING, "peer_invalid",
 			  "key=%s value=\"%s\"", key, value);
 		g_free(peer);
@@ -330,9 +330,9 @@
 	node->duty = relay_duty_create(base, platform.store, node->services,
 				       platform.promoter, settings->node,
 				       on_takeover, node);
-	description = g_strdup_printf("%s %s:%u", settings->failure_domain,
-				      settings->gate.address,
-				      settings->gate.port);
+	description =
+		g_strdup_printf("%s %s:%u", settings->failure_domain,
+				settings->gate.address, settings->gate.port);
 	node->registration = relay_registration_create(
 		base, platform.store, node->services, settings->node,
 		description, read_primaries, node);
--- a/src/relay/relay_proof.c
+++ b/src/relay/relay_proof.c
@@ -105,7 +105,8 @@
 
 		if (relay_server_entry(server)->draining)
 			continue;
-		relay_server_keep_open(server);
+		if (relay_server_share(server))
+			relay_server_keep_open(server);
 		younger |= oldest_ms != UINT64_MAX &&
 			   oldest_ms >= relay_service_verified_ms(service);
 	}
@@ -129,7 +130,8 @@
 	const bool by_replicas = now_ms + PROOF_LEFT_MS > node->valid_until_ms;
 	const struct timeval delay = clock_timeval(PROOF_STEP_MS);
 	g_autoptr(GPtrArray) names = relay_services_names(proof->services);
-	const bool due = by_replicas && now_ms >= proof->round_ms + PROOF_ASK_MS;
+	const bool due =
+		by_replicas && now_ms >= proof->round_ms + PROOF_ASK_MS;
 	bool younger = false;
 
 	if (due) {
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -38,9 +38,9 @@
 	uint32_t opening;
 	uint32_t share;
 	uint32_t most;
-	uint64_t full_until_ms; /* it refused connections at its limit */
+	uint64_t full_until_ms;	  /* it refused connections at its limit */
 	uint64_t borrow_until_ms; /* it could not be reached */
-	struct event *sweep;	/* closes what rests above the share */
+	struct event *sweep;	  /* closes what rests above the share */
 	wait_queue_t queue;
 	struct event *pump;
 	uint64_t reopen_at_ms;
@@ -169,7 +169,8 @@
 
 static uint32_t limit_now(const relay_server_t *server, uint64_t now_ms)
 {
-	return now_ms < server->full_until_ms ? server->share : server->most;
+	return now_ms < server->full_until_ms ? MAX(server->share, 1) :
+						server->most;
 }
 
 static bool has_urgent(const relay_server_t *server)
@@ -200,12 +201,11 @@
 	}
 	while (server->opening < MIN(OPENING_MAX, wanted) &&
 	       server->links->len < limit) {
-		g_ptr_array_add(server->links,
-				relay_link_open(server->host->base,
-						server->host->codec,
-						server->entry,
-						lender_of(server, now_ms),
-						handlers));
+		g_ptr_array_add(
+			server->links,
+			relay_link_open(server->host->base, server->host->codec,
+					server->entry,
+					lender_of(server, now_ms), handlers));
 		server->opening++;
 	}
 }
@@ -502,7 +502,7 @@
 
 static uint32_t capacity(const relay_server_t *server)
 {
-	return MAX(server->share, server->links->len - server->opening);
+	return MAX(MAX(server->share, 1), server->links->len - server->opening);
 }
 
 uint64_t relay_server_wait_ms(const relay_server_t *server)
@@ -529,6 +529,11 @@
 	return server->links->len - server->opening;
 }
 
+uint32_t relay_server_share(const relay_server_t *server)
+{
+	return server->share;
+}
+
 void relay_server_keep_open(relay_server_t *server)
 {
 	if (!server->links->len)
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -108,6 +108,9 @@
 /** @return connections that are open */
 uint32_t relay_server_open_count(const relay_server_t *server);
 
+/** @return connections that are kept at rest */
+uint32_t relay_server_share(const relay_server_t *server);
+
 /** Opens a connection if there is none, for questions that can't wait. */
 void relay_server_keep_open(relay_server_t *server);
 
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -25,7 +25,7 @@
 	relay_server_host_t host;
 	node_lease_t lease;
 	const catalog_t *catalog;
-	GPtrArray *nodes;     /* relay_peer_t, or NULL before any is known */
+	GPtrArray *nodes; /* relay_peer_t, or NULL before any is known */
 	uint32_t next_lender;
 	GHashTable *services; /* name -> relay_service_t */
 };
--- /dev/null
+++ b/tests/unit/test_platform_codec.c
@@ -0,0 +1,265 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "platform/line_codec.h"
+
+static struct evbuffer *buffer_of(const char *text)
+{
+	struct evbuffer *buffer = evbuffer_new();
+
+	evbuffer_add(buffer, text, strlen(text));
+	return buffer;
+}
+
+static relay_decoded_t decode(const char *text, relay_message_t *message)
+{
+	struct evbuffer *buffer = buffer_of(text);
+	g_autoptr(GError) error = NULL;
+	const relay_decoded_t decoded =
+		line_codec.decode(buffer, message, &error);
+
+	assert_true((decoded == RELAY_INVALID) == (error != NULL));
+	evbuffer_free(buffer);
+	return decoded;
+}
+
+static char *encoded(struct evbuffer *buffer)
+{
+	const size_t size = evbuffer_get_length(buffer);
+	char *text = g_malloc0(size + 1);
+
+	evbuffer_remove(buffer, text, size);
+	evbuffer_free(buffer);
+	return text;
+}
+
+static void test_callers_messages(void **state)
+{
+	g_auto(relay_message_t) message = {0};
+
+	assert_int_equal(decode("STARTUP lepu270 u3f1\r\n", &message),
+			 RELAY_DECODED);
+	assert_int_equal(message.kind, RELAY_MESSAGE_STARTUP);
+	assert_string_equal(message.text, "lepu270");
+	assert_null(message.id);
+	relay_message_clear(&message);
+	assert_int_equal(decode("QUERY 5c0e WRITE 1a4 a b  c\r\n", &message),
+			 RELAY_DECODED);
+	assert_string_equal(message.id, "5c0e");
+	assert_string_equal(message.text, "WRITE 1a4 a b  c");
+	relay_message_clear(&message);
+	assert_int_equal(decode("TERMINATE\r\n", &message), RELAY_DECODED);
+	assert_int_equal(message.kind, RELAY_MESSAGE_TERMINATE);
+}
+
+static void test_servers_messages(void **state)
+{
+	g_auto(relay_message_t) message = {0};
+
+	assert_int_equal(decode("READY I 3.1209\r\n", &message), RELAY_DECODED);
+	assert_int_equal(message.status, 'I');
+	assert_int_equal(message.point.term, 3);
+	assert_int_equal(message.point.position, 1209);
+	relay_message_clear(&message);
+	assert_int_equal(decode("ERROR READONLY i-7f\r\n", &message),
+			 RELAY_DECODED);
+	assert_int_equal(message.error, RELAY_ERROR_READ_ONLY);
+	assert_string_equal(message.encoded, "ERROR READONLY i-7f\r\n");
+	relay_message_clear(&message);
+	assert_int_equal(decode("ERROR NEWWORD x\r\n", &message),
+			 RELAY_DECODED);
+	assert_int_equal(message.error, RELAY_ERROR_OTHER);
+}
+
+static void test_parts_wait_for_the_rest(void **state)
+{
+	static const char whole[] = "READY T 3.1209\r\n";
+
+	for (size_t size = 0; size < sizeof(whole) - 1; size++) {
+		g_auto(relay_message_t) message = {0};
+		g_autofree char *part = g_strndup(whole, size);
+
+		assert_int_equal(decode(part, &message), RELAY_INCOMPLETE);
+	}
+}
+
+static void test_invalid_messages(void **state)
+{
+	static const char *const lines[] = {
+		"\r\n",		 "READY\r\n",	       "READY X 3.1\r\n",
+		"READY I 3\r\n", "READY I 3.x\r\n",    "READY I -1.2\r\n",
+		"QUERY\r\n",	 "QUERY 5c0e\r\n",     "STARTUP\r\n",
+		"ERROR\r\n",	 "GET / HTTP/1.1\r\n", "READYI 3.1\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		g_auto(relay_message_t) message = {0};
+
+		assert_int_equal(decode(lines[i], &message), RELAY_INVALID);
+	}
+}
+
+static void test_largest_message(void **state)
+{
+	g_autofree char *data = g_strnfill(RELAY_MESSAGE_SIZE_BYTES_MAX, 'x');
+	g_autofree char *line =
+		g_strdup_printf("QUERY 1 WRITE a %.*s\r\n",
+				(int)RELAY_MESSAGE_SIZE_BYTES_MAX - 64, data);
+	g_autofree char *endless = g_strconcat(data, data, NULL);
+	g_auto(relay_message_t) message = {0};
+
+	assert_int_equal(decode(line, &message), RELAY_DECODED);
+	relay_message_clear(&message);
+	assert_int_equal(decode(endless, &message), RELAY_INVALID);
+}
+
+/* Whatever bytes come, decoding ends and takes them from the buffer. */
+static void test_mutated_bytes(void **state)
+{
+	static const char *const seeds[] = {
+		"QUERY 5c0e AFTER 3.1207 READ 1a4\r\n",
+		"DATAROW replica 3 3.1209 0 12 2 17\r\n", "READY I 3.1209\r\n",
+		"ERROR BUSY slots\r\n",
+		"STARTUP huvo11a tenant i-7f3a91c2\r\n"};
+	g_autoptr(GRand) random = g_rand_new_with_seed(20261204);
+
+	for (uint32_t round = 0; round < 20000; round++) {
+		const char *seed = seeds[round % G_N_ELEMENTS(seeds)];
+		g_autofree char *text = g_strdup(seed);
+		const gint32 size = (gint32)strlen(text) - 2;
+		g_auto(relay_message_t) message = {0};
+		g_auto(command_t) command = {0};
+		relay_status_t status;
+
+		for (uint32_t i = 0; i < 1 + round % 3; i++)
+			text[g_rand_int_range(random, 0, size)] =
+				(char)g_rand_int_range(random, 1, 256);
+		if (decode(text, &message) != RELAY_DECODED || !message.text)
+			continue;
+		line_codec.parse(message.text, &command);
+		line_codec.parse_status(message.text, &status);
+	}
+}
+
+static void test_statements(void **state)
+{
+	static const struct {
+		const char *text;
+		command_kind_t kind;
+		const char *name;
+		const char *value;
+	} cases[] = {
+		{"BEGIN", COMMAND_BEGIN, NULL, NULL},
+		{"BEGIN READ", COMMAND_BEGIN_READ, NULL, NULL},
+		{"BEGIN NOW", COMMAND_INVALID, NULL, NULL},
+		{"COMMIT", COMMAND_COMMIT, NULL, NULL},
+		{"ROLLBACK", COMMAND_ROLLBACK, NULL, NULL},
+		{"READ 1a4", COMMAND_READ, "1a4", ""},
+		{"READ", COMMAND_INVALID, NULL, NULL},
+		{"WRITE 1a4 x y", COMMAND_WRITE, "1a4", "x y"},
+		{"WRITE 1a4", COMMAND_INVALID, "1a4", ""},
+		{"SET zone a b", COMMAND_SET, "zone", "a b"},
+		{"PREPARE s1 WRITE q2c", COMMAND_PREPARE, "s1", "WRITE q2c"},
+		{"PREPARE s1 DROP q2c", COMMAND_INVALID, "s1", "DROP q2c"},
+		{"EXECUTE s1 1a4 xk", COMMAND_EXECUTE, "s1", "1a4 xk"},
+		{"CLOSE s1", COMMAND_CLOSE, "s1", ""},
+		{"RESET", COMMAND_RESET, NULL, NULL},
+		{"STATUS", COMMAND_INVALID, NULL, NULL},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_auto(command_t) command = {0};
+
+		line_codec.parse(cases[i].text, &command);
+		assert_int_equal(command.kind, cases[i].kind);
+		assert_int_equal(g_strcmp0(command.name, cases[i].name), 0);
+		if (cases[i].value)
+			assert_string_equal(command.value, cases[i].value);
+		assert_int_equal(command.after.term, 0);
+	}
+}
+
+static void test_point_in_front_of_a_statement(void **state)
+{
+	g_auto(command_t) command = {0};
+
+	line_codec.parse("AFTER 3.1207 READ 1a4", &command);
+	assert_int_equal(command.kind, COMMAND_READ);
+	assert_string_equal(command.text, "READ 1a4");
+	assert_int_equal(command.after.position, 1207);
+	command_clear(&command);
+	line_codec.parse("AFTER x READ 1a4", &command);
+	assert_int_equal(command.kind, COMMAND_INVALID);
+}
+
+static void test_encoding(void **state)
+{
+	struct evbuffer *out = evbuffer_new();
+	g_autofree char *text = NULL;
+
+	line_codec.put_startup(out, "svc", "i-1");
+	line_codec.put_query(out, "5c", (log_point_t){3, 7}, "READ a");
+	line_codec.put_query(out, NULL, (log_point_t){0}, "STATUS");
+	line_codec.put_complete(out);
+	line_codec.put_error(out, RELAY_ERROR_IN_DOUBT, "why");
+	line_codec.put_ready(out, 'T', (log_point_t){3, 8});
+	line_codec.put_ready(out, 'I', (log_point_t){0});
+	text = encoded(out);
+	assert_string_equal(text, "STARTUP svc toucanhook i-1\r\n"
+				  "QUERY 5c AFTER 3.7 READ a\r\n"
+				  "QUERY - STATUS\r\n"
+				  "COMPLETE -\r\n"
+				  "ERROR INDOUBT why\r\n"
+				  "READY T 3.8\r\n"
+				  "READY I -\r\n");
+}
+
+static void test_control(void **state)
+{
+	g_autofree char *fence =
+		line_codec.text_control(RELAY_CONTROL_FENCE, 4);
+	relay_status_t status;
+
+	assert_string_equal(fence, "PAUSE 4");
+	assert_true(
+		line_codec.parse_status("replica 3 3.1209 4 12 2 17", &status));
+	assert_int_equal(status.role, SERVER_REPLICA);
+	assert_int_equal(status.term, 3);
+	assert_int_equal(status.fence, 4);
+	assert_int_equal(status.received.position, 1209);
+	assert_false(line_codec.parse_status("replica 3 3.1209", &status));
+	assert_false(line_codec.parse_status("witness 3 3.1 0", &status));
+}
+
+static void test_promises(void **state)
+{
+	assert_true(relay_error_is_promise(RELAY_ERROR_OVERLOADED));
+	assert_true(relay_error_is_promise(RELAY_ERROR_ABORTED));
+	assert_true(relay_error_is_promise(RELAY_ERROR_CONNECTION_LIMIT));
+	assert_false(relay_error_is_promise(RELAY_ERROR_IN_DOUBT));
+	assert_false(relay_error_is_promise(RELAY_ERROR_TIMEOUT));
+	assert_false(relay_error_is_promise(RELAY_ERROR_FAILED));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_callers_messages),
+		cmocka_unit_test(test_servers_messages),
+		cmocka_unit_test(test_parts_wait_for_the_rest),
+		cmocka_unit_test(test_invalid_messages),
+		cmocka_unit_test(test_largest_message),
+		cmocka_unit_test(test_mutated_bytes),
+		cmocka_unit_test(test_statements),
+		cmocka_unit_test(test_point_in_front_of_a_statement),
+		cmocka_unit_test(test_encoding),
+		cmocka_unit_test(test_control),
+		cmocka_unit_test(test_promises),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_platform_documents.c
@@ -0,0 +1,249 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "platform/boot_settings.h"
+#include "platform/documents.h"
+#include "platform/kv_http.h"
+#include "state/primary_record.h"
+
+static const char config[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"database\":\"orders\","
+	"\"prefix\":\"/\",\"route_type\":\"read_your_writes\","
+	"\"timeout_ms\":1000,\"target_latency_ms\":900,\"priority\":2,"
+	"\"service\":\"svc\",\"max_staleness_ms\":2500}],"
+	"\"services\":[{\"name\":\"svc\",\"max_conns\":21,"
+	"\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3100}}";
+
+static const char entry[] =
+	"{\"service\":\"svc\",\"address\":\"10.1.2.3:8080\",\"zone\":\"z-a\","
+	"\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
+	"\"cold_remaining_ms\":0,\"db_role\":\"replica\",\"sequence\":4,"
+	"\"born\":1790000000123}";
+
+static catalog_t *catalog_of(const char *text, GError **error)
+{
+	g_autoptr(GBytes) bytes = g_bytes_new(text, strlen(text));
+
+	return documents_source.decode_catalog(bytes, error);
+}
+
+static backend_entry_t *backend_of(const char *text, GError **error)
+{
+	g_autoptr(GBytes) bytes = g_bytes_new(text, strlen(text));
+
+	return documents_source.decode_backend("servers/i-1", bytes, error);
+}
+
+static void test_catalog(void **state)
+{
+	g_autoptr(catalog_t) catalog = catalog_of(config, NULL);
+	const catalog_database_t *database;
+
+	assert_non_null(catalog);
+	database = catalog_database(catalog, "orders");
+	assert_non_null(database);
+	assert_int_equal(catalog->version, 7);
+	assert_int_equal(database->reads, READS_OWN_WRITES);
+	assert_int_equal(database->max_age_ms, 2500);
+	assert_int_equal(database->timeout_ms, 1000);
+	assert_int_equal(database->target_latency_ms, 900);
+	assert_int_equal(catalog->transaction_idle_ms, 3100);
+	assert_int_equal(catalog_service(catalog, "svc")->connections_max, 21);
+	assert_null(catalog_database(catalog, "other"));
+}
+
+static void test_backend(void **state)
+{
+	g_autoptr(backend_entry_t) backend = backend_of(entry, NULL);
+
+	assert_non_null(backend);
+	assert_string_equal(backend->id, "i-1");
+	assert_string_equal(backend->address, "10.1.2.3");
+	assert_int_equal(backend->port, 8080);
+	assert_int_equal(backend->slots, 3);
+	assert_false(backend->draining);
+	assert_false(backend->says_primary);
+	assert_true(backend->started_ms == 1790000000123);
+}
+
+static void test_junk_entries(void **state)
+{
+	static const char *const junk[] = {
+		"",
+		"null",
+		"[]",
+		"{}",
+		"\xff\xfe",
+		"{\"service\":4,\"address\":\"10.1.2.3:8080\"}",
+		"{\"service\":\"s\",\"address\":\"10.1.2.3\",\"zone\":\"z\","
+		"\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.1.2.3:99999\","
+		"\"zone\":\"z\",\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+		"\"state\":\"asleep\"}",
+		"{\"service\":\"s\",\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"born\":\"now\"}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(junk); i++) {
+		g_autoptr(GError) error = NULL;
+
+		assert_null(backend_of(junk[i], &error));
+		assert_non_null(error);
+	}
+}
+
+static void test_junk_catalogs(void **state)
+{
+	static const char *const junk[] = {
+		"{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+		"{\"version\":7,\"routes\":{},\"services\":[]}",
+		"{\"version\":7,\"routes\":[{}],\"services\":[]}",
+		"{\"version\":7,\"routes\":[{\"database\":\"d\",\"service\":"
+		"\"s\",\"route_type\":\"nearest\"}],\"services\":[]}",
+		"{\"version\":7,\"routes\":[],\"services\":[{\"name\":1}]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(junk); i++) {
+		g_autoptr(GError) error = NULL;
+
+		assert_null(catalog_of(junk[i], &error));
+		assert_non_null(error);
+	}
+}
+
+/* Changed bytes give an entry or an error, never both and never a crash. */
+static void test_mutated_documents(void **state)
+{
+	g_autoptr(GRand) random = g_rand_new_with_seed(20261204);
+
+	for (uint32_t round = 0; round < 20000; round++) {
+		const char *seed = round % 2 ? config : entry;
+		g_autofree char *text = g_strdup(seed);
+		const gint32 size = (gint32)strlen(text);
+		g_autoptr(GError) error = NULL;
+		g_autoptr(catalog_t) catalog = NULL;
+		g_autoptr(backend_entry_t) backend = NULL;
+
+		for (uint32_t i = 0; i < 1 + round % 4; i++)
+			text[g_rand_int_range(random, 0, size)] =
+				(char)g_rand_int_range(random, 1, 256);
+		if (round % 2)
+			catalog = catalog_of(text, &error);
+		else
+			backend = backend_of(text, &error);
+		assert_true((catalog || backend) != (error != NULL));
+	}
+}
+
+static bool answer_of(const char *body, kv_answer_t *answer)
+{
+	*answer = (kv_answer_t){0};
+	answer->items =
+		g_ptr_array_new_with_free_func((GDestroyNotify)kv_item_free);
+	return kv_http_decode((const uint8_t *)body, strlen(body), answer);
+}
+
+static void test_store_answers(void **state)
+{
+	kv_answer_t answer;
+	const kv_item_t *item;
+
+	assert_true(
+		answer_of("{\"items\":[{\"key\":\"a\",\"value\":\"bm9kZQ==\""
+			  ",\"revision\":412,\"created\":4,\"lease\":7},"
+			  "{\"key\":4}],\"has_more\":true,"
+			  "\"current_rev\":530}",
+			  &answer));
+	assert_int_equal(answer.items->len, 1);
+	item = answer.items->pdata[0];
+	assert_int_equal(g_bytes_get_size(item->value), 4);
+	assert_int_equal(item->revision, 412);
+	assert_true(answer.has_more);
+	assert_int_equal(answer.revision, 530);
+	g_ptr_array_unref(answer.items);
+	assert_true(answer_of("{\"events\":[{\"key\":\"a\",\"revision\":413,"
+			      "\"deleted\":true}],\"current_rev\":413}",
+			      &answer));
+	item = answer.items->pdata[0];
+	assert_true(item->deleted);
+	g_ptr_array_unref(answer.items);
+	assert_false(answer_of("{\"items\":[", &answer));
+	g_ptr_array_unref(answer.items);
+	assert_true(answer_of("{\"lease\":77,\"ttl_ms\":3000}", &answer));
+	assert_int_equal(answer.lease, 77);
+	g_ptr_array_unref(answer.items);
+}
+
+static void test_settings(void **state)
+{
+	static const char text[] =
+		"node_name=edge-akl-a-1\nzone=akl-a\nregion=akl\n"
+		"zones.akl-a=akl\nzones.wlg-a=wlg\nip=10.1.0.8\n"
+		"listen_addrs.front=10.1.0.8:8784\n"
+		"listen_addrs.ready_address=10.1.0.8:8785\n"
+		"internal_ports=7440,7455\nunknown.field=1\nnot a field\n"
+		"bounds.grace_s=6\nplatform.address=10.200.1.7:8783\n"
+		"cloud_api.address=10.200.0.160:8783\n";
+	g_autoptr(relay_settings_t) settings = boot_settings_parse(text, NULL);
+
+	assert_non_null(settings);
+	assert_string_equal(settings->node, "edge-akl-a-1");
+	assert_int_equal(settings->callers.port, 8784);
+	assert_int_equal(settings->metrics.port, 7440);
+	assert_int_equal(settings->gate.port, 7441);
+	assert_int_equal(settings->grace_ms, 6000);
+	assert_string_equal(g_hash_table_lookup(settings->regions, "wlg-a"),
+			    "wlg");
+}
+
+static void test_settings_say_what_is_wrong(void **state)
+{
+	g_autoptr(GError) error = NULL;
+	g_autoptr(GError) other = NULL;
+
+	assert_null(boot_settings_parse("node_name=a\n", &error));
+	assert_non_null(strstr(error->message, "zone"));
+	assert_null(boot_settings_parse("node_name=a\nzone=z\n"
+					"listen_addrs.front=here\n",
+					&other));
+	assert_non_null(strstr(other->message, "listen_addrs.front"));
+}
+
+static void test_primary_record(void **state)
+{
+	const primary_record_t record = {
+		.term = 4, .primary = "i-7f", .takeover_term = 5, .token = 812};
+	g_autofree char *text = primary_record_encode(&record);
+	g_autoptr(GBytes) bytes = g_bytes_new(text, strlen(text));
+	g_autoptr(GBytes) junk = g_bytes_new("{\"term\":-1}", 11);
+	primary_record_t decoded;
+
+	assert_true(primary_record_decode(bytes, &decoded));
+	assert_int_equal(decoded.term, 4);
+	assert_string_equal(decoded.primary, "i-7f");
+	assert_int_equal(decoded.takeover_term, 5);
+	assert_int_equal(decoded.token, 812);
+	assert_false(primary_record_decode(junk, &decoded));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_catalog),
+		cmocka_unit_test(test_backend),
+		cmocka_unit_test(test_junk_entries),
+		cmocka_unit_test(test_junk_catalogs),
+		cmocka_unit_test(test_mutated_documents),
+		cmocka_unit_test(test_store_answers),
+		cmocka_unit_test(test_settings),
+		cmocka_unit_test(test_settings_say_what_is_wrong),
+		cmocka_unit_test(test_primary_record),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_primary_lease.c
@@ -0,0 +1,188 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "coordination/primary_lease.h"
+
+static const char *const replicas[] = {"b", "c"};
+
+/* Term 1, led by a, read at revision 20 after a registration at 10. */
+static void set_up(primary_lease_t *service, node_lease_t *node)
+{
+	*service = (primary_lease_t){0};
+	*node = (node_lease_t){.lease = 7, .registered_at = 10};
+	primary_lease_record(service, 1, "a", false, 20);
+	primary_lease_replicas(service, replicas, 2);
+}
+
+static void test_store_proves_for_a_while(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	assert_false(primary_lease_valid(&service, &node, 5000));
+	node_lease_renewed(&node, 5000);
+	assert_true(primary_lease_valid(&service, &node, 5000));
+	assert_true(primary_lease_valid(&service, &node,
+					5000 + PRIMARY_LEASE_VALID_MS - 1));
+	assert_false(primary_lease_valid(&service, &node,
+					 5000 + PRIMARY_LEASE_VALID_MS));
+}
+
+static void test_late_renewal_shortens_nothing(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	node_lease_renewed(&node, 5000);
+	node_lease_renewed(&node, 4000);
+	assert_true(primary_lease_valid(&service, &node, 5500));
+}
+
+static void test_record_must_be_read_after_the_registration(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	node.registered_at = 30;
+	node_lease_renewed(&node, 5000);
+	assert_false(primary_lease_valid(&service, &node, 5000));
+	primary_lease_unchanged(&service, 30);
+	assert_true(primary_lease_valid(&service, &node, 5000));
+}
+
+static void test_takeover_ends_it_at_once(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	node_lease_renewed(&node, 5000);
+	primary_lease_record(&service, 1, "a", true, 21);
+	assert_false(primary_lease_valid(&service, &node, 5000));
+}
+
+static void test_older_records_change_nothing(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	primary_lease_record(&service, 2, "b", false, 25);
+	primary_lease_record(&service, 1, "a", false, 22);
+	primary_lease_record(&service, 1, "a", false, 26);
+	assert_string_equal(service.primary, "b");
+	assert_int_equal(service.term, 2);
+}
+
+static void test_all_replicas_prove_in_one_round(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	primary_lease_replica_answer(&service, "b", false, 1, 5000);
+	assert_false(primary_lease_valid(&service, &node, 5001));
+	primary_lease_replica_answer(&service, "c", false, 2, 5300);
+	assert_false(primary_lease_valid(&service, &node, 5301));
+	primary_lease_replica_answer(&service, "b", false, 2, 5290);
+	assert_true(primary_lease_valid(&service, &node, 5301));
+	assert_false(primary_lease_valid(&service, &node,
+					 5290 + PRIMARY_LEASE_VALID_MS));
+}
+
+/*
+ * The promoted replica answered just before the promotion, the fenced one
+ * just after its fence was lifted: together they prove nothing.
+ */
+static void test_answers_around_a_promotion_prove_nothing(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	primary_lease_replica_answer(&service, "b", true, 1, 5000);
+	primary_lease_replica_answer(&service, "c", false, 1, 5000);
+	primary_lease_replica_answer(&service, "c", false, 2, 5600);
+	primary_lease_replica_answer(&service, "b", false, 3, 5800);
+	assert_false(primary_lease_valid(&service, &node, 5801));
+}
+
+static void test_fenced_replica_ends_the_proof(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	primary_lease_replica_answer(&service, "b", false, 1, 5000);
+	primary_lease_replica_answer(&service, "c", false, 1, 5000);
+	primary_lease_replica_answer(&service, "b", true, 2, 5300);
+	assert_false(primary_lease_valid(&service, &node, 5301));
+}
+
+static void test_one_replica_proves_nothing(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	primary_lease_replicas(&service, replicas, 1);
+	primary_lease_replica_answer(&service, "b", false, 1, 5000);
+	assert_false(primary_lease_valid(&service, &node, 5001));
+}
+
+static void test_changed_replicas_start_anew(void **state)
+{
+	static const char *const others[] = {"b", "d"};
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	primary_lease_replica_answer(&service, "b", false, 1, 5000);
+	primary_lease_replicas(&service, others, 2);
+	primary_lease_replica_answer(&service, "d", false, 1, 5000);
+	assert_false(primary_lease_valid(&service, &node, 5001));
+}
+
+/* Answers under way when the node registers anew need a reading, too. */
+static void test_forgotten_proofs_need_a_new_reading(void **state)
+{
+	primary_lease_t service;
+	node_lease_t node;
+
+	set_up(&service, &node);
+	node_lease_lost(&node);
+	primary_lease_forget(&service);
+	primary_lease_replica_answer(&service, "b", false, 1, 5000);
+	primary_lease_replica_answer(&service, "c", false, 1, 5000);
+	assert_false(primary_lease_valid(&service, &node, 5001));
+	node.registered_at = 30;
+	assert_false(primary_lease_valid(&service, &node, 5001));
+	primary_lease_record(&service, 1, "a", true, 31);
+	assert_false(primary_lease_valid(&service, &node, 5001));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_store_proves_for_a_while),
+		cmocka_unit_test(test_late_renewal_shortens_nothing),
+		cmocka_unit_test(
+			test_record_must_be_read_after_the_registration),
+		cmocka_unit_test(test_takeover_ends_it_at_once),
+		cmocka_unit_test(test_older_records_change_nothing),
+		cmocka_unit_test(test_all_replicas_prove_in_one_round),
+		cmocka_unit_test(test_answers_around_a_promotion_prove_nothing),
+		cmocka_unit_test(test_fenced_replica_ends_the_proof),
+		cmocka_unit_test(test_one_replica_proves_nothing),
+		cmocka_unit_test(test_changed_replicas_start_anew),
+		cmocka_unit_test(test_forgotten_proofs_need_a_new_reading),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
