Add a stand-in of a site: store, promotions and groups of servers

It speaks the platform's published protocol, for end-to-end tests and the soak. Not used by a test yet. One type and one parser for IP:PORT.

--- a/Makefile
+++ b/Makefile
@@ -153,7 +153,7 @@
 $(BUILD)/tests/e2e/test_group: $(BUILD)/tests/e2e/fleet.o
 
 .SECONDEXPANSION:
-$(BUILD)/bin/standin-%: $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard tests/standin/$$*/*.c))) $(COMMON_OBJ) $(LIB)
+$(BUILD)/bin/standin-%: $$(addprefix $(BUILD)/,$$(subst .c,.o,$$(wildcard tests/standin/$$*/*.c))) $(COMMON_OBJ) $(PLATFORM_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) -o $@ $^ $(LDLIBS)
 
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -130,8 +130,6 @@
 static void ask_primary(duty_service_t *entry, const relay_server_t *primary)
 {
 	const backend_entry_t *server = relay_server_entry(primary);
-	const endpoint_t endpoint = {.address = server->address,
-				     .port = server->port};
 	look_t *look;
 
 	if (entry->asking)
@@ -141,7 +139,7 @@
 	look->entry = entry;
 	look->server = g_strdup(server->id);
 	look->pending = 2;
-	port_probe_start(entry->duty->base, &endpoint, PROBE_TIMEOUT_MS,
+	port_probe_start(entry->duty->base, &server->endpoint, PROBE_TIMEOUT_MS,
 			 on_probed, look);
 	relay_control_ask(service_of(entry), server->id, RELAY_CONTROL_STATUS,
 			  0, ASK_TIMEOUT_MS, on_primary_asked, look);
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -208,12 +208,11 @@
 {
 	relay_link_t *link = g_new0(relay_link_t, 1);
 	const struct timeval timeout = clock_timeval(OPEN_TIMEOUT_MS);
-	struct sockaddr_in address = {
-		.sin_family = AF_INET,
-		.sin_port = htons(via ? via->port : entry->port)};
+	const endpoint_t *endpoint = via ? via : &entry->endpoint;
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_port = htons(endpoint->port)};
 
-	inet_pton(AF_INET, via ? via->address : entry->address,
-		  &address.sin_addr);
+	inet_pton(AF_INET, endpoint->address, &address.sin_addr);
 	link->lent = via;
 	link->created_ms = clock_boot_ms();
 	link->codec = codec;
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -197,8 +197,7 @@
 	const char *space = strchr(value, ' ');
 	relay_peer_t *peer = g_new0(relay_peer_t, 1);
 
-	if (!space ||
-	    !endpoint_parse(space + 1, &peer->gate.address, &peer->gate.port)) {
+	if (!space || !endpoint_parse(space + 1, &peer->gate)) {
 		log_event(LOG_LEVEL_WARNING, "peer_invalid",
 			  "key=%s value=\"%s\"", key, value);
 		g_free(peer);
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -292,8 +292,9 @@
 
 static bool same_start(const backend_entry_t *a, const backend_entry_t *b)
 {
-	return a->started_ms == b->started_ms && a->port == b->port &&
-	       !strcmp(a->address, b->address);
+	return a->started_ms == b->started_ms &&
+	       a->endpoint.port == b->endpoint.port &&
+	       !strcmp(a->endpoint.address, b->endpoint.address);
 }
 
 static void retire(relay_service_t *service, relay_server_t *server)
@@ -322,8 +323,9 @@
 		retire(service, server);
 	log_event(LOG_LEVEL_NOTICE, "server_added",
 		  "service=%s server=%s address=%s:%u domain=%s primary=%d",
-		  service->name, entry->id, entry->address, entry->port,
-		  entry->failure_domain, entry->says_primary);
+		  service->name, entry->id, entry->endpoint.address,
+		  entry->endpoint.port, entry->failure_domain,
+		  entry->says_primary);
 	g_ptr_array_add(service->servers,
 			relay_server_create(&services->host, entry));
 	name_replicas(service);
--- a/src/state/backend_entry.h
+++ b/src/state/backend_entry.h
@@ -6,12 +6,13 @@
 
 #include <glib.h>
 
+#include "state/endpoint.h"
+
 /** A backend server as it registered itself. */
 typedef struct {
 	char *id;
 	char *service;
-	char *address; /**< IP number */
-	uint16_t port;
+	endpoint_t endpoint;
 	char *failure_domain;
 	uint32_t slots;	     /**< statements that it runs at once */
 	bool draining;	     /**< it leaves and takes no new work */
--- a/src/state/endpoint.c
+++ b/src/state/endpoint.c
@@ -5,7 +5,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 
-bool endpoint_parse(const char *text, char **address, uint16_t *port)
+bool endpoint_parse(const char *text, endpoint_t *endpoint)
 {
 	const char *colon = strrchr(text, ':');
 	g_autofree char *host = NULL;
@@ -20,7 +20,7 @@
 	if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &number,
 					NULL))
 		return false;
-	*address = g_steal_pointer(&host);
-	*port = (uint16_t)number;
+	endpoint->address = g_steal_pointer(&host);
+	endpoint->port = (uint16_t)number;
 	return true;
 }
--- a/src/state/endpoint.h
+++ b/src/state/endpoint.h
@@ -13,9 +13,9 @@
 /**
  * Splits "IP:PORT".
  *
- * @param address receives a copy; free with g_free()
+ * @param endpoint receives a copy of the address; free that with g_free()
  * @return false, with nothing set, when the text is anything else
  */
-bool endpoint_parse(const char *text, char **address, uint16_t *port);
+bool endpoint_parse(const char *text, endpoint_t *endpoint);
 
 #endif
--- a/tests/standin/common/http.c
+++ b/tests/standin/common/http.c
@@ -7,20 +7,6 @@
 
 #define BODY_SIZE_BYTES_MAX (4 * 1024 * 1024)
 
-bool endpoint_parse(const char *text, endpoint_t *endpoint)
-{
-	const char *colon = strrchr(text, ':');
-	uint64_t port = 0;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(endpoint->address) ||
-	    !g_ascii_string_to_unsigned(colon + 1, 10, 0, UINT16_MAX, &port,
-					NULL))
-		return false;
-	g_strlcpy(endpoint->address, text, (gsize)(colon - text) + 1);
-	endpoint->port = (uint16_t)port;
-	return true;
-}
-
 struct evhttp *http_listen(struct event_base *base, const char *address,
 			   uint16_t port)
 {
--- a/tests/standin/common/http.h
+++ b/tests/standin/common/http.h
@@ -8,14 +8,7 @@
 #include <glib.h>
 #include <jansson.h>
 
-/** An address and a port, as "127.0.0.1:5432" gives them. */
-typedef struct {
-	char address[46];
-	uint16_t port;
-} endpoint_t;
-
-/** Reads "ADDRESS:PORT". @return false when it is not one */
-bool endpoint_parse(const char *text, endpoint_t *endpoint);
+#include "state/endpoint.h"
 
 /** Serves HTTP. @return NULL when the port cannot be had */
 struct evhttp *http_listen(struct event_base *base, const char *address,
--- /dev/null
+++ b/tests/standin/site/database_session.c
@@ -0,0 +1,369 @@
+#include "standin/site/database_session.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "base/clock.h"
+#include "platform/line_codec.h"
+
+typedef struct {
+	database_t *server;
+	struct bufferevent *bev;
+	struct event *work;
+	bool started;
+	bool begun;
+	bool read_only;
+	bool failed;
+	GHashTable *values;
+	GHashTable *prepared; /* name -> definition */
+	GPtrArray *writes;    /* of the open transaction */
+	relay_message_t message;
+	command_t command;
+	bool busy;
+} session_t;
+
+static void process(session_t *session);
+
+static struct evbuffer *output_of(session_t *session)
+{
+	return bufferevent_get_output(session->bev);
+}
+
+static log_point_t end_of(const database_t *server)
+{
+	const commit_t *last;
+
+	if (!server->log->len)
+		return (log_point_t){1, 0};
+	last = server->log->pdata[server->log->len - 1];
+	return (log_point_t){last->term, last->number};
+}
+
+static void session_free(session_t *session)
+{
+	g_hash_table_remove(session->server->sessions, session);
+	relay_message_clear(&session->message);
+	command_clear(&session->command);
+	event_free(session->work);
+	bufferevent_free(session->bev);
+	g_hash_table_destroy(session->values);
+	g_hash_table_destroy(session->prepared);
+	g_ptr_array_unref(session->writes);
+	g_free(session);
+}
+
+void database_sessions_end(database_t *server)
+{
+	g_autoptr(GList) sessions = g_hash_table_get_keys(server->sessions);
+
+	for (GList *i = sessions; i; i = i->next)
+		session_free(i->data);
+}
+
+static bool is_lost(session_t *session)
+{
+	database_t *server = session->server;
+
+	return server->lose_percent &&
+	       (uint32_t)g_rand_int_range(server->group->random, 0, 100) <
+		       server->lose_percent;
+}
+
+static void ready(session_t *session)
+{
+	const char status = session->failed ? 'E' : session->begun ? 'T' : 'I';
+
+	line_codec.put_ready(output_of(session), status,
+			     end_of(session->server));
+	relay_message_clear(&session->message);
+	command_clear(&session->command);
+	session->busy = false;
+}
+
+static void done(session_t *session, const char *row)
+{
+	if (row)
+		evbuffer_add_printf(output_of(session), "DATAROW %s\r\n", row);
+	evbuffer_add_printf(output_of(session), "COMPLETE 1.%s\r\n",
+			    session->server->id);
+	ready(session);
+}
+
+static void fail(session_t *session, relay_error_t error)
+{
+	line_codec.put_error(output_of(session), error, session->server->id);
+	session->failed = session->begun;
+	ready(session);
+}
+
+static void end_transaction(session_t *session)
+{
+	session->begun = false;
+	session->failed = false;
+	session->read_only = false;
+	g_ptr_array_set_size(session->writes, 0);
+}
+
+static void count_twice(group_t *group, const database_t *server,
+			const char *data)
+{
+	for (guint i = 0; i < server->log->len; i++) {
+		const commit_t *commit = server->log->pdata[i];
+
+		for (guint j = 1; j < commit->writes->len; j += 2)
+			if (!strcmp(commit->writes->pdata[j], data))
+				group->twice++;
+	}
+}
+
+static void commit_writes(session_t *session)
+{
+	database_t *server = session->server;
+	commit_t *commit = g_new0(commit_t, 1);
+
+	commit->term = server->term;
+	commit->number = end_of(server).position + 1;
+	commit->serial = ++server->group->next_serial;
+	commit->writes = session->writes;
+	for (guint i = 1; i < commit->writes->len; i += 2)
+		count_twice(server->group, server, commit->writes->pdata[i]);
+	session->writes = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(server->group->commits, commit);
+	g_ptr_array_add(server->log, commit);
+}
+
+/* Splits "ITEM DATA" or takes an item alone. */
+static void read_or_write(session_t *session, bool writes,
+			  const char *arguments)
+{
+	g_auto(GStrv) parts = g_strsplit(arguments, " ", 2);
+	const char *data;
+
+	if (!writes) {
+		data = database_lookup(session->server, parts[0]);
+		done(session, data ? data : "-");
+		return;
+	}
+	if (!session->server->primary || session->read_only) {
+		fail(session, RELAY_ERROR_READ_ONLY);
+		return;
+	}
+	g_ptr_array_add(session->writes, g_strdup(parts[0]));
+	g_ptr_array_add(session->writes, g_strdup(parts[1] ? parts[1] : "-"));
+	if (!session->begun)
+		commit_writes(session);
+	if (!session->begun && is_lost(session)) {
+		session_free(session);
+		return;
+	}
+	done(session, NULL);
+}
+
+static void finish_commit(session_t *session)
+{
+	if (session->failed ||
+	    (session->writes->len && !session->server->primary)) {
+		end_transaction(session);
+		fail(session, session->failed ? RELAY_ERROR_ABORTED :
+						RELAY_ERROR_READ_ONLY);
+		return;
+	}
+	if (session->writes->len)
+		commit_writes(session);
+	end_transaction(session);
+	if (is_lost(session))
+		session_free(session);
+	else
+		done(session, NULL);
+}
+
+static void execute(session_t *session)
+{
+	const char *definition =
+		g_hash_table_lookup(session->prepared, session->command.name);
+
+	if (!definition)
+		fail(session, RELAY_ERROR_UNKNOWN_NAME);
+	else
+		read_or_write(session, g_str_has_prefix(definition, "WRITE"),
+			      session->command.value);
+}
+
+static void on_worked(evutil_socket_t fd, short what, void *context)
+{
+	session_t *session = context;
+	database_t *server = session->server;
+	const command_t *command = &session->command;
+	g_autofree char *write = NULL;
+
+	switch (command->kind) {
+	case COMMAND_READ:
+		read_or_write(session, false, command->name);
+		break;
+	case COMMAND_WRITE:
+		write = g_strdup_printf("%s %s", command->name, command->value);
+		read_or_write(session, true, write);
+		break;
+	case COMMAND_EXECUTE:
+		execute(session);
+		break;
+	default:
+		finish_commit(session);
+	}
+	/* The session may be gone. */
+	if (g_hash_table_contains(server->sessions, session))
+		process(session);
+}
+
+static void control(session_t *session, const char *text)
+{
+	database_t *server = session->server;
+	uint64_t term = 0;
+	const char *space = strchr(text, ' ');
+
+	if (space)
+		term = g_ascii_strtoull(space + 1, NULL, 10);
+	if (g_str_has_prefix(text, "PAUSE") && !server->primary &&
+	    term > server->term)
+		server->fence = term;
+	else if (g_str_has_prefix(text, "RESUME"))
+		server->fence = 0;
+	else if (g_str_has_prefix(text, "STEPDOWN") && term > server->term)
+		server->primary = false;
+	evbuffer_add_printf(output_of(session),
+			    "DATAROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64
+			    " %" PRIu64 " 0 0 1\r\nCOMPLETE -\r\n",
+			    server->primary ? "primary" : "replica",
+			    server->term, end_of(server).term,
+			    end_of(server).position, server->fence);
+	ready(session);
+}
+
+static void begin(session_t *session)
+{
+	session->read_only = session->command.kind == COMMAND_BEGIN_READ;
+	if (!session->read_only && !session->server->primary) {
+		fail(session, RELAY_ERROR_READ_ONLY);
+		return;
+	}
+	session->begun = true;
+	done(session, NULL);
+}
+
+static void work_later(session_t *session)
+{
+	const struct timeval delay =
+		clock_timeval(session->server->group->work_ms);
+
+	event_add(session->work, &delay);
+}
+
+static void run(session_t *session)
+{
+	command_t *command = &session->command;
+	const log_point_t end = end_of(session->server);
+
+	session->busy = true;
+	line_codec.parse(session->message.text, command);
+	if (command->after.term && !log_point_covers(end, command->after)) {
+		fail(session, RELAY_ERROR_BEHIND);
+		return;
+	}
+	switch (command->kind) {
+	case COMMAND_BEGIN:
+	case COMMAND_BEGIN_READ:
+		begin(session);
+		break;
+	case COMMAND_SET:
+		g_hash_table_replace(session->values, g_strdup(command->name),
+				     g_strdup(command->value));
+		done(session, NULL);
+		break;
+	case COMMAND_PREPARE:
+		g_hash_table_replace(session->prepared, g_strdup(command->name),
+				     g_strdup(command->value));
+		done(session, NULL);
+		break;
+	case COMMAND_RESET:
+		g_hash_table_remove_all(session->values);
+		g_hash_table_remove_all(session->prepared);
+		done(session, NULL);
+		break;
+	case COMMAND_ROLLBACK:
+		end_transaction(session);
+		done(session, NULL);
+		break;
+	case COMMAND_INVALID:
+		control(session, session->message.text);
+		break;
+	default:
+		work_later(session);
+	}
+}
+
+static void start(session_t *session)
+{
+	database_t *server = session->server;
+
+	session->started = true;
+	if (g_strcmp0(session->message.text, server->group->name) ||
+	    g_strcmp0(session->message.id, server->id))
+		line_codec.put_error(output_of(session),
+				     RELAY_ERROR_OTHER_SERVER, server->id);
+	else if (g_hash_table_size(server->sessions) >
+		 server->group->connections_max)
+		line_codec.put_error(output_of(session),
+				     RELAY_ERROR_CONNECTION_LIMIT, server->id);
+	else
+		ready(session);
+	relay_message_clear(&session->message);
+}
+
+static void process(session_t *session)
+{
+	struct evbuffer *input = bufferevent_get_input(session->bev);
+
+	if (clock_now_ms() < session->server->silent_until_ms)
+		return;
+	while (!session->busy) {
+		relay_message_clear(&session->message);
+		if (line_codec.decode(input, &session->message, NULL) !=
+		    RELAY_DECODED)
+			return;
+		if (!session->started)
+			start(session);
+		else if (session->message.kind == RELAY_MESSAGE_QUERY)
+			run(session);
+	}
+}
+
+static void on_read(struct bufferevent *bev, void *context)
+{
+	process(context);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *context)
+{
+	session_free(context);
+}
+
+void database_session_create(database_t *server, evutil_socket_t fd)
+{
+	session_t *session = g_new0(session_t, 1);
+
+	session->server = server;
+	session->values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	session->prepared =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	session->writes = g_ptr_array_new_with_free_func(g_free);
+	session->work = evtimer_new(server->group->base, on_worked, session);
+	session->bev = bufferevent_socket_new(server->group->base, fd,
+					      BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(session->bev, on_read, NULL, on_event, session);
+	bufferevent_enable(session->bev, EV_READ | EV_WRITE);
+	g_hash_table_add(server->sessions, session);
+}
--- /dev/null
+++ b/tests/standin/site/database_session.h
@@ -0,0 +1,12 @@
+#ifndef STANDIN_SITE_DATABASE_SESSION_H
+#define STANDIN_SITE_DATABASE_SESSION_H
+
+#include "standin/site/database.h"
+
+/** Serves one connection to a server. */
+void database_session_create(database_t *server, evutil_socket_t fd);
+
+/** Ends all connections of a server. */
+void database_sessions_end(database_t *server);
+
+#endif
--- /dev/null
+++ b/tests/standin/site/keys.c
@@ -0,0 +1,504 @@
+#include "standin/site/keys.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "standin/common/http.h"
+
+#define HTTP_CONFLICT 412
+#define HTTP_COMPACTED 410
+#define FIRST_REVISION 10
+#define SWEEP_MS 50
+
+typedef struct {
+	char *key;
+	char *value; /* base64 */
+	int64_t revision;
+	int64_t created;
+	int64_t lease;
+} item_t;
+
+typedef struct {
+	char *key;
+	char *value; /* NULL when removed */
+	int64_t revision;
+	int64_t lease;
+} change_t;
+
+typedef struct {
+	uint64_t ends_ms;
+	uint32_t ttl_ms;
+} lease_t;
+
+typedef struct {
+	keys_t *keys;
+	struct evhttp_request *request;
+	char *prefix;
+	int64_t after;
+	uint64_t until_ms;
+} watch_t;
+
+/* An answer that is sent later. */
+typedef struct {
+	struct evhttp_request *request;
+	int status;
+	json_t *body;
+	struct event *timer;
+} delayed_t;
+
+struct keys {
+	struct event_base *base;
+	GTree *items; /* key -> item_t */
+	GPtrArray *changes;
+	int64_t compacted; /* changes up to here are gone */
+	int64_t revision;
+	int64_t next_lease;
+	GHashTable *leases; /* id -> lease_t */
+	GPtrArray *watches;
+	struct event *sweep;
+	keys_faults_t faults;
+};
+
+static void item_free(gpointer data)
+{
+	item_t *item = data;
+
+	g_free(item->key);
+	g_free(item->value);
+	g_free(item);
+}
+
+static void change_free(gpointer data)
+{
+	change_t *change = data;
+
+	g_free(change->key);
+	g_free(change->value);
+	g_free(change);
+}
+
+static json_t *change_json(const change_t *change)
+{
+	if (!change->value)
+		return json_pack("{s:s,s:I,s:b}", "key", change->key,
+				 "revision", (json_int_t)change->revision,
+				 "deleted", 1);
+	return json_pack("{s:s,s:s,s:I,s:I}", "key", change->key, "value",
+			 change->value, "revision",
+			 (json_int_t)change->revision, "lease",
+			 (json_int_t)change->lease);
+}
+
+static json_t *item_json(const item_t *item)
+{
+	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "key", item->key, "value",
+			 item->value, "revision", (json_int_t)item->revision,
+			 "created", (json_int_t)item->created, "lease",
+			 (json_int_t)item->lease);
+}
+
+static void reply_now(struct evhttp_request *request, int status, json_t *body)
+{
+	g_autofree char *text =
+		body ? json_dumps(body, JSON_COMPACT) : g_strdup("{}");
+
+	http_reply_text(request, status, text);
+	json_decref(body);
+}
+
+static void on_delayed(evutil_socket_t fd, short what, void *context)
+{
+	delayed_t *delayed = context;
+
+	reply_now(delayed->request, delayed->status, delayed->body);
+	event_free(delayed->timer);
+	g_free(delayed);
+}
+
+static void reply(keys_t *keys, struct evhttp_request *request, int status,
+		  json_t *body)
+{
+	const struct timeval delay = clock_timeval(keys->faults.slow_ms);
+	delayed_t *delayed;
+
+	if (!keys->faults.slow_ms) {
+		reply_now(request, status, body);
+		return;
+	}
+	delayed = g_new0(delayed_t, 1);
+	delayed->request = request;
+	delayed->status = status;
+	delayed->body = body;
+	delayed->timer = evtimer_new(keys->base, on_delayed, delayed);
+	event_add(delayed->timer, &delay);
+}
+
+static void note_change(keys_t *keys, const char *key, const char *value,
+			int64_t lease)
+{
+	change_t *change = g_new0(change_t, 1);
+
+	change->key = g_strdup(key);
+	change->value = g_strdup(value);
+	change->revision = keys->revision;
+	change->lease = lease;
+	g_ptr_array_add(keys->changes, change);
+}
+
+static void set_item(keys_t *keys, const char *key, const char *value,
+		     int64_t lease)
+{
+	item_t *item = g_tree_lookup(keys->items, key);
+
+	if (!item) {
+		item = g_new0(item_t, 1);
+		item->key = g_strdup(key);
+		item->created = keys->revision;
+		g_tree_insert(keys->items, item->key, item);
+	}
+	g_free(item->value);
+	item->value = g_strdup(value);
+	item->revision = keys->revision;
+	item->lease = lease;
+	note_change(keys, key, value, lease);
+}
+
+static void drop_item(keys_t *keys, const char *key)
+{
+	if (!g_tree_lookup(keys->items, key))
+		return;
+	note_change(keys, key, NULL, 0);
+	g_tree_remove(keys->items, key);
+}
+
+static json_t *changes_after(keys_t *keys, const char *prefix, int64_t after)
+{
+	json_t *events = json_array();
+
+	for (guint i = 0; i < keys->changes->len; i++) {
+		const change_t *change = keys->changes->pdata[i];
+
+		if (change->revision > after &&
+		    g_str_has_prefix(change->key, prefix))
+			json_array_append_new(events, change_json(change));
+	}
+	return events;
+}
+
+static void watch_reply(watch_t *watch, json_t *events)
+{
+	keys_t *keys = watch->keys;
+
+	g_ptr_array_remove_fast(keys->watches, watch);
+	reply(keys, watch->request, HTTP_OK,
+	      json_pack("{s:o,s:I}", "events", events, "current_rev",
+			(json_int_t)keys->revision));
+	g_free(watch->prefix);
+	g_free(watch);
+}
+
+static void wake_watches(keys_t *keys)
+{
+	const uint64_t now_ms = clock_now_ms();
+
+	for (guint i = keys->watches->len; i > 0; i--) {
+		watch_t *watch = keys->watches->pdata[i - 1];
+		json_t *events =
+			changes_after(keys, watch->prefix, watch->after);
+
+		if (json_array_size(events) || now_ms >= watch->until_ms)
+			watch_reply(watch, events);
+		else
+			json_decref(events);
+	}
+}
+
+void keys_put(keys_t *keys, const char *key, const char *value)
+{
+	g_autofree char *encoded =
+		g_base64_encode((const guchar *)value, strlen(value));
+
+	keys->revision++;
+	set_item(keys, key, encoded, 0);
+	wake_watches(keys);
+}
+
+void keys_remove(keys_t *keys, const char *key)
+{
+	keys->revision++;
+	drop_item(keys, key);
+	wake_watches(keys);
+}
+
+void keys_compact(keys_t *keys)
+{
+	g_ptr_array_set_size(keys->changes, 0);
+	keys->compacted = keys->revision;
+}
+
+keys_faults_t *keys_faults(keys_t *keys)
+{
+	return &keys->faults;
+}
+
+typedef struct {
+	int64_t lease;
+	GPtrArray *keys;
+} lease_keys_t;
+
+static gboolean collect_leased(gpointer key, gpointer value, gpointer data)
+{
+	lease_keys_t *found = data;
+
+	if (((item_t *)value)->lease == found->lease)
+		g_ptr_array_add(found->keys, g_strdup(key));
+	return FALSE;
+}
+
+static void end_lease(keys_t *keys, int64_t lease)
+{
+	g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
+	lease_keys_t found = {.lease = lease, .keys = list};
+
+	g_hash_table_remove(keys->leases, &lease);
+	g_tree_foreach(keys->items, collect_leased, &found);
+	if (!list->len)
+		return;
+	keys->revision++;
+	for (guint i = 0; i < list->len; i++)
+		drop_item(keys, list->pdata[i]);
+}
+
+static void on_sweep(evutil_socket_t fd, short what, void *context)
+{
+	keys_t *keys = context;
+	g_autoptr(GArray) ended = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	GHashTableIter iter;
+	gpointer id;
+	gpointer lease;
+
+	g_hash_table_iter_init(&iter, keys->leases);
+	while (g_hash_table_iter_next(&iter, &id, &lease))
+		if (clock_now_ms() >= ((lease_t *)lease)->ends_ms)
+			g_array_append_val(ended, *(int64_t *)id);
+	for (guint i = 0; i < ended->len; i++)
+		end_lease(keys, g_array_index(ended, int64_t, i));
+	wake_watches(keys);
+}
+
+typedef struct {
+	const char *prefix;
+	json_t *items;
+} range_t;
+
+static gboolean collect_range(gpointer key, gpointer value, gpointer data)
+{
+	range_t *range = data;
+
+	if (g_str_has_prefix(key, range->prefix))
+		json_array_append_new(range->items, item_json(value));
+	return FALSE;
+}
+
+static void serve_range(keys_t *keys, struct evhttp_request *request)
+{
+	g_autofree char *prefix = http_argument(request, "prefix");
+	range_t range = {.prefix = prefix ? prefix : "", .items = json_array()};
+
+	g_tree_foreach(keys->items, collect_range, &range);
+	reply(keys, request, HTTP_OK,
+	      json_pack("{s:o,s:b,s:I}", "items", range.items, "has_more", 0,
+			"current_rev", (json_int_t)keys->revision));
+}
+
+static void serve_watch(keys_t *keys, struct evhttp_request *request)
+{
+	g_autofree char *prefix = http_argument(request, "prefix");
+	const int64_t after = http_number(request, "after", 0);
+	watch_t *watch;
+
+	if (after < keys->compacted) {
+		reply(keys, request, HTTP_COMPACTED, NULL);
+		return;
+	}
+	watch = g_new0(watch_t, 1);
+	watch->keys = keys;
+	watch->request = request;
+	watch->prefix = g_strdup(prefix ? prefix : "");
+	watch->after = after;
+	watch->until_ms =
+		clock_now_ms() + (uint64_t)http_number(request, "wait_ms", 0);
+	g_ptr_array_add(keys->watches, watch);
+	wake_watches(keys);
+}
+
+static bool conditions_hold(keys_t *keys, json_t *conditions)
+{
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(conditions, i, row)
+	{
+		const char *key =
+			json_string_value(json_object_get(row, "key"));
+		const item_t *item = g_tree_lookup(keys->items, key);
+		const int64_t wanted =
+			json_integer_value(json_object_get(row, "revision"));
+
+		if ((item ? item->revision : 0) != wanted)
+			return false;
+	}
+	return true;
+}
+
+static bool leases_run(keys_t *keys, json_t *puts)
+{
+	size_t i;
+	json_t *put;
+
+	json_array_foreach(puts, i, put)
+	{
+		const int64_t lease =
+			json_integer_value(json_object_get(put, "lease"));
+
+		if (lease && !g_hash_table_contains(keys->leases, &lease))
+			return false;
+	}
+	return true;
+}
+
+static void apply(keys_t *keys, json_t *body)
+{
+	size_t i;
+	json_t *row;
+
+	keys->revision++;
+	json_array_foreach(json_object_get(body, "puts"), i, row)
+		set_item(keys, json_string_value(json_object_get(row, "key")),
+			 json_string_value(json_object_get(row, "value")),
+			 json_integer_value(json_object_get(row, "lease")));
+	json_array_foreach(json_object_get(body, "remove"), i, row)
+		drop_item(keys, json_string_value(row));
+}
+
+static void serve_commit(keys_t *keys, struct evhttp_request *request)
+{
+	g_autofree char *text = http_body(request);
+	json_t *body = json_loads(text, 0, NULL);
+
+	if (!conditions_hold(keys, json_object_get(body, "expected_rev"))) {
+		reply(keys, request, HTTP_CONFLICT, NULL);
+	} else if (!leases_run(keys, json_object_get(body, "puts"))) {
+		reply(keys, request, HTTP_NOTFOUND, NULL);
+	} else {
+		apply(keys, body);
+		reply(keys, request, HTTP_OK,
+		      json_pack("{s:I}", "revision",
+				(json_int_t)keys->revision));
+		wake_watches(keys);
+	}
+	json_decref(body);
+}
+
+static void serve_lease(keys_t *keys, struct evhttp_request *request)
+{
+	g_autofree char *text = http_body(request);
+	json_t *body = json_loads(text, 0, NULL);
+	lease_t *lease = g_new0(lease_t, 1);
+	int64_t *id = g_new(int64_t, 1);
+
+	*id = ++keys->next_lease;
+	lease->ttl_ms =
+		(uint32_t)json_integer_value(json_object_get(body, "ttl_ms"));
+	lease->ends_ms = clock_now_ms() + lease->ttl_ms;
+	g_hash_table_insert(keys->leases, id, lease);
+	reply(keys, request, HTTP_OK,
+	      json_pack("{s:I,s:i}", "lease", (json_int_t)*id, "ttl_ms",
+			(int)lease->ttl_ms));
+	json_decref(body);
+}
+
+static void serve_keep(keys_t *keys, struct evhttp_request *request, int64_t id)
+{
+	lease_t *lease = g_hash_table_lookup(keys->leases, &id);
+
+	if (!lease) {
+		reply(keys, request, HTTP_NOTFOUND, NULL);
+		return;
+	}
+	lease->ends_ms = clock_now_ms() + lease->ttl_ms;
+	reply(keys, request, HTTP_OK, NULL);
+}
+
+static void serve_end(keys_t *keys, struct evhttp_request *request, int64_t id)
+{
+	const bool known = g_hash_table_contains(keys->leases, &id);
+
+	end_lease(keys, id);
+	wake_watches(keys);
+	reply(keys, request, known ? HTTP_OK : HTTP_NOTFOUND, NULL);
+}
+
+/* @return whether the call was dealt with by a fault */
+static bool misbehave(keys_t *keys, struct evhttp_request *request)
+{
+	const uint64_t now_ms = clock_now_ms();
+
+	if (now_ms < keys->faults.silent_until_ms)
+		return true; /* the caller's own timeout ends it */
+	if (now_ms < keys->faults.down_until_ms) {
+		reply_now(request, HTTP_SERVUNAVAIL, NULL);
+		return true;
+	}
+	return false;
+}
+
+void keys_serve(keys_t *keys, struct evhttp_request *request)
+{
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+	const char *number = strrchr(path, '/') + 1;
+	const int64_t id = g_ascii_strtoll(number, NULL, 10);
+
+	if (misbehave(keys, request))
+		return;
+	if (!strcmp(path, "/kv-range"))
+		serve_range(keys, request);
+	else if (!strcmp(path, "/kv-watch"))
+		serve_watch(keys, request);
+	else if (!strcmp(path, "/kv-txn"))
+		serve_commit(keys, request);
+	else if (!strcmp(path, "/kv-lease"))
+		serve_lease(keys, request);
+	else if (g_str_has_prefix(path, "/kv-keep/"))
+		serve_keep(keys, request, id);
+	else if (g_str_has_prefix(path, "/kv-lease-end/"))
+		serve_end(keys, request, id);
+	else
+		reply_now(request, HTTP_NOTFOUND, NULL);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
+{
+	return strcmp(a, b);
+}
+
+keys_t *keys_create(struct event_base *base)
+{
+	keys_t *keys = g_new0(keys_t, 1);
+	const struct timeval step = clock_timeval(SWEEP_MS);
+
+	keys->base = base;
+	keys->revision = FIRST_REVISION;
+	keys->items = g_tree_new_full(compare_keys, NULL, NULL, item_free);
+	keys->changes = g_ptr_array_new_with_free_func(change_free);
+	keys->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, g_free);
+	keys->watches = g_ptr_array_new();
+	keys->sweep = event_new(base, -1, EV_PERSIST, on_sweep, keys);
+	event_add(keys->sweep, &step);
+	return keys;
+}
--- /dev/null
+++ b/tests/standin/site/main.c
@@ -0,0 +1,256 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "standin/common/http.h"
+#include "standin/site/database.h"
+#include "standin/site/keys.h"
+
+#define GROUPS_MAX 16
+
+/* A whole site: the platform's store and calls, and groups of servers. */
+typedef struct {
+	struct event_base *base;
+	keys_t *keys;
+	group_t *groups[GROUPS_MAX];
+	int groups_count;
+	uint64_t config_version;
+	uint64_t last_token;
+	uint64_t token_steps_back;
+} site_t;
+
+static void on_server(void *context, database_t *server, bool present)
+{
+	site_t *site = context;
+	g_autofree char *key = g_strdup_printf("servers/%s", server->id);
+	g_autofree char *value = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":"
+		"\"%s\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
+		"\"cold_remaining_ms\":0,\"db_role\":\"%s\",\"sequence\":1,"
+		"\"born\":%u}",
+		server->group->name, server->port, server->zone,
+		server->primary ? "primary" : "replica", server->port);
+
+	if (present)
+		keys_put(site->keys, key, value);
+	else
+		keys_remove(site->keys, key);
+}
+
+static void put_config(site_t *site)
+{
+	json_t *routes = json_array();
+	json_t *services = json_array();
+	json_t *config;
+	char *text;
+
+	for (int i = 0; i < site->groups_count; i++) {
+		const char *name = site->groups[i]->name;
+		g_autofree char *strict = g_strdup_printf("strict-%d", i);
+		g_autofree char *browse = g_strdup_printf("browse-%d", i);
+		g_autofree char *own = g_strdup_printf("own-%d", i);
+
+		json_array_append_new(
+			routes,
+			json_pack("{s:s,s:s,s:s,s:i,s:i,s:i}", "database",
+				  strict, "service", name, "route_type",
+				  "primary", "timeout_ms", 1000,
+				  "target_latency_ms", 600, "priority", 1));
+		json_array_append_new(
+			routes,
+			json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:i}", "database",
+				  browse, "service", name, "route_type",
+				  "bounded_staleness", "timeout_ms", 2000,
+				  "target_latency_ms", 1200, "priority", 2,
+				  "max_staleness_ms", 1500));
+		json_array_append_new(
+			routes,
+			json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:i}", "database",
+				  own, "service", name, "route_type",
+				  "read_your_writes", "timeout_ms", 1000,
+				  "target_latency_ms", 1000, "priority", 2,
+				  "max_staleness_ms", 2500));
+		json_array_append_new(
+			services,
+			json_pack("{s:s,s:i}", "name", name, "max_conns", 40));
+	}
+	config = json_pack("{s:I,s:o,s:o,s:{s:i}}", "version",
+			   (json_int_t)++site->config_version, "routes", routes,
+			   "services", services, "limits", "tx_idle_ms", 3000);
+	text = json_dumps(config, JSON_COMPACT);
+	keys_put(site->keys, "op/config", text);
+	free(text);
+	json_decref(config);
+}
+
+static database_t *find_server(site_t *site, const char *id)
+{
+	for (int i = 0; i < site->groups_count; i++) {
+		database_t *server = group_server(site->groups[i], id);
+
+		if (server)
+			return server;
+	}
+	return NULL;
+}
+
+static void on_promote(struct evhttp_request *request, void *context)
+{
+	site_t *site = context;
+	g_autofree char *text = http_body(request);
+	json_t *body = json_loads(text, 0, NULL);
+	const char *id = json_string_value(json_object_get(body, "id"));
+	database_t *server = id ? find_server(site, id) : NULL;
+	const char *token = evhttp_find_header(
+		evhttp_request_get_input_headers(request), "X-Fencing-Token");
+	const uint64_t number = token ? g_ascii_strtoull(token, NULL, 10) : 0;
+
+	if (number < site->last_token)
+		site->token_steps_back++;
+	site->last_token = MAX(site->last_token, number);
+	if (server && group_promote(server->group, id))
+		http_reply_text(request, HTTP_OK, "{}");
+	else
+		http_reply_text(request, 409, "{}");
+	json_decref(body);
+}
+
+/* /fault/KIND?server=ID&for_ms=N */
+static void on_fault(struct evhttp_request *request, site_t *site,
+		     const char *kind)
+{
+	g_autofree char *id = http_argument(request, "server");
+	const uint32_t for_ms = (uint32_t)http_number(request, "for_ms", 1000);
+	const uint64_t until_ms = clock_now_ms() + for_ms;
+	database_t *server = id ? find_server(site, id) : NULL;
+	keys_faults_t *faults = keys_faults(site->keys);
+
+	if (!strcmp(kind, "crash") && server)
+		database_crash(server, for_ms);
+	else if (!strcmp(kind, "silent") && server)
+		server->silent_until_ms = until_ms;
+	else if (!strcmp(kind, "deaf") && server)
+		server->deaf_until_ms = until_ms;
+	else if (!strcmp(kind, "lose") && server)
+		server->lose_percent = for_ms;
+	else if (!strcmp(kind, "store-down"))
+		faults->down_until_ms = until_ms;
+	else if (!strcmp(kind, "store-silent"))
+		faults->silent_until_ms = until_ms;
+	else if (!strcmp(kind, "store-slow"))
+		faults->slow_ms = for_ms;
+	else if (!strcmp(kind, "compact"))
+		keys_compact(site->keys);
+	else if (!strcmp(kind, "config"))
+		put_config(site);
+	http_reply_text(request, HTTP_OK, "{}");
+}
+
+/* What survived, what was rolled back, and what must never happen. */
+static void on_report(struct evhttp_request *request, site_t *site)
+{
+	json_t *kept = json_object();
+	json_t *lost = json_object();
+	uint64_t twice = 0;
+	uint64_t promotions = 0;
+
+	for (int i = 0; i < site->groups_count; i++) {
+		group_t *group = site->groups[i];
+		const database_t *primary = group_primary(group);
+		GHashTableIter iter;
+		gpointer data;
+
+		twice += group->twice;
+		promotions += group->promotions;
+		for (guint j = 0; primary && j < primary->log->len; j++) {
+			const commit_t *commit = primary->log->pdata[j];
+
+			for (guint k = 1; k < commit->writes->len; k += 2)
+				json_object_set_new(kept,
+						    commit->writes->pdata[k],
+						    json_true());
+		}
+		g_hash_table_iter_init(&iter, group->rolled_back);
+		while (g_hash_table_iter_next(&iter, &data, NULL))
+			json_object_set_new(lost, data, json_true());
+	}
+	http_reply_json(request,
+			json_pack("{s:o,s:o,s:I,s:I,s:I}", "kept", kept,
+				  "rolled_back", lost, "twice",
+				  (json_int_t)twice, "promotions",
+				  (json_int_t)promotions, "token_steps_back",
+				  (json_int_t)site->token_steps_back));
+}
+
+static void on_call(struct evhttp_request *request, void *context)
+{
+	site_t *site = context;
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+
+	if (!strcmp(path, "/promote"))
+		on_promote(request, site);
+	else if (g_str_has_prefix(path, "/fault/"))
+		on_fault(request, site, path + strlen("/fault/"));
+	else if (!strcmp(path, "/report"))
+		on_report(request, site);
+	else
+		keys_serve(site->keys, request);
+}
+
+static site_t *site_create(uint16_t port, int groups, uint32_t seed)
+{
+	site_t *site = g_new0(site_t, 1);
+	struct evhttp *http;
+
+	site->base = event_base_new();
+	site->keys = keys_create(site->base);
+	site->groups_count = groups;
+	http = http_listen(site->base, "127.0.0.1", port);
+	if (!http)
+		return NULL;
+	evhttp_set_gencb(http, on_call, site);
+	for (int i = 0; i < groups; i++) {
+		g_autofree char *name = g_strdup_printf("group%d", i);
+
+		site->groups[i] =
+			group_create(site->base, name,
+				     (uint16_t)(port + 1 + i * DATABASE_COPIES),
+				     seed + (uint32_t)i, on_server, site);
+	}
+	put_config(site);
+	return site;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *port =
+		arg_int1("p", "port", "N", "store; servers use those above");
+	struct arg_int *groups = arg_int0("g", "groups", "N", "of 3 servers");
+	struct arg_int *seed = arg_int0("s", "seed", "N", "of lost answers");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {port, groups, seed, end};
+	site_t *site;
+
+	groups->ival[0] = 2;
+	seed->ival[0] = 1;
+	signal(SIGPIPE, SIG_IGN);
+	if (arg_parse(argc, argv, table) || groups->ival[0] > GROUPS_MAX) {
+		arg_print_errors(stderr, end, argv[0]);
+		return EXIT_FAILURE;
+	}
+	site = site_create((uint16_t)port->ival[0], groups->ival[0],
+			   (uint32_t)seed->ival[0]);
+	if (!site) {
+		fprintf(stderr, "%s: port %d is taken\n", argv[0],
+			port->ival[0]);
+		return EXIT_FAILURE;
+	}
+	event_base_dispatch(site->base);
+	return EXIT_SUCCESS;
+}
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -62,8 +62,8 @@
 
 	assert_non_null(backend);
 	assert_string_equal(backend->id, "i-1");
-	assert_string_equal(backend->address, "10.1.2.3");
-	assert_int_equal(backend->port, 8080);
+	assert_string_equal(backend->endpoint.address, "10.1.2.3");
+	assert_int_equal(backend->endpoint.port, 8080);
 	assert_int_equal(backend->slots, 3);
 	assert_false(backend->draining);
 	assert_false(backend->says_primary);
