--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -23,7 +23,7 @@
  */
 
 /** How long one proof is good. */
-#define PRIMARY_LEASE_VALID_MS 1000u
+#define PRIMARY_LEASE_VALID_MS 1200u
 
 /** Replicas that must prove it where the store can't. */
 #define PRIMARY_LEASE_REPLICAS_MIN 2u
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -17,9 +17,10 @@
 #define METRIC_SERIES_MAX 256u
 
 /* Changes within this time cost one call to the store. */
-#define CATALOG_PAUSE_MS 300
-#define BACKENDS_PAUSE_MS 150
-#define NODES_PAUSE_MS 1000
+#define FOLLOW_PAUSE_MS 50
+
+/* Pause before the records are read again after a failure. */
+#define READ_AGAIN_MS 150
 
 /* Time for which a server whose entry vanished is still used. */
 #define BACKEND_LAPSE_MS 2500
@@ -45,14 +46,16 @@
 	relay_duty_t *duty;
 	relay_proof_t *proof;
 	relay_status_page_t *page;
-	kv_follow_t *catalogs;
-	kv_follow_t *backends;
-	kv_follow_t *nodes;
-	kv_follow_t *primaries;
+	kv_follow_t *follow; /* of all keys */
+	struct event *read_timer;
+	bool reading; /* the records of who leads */
+	bool read_again;
+	uint64_t read_asked_ms;
+	bool nodes_changed;
 	catalog_t *catalog;
 	GHashTable *node_values; /* key -> what the node wrote there */
 	GHashTable *lapsing;	 /* server id -> struct event */
-	bool backends_synced;
+	bool synced;
 	struct event *drain_timer;
 	uint64_t drain_ms; /* when it began, 0 before */
 	bool stopped;
@@ -68,7 +71,7 @@
 {
 	const relay_node_t *node = context;
 
-	return node->catalog && node->backends_synced && !node->drain_ms;
+	return node->catalog && node->synced && !node->drain_ms;
 }
 
 static void lapse_free(gpointer data)
@@ -103,9 +106,8 @@
 	g_hash_table_replace(node->lapsing, lapse->server, lapse);
 }
 
-static void on_backend(void *context, const kv_item_t *item)
+static void on_backend(relay_node_t *node, const kv_item_t *item)
 {
-	relay_node_t *node = context;
 	const relay_source_t *source = node->platform.source;
 	const char *id = item->key + strlen(source->backends_prefix);
 	g_autoptr(GError) error = NULL;
@@ -125,17 +127,8 @@
 	relay_services_put(node->services, entry);
 }
 
-static void on_backends_synced(void *context, int64_t revision,
-			       uint64_t asked_ms)
+static void on_catalog(relay_node_t *node, const kv_item_t *item)
 {
-	relay_node_t *node = context;
-
-	node->backends_synced = true;
-}
-
-static void on_catalog(void *context, const kv_item_t *item)
-{
-	relay_node_t *node = context;
 	const relay_source_t *source = node->platform.source;
 	g_autoptr(GError) error = NULL;
 	catalog_t *catalog;
@@ -166,17 +159,12 @@
 	node->catalog = catalog;
 }
 
-static void on_catalog_synced(void *context, int64_t revision,
-			      uint64_t asked_ms)
+static void on_node(relay_node_t *node, const kv_item_t *item)
 {
-}
-
-static void on_node(void *context, const kv_item_t *item)
-{
-	relay_node_t *node = context;
 	gsize size;
 	const char *text;
 
+	node->nodes_changed = true;
 	if (item->deleted || !item->value) {
 		const char *name = item->key + strlen(RELAY_NODES_PREFIX);
 
@@ -208,15 +196,15 @@
 	return peer;
 }
 
-static void on_nodes_synced(void *context, int64_t revision, uint64_t asked_ms)
+static void update_nodes(relay_node_t *node)
 {
-	relay_node_t *node = context;
 	GPtrArray *peers =
 		g_ptr_array_new_with_free_func((GDestroyNotify)relay_peer_free);
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
 
+	node->nodes_changed = false;
 	g_hash_table_iter_init(&iter, node->node_values);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		relay_peer_t *peer = peer_parse(key, value);
@@ -227,18 +215,28 @@
 	relay_services_set_nodes(node->services, peers);
 }
 
-static void on_primary(void *context, const kv_item_t *item)
+static void on_changed(void *context, const kv_item_t *item)
 {
 	relay_node_t *node = context;
+	const relay_source_t *source = node->platform.source;
 
-	relay_duty_changed(node->duty, item);
+	if (g_str_has_prefix(item->key, source->backends_prefix))
+		on_backend(node, item);
+	else if (g_str_has_prefix(item->key, source->catalog_prefix))
+		on_catalog(node, item);
+	else if (g_str_has_prefix(item->key, RELAY_NODES_PREFIX))
+		on_node(node, item);
+	else if (g_str_has_prefix(item->key, RELAY_PRIMARIES_PREFIX))
+		relay_duty_changed(node->duty, item);
 }
 
-static void on_primaries_synced(void *context, int64_t revision,
-				uint64_t asked_ms)
+static void on_synced(void *context, int64_t revision, uint64_t asked_ms)
 {
 	relay_node_t *node = context;
 
+	node->synced = true;
+	if (node->nodes_changed)
+		update_nodes(node);
 	relay_duty_synced(node->duty);
 	relay_services_unchanged(node->services, revision, asked_ms);
 }
@@ -251,51 +249,53 @@
 		relay_duty_troubled(node->duty, service, server);
 }
 
-/* The records must be read after the lease was registered, and after the
- * connections were opened whose answers shall prove who leads. */
-static void read_primaries(void *context)
+static void read_primaries(void *context);
+
+static void on_primaries(void *context, const kv_answer_t *answer)
 {
 	relay_node_t *node = context;
+	const struct timeval delay = clock_timeval(READ_AGAIN_MS);
 
-	kv_follow_refresh(node->primaries);
+	node->reading = false;
+	if (answer->result != KV_OK || answer->has_more) {
+		event_add(node->read_timer, &delay);
+		return;
+	}
+	for (guint i = 0; i < answer->items->len; i++)
+		relay_duty_changed(node->duty, answer->items->pdata[i]);
+	relay_services_unchanged(node->services, answer->revision,
+				 node->read_asked_ms);
+	if (node->read_again)
+		read_primaries(node);
 }
 
-static void on_takeover(void *context)
+/* The records must be read after the lease was registered, and after the
+ * connections were opened whose answers shall prove who leads. */
+static void read_primaries(void *context)
 {
 	relay_node_t *node = context;
 
-	if (node->registration)
-		relay_registration_renew(node->registration);
+	node->read_again = node->reading;
+	if (node->reading)
+		return;
+	node->reading = true;
+	node->read_asked_ms = clock_boot_ms();
+	node->platform.store->calls->range(node->platform.store->self,
+					   RELAY_PRIMARIES_PREFIX, NULL,
+					   on_primaries, node);
 }
 
-static kv_follow_t *
-follow(relay_node_t *node, const char *prefix, uint32_t pause_ms,
-       void (*changed)(void *context, const kv_item_t *item),
-       void (*synced)(void *context, int64_t revision, uint64_t asked_ms))
+static void on_read_timer(evutil_socket_t fd, short what, void *context)
 {
-	const kv_follow_handlers_t handlers = {
-		.changed = changed,
-		.synced = synced,
-		.context = node,
-	};
-
-	return kv_follow_create(node->base, node->platform.store, prefix,
-				pause_ms, handlers);
+	read_primaries(context);
 }
 
-static void create_follows(relay_node_t *node)
+static void on_takeover(void *context)
 {
-	const relay_source_t *source = node->platform.source;
+	relay_node_t *node = context;
 
-	node->catalogs = follow(node, source->catalog_prefix, CATALOG_PAUSE_MS,
-				on_catalog, on_catalog_synced);
-	node->backends =
-		follow(node, source->backends_prefix, BACKENDS_PAUSE_MS,
-		       on_backend, on_backends_synced);
-	node->nodes = follow(node, RELAY_NODES_PREFIX, NODES_PAUSE_MS, on_node,
-			     on_nodes_synced);
-	node->primaries = follow(node, RELAY_PRIMARIES_PREFIX, 0, on_primary,
-				 on_primaries_synced);
+	if (node->registration)
+		relay_registration_renew(node->registration);
 }
 
 static void on_drain(evutil_socket_t fd, short what, void *context);
@@ -315,6 +315,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->lapsing = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      lapse_free);
+	node->read_timer = evtimer_new(base, on_read_timer, node);
 	node->drain_timer = event_new(base, -1, EV_PERSIST, on_drain, node);
 	node->services = relay_services_create((relay_services_settings_t){
 		.base = base,
@@ -336,7 +337,13 @@
 		base, platform.store, node->services, settings->node,
 		description, read_primaries, node);
 	node->proof = relay_proof_create(node->services, read_primaries, node);
-	create_follows(node);
+	node->follow = kv_follow_create(base, platform.store, "",
+					FOLLOW_PAUSE_MS,
+					(kv_follow_handlers_t){
+						.changed = on_changed,
+						.synced = on_synced,
+						.context = node,
+					});
 	node->callers =
 		relay_callers_create(base, platform.codec, node->services,
 				     &settings->callers, error);
@@ -361,10 +368,8 @@
 	relay_status_page_destroy(node->page);
 	relay_callers_destroy(node->callers);
 	relay_gate_destroy(node->gate);
-	kv_follow_destroy(node->catalogs);
-	kv_follow_destroy(node->backends);
-	kv_follow_destroy(node->nodes);
-	kv_follow_destroy(node->primaries);
+	kv_follow_destroy(node->follow);
+	event_free(node->read_timer);
 	g_hash_table_destroy(node->lapsing);
 	relay_registration_destroy(node->registration);
 	relay_proof_destroy(node->proof);
--- a/src/relay/relay_proof.c
+++ b/src/relay/relay_proof.c
@@ -105,8 +105,9 @@
 
 		if (relay_server_entry(server)->draining)
 			continue;
-		if (relay_server_share(server))
-			relay_server_keep_open(server);
+		if (!relay_server_share(server))
+			continue;
+		relay_server_keep_open(server);
 		younger |= oldest_ms != UINT64_MAX &&
 			   oldest_ms >= relay_service_verified_ms(service);
 	}
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -9,7 +9,7 @@
 #define LEASE_TTL_MS 5000
 
 /* Time between renewals; several fit into the time that each is good. */
-#define RENEW_MS 300
+#define RENEW_MS 450
 
 /* Pause before a registration that failed is tried again. */
 #define REGISTER_RETRY_MS 200
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -6,16 +6,15 @@
 #include "base/log.h"
 
 /* How long the store may hold a watch without a change. */
-#define KV_FOLLOW_WAIT_MS 8000
+#define KV_FOLLOW_WAIT_MS 25000
 
 /* Pause before a failed call is made again, doubled up to the longest. */
 #define KV_FOLLOW_RETRY_MS 100
 #define KV_FOLLOW_RETRY_MS_MAX 800
 
-/* One listing or watch under way; an abandoned one reports to nobody. */
+/* One listing or watch under way. */
 typedef struct {
 	kv_follow_t *follow;
-	uint32_t round;
 	uint64_t asked_ms;
 } follow_call_t;
 
@@ -32,7 +31,6 @@
 	int64_t listing_revision;
 	uint64_t listing_asked_ms;
 	int64_t revision; /* 0: the keys must be listed */
-	uint32_t round;	  /* answers of earlier rounds are dropped */
 	uint32_t retry_ms;
 	bool reached;
 };
@@ -44,20 +42,17 @@
 	follow_call_t *call = g_new0(follow_call_t, 1);
 
 	call->follow = follow;
-	call->round = follow->round;
 	call->asked_ms = clock_boot_ms();
 	g_hash_table_add(follow->calls, call);
 	return call;
 }
 
-/* @return the follower, or NULL when the answer comes too late */
 static kv_follow_t *call_end(follow_call_t *call)
 {
 	kv_follow_t *follow = call->follow;
-	const uint32_t round = call->round;
 
 	g_hash_table_remove(follow->calls, call);
-	return round == follow->round ? follow : NULL;
+	return follow;
 }
 
 static void set_reached(kv_follow_t *follow, bool reached)
@@ -127,8 +122,6 @@
 	const uint64_t asked_ms = ((follow_call_t *)context)->asked_ms;
 	kv_follow_t *follow = call_end(context);
 
-	if (!follow)
-		return;
 	if (answer->result == KV_COMPACTED) {
 		log_event(LOG_LEVEL_NOTICE, "store_history_lost",
 			  "prefix=%s revision=%" PRId64, follow->prefix,
@@ -153,8 +146,6 @@
 	kv_follow_t *follow = call_end(context);
 	const kv_item_t *item = NULL;
 
-	if (!follow)
-		return;
 	if (answer->result != KV_OK) {
 		retry(follow);
 		return;
@@ -223,13 +214,6 @@
 	return follow;
 }
 
-void kv_follow_refresh(kv_follow_t *follow)
-{
-	follow->round++;
-	follow->revision = 0;
-	go_on_after(follow, 0);
-}
-
 void kv_follow_destroy(kv_follow_t *follow)
 {
 	if (!follow)
--- a/src/store/kv_follow.h
+++ b/src/store/kv_follow.h
@@ -35,7 +35,4 @@
 /** Must be called before the store is destroyed; NULL is allowed. */
 void kv_follow_destroy(kv_follow_t *follow);
 
-/** Lists all keys anew, now; the answer is newer than this call. */
-void kv_follow_refresh(kv_follow_t *follow);
-
 #endif
