--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -19,6 +19,9 @@
 /* Changes within this time cost one call to the store. */
 #define FOLLOW_PAUSE_MS 50
 
+/* The same while the node has no callers. */
+#define FOLLOW_IDLE_PAUSE_MS 600
+
 /* Pause before the records are read again after a failure. */
 #define READ_AGAIN_MS 150
 
@@ -235,6 +238,9 @@
 	relay_node_t *node = context;
 
 	node->synced = true;
+	kv_follow_set_pause(node->follow, relay_callers_count(node->callers) ?
+						  FOLLOW_PAUSE_MS :
+						  FOLLOW_IDLE_PAUSE_MS);
 	if (node->nodes_changed)
 		update_nodes(node);
 	relay_duty_synced(node->duty);
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -135,6 +135,12 @@
 		return;
 	}
 	set_reached(follow, true);
+	log_event(LOG_LEVEL_INFO, "store_changed",
+		  "revision=%" PRId64 " items=%u first=%s", answer->revision,
+		  answer->items->len,
+		  answer->items->len ?
+			  ((kv_item_t *)answer->items->pdata[0])->key :
+			  "-");
 	for (guint i = 0; i < answer->items->len; i++)
 		tell(follow, answer->items->pdata[i]);
 	synced(follow, MAX(answer->revision, follow->revision), asked_ms);
@@ -214,6 +220,11 @@
 	return follow;
 }
 
+void kv_follow_set_pause(kv_follow_t *follow, uint32_t pause_ms)
+{
+	follow->pause_ms = pause_ms;
+}
+
 void kv_follow_destroy(kv_follow_t *follow)
 {
 	if (!follow)
