Let another node prove who leads while the store is away

Cause: where nodes keep no connections at rest (74 nodes, 61 connections a server), a node that the store turned away had no proof and served nothing at primaries for the whole outage: 26 nodes for 12 s. Keys of leases that did not register anew now stay, so that a takeover waits for such nodes.

--- a/src/coordination/primary_lease.c
+++ b/src/coordination/primary_lease.c
@@ -8,6 +8,7 @@
 {
 	lease->valid_until_ms =
 		MAX(lease->valid_until_ms, sent_ms + PRIMARY_LEASE_VALID_MS);
+	lease->renewed_ms = MAX(lease->renewed_ms, sent_ms);
 }
 
 void node_lease_lost(node_lease_t *lease)
@@ -20,6 +21,7 @@
 void primary_lease_forget(primary_lease_t *service)
 {
 	service->replicas_until_ms = 0;
+	service->granted_until_ms = 0;
 	for (uint32_t i = 0; i < service->replicas_count; i++)
 		service->replicas[i].round = 0;
 }
@@ -95,6 +97,14 @@
 	take_round(service, round);
 }
 
+void primary_lease_granted(primary_lease_t *service, uint64_t term,
+			   const char *primary, uint64_t until_ms)
+{
+	if (term == service->term && !strcmp(primary, service->primary))
+		service->granted_until_ms =
+			MAX(service->granted_until_ms, until_ms);
+}
+
 static uint64_t proved_by_replicas(const primary_lease_t *service)
 {
 	if (service->replicas_count < PRIMARY_LEASE_REPLICAS_MIN)
@@ -109,7 +119,8 @@
 		return 0;
 	if (!node->registered_at || service->read_at < node->registered_at)
 		return 0;
-	return MAX(node->valid_until_ms, proved_by_replicas(service));
+	return MAX(MAX(node->valid_until_ms, service->granted_until_ms),
+		   proved_by_replicas(service));
 }
 
 bool primary_lease_valid(const primary_lease_t *service,
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -7,12 +7,13 @@
 /**
  * Whether a node may still use the primary of a service. The node must have
  * registered a lease, and read the service's record after that without seeing
- * a takeover. Then there are two kinds of proof, each good for
+ * a takeover. Then there are three kinds of proof, each good for
  * PRIMARY_LEASE_VALID_MS after the question was sent:
  *
  * - the store renewed the lease;
  * - every replica answered in one round that it is not fenced, on a
- *   connection that was opened before the record was last read.
+ *   connection that was opened before the record was last read;
+ * - another node has one of these, and this one uses it no longer than that.
  *
  * A takeover first writes its intent into the record, then ends every
  * registered lease and fences a replica, then waits until what was proved
@@ -36,6 +37,7 @@
 	int64_t lease;	       /**< 0 for none */
 	int64_t registered_at; /**< store revision of its registration, or 0 */
 	uint64_t valid_until_ms; /**< renewed up to here */
+	uint64_t renewed_ms;	 /**< when the last renewal was sent */
 } node_lease_t;
 
 /** What is known of one service's primary. */
@@ -51,6 +53,7 @@
 	} replicas[PRIMARY_LEASE_REPLICAS_MAX];
 	uint32_t replicas_count;
 	uint64_t replicas_until_ms; /**< proved by all of them up to here */
+	uint64_t granted_until_ms;  /**< proved by another node up to here */
 } primary_lease_t;
 
 /** Takes in that a renewal sent at @p sent_ms succeeded. */
@@ -84,6 +87,10 @@
 				  bool fenced, uint64_t round,
 				  uint64_t sent_ms);
 
+/** Takes in what another node has proved. */
+void primary_lease_granted(primary_lease_t *service, uint64_t term,
+			   const char *primary, uint64_t until_ms);
+
 /** @return until when the primary may be used; 0 when it may not be */
 uint64_t primary_lease_until_ms(const primary_lease_t *service,
 				const node_lease_t *node);
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -20,6 +20,7 @@
 	COMMAND_EXECUTE, /**< runs a prepared statement */
 	COMMAND_CLOSE,	 /**< forgets a prepared statement */
 	COMMAND_RESET,	 /**< forgets variables and prepared statements */
+	COMMAND_PROVE,	 /**< of another node: tells what this one has proved */
 	COMMAND_INVALID,
 } command_kind_t;
 
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -66,7 +66,8 @@
 	RELAY_CONTROL_STATUS,
 	RELAY_CONTROL_FENCE,	/**< stop receiving from lower terms */
 	RELAY_CONTROL_RELEASE,	/**< lift a fence */
-	RELAY_CONTROL_STEP_DOWN /**< stop leading a lower term */
+	RELAY_CONTROL_STEP_DOWN, /**< stop leading a lower term */
+	RELAY_CONTROL_PROVE, /**< of another node: what it has proved */
 } relay_control_t;
 
 /** What a backend server answers to a control operation. */
@@ -91,6 +92,7 @@
 	void (*put_query)(struct evbuffer *out, const char *id,
 			  log_point_t after, const char *text);
 	void (*put_ready)(struct evbuffer *out, char status, log_point_t point);
+	void (*put_row)(struct evbuffer *out, const char *text);
 	void (*put_complete)(struct evbuffer *out);
 	void (*put_error)(struct evbuffer *out, relay_error_t error,
 			  const char *text);
--- a/src/relay/relay_duty_takeover.c
+++ b/src/relay/relay_duty_takeover.c
@@ -127,22 +127,6 @@
 	g_free(revocation);
 }
 
-/* The leases are gone for good: so may be their keys. */
-static void remove_keys(const revocation_t *revocation)
-{
-	kv_store_t *store = revocation->action->entry->duty->store;
-	const GPtrArray *keys = revocation->keys;
-
-	for (guint i = 0; i < keys->len; i += REMOVALS_MAX) {
-		const kv_transaction_t transaction = {
-			.removals = (const char *const *)&keys->pdata[i],
-			.removals_count = MIN(keys->len - i, REMOVALS_MAX),
-		};
-
-		store->calls->commit(store->self, &transaction, NULL, NULL);
-	}
-}
-
 static void on_revoke_again(evutil_socket_t fd, short what, void *context)
 {
 	revocation_t *revocation = context;
@@ -169,6 +153,50 @@
 	return false;
 }
 
+/* @return whether the key was written longer ago than any proof lasts */
+static bool is_outdated(const GPtrArray *items, const char *key)
+{
+	const int64_t wall_ms = g_get_real_time() / 1000;
+
+	for (guint i = 0; i < items->len; i++) {
+		const kv_item_t *item = items->pdata[i];
+		g_autofree char *text = NULL;
+		const char *written;
+
+		if (strcmp(item->key, key) || !item->value)
+			continue;
+		text = g_strndup(g_bytes_get_data(item->value, NULL),
+				 g_bytes_get_size(item->value));
+		written = strchr(text, ' ');
+		return written && wall_ms - atoll(written) >
+					  2 * (int64_t)RELAY_LEASE_AGE_MAX_MS;
+	}
+	return false;
+}
+
+/* A node that has not registered anew may still use other proofs: its key
+ * stays, so that the next takeover waits for them, too. */
+static void remove_keys(const revocation_t *revocation, const GPtrArray *items)
+{
+	kv_store_t *store = revocation->action->entry->duty->store;
+	g_autoptr(GPtrArray) keys = g_ptr_array_new();
+
+	for (guint i = 0; i < revocation->keys->len; i++) {
+		char *key = revocation->keys->pdata[i];
+
+		if (has_newer(items, key) || is_outdated(items, key))
+			g_ptr_array_add(keys, key);
+	}
+	for (guint i = 0; i < keys->len; i += REMOVALS_MAX) {
+		const kv_transaction_t transaction = {
+			.removals = (const char *const *)&keys->pdata[i],
+			.removals_count = MIN(keys->len - i, REMOVALS_MAX),
+		};
+
+		store->calls->commit(store->self, &transaction, NULL, NULL);
+	}
+}
+
 static bool all_newer(const revocation_t *revocation, const GPtrArray *items)
 {
 	for (guint i = 0; i < revocation->keys->len; i++)
@@ -195,7 +223,7 @@
 		log_step(entry, "proofs_forgotten", "all");
 		takeover_forgotten(entry->takeover, clock_boot_ms());
 	}
-	remove_keys(revocation);
+	remove_keys(revocation, answer->items);
 	revocation_free(revocation);
 }
 
--- a/src/relay/relay_gate.c
+++ b/src/relay/relay_gate.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "relay/relay_attempt.h"
+#include "relay/relay_grant.h"
 #include "transport/socket_options.h"
 
 #define BACKLOG 256
@@ -272,6 +273,15 @@
 		wait_for_link(session);
 }
 
+static void prove(gate_session_t *session)
+{
+	g_autofree char *offer =
+		relay_grant_offer(session->gate->services, clock_boot_ms());
+
+	codec_of(session)->put_row(output_of(session), offer);
+	answer_complete(session);
+}
+
 static void dispatch(gate_session_t *session)
 {
 	command_t *command = &session->command;
@@ -295,6 +305,9 @@
 				     g_strdup(command->value));
 		answer_complete(session);
 		break;
+	case COMMAND_PROVE:
+		prove(session);
+		break;
 	case COMMAND_RESET:
 		g_hash_table_remove_all(session->values);
 		g_hash_table_remove_all(session->prepared);
--- /dev/null
+++ b/src/relay/relay_grant.c
@@ -0,0 +1,193 @@
+#include "relay/relay_grant.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* Time between two questions to the same node. */
+#define ASK_MS 300
+
+/* Longest wait for its answer. */
+#define TIMEOUT_MS 600
+
+/* Fields of one service in an offer: name, term, primary, time left. */
+#define OFFER_FIELDS 4
+
+struct relay_grant {
+	relay_services_t *services;
+	relay_link_t *link;
+	uint64_t asked_ms;  /* when the question under way was sent, or 0 */
+	uint64_t next_ms;   /* when the next is due */
+	uint64_t opened_ms; /* when the link was begun */
+};
+
+char *relay_grant_offer(relay_services_t *services, uint64_t now_ms)
+{
+	g_autoptr(GPtrArray) names = relay_services_names(services);
+	GString *offer = g_string_new("");
+
+	for (guint i = 0; i < names->len; i++) {
+		relay_service_t *service =
+			relay_services_find(services, names->pdata[i]);
+		const primary_lease_t *lease = relay_service_lease(service);
+		const uint64_t until_ms = primary_lease_until_ms(
+			lease, relay_services_lease(services));
+
+		if (until_ms > now_ms)
+			g_string_append_printf(
+				offer, "%s%s:%" PRIu64 ":%s:%" PRIu64,
+				offer->len ? "," : "",
+				relay_service_name(service), lease->term,
+				lease->primary, until_ms - now_ms);
+	}
+	if (!offer->len)
+		g_string_assign(offer, "-");
+	return g_string_free(offer, FALSE);
+}
+
+static bool take_one(relay_services_t *services, const char *text,
+		     uint64_t sent_ms)
+{
+	g_auto(GStrv) fields = g_strsplit(text, ":", 0);
+	relay_service_t *service;
+	guint64 term;
+	guint64 left_ms;
+
+	if (g_strv_length(fields) != OFFER_FIELDS ||
+	    !g_ascii_string_to_unsigned(fields[1], 10, 0, G_MAXUINT64, &term,
+					NULL) ||
+	    !g_ascii_string_to_unsigned(fields[3], 10, 0,
+					PRIMARY_LEASE_VALID_MS, &left_ms, NULL))
+		return false;
+	service = relay_services_find(services, fields[0]);
+	if (!service)
+		return false;
+	primary_lease_granted(relay_service_lease(service), term, fields[2],
+			      sent_ms + left_ms);
+	return true;
+}
+
+bool relay_grant_take(relay_services_t *services, const char *offer,
+		      uint64_t sent_ms)
+{
+	g_auto(GStrv) parts = g_strsplit(offer, ",", 0);
+	bool taken = false;
+
+	for (char **part = parts; *part; part++)
+		taken |= take_one(services, *part, sent_ms);
+	if (taken)
+		relay_services_wake(services);
+	return taken;
+}
+
+void relay_grant_rest(relay_grant_t *grant)
+{
+	g_clear_pointer(&grant->link, relay_link_destroy);
+	grant->asked_ms = 0;
+	grant->next_ms = 0;
+}
+
+static void on_answer(void *context, const relay_answer_t *answer)
+{
+	relay_grant_t *grant = context;
+
+	grant->asked_ms = 0;
+	if (answer->broken) /* the link is gone already */
+		return;
+	if (answer->failed || !answer->row ||
+	    !relay_grant_take(grant->services, answer->row, answer->sent_ms))
+		relay_grant_rest(grant);
+}
+
+static void on_opened(void *context, relay_link_t *link, log_point_t point,
+		      uint64_t asked_ms)
+{
+	((relay_grant_t *)context)->next_ms = 0;
+}
+
+static void on_closed(void *context, relay_link_t *link, relay_error_t error,
+		      bool was_open)
+{
+	relay_grant_rest(context);
+}
+
+/* Any server's name will do: the question is for the node itself. */
+static const backend_entry_t *any_entry(relay_services_t *services)
+{
+	g_autoptr(GPtrArray) names = relay_services_names(services);
+
+	for (guint i = 0; i < names->len; i++) {
+		const GPtrArray *servers = relay_service_servers(
+			relay_services_find(services, names->pdata[i]));
+
+		if (servers->len)
+			return relay_server_entry(servers->pdata[0]);
+	}
+	return NULL;
+}
+
+static void open_link(relay_grant_t *grant, uint64_t now_ms)
+{
+	const relay_services_settings_t *settings =
+		relay_services_settings(grant->services);
+	const backend_entry_t *entry = any_entry(grant->services);
+	const endpoint_t *peer = relay_services_next_peer(grant->services);
+	const relay_link_handlers_t handlers = {
+		.opened = on_opened,
+		.closed = on_closed,
+		.context = grant,
+	};
+
+	if (!entry || !peer)
+		return;
+	grant->opened_ms = now_ms;
+	grant->link = relay_link_open(settings->base, settings->codec, entry,
+				      peer, handlers);
+}
+
+static void ask(relay_grant_t *grant, uint64_t now_ms)
+{
+	const relay_codec_t *codec =
+		relay_services_settings(grant->services)->codec;
+	g_autofree char *text = codec->text_control(RELAY_CONTROL_PROVE, 0);
+
+	grant->asked_ms = now_ms;
+	grant->next_ms = now_ms + ASK_MS;
+	relay_link_run(grant->link, NULL, (log_point_t){0}, text, on_answer,
+		       grant);
+}
+
+void relay_grant_step(relay_grant_t *grant, uint64_t now_ms)
+{
+	const uint64_t since_ms =
+		grant->asked_ms ? grant->asked_ms : grant->opened_ms;
+
+	if (grant->link &&
+	    (grant->asked_ms || !relay_link_is_open(grant->link))) {
+		if (now_ms < since_ms + TIMEOUT_MS)
+			return;
+		relay_grant_rest(grant);
+	}
+	if (!grant->link)
+		open_link(grant, now_ms);
+	else if (now_ms >= grant->next_ms)
+		ask(grant, now_ms);
+}
+
+relay_grant_t *relay_grant_create(relay_services_t *services)
+{
+	relay_grant_t *grant = g_new0(relay_grant_t, 1);
+
+	grant->services = services;
+	return grant;
+}
+
+void relay_grant_destroy(relay_grant_t *grant)
+{
+	if (!grant)
+		return;
+	relay_grant_rest(grant);
+	g_free(grant);
+}
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -37,6 +37,9 @@
 
 #define DRAIN_STEP_MS 50
 
+/* Time for the last call to the store. */
+#define LEAVE_MS 150
+
 struct relay_node {
 	struct event_base *base;
 	const relay_settings_t *settings;
@@ -391,11 +394,15 @@
 
 static void leave(relay_node_t *node, const char *reason)
 {
+	const struct timeval last = clock_timeval(LEAVE_MS);
+
+	event_del(node->drain_timer);
 	log_event(LOG_LEVEL_NOTICE, "drained",
 		  "reason=%s callers=%u after_ms=%" PRIu64, reason,
 		  relay_callers_count(node->callers),
 		  clock_boot_ms() - node->drain_ms);
-	event_base_loopexit(node->base, NULL);
+	relay_registration_leave(node->registration);
+	event_base_loopexit(node->base, &last);
 }
 
 static void on_drain(evutil_socket_t fd, short what, void *context)
--- a/src/relay/relay_proof.c
+++ b/src/relay/relay_proof.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "relay/relay_control.h"
+#include "relay/relay_grant.h"
 
 /* Time between two looks. */
 #define PROOF_STEP_MS 150
@@ -22,6 +23,7 @@
 
 struct relay_proof {
 	relay_services_t *services;
+	relay_grant_t *grant;
 	struct event *timer;
 	uint64_t round;	   /* of questions to all replicas */
 	uint64_t round_ms; /* when it began */
@@ -93,6 +95,14 @@
 	}
 }
 
+/* Where nodes keep no connections, only other nodes can prove anything. */
+static bool keeps_connections(const relay_service_t *service)
+{
+	const GPtrArray *servers = relay_service_servers(service);
+
+	return servers->len && relay_server_share(servers->pdata[0]);
+}
+
 /* @return whether a connection is younger than the last reading */
 static bool keep_open(relay_service_t *service)
 {
@@ -120,7 +130,7 @@
 		return;
 	proof->by_replicas = by_replicas;
 	log_event(LOG_LEVEL_NOTICE, "proof_changed", "by=%s",
-		  by_replicas ? "replicas" : "store");
+		  by_replicas ? "others" : "store");
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
@@ -135,6 +145,10 @@
 		by_replicas && now_ms >= proof->round_ms + PROOF_ASK_MS;
 	bool younger = false;
 
+	if (by_replicas)
+		relay_grant_step(proof->grant, now_ms);
+	else
+		relay_grant_rest(proof->grant);
 	if (due) {
 		proof->round++;
 		proof->round_ms = now_ms;
@@ -147,7 +161,8 @@
 		const primary_lease_t *lease = relay_service_lease(service);
 
 		younger |= keep_open(service);
-		if (due && *lease->primary && !lease->takeover)
+		if (due && *lease->primary && !lease->takeover &&
+		    keeps_connections(service))
 			ask_replicas(proof, service);
 	}
 	if (younger && !by_replicas &&
@@ -164,6 +179,7 @@
 	const struct timeval delay = clock_timeval(PROOF_STEP_MS);
 
 	proof->services = services;
+	proof->grant = relay_grant_create(services);
 	proof->verify = verify;
 	proof->context = context;
 	proof->asks = g_hash_table_new_full(g_direct_hash, g_direct_equal,
@@ -179,6 +195,7 @@
 	if (!proof)
 		return;
 	event_free(proof->timer);
+	relay_grant_destroy(proof->grant);
 	g_hash_table_destroy(proof->asks);
 	g_free(proof);
 }
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -112,12 +112,14 @@
 	/* A key for each lease: a transaction that is carried out late can't
 	 * hide the lease that runs by then. */
 	g_autofree char *value = g_strdup_printf("%" PRId64, lease);
+	g_autofree char *dated = g_strdup_printf(
+		"%" PRId64 " %" PRId64, lease, g_get_real_time() / 1000);
 	g_autofree char *old_key = g_steal_pointer(&registration->lease_key);
 	const char *const removals[] = {old_key};
 	g_autofree char *key = g_strdup_printf(RELAY_LEASES_PREFIX "%s/%s",
 					       registration->node, value);
 	const kv_put_t puts[] = {
-		{.key = key, .value = value},
+		{.key = key, .value = dated},
 		{.key = registration->node_key,
 		 .value = registration->description,
 		 .lease = lease},
@@ -201,6 +203,10 @@
 	if (registration->leaving || registration->opening)
 		return;
 	log_validity(registration);
+	if (registration->lease->lease &&
+	    clock_boot_ms() >
+		    registration->lease->renewed_ms + RELAY_LEASE_AGE_MAX_MS)
+		relay_services_forget(registration->services);
 	if (!registration->lease->lease) {
 		open_lease(registration);
 		return;
@@ -269,11 +275,18 @@
 
 void relay_registration_leave(relay_registration_t *registration)
 {
+	const char *const removals[] = {registration->lease_key,
+					registration->node_key};
+	const kv_transaction_t transaction = {
+		.removals = removals,
+		.removals_count = G_N_ELEMENTS(removals),
+	};
+
 	if (registration->leaving)
 		return;
 	registration->leaving = true;
-	if (registration->lease->lease)
-		registration->store->calls->lease_end(
-			registration->store->self, registration->lease->lease,
-			NULL, NULL);
+	relay_services_forget(registration->services);
+	if (registration->lease_key)
+		registration->store->calls->commit(registration->store->self,
+						   &transaction, NULL, NULL);
 }
--- a/src/relay/relay_registration.h
+++ b/src/relay/relay_registration.h
@@ -6,9 +6,15 @@
 #include "relay/relay_service.h"
 #include "store/kv_store.h"
 
-/** Keys of registered leases; kept until the lease was ended by a takeover. */
+/**
+ * Keys of registered leases, "LEASE WALL_MS"; kept until the node registers
+ * anew, leaves, or has been silent for RELAY_LEASE_AGE_MAX_MS.
+ */
 #define RELAY_LEASES_PREFIX "toucanhook/leases/"
 
+/** Longest time without the store for which a node may use any proof. */
+#define RELAY_LEASE_AGE_MAX_MS (30u * 60 * 1000)
+
 /** Keys of the nodes that live; they go with the node's lease. */
 #define RELAY_NODES_PREFIX "toucanhook/nodes/"
 
@@ -44,7 +50,10 @@
  */
 void relay_registration_renew(relay_registration_t *registration);
 
-/** Ends the lease, so that others know at once; nothing is renewed after. */
+/**
+ * Gives up all proofs and removes the node's keys. The node must not run
+ * anything at a primary after that.
+ */
 void relay_registration_leave(relay_registration_t *registration);
 
 #endif
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -250,6 +250,11 @@
 	return NULL;
 }
 
+const endpoint_t *relay_services_next_peer(relay_services_t *services)
+{
+	return next_lender(services, NULL);
+}
+
 /* Nodes beside the server first, every other time any. */
 static const endpoint_t *on_lender(void *context, const relay_server_t *server)
 {
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -66,6 +66,9 @@
  */
 void relay_services_set_nodes(relay_services_t *services, GPtrArray *peers);
 
+/** @return another node's gate, a different one each time; or NULL */
+const endpoint_t *relay_services_next_peer(relay_services_t *services);
+
 /** Takes in a server's entry; takes it over. */
 void relay_services_put(relay_services_t *services, backend_entry_t *entry);
 
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -412,8 +412,10 @@
 static void dispatch(relay_session_t *session)
 {
 	session->host->codec->parse(session->message.text, &session->command);
-	/* Only the proxy itself asks for points. */
-	if (session->command.after.term)
+	/* Only the proxy itself asks for points and proofs. */
+	if (session->command.after.term ||
+	    session->command.kind == COMMAND_RESET ||
+	    session->command.kind == COMMAND_PROVE)
 		session->command.kind = COMMAND_INVALID;
 	if (session->transaction == TRANSACTION_FAILED) {
 		dispatch_failed(session);
