Count connections that can be opened, let replicas catch up

Cause: on the grown site statements were refused by an estimate that knew only open connections, of which nodes keep none; reads of an own change went to another region at once.

--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -30,7 +30,12 @@
 #define ACKNOWLEDGE_MS_MAX 1500
 
 /* Wait for a replica to catch up with the session's own change. */
-#define CATCH_UP_MS_MAX 60
+#define CATCH_UP_MS_MIN 5
+#define CATCH_UP_MS_MAX 120
+#define CATCH_UPS_MAX 3
+
+/* The same after the replica said that it lacks the change. */
+#define BEHIND_RETRY_MS 30
 
 /* When callers may come back, as the refusal tells them. */
 #define COME_BACK_MS 300
@@ -69,6 +74,7 @@
 	const relay_server_t *tried[TRIED_MAX]; /* compared, never used */
 	uint32_t tried_count;
 	bool only_primary; /* replicas could not serve it */
+	uint32_t catch_ups; /* waits for a replica so far */
 	relay_hold_t *hold;
 	/* Ends with this result at the next turn of the loop. */
 	bool ending;
@@ -422,6 +428,13 @@
 		return;
 	switch (error) {
 	case RELAY_ERROR_BEHIND:
+		if (job->catch_ups < CATCH_UPS_MAX &&
+		    relay_server_lag_ms(server) <= CATCH_UP_MS_MAX) {
+			job->catch_ups++;
+			job->retry_at_ms = clock_boot_ms() + BEHIND_RETRY_MS;
+			schedule(job);
+			return;
+		}
 		note_tried(job, server);
 		retry_now(job);
 		return;
@@ -630,6 +643,20 @@
 	return chosen < 0 ? NULL : servers->pdata[chosen];
 }
 
+/* A replica that lacks the session's last change mostly has it soon. */
+static bool let_catch_up(relay_job_t *job, const relay_server_t *server)
+{
+	const uint64_t wait_ms = behind_ms(job, server, job->after);
+
+	if (job->catch_ups >= CATCH_UPS_MAX || wait_ms < CATCH_UP_MS_MIN ||
+	    wait_ms > CATCH_UP_MS_MAX)
+		return false;
+	job->catch_ups++;
+	job->retry_at_ms = clock_boot_ms() + wait_ms;
+	schedule(job);
+	return true;
+}
+
 static void place_read(relay_job_t *job)
 {
 	log_point_t point;
@@ -652,6 +679,8 @@
 	}
 	job->after = point;
 	job->term = 0;
+	if (let_catch_up(job, server))
+		return;
 	wait_at(job, server);
 }
 
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -500,9 +500,15 @@
 	return heard_ms;
 }
 
+/* Connections that are open or can be opened soon. */
 static uint32_t capacity(const relay_server_t *server)
 {
-	return MAX(MAX(server->share, 1), server->links->len - server->opening);
+	const uint32_t open = server->links->len - server->opening;
+	const uint64_t now_ms = clock_boot_ms();
+
+	if (now_ms < server->full_until_ms || now_ms < server->reopen_at_ms)
+		return MAX(open, 1);
+	return MAX(MIN(server->most, open + OPENING_MAX), 1);
 }
 
 uint64_t relay_server_wait_ms(const relay_server_t *server)
