Allow a node of a large fleet several connections to a server

Cause: with more nodes than connections each node was held to one; a test with 74 nodes before 61 connections fails without this.

--- a/src/coordination/connection_share.c
+++ b/src/coordination/connection_share.c
@@ -25,8 +25,8 @@
 
 uint32_t connection_most(const connection_share_ask_t *ask)
 {
-	const uint32_t others = nodes_of(ask) - 1;
-	const uint32_t room = ask->limit > others ? ask->limit - others : 1;
+	const uint32_t kept = connection_share(ask) * nodes_of(ask);
+	const uint32_t room = ask->limit - MIN(ask->limit, kept);
 
-	return CLAMP(room, 1, MOST_MAX);
+	return CLAMP(MAX(room, ask->limit / 4), 1, MOST_MAX);
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -73,6 +73,16 @@
 	}
 }
 
+/* 74 nodes before 61 connections: each may use several for a while. */
+static void test_more_nodes_than_connections(void **state)
+{
+	const connection_share_ask_t ask = {
+		.limit = 61, .nodes_near = 12, .nodes_far = 62};
+
+	assert_int_equal(connection_share(&ask), 0);
+	assert_in_range(connection_most(&ask), 8, 16);
+}
+
 static void test_no_limit_known(void **state)
 {
 	const connection_share_ask_t ask = {0};
@@ -89,6 +99,7 @@
 		cmocka_unit_test(test_lagging_server_counts_its_lag),
 		cmocka_unit_test(test_nobody_is_usable),
 		cmocka_unit_test(test_kept_connections_fit_the_limit),
+		cmocka_unit_test(test_more_nodes_than_connections),
 		cmocka_unit_test(test_no_limit_known),
 	};
 
