--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -7,6 +7,14 @@
 #include "base/log.h"
 #include "coordination/connection_share.h"
 
+/* How many nodes prove who leads for the others. */
+#define NODES_PER_PROVER 16
+#define PROVERS_MIN 4
+#define PROVERS_MAX 8
+
+/* Spreads hashes of names that differ only at their ends. */
+#define HASH_SPREAD 2654435761u
+
 /* Connections to a server before the catalog states a limit. */
 #define CONNECTIONS_DEFAULT 2
 
@@ -159,9 +167,36 @@
 	return services->nodes ? services->nodes->len : 0;
 }
 
+/* Nodes that prove for the others: one of so many, within bounds. */
+static uint32_t provers_wanted(const relay_services_t *services)
+{
+	return CLAMP(nodes_all(services) / NODES_PER_PROVER, PROVERS_MIN,
+		     PROVERS_MAX);
+}
+
+/* The first by the hash of their names, which all nodes rank alike. */
+static bool is_prover(const relay_services_t *services, const char *node)
+{
+	const guint hash = g_str_hash(node) * HASH_SPREAD;
+	uint32_t before = 0;
+
+	for (guint i = 0; i < nodes_all(services); i++) {
+		const relay_peer_t *peer = services->nodes->pdata[i];
+
+		before += g_str_hash(peer->name) * HASH_SPREAD < hash;
+	}
+	return before < provers_wanted(services);
+}
+
+bool relay_services_is_prover(const relay_services_t *services)
+{
+	return is_prover(services, services->settings.node);
+}
+
 static void apply_limits(relay_service_t *service)
 {
 	relay_services_t *services = service->services;
+	const uint32_t prover = relay_services_is_prover(services);
 	const catalog_service_t *limits =
 		services->catalog ?
 			catalog_service(services->catalog, service->name) :
@@ -178,8 +213,9 @@
 		};
 
 		if (limits && services->nodes)
-			relay_server_set_limit(server, connection_share(&ask),
-					       connection_most(&ask));
+			relay_server_set_limit(
+				server, MAX(connection_share(&ask), prover),
+				connection_most(&ask));
 		else
 			relay_server_set_limit(server, CONNECTIONS_DEFAULT,
 					       CONNECTIONS_DEFAULT);
@@ -252,6 +288,16 @@
 
 const endpoint_t *relay_services_next_peer(relay_services_t *services)
 {
+	const uint32_t count = nodes_all(services);
+
+	for (uint32_t i = 0; services->next_lender % 2 && i < count; i++) {
+		const relay_peer_t *peer =
+			services->nodes->pdata[services->next_lender++ % count];
+
+		if (is_lender(services, peer, NULL) &&
+		    is_prover(services, peer->name))
+			return &peer->gate;
+	}
 	return next_lender(services, NULL);
 }
 
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -66,7 +66,17 @@
  */
 void relay_services_set_nodes(relay_services_t *services, GPtrArray *peers);
 
-/** @return another node's gate, a different one each time; or NULL */
+/**
+ * @return whether this node keeps connections to all servers, though there
+ *         are too few for every node to do so, and proves who leads for
+ *         the others
+ */
+bool relay_services_is_prover(const relay_services_t *services);
+
+/**
+ * @return another node's gate, a different one each time and every other time
+ *         one that proves for the others; or NULL
+ */
 const endpoint_t *relay_services_next_peer(relay_services_t *services);
 
 /** Takes in a server's entry; takes it over. */
