--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -17,10 +17,10 @@
 #define METRIC_SERIES_MAX 256u
 
 /* Changes within this time cost one call to the store. */
-#define FOLLOW_PAUSE_MS 50
+#define FOLLOW_PAUSE_MS 1500
 
-/* The same while the node has no callers. */
-#define FOLLOW_IDLE_PAUSE_MS 600
+/* The same for changes of who leads. */
+#define PRIMARIES_PAUSE_MS 40
 
 /* Pause before the records are read again after a failure. */
 #define READ_AGAIN_MS 150
@@ -52,7 +52,8 @@
 	relay_duty_t *duty;
 	relay_proof_t *proof;
 	relay_status_page_t *page;
-	kv_follow_t *follow; /* of all keys */
+	kv_follow_t *follow;	/* of all keys, in no haste */
+	kv_follow_t *primaries; /* of who leads, at once */
 	struct event *read_timer;
 	bool reading; /* the records of who leads */
 	bool read_again;
@@ -232,8 +233,6 @@
 		on_catalog(node, item);
 	else if (g_str_has_prefix(item->key, RELAY_NODES_PREFIX))
 		on_node(node, item);
-	else if (g_str_has_prefix(item->key, RELAY_PRIMARIES_PREFIX))
-		relay_duty_changed(node->duty, item);
 }
 
 static void on_synced(void *context, int64_t revision, uint64_t asked_ms)
@@ -241,11 +240,22 @@
 	relay_node_t *node = context;
 
 	node->synced = true;
-	kv_follow_set_pause(node->follow, relay_callers_count(node->callers) ?
-						  FOLLOW_PAUSE_MS :
-						  FOLLOW_IDLE_PAUSE_MS);
 	if (node->nodes_changed)
 		update_nodes(node);
+}
+
+static void on_primary(void *context, const kv_item_t *item)
+{
+	relay_node_t *node = context;
+
+	relay_duty_changed(node->duty, item);
+}
+
+static void on_primaries_synced(void *context, int64_t revision,
+				uint64_t asked_ms)
+{
+	relay_node_t *node = context;
+
 	relay_duty_synced(node->duty);
 	relay_services_unchanged(node->services, revision, asked_ms);
 }
@@ -353,6 +363,14 @@
 						.synced = on_synced,
 						.context = node,
 					});
+	node->primaries = kv_follow_create(base, platform.store,
+					   RELAY_PRIMARIES_PREFIX, PRIMARIES_PAUSE_MS,
+					   (kv_follow_handlers_t){
+						   .changed = on_primary,
+						   .synced =
+							   on_primaries_synced,
+						   .context = node,
+					   });
 	node->callers =
 		relay_callers_create(base, platform.codec, node->services,
 				     &settings->callers, error);
@@ -378,6 +396,7 @@
 	relay_callers_destroy(node->callers);
 	relay_gate_destroy(node->gate);
 	kv_follow_destroy(node->follow);
+	kv_follow_destroy(node->primaries);
 	event_free(node->read_timer);
 	g_hash_table_destroy(node->lapsing);
 	relay_registration_destroy(node->registration);
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -220,11 +220,6 @@
 	return follow;
 }
 
-void kv_follow_set_pause(kv_follow_t *follow, uint32_t pause_ms)
-{
-	follow->pause_ms = pause_ms;
-}
-
 void kv_follow_destroy(kv_follow_t *follow)
 {
 	if (!follow)
--- a/src/store/kv_follow.h
+++ b/src/store/kv_follow.h
@@ -32,9 +32,6 @@
 			      const char *prefix, uint32_t pause_ms,
 			      kv_follow_handlers_t handlers);
 
-/** Changes the wait after a batch of changes. */
-void kv_follow_set_pause(kv_follow_t *follow, uint32_t pause_ms);
-
 /** Must be called before the store is destroyed; NULL is allowed. */
 void kv_follow_destroy(kv_follow_t *follow);
 
