--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -12,6 +12,12 @@
 /* Silence of the caller's machine after which the session is given up. */
 #define SILENCE_S 20
 
+/* Rest after which a session of a leaving node is closed. */
+#define DRAIN_REST_MS 250
+
+/* The same for a session that has not asked for anything yet. */
+#define DRAIN_FIRST_MS 1000
+
 /* Bytes read ahead while a statement runs. */
 #define READ_AHEAD_SIZE_BYTES (RELAY_MESSAGE_SIZE_BYTES_MAX + 65536u)
 
@@ -49,6 +55,9 @@
 	log_point_t own_point;
 	uint64_t own_term;
 	bool closing;
+	bool answered;	    /* a server has run a statement for it */
+	bool just_answered; /* since the last look at what was sent */
+	uint64_t active_ms; /* when a message came or an answer went */
 };
 
 static void process(relay_session_t *session);
@@ -129,6 +138,7 @@
 
 static void answer_ready(relay_session_t *session, log_point_t point)
 {
+	session->active_ms = clock_boot_ms();
 	session->host->codec->put_ready(output_of(session), status_of(session),
 					point);
 	if (session->transaction != TRANSACTION_NONE) {
@@ -202,6 +212,8 @@
 	relay_session_t *session = context;
 
 	session->job = NULL;
+	session->answered = true;
+	session->just_answered = true;
 	take_result(session, result);
 	statement_done(session);
 	process(session);
@@ -470,6 +482,16 @@
 	close_soon(session);
 }
 
+/* Right after an operation the caller has sent nothing that would be lost;
+ * variables and prepared names are set in front of one. */
+static void drain_answered(relay_session_t *session)
+{
+	if (session->host->draining && session->answered &&
+	    session->just_answered && !relay_session_is_busy(session))
+		close_soon(session);
+	session->just_answered = false;
+}
+
 static void process(relay_session_t *session)
 {
 	struct evbuffer *input = bufferevent_get_input(session->bev);
@@ -481,8 +503,7 @@
 		switch (session->host->codec->decode(input, &session->message,
 						     &error)) {
 		case RELAY_INCOMPLETE:
-			if (session->host->draining)
-				relay_session_drain(session);
+			drain_answered(session);
 			return;
 		case RELAY_INVALID:
 			log_event(LOG_LEVEL_INFO, "caller_message_invalid",
@@ -493,6 +514,7 @@
 			close_soon(session);
 			return;
 		case RELAY_DECODED:
+			session->active_ms = clock_boot_ms();
 			take_message(session);
 		}
 	}
@@ -531,6 +553,7 @@
 	relay_session_t *session = g_new0(relay_session_t, 1);
 
 	session->host = host;
+	session->active_ms = clock_boot_ms();
 	session->bev = bufferevent_socket_new(host->base, fd,
 					      BEV_OPT_CLOSE_ON_FREE |
 						      BEV_OPT_DEFER_CALLBACKS);
@@ -550,9 +573,13 @@
 
 void relay_session_drain(relay_session_t *session)
 {
+	const uint64_t rest_ms =
+		session->answered ? DRAIN_REST_MS : DRAIN_FIRST_MS;
+
 	if (relay_session_is_busy(session) || session->closing)
 		return;
 	if (evbuffer_get_length(bufferevent_get_input(session->bev)))
 		return;
-	close_soon(session);
+	if (clock_boot_ms() >= session->active_ms + rest_ms)
+		close_soon(session);
 }
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -27,7 +27,7 @@
 /** Ends it: what runs is abandoned, an open transaction is rolled back. */
 void relay_session_destroy(relay_session_t *session);
 
-/** Closes it as soon as no statement and no transaction is open. */
+/** Closes it if nothing is open and the caller has been silent for a while. */
 void relay_session_drain(relay_session_t *session);
 
 /** Rolls back an open transaction in which no statement runs. */
