Ask anew for changes when the store is back

A watch sent while the store was silent was waited for up to 26 s, though renewals on other connections had long been answered again. The follower now starts anew when renewals recover, and waits 12 s at most; a test without the bench drops the late answer.

--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -304,6 +304,21 @@
 					   on_primaries, node);
 }
 
+/* What was asked before the store was away may never be answered. */
+static void on_recovered(void *context)
+{
+	relay_node_t *node = context;
+
+	kv_follow_restart(node->follow);
+	kv_follow_restart(node->primaries);
+}
+
+static void on_registered(void *context)
+{
+	read_primaries(context);
+	on_recovered(context);
+}
+
 static void on_read_timer(evutil_socket_t fd, short what, void *context)
 {
 	read_primaries(context);
@@ -324,6 +339,11 @@
 				relay_platform_t platform, GError **error)
 {
 	relay_node_t *node = g_new0(relay_node_t, 1);
+	const relay_registration_handlers_t handlers = {
+		.registered = on_registered,
+		.recovered = on_recovered,
+		.context = node,
+	};
 	g_autofree char *description = NULL;
 
 	node->base = base;
@@ -354,7 +374,7 @@
 				settings->gate.address, settings->gate.port);
 	node->registration = relay_registration_create(
 		base, platform.store, node->services, settings->node,
-		description, read_primaries, node);
+		description, handlers);
 	node->proof = relay_proof_create(node->services, read_primaries, node);
 	node->follow = kv_follow_create(base, platform.store, "",
 					FOLLOW_PAUSE_MS,
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -11,6 +11,9 @@
 /* Time between renewals; several fit into the time that each is good. */
 #define RENEW_MS 450
 
+/* Time without an answer after which the store was away. */
+#define RECOVERED_MS 1500
+
 /* Pause before a registration that failed is tried again. */
 #define REGISTER_RETRY_MS 200
 
@@ -31,8 +34,7 @@
 	bool opening;
 	bool leaving;
 	bool valid; /* as last logged */
-	void (*registered)(void *context);
-	void *context;
+	relay_registration_handlers_t handlers;
 };
 
 typedef struct {
@@ -103,7 +105,7 @@
 		  "lease=%" PRId64 " revision=%" PRId64, call.lease,
 		  answer->revision);
 	tick_after(registration, RENEW_MS);
-	registration->registered(registration->context);
+	registration->handlers.registered(registration->handlers.context);
 }
 
 static void register_keys(relay_registration_t *registration, int64_t lease,
@@ -165,8 +167,13 @@
 		return;
 	if (answer->result == KV_OK) {
 		const bool lapsed = clock_boot_ms() >= lease->valid_until_ms;
+		const bool recovered =
+			call.sent_ms > lease->renewed_ms + RECOVERED_MS;
 
 		node_lease_renewed(lease, call.sent_ms);
+		if (recovered)
+			registration->handlers.recovered(
+				registration->handlers.context);
 		log_validity(registration);
 		if (lapsed)
 			relay_services_wake(registration->services);
@@ -219,7 +226,7 @@
 relay_registration_create(struct event_base *base, kv_store_t *store,
 			  relay_services_t *services, const char *node,
 			  const char *description,
-			  void (*registered)(void *context), void *context)
+			  relay_registration_handlers_t handlers)
 {
 	relay_registration_t *registration = g_new0(relay_registration_t, 1);
 
@@ -232,8 +239,7 @@
 	registration->calls = g_hash_table_new_full(
 		g_direct_hash, g_direct_equal, g_free, NULL);
 	registration->timer = evtimer_new(base, on_timer, registration);
-	registration->registered = registered;
-	registration->context = context;
+	registration->handlers = handlers;
 	tick_after(registration, 0);
 	return registration;
 }
--- a/src/relay/relay_registration.h
+++ b/src/relay/relay_registration.h
@@ -24,15 +24,22 @@
  */
 typedef struct relay_registration relay_registration_t;
 
+typedef struct {
+	/** The lease stands in the store. */
+	void (*registered)(void *context);
+	/** The store answers again after it has not for a while. */
+	void (*recovered)(void *context);
+	void *context;
+} relay_registration_handlers_t;
+
 /**
  * @param description what others read below RELAY_NODES_PREFIX
- * @param registered called once the lease stands in the store
  */
 relay_registration_t *
 relay_registration_create(struct event_base *base, kv_store_t *store,
 			  relay_services_t *services, const char *node,
 			  const char *description,
-			  void (*registered)(void *context), void *context);
+			  relay_registration_handlers_t handlers);
 
 /** Must be called before the store is destroyed. */
 void relay_registration_destroy(relay_registration_t *registration);
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -6,7 +6,7 @@
 #include "base/log.h"
 
 /* How long the store may hold a watch without a change. */
-#define KV_FOLLOW_WAIT_MS 25000
+#define KV_FOLLOW_WAIT_MS 12000
 
 /* Pause before a failed call is made again, doubled up to the longest. */
 #define KV_FOLLOW_RETRY_MS 100
@@ -15,6 +15,7 @@
 /* One listing or watch under way. */
 typedef struct {
 	kv_follow_t *follow;
+	uint32_t round;
 	uint64_t asked_ms;
 } follow_call_t;
 
@@ -31,6 +32,7 @@
 	int64_t listing_revision;
 	uint64_t listing_asked_ms;
 	int64_t revision; /* 0: the keys must be listed */
+	uint32_t round;	  /* answers of earlier rounds are dropped */
 	uint32_t retry_ms;
 	bool reached;
 };
@@ -42,17 +44,20 @@
 	follow_call_t *call = g_new0(follow_call_t, 1);
 
 	call->follow = follow;
+	call->round = follow->round;
 	call->asked_ms = clock_boot_ms();
 	g_hash_table_add(follow->calls, call);
 	return call;
 }
 
+/* @return the follower, or NULL when it has asked anew since */
 static kv_follow_t *call_end(follow_call_t *call)
 {
 	kv_follow_t *follow = call->follow;
+	const uint32_t round = call->round;
 
 	g_hash_table_remove(follow->calls, call);
-	return follow;
+	return round == follow->round ? follow : NULL;
 }
 
 static void set_reached(kv_follow_t *follow, bool reached)
@@ -122,6 +127,8 @@
 	const uint64_t asked_ms = ((follow_call_t *)context)->asked_ms;
 	kv_follow_t *follow = call_end(context);
 
+	if (!follow)
+		return;
 	if (answer->result == KV_COMPACTED) {
 		log_event(LOG_LEVEL_NOTICE, "store_history_lost",
 			  "prefix=%s revision=%" PRId64, follow->prefix,
@@ -152,6 +159,8 @@
 	kv_follow_t *follow = call_end(context);
 	const kv_item_t *item = NULL;
 
+	if (!follow)
+		return;
 	if (answer->result != KV_OK) {
 		retry(follow);
 		return;
@@ -220,6 +229,12 @@
 	return follow;
 }
 
+void kv_follow_restart(kv_follow_t *follow)
+{
+	follow->round++;
+	go_on_after(follow, 0);
+}
+
 void kv_follow_destroy(kv_follow_t *follow)
 {
 	if (!follow)
--- a/src/store/kv_follow.h
+++ b/src/store/kv_follow.h
@@ -32,6 +32,12 @@
 			      const char *prefix, uint32_t pause_ms,
 			      kv_follow_handlers_t handlers);
 
+/**
+ * Asks anew for changes and drops the answer that is awaited: it may never
+ * come when the store was away meanwhile.
+ */
+void kv_follow_restart(kv_follow_t *follow);
+
 /** Must be called before the store is destroyed; NULL is allowed. */
 void kv_follow_destroy(kv_follow_t *follow);
 
