--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -153,6 +153,35 @@
 				takeover->candidate->id, 0);
 }
 
+/* Whether one of them leads a higher term already. */
+static server_t *leader(takeover_t *takeover)
+{
+	for (uint32_t i = 0; i < takeover->count; i++) {
+		server_t *server = &takeover->servers[i];
+
+		if (server->answered && server->status.role == SERVER_PRIMARY &&
+		    server->status.term > takeover->term)
+			return server;
+	}
+	return NULL;
+}
+
+/*
+ * A promotion that took effect already: who asked for it had ended the leases
+ * and waited, so it is only published. @return whether there is one
+ */
+static bool publish_leader(takeover_t *takeover, uint64_t now_ms)
+{
+	server_t *leads = leader(takeover);
+
+	if (!leads)
+		return false;
+	takeover->candidate = leads;
+	takeover->new_term = leads->status.term;
+	publish(takeover, now_ms);
+	return true;
+}
+
 static void promote(takeover_t *takeover, uint64_t now_ms)
 {
 	enter(takeover, TAKEOVER_PROMOTE, now_ms);
@@ -162,6 +191,20 @@
 				  takeover->candidate->id);
 }
 
+static void ask(takeover_t *takeover, server_t *server, uint64_t now_ms)
+{
+	if (server->asked_ms && now_ms < server->asked_ms + ASK_MS)
+		return;
+	server->asked_ms = now_ms;
+	takeover->actions.status(takeover->actions.context, server->id);
+}
+
+static void ask_all(takeover_t *takeover, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < takeover->count; i++)
+		ask(takeover, &takeover->servers[i], now_ms);
+}
+
 void takeover_written(takeover_t *takeover, bool written, uint64_t now_ms)
 {
 	switch (takeover->phase) {
@@ -175,6 +218,7 @@
 			return;
 		}
 		enter(takeover, TAKEOVER_REVOKE, now_ms);
+		ask_all(takeover, now_ms);
 		takeover->actions.revoke(takeover->actions.context);
 		fence_one(takeover, now_ms);
 		return;
@@ -244,14 +288,6 @@
 	wait_for_proofs(takeover, now_ms);
 }
 
-static void ask(takeover_t *takeover, server_t *server, uint64_t now_ms)
-{
-	if (server->asked_ms && now_ms < server->asked_ms + ASK_MS)
-		return;
-	server->asked_ms = now_ms;
-	takeover->actions.status(takeover->actions.context, server->id);
-}
-
 static void begin_choice(takeover_t *takeover, uint64_t now_ms)
 {
 	enter(takeover, TAKEOVER_CHOOSE, now_ms);
@@ -289,19 +325,6 @@
 	return best;
 }
 
-/* Whether one of them leads a higher term already. */
-static server_t *leader(takeover_t *takeover)
-{
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		server_t *server = &takeover->servers[i];
-
-		if (server->answered && server->status.role == SERVER_PRIMARY &&
-		    server->status.term > takeover->term)
-			return server;
-	}
-	return NULL;
-}
-
 /* A lost primary was asked while proofs ran out: it is not waited for. */
 static bool all_answered(const takeover_t *takeover)
 {
@@ -335,17 +358,11 @@
 {
 	server_t *old = find(takeover, takeover->primary);
 	server_t *best = longest_log(takeover);
-	server_t *leads = leader(takeover);
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 
-	if (leads) {
-		takeover->candidate = leads;
-		takeover->new_term = leads->status.term;
-		publish(takeover, now_ms);
+	if (publish_leader(takeover, now_ms))
 		return;
-	}
-	for (uint32_t i = 0; i < takeover->count; i++)
-		ask(takeover, &takeover->servers[i], now_ms);
+	ask_all(takeover, now_ms);
 	if (old && leads_still(takeover, old) &&
 	    (!takeover->planned || (!best && waited_ms >= CATCH_UP_MS))) {
 		keep_primary(takeover, old, now_ms);
@@ -375,6 +392,10 @@
 		choose(takeover, now_ms);
 		return;
 	}
+	if ((takeover->phase == TAKEOVER_REVOKE ||
+	     takeover->phase == TAKEOVER_WAIT) &&
+	    publish_leader(takeover, now_ms))
+		return;
 	if (takeover->phase == TAKEOVER_WAIT && !takeover->planned &&
 	    is_primary(takeover, server) && leads_still(takeover, server)) {
 		keep_primary(takeover, server, now_ms);
@@ -407,6 +428,7 @@
 		if (!takeover->fenced_ms &&
 		    now_ms >= takeover->phase_ms + FENCE_AGAIN_MS) {
 			takeover->phase_ms = now_ms;
+			ask_all(takeover, now_ms);
 			fence_one(takeover, now_ms);
 		}
 		return;
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -60,7 +60,8 @@
 
 	note(fixture, "fence", server);
 	for (int i = 0; i < 3; i++)
-		if (!strcmp(fixture->servers[i].id, server))
+		if (!strcmp(fixture->servers[i].id, server) &&
+		    term > fixture->servers[i].status.term)
 			fixture->servers[i].status.fence = term;
 }
 
@@ -306,7 +307,7 @@
 
 	fixture->servers[0].silent = true;
 	take_effect(fixture, "b");
-	fixture->servers[1].status.fence = 2;
+	fixture->servers[2].status.term = 2;
 	start(fixture, false);
 	run(fixture, 5000);
 	assert_true(fixture->led);
