--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -64,10 +64,10 @@
 /** Operations of the control connection. */
 typedef enum {
 	RELAY_CONTROL_STATUS,
-	RELAY_CONTROL_FENCE,	/**< stop receiving from lower terms */
-	RELAY_CONTROL_RELEASE,	/**< lift a fence */
+	RELAY_CONTROL_FENCE,	 /**< stop receiving from lower terms */
+	RELAY_CONTROL_RELEASE,	 /**< lift a fence */
 	RELAY_CONTROL_STEP_DOWN, /**< stop leading a lower term */
-	RELAY_CONTROL_PROVE, /**< of another node: what it has proved */
+	RELAY_CONTROL_PROVE,	 /**< of another node: what it has proved */
 } relay_control_t;
 
 /** What a backend server answers to a control operation. */
--- a/src/relay/relay_duty.c
+++ b/src/relay/relay_duty.c
@@ -275,6 +275,7 @@
 	}
 	if (item->revision <= entry->revision)
 		return;
+	duty_takeover_seen(entry, &record, item->revision);
 	if (strcmp(entry->record.primary, record.primary))
 		duty_service_reset(entry);
 	entry->revision = item->revision;
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -17,7 +17,9 @@
 	bool asking;	   /**< the primary is being asked */
 	uint64_t asked_ms; /**< when it was asked last */
 	takeover_t *takeover;
-	struct event *release;	/**< lifts the fences */
+	void *writing; /**< the takeover's write under way, or NULL */
+	primary_record_t written; /**< what it writes */
+	struct event *release;	  /**< lifts the fences */
 	GHashTable *statuses;	/**< id -> relay_status_t, for a first record */
 	uint64_t seen_takeover; /**< highest term of one that was told */
 	uint64_t first_ms;	/**< since when a record is missing, or 0 */
@@ -43,6 +45,7 @@
 	uint64_t renew_sent_ms;
 	uint64_t settled_ms; /**< from when promotions are allowed */
 	uint64_t try_at_ms;
+	uint64_t attempts; /**< writes of records so far */
 	bool acquiring;
 	bool synced;
 	bool leaving;
@@ -72,6 +75,13 @@
 void duty_takeover_start(duty_service_t *entry, bool planned,
 			 const char *reason);
 
+/**
+ * A record was seen in the store: if it is what the takeover writes, its
+ * answer is not waited for.
+ */
+void duty_takeover_seen(duty_service_t *entry, const primary_record_t *record,
+			int64_t revision);
+
 /** Makes the service's takeover, which is idle at first. */
 void duty_takeover_create(duty_service_t *entry);
 
--- a/src/relay/relay_duty_takeover.c
+++ b/src/relay/relay_duty_takeover.c
@@ -30,7 +30,6 @@
 	duty_service_t *entry;
 	uint64_t round;
 	char *server;
-	primary_record_t record; /* that is being written */
 } action_t;
 
 /* The ending of all leases that stood in the store. */
@@ -81,24 +80,47 @@
 		  detail);
 }
 
+static void take_written(duty_service_t *entry, kv_result_t result,
+			 int64_t revision)
+{
+	entry->writing = NULL;
+	log_step(entry, "written", kv_result_name(result));
+	if (result == KV_OK && revision >= entry->revision) {
+		entry->revision = revision;
+		entry->record = entry->written;
+	}
+	takeover_written(entry->takeover, result == KV_OK, clock_boot_ms());
+}
+
 static void on_written(void *context, const kv_answer_t *answer)
 {
 	action_t *action = context;
 	duty_service_t *entry = action->entry;
 
-	if (is_current(action)) {
-		log_step(entry, "written", kv_result_name(answer->result));
-		if (answer->result == KV_OK &&
-		    answer->revision > entry->revision) {
-			entry->revision = answer->revision;
-			entry->record = action->record;
-		}
-		takeover_written(entry->takeover, answer->result == KV_OK,
-				 clock_boot_ms());
-	}
+	if (is_current(action) && entry->writing == action)
+		take_written(entry, answer->result, answer->revision);
+	else if (entry->writing == action)
+		entry->writing = NULL;
 	action_free(action);
 }
 
+/* The answer may be lost after the write took effect. */
+void duty_takeover_seen(duty_service_t *entry, const primary_record_t *record,
+			int64_t revision)
+{
+	const primary_record_t *written = &entry->written;
+
+	if (!entry->writing ||
+	    takeover_phase(entry->takeover) == TAKEOVER_IDLE ||
+	    record->term != written->term ||
+	    record->takeover_term != written->takeover_term ||
+	    record->token != written->token ||
+	    record->attempt != written->attempt ||
+	    strcmp(record->primary, written->primary))
+		return;
+	take_written(entry, KV_OK, revision);
+}
+
 static void write_record(void *context, uint64_t term, const char *primary,
 			 uint64_t takeover_term)
 {
@@ -107,6 +129,7 @@
 		.term = term,
 		.takeover_term = takeover_term,
 		.token = (uint64_t)entry->duty->held_revision,
+		.attempt = ++entry->duty->attempts,
 	};
 	action_t *action;
 
@@ -114,7 +137,8 @@
 		entry->round++;
 	g_strlcpy(record.primary, primary, sizeof(record.primary));
 	action = action_new(entry, primary);
-	action->record = record;
+	entry->writing = action;
+	entry->written = record;
 	duty_write(entry, &record, on_written, action);
 }
 
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -73,7 +73,7 @@
 	log_point_t after;
 	const relay_server_t *tried[TRIED_MAX]; /* compared, never used */
 	uint32_t tried_count;
-	bool only_primary; /* replicas could not serve it */
+	bool only_primary;  /* replicas could not serve it */
 	uint32_t catch_ups; /* waits for a replica so far */
 	relay_hold_t *hold;
 	/* Ends with this result at the next turn of the loop. */
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -376,21 +376,21 @@
 		base, platform.store, node->services, settings->node,
 		description, handlers);
 	node->proof = relay_proof_create(node->services, read_primaries, node);
-	node->follow = kv_follow_create(base, platform.store, "",
-					FOLLOW_PAUSE_MS,
-					(kv_follow_handlers_t){
-						.changed = on_changed,
-						.synced = on_synced,
-						.context = node,
-					});
-	node->primaries = kv_follow_create(base, platform.store,
-					   RELAY_PRIMARIES_PREFIX, PRIMARIES_PAUSE_MS,
-					   (kv_follow_handlers_t){
-						   .changed = on_primary,
-						   .synced =
-							   on_primaries_synced,
-						   .context = node,
-					   });
+	node->follow =
+		kv_follow_create(base, platform.store, "", FOLLOW_PAUSE_MS,
+				 (kv_follow_handlers_t){
+					 .changed = on_changed,
+					 .synced = on_synced,
+					 .context = node,
+				 });
+	node->primaries =
+		kv_follow_create(base, platform.store, RELAY_PRIMARIES_PREFIX,
+				 PRIMARIES_PAUSE_MS,
+				 (kv_follow_handlers_t){
+					 .changed = on_primary,
+					 .synced = on_primaries_synced,
+					 .context = node,
+				 });
 	node->callers =
 		relay_callers_create(base, platform.codec, node->services,
 				     &settings->callers, error);
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -114,8 +114,8 @@
 	/* A key for each lease: a transaction that is carried out late can't
 	 * hide the lease that runs by then. */
 	g_autofree char *value = g_strdup_printf("%" PRId64, lease);
-	g_autofree char *dated = g_strdup_printf(
-		"%" PRId64 " %" PRId64, lease, g_get_real_time() / 1000);
+	g_autofree char *dated = g_strdup_printf("%" PRId64 " %" PRId64, lease,
+						 g_get_real_time() / 1000);
 	g_autofree char *old_key = g_steal_pointer(&registration->lease_key);
 	const char *const removals[] = {old_key};
 	g_autofree char *key = g_strdup_printf(RELAY_LEASES_PREFIX "%s/%s",
--- a/src/state/primary_record.c
+++ b/src/state/primary_record.c
@@ -8,9 +8,10 @@
 {
 	return g_strdup_printf("{\"term\":%" PRIu64 ",\"primary\":\"%s\","
 			       "\"takeover\":%" PRIu64 ",\"token\":%" PRIu64
-			       "}",
+			       ",\"attempt\":%" PRIu64 "}",
 			       record->term, record->primary,
-			       record->takeover_term, record->token);
+			       record->takeover_term, record->token,
+			       record->attempt);
 }
 
 static bool number_of(json_t *json, const char *name, uint64_t *number)
@@ -32,7 +33,8 @@
 		json_string_value(json_object_get(json, "primary"));
 	bool valid = primary && number_of(json, "term", &record->term) &&
 		     number_of(json, "takeover", &record->takeover_term) &&
-		     number_of(json, "token", &record->token);
+		     number_of(json, "token", &record->token) &&
+		     number_of(json, "attempt", &record->attempt);
 
 	if (valid)
 		valid = g_strlcpy(record->primary, primary,
--- a/src/state/primary_record.h
+++ b/src/state/primary_record.h
@@ -12,6 +12,7 @@
 	char primary[64];	/**< id, empty when none is known */
 	uint64_t takeover_term; /**< of the replacement under way, or 0 */
 	uint64_t token;		/**< fencing token of who wrote it */
+	uint64_t attempt;	/**< of that writer; tells its writes apart */
 } primary_record_t;
 
 /** @return the record as it is stored; free with g_free() */
--- a/tests/unit/test_kv_follow.c
+++ b/tests/unit/test_kv_follow.c
@@ -81,11 +81,11 @@
 	fixture->store->self = fixture;
 	fixture->told = g_string_new("");
 	g_queue_init(&fixture->calls);
-	fixture->follow = kv_follow_create(
-		fixture->base, fixture->store, "p/", 0,
-		(kv_follow_handlers_t){.changed = on_changed,
-				       .synced = on_synced,
-				       .context = fixture});
+	fixture->follow =
+		kv_follow_create(fixture->base, fixture->store, "p/", 0,
+				 (kv_follow_handlers_t){.changed = on_changed,
+							.synced = on_synced,
+							.context = fixture});
 	*state = fixture;
 	return 0;
 }
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -228,6 +228,7 @@
 	assert_string_equal(decoded.primary, "i-7f");
 	assert_int_equal(decoded.takeover_term, 5);
 	assert_int_equal(decoded.token, 812);
+	assert_int_equal(decoded.attempt, 3);
 	assert_false(primary_record_decode(junk, &decoded));
 }
 
