Run the node against the stand-in of a site, end to end

Found by it: a malformed statement crashed the node (the name of its kind stood outside the table); a primary behind a relay that takes connections and drops them was never held lost, because its port answered. Both have tests that failed first (test_platform, test_platform_codec).

--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -22,6 +22,7 @@
 	COMMAND_RESET,	 /**< forgets variables and prepared statements */
 	COMMAND_PROVE,	 /**< of another node: tells what this one has proved */
 	COMMAND_INVALID,
+	COMMAND_KIND_COUNT,
 } command_kind_t;
 
 /** One statement, split into what session and routing need of it. */
--- a/src/relay/relay_control.c
+++ b/src/relay/relay_control.c
@@ -96,7 +96,7 @@
 		control->answer.result = RELAY_CONTROL_SILENT;
 		relay_server_discard(control->server, control->link);
 	} else if (!control->ended) {
-		control->answer.result = RELAY_CONTROL_UNREACHABLE;
+		control->answer.result = RELAY_CONTROL_SILENT;
 		if (control->server)
 			relay_server_leave(control->server, &control->waiter);
 	}
--- a/src/relay/relay_control.h
+++ b/src/relay/relay_control.h
@@ -7,8 +7,9 @@
 typedef enum {
 	RELAY_CONTROL_DONE,	   /**< there is a status */
 	RELAY_CONTROL_BUSY,	   /**< it answers, but not this now */
-	RELAY_CONTROL_UNREACHABLE, /**< it surely was not asked */
-	RELAY_CONTROL_SILENT,	   /**< no answer; it may have run */
+	RELAY_CONTROL_UNREACHABLE, /**< it refuses connections, or breaks them
+				    */
+	RELAY_CONTROL_SILENT,	   /**< no answer in time; it may have run */
 } relay_control_result_t;
 
 /** What came back. */
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -85,8 +85,8 @@
 	duty_service_t *entry;
 	char *server;
 	uint32_t pending;
-	bool alive;
-	bool refused;
+	bool connected; /* its port took a connection */
+	relay_control_result_t result;
 } look_t;
 
 static void look_end(look_t *look)
@@ -94,16 +94,25 @@
 	duty_service_t *entry = look->entry;
 	const uint64_t now_ms = clock_boot_ms();
 
+	/* A port that takes connections tells a slow server from a dead one,
+	 * unless those are broken at once, as behind a relay. */
+	const bool alive =
+		look->result == RELAY_CONTROL_DONE ||
+		look->result == RELAY_CONTROL_BUSY ||
+		(look->result == RELAY_CONTROL_SILENT && look->connected);
+
 	if (--look->pending)
 		return;
 	entry->asking = false;
 	if (strcmp(look->server, entry->record.primary))
 		log_event(LOG_LEVEL_INFO, "primary_look_outdated",
 			  "service=%s server=%s", entry->name, look->server);
-	else if (look->alive)
+	else if (alive)
 		primary_watch_heard(&entry->watch, now_ms);
 	else
-		primary_watch_failed(&entry->watch, look->refused, now_ms);
+		primary_watch_failed(&entry->watch,
+				     look->result == RELAY_CONTROL_UNREACHABLE,
+				     now_ms);
 	g_free(look->server);
 	g_free(look);
 }
@@ -112,7 +121,7 @@
 {
 	look_t *look = context;
 
-	look->alive |= connected;
+	look->connected = connected;
 	look_end(look);
 }
 
@@ -121,9 +130,7 @@
 {
 	look_t *look = context;
 
-	look->alive |= answer->result == RELAY_CONTROL_DONE ||
-		       answer->result == RELAY_CONTROL_BUSY;
-	look->refused = answer->result == RELAY_CONTROL_UNREACHABLE;
+	look->result = answer->result;
 	look_end(look);
 }
 
--- /dev/null
+++ b/tests/e2e/test_platform.c
@@ -0,0 +1,256 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "world/http_ask.h"
+#include "world/line_client.h"
+#include "world/site_world.h"
+
+/* Times are upper bounds for a busy machine, not what is measured. */
+#define START_TIMEOUT_MS 30000
+#define SERVE_TIMEOUT_MS 30000
+#define RETRY_MS 100
+
+static int open_site(void **state)
+{
+	static const site_plan_t plan = {.nodes = 3, .groups = 1, .seed = 1};
+	g_autoptr(GError) error = NULL;
+	site_world_t *world = site_world_create(&plan, &error);
+
+	if (!world) {
+		print_error("%s\n", error->message);
+		return -1;
+	}
+	if (!site_world_wait_ready(world, START_TIMEOUT_MS)) {
+		site_world_print_logs(world);
+		return -1;
+	}
+	*state = world;
+	return 0;
+}
+
+static int close_site(void **state)
+{
+	site_world_destroy(*state);
+	return 0;
+}
+
+static line_client_t *open_client(site_world_t *world, uint32_t node,
+				  const char *database)
+{
+	line_client_t *client = line_client_open(
+		site_world_callers_port(world, node), database);
+
+	assert_non_null(client);
+	return client;
+}
+
+/* Tries a statement until it is done, as callers do after a promise. */
+static char *must_run(line_client_t *client, const char *text)
+{
+	const uint64_t until_ms = clock_now_ms() + SERVE_TIMEOUT_MS;
+	line_result_t result;
+	char *row = NULL;
+
+	do {
+		result = line_client_run(client, text, &row);
+		if (result == LINE_DONE)
+			return row;
+		assert_int_equal(result, LINE_NOT_KEPT);
+		g_usleep(RETRY_MS * 1000);
+	} while (clock_now_ms() < until_ms);
+	fail_msg("%s was not done: %s", text, line_client_error(client));
+	return NULL;
+}
+
+/* Writes new data at each try, so that one in doubt is not written twice. */
+static char *must_write(line_client_t *client, const char *item)
+{
+	const uint64_t until_ms = clock_now_ms() + SERVE_TIMEOUT_MS;
+
+	for (uint32_t i = 0; clock_now_ms() < until_ms; i++) {
+		g_autofree char *data = g_strdup_printf("%s-%u", item, i);
+		g_autofree char *text =
+			g_strdup_printf("WRITE %s %s", item, data);
+		const line_result_t result =
+			line_client_run(client, text, NULL);
+
+		if (result == LINE_DONE)
+			return g_steal_pointer(&data);
+		assert_int_not_equal(result, LINE_LOST);
+		g_usleep(RETRY_MS * 1000);
+	}
+	fail_msg("%s was not written: %s", item, line_client_error(client));
+	return NULL;
+}
+
+static void test_every_node_serves_own_changes(void **state)
+{
+	site_world_t *world = *state;
+
+	for (uint32_t i = 0; i < 3; i++) {
+		line_client_t *client = open_client(world, i, "own-0");
+		g_autofree char *write =
+			g_strdup_printf("WRITE item%u data%u", i, i);
+		g_autofree char *read = g_strdup_printf("READ item%u", i);
+		g_autofree char *data = g_strdup_printf("data%u", i);
+		g_autofree char *row = NULL;
+
+		g_free(must_run(client, write));
+		row = must_run(client, read);
+		assert_string_equal(row, data);
+		line_client_close(client);
+	}
+}
+
+static void test_other_node_reads_it_at_the_primary(void **state)
+{
+	site_world_t *world = *state;
+	line_client_t *writer = open_client(world, 0, "strict-0");
+	line_client_t *reader = open_client(world, 1, "strict-0");
+	g_autofree char *row = NULL;
+
+	g_free(must_run(writer, "WRITE booking one"));
+	row = must_run(reader, "READ booking");
+	assert_string_equal(row, "one");
+	line_client_close(writer);
+	line_client_close(reader);
+}
+
+static void test_transaction_with_prepared_names_and_values(void **state)
+{
+	site_world_t *world = *state;
+	line_client_t *client = open_client(world, 2, "own-0");
+	g_autofree char *row = NULL;
+
+	assert_int_equal(line_client_run(client, "SET unit mm", NULL),
+			 LINE_DONE);
+	assert_int_equal(line_client_run(client, "PREPARE w WRITE q", NULL),
+			 LINE_DONE);
+	assert_int_equal(line_client_run(client, "BEGIN", NULL), LINE_DONE);
+	assert_int_equal(line_client_status(client), 'T');
+	assert_int_equal(line_client_run(client, "EXECUTE w lot 7", NULL),
+			 LINE_DONE);
+	assert_int_equal(line_client_run(client, "COMMIT", NULL), LINE_DONE);
+	assert_int_equal(line_client_status(client), 'I');
+	row = must_run(client, "READ lot");
+	assert_string_equal(row, "7");
+	line_client_close(client);
+}
+
+static void test_rolled_back_transaction_leaves_nothing(void **state)
+{
+	site_world_t *world = *state;
+	line_client_t *client = open_client(world, 0, "strict-0");
+	g_autofree char *row = NULL;
+
+	assert_int_equal(line_client_run(client, "BEGIN", NULL), LINE_DONE);
+	assert_int_equal(line_client_run(client, "WRITE ghost x", NULL),
+			 LINE_DONE);
+	assert_int_equal(line_client_run(client, "ROLLBACK", NULL), LINE_DONE);
+	row = must_run(client, "READ ghost");
+	assert_string_equal(row, "-");
+	line_client_close(client);
+}
+
+static void test_wrong_statements_get_clear_errors(void **state)
+{
+	site_world_t *world = *state;
+	line_client_t *client = open_client(world, 0, "own-0");
+
+	assert_null(
+		line_client_open(site_world_callers_port(world, 0), "nowhere"));
+	assert_int_equal(line_client_run(client, "DROP everything", NULL),
+			 LINE_ERROR);
+	assert_non_null(strstr(line_client_error(client), "MALFORMED"));
+	assert_int_equal(line_client_run(client, "EXECUTE nope x", NULL),
+			 LINE_ERROR);
+	assert_non_null(strstr(line_client_error(client), "UNKNOWN"));
+	assert_int_equal(line_client_run(client, "AFTER 1.1 READ a", NULL),
+			 LINE_ERROR);
+	line_client_close(client);
+}
+
+static void check_report(site_world_t *world, const char *kept)
+{
+	json_t *report = http_ask_json(site_world_port(world), "/report");
+
+	assert_non_null(report);
+	assert_non_null(json_object_get(json_object_get(report, "kept"), kept));
+	assert_int_equal(json_integer_value(json_object_get(report, "twice")),
+			 0);
+	assert_int_equal(
+		json_integer_value(json_object_get(report, "token_steps_back")),
+		0);
+	json_decref(report);
+}
+
+static void test_lost_primary_is_replaced(void **state)
+{
+	site_world_t *world = *state;
+	line_client_t *client = open_client(world, 1, "strict-0");
+	g_autofree char *after = NULL;
+	g_autofree char *row = NULL;
+
+	g_free(must_run(client, "WRITE before yes"));
+	g_usleep(200 * 1000); /* the replicas have it by then */
+	site_world_fault(world, "crash?server=group0-0&for_ms=60000");
+	after = must_write(client, "after");
+	row = must_run(client, "READ before");
+	assert_string_equal(row, "yes");
+	check_report(world, after);
+	line_client_close(client);
+}
+
+static void test_store_away_leaves_callers_served(void **state)
+{
+	site_world_t *world = *state;
+	line_client_t *client = open_client(world, 0, "strict-0");
+
+	site_world_fault(world, "store-down?for_ms=3000");
+	for (uint32_t i = 0; i < 20; i++) {
+		g_autofree char *write = g_strdup_printf("WRITE away v%u", i);
+
+		g_free(must_run(client, write));
+		g_usleep(100 * 1000);
+	}
+	line_client_close(client);
+}
+
+static void test_leaving_node_ends_sessions_and_stops(void **state)
+{
+	site_world_t *world = *state;
+	line_client_t *client = open_client(world, 2, "own-0");
+	const uint64_t until_ms = clock_now_ms() + START_TIMEOUT_MS;
+
+	g_free(must_run(client, "WRITE leaving 1"));
+	site_world_signal(world, 2, SIGTERM);
+	while (site_world_runs(world, 2) && clock_now_ms() < until_ms)
+		g_usleep(RETRY_MS * 1000);
+	assert_false(site_world_runs(world, 2));
+	line_client_close(client);
+	assert_true(site_world_restart(world, 2));
+	assert_true(site_world_wait_ready(world, START_TIMEOUT_MS));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_every_node_serves_own_changes),
+		cmocka_unit_test(test_other_node_reads_it_at_the_primary),
+		cmocka_unit_test(
+			test_transaction_with_prepared_names_and_values),
+		cmocka_unit_test(test_rolled_back_transaction_leaves_nothing),
+		cmocka_unit_test(test_wrong_statements_get_clear_errors),
+		cmocka_unit_test(test_store_away_leaves_callers_served),
+		cmocka_unit_test(test_lost_primary_is_replaced),
+		cmocka_unit_test(test_leaving_node_ends_sessions_and_stops),
+	};
+
+	return cmocka_run_group_tests(tests, open_site, close_site);
+}
--- a/tests/standin/relay/link.c
+++ b/tests/standin/relay/link.c
@@ -111,6 +111,14 @@
 	       clock_now_ms() >= link->settings.frozen_until_ms;
 }
 
+static bool direction_passes(const direction_t *direction)
+{
+	const flow_t *flow = direction->flow;
+	const bool back = direction == &flow->directions[1];
+
+	return link_passes(flow->link) && !(back && flow->link->settings.mute);
+}
+
 static void wait_us(struct event *timer, uint64_t delay_us)
 {
 	struct timeval wait = {.tv_sec = (time_t)(delay_us / 1000000),
@@ -183,7 +191,7 @@
 
 	if (!direction->flow->connected)
 		return;
-	if (!link_passes(direction->flow->link)) {
+	if (!direction_passes(direction)) {
 		if (!direction->flow->link->settings.cut)
 			wait_us(direction->timer, FROZEN_POLL_MS * 1000u);
 		return;
--- a/tests/standin/relay/link.h
+++ b/tests/standin/relay/link.h
@@ -15,6 +15,7 @@
 	uint32_t jitter_ms;	  /**< most that is added at random */
 	double loss_percent;	  /**< of segments; each stalls its direction */
 	bool cut;		  /**< nothing passes */
+	bool mute;		  /**< nothing passes back to who connected */
 	uint64_t frozen_until_ms; /**< nothing passes till then */
 } link_settings_t;
 
--- a/tests/standin/relay/main.c
+++ b/tests/standin/relay/main.c
@@ -55,6 +55,7 @@
 	settings->jitter_ms = (uint32_t)http_number(request, "jitter_ms",
 						    settings->jitter_ms);
 	settings->cut = http_number(request, "cut", settings->cut);
+	settings->mute = http_number(request, "mute", settings->mute);
 	if (loss)
 		settings->loss_percent = g_ascii_strtod(loss, NULL);
 	if (freeze_ms >= 0)
--- a/tests/standin/site/main.c
+++ b/tests/standin/site/main.c
@@ -20,6 +20,7 @@
 	group_t *groups[GROUPS_MAX];
 	int groups_count;
 	uint64_t config_version;
+	uint16_t shown_offset; /* of ports in the registry, for a relay */
 	uint64_t last_token;
 	uint64_t token_steps_back;
 } site_t;
@@ -33,8 +34,9 @@
 		"\"%s\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
 		"\"cold_remaining_ms\":0,\"db_role\":\"%s\",\"sequence\":1,"
 		"\"born\":%u}",
-		server->group->name, server->port, server->zone,
-		server->primary ? "primary" : "replica", server->port);
+		server->group->name, server->port + site->shown_offset,
+		server->zone, server->primary ? "primary" : "replica",
+		server->port);
 
 	if (present)
 		keys_put(site->keys, key, value);
@@ -203,7 +205,8 @@
 		keys_serve(site->keys, request);
 }
 
-static site_t *site_create(uint16_t port, int groups, uint32_t seed)
+static site_t *site_create(uint16_t port, int groups, uint32_t seed,
+			   uint16_t shown_offset)
 {
 	site_t *site = g_new0(site_t, 1);
 	struct evhttp *http;
@@ -211,6 +214,7 @@
 	site->base = event_base_new();
 	site->keys = keys_create(site->base);
 	site->groups_count = groups;
+	site->shown_offset = shown_offset;
 	http = http_listen(site->base, "127.0.0.1", port);
 	if (!http)
 		return NULL;
@@ -233,19 +237,22 @@
 		arg_int1("p", "port", "N", "store; servers use those above");
 	struct arg_int *groups = arg_int0("g", "groups", "N", "of 3 servers");
 	struct arg_int *seed = arg_int0("s", "seed", "N", "of lost answers");
+	struct arg_int *shown = arg_int0(NULL, "shown-offset", "N",
+					 "added to ports in the registry");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {port, groups, seed, end};
+	void *table[] = {port, groups, seed, shown, end};
 	site_t *site;
 
 	groups->ival[0] = 2;
 	seed->ival[0] = 1;
+	shown->ival[0] = 0;
 	signal(SIGPIPE, SIG_IGN);
 	if (arg_parse(argc, argv, table) || groups->ival[0] > GROUPS_MAX) {
 		arg_print_errors(stderr, end, argv[0]);
 		return EXIT_FAILURE;
 	}
 	site = site_create((uint16_t)port->ival[0], groups->ival[0],
-			   (uint32_t)seed->ival[0]);
+			   (uint32_t)seed->ival[0], (uint16_t)shown->ival[0]);
 	if (!site) {
 		fprintf(stderr, "%s: port %d is taken\n", argv[0],
 			port->ival[0]);
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -235,6 +235,12 @@
 	assert_false(line_codec.parse_status("witness 3 3.1 0", &status));
 }
 
+static void test_every_kind_has_a_name(void **state)
+{
+	for (int i = 0; i < COMMAND_KIND_COUNT; i++)
+		assert_non_null(command_kind_name((command_kind_t)i));
+}
+
 static void test_promises(void **state)
 {
 	assert_true(relay_error_is_promise(RELAY_ERROR_OVERLOADED));
@@ -258,6 +264,7 @@
 		cmocka_unit_test(test_point_in_front_of_a_statement),
 		cmocka_unit_test(test_encoding),
 		cmocka_unit_test(test_control),
+		cmocka_unit_test(test_every_kind_has_a_name),
 		cmocka_unit_test(test_promises),
 	};
 
--- /dev/null
+++ b/tests/world/line_client.c
@@ -0,0 +1,156 @@
+#include "world/line_client.h"
+
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
+
+#define ANSWER_TIMEOUT_MS 8000
+#define ID_SIZE 40
+
+struct line_client {
+	int fd;
+	GString *input;
+	char *error;
+	char status;
+	uint64_t next_id;
+	uint64_t name;
+};
+
+static uint64_t next_name(void)
+{
+	static uint64_t names;
+
+	return __atomic_add_fetch(&names, 1, __ATOMIC_RELAXED);
+}
+
+static bool is_promise(const char *code)
+{
+	static const char *const codes[] = {"BUSY",	"ABORTED",   "LAGGING",
+					    "READONLY", "WRONGNODE", "TOOMANY"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++)
+		if (g_str_has_prefix(code, codes[i]))
+			return true;
+	return false;
+}
+
+/* @return the next line without its end, or NULL when none comes */
+static char *read_line(line_client_t *client)
+{
+	const uint64_t until_ms = clock_now_ms() + ANSWER_TIMEOUT_MS;
+	struct pollfd in = {.fd = client->fd, .events = POLLIN};
+	char bytes[4096];
+
+	for (;;) {
+		const char *end = strstr(client->input->str, "\r\n");
+		const uint64_t now_ms = clock_now_ms();
+		ssize_t size;
+		char *line;
+
+		if (end) {
+			line = g_strndup(client->input->str,
+					 (gsize)(end - client->input->str));
+			g_string_erase(client->input, 0,
+				       end - client->input->str + 2);
+			return line;
+		}
+		if (now_ms >= until_ms ||
+		    poll(&in, 1, (int)(until_ms - now_ms)) != 1)
+			return NULL;
+		size = recv(client->fd, bytes, sizeof(bytes), 0);
+		if (size <= 0)
+			return NULL;
+		g_string_append_len(client->input, bytes, size);
+	}
+}
+
+static line_result_t read_answer(line_client_t *client, char **row)
+{
+	line_result_t result = LINE_DONE;
+
+	for (;;) {
+		g_autofree char *line = read_line(client);
+
+		if (!line)
+			return LINE_LOST;
+		if (g_str_has_prefix(line, "READY ")) {
+			client->status = line[6];
+			return result;
+		}
+		if (g_str_has_prefix(line, "DATAROW ") && row && !*row)
+			*row = g_strdup(line + 8);
+		if (!g_str_has_prefix(line, "ERROR "))
+			continue;
+		g_free(client->error);
+		client->error = g_strdup(line + 6);
+		result = is_promise(client->error) ? LINE_NOT_KEPT : LINE_ERROR;
+	}
+}
+
+static bool send_text(line_client_t *client, const char *text)
+{
+	const ssize_t size = (ssize_t)strlen(text);
+
+	return send(client->fd, text, (size_t)size, MSG_NOSIGNAL) == size;
+}
+
+line_client_t *line_client_open(uint16_t port, const char *database)
+{
+	const struct sockaddr_in address = {.sin_family = AF_INET,
+					    .sin_port = htons(port),
+					    .sin_addr.s_addr =
+						    htonl(INADDR_LOOPBACK)};
+	g_autofree char *start =
+		g_strdup_printf("STARTUP %s soak\r\n", database);
+	line_client_t *client = g_new0(line_client_t, 1);
+
+	client->input = g_string_new("");
+	client->error = g_strdup("");
+	client->name = next_name();
+	client->fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (!connect(client->fd, (const struct sockaddr *)&address,
+		     sizeof(address)) &&
+	    send_text(client, start) && read_answer(client, NULL) == LINE_DONE)
+		return client;
+	line_client_close(client);
+	return NULL;
+}
+
+void line_client_close(line_client_t *client)
+{
+	if (!client)
+		return;
+	close(client->fd);
+	g_string_free(client->input, TRUE);
+	g_free(client->error);
+	g_free(client);
+}
+
+line_result_t line_client_run(line_client_t *client, const char *text,
+			      char **row)
+{
+	g_autofree char *message = g_strdup_printf(
+		"QUERY %lx-%lx %s\r\n", (unsigned long)client->name,
+		(unsigned long)++client->next_id, text);
+
+	if (row)
+		*row = NULL;
+	if (!send_text(client, message))
+		return LINE_LOST;
+	return read_answer(client, row);
+}
+
+const char *line_client_error(const line_client_t *client)
+{
+	return client->error;
+}
+
+char line_client_status(const line_client_t *client)
+{
+	return client->status;
+}
--- /dev/null
+++ b/tests/world/site_world.c
@@ -0,0 +1,274 @@
+#include "world/site_world.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
+#include "world/http_ask.h"
+#include "world/process.h"
+
+/* Ports of one site: store, servers, shown servers, relay, nodes. */
+#define PORTS_SIZE 1000
+#define SHOWN_OFFSET 100
+#define RELAY_CONTROL_OFFSET 200
+#define STORE_LINK_OFFSET 210
+#define NODES_OFFSET 320
+#define NODE_PORTS 6
+
+#define PORT_FIRST 20000
+#define PORT_LAST 31000
+
+#define BINARIES "build/bin/"
+#define LOG_LINES 30
+#define POLL_MS 50
+
+struct site_world {
+	site_plan_t plan;
+	uint16_t port;
+	char *folder;
+	process_t *site;
+	process_t *relay;
+	process_t *nodes[SITE_NODES_MAX];
+};
+
+/* @return whether nobody listens there */
+static bool is_free(uint16_t port)
+{
+	const struct sockaddr_in address = {.sin_family = AF_INET,
+					    .sin_port = htons(port),
+					    .sin_addr.s_addr =
+						    htonl(INADDR_LOOPBACK)};
+	const int fd = socket(AF_INET, SOCK_STREAM, 0);
+	const bool free =
+		!bind(fd, (const struct sockaddr *)&address, sizeof(address));
+
+	close(fd);
+	return free;
+}
+
+static uint16_t find_ports(void)
+{
+	uint32_t port = PORT_FIRST + (uint32_t)getpid() * PORTS_SIZE %
+					     (PORT_LAST - PORT_FIRST);
+
+	while (!is_free((uint16_t)port) ||
+	       !is_free((uint16_t)(port + RELAY_CONTROL_OFFSET)) ||
+	       !is_free((uint16_t)(port + NODES_OFFSET)))
+		port += PORTS_SIZE;
+	return (uint16_t)port;
+}
+
+static char *log_path(const site_world_t *world, const char *name)
+{
+	return g_strdup_printf("%s/%s.log", world->folder, name);
+}
+
+static process_t *start(const site_world_t *world, const char *name,
+			char *const *arguments, GError **error)
+{
+	g_autofree char *path = log_path(world, name);
+
+	return process_start(name, path, arguments, error);
+}
+
+static bool start_site(site_world_t *world, GError **error)
+{
+	g_autofree char *port = g_strdup_printf("--port=%u", world->port);
+	g_autofree char *groups =
+		g_strdup_printf("--groups=%u", world->plan.groups);
+	g_autofree char *seed = g_strdup_printf("--seed=%u", world->plan.seed);
+	g_autofree char *shown =
+		g_strdup_printf("--shown-offset=%d", SHOWN_OFFSET);
+	char *const arguments[] = {
+		BINARIES "standin-site", port, groups, seed, shown, NULL};
+
+	world->site = start(world, "site", arguments, error);
+	return world->site;
+}
+
+static void add_link(GPtrArray *arguments, const char *tag, uint16_t listen,
+		     uint16_t target)
+{
+	g_ptr_array_add(arguments,
+			g_strdup_printf("--link=%s=127.0.0.1:%u=127.0.0.1:%u",
+					tag, listen, target));
+}
+
+static bool start_relay(site_world_t *world, GError **error)
+{
+	g_autoptr(GPtrArray) arguments = g_ptr_array_new_with_free_func(g_free);
+
+	g_ptr_array_add(arguments, g_strdup(BINARIES "standin-relay"));
+	g_ptr_array_add(arguments,
+			g_strdup_printf("--control=127.0.0.1:%u",
+					world->port + RELAY_CONTROL_OFFSET));
+	g_ptr_array_add(arguments,
+			g_strdup_printf("--seed=%u", world->plan.seed));
+	for (uint32_t i = 0; i < world->plan.groups * SITE_COPIES; i++) {
+		g_autofree char *tag = g_strdup_printf(
+			"group%u-%u", i / SITE_COPIES, i % SITE_COPIES);
+		const uint16_t port = (uint16_t)(world->port + 1 + i);
+
+		add_link(arguments, tag, (uint16_t)(port + SHOWN_OFFSET), port);
+	}
+	for (uint32_t i = 0; i < world->plan.nodes; i++) {
+		g_autofree char *tag = g_strdup_printf("store-%u", i);
+
+		add_link(arguments, tag,
+			 (uint16_t)(world->port + STORE_LINK_OFFSET + i),
+			 world->port);
+	}
+	g_ptr_array_add(arguments, NULL);
+	world->relay =
+		start(world, "relay", (char *const *)arguments->pdata, error);
+	return world->relay;
+}
+
+static uint16_t node_port(const site_world_t *world, uint32_t node)
+{
+	return (uint16_t)(world->port + NODES_OFFSET + node * NODE_PORTS);
+}
+
+static char *write_settings(const site_world_t *world, uint32_t node)
+{
+	const uint16_t port = node_port(world, node);
+	const char zone = (char)('a' + node % SITE_COPIES);
+	char *path = g_strdup_printf("%s/node-%u.conf", world->folder, node);
+	g_autofree char *text = g_strdup_printf(
+		"node_name=node-%u\nzone=z-%c\nregion=r-%c\nip=127.0.0.1\n"
+		"zones.z-a=r-a\nzones.z-b=r-b\nzones.z-c=r-c\n"
+		"listen_addrs.front=127.0.0.1:%u\n"
+		"listen_addrs.ready_address=127.0.0.1:%u\n"
+		"internal_ports=%u,%u\nbounds.grace_s=6\n"
+		"platform.address=127.0.0.1:%u\n"
+		"cloud_api.address=127.0.0.1:%u\n",
+		node, zone, zone, port, port + 1, port + 2, port + 5,
+		world->port + STORE_LINK_OFFSET + node, world->port);
+
+	if (!g_file_set_contents(path, text, -1, NULL))
+		g_error("cannot write %s", path);
+	return path;
+}
+
+static bool start_node(site_world_t *world, uint32_t node, GError **error)
+{
+	g_autofree char *path = write_settings(world, node);
+	g_autofree char *settings = g_strdup_printf("--settings=%s", path);
+	g_autofree char *name = g_strdup_printf("node-%u", node);
+	char *const arguments[] = {BINARIES "toucanhook-node", settings, NULL};
+
+	world->nodes[node] = start(world, name, arguments, error);
+	return world->nodes[node];
+}
+
+static bool start_all(site_world_t *world, GError **error)
+{
+	if (!start_site(world, error) || !start_relay(world, error))
+		return false;
+	for (uint32_t i = 0; i < world->plan.nodes; i++)
+		if (!start_node(world, i, error))
+			return false;
+	return true;
+}
+
+site_world_t *site_world_create(const site_plan_t *plan, GError **error)
+{
+	site_world_t *world = g_new0(site_world_t, 1);
+
+	world->plan = *plan;
+	world->port = find_ports();
+	world->folder = g_dir_make_tmp("toucanhook-site-XXXXXX", error);
+	if (world->folder && start_all(world, error))
+		return world;
+	site_world_destroy(world);
+	return NULL;
+}
+
+void site_world_destroy(site_world_t *world)
+{
+	if (!world)
+		return;
+	for (uint32_t i = 0; i < world->plan.nodes; i++)
+		process_destroy(world->nodes[i]);
+	process_destroy(world->relay);
+	process_destroy(world->site);
+	g_free(world->folder);
+	g_free(world);
+}
+
+bool site_world_wait_ready(site_world_t *world, uint32_t timeout_ms)
+{
+	const uint64_t until_ms = clock_now_ms() + timeout_ms;
+	uint32_t ready = 0;
+
+	while (clock_now_ms() < until_ms && ready < world->plan.nodes) {
+		for (ready = 0; ready < world->plan.nodes; ready++) {
+			const uint16_t port =
+				(uint16_t)(node_port(world, ready) + 1);
+
+			if (http_ask(HTTP_ASK_GET, port, "/ready", NULL,
+				     NULL) != 200)
+				break;
+		}
+		g_usleep(POLL_MS * 1000);
+	}
+	return ready == world->plan.nodes;
+}
+
+uint16_t site_world_callers_port(const site_world_t *world, uint32_t node)
+{
+	return node_port(world, node);
+}
+
+uint16_t site_world_port(const site_world_t *world)
+{
+	return world->port;
+}
+
+void site_world_signal(site_world_t *world, uint32_t node, int number)
+{
+	if (world->nodes[node])
+		process_signal(world->nodes[node], number);
+}
+
+bool site_world_runs(site_world_t *world, uint32_t node)
+{
+	return world->nodes[node] && process_running(world->nodes[node]);
+}
+
+bool site_world_restart(site_world_t *world, uint32_t node)
+{
+	if (site_world_runs(world, node))
+		return false;
+	g_clear_pointer(&world->nodes[node], process_destroy);
+	return start_node(world, node, NULL);
+}
+
+void site_world_fault(site_world_t *world, const char *fault)
+{
+	g_autofree char *path = g_strdup_printf("/fault/%s", fault);
+
+	http_ask(HTTP_ASK_GET, world->port, path, NULL, NULL);
+}
+
+void site_world_link(site_world_t *world, const char *tag, const char *settings)
+{
+	g_autofree char *path =
+		g_strdup_printf("/set?tag=%s&%s", tag, settings);
+
+	http_ask(HTTP_ASK_POST, (uint16_t)(world->port + RELAY_CONTROL_OFFSET),
+		 path, NULL, NULL);
+}
+
+void site_world_print_logs(const site_world_t *world)
+{
+	for (uint32_t i = 0; i < world->plan.nodes; i++)
+		if (world->nodes[i])
+			process_print_log(world->nodes[i], LOG_LINES);
+}
