Add a fault soak of real processes

Nodes, the stand-in of a site and a relay as separate processes; signals, crashes, silence, deaf replicas, lost answers, a store that is away, and links that are cut, muted or slowed overlap by a seed. Callers' histories are checked against what the servers kept.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,8 @@
 	$(wildcard tests/property/prop_*.cpp))
 E2E = $(patsubst tests/e2e/%.c,$(BUILD)/tests/e2e/%,\
 	$(wildcard tests/e2e/test_*.c))
+SOAK = $(BUILD)/tests/soak/soak
+SOAK_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
 BENCH = $(patsubst tests/bench/%.c,$(BUILD)/tests/bench/%,\
 	$(wildcard tests/bench/*.c))
 
@@ -51,7 +53,7 @@
 LINT_STAMPS = $(LINT_FILES:%=build/lint/%.ok)
 
 PLATFORM_PHONY = platform-node
-.PHONY: $(PLATFORM_PHONY) all setup check check-inner sanitize demo bench soak format \
+.PHONY: $(PLATFORM_PHONY) all setup check check-inner sanitize demo bench soak soak-faults format \
 	format-check lint unit property e2e regenerate \
 	clean
 .SECONDARY:
@@ -73,7 +75,7 @@
 	$(MAKE) -j$$(nproc) sanitize-programs
 	scripts/run_tests.sh
 
-test-programs: $(UNIT) $(PROPERTY) $(E2E)
+test-programs: $(UNIT) $(PROPERTY) $(E2E) $(SOAK)
 
 sanitize-programs:
 	$(MAKE) BUILD=build-asan SANITIZE=1 unit-programs
@@ -99,6 +101,10 @@
 	$(MAKE) test-programs
 	scripts/soak.sh $(SEED) $(ROUNDS)
 
+# Faults from outside on real processes; see docs/SOAK.md.
+soak-faults: all $(SOAK)
+	scripts/soak_faults.sh $(or $(SEED),1) $(or $(MINUTES),1)
+
 format:
 	@clang-format -i $(C_FILES)
 
@@ -166,6 +172,10 @@
 $(BUILD)/tests/e2e/%: $(BUILD)/tests/e2e/%.o $(WORLD_OBJ) $(LIB)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) -lcmocka $(LDLIBS)
 
+$(SOAK): $(SOAK_OBJ) $(WORLD_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
+
 $(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(WORLD_OBJ) $(SIM_OBJ) $(LIB)
 	$(CC) -o $@ $(filter-out %/world_ask.o,$^) $(LDLIBS)
 
--- /dev/null
+++ b/tests/soak/caller.c
@@ -0,0 +1,209 @@
+#include "soak/caller.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "world/line_client.h"
+
+#define THINK_MS_MAX 40
+#define BROWSE_AGE_MS 1500
+/* Clocks of two processes are one here; this is for rounding alone. */
+#define AGE_SLACK_MS 5
+
+struct caller {
+	site_world_t *world;
+	site_plan_t plan;
+	uint32_t group;
+	GRand *random;
+	history_t *history;
+	GThread *thread;
+	gint stopping;
+	gint progress;
+	line_client_t *client;
+	const char *kind; /* of the database: strict, own or browse */
+};
+
+static uint32_t pick(caller_t *caller, uint32_t below)
+{
+	return (uint32_t)g_rand_int_range(caller->random, 0, (gint32)below);
+}
+
+static void lose_client(caller_t *caller)
+{
+	g_clear_pointer(&caller->client, line_client_close);
+}
+
+static bool have_client(caller_t *caller)
+{
+	static const char *const kinds[] = {"strict", "own", "browse"};
+	g_autofree char *database = NULL;
+
+	if (caller->client)
+		return true;
+	caller->kind = kinds[pick(caller, G_N_ELEMENTS(kinds))];
+	database = g_strdup_printf("%s-%u", caller->kind, caller->group);
+	caller->client = line_client_open(
+		site_world_callers_port(caller->world,
+					pick(caller, caller->plan.nodes)),
+		database);
+	return caller->client;
+}
+
+static write_state_t state_of(const line_client_t *client, line_result_t result)
+{
+	if (result == LINE_DONE)
+		return WRITE_ACKNOWLEDGED;
+	if (result == LINE_NOT_KEPT)
+		return WRITE_REFUSED;
+	/* Wrong statements do not run. */
+	if (result == LINE_ERROR &&
+	    g_str_has_prefix(line_client_error(client), "MALFORMED"))
+		return WRITE_REFUSED;
+	return WRITE_IN_DOUBT;
+}
+
+static void note_write(caller_t *caller, line_result_t result)
+{
+	const write_state_t state = state_of(caller->client, result);
+
+	history_wrote(caller->history, state, clock_boot_ms());
+	if (state == WRITE_ACKNOWLEDGED)
+		g_atomic_int_inc(&caller->progress);
+	if (result == LINE_LOST)
+		lose_client(caller);
+}
+
+static void write_once(caller_t *caller)
+{
+	g_autofree char *text =
+		g_strdup_printf("WRITE %s %s", history_item(caller->history),
+				history_next_data(caller->history));
+
+	note_write(caller, line_client_run(caller->client, text, NULL));
+}
+
+/* A transaction whose outcome is that of its COMMIT, if that was sent. */
+static void write_in_transaction(caller_t *caller)
+{
+	g_autofree char *text =
+		g_strdup_printf("WRITE %s %s", history_item(caller->history),
+				history_next_data(caller->history));
+	line_result_t result = line_client_run(caller->client, "BEGIN", NULL);
+
+	if (result == LINE_DONE)
+		result = line_client_run(caller->client, text, NULL);
+	if (result == LINE_DONE && !pick(caller, 8)) {
+		result = line_client_run(caller->client, "ROLLBACK", NULL);
+		history_wrote(caller->history, WRITE_REFUSED, clock_boot_ms());
+		if (result != LINE_DONE)
+			lose_client(caller);
+		return;
+	}
+	if (result == LINE_DONE)
+		result = line_client_run(caller->client, "COMMIT", NULL);
+	else if (result != LINE_LOST)
+		line_client_run(caller->client, "ROLLBACK", NULL);
+	note_write(caller, result);
+	if (caller->client && line_client_status(caller->client) != 'I')
+		lose_client(caller);
+}
+
+static void read_once(caller_t *caller)
+{
+	const uint64_t started_ms = clock_boot_ms();
+	g_autofree char *text =
+		g_strdup_printf("READ %s", history_item(caller->history));
+	g_autofree char *row = NULL;
+	const line_result_t result =
+		line_client_run(caller->client, text, &row);
+
+	if (result == LINE_DONE && row)
+		history_read(caller->history, row, started_ms,
+			     strcmp(caller->kind, "browse") ?
+				     0 :
+				     BROWSE_AGE_MS + AGE_SLACK_MS);
+	else if (result == LINE_LOST)
+		lose_client(caller);
+}
+
+/*
+ * A new session with own-writes knows nothing of the one before: only what
+ * it wrote itself, and what is older than the age, must be seen.
+ */
+static bool may_read(const caller_t *caller, uint32_t acknowledged)
+{
+	return strcmp(caller->kind, "own") || acknowledged;
+}
+
+static gpointer run(gpointer data)
+{
+	caller_t *caller = data;
+	uint32_t at_open = 0;
+	const line_client_t *known = NULL;
+
+	while (!g_atomic_int_get(&caller->stopping)) {
+		if (!have_client(caller)) {
+			g_usleep(THINK_MS_MAX * 1000);
+			continue;
+		}
+		if (known != caller->client)
+			at_open = caller_progress(caller);
+		known = caller->client;
+		if (pick(caller, 3) &&
+		    may_read(caller, caller_progress(caller) - at_open)) {
+			read_once(caller);
+		} else if (pick(caller, 3)) {
+			write_once(caller);
+		} else {
+			write_in_transaction(caller);
+		}
+		if (!pick(caller, 40))
+			lose_client(caller);
+		if (!caller->client)
+			known = NULL;
+		g_usleep(pick(caller, THINK_MS_MAX) * 1000);
+	}
+	return NULL;
+}
+
+caller_t *caller_start(site_world_t *world, const site_plan_t *plan,
+		       uint32_t number)
+{
+	caller_t *caller = g_new0(caller_t, 1);
+	g_autofree char *item = g_strdup_printf("i%u", number);
+
+	caller->world = world;
+	caller->plan = *plan;
+	caller->group = number % plan->groups;
+	caller->random = g_rand_new_with_seed(plan->seed * 1000 + number);
+	caller->history = history_create(item);
+	caller->thread = g_thread_new("caller", run, caller);
+	return caller;
+}
+
+void caller_stop(caller_t *caller)
+{
+	g_atomic_int_set(&caller->stopping, 1);
+	if (caller->thread)
+		g_thread_join(caller->thread);
+	caller->thread = NULL;
+	lose_client(caller);
+}
+
+void caller_destroy(caller_t *caller)
+{
+	caller_stop(caller);
+	history_destroy(caller->history);
+	g_rand_free(caller->random);
+	g_free(caller);
+}
+
+const history_t *caller_history(const caller_t *caller)
+{
+	return caller->history;
+}
+
+uint32_t caller_progress(const caller_t *caller)
+{
+	return (uint32_t)g_atomic_int_get(&caller->progress);
+}
--- /dev/null
+++ b/tests/soak/faults.c
@@ -0,0 +1,232 @@
+#include "soak/faults.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "base/clock.h"
+
+#define PAUSE_MS_MIN 150
+#define PAUSE_MS_MAX 1500
+#define LASTS_MS_MIN 200
+#define LASTS_MS_MAX 5000
+#define RESTART_MS 400
+
+/* Something that ends later. */
+typedef struct {
+	uint64_t at_ms;
+	int32_t node;	/* that goes on, or -1 */
+	char *tag;	/* of a link that is healed, or NULL */
+	char *settings; /* of that link */
+} undo_t;
+
+struct faults {
+	site_world_t *world;
+	site_plan_t plan;
+	GRand *random;
+	GPtrArray *undos; /* undo_t */
+	uint64_t next_ms;
+	uint64_t started_ms;
+};
+
+static void undo_free(gpointer data)
+{
+	undo_t *undo = data;
+
+	g_free(undo->tag);
+	g_free(undo->settings);
+	g_free(undo);
+}
+
+static uint32_t pick(faults_t *faults, uint32_t from, uint32_t below)
+{
+	return (uint32_t)g_rand_int_range(faults->random, (gint32)from,
+					  (gint32)below);
+}
+
+static void tell(const faults_t *faults, const char *what, const char *where,
+		 uint32_t for_ms)
+{
+	printf("%" PRIu64 " ms: %s %s for %u ms\n",
+	       clock_now_ms() - faults->started_ms, what, where, for_ms);
+	fflush(stdout);
+}
+
+static undo_t *undo_later(faults_t *faults, uint32_t after_ms)
+{
+	undo_t *undo = g_new0(undo_t, 1);
+
+	undo->at_ms = clock_now_ms() + after_ms;
+	undo->node = -1;
+	g_ptr_array_add(faults->undos, undo);
+	return undo;
+}
+
+static char *any_server(faults_t *faults)
+{
+	return g_strdup_printf("group%u-%u",
+			       pick(faults, 0, faults->plan.groups),
+			       pick(faults, 0, SITE_COPIES));
+}
+
+static void hit_node(faults_t *faults, uint32_t for_ms)
+{
+	static const struct {
+		const char *name;
+		int number;
+	} signals[] = {{"kill", SIGKILL},
+		       {"terminate", SIGTERM},
+		       {"pause", SIGSTOP},
+		       {"hang up", SIGHUP}};
+	const uint32_t node = pick(faults, 0, faults->plan.nodes);
+	const uint32_t kind = pick(faults, 0, G_N_ELEMENTS(signals));
+	g_autofree char *name = g_strdup_printf("node-%u", node);
+
+	tell(faults, signals[kind].name, name, for_ms);
+	site_world_signal(faults->world, node, signals[kind].number);
+	undo_later(faults, for_ms)->node = (int32_t)node;
+}
+
+static void hit_server(faults_t *faults, uint32_t for_ms)
+{
+	static const char *const kinds[] = {"crash", "silent", "deaf", "lose"};
+	const char *kind = kinds[pick(faults, 0, G_N_ELEMENTS(kinds))];
+	g_autofree char *server = any_server(faults);
+	g_autofree char *fault = g_strdup_printf(
+		"%s?server=%s&for_ms=%u", kind, server,
+		g_str_equal(kind, "lose") ? pick(faults, 0, 10) : for_ms);
+
+	tell(faults, kind, server, for_ms);
+	site_world_fault(faults->world, fault);
+}
+
+static void hit_store(faults_t *faults, uint32_t for_ms)
+{
+	static const char *const kinds[] = {"store-down", "store-silent",
+					    "compact", "config"};
+	const char *kind = kinds[pick(faults, 0, G_N_ELEMENTS(kinds))];
+	g_autofree char *fault = g_strdup_printf("%s?for_ms=%u", kind, for_ms);
+
+	tell(faults, kind, "store", for_ms);
+	site_world_fault(faults->world, fault);
+}
+
+static void hit_link(faults_t *faults, uint32_t for_ms)
+{
+	static const struct {
+		const char *set;
+		const char *unset;
+	} kinds[] = {{"cut=1", "cut=0"},
+		     {"mute=1", "mute=0"},
+		     {"delay_ms=60&jitter_ms=40", "delay_ms=0&jitter_ms=0"},
+		     {"cut=1&keep=1", "cut=0&keep=1"}};
+	const uint32_t kind = pick(faults, 0, G_N_ELEMENTS(kinds));
+	char *tag =
+		pick(faults, 0, 2) ?
+			any_server(faults) :
+			g_strdup_printf("store-%u",
+					pick(faults, 0, faults->plan.nodes));
+	undo_t *undo = undo_later(faults, for_ms);
+
+	tell(faults, kinds[kind].set, tag, for_ms);
+	site_world_link(faults->world, tag, kinds[kind].set);
+	undo->tag = tag;
+	undo->settings = g_strdup(kinds[kind].unset);
+}
+
+static void begin_one(faults_t *faults)
+{
+	const uint32_t for_ms = pick(faults, LASTS_MS_MIN, LASTS_MS_MAX);
+
+	switch (pick(faults, 0, 4)) {
+	case 0:
+		hit_node(faults, for_ms);
+		break;
+	case 1:
+		hit_server(faults, for_ms);
+		break;
+	case 2:
+		hit_store(faults, for_ms);
+		break;
+	default:
+		hit_link(faults, for_ms);
+	}
+}
+
+/* Has a node go on, or starts it anew. @return whether it runs */
+static bool revive(faults_t *faults, uint32_t node)
+{
+	site_world_signal(faults->world, node, SIGCONT);
+	return site_world_runs(faults->world, node) ||
+	       site_world_restart(faults->world, node);
+}
+
+static void undo(faults_t *faults, const undo_t *undo)
+{
+	if (undo->node >= 0)
+		revive(faults, (uint32_t)undo->node);
+	if (undo->tag)
+		site_world_link(faults->world, undo->tag, undo->settings);
+}
+
+/* A process that was told to stop is started anew once it has. */
+static void restart_stopped(faults_t *faults, uint64_t now_ms)
+{
+	if (now_ms % RESTART_MS)
+		return;
+	for (uint32_t i = 0; i < faults->plan.nodes; i++)
+		if (!site_world_runs(faults->world, i) && !pick(faults, 0, 4))
+			site_world_restart(faults->world, i);
+}
+
+void faults_step(faults_t *faults, uint64_t now_ms)
+{
+	for (guint i = faults->undos->len; i > 0; i--) {
+		const undo_t *due = faults->undos->pdata[i - 1];
+
+		if (now_ms < due->at_ms)
+			continue;
+		undo(faults, due);
+		g_ptr_array_remove_index_fast(faults->undos, i - 1);
+	}
+	restart_stopped(faults, now_ms);
+	if (now_ms < faults->next_ms)
+		return;
+	faults->next_ms = now_ms + pick(faults, PAUSE_MS_MIN, PAUSE_MS_MAX);
+	begin_one(faults);
+}
+
+void faults_heal(faults_t *faults)
+{
+	g_ptr_array_set_size(faults->undos, 0);
+	site_world_link(faults->world, "*",
+			"cut=0&mute=0&delay_ms=0&jitter_ms=0");
+	for (uint32_t i = 0; i < faults->plan.groups * SITE_COPIES; i++) {
+		g_autofree char *fault =
+			g_strdup_printf("lose?server=group%u-%u&for_ms=0",
+					i / SITE_COPIES, i % SITE_COPIES);
+
+		site_world_fault(faults->world, fault);
+	}
+	for (uint32_t i = 0; i < faults->plan.nodes; i++)
+		revive(faults, i);
+}
+
+faults_t *faults_create(site_world_t *world, const site_plan_t *plan)
+{
+	faults_t *faults = g_new0(faults_t, 1);
+
+	faults->world = world;
+	faults->plan = *plan;
+	faults->random = g_rand_new_with_seed(plan->seed);
+	faults->undos = g_ptr_array_new_with_free_func(undo_free);
+	faults->started_ms = clock_now_ms();
+	return faults;
+}
+
+void faults_destroy(faults_t *faults)
+{
+	g_ptr_array_unref(faults->undos);
+	g_rand_free(faults->random);
+	g_free(faults);
+}
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,180 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <argtable2.h>
+
+#include "base/clock.h"
+#include "soak/caller.h"
+#include "soak/faults.h"
+#include "world/http_ask.h"
+
+/* Upper bounds for a busy machine. */
+#define READY_TIMEOUT_MS 30000
+#define RECOVER_TIMEOUT_MS 40000
+
+#define STEP_MS 10
+#define CALLERS_MAX 400
+
+typedef struct {
+	site_plan_t plan;
+	uint32_t callers;
+	uint32_t seconds;
+} options_t;
+
+typedef struct {
+	options_t options;
+	site_world_t *world;
+	caller_t *callers[CALLERS_MAX];
+	GPtrArray *problems; /* char * */
+} soak_t;
+
+static uint32_t progress(const soak_t *soak)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = 0; i < soak->options.callers; i++)
+		sum += caller_progress(soak->callers[i]);
+	return sum;
+}
+
+static void play(soak_t *soak)
+{
+	faults_t *faults = faults_create(soak->world, &soak->options.plan);
+	const uint64_t until_ms =
+		clock_now_ms() + soak->options.seconds * 1000ull;
+
+	while (clock_now_ms() < until_ms) {
+		faults_step(faults, clock_now_ms());
+		g_usleep(STEP_MS * 1000);
+	}
+	faults_heal(faults);
+	faults_destroy(faults);
+}
+
+/* @return whether every caller is served again */
+static bool all_served_since(const soak_t *soak, const uint32_t *before)
+{
+	for (uint32_t i = 0; i < soak->options.callers; i++)
+		if (caller_progress(soak->callers[i]) <= before[i])
+			return false;
+	return true;
+}
+
+static void check_recovery(soak_t *soak)
+{
+	const uint64_t until_ms = clock_now_ms() + RECOVER_TIMEOUT_MS;
+	uint32_t before[CALLERS_MAX];
+
+	site_world_wait_ready(soak->world, READY_TIMEOUT_MS);
+	for (uint32_t i = 0; i < soak->options.callers; i++)
+		before[i] = caller_progress(soak->callers[i]);
+	while (!all_served_since(soak, before) && clock_now_ms() < until_ms)
+		g_usleep(STEP_MS * 1000);
+	if (!all_served_since(soak, before))
+		g_ptr_array_add(soak->problems,
+				g_strdup("not all callers served again"));
+}
+
+static void check_number(soak_t *soak, json_t *report, const char *name)
+{
+	const json_int_t number =
+		json_integer_value(json_object_get(report, name));
+
+	if (number)
+		g_ptr_array_add(
+			soak->problems,
+			g_strdup_printf("%s: %lld", name, (long long)number));
+}
+
+static void check_promises(soak_t *soak)
+{
+	json_t *report = http_ask_json(site_world_port(soak->world), "/report");
+
+	if (!report) {
+		g_ptr_array_add(soak->problems, g_strdup("no report"));
+		return;
+	}
+	check_number(soak, report, "twice");
+	check_number(soak, report, "token_steps_back");
+	for (uint32_t i = 0; i < soak->options.callers; i++)
+		history_check(caller_history(soak->callers[i]), report,
+			      soak->problems);
+	printf("promotions: %lld, rolled back: %zu\n",
+	       (long long)json_integer_value(
+		       json_object_get(report, "promotions")),
+	       json_object_size(json_object_get(report, "rolled_back")));
+	json_decref(report);
+}
+
+static bool run(soak_t *soak)
+{
+	for (uint32_t i = 0; i < soak->options.callers; i++)
+		soak->callers[i] =
+			caller_start(soak->world, &soak->options.plan, i);
+	play(soak);
+	check_recovery(soak);
+	for (uint32_t i = 0; i < soak->options.callers; i++)
+		caller_stop(soak->callers[i]);
+	check_promises(soak);
+	printf("seed %u: %u writes acknowledged, %u problems\n",
+	       soak->options.plan.seed, progress(soak), soak->problems->len);
+	for (guint i = 0; i < soak->problems->len; i++)
+		printf("problem: %s\n", (char *)soak->problems->pdata[i]);
+	if (soak->problems->len)
+		site_world_print_logs(soak->world);
+	for (uint32_t i = 0; i < soak->options.callers; i++)
+		caller_destroy(soak->callers[i]);
+	return !soak->problems->len;
+}
+
+static int soak_main(const options_t *options)
+{
+	g_autoptr(GError) error = NULL;
+	soak_t soak = {.options = *options};
+	bool passed = false;
+
+	soak.problems = g_ptr_array_new_with_free_func(g_free);
+	soak.world = site_world_create(&options->plan, &error);
+	if (!soak.world)
+		fprintf(stderr, "%s\n", error->message);
+	else if (!site_world_wait_ready(soak.world, READY_TIMEOUT_MS))
+		site_world_print_logs(soak.world);
+	else
+		passed = run(&soak);
+	site_world_destroy(soak.world);
+	g_ptr_array_unref(soak.problems);
+	return passed ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *seed =
+		arg_int0("s", "seed", "N", "of all that is drawn");
+	struct arg_int *seconds = arg_int0("t", "seconds", "N", "of faults");
+	struct arg_int *nodes = arg_int0("n", "nodes", "N", "processes");
+	struct arg_int *groups = arg_int0("g", "groups", "N", "of 3 servers");
+	struct arg_int *callers = arg_int0("c", "callers", "N", "threads");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {seed, seconds, nodes, groups, callers, end};
+	options_t options;
+
+	seed->ival[0] = 1;
+	seconds->ival[0] = 15;
+	nodes->ival[0] = 4;
+	groups->ival[0] = 2;
+	callers->ival[0] = 12;
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, argv[0]);
+		return EXIT_FAILURE;
+	}
+	options = (options_t){
+		.plan = {.nodes = (uint32_t)CLAMP(nodes->ival[0], 1,
+						  SITE_NODES_MAX),
+			 .groups = (uint32_t)CLAMP(groups->ival[0], 1,
+						   SITE_GROUPS_MAX),
+			 .seed = (uint32_t)seed->ival[0]},
+		.callers = (uint32_t)CLAMP(callers->ival[0], 1, CALLERS_MAX),
+		.seconds = (uint32_t)seconds->ival[0],
+	};
+	return soak_main(&options);
+}
