--- a/src/relay/relay_callers.c
+++ b/src/relay/relay_callers.c
@@ -5,13 +5,14 @@
 #include <string.h>
 
 #include <event2/listener.h>
-#include <gio/gio.h>
 
 #include "base/log.h"
 
 /* Connections that the kernel keeps until they are accepted. */
 #define BACKLOG 1024
 
+G_DEFINE_QUARK(relay - callers - error - quark, relay_callers_error)
+
 struct relay_callers {
 	relay_session_host_t host;
 	struct evconnlistener *listener;
@@ -65,7 +66,7 @@
 			LEV_OPT_CLOSE_ON_EXEC,
 		BACKLOG, (struct sockaddr *)&address, sizeof(address));
 	if (!callers->listener) {
-		g_set_error(error, G_IO_ERROR, g_io_error_from_errno(errno),
+		g_set_error(error, RELAY_CALLERS_ERROR, errno,
 			    "cannot listen on %s:%u: %s", endpoint->address,
 			    endpoint->port, strerror(errno));
 		relay_callers_destroy(callers);
--- a/src/relay/relay_callers.h
+++ b/src/relay/relay_callers.h
@@ -4,6 +4,10 @@
 #include "relay/relay_session.h"
 #include "state/endpoint.h"
 
+/** It cannot listen; the code is errno(3). */
+#define RELAY_CALLERS_ERROR relay_callers_error_quark()
+GQuark relay_callers_error_quark(void);
+
 /** Accepts callers and owns their sessions. */
 typedef struct relay_callers relay_callers_t;
 
--- a/src/relay/relay_gate.c
+++ b/src/relay/relay_gate.c
@@ -433,7 +433,7 @@
 		BACKLOG, (struct sockaddr *)&address, sizeof(address));
 	if (gate->listener)
 		return gate;
-	g_set_error(error, relay_gate_error_quark(), 0,
+	g_set_error(error, RELAY_GATE_ERROR, errno,
 		    "cannot listen on %s:%u: %s", endpoint->address,
 		    endpoint->port, strerror(errno));
 	relay_gate_destroy(gate);
--- a/src/relay/relay_gate.h
+++ b/src/relay/relay_gate.h
@@ -4,6 +4,10 @@
 #include "relay/relay_service.h"
 #include "state/endpoint.h"
 
+/** It cannot listen; the code is errno(3). */
+#define RELAY_GATE_ERROR relay_gate_error_quark()
+GQuark relay_gate_error_quark(void);
+
 /**
  * Lends this node's connections to other nodes that cannot reach a server,
  * or find it at its limit. To them a session here looks like a connection to
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -168,12 +168,35 @@
 		  result->point.position);
 }
 
+static void count_end(const relay_job_t *job, const relay_result_t *result)
+{
+	metrics_t *metrics =
+		relay_services_settings(relay_service_services(job->service))
+			->metrics;
+	const char *database = job->ask.database->name;
+	const char *outcome =
+		result->failed ? relay_error_name(result->error) : "done";
+	g_autofree char *labels =
+		metrics_labels("database", database, "outcome", outcome, NULL);
+	g_autofree char *class_labels =
+		metrics_labels("database", database, NULL);
+
+	metric_add(
+		metrics_counter(metrics, "toucanhook_statements_total", labels),
+		1);
+	metric_histogram_record(
+		metrics_histogram(metrics, "toucanhook_statement_microseconds",
+				  class_labels),
+		1000 * (clock_boot_ms() - job->ask.received_ms));
+}
+
 static void finish(relay_job_t *job, const relay_result_t *result)
 {
 	const relay_job_done_t done = job->done;
 	void *const context = job->context;
 
 	log_end(job, result);
+	count_end(job, result);
 	job_free(job);
 	done(context, result);
 }
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -332,6 +332,25 @@
 		relay_registration_renew(node->registration);
 }
 
+/* What the node is at a moment, besides what is counted as it happens. */
+static void update_gauges(void *context)
+{
+	const relay_node_t *node = context;
+	const node_lease_t *lease = relay_services_lease(node->services);
+
+	metric_set(metrics_gauge(node->metrics, "toucanhook_callers", ""),
+		   relay_callers_count(node->callers));
+	metric_set(metrics_gauge(node->metrics, "toucanhook_lent_sessions", ""),
+		   relay_gate_count(node->gate));
+	metric_set(metrics_gauge(node->metrics, "toucanhook_lease_valid", ""),
+		   clock_boot_ms() < lease->valid_until_ms);
+	metric_set(metrics_gauge(node->metrics, "toucanhook_duty_held", ""),
+		   relay_duty_is_held(node->duty));
+	metric_set(
+		metrics_gauge(node->metrics, "toucanhook_catalog_version", ""),
+		node->catalog ? (int64_t)node->catalog->version : 0);
+}
+
 static void on_drain(evutil_socket_t fd, short what, void *context);
 
 relay_node_t *relay_node_create(struct event_base *base,
@@ -400,7 +419,7 @@
 	if (node->gate)
 		node->page = relay_status_page_create(
 			base, &settings->readiness, &settings->metrics,
-			node->metrics, is_ready, node, error);
+			node->metrics, is_ready, update_gauges, node, error);
 	if (!node->page) {
 		relay_node_destroy(node);
 		return NULL;
--- a/src/relay/relay_status_page.c
+++ b/src/relay/relay_status_page.c
@@ -2,13 +2,15 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
-#include <gio/gio.h>
+
+G_DEFINE_QUARK(relay - status - page - error - quark, relay_status_page_error)
 
 struct relay_status_page {
 	struct evhttp *readiness;
 	struct evhttp *metrics_server;
 	const metrics_t *metrics;
 	bool (*is_ready)(void *context);
+	void (*update)(void *context);
 	void *context;
 };
 
@@ -25,9 +27,11 @@
 static void on_metrics(struct evhttp_request *request, void *context)
 {
 	const relay_status_page_t *page = context;
-	g_autofree char *text = metrics_render(page->metrics);
 	struct evbuffer *body = evbuffer_new();
+	g_autofree char *text = NULL;
 
+	page->update(page->context);
+	text = metrics_render(page->metrics);
 	evbuffer_add(body, text, strlen(text));
 	evhttp_add_header(evhttp_request_get_output_headers(request),
 			  "Content-Type", "text/plain; version=0.0.4");
@@ -43,7 +47,7 @@
 	struct evhttp *http = evhttp_new(base);
 
 	if (evhttp_bind_socket(http, endpoint->address, endpoint->port)) {
-		g_set_error(error, G_IO_ERROR, G_IO_ERROR_FAILED,
+		g_set_error(error, RELAY_STATUS_PAGE_ERROR, 0,
 			    "cannot listen on %s:%u", endpoint->address,
 			    endpoint->port);
 		evhttp_free(http);
@@ -56,12 +60,14 @@
 relay_status_page_t *relay_status_page_create(
 	struct event_base *base, const endpoint_t *readiness,
 	const endpoint_t *metrics_endpoint, const metrics_t *metrics,
-	bool (*is_ready)(void *context), void *context, GError **error)
+	bool (*is_ready)(void *context), void (*update)(void *context),
+	void *context, GError **error)
 {
 	relay_status_page_t *page = g_new0(relay_status_page_t, 1);
 
 	page->metrics = metrics;
 	page->is_ready = is_ready;
+	page->update = update;
 	page->context = context;
 	page->readiness = listen_on(base, readiness, on_ready, page, error);
 	if (page->readiness)
