--- a/src/relay/relay_callers.c
+++ b/src/relay/relay_callers.c
@@ -123,11 +123,15 @@
 {
 	g_autoptr(GPtrArray) sessions = list_sessions(callers);
 
-	g_clear_pointer(&callers->listener, evconnlistener_free);
 	for (guint i = 0; i < sessions->len; i++)
 		relay_session_end_transaction(sessions->pdata[i]);
 }
 
+void relay_callers_close(relay_callers_t *callers)
+{
+	g_clear_pointer(&callers->listener, evconnlistener_free);
+}
+
 uint32_t relay_callers_count(const relay_callers_t *callers)
 {
 	return g_hash_table_size(callers->sessions);
--- a/src/relay/relay_callers.h
+++ b/src/relay/relay_callers.h
@@ -25,9 +25,12 @@
 /** Closes sessions as they become idle; new ones are still served. */
 void relay_callers_drain(relay_callers_t *callers);
 
-/** Stops accepting and rolls back the transactions that are still open. */
+/** Rolls back the transactions that are still open. */
 void relay_callers_stop(relay_callers_t *callers);
 
+/** Takes no further callers. */
+void relay_callers_close(relay_callers_t *callers);
+
 /** @return sessions that are connected */
 uint32_t relay_callers_count(const relay_callers_t *callers);
 
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -455,6 +455,7 @@
 	const struct timeval last = clock_timeval(LEAVE_MS);
 
 	event_del(node->drain_timer);
+	relay_callers_close(node->callers);
 	log_event(LOG_LEVEL_NOTICE, "drained",
 		  "reason=%s callers=%u after_ms=%" PRIu64, reason,
 		  relay_callers_count(node->callers),
--- a/tests/world/site_world.c
+++ b/tests/world/site_world.c
@@ -21,8 +21,11 @@
 #define NODES_OFFSET 320
 #define NODE_PORTS 6
 
-#define PORT_FIRST 20000
-#define PORT_LAST 31000
+/* Bound as long as the world lives, so that no other one takes the ports. */
+#define GUARD_OFFSET 999
+
+#define PORT_FIRST 3000
+#define PORT_LAST 18000
 
 #define BINARIES "build/bin/"
 #define LOG_LINES 30
@@ -31,37 +34,62 @@
 struct site_world {
 	site_plan_t plan;
 	uint16_t port;
+	int guard;
 	char *folder;
 	process_t *site;
 	process_t *relay;
 	process_t *nodes[SITE_NODES_MAX];
 };
 
-/* @return whether nobody listens there */
-static bool is_free(uint16_t port)
+/*
+ * @param reuse whether connections that ended lately do not count; then two
+ *              may hold the port until one listens
+ * @return a socket bound there, or -1 when the port is taken
+ */
+static int bind_port(uint16_t port, int reuse)
 {
 	const struct sockaddr_in address = {.sin_family = AF_INET,
 					    .sin_port = htons(port),
 					    .sin_addr.s_addr =
 						    htonl(INADDR_LOOPBACK)};
-	const int fd = socket(AF_INET, SOCK_STREAM, 0);
-	const bool free =
-		!bind(fd, (const struct sockaddr *)&address, sizeof(address));
+	const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+	if (!bind(fd, (const struct sockaddr *)&address, sizeof(address)) &&
+	    (!reuse || !listen(fd, 1)))
+		return fd;
 	close(fd);
-	return free;
+	return -1;
 }
 
-static uint16_t find_ports(void)
+static bool is_free(uint16_t port)
 {
-	uint32_t port = PORT_FIRST + (uint32_t)getpid() * PORTS_SIZE %
-					     (PORT_LAST - PORT_FIRST);
-
-	while (!is_free((uint16_t)port) ||
-	       !is_free((uint16_t)(port + RELAY_CONTROL_OFFSET)) ||
-	       !is_free((uint16_t)(port + NODES_OFFSET)))
-		port += PORTS_SIZE;
-	return (uint16_t)port;
+	const int fd = bind_port(port, 1);
+
+	if (fd < 0)
+		return false;
+	close(fd);
+	return true;
+}
+
+static bool take_ports(site_world_t *world)
+{
+	const uint32_t places = (PORT_LAST - PORT_FIRST) / PORTS_SIZE;
+
+	for (uint32_t i = 0; i < places; i++) {
+		const uint32_t place = ((uint32_t)getpid() + i) % places;
+		const uint16_t port =
+			(uint16_t)(PORT_FIRST + place * PORTS_SIZE);
+
+		world->guard = bind_port((uint16_t)(port + GUARD_OFFSET), 0);
+		if (world->guard >= 0 && is_free(port)) {
+			world->port = port;
+			return true;
+		}
+		if (world->guard >= 0)
+			close(world->guard);
+	}
+	return false;
 }
 
 static char *log_path(const site_world_t *world, const char *name)
@@ -182,7 +210,12 @@
 	site_world_t *world = g_new0(site_world_t, 1);
 
 	world->plan = *plan;
-	world->port = find_ports();
+	if (!take_ports(world)) {
+		g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_FAILED,
+			    "all ports are taken");
+		g_free(world);
+		return NULL;
+	}
 	world->folder = g_dir_make_tmp("toucanhook-site-XXXXXX", error);
 	if (world->folder && start_all(world, error))
 		return world;
@@ -198,6 +231,7 @@
 		process_destroy(world->nodes[i]);
 	process_destroy(world->relay);
 	process_destroy(world->site);
+	close(world->guard);
 	g_free(world->folder);
 	g_free(world);
 }
