--- a/src/relay/relay_gate.c
+++ b/src/relay/relay_gate.c
@@ -267,8 +267,8 @@
 	session->busy = true;
 	if (session->link && relay_link_is_open(session->link))
 		run_on(session, session->server, session->link);
-	else if (session->link)
-		session_end(session);
+	else if (session->link) /* broken, and so is the session */
+		close_soon(session);
 	else
 		wait_for_link(session);
 }
