--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -282,7 +282,7 @@
 
 uint64_t relay_link_opened_ms(const relay_link_t *link)
 {
-	return link->opened_ms;
+	return link->lent ? UINT64_MAX : link->opened_ms;
 }
 
 uint64_t relay_link_heard_ms(const relay_link_t *link)
--- a/src/relay/relay_link.h
+++ b/src/relay/relay_link.h
@@ -73,7 +73,10 @@
 
 bool relay_link_is_busy(const relay_link_t *link);
 
-/** @return when it was opened, on the boot clock */
+/**
+ * @return when the server accepted it, on the boot clock; UINT64_MAX for a
+ *         lent one, behind which the server may have restarted unseen
+ */
 uint64_t relay_link_opened_ms(const relay_link_t *link);
 
 /** @return the last time at which the server sent anything */
