Publish a primary that leads the recorded term while none is recorded

Cause: when the first record was written the primary was silent, so the record named none at term 1. The takeover that followed chose the server that led term 1 already, and waited for ever for a higher term: promoting the present primary changes nothing.

The new unit test failed before.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -153,15 +153,23 @@
 				takeover->candidate->id, 0);
 }
 
-/* Whether one of them leads a higher term already. */
+/*
+ * A higher term than the recorded one, or the recorded one if its primary was
+ * not known.
+ */
+static bool leads_newer(const takeover_t *takeover, const server_t *server)
+{
+	if (!server->answered || server->status.role != SERVER_PRIMARY)
+		return false;
+	return server->status.term > takeover->term ||
+	       (server->status.term == takeover->term && !*takeover->primary);
+}
+
 static server_t *leader(takeover_t *takeover)
 {
 	for (uint32_t i = 0; i < takeover->count; i++) {
-		server_t *server = &takeover->servers[i];
-
-		if (server->answered && server->status.role == SERVER_PRIMARY &&
-		    server->status.term > takeover->term)
-			return server;
+		if (leads_newer(takeover, &takeover->servers[i]))
+			return &takeover->servers[i];
 	}
 	return NULL;
 }
@@ -402,12 +410,10 @@
 		return;
 	}
 	if (takeover->phase != TAKEOVER_PROMOTE ||
-	    server != takeover->candidate || !status->answered)
+	    server != takeover->candidate || !leads_newer(takeover, server))
 		return;
-	if (status->role == SERVER_PRIMARY && status->term > takeover->term) {
-		takeover->new_term = status->term;
-		publish(takeover, now_ms);
-	}
+	takeover->new_term = status->term;
+	publish(takeover, now_ms);
 }
 
 void takeover_promoted(takeover_t *takeover, takeover_promoted_t result,
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -316,6 +316,22 @@
 	assert_int_equal(fixture->term, 2);
 }
 
+/* It was silent when the record was first written. */
+static void test_unknown_primary_is_recorded(void **state)
+{
+	fixture_t *fixture = *state;
+	const takeover_server_t servers[3] = {
+		{.id = "a"}, {.id = "b"}, {.id = "c"}};
+
+	takeover_start(fixture->takeover, 1, "", false, servers, 3,
+		       fixture->now_ms);
+	run(fixture, 5000);
+	assert_true(fixture->led);
+	assert_false(fixture->promoted);
+	assert_string_equal(fixture->primary, "a");
+	assert_int_equal(fixture->term, 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -343,6 +359,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_promotion_of_a_dead_holder_is_found, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_unknown_primary_is_recorded, open_fixture,
+			close_fixture),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
