Send an overloaded server no more than it takes, learn lag from answers

Each read tried both replicas up to four times and then the primary; the primary's queue filled, turned statements away, and each was sent again every 20 to 160 ms: 1,400 tries a second for 170 statements. Transactions lost their later statements that way, no commit got through, and the replicas stayed behind for lack of the primary's time.

Now a node counts, per server, what was sent and what was taken, and sends new work only a little beyond what was taken; statements of an open transaction go first, since they are not counted out. What is beyond is refused at once. A replica that lacked a change is passed over for a growing time.

Ruled out: connections (the limit was reached only after the queue), fences left at replicas, load of the soak beside it.

--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -452,7 +452,8 @@
 	switch (error) {
 	case RELAY_ERROR_BEHIND:
 		if (job->catch_ups < CATCH_UPS_MAX &&
-		    relay_server_lag_ms(server) <= CATCH_UP_MS_MAX) {
+		    relay_server_lag_ms(server, clock_boot_ms()) <=
+			    CATCH_UP_MS_MAX) {
 			job->catch_ups++;
 			job->retry_at_ms = clock_boot_ms() + BEHIND_RETRY_MS;
 			schedule(job);
@@ -501,6 +502,26 @@
 	on_not_run(job, server, error);
 }
 
+/* What the answer says of the server. */
+static void learn(const relay_job_t *job, relay_server_t *server,
+		  const relay_answer_t *answer)
+{
+	const uint64_t now_ms = clock_boot_ms();
+	const uint64_t age_ms = point_samples_age_ms(
+		relay_service_samples(job->service), job->after, now_ms);
+	const bool shed =
+		answer->failed && answer->error == RELAY_ERROR_OVERLOADED;
+
+	relay_server_ran(server, now_ms - answer->sent_ms);
+	send_budget_answered(relay_server_budget(server), !shed, now_ms);
+	if (!job->after.term)
+		return;
+	if (!answer->failed)
+		replica_lag_covered(relay_server_lag(server), age_ms);
+	else if (answer->error == RELAY_ERROR_BEHIND)
+		replica_lag_lacked(relay_server_lag(server), age_ms, now_ms);
+}
+
 static void on_attempt(void *context, relay_attempt_t *attempt,
 		       relay_attempt_end_t end, const relay_answer_t *answer)
 {
@@ -522,7 +543,7 @@
 			on_not_run(job, server, RELAY_ERROR_OTHER);
 		return;
 	}
-	relay_server_ran(server, clock_boot_ms() - answer->sent_ms);
+	learn(job, server, answer);
 	if (job->hold && answer->failed && answer->status == 'T' &&
 	    answer->error == RELAY_ERROR_OVERLOADED) {
 		attempt_remove(job, attempt);
@@ -581,8 +602,19 @@
 		retry_later(job);
 }
 
+static bool within_budget(const relay_job_t *job, relay_server_t *server)
+{
+	return send_budget_allows(relay_server_budget(server),
+				  job->ask.database->priority, clock_boot_ms());
+}
+
 static void wait_at(relay_job_t *job, relay_server_t *server)
 {
+	if (!within_budget(job, server)) {
+		if (!job->attempts_count)
+			refuse(job, "budget");
+		return;
+	}
 	if (!relay_server_can_serve(server, &job->waiter, clock_boot_ms())) {
 		if (!job->attempts_count)
 			refuse(job, "queue");
@@ -630,9 +662,10 @@
 static uint64_t behind_ms(const relay_job_t *job, const relay_server_t *server,
 			  log_point_t point)
 {
+	const uint64_t now_ms = clock_boot_ms();
 	const uint64_t age_ms = point_samples_age_ms(
-		relay_service_samples(job->service), point, clock_boot_ms());
-	const uint64_t lag_ms = relay_server_lag_ms(server);
+		relay_service_samples(job->service), point, now_ms);
+	const uint64_t lag_ms = relay_server_lag_ms(server, now_ms);
 
 	return lag_ms > age_ms ? lag_ms - age_ms : 0;
 }
@@ -654,6 +687,7 @@
 
 		candidate->usable = !entry->draining &&
 				    !was_tried(job, server) &&
+				    within_budget(job, server) &&
 				    relay_server_usable(server, now_ms);
 		candidate->near = !strcmp(entry->failure_domain, domain);
 		candidate->same_region = relay_services_same_region(
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -49,7 +49,8 @@
 	uint64_t avoid_until_ms;
 	uint64_t heard_ms;
 	double run_ms;
-	uint64_t lag_ms;
+	replica_lag_t lag;
+	send_budget_t budget;
 	bool retired;
 };
 
@@ -559,12 +560,17 @@
 	return oldest_ms;
 }
 
-uint64_t relay_server_lag_ms(const relay_server_t *server)
+replica_lag_t *relay_server_lag(relay_server_t *server)
 {
-	return server->lag_ms;
+	return &server->lag;
 }
 
-void relay_server_set_lag(relay_server_t *server, uint64_t lag_ms)
+uint64_t relay_server_lag_ms(const relay_server_t *server, uint64_t now_ms)
 {
-	server->lag_ms = lag_ms;
+	return replica_lag_ms(&server->lag, now_ms);
+}
+
+send_budget_t *relay_server_budget(relay_server_t *server)
+{
+	return &server->budget;
 }
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -3,8 +3,10 @@
 
 #include <event2/event.h>
 
+#include "coordination/send_budget.h"
 #include "coordination/wait_queue.h"
 #include "relay/relay_link.h"
+#include "state/replica_lag.h"
 
 /**
  * One backend server and this node's connections to it. Who needs a
@@ -117,8 +119,11 @@
 /** @return when the oldest open connection was opened, or UINT64_MAX */
 uint64_t relay_server_oldest_ms(const relay_server_t *server);
 
-/** Replication lag as the service's part learned it. */
-uint64_t relay_server_lag_ms(const relay_server_t *server);
-void relay_server_set_lag(relay_server_t *server, uint64_t lag_ms);
+/** Replication lag as answers tell it. */
+replica_lag_t *relay_server_lag(relay_server_t *server);
+uint64_t relay_server_lag_ms(const relay_server_t *server, uint64_t now_ms);
+
+/** What may be sent to it while it turns work away. */
+send_budget_t *relay_server_budget(relay_server_t *server);
 
 #endif
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -527,11 +527,11 @@
 	/* A lease that runs now also ran when the question was sent. */
 	if (server == relay_service_primary(service)) {
 		point_samples_add(&service->samples, sent_ms, point);
-		relay_server_set_lag(server, 0);
 		return;
 	}
-	relay_server_set_lag(
-		server, point_samples_age_ms(&service->samples, point, now_ms));
+	replica_lag_measured(
+		relay_server_lag(server),
+		point_samples_age_ms(&service->samples, point, now_ms), now_ms);
 }
 
 void relay_service_park(relay_service_t *service, relay_parked_t *parked)
--- /dev/null
+++ b/tests/unit/test_replica_lag.c
@@ -0,0 +1,68 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "state/replica_lag.h"
+
+static void test_unknown_lag_is_none(void **state)
+{
+	const replica_lag_t lag = {0};
+
+	assert_int_equal(replica_lag_ms(&lag, 1000), 0);
+}
+
+static void test_lag_is_at_least_the_age_of_what_lacked(void **state)
+{
+	replica_lag_t lag = {0};
+
+	replica_lag_lacked(&lag, 700, 1000);
+	assert_int_equal(replica_lag_ms(&lag, 1001), 700);
+}
+
+static void test_lag_doubles_while_fresh_changes_lack(void **state)
+{
+	replica_lag_t lag = {0};
+
+	for (uint64_t i = 0; i < 6; i++)
+		replica_lag_lacked(&lag, 1, 1000 + i);
+	assert_in_range(replica_lag_ms(&lag, 1006), 1000, 10000);
+}
+
+static void test_what_it_had_bounds_the_lag(void **state)
+{
+	replica_lag_t lag = {0};
+
+	replica_lag_lacked(&lag, 700, 1000);
+	replica_lag_covered(&lag, 90);
+	assert_int_equal(replica_lag_ms(&lag, 1001), 90);
+}
+
+/* A replica that lags for 10 s and is read 20 times a second. */
+static void test_lagging_replica_is_seldom_tried(void **state)
+{
+	replica_lag_t lag = {0};
+	uint32_t tries = 0;
+
+	for (uint64_t now_ms = 1000; now_ms < 11000; now_ms += 50) {
+		if (replica_lag_ms(&lag, now_ms) > 50)
+			continue;
+		tries++;
+		replica_lag_lacked(&lag, 20, now_ms);
+	}
+	assert_in_range(tries, 4, 12);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_unknown_lag_is_none),
+		cmocka_unit_test(test_lag_is_at_least_the_age_of_what_lacked),
+		cmocka_unit_test(test_lag_doubles_while_fresh_changes_lack),
+		cmocka_unit_test(test_what_it_had_bounds_the_lag),
+		cmocka_unit_test(test_lagging_replica_is_seldom_tried),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
