--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
-# Runs the built tests: all kinds, or those named (unit sanitize property e2e).
+# Runs the built tests: all kinds, or those named (unit sanitize property e2e
+# soak).
 # Tests run side by side, a few at once; the verdict does not depend on speed.
 # A failing test listed in KNOWN-RED.txt is printed and passed over.
 set -uo pipefail
@@ -10,7 +11,9 @@
 export ASAN_OPTIONS=detect_leaks=0
 LIGHT_AT_ONCE=${LIGHT_AT_ONCE:-6}
 WORLDS_AT_ONCE=${WORLDS_AT_ONCE:-3}
-kinds=${*:-unit sanitize property e2e}
+# Seeds of the fault soak; the second failed once.
+SOAK_SEEDS=${SOAK_SEEDS:-1 34}
+kinds=${*:-unit sanitize property e2e soak}
 results=build/logs/results
 echo "seed $SEED"
 mkdir -p build/logs
@@ -25,7 +28,8 @@
 	name=$1
 	log=build/logs/$name.log
 	mkdir -p "$(dirname "$log")"
-	if "$2" >"$log" 2>&1
+	shift
+	if "$@" >"$log" 2>&1
 	then
 		verdict=ok
 	elif known_red "$name"
@@ -41,6 +45,13 @@
 # Lists "name program" of one kind.
 list_kind() {
 	case $1 in
+	soak)
+		for seed in $SOAK_SEEDS
+		do
+			echo "soak/seed-$seed build/tests/soak/soak --seed $seed"
+		done
+		return
+		;;
 	sanitize) pattern='build-asan/tests/unit/test_*' ;;
 	unit) pattern='build/tests/unit/test_*' ;;
 	property) pattern='build/tests/property/prop_*' ;;
@@ -59,9 +70,9 @@
 for kind in $kinds
 do
 	at_once=$LIGHT_AT_ONCE
-	test "$kind" = e2e && at_once=$WORLDS_AT_ONCE
+	case $kind in e2e | soak) at_once=$WORLDS_AT_ONCE ;; esac
 	list_kind "$kind" |
-	xargs -r -P "$at_once" -L 1 bash -c 'run_one "$0" "$1"'
+	xargs -r -P "$at_once" -L 1 bash -c 'run_one "$0" "$@"'
 done
 
 for name in $(sed -n 's/^FAILED //p' $results)
--- a/src/relay/relay_gate.c
+++ b/src/relay/relay_gate.c
@@ -134,7 +134,7 @@
 		   const char *reason)
 {
 	log_event(LOG_LEVEL_INFO, "lent_statement_refused",
-		  "id=%s server=%s reason=%s", session->message.id,
+		  "id=%s server=%s reason=\"%s\"", session->message.id,
 		  session->server_id, reason);
 	drop_link(session);
 	codec_of(session)->put_error(output_of(session), error, reason);
