Pass over replicas that would catch up only after the deadline

What a replica received, told when a connection opens, had hidden how far it had applied, too; it only raises the lag now (unit test seen failing first).

--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -695,6 +695,10 @@
 		candidate->wait_ms = relay_server_wait_ms(server);
 		candidate->run_ms = relay_server_run_ms(server);
 		candidate->behind_ms = behind_ms(job, server, point);
+		/* It would have caught up only after the deadline. */
+		candidate->usable &=
+			now_ms + candidate->behind_ms + candidate->run_ms <
+			job->deadline_ms;
 	}
 	chosen = read_placement_choose(candidates, count);
 	return chosen < 0 ? NULL : servers->pdata[chosen];
--- a/src/state/replica_lag.c
+++ b/src/state/replica_lag.c
@@ -9,7 +9,7 @@
 
 /* Time after which a lagging replica is tried again, and its longest. */
 #define PAUSE_MS 250
-#define PAUSE_MS_MAX 2000
+#define PAUSE_MS_MAX 4000
 
 void replica_lag_lacked(replica_lag_t *lag, uint64_t age_ms, uint64_t now_ms)
 {
@@ -30,9 +30,11 @@
 
 void replica_lag_measured(replica_lag_t *lag, uint64_t lag_ms, uint64_t now_ms)
 {
+	if (lag_ms <= lag->lag_ms)
+		return;
 	lag->lag_ms = lag_ms;
-	lag->pause_ms = PAUSE_MS;
-	lag->until_ms = now_ms + PAUSE_MS;
+	lag->pause_ms = MAX(lag->pause_ms, PAUSE_MS);
+	lag->until_ms = MAX(lag->until_ms, now_ms + lag->pause_ms);
 }
 
 uint64_t replica_lag_ms(const replica_lag_t *lag, uint64_t now_ms)
--- a/src/state/replica_lag.h
+++ b/src/state/replica_lag.h
@@ -16,7 +16,7 @@
 /** Takes in that it had a change made @p age_ms ago. */
 void replica_lag_covered(replica_lag_t *lag, uint64_t age_ms);
 
-/** Takes in a lag that was measured. */
+/** Takes in a lag by what it received, which may not be applied yet. */
 void replica_lag_measured(replica_lag_t *lag, uint64_t lag_ms, uint64_t now_ms);
 
 /** @return the lag to count with, in milliseconds */
--- a/tests/unit/test_replica_lag.c
+++ b/tests/unit/test_replica_lag.c
@@ -54,6 +54,26 @@
 	assert_in_range(tries, 4, 12);
 }
 
+/*
+ * The same, and each second a new connection tells what the replica received,
+ * which is more than what it applied.
+ */
+static void test_received_log_does_not_hide_the_lag(void **state)
+{
+	replica_lag_t lag = {0};
+	uint32_t tries = 0;
+
+	for (uint64_t now_ms = 1000; now_ms < 11000; now_ms += 50) {
+		if (now_ms % 500 == 0)
+			replica_lag_measured(&lag, 10, now_ms);
+		if (replica_lag_ms(&lag, now_ms) > 50)
+			continue;
+		tries++;
+		replica_lag_lacked(&lag, 20, now_ms);
+	}
+	assert_in_range(tries, 4, 12);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -62,6 +82,7 @@
 		cmocka_unit_test(test_lag_doubles_while_fresh_changes_lack),
 		cmocka_unit_test(test_what_it_had_bounds_the_lag),
 		cmocka_unit_test(test_lagging_replica_is_seldom_tried),
+		cmocka_unit_test(test_received_log_does_not_hide_the_lag),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
