Hold callers of a starting node until its first catalog, flush last answers

They now wait for the first catalog, for at most 0.3 s, and are then told that nothing was run and when to come back.

The test of it found that an answer followed by a close could be lost: a write callback from before the answer ended the session. Seen failing.

--- a/src/relay/relay_callers.c
+++ b/src/relay/relay_callers.c
@@ -106,8 +106,12 @@
 
 void relay_callers_configure(relay_callers_t *callers, catalog_t *catalog)
 {
+	g_autoptr(GPtrArray) sessions = list_sessions(callers);
+
 	catalog_unref(callers->host.catalog);
 	callers->host.catalog = catalog_ref(catalog);
+	for (guint i = 0; i < sessions->len; i++)
+		relay_session_configured(sessions->pdata[i]);
 }
 
 void relay_callers_drain(relay_callers_t *callers)
--- a/src/relay/relay_gate.c
+++ b/src/relay/relay_gate.c
@@ -386,7 +386,8 @@
 {
 	gate_session_t *session = context;
 
-	if (session->closing)
+	/* The call may date from before the last answer. */
+	if (session->closing && !evbuffer_get_length(output_of(session)))
 		session_end(session);
 }
 
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -18,6 +18,9 @@
 /* The same for a session that has not asked for anything yet. */
 #define DRAIN_FIRST_MS 1000
 
+/* Longest wait of a caller for the first catalog of a node that starts. */
+#define CATALOG_WAIT_MS 300u
+
 /* Bytes read ahead while a statement runs. */
 #define READ_AHEAD_SIZE_BYTES (RELAY_MESSAGE_SIZE_BYTES_MAX + 65536u)
 
@@ -41,6 +44,7 @@
 	catalog_t *catalog; /* of the transaction or statement */
 	const catalog_database_t *database;
 	char *database_name; /* NULL before the start-up */
+	bool waiting;	     /* for the node's first catalog */
 	GHashTable *values;
 	GHashTable *prepared; /* name -> prepared_t */
 	transaction_t transaction;
@@ -124,7 +128,8 @@
 {
 	relay_session_t *session = context;
 
-	if (session->closing)
+	/* The call may date from before the last answer. */
+	if (session->closing && !evbuffer_get_length(output_of(session)))
 		end_session(session);
 }
 
@@ -444,16 +449,45 @@
 		dispatch_local(session);
 }
 
-static void start_up(relay_session_t *session)
+static void welcome(relay_session_t *session)
 {
-	session->database_name = g_steal_pointer(&session->message.text);
-	relay_message_clear(&session->message);
 	if (refresh_catalog(session))
 		answer_ready(session, (log_point_t){0});
 	else
 		refuse_database(session);
 }
 
+/* Without a catalog nothing is known of the database, nor that it is none. */
+static void wait_for_catalog(relay_session_t *session)
+{
+	const struct timeval wait = clock_timeval(CATALOG_WAIT_MS);
+
+	session->waiting = true;
+	event_add(session->idle, &wait);
+}
+
+static void refuse_unready(relay_session_t *session)
+{
+	log_event(LOG_LEVEL_INFO, "session_refused",
+		  "database=%s reason=no_catalog waited_ms=%u",
+		  session->database_name, CATALOG_WAIT_MS);
+	session->waiting = false;
+	session->host->codec->put_error(output_of(session),
+					RELAY_ERROR_OVERLOADED,
+					"starting, come back in 300 ms");
+	close_soon(session);
+}
+
+static void start_up(relay_session_t *session)
+{
+	session->database_name = g_steal_pointer(&session->message.text);
+	relay_message_clear(&session->message);
+	if (session->host->catalog)
+		welcome(session);
+	else
+		wait_for_catalog(session);
+}
+
 static void take_message(relay_session_t *session)
 {
 	switch (session->message.kind) {
@@ -496,7 +530,7 @@
 {
 	struct evbuffer *input = bufferevent_get_input(session->bev);
 
-	while (!session->job && !session->closing) {
+	while (!session->job && !session->closing && !session->waiting) {
 		g_autoptr(GError) error = NULL;
 
 		relay_message_clear(&session->message);
@@ -542,6 +576,10 @@
 {
 	relay_session_t *session = context;
 
+	if (session->waiting) {
+		refuse_unready(session);
+		return;
+	}
 	log_event(LOG_LEVEL_INFO, "transaction_idle", "database=%s",
 		  session->database_name);
 	relay_session_end_transaction(session);
@@ -566,6 +604,16 @@
 	return session;
 }
 
+void relay_session_configured(relay_session_t *session)
+{
+	if (!session->waiting)
+		return;
+	session->waiting = false;
+	evtimer_del(session->idle);
+	welcome(session);
+	process(session);
+}
+
 bool relay_session_is_busy(const relay_session_t *session)
 {
 	return session->job || session->transaction != TRANSACTION_NONE;
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -27,6 +27,9 @@
 /** Ends it: what runs is abandoned, an open transaction is rolled back. */
 void relay_session_destroy(relay_session_t *session);
 
+/** Goes on with a session that waited for the node's first catalog. */
+void relay_session_configured(relay_session_t *session);
+
 /** Closes it if nothing is open and the caller has been silent for a while. */
 void relay_session_drain(relay_session_t *session);
 
