Close a leaving node's door before its end

Callers with stale lists kept coming to a node that got SIGTERM, so it was never idle and left at 11/12 of its grace, 150 ms after it had let in the last of them; one was in the second of four statements. Nobody is let in after three quarters of the grace, and the end waits up to 0.3 s for who is in.

The new end-to-end test passes with and without the change: the stand-in's callers leave gaps in which the node is idle.

--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -31,14 +31,17 @@
 /* Time for which the balancer may still send new callers to a leaving node. */
 #define DRAIN_ACCEPT_MS 2500
 
-/* End of a drain before the kill, as a part of the grace. */
+/* End of a drain before the kill, as a part of the grace; who is let in just
+ * before the door closes has time for a whole transaction. */
 #define DRAIN_PARTS 12
+#define DRAIN_PARTS_OPEN 9
 #define DRAIN_PARTS_USED 11
 
 #define DRAIN_STEP_MS 50
 
-/* Time for the last call to the store. */
+/* Time for the last call to the store, and for requests that were read. */
 #define LEAVE_MS 150
+#define LEAVE_MS_MAX 300
 
 struct relay_node {
 	struct event_base *base;
@@ -64,6 +67,7 @@
 	GHashTable *lapsing;	 /* server id -> struct event */
 	bool synced;
 	struct event *drain_timer;
+	uint64_t left_ms;  /* when it decided to stop, 0 before */
 	uint64_t drain_ms; /* when it began, 0 before */
 	bool stopped;
 };
@@ -452,16 +456,29 @@
 
 static void leave(relay_node_t *node, const char *reason)
 {
-	const struct timeval last = clock_timeval(LEAVE_MS);
-
-	event_del(node->drain_timer);
+	node->left_ms = clock_boot_ms();
 	relay_callers_close(node->callers);
 	log_event(LOG_LEVEL_NOTICE, "drained",
 		  "reason=%s callers=%u after_ms=%" PRIu64, reason,
 		  relay_callers_count(node->callers),
 		  clock_boot_ms() - node->drain_ms);
 	relay_registration_leave(node->registration);
-	event_base_loopexit(node->base, &last);
+}
+
+static bool is_served(const relay_node_t *node)
+{
+	return !relay_callers_count(node->callers) &&
+	       !relay_gate_count(node->gate);
+}
+
+/* Nobody is let in any more; who is in still gets an answer. */
+static void finish_leaving(relay_node_t *node)
+{
+	const uint64_t since_ms = clock_boot_ms() - node->left_ms;
+
+	if (since_ms >= LEAVE_MS_MAX ||
+	    (since_ms >= LEAVE_MS && is_served(node)))
+		event_base_loopexit(node->base, NULL);
 }
 
 static void on_drain(evutil_socket_t fd, short what, void *context)
@@ -476,9 +493,12 @@
 		node->stopped = true;
 		relay_callers_stop(node->callers);
 	}
-	if (!relay_callers_count(node->callers) &&
-	    !relay_gate_count(node->gate) &&
-	    since_ms >= MIN(DRAIN_ACCEPT_MS, grace_ms / 2))
+	if (since_ms >= grace_ms / DRAIN_PARTS * DRAIN_PARTS_OPEN)
+		relay_callers_close(node->callers);
+	if (node->left_ms)
+		finish_leaving(node);
+	else if (is_served(node) &&
+		 since_ms >= MIN(DRAIN_ACCEPT_MS, grace_ms / 2))
 		leave(node, "idle");
 	else if (since_ms >= grace_ms / DRAIN_PARTS * DRAIN_PARTS_USED)
 		leave(node, "time");
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -237,6 +237,73 @@
 	line_client_close(client);
 }
 
+#define CROWD 6
+#define PAUSE_MS 100
+
+typedef struct {
+	site_world_t *world;
+	gint ended;
+	gint lost;
+} crowd_t;
+
+/* A transaction with a pause. @return whether all of it was answered */
+static bool reads_twice(line_client_t *client)
+{
+	static const char *const texts[] = {"BEGIN", "READ leaving",
+					    "READ leaving", "COMMIT"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		const line_result_t result =
+			line_client_run(client, texts[i], NULL);
+
+		if (result != LINE_DONE)
+			return result != LINE_LOST;
+		g_usleep(PAUSE_MS * 1000);
+	}
+	return true;
+}
+
+static void *read_all_the_while(void *context)
+{
+	crowd_t *crowd = context;
+	const uint16_t port = site_world_callers_port(crowd->world, 2);
+
+	while (!g_atomic_int_get(&crowd->ended)) {
+		line_client_t *client = line_client_open(port, "own-0");
+
+		if (!client) {
+			g_usleep(1000);
+			continue;
+		}
+		if (!reads_twice(client))
+			g_atomic_int_inc(&crowd->lost);
+		line_client_close(client);
+	}
+	return NULL;
+}
+
+/* Callers come until the end, so that the node is never idle. */
+static void test_crowded_node_answers_until_it_stops(void **state)
+{
+	crowd_t crowd = {.world = *state};
+	const uint64_t until_ms = clock_now_ms() + START_TIMEOUT_MS;
+	GThread *threads[CROWD];
+
+	for (uint32_t i = 0; i < CROWD; i++)
+		threads[i] = g_thread_new("reader", read_all_the_while, &crowd);
+	g_usleep(RETRY_MS * 1000);
+	site_world_signal(crowd.world, 2, SIGTERM);
+	while (site_world_runs(crowd.world, 2) && clock_now_ms() < until_ms)
+		g_usleep(1000);
+	g_atomic_int_set(&crowd.ended, 1);
+	for (uint32_t i = 0; i < CROWD; i++)
+		g_thread_join(threads[i]);
+	assert_false(site_world_runs(crowd.world, 2));
+	assert_int_equal(crowd.lost, 0);
+	assert_true(site_world_restart(crowd.world, 2));
+	assert_true(site_world_wait_ready(crowd.world, START_TIMEOUT_MS));
+}
+
 static void test_leaving_node_ends_sessions_and_stops(void **state)
 {
 	site_world_t *world = *state;
@@ -265,6 +332,7 @@
 		cmocka_unit_test(test_store_away_leaves_callers_served),
 		cmocka_unit_test(test_lost_primary_is_replaced),
 		cmocka_unit_test(test_leaving_node_ends_sessions_and_stops),
+		cmocka_unit_test(test_crowded_node_answers_until_it_stops),
 	};
 
 	return cmocka_run_group_tests(tests, open_site, close_site);
