Take a server at its connection limit for alive

Cause: after all nodes had lost power, each server counted their old connections for 3 s more and refused new ones. A question to the primary then went over another node, which had none to lend either, and that was taken for a refusal by the primary: 7 of 8 services began a takeover, each of which ended every node's lease.

Ruled out: the ports were open and the probe connected; store and promotions were well.

test_relay_control fails without the change.

--- a/src/relay/relay_control.c
+++ b/src/relay/relay_control.c
@@ -85,7 +85,9 @@
 	control_t *control = context;
 
 	control->server = NULL;
-	end(control, RELAY_CONTROL_UNREACHABLE);
+	/* Who refuses a connection for want of room is alive. */
+	end(control, relay_server_is_full(server) ? RELAY_CONTROL_BUSY :
+						    RELAY_CONTROL_UNREACHABLE);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -488,6 +488,11 @@
 	       now_ms >= server->reopen_at_ms;
 }
 
+bool relay_server_is_full(const relay_server_t *server)
+{
+	return clock_boot_ms() < server->full_until_ms;
+}
+
 uint64_t relay_server_heard_ms(const relay_server_t *server)
 {
 	uint64_t heard_ms = server->heard_ms;
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -94,6 +94,9 @@
 /** @return whether a new connection or an idle one can be expected soon */
 bool relay_server_usable(const relay_server_t *server, uint64_t now_ms);
 
+/** @return whether it has just refused a connection at its limit */
+bool relay_server_is_full(const relay_server_t *server);
+
 /** @return the last time at which it answered anything */
 uint64_t relay_server_heard_ms(const relay_server_t *server);
 
--- /dev/null
+++ b/tests/unit/test_relay_control.c
@@ -0,0 +1,191 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "platform/line_codec.h"
+#include "relay/relay_control.h"
+
+#define TIMEOUT_MS 1000
+
+/* A server whose welcome is chosen by the test, and a node that lends
+ * nothing. */
+typedef struct {
+	struct event_base *base;
+	struct evconnlistener *server;
+	struct evconnlistener *lender;
+	relay_services_t *services;
+	const char *welcome;
+	bool done;
+	relay_control_answer_t answer;
+} fixture_t;
+
+static void on_read(struct bufferevent *bev, void *context)
+{
+	const char *answer = context;
+	struct evbuffer *input = bufferevent_get_input(bev);
+
+	evbuffer_drain(input, evbuffer_get_length(input));
+	bufferevent_write(bev, answer, strlen(answer));
+}
+
+static void answer_with(struct evconnlistener *listener, evutil_socket_t fd,
+			const char *answer)
+{
+	struct bufferevent *bev =
+		bufferevent_socket_new(evconnlistener_get_base(listener), fd,
+				       BEV_OPT_CLOSE_ON_FREE);
+
+	bufferevent_setcb(bev, on_read, NULL, NULL, (void *)answer);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+static void on_server(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int size, void *context)
+{
+	answer_with(listener, fd, ((fixture_t *)context)->welcome);
+}
+
+static void on_lender(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int size, void *context)
+{
+	answer_with(listener, fd, "ERROR BUSY nothing to lend\r\n");
+}
+
+static struct evconnlistener *listen_to(fixture_t *fixture,
+					evconnlistener_cb accept,
+					endpoint_t *endpoint)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr =
+					      htonl(INADDR_LOOPBACK)};
+	socklen_t size = sizeof(address);
+	struct evconnlistener *listener = evconnlistener_new_bind(
+		fixture->base, accept, fixture, LEV_OPT_CLOSE_ON_FREE, 8,
+		(struct sockaddr *)&address, sizeof(address));
+
+	getsockname(evconnlistener_get_fd(listener),
+		    (struct sockaddr *)&address, &size);
+	*endpoint = (endpoint_t){.address = g_strdup("127.0.0.1"),
+				 .port = ntohs(address.sin_port)};
+	return listener;
+}
+
+static void ignore_trouble(void *context, const char *service,
+			   const char *server)
+{
+}
+
+static GPtrArray *peers_new(endpoint_t gate)
+{
+	GPtrArray *peers =
+		g_ptr_array_new_with_free_func((GDestroyNotify)relay_peer_free);
+	relay_peer_t *peer = g_new0(relay_peer_t, 1);
+
+	peer->name = g_strdup("node-2");
+	peer->failure_domain = g_strdup("akl-a");
+	peer->gate = gate;
+	g_ptr_array_add(peers, peer);
+	return peers;
+}
+
+static int open_fixture(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	backend_entry_t *entry = g_new0(backend_entry_t, 1);
+	endpoint_t gate;
+
+	fixture->base = event_base_new();
+	fixture->welcome = "READY I 1.5\r\n";
+	fixture->services = relay_services_create((relay_services_settings_t){
+		.base = fixture->base,
+		.codec = &line_codec,
+		.node = "node-1",
+		.failure_domain = "akl-a",
+		.troubled = ignore_trouble,
+	});
+	entry->id = g_strdup("i-1");
+	entry->service = g_strdup("svc");
+	entry->failure_domain = g_strdup("akl-a");
+	fixture->server = listen_to(fixture, on_server, &entry->endpoint);
+	fixture->lender = listen_to(fixture, on_lender, &gate);
+	relay_services_put(fixture->services, entry);
+	relay_services_set_nodes(fixture->services, peers_new(gate));
+	*state = fixture;
+	return 0;
+}
+
+static int close_fixture(void **state)
+{
+	fixture_t *fixture = *state;
+
+	relay_services_destroy(fixture->services);
+	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+	evconnlistener_free(fixture->server);
+	evconnlistener_free(fixture->lender);
+	event_base_free(fixture->base);
+	g_free(fixture);
+	return 0;
+}
+
+static void on_done(void *context, const relay_control_answer_t *answer)
+{
+	fixture_t *fixture = context;
+
+	fixture->answer = *answer;
+	fixture->done = true;
+}
+
+static relay_control_result_t ask(fixture_t *fixture)
+{
+	fixture->done = false;
+	relay_control_ask(relay_services_find(fixture->services, "svc"), "i-1",
+			  RELAY_CONTROL_STATUS, 0, TIMEOUT_MS, on_done,
+			  fixture);
+	while (!fixture->done)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	return fixture->answer.result;
+}
+
+/*
+ * All nodes lost power and are back: for seconds the server still counts
+ * their old connections and refuses new ones, and no node has any to lend.
+ */
+static void test_a_full_server_is_not_unreachable(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->welcome = "ERROR TOOMANY 61\r\n";
+	for (int i = 0; i < 6; i++)
+		assert_int_equal(ask(fixture), RELAY_CONTROL_BUSY);
+}
+
+static void test_a_closed_port_is_unreachable(void **state)
+{
+	fixture_t *fixture = *state;
+
+	evconnlistener_free(fixture->lender);
+	evconnlistener_free(fixture->server);
+	assert_int_equal(ask(fixture), RELAY_CONTROL_UNREACHABLE);
+	fixture->server = listen_to(fixture, on_server, &(endpoint_t){0});
+	fixture->lender = listen_to(fixture, on_lender, &(endpoint_t){0});
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_a_full_server_is_not_unreachable, open_fixture,
+			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_a_closed_port_is_unreachable, open_fixture,
+			close_fixture),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
