Fill what an overloaded server takes by rank

Cause: while both replicas of a service lag, its primary gets all reads as well, more than twice what it can do. Each node let through a little more than was taken, whatever it was: browsing that bears old data took the place of bookings. After a power loss the refusals of lenders counted as the server's, and work was held back for 2 s after there was room again.

Ruled out: more capacity at the primary (its queue was full all the time, 130 ms for 15 ms of work); server-side order.

The share of work that is sent falls with each refusal and is filled by rank: priority, then what only a primary can serve, own changes, data of any age; single statements before transactions. Nothing is tried twice at a server that turns work away.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -271,6 +271,11 @@
 	return attempt->sent;
 }
 
+bool relay_attempt_is_lent(const relay_attempt_t *attempt)
+{
+	return relay_link_is_lent(attempt->link);
+}
+
 relay_server_t *relay_attempt_server(const relay_attempt_t *attempt)
 {
 	return attempt->server;
--- a/src/relay/relay_attempt.h
+++ b/src/relay/relay_attempt.h
@@ -43,6 +43,9 @@
 /** @return whether the caller's statement itself was sent */
 bool relay_attempt_is_sent(const relay_attempt_t *attempt);
 
+/** @return whether it runs over a connection that another node lends */
+bool relay_attempt_is_lent(const relay_attempt_t *attempt);
+
 relay_server_t *relay_attempt_server(const relay_attempt_t *attempt);
 
 /** @return when the connection was granted, on the boot clock */
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -495,7 +495,8 @@
 		  relay_error_name(error), job->term, job->after.term,
 		  job->after.position);
 	attempt_remove(job, attempt);
-	if (error == RELAY_ERROR_UNKNOWN_NAME)
+	if (error == RELAY_ERROR_UNKNOWN_NAME ||
+	    (error == RELAY_ERROR_OVERLOADED && relay_attempt_is_lent(attempt)))
 		relay_attempt_discard(attempt);
 	else
 		relay_attempt_finish(attempt);
@@ -503,9 +504,10 @@
 }
 
 /* What the answer says of the server. */
-static void learn(const relay_job_t *job, relay_server_t *server,
+static void learn(const relay_job_t *job, const relay_attempt_t *attempt,
 		  const relay_answer_t *answer)
 {
+	relay_server_t *server = relay_attempt_server(attempt);
 	const uint64_t now_ms = clock_boot_ms();
 	const uint64_t age_ms = point_samples_age_ms(
 		relay_service_samples(job->service), job->after, now_ms);
@@ -513,7 +515,10 @@
 		answer->failed && answer->error == RELAY_ERROR_OVERLOADED;
 
 	relay_server_ran(server, now_ms - answer->sent_ms);
-	send_budget_answered(relay_server_budget(server), !shed, now_ms);
+	/* Another node's refusal says nothing of the server. */
+	if (!relay_attempt_is_lent(attempt))
+		send_budget_answered(relay_server_budget(server), !shed,
+				     now_ms);
 	if (!job->after.term)
 		return;
 	if (!answer->failed)
@@ -543,7 +548,7 @@
 			on_not_run(job, server, RELAY_ERROR_OTHER);
 		return;
 	}
-	learn(job, server, answer);
+	learn(job, attempt, answer);
 	if (job->hold && answer->failed && answer->status == 'T' &&
 	    answer->error == RELAY_ERROR_OVERLOADED) {
 		attempt_remove(job, attempt);
@@ -567,7 +572,8 @@
 	job->attempts[job->attempts_count++] =
 		relay_attempt_start(job->service, server, link, &job->ask,
 				    job->after, on_attempt, job);
-	if (is_repeatable(job) && job->attempts_count < TRIES_AT_ONCE)
+	if (is_repeatable(job) && job->attempts_count < TRIES_AT_ONCE &&
+	    send_budget_is_free(relay_server_budget(server), clock_boot_ms()))
 		job->hedge_at_ms =
 			clock_boot_ms() +
 			CLAMP(HEDGE_FACTOR * relay_server_run_ms(server),
@@ -602,15 +608,32 @@
 		retry_later(job);
 }
 
+static uint32_t rank_of(const relay_job_t *job)
+{
+	const catalog_reads_t reads = job->ask.database->reads;
+	const send_rank_t rank = {
+		.priority = job->ask.database->priority,
+		.elsewhere = reads != READS_AT_PRIMARY && !job->ask.writes,
+		.any_age = reads == READS_BOUNDED,
+		.opens = job->ask.begin_id,
+	};
+
+	return send_budget_rank(&rank);
+}
+
 static bool within_budget(const relay_job_t *job, relay_server_t *server)
 {
-	return send_budget_allows(relay_server_budget(server),
-				  job->ask.database->priority, clock_boot_ms());
+	return send_budget_allows(relay_server_budget(server), rank_of(job),
+				  clock_boot_ms());
 }
 
 static void wait_at(relay_job_t *job, relay_server_t *server)
 {
-	if (!within_budget(job, server)) {
+	const bool allowed = within_budget(job, server);
+
+	send_budget_offered(relay_server_budget(server), rank_of(job), allowed,
+			    clock_boot_ms());
+	if (!allowed) {
 		if (!job->attempts_count)
 			refuse(job, "budget");
 		return;
--- a/tests/unit/test_relay_control.c
+++ b/tests/unit/test_relay_control.c
@@ -37,9 +37,8 @@
 static void answer_with(struct evconnlistener *listener, evutil_socket_t fd,
 			const char *answer)
 {
-	struct bufferevent *bev =
-		bufferevent_socket_new(evconnlistener_get_base(listener), fd,
-				       BEV_OPT_CLOSE_ON_FREE);
+	struct bufferevent *bev = bufferevent_socket_new(
+		evconnlistener_get_base(listener), fd, BEV_OPT_CLOSE_ON_FREE);
 
 	bufferevent_setcb(bev, on_read, NULL, NULL, (void *)answer);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
@@ -57,9 +56,8 @@
 	answer_with(listener, fd, "ERROR BUSY nothing to lend\r\n");
 }
 
-static struct evconnlistener *listen_to(fixture_t *fixture,
-					evconnlistener_cb accept,
-					endpoint_t *endpoint)
+static struct evconnlistener *
+listen_to(fixture_t *fixture, evconnlistener_cb accept, endpoint_t *endpoint)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET,
 				      .sin_addr.s_addr =
