Let nodes confirm a takeover instead of ending their leases

Cause: a takeover of one service ended the lease of every node.

Leases are listed page by page: above 500 nodes no takeover could end.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -47,6 +47,7 @@
 	server_t servers[TAKEOVER_SERVERS_MAX];
 	uint32_t count;
 	bool revoked;
+	bool forgotten;
 	uint64_t revoked_ms;
 	uint64_t fenced_ms; /* 0: none yet */
 	uint64_t wait_until_ms;
@@ -257,7 +258,8 @@
 	if (takeover->phase != TAKEOVER_REVOKE || !takeover->revoked ||
 	    !takeover->fenced_ms)
 		return;
-	takeover->wait_until_ms = since_ms + WAIT_MS;
+	takeover->wait_until_ms =
+		takeover->forgotten ? now_ms : since_ms + WAIT_MS;
 	enter(takeover, TAKEOVER_WAIT, now_ms);
 }
 
@@ -272,6 +274,7 @@
 
 void takeover_forgotten(takeover_t *takeover, uint64_t now_ms)
 {
+	takeover->forgotten = true;
 	if (takeover->phase == TAKEOVER_WAIT)
 		takeover->wait_until_ms = now_ms;
 	takeover_step(takeover, now_ms);
@@ -400,13 +403,12 @@
 		choose(takeover, now_ms);
 		return;
 	}
-	if ((takeover->phase == TAKEOVER_REVOKE ||
-	     takeover->phase == TAKEOVER_WAIT) &&
-	    publish_leader(takeover, now_ms))
-		return;
-	if (takeover->phase == TAKEOVER_WAIT && !takeover->planned &&
-	    is_primary(takeover, server) && leads_still(takeover, server)) {
-		keep_primary(takeover, server, now_ms);
+	if (takeover->phase == TAKEOVER_REVOKE ||
+	    takeover->phase == TAKEOVER_WAIT) {
+		if (!publish_leader(takeover, now_ms) && !takeover->planned &&
+		    is_primary(takeover, server) &&
+		    leads_still(takeover, server))
+			keep_primary(takeover, server, now_ms);
 		return;
 	}
 	if (takeover->phase != TAKEOVER_PROMOTE ||
--- a/src/relay/relay_control.c
+++ b/src/relay/relay_control.c
@@ -72,8 +72,8 @@
 	relay_server_ran(control->server, clock_boot_ms() - answer->sent_ms);
 	relay_server_give_back(control->server, link, 0);
 	if (answer->failed || !answer->row ||
-		 !settings_of(control)->codec->parse_status(
-			 answer->row, &control->answer.status))
+	    !settings_of(control)->codec->parse_status(answer->row,
+						       &control->answer.status))
 		end(control, RELAY_CONTROL_BUSY);
 	else
 		end(control, RELAY_CONTROL_DONE);
--- a/src/relay/relay_duty.c
+++ b/src/relay/relay_duty.c
@@ -58,6 +58,7 @@
 {
 	duty_service_t *entry = data;
 
+	relay_revocation_stop(entry->revocation);
 	takeover_destroy(entry->takeover);
 	event_free(entry->release);
 	g_hash_table_destroy(entry->statuses);
@@ -78,7 +79,7 @@
 	duty->lease = 0;
 	g_hash_table_iter_init(&iter, duty->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &entry))
-		takeover_abort(((duty_service_t *)entry)->takeover);
+		duty_takeover_stop(entry);
 }
 
 static void on_acquired(void *context, const kv_answer_t *answer)
@@ -252,6 +253,18 @@
 	}
 }
 
+/* Another holder, or another takeover after one that ended, is told anew. */
+static void note_takeover(duty_service_t *entry, const primary_record_t *record)
+{
+	const bool known = record->takeover_term == entry->seen_takeover &&
+			   record->token == entry->seen_token;
+
+	entry->seen_takeover = record->takeover_term;
+	entry->seen_token = record->token;
+	if (record->takeover_term && !known)
+		entry->duty->takeover(entry->duty->context);
+}
+
 static void take_record(relay_duty_t *duty, const kv_item_t *item)
 {
 	const char *name = item->key + strlen(DUTY_SERVICE_PREFIX);
@@ -269,10 +282,7 @@
 	if (service)
 		relay_service_lead(service, record.term, record.primary,
 				   record.takeover_term, item->revision);
-	if (record.takeover_term > entry->seen_takeover) {
-		entry->seen_takeover = record.takeover_term;
-		duty->takeover(duty->context);
-	}
+	note_takeover(entry, &record);
 	if (item->revision <= entry->revision)
 		return;
 	duty_takeover_seen(entry, &record, item->revision);
--- a/src/relay/relay_duty.h
+++ b/src/relay/relay_duty.h
@@ -16,7 +16,8 @@
  */
 typedef struct relay_duty relay_duty_t;
 
-/** @param takeover called when a record tells of a new takeover */
+/** @param takeover called when a record tells of a new takeover, which the
+ *                  node confirms once all changes are told */
 relay_duty_t *relay_duty_create(struct event_base *base, kv_store_t *store,
 				relay_services_t *services,
 				relay_promoter_t promoter, const char *node,
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -3,6 +3,7 @@
 
 #include "coordination/primary_watch.h"
 #include "relay/relay_duty.h"
+#include "relay/relay_revocation.h"
 #include "state/primary_record.h"
 
 /* What the parts of the duty (relay_duty*.c) share. */
@@ -17,12 +18,16 @@
 	bool asking;	   /**< the primary is being asked */
 	uint64_t asked_ms; /**< when it was asked last */
 	takeover_t *takeover;
+	relay_revocation_t *revocation; /**< of the takeover, or NULL */
 	void *writing; /**< the takeover's write under way, or NULL */
 	primary_record_t written; /**< what it writes */
 	struct event *release;	  /**< lifts the fences */
-	GHashTable *statuses;	/**< id -> relay_status_t, for a first record */
-	uint64_t seen_takeover; /**< highest term of one that was told */
-	uint64_t first_ms;	/**< since when a record is missing, or 0 */
+	GHashTable *statuses; /**< id -> relay_status_t, for a first record */
+	/** The takeover that was told last: its term, and its holder's token.
+	 */
+	uint64_t seen_takeover;
+	uint64_t seen_token;
+	uint64_t first_ms;  /**< since when a record is missing, or 0 */
 	uint64_t absent_ms; /**< since when the primary has no entry, or 0 */
 	uint64_t round;	    /**< of takeovers; answers of others are dropped */
 	bool writing_first;
@@ -82,6 +87,9 @@
 void duty_takeover_seen(duty_service_t *entry, const primary_record_t *record,
 			int64_t revision);
 
+/** Gives the takeover up, if one runs. */
+void duty_takeover_stop(duty_service_t *entry);
+
 /** Makes the service's takeover, which is idle at first. */
 void duty_takeover_create(duty_service_t *entry);
 
--- a/src/relay/relay_duty_takeover.c
+++ b/src/relay/relay_duty_takeover.c
@@ -1,30 +1,18 @@
 #include "relay/relay_duty_private.h"
 
 #include <inttypes.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "relay/relay_control.h"
-#include "relay/relay_registration.h"
 
 /* Longest wait for an operation at a server. */
 #define CONTROL_TIMEOUT_MS 400
 
-/* Pause before leases that could not be ended are ended again. */
-#define REVOKE_AGAIN_MS 150
-
-/* Pause before it is looked whether all nodes have registered anew. */
-#define LOOK_AGAIN_MS 150
-#define LOOKS_MAX 4
-
 /* Wait before fences are lifted after a promotion. */
 #define RELEASE_MS (PRIMARY_LEASE_VALID_MS + PRIMARY_LEASE_VALID_MS / 10)
 
-/* Keys that one transaction may remove. */
-#define REMOVALS_MAX 30
-
 /* One action of a takeover under way. */
 typedef struct {
 	duty_service_t *entry;
@@ -32,18 +20,6 @@
 	char *server;
 } action_t;
 
-/* The ending of all leases that stood in the store. */
-typedef struct {
-	action_t *action;
-	GPtrArray *keys;
-	uint32_t pending;
-	bool failed;
-	uint32_t looks;
-	struct event *timer;
-} revocation_t;
-
-static void revoke(void *context);
-
 static action_t *action_new(duty_service_t *entry, const char *server)
 {
 	action_t *action = g_new0(action_t, 1);
@@ -142,196 +118,43 @@
 	duty_write(entry, &record, on_written, action);
 }
 
-static void revocation_free(revocation_t *revocation)
-{
-	if (revocation->timer)
-		event_free(revocation->timer);
-	g_ptr_array_unref(revocation->keys);
-	action_free(revocation->action);
-	g_free(revocation);
-}
-
-static void on_revoke_again(evutil_socket_t fd, short what, void *context)
-{
-	revocation_t *revocation = context;
-	duty_service_t *entry = revocation->action->entry;
-	const bool current = is_current(revocation->action);
-
-	revocation_free(revocation);
-	if (current)
-		revoke(entry);
-}
-
-/* @return whether another lease of the key's node stands in the store */
-static bool has_newer(const GPtrArray *items, const char *key)
-{
-	const char *lease = strrchr(key, '/');
-	const size_t size = (size_t)(lease - key) + 1;
-
-	for (guint i = 0; i < items->len; i++) {
-		const kv_item_t *item = items->pdata[i];
-
-		if (!strncmp(item->key, key, size) && strcmp(item->key, key))
-			return true;
-	}
-	return false;
-}
-
-/* @return whether the key was written longer ago than any proof lasts */
-static bool is_outdated(const GPtrArray *items, const char *key)
+static void on_revoked(void *context, uint32_t ended)
 {
-	const int64_t wall_ms = g_get_real_time() / 1000;
-
-	for (guint i = 0; i < items->len; i++) {
-		const kv_item_t *item = items->pdata[i];
-		g_autofree char *text = NULL;
-		const char *written;
-
-		if (strcmp(item->key, key) || !item->value)
-			continue;
-		text = g_strndup(g_bytes_get_data(item->value, NULL),
-				 g_bytes_get_size(item->value));
-		written = strchr(text, ' ');
-		return written && wall_ms - atoll(written) >
-					  2 * (int64_t)RELAY_LEASE_AGE_MAX_MS;
-	}
-	return false;
-}
-
-/* A node that has not registered anew may still use other proofs: its key
- * stays, so that the next takeover waits for them, too. */
-static void remove_keys(const revocation_t *revocation, const GPtrArray *items)
-{
-	kv_store_t *store = revocation->action->entry->duty->store;
-	g_autoptr(GPtrArray) keys = g_ptr_array_new();
-
-	for (guint i = 0; i < revocation->keys->len; i++) {
-		char *key = revocation->keys->pdata[i];
-
-		if (has_newer(items, key) || is_outdated(items, key))
-			g_ptr_array_add(keys, key);
-	}
-	for (guint i = 0; i < keys->len; i += REMOVALS_MAX) {
-		const kv_transaction_t transaction = {
-			.removals = (const char *const *)&keys->pdata[i],
-			.removals_count = MIN(keys->len - i, REMOVALS_MAX),
-		};
-
-		store->calls->commit(store->self, &transaction, NULL, NULL);
-	}
-}
-
-static bool all_newer(const revocation_t *revocation, const GPtrArray *items)
-{
-	for (guint i = 0; i < revocation->keys->len; i++)
-		if (!has_newer(items, revocation->keys->pdata[i]))
-			return false;
-	return true;
-}
-
-/* A node that registered anew has forgotten what it had proved. */
-static void on_looked(void *context, const kv_answer_t *answer)
-{
-	revocation_t *revocation = context;
-	duty_service_t *entry = revocation->action->entry;
-	const struct timeval look = clock_timeval(LOOK_AGAIN_MS);
-	const bool forgotten = answer->result == KV_OK && !answer->has_more &&
-			       all_newer(revocation, answer->items);
-
-	if (is_current(revocation->action) && !forgotten &&
-	    ++revocation->looks < LOOKS_MAX) {
-		event_add(revocation->timer, &look);
-		return;
-	}
-	if (is_current(revocation->action) && forgotten) {
-		log_step(entry, "proofs_forgotten", "all");
-		takeover_forgotten(entry->takeover, clock_boot_ms());
-	}
-	remove_keys(revocation, answer->items);
-	revocation_free(revocation);
-}
-
-static void on_look_again(evutil_socket_t fd, short what, void *context)
-{
-	revocation_t *revocation = context;
-	kv_store_t *store = revocation->action->entry->duty->store;
-
-	store->calls->range(store->self, RELAY_LEASES_PREFIX, NULL, on_looked,
-			    revocation);
-}
+	duty_service_t *entry = context;
+	g_autofree char *count = g_strdup_printf("%u", ended);
 
-static void revocation_end(revocation_t *revocation)
-{
-	duty_service_t *entry = revocation->action->entry;
-	const struct timeval delay = clock_timeval(REVOKE_AGAIN_MS);
-	const struct timeval look = clock_timeval(LOOK_AGAIN_MS);
-	g_autofree char *count = g_strdup_printf("%u", revocation->keys->len);
-
-	if (revocation->failed) {
-		revocation->timer = evtimer_new(entry->duty->base,
-						on_revoke_again, revocation);
-		event_add(revocation->timer, &delay);
-		return;
-	}
-	if (!is_current(revocation->action)) {
-		revocation_free(revocation);
-		return;
-	}
 	log_step(entry, "leases_ended", count);
 	takeover_revoked(entry->takeover, clock_boot_ms());
-	revocation->timer =
-		evtimer_new(entry->duty->base, on_look_again, revocation);
-	event_add(revocation->timer, &look);
 }
 
-static void on_lease_ended(void *context, const kv_answer_t *answer)
+static void on_forgotten(void *context)
 {
-	revocation_t *revocation = context;
-
-	if (answer->result != KV_OK && answer->result != KV_ABSENT)
-		revocation->failed = true;
-	if (!--revocation->pending)
-		revocation_end(revocation);
-}
+	duty_service_t *entry = context;
 
-static void on_leases(void *context, const kv_answer_t *answer)
-{
-	revocation_t *revocation = context;
-	kv_store_t *store = revocation->action->entry->duty->store;
-
-	/* One more, so that it does not end while calls are still made. */
-	revocation->pending = 1;
-	revocation->failed = answer->result != KV_OK || answer->has_more;
-	for (guint i = 0; i < answer->items->len; i++) {
-		const kv_item_t *item = answer->items->pdata[i];
-		gsize size;
-		const char *text =
-			item->value ? g_bytes_get_data(item->value, &size) :
-				      NULL;
-		g_autofree char *number = text ? g_strndup(text, size) : NULL;
-		const int64_t lease = number ? atoll(number) : 0;
-
-		if (!lease)
-			continue;
-		g_ptr_array_add(revocation->keys, g_strdup(item->key));
-		revocation->pending++;
-		store->calls->lease_end(store->self, lease, on_lease_ended,
-					revocation);
-	}
-	if (!--revocation->pending)
-		revocation_end(revocation);
+	log_step(entry, "proofs_forgotten", "all");
+	takeover_forgotten(entry->takeover, clock_boot_ms());
 }
 
 static void revoke(void *context)
 {
 	duty_service_t *entry = context;
-	kv_store_t *store = entry->duty->store;
-	revocation_t *revocation = g_new0(revocation_t, 1);
+	const relay_revocation_handlers_t handlers = {
+		.revoked = on_revoked,
+		.forgotten = on_forgotten,
+		.context = entry,
+	};
 
-	revocation->action = action_new(entry, "");
-	revocation->keys = g_ptr_array_new_with_free_func(g_free);
-	store->calls->range(store->self, RELAY_LEASES_PREFIX, NULL, on_leases,
-			    revocation);
+	relay_revocation_stop(entry->revocation);
+	entry->revocation =
+		relay_revocation_start(entry->duty->base, entry->duty->store,
+				       entry->revision, handlers);
+}
+
+void duty_takeover_stop(duty_service_t *entry)
+{
+	relay_revocation_stop(entry->revocation);
+	entry->revocation = NULL;
+	takeover_abort(entry->takeover);
 }
 
 static takeover_status_t status_of(const relay_control_answer_t *answer)
@@ -464,6 +287,8 @@
 	log_event(LOG_LEVEL_NOTICE, led ? "takeover_done" : "takeover_failed",
 		  "service=%s term=%" PRIu64 " primary=%s", entry->name, term,
 		  primary);
+	relay_revocation_stop(entry->revocation);
+	entry->revocation = NULL;
 	duty_service_reset(entry);
 	/* What replicas proved before the promotion must run out first. */
 	event_add(entry->release, &delay);
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -62,6 +62,7 @@
 	bool read_again;
 	uint64_t read_asked_ms;
 	bool nodes_changed;
+	bool confirm_due; /* a takeover was told */
 	catalog_t *catalog;
 	GHashTable *node_values; /* key -> what the node wrote there */
 	GHashTable *lapsing;	 /* server id -> struct event */
@@ -255,6 +256,21 @@
 	relay_duty_changed(node->duty, item);
 }
 
+static void on_takeover(void *context)
+{
+	relay_node_t *node = context;
+
+	node->confirm_due = true;
+}
+
+static void confirm_if_due(relay_node_t *node, int64_t revision)
+{
+	if (!node->confirm_due || !node->registration)
+		return;
+	node->confirm_due = false;
+	relay_registration_confirm(node->registration, revision);
+}
+
 static void on_primaries_synced(void *context, int64_t revision,
 				uint64_t asked_ms)
 {
@@ -262,6 +278,7 @@
 
 	relay_duty_synced(node->duty);
 	relay_services_unchanged(node->services, revision, asked_ms);
+	confirm_if_due(node, revision);
 }
 
 static void on_troubled(void *context, const char *service, const char *server)
@@ -288,6 +305,7 @@
 		relay_duty_changed(node->duty, answer->items->pdata[i]);
 	relay_services_unchanged(node->services, answer->revision,
 				 node->read_asked_ms);
+	confirm_if_due(node, answer->revision);
 	if (node->read_again)
 		read_primaries(node);
 }
@@ -328,14 +346,6 @@
 	read_primaries(context);
 }
 
-static void on_takeover(void *context)
-{
-	relay_node_t *node = context;
-
-	if (node->registration)
-		relay_registration_renew(node->registration);
-}
-
 /* What the node is at a moment, besides what is counted as it happens. */
 static void update_gauges(void *context)
 {
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "state/lease_record.h"
 
 /* Time after which the store forgets a node that does not renew. */
 #define LEASE_TTL_MS 5000
@@ -25,7 +26,8 @@
 	node_lease_t *lease;
 	relay_services_t *services;
 	char *node;
-	char *lease_key; /* of the lease last registered, or NULL */
+	char *lease_key;      /* of the lease last registered, or NULL */
+	int64_t key_revision; /* of that key's last change */
 	char *node_key;
 	char *description;
 	struct event *timer;
@@ -100,6 +102,7 @@
 	}
 	registration->lease->lease = call.lease;
 	registration->lease->registered_at = answer->revision;
+	registration->key_revision = answer->revision;
 	node_lease_renewed(registration->lease, call.sent_ms);
 	log_event(LOG_LEVEL_NOTICE, "registered",
 		  "lease=%" PRId64 " revision=%" PRId64, call.lease,
@@ -108,20 +111,30 @@
 	registration->handlers.registered(registration->handlers.context);
 }
 
+static char *record_of(int64_t lease, int64_t seen_revision)
+{
+	const lease_record_t record = {
+		.lease = lease,
+		.written_ms = g_get_real_time() / 1000,
+		.seen_revision = seen_revision,
+	};
+
+	return lease_record_encode(&record);
+}
+
 static void register_keys(relay_registration_t *registration, int64_t lease,
 			  uint64_t sent_ms)
 {
 	/* A key for each lease: a transaction that is carried out late can't
 	 * hide the lease that runs by then. */
 	g_autofree char *value = g_strdup_printf("%" PRId64, lease);
-	g_autofree char *dated = g_strdup_printf("%" PRId64 " %" PRId64, lease,
-						 g_get_real_time() / 1000);
+	g_autofree char *record = record_of(lease, 0);
 	g_autofree char *old_key = g_steal_pointer(&registration->lease_key);
 	const char *const removals[] = {old_key};
 	g_autofree char *key = g_strdup_printf(RELAY_LEASES_PREFIX "%s/%s",
 					       registration->node, value);
 	const kv_put_t puts[] = {
-		{.key = key, .value = dated},
+		{.key = key, .value = record},
 		{.key = registration->node_key,
 		 .value = registration->description,
 		 .lease = lease},
@@ -279,6 +292,47 @@
 	tick_after(registration, 0);
 }
 
+static void on_confirmed(void *context, const kv_answer_t *answer)
+{
+	const call_t call = call_end(context);
+	relay_registration_t *registration = call.registration;
+
+	if (call.lease != registration->lease->lease)
+		return;
+	log_event(LOG_LEVEL_INFO, "takeover_confirmed",
+		  "lease=%" PRId64 " result=%s", call.lease,
+		  kv_result_name(answer->result));
+	if (answer->result == KV_OK)
+		registration->key_revision = answer->revision;
+	else
+		relay_registration_renew(registration);
+}
+
+void relay_registration_confirm(relay_registration_t *registration,
+				int64_t revision)
+{
+	const int64_t lease = registration->lease->lease;
+	g_autofree char *record = record_of(lease, revision);
+	const kv_condition_t condition = {
+		.key = registration->lease_key,
+		.revision = registration->key_revision,
+	};
+	const kv_put_t put = {.key = registration->lease_key, .value = record};
+	const kv_transaction_t transaction = {
+		.conditions = &condition,
+		.conditions_count = 1,
+		.puts = &put,
+		.puts_count = 1,
+	};
+
+	/* Who registers now reads the records after that. */
+	if (registration->leaving || registration->opening || !lease)
+		return;
+	registration->store->calls->commit(registration->store->self,
+					   &transaction, on_confirmed,
+					   call_new(registration, lease));
+}
+
 void relay_registration_leave(relay_registration_t *registration)
 {
 	const char *const removals[] = {registration->lease_key,
--- a/src/relay/relay_registration.h
+++ b/src/relay/relay_registration.h
@@ -7,7 +7,7 @@
 #include "store/kv_store.h"
 
 /**
- * Keys of registered leases, "LEASE WALL_MS"; kept until the node registers
+ * Keys of registered leases, see lease_record_t; kept until the node registers
  * anew, leaves, or has been silent for RELAY_LEASE_AGE_MAX_MS.
  */
 #define RELAY_LEASES_PREFIX "toucanhook/leases/"
@@ -52,9 +52,14 @@
 			       int64_t revision);
 
 /**
- * A takeover is under way, which ends all leases: forgets what was proved
- * and registers a new lease at once.
+ * A takeover is under way: confirms that all records of primaries are known
+ * up to a revision, so that the lease need not be ended. If that fails, the
+ * node registers anew.
  */
+void relay_registration_confirm(relay_registration_t *registration,
+				int64_t revision);
+
+/** Forgets what was proved and registers a new lease at once. */
 void relay_registration_renew(relay_registration_t *registration);
 
 /**
--- /dev/null
+++ b/src/relay/relay_revocation.c
@@ -0,0 +1,330 @@
+#include "relay/relay_revocation.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/relay_registration.h"
+#include "state/lease_record.h"
+
+/* Pause before the first look for confirmations, and between two. */
+#define CONFIRM_MS 90
+#define CONFIRM_LOOKS_MAX 3
+
+/* Pause before leases that could not be ended are ended again. */
+#define END_AGAIN_MS 150
+
+/* Pause before it is looked whether the other nodes registered anew. */
+#define FORGET_MS 150
+#define FORGET_LOOKS_MAX 4
+
+/* Keys that one transaction may remove. */
+#define REMOVALS_MAX 30
+
+typedef enum {
+	PHASE_CONFIRM, /* nodes may still confirm */
+	PHASE_END,     /* the others' leases are being ended */
+	PHASE_FORGET,  /* until those nodes have registered anew */
+} phase_t;
+
+struct relay_revocation {
+	struct event_base *base;
+	kv_store_t *store;
+	int64_t revision;
+	relay_revocation_handlers_t handlers;
+	phase_t phase;
+	struct event *timer;
+	GPtrArray *items; /* kv_item_t, all pages that were listed */
+	GPtrArray *ended; /* keys whose leases were ended */
+	uint32_t looks;
+	uint32_t pending; /* calls under way */
+	bool failed;
+	bool stopped;
+};
+
+static void revocation_free(relay_revocation_t *revocation)
+{
+	event_free(revocation->timer);
+	g_ptr_array_unref(revocation->items);
+	g_ptr_array_unref(revocation->ended);
+	g_free(revocation);
+}
+
+static void wait_ms(relay_revocation_t *revocation, uint64_t delay_ms)
+{
+	const struct timeval delay = clock_timeval(delay_ms);
+
+	event_add(revocation->timer, &delay);
+}
+
+/* @return false when it was stopped, and is freed with its last call */
+static bool call_ended(relay_revocation_t *revocation)
+{
+	revocation->pending--;
+	if (!revocation->stopped)
+		return true;
+	if (!revocation->pending)
+		revocation_free(revocation);
+	return false;
+}
+
+static bool has_confirmed(const relay_revocation_t *revocation,
+			  const kv_item_t *item)
+{
+	lease_record_t record;
+
+	return lease_record_decode(item->value, &record) &&
+	       record.seen_revision >= revocation->revision;
+}
+
+/* @return whether the key was written longer ago than any proof lasts */
+static bool is_outdated(const kv_item_t *item)
+{
+	const int64_t wall_ms = g_get_real_time() / 1000;
+	lease_record_t record;
+
+	return lease_record_decode(item->value, &record) &&
+	       wall_ms - record.written_ms >
+		       2 * (int64_t)RELAY_LEASE_AGE_MAX_MS;
+}
+
+/* @return whether another lease of the key's node stands in the store */
+static bool has_newer(const relay_revocation_t *revocation, const char *key)
+{
+	const char *lease = strrchr(key, '/');
+	const size_t size = (size_t)(lease - key) + 1;
+	const GPtrArray *items = revocation->items;
+
+	for (guint i = 0; i < items->len; i++) {
+		const kv_item_t *item = items->pdata[i];
+
+		if (!strncmp(item->key, key, size) && strcmp(item->key, key))
+			return true;
+	}
+	return false;
+}
+
+/* A node that has neither confirmed nor registered anew may still use other
+ * proofs: its key stays, so that the next takeover waits for it, too. */
+static bool is_settled(const relay_revocation_t *revocation, const char *key)
+{
+	const GPtrArray *items = revocation->items;
+
+	for (guint i = 0; i < items->len; i++) {
+		const kv_item_t *item = items->pdata[i];
+
+		if (!strcmp(item->key, key) && has_confirmed(revocation, item))
+			return true;
+	}
+	return has_newer(revocation, key);
+}
+
+static void remove_keys(const relay_revocation_t *revocation)
+{
+	kv_store_t *store = revocation->store;
+	const GPtrArray *items = revocation->items;
+	g_autoptr(GPtrArray) keys = g_ptr_array_new();
+
+	for (guint i = 0; i < items->len; i++) {
+		const kv_item_t *item = items->pdata[i];
+
+		if (has_confirmed(revocation, item))
+			continue;
+		if (is_outdated(item) ||
+		    (g_ptr_array_find_with_equal_func(
+			     revocation->ended, item->key, g_str_equal, NULL) &&
+		     has_newer(revocation, item->key)))
+			g_ptr_array_add(keys, item->key);
+	}
+	for (guint i = 0; i < keys->len; i += REMOVALS_MAX) {
+		const kv_transaction_t transaction = {
+			.removals = (const char *const *)&keys->pdata[i],
+			.removals_count = MIN(keys->len - i, REMOVALS_MAX),
+		};
+
+		store->calls->commit(store->self, &transaction, NULL, NULL);
+	}
+}
+
+static bool all_settled(const relay_revocation_t *revocation)
+{
+	for (guint i = 0; i < revocation->ended->len; i++)
+		if (!is_settled(revocation, revocation->ended->pdata[i]))
+			return false;
+	return true;
+}
+
+static void look_whether_forgotten(relay_revocation_t *revocation, bool listed)
+{
+	const bool forgotten = listed && all_settled(revocation);
+
+	if (!forgotten && ++revocation->looks < FORGET_LOOKS_MAX) {
+		wait_ms(revocation, FORGET_MS);
+		return;
+	}
+	remove_keys(revocation);
+	if (forgotten)
+		revocation->handlers.forgotten(revocation->handlers.context);
+}
+
+static void all_ended(relay_revocation_t *revocation)
+{
+	const relay_revocation_handlers_t *handlers = &revocation->handlers;
+
+	if (revocation->failed) {
+		wait_ms(revocation, END_AGAIN_MS);
+		return;
+	}
+	revocation->phase = PHASE_FORGET;
+	revocation->looks = 0;
+	wait_ms(revocation, FORGET_MS);
+	handlers->revoked(handlers->context, revocation->ended->len);
+}
+
+static void on_ended(void *context, const kv_answer_t *answer)
+{
+	relay_revocation_t *revocation = context;
+
+	if (answer->result != KV_OK && answer->result != KV_ABSENT)
+		revocation->failed = true;
+	if (call_ended(revocation) && !revocation->pending)
+		all_ended(revocation);
+}
+
+static void end_lease(relay_revocation_t *revocation, const kv_item_t *item)
+{
+	kv_store_t *store = revocation->store;
+	lease_record_t record;
+
+	if (!lease_record_decode(item->value, &record)) {
+		log_event(LOG_LEVEL_WARNING, "lease_record_invalid", "key=%s",
+			  item->key);
+		return;
+	}
+	if (!g_ptr_array_find_with_equal_func(revocation->ended, item->key,
+					      g_str_equal, NULL))
+		g_ptr_array_add(revocation->ended, g_strdup(item->key));
+	revocation->pending++;
+	store->calls->lease_end(store->self, record.lease, on_ended,
+				revocation);
+}
+
+static void end_others(relay_revocation_t *revocation, bool listed)
+{
+	const GPtrArray *items = revocation->items;
+
+	/* One more, so that it is not over while calls are still made. */
+	revocation->pending++;
+	revocation->failed = !listed;
+	for (guint i = 0; i < items->len; i++)
+		if (!has_confirmed(revocation, items->pdata[i]))
+			end_lease(revocation, items->pdata[i]);
+	if (!--revocation->pending)
+		all_ended(revocation);
+}
+
+static bool all_confirmed(const relay_revocation_t *revocation)
+{
+	for (guint i = 0; i < revocation->items->len; i++)
+		if (!has_confirmed(revocation, revocation->items->pdata[i]))
+			return false;
+	return true;
+}
+
+static void look_for_confirmations(relay_revocation_t *revocation, bool listed)
+{
+	const relay_revocation_handlers_t handlers = revocation->handlers;
+
+	if (listed && all_confirmed(revocation)) {
+		handlers.revoked(handlers.context, 0);
+		handlers.forgotten(handlers.context);
+		return;
+	}
+	if (++revocation->looks < CONFIRM_LOOKS_MAX) {
+		wait_ms(revocation, CONFIRM_MS);
+		return;
+	}
+	revocation->phase = PHASE_END;
+	end_others(revocation, listed);
+}
+
+static void go_on(relay_revocation_t *revocation, bool listed)
+{
+	switch (revocation->phase) {
+	case PHASE_CONFIRM:
+		look_for_confirmations(revocation, listed);
+		break;
+	case PHASE_END:
+		end_others(revocation, listed);
+		break;
+	case PHASE_FORGET:
+		look_whether_forgotten(revocation, listed);
+		break;
+	}
+}
+
+static void list_after(relay_revocation_t *revocation, const char *key);
+
+static void on_listed(void *context, const kv_answer_t *answer)
+{
+	relay_revocation_t *revocation = context;
+	const kv_item_t *last;
+
+	if (!call_ended(revocation))
+		return;
+	while (answer->items->len)
+		g_ptr_array_add(revocation->items,
+				g_ptr_array_steal_index(answer->items, 0));
+	if (answer->result == KV_OK && answer->has_more &&
+	    revocation->items->len) {
+		last = revocation->items->pdata[revocation->items->len - 1];
+		list_after(revocation, last->key);
+		return;
+	}
+	go_on(revocation, answer->result == KV_OK);
+}
+
+static void list_after(relay_revocation_t *revocation, const char *key)
+{
+	kv_store_t *store = revocation->store;
+
+	revocation->pending++;
+	store->calls->range(store->self, RELAY_LEASES_PREFIX, key, on_listed,
+			    revocation);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	relay_revocation_t *revocation = context;
+
+	g_ptr_array_set_size(revocation->items, 0);
+	list_after(revocation, NULL);
+}
+
+relay_revocation_t *relay_revocation_start(struct event_base *base,
+					   kv_store_t *store, int64_t revision,
+					   relay_revocation_handlers_t handlers)
+{
+	relay_revocation_t *revocation = g_new0(relay_revocation_t, 1);
+
+	revocation->base = base;
+	revocation->store = store;
+	revocation->revision = revision;
+	revocation->handlers = handlers;
+	revocation->items =
+		g_ptr_array_new_with_free_func((GDestroyNotify)kv_item_free);
+	revocation->ended = g_ptr_array_new_with_free_func(g_free);
+	revocation->timer = evtimer_new(base, on_timer, revocation);
+	wait_ms(revocation, CONFIRM_MS);
+	return revocation;
+}
+
+void relay_revocation_stop(relay_revocation_t *revocation)
+{
+	if (!revocation)
+		return;
+	revocation->stopped = true;
+	event_del(revocation->timer);
+	if (!revocation->pending)
+		revocation_free(revocation);
+}
--- /dev/null
+++ b/src/state/lease_record.c
@@ -0,0 +1,36 @@
+#include "state/lease_record.h"
+
+#include <inttypes.h>
+
+/* Fields of a record: lease, time, revision. */
+#define FIELDS 3
+
+char *lease_record_encode(const lease_record_t *record)
+{
+	return g_strdup_printf("%" PRId64 " %" PRId64 " %" PRId64,
+			       record->lease, record->written_ms,
+			       record->seen_revision);
+}
+
+static bool parse(const char *text, int64_t *value)
+{
+	return g_ascii_string_to_signed(text, 10, 0, G_MAXINT64, value, NULL);
+}
+
+bool lease_record_decode(GBytes *bytes, lease_record_t *record)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) fields = NULL;
+	gsize size;
+	const char *data;
+
+	if (!bytes)
+		return false;
+	data = g_bytes_get_data(bytes, &size);
+	text = g_strndup(data, size);
+	fields = g_strsplit(text, " ", 0);
+	return g_strv_length(fields) == FIELDS &&
+	       parse(fields[0], &record->lease) &&
+	       parse(fields[1], &record->written_ms) &&
+	       parse(fields[2], &record->seen_revision);
+}
--- a/tests/unit/test_primary_model.c
+++ b/tests/unit/test_primary_model.c
@@ -368,7 +368,8 @@
 		break;
 	}
 	/* The old primary turns out to be well. */
-	if (state.phase == WAITING && state.kept < search->bounds.kept_max &&
+	if ((state.phase == INTENT || state.phase == WAITING) &&
+	    state.kept < search->bounds.kept_max &&
 	    state.deaths + state.kept < PROMOTERS_MAX) {
 		next = state;
 		next.kept++;
--- /dev/null
+++ b/tests/unit/test_relay_revocation.c
@@ -0,0 +1,292 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "relay/relay_revocation.h"
+#include "state/lease_record.h"
+
+#define INTENT_REVISION 100
+#define PAGE 2
+
+/* A store that holds leases of a few nodes and answers in the next turn. */
+typedef struct {
+	struct event_base *base;
+	kv_store_t store;
+	GPtrArray *keys;    /* char * */
+	GPtrArray *records; /* lease_record_t, beside keys */
+	GArray *ended;	    /* int64_t */
+	uint32_t ranges;
+	int32_t revoked; /* leases ended, or -1 */
+	bool forgotten;
+	/* Called before each listing. */
+	void (*before_range)(void *fixture);
+} fixture_t;
+
+typedef struct {
+	fixture_t *fixture;
+	kv_done_t done;
+	void *context;
+	char *after;
+	struct event *timer;
+} call_t;
+
+static call_t *call_new(fixture_t *fixture, kv_done_t done, void *context,
+			event_callback_fn run)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->fixture = fixture;
+	call->done = done;
+	call->context = context;
+	call->timer = evtimer_new(fixture->base, run, call);
+	event_active(call->timer, EV_TIMEOUT, 0);
+	return call;
+}
+
+static void answer(call_t *call, kv_answer_t *answer)
+{
+	if (call->done)
+		call->done(call->context, answer);
+	g_ptr_array_unref(answer->items);
+	event_free(call->timer);
+	g_free(call->after);
+	g_free(call);
+}
+
+static kv_answer_t answer_new(void)
+{
+	return (kv_answer_t){.items = g_ptr_array_new_with_free_func(
+				     (GDestroyNotify)kv_item_free)};
+}
+
+static void on_range(evutil_socket_t fd, short what, void *context)
+{
+	call_t *call = context;
+	fixture_t *fixture = call->fixture;
+	kv_answer_t listed = answer_new();
+
+	fixture->ranges++;
+	if (fixture->before_range)
+		fixture->before_range(fixture);
+	for (guint i = 0; i < fixture->keys->len; i++) {
+		char *key = fixture->keys->pdata[i];
+		char *text = lease_record_encode(fixture->records->pdata[i]);
+		kv_item_t *item;
+
+		if (call->after && strcmp(key, call->after) <= 0) {
+			g_free(text);
+			continue;
+		}
+		if (listed.items->len == PAGE) {
+			listed.has_more = true;
+			g_free(text);
+			break;
+		}
+		item = g_new0(kv_item_t, 1);
+		item->key = g_strdup(key);
+		item->value = g_bytes_new_take(text, strlen(text));
+		g_ptr_array_add(listed.items, item);
+	}
+	answer(call, &listed);
+}
+
+static void on_other(evutil_socket_t fd, short what, void *context)
+{
+	kv_answer_t done = answer_new();
+
+	answer(context, &done);
+}
+
+static void fake_range(void *self, const char *prefix, const char *after_key,
+		       kv_done_t done, void *context)
+{
+	call_new(self, done, context, on_range)->after = g_strdup(after_key);
+}
+
+static void fake_commit(void *self, const kv_transaction_t *transaction,
+			kv_done_t done, void *context)
+{
+	call_new(self, done, context, on_other);
+}
+
+static void fake_lease_end(void *self, int64_t lease, kv_done_t done,
+			   void *context)
+{
+	g_array_append_val(((fixture_t *)self)->ended, lease);
+	call_new(self, done, context, on_other);
+}
+
+static const kv_store_calls_t calls = {
+	.range = fake_range,
+	.commit = fake_commit,
+	.lease_end = fake_lease_end,
+};
+
+static lease_record_t *lease_add(fixture_t *fixture, const char *key,
+				 int64_t lease, int64_t seen_revision)
+{
+	lease_record_t *record = g_new0(lease_record_t, 1);
+
+	*record = (lease_record_t){
+		.lease = lease,
+		.written_ms = g_get_real_time() / 1000,
+		.seen_revision = seen_revision,
+	};
+	g_ptr_array_add(fixture->keys, g_strdup(key));
+	g_ptr_array_add(fixture->records, record);
+	return record;
+}
+
+static int open_fixture(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+
+	fixture->base = event_base_new();
+	fixture->store = (kv_store_t){.calls = &calls, .self = fixture};
+	fixture->keys = g_ptr_array_new_with_free_func(g_free);
+	fixture->records = g_ptr_array_new_with_free_func(g_free);
+	fixture->ended = g_array_new(false, false, sizeof(int64_t));
+	fixture->revoked = -1;
+	*state = fixture;
+	return 0;
+}
+
+static int close_fixture(void **state)
+{
+	fixture_t *fixture = *state;
+
+	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+	event_base_free(fixture->base);
+	g_ptr_array_unref(fixture->keys);
+	g_ptr_array_unref(fixture->records);
+	g_array_unref(fixture->ended);
+	g_free(fixture);
+	return 0;
+}
+
+static void on_revoked(void *context, uint32_t ended)
+{
+	((fixture_t *)context)->revoked = (int32_t)ended;
+}
+
+static void on_forgotten(void *context)
+{
+	((fixture_t *)context)->forgotten = true;
+}
+
+/* Runs until nothing is left to do. */
+static void play(fixture_t *fixture)
+{
+	relay_revocation_t *revocation = relay_revocation_start(
+		fixture->base, &fixture->store, INTENT_REVISION,
+		(relay_revocation_handlers_t){.revoked = on_revoked,
+					      .forgotten = on_forgotten,
+					      .context = fixture});
+
+	event_base_loop(fixture->base, 0);
+	relay_revocation_stop(revocation);
+}
+
+static void test_confirmed_leases_go_on(void **state)
+{
+	fixture_t *fixture = *state;
+
+	lease_add(fixture, "toucanhook/leases/a/1", 1, INTENT_REVISION);
+	lease_add(fixture, "toucanhook/leases/b/2", 2, INTENT_REVISION + 5);
+	lease_add(fixture, "toucanhook/leases/c/3", 3, INTENT_REVISION);
+	play(fixture);
+	assert_int_equal(fixture->ended->len, 0);
+	assert_int_equal(fixture->revoked, 0);
+	assert_true(fixture->forgotten);
+}
+
+/* A confirmation of an earlier takeover, and a node that says nothing, on the
+ * second page. */
+static void test_other_leases_are_ended(void **state)
+{
+	fixture_t *fixture = *state;
+
+	lease_add(fixture, "toucanhook/leases/a/1", 1, INTENT_REVISION);
+	lease_add(fixture, "toucanhook/leases/b/2", 2, INTENT_REVISION - 1);
+	lease_add(fixture, "toucanhook/leases/c/3", 3, 0);
+	play(fixture);
+	assert_int_equal(fixture->ended->len, 2);
+	assert_int_equal(g_array_index(fixture->ended, int64_t, 0), 2);
+	assert_int_equal(g_array_index(fixture->ended, int64_t, 1), 3);
+	assert_int_equal(fixture->revoked, 2);
+	assert_false(fixture->forgotten);
+}
+
+static void register_anew(void *context)
+{
+	fixture_t *fixture = context;
+
+	if (fixture->ended->len && fixture->keys->len == 1)
+		lease_add(fixture, "toucanhook/leases/a/2", 2, 0);
+}
+
+static void test_node_that_registers_anew_has_forgotten(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->before_range = register_anew;
+	lease_add(fixture, "toucanhook/leases/a/1", 1, 0);
+	play(fixture);
+	assert_int_equal(fixture->revoked, 1);
+	assert_true(fixture->forgotten);
+}
+
+static void test_stopped_while_a_call_is_under_way(void **state)
+{
+	fixture_t *fixture = *state;
+	relay_revocation_t *revocation;
+
+	lease_add(fixture, "toucanhook/leases/a/1", 1, INTENT_REVISION);
+	revocation = relay_revocation_start(
+		fixture->base, &fixture->store, INTENT_REVISION,
+		(relay_revocation_handlers_t){.revoked = on_revoked,
+					      .forgotten = on_forgotten,
+					      .context = fixture});
+	while (!fixture->ranges)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	relay_revocation_stop(revocation);
+	event_base_loop(fixture->base, 0);
+	assert_int_equal(fixture->ended->len, 0);
+}
+
+static void test_records_are_checked(void **state)
+{
+	static const char *const bad[] = {"",	   "1",	     "1 2",
+					  "1 2 x", "1 2 -3", "1 2 3 4"};
+	lease_record_t record;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_autoptr(GBytes) bytes =
+			g_bytes_new_static(bad[i], strlen(bad[i]));
+
+		assert_false(lease_record_decode(bytes, &record));
+	}
+	assert_false(lease_record_decode(NULL, &record));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_confirmed_leases_go_on,
+						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(test_other_leases_are_ended,
+						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_node_that_registers_anew_has_forgotten,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_stopped_while_a_call_is_under_way, open_fixture,
+			close_fixture),
+		cmocka_unit_test(test_records_are_checked),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -250,6 +250,21 @@
 	assert_false(fixture->promoted);
 }
 
+/* Also when all have forgotten before the fence is answered. */
+static void test_fence_after_forgetting_is_enough(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->servers[0].silent = true;
+	start(fixture, false);
+	takeover_revoked(fixture->takeover, fixture->now_ms);
+	takeover_forgotten(fixture->takeover, fixture->now_ms);
+	run(fixture, 2000);
+	assert_true(fixture->led);
+	assert_true(fixture->promoted_ms <
+		    fixture->fenced_ms + PRIMARY_LEASE_VALID_MS);
+}
+
 static void test_primary_that_answers_is_kept(void **state)
 {
 	fixture_t *fixture = *state;
@@ -344,6 +359,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_nothing_is_skipped_before_the_fence, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_fence_after_forgetting_is_enough, open_fixture,
+			close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_primary_that_answers_is_kept, open_fixture,
 			close_fixture),
