Keep verified connections verified: a late watch undid the reading

Cause: while the store is away, replicas prove who leads over connections that were opened before the record was last read.

Ruled out: connections that are closed while they rest, and questions that get a younger one.

test_relay_control late_watch fails without the change.

--- a/src/relay/relay_control.c
+++ b/src/relay/relay_control.c
@@ -117,6 +117,15 @@
 		       relay_control_t operation, uint64_t term,
 		       uint32_t timeout_ms, relay_control_done_t done,
 		       void *context)
+{
+	relay_control_ask_before(service, server, operation, term, 0,
+				 timeout_ms, done, context);
+}
+
+void relay_control_ask_before(relay_service_t *service, const char *server,
+			      relay_control_t operation, uint64_t term,
+			      uint64_t opened_before_ms, uint32_t timeout_ms,
+			      relay_control_done_t done, void *context)
 {
 	control_t *control = g_new0(control_t, 1);
 	const uint64_t now_ms = clock_boot_ms();
@@ -134,6 +143,7 @@
 			  .target_ms = now_ms,
 			  .deadline_ms = now_ms + timeout_ms},
 		.urgent = true,
+		.opened_before_ms = opened_before_ms,
 		.granted = on_granted,
 		.refused = on_refused,
 		.context = control,
--- a/src/relay/relay_control.h
+++ b/src/relay/relay_control.h
@@ -30,6 +30,15 @@
 		       uint32_t timeout_ms, relay_control_done_t done,
 		       void *context);
 
+/**
+ * The same over a connection that was opened before @p opened_before_ms, if
+ * there is one; it is waited for.
+ */
+void relay_control_ask_before(relay_service_t *service, const char *server,
+			      relay_control_t operation, uint64_t term,
+			      uint64_t opened_before_ms, uint32_t timeout_ms,
+			      relay_control_done_t done, void *context);
+
 /** @return a lower-case name for logs; never NULL. */
 const char *relay_control_result_name(relay_control_result_t result);
 
--- a/src/relay/relay_proof.c
+++ b/src/relay/relay_proof.c
@@ -19,7 +19,7 @@
 #define PROOF_TIMEOUT_MS 600
 
 /* Time between two readings of the records for new connections. */
-#define PROOF_VERIFY_MS 4000
+#define PROOF_VERIFY_MS 1500
 
 struct relay_proof {
 	relay_services_t *services;
@@ -90,8 +90,9 @@
 		ask->term = lease->term;
 		ask->round = proof->round;
 		g_hash_table_add(proof->asks, ask);
-		relay_control_ask(service, id, RELAY_CONTROL_STATUS, 0,
-				  PROOF_TIMEOUT_MS, on_answer, ask);
+		relay_control_ask_before(service, id, RELAY_CONTROL_STATUS, 0,
+					 relay_service_verified_ms(service),
+					 PROOF_TIMEOUT_MS, on_answer, ask);
 	}
 }
 
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -249,41 +249,92 @@
 	return g_ptr_array_steal_index(server->idle, index);
 }
 
-/* Prefers a connection whose variables need no change. */
+static bool is_old_enough(const relay_waiter_t *waiter,
+			  const relay_link_t *link)
+{
+	return !waiter->opened_before_ms ||
+	       relay_link_opened_ms(link) < waiter->opened_before_ms;
+}
+
+/* @return whether a connection that it prefers is there, idle or not */
+static bool has_old_enough(const relay_server_t *server,
+			   const relay_waiter_t *waiter)
+{
+	for (guint i = 0; i < server->links->len; i++) {
+		const relay_link_t *link = server->links->pdata[i];
+
+		if (relay_link_is_open(link) && is_old_enough(waiter, link))
+			return true;
+	}
+	return false;
+}
+
+static bool may_take(const relay_waiter_t *waiter, const relay_link_t *link)
+{
+	return !waiter->direct || !relay_link_is_lent(link);
+}
+
+/* Prefers a connection whose variables need no change, then the youngest:
+ * old ones can prove who leads. */
 static relay_link_t *take_idle(relay_server_t *server,
 			       const relay_waiter_t *waiter)
 {
-	guint chosen = server->idle->len - 1;
+	const relay_link_t *best = NULL;
+	bool best_matches = false;
+	guint chosen = 0;
 
 	if (waiter->urgent)
 		return take_granted(server, oldest_idle(server));
 
-	for (guint i = server->idle->len; i > 0; i--) {
-		relay_link_t *link = server->idle->pdata[i - 1];
+	for (guint i = 0; i < server->idle->len; i++) {
+		relay_link_t *link = server->idle->pdata[i];
+		const bool matches = values_match(
+			waiter->values, relay_link_state(link)->values);
 
-		if (waiter->direct && relay_link_is_lent(link))
+		if (!may_take(waiter, link))
 			continue;
-		if (waiter->direct)
-			chosen = i - 1;
-		if (values_match(waiter->values,
-				 relay_link_state(link)->values)) {
-			chosen = i - 1;
-			break;
-		}
+		if (best && (best_matches != matches ?
+				     best_matches :
+				     relay_link_opened_ms(best) >=
+					     relay_link_opened_ms(link)))
+			continue;
+		best = link;
+		best_matches = matches;
+		chosen = i;
 	}
 	return take_granted(server, chosen);
 }
 
 static bool can_take(const relay_server_t *server, const relay_waiter_t *waiter)
 {
-	if (!waiter->direct)
-		return server->idle->len;
-	for (guint i = 0; i < server->idle->len; i++)
-		if (!relay_link_is_lent(server->idle->pdata[i]))
+	const bool choosy =
+		waiter->opened_before_ms && has_old_enough(server, waiter);
+
+	for (guint i = 0; i < server->idle->len; i++) {
+		const relay_link_t *link = server->idle->pdata[i];
+
+		if (may_take(waiter, link) &&
+		    (!choosy || is_old_enough(waiter, link)))
 			return true;
+	}
 	return false;
 }
 
+/* Who waits for an old connection needs no new one. */
+static uint32_t connections_wanted(const relay_server_t *server)
+{
+	uint32_t wanted = 0;
+
+	for (guint i = 0; i < server->queue.entries->len; i++) {
+		const wait_entry_t *entry = server->queue.entries->pdata[i];
+		const relay_waiter_t *waiter = entry->owner;
+
+		wanted += !waiter->opened_before_ms ||
+			  !has_old_enough(server, waiter);
+	}
+	return wanted;
+}
+
 static void pump(relay_server_t *server)
 {
 	g_autoptr(GPtrArray) passed = g_ptr_array_new();
@@ -303,8 +354,8 @@
 	}
 	for (guint i = 0; i < passed->len; i++)
 		wait_queue_add(&server->queue, passed->pdata[i]);
-	if (server->queue.entries->len)
-		open_more(server, server->queue.entries->len);
+	if (connections_wanted(server))
+		open_more(server, connections_wanted(server));
 }
 
 static void sweep_after(relay_server_t *server, uint64_t delay_ms)
@@ -314,16 +365,34 @@
 	event_add(server->sweep, &delay);
 }
 
+static relay_link_t *oldest_open(const relay_server_t *server)
+{
+	relay_link_t *oldest = NULL;
+
+	for (guint i = 0; i < server->links->len; i++) {
+		relay_link_t *link = server->links->pdata[i];
+
+		if (relay_link_is_open(link) &&
+		    (!oldest ||
+		     relay_link_opened_ms(link) < relay_link_opened_ms(oldest)))
+			oldest = link;
+	}
+	return oldest;
+}
+
+/* The oldest connection stays longest: it can prove who leads. */
 static void on_sweep(evutil_socket_t fd, short what, void *context)
 {
 	relay_server_t *server = context;
+	const relay_link_t *oldest = server->share ? oldest_open(server) : NULL;
 	const uint64_t now_ms = clock_boot_ms();
 
 	for (guint i = server->idle->len;
 	     i > 0 && server->links->len > server->share; i--) {
 		relay_link_t *link = server->idle->pdata[i - 1];
 
-		if (now_ms < relay_link_heard_ms(link) + REST_MS)
+		if (link == oldest ||
+		    now_ms < relay_link_heard_ms(link) + REST_MS)
 			continue;
 		g_ptr_array_remove_index_fast(server->idle, i - 1);
 		g_ptr_array_remove_fast(server->links, link);
@@ -561,15 +630,9 @@
 
 uint64_t relay_server_oldest_ms(const relay_server_t *server)
 {
-	uint64_t oldest_ms = UINT64_MAX;
+	const relay_link_t *oldest = oldest_open(server);
 
-	for (guint i = 0; i < server->links->len; i++) {
-		const relay_link_t *link = server->links->pdata[i];
-
-		if (relay_link_is_open(link))
-			oldest_ms = MIN(oldest_ms, relay_link_opened_ms(link));
-	}
-	return oldest_ms;
+	return oldest ? relay_link_opened_ms(oldest) : UINT64_MAX;
 }
 
 replica_lag_t *relay_server_lag(relay_server_t *server)
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -20,6 +20,8 @@
 	GHashTable *values; /**< session variables that it needs, or NULL */
 	bool urgent;	    /**< may exceed the limit by one connection */
 	bool direct;	    /**< takes no connection that another node lends */
+	/** Rather waits for one that was opened before this; 0 for any. */
+	uint64_t opened_before_ms;
 	/** A connection is there, for its sole use. */
 	void (*granted)(void *context, relay_server_t *server,
 			relay_link_t *link);
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -436,7 +436,7 @@
 		relay_service_t *service = value;
 
 		primary_lease_unchanged(&service->lease, revision);
-		service->verified_ms = asked_ms;
+		service->verified_ms = MAX(service->verified_ms, asked_ms);
 	}
 	relay_services_wake(services);
 }
--- a/tests/unit/test_relay_control.c
+++ b/tests/unit/test_relay_control.c
@@ -186,6 +186,19 @@
 		assert_int_equal(ask(fixture), RELAY_CONTROL_BUSY);
 }
 
+/* A watch that was asked long ago ends after a reading that was asked since:
+ * the connections opened in between stay verified. */
+static void test_late_watch_does_not_undo_a_reading(void **state)
+{
+	fixture_t *fixture = *state;
+	const relay_service_t *service =
+		relay_services_find(fixture->services, "svc");
+
+	relay_services_unchanged(fixture->services, 10, 5000);
+	relay_services_unchanged(fixture->services, 11, 1000);
+	assert_int_equal(relay_service_verified_ms(service), 5000);
+}
+
 static void test_a_closed_port_is_unreachable(void **state)
 {
 	fixture_t *fixture = *state;
@@ -206,6 +219,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_a_lender_without_room_says_nothing, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_late_watch_does_not_undo_a_reading, open_fixture,
+			close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_a_closed_port_is_unreachable, open_fixture,
 			close_fixture),
