Hand over where all replicas apply late

Cause: a replica applies in order; after a fault one commit is applied half a minute late, and all behind it. A replica that is promoted applies what it has received at once, and the old primary follows without that backlog: two servers of three serve again.

The holder of the duty asks the replicas when its own reads find all of them late, and hands over when they say so for 0.8 s, one has received the primary's log, and the primary turns work away; at most every 20 s. Nothing may be lost: if no replica catches up the primary stays.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -43,7 +43,7 @@
 	uint64_t phase_ms; /* when the phase began */
 	uint64_t term;
 	char primary[64];
-	bool planned;
+	takeover_kind_t kind;
 	server_t servers[TAKEOVER_SERVERS_MAX];
 	uint32_t count;
 	bool revoked;
@@ -89,7 +89,7 @@
 }
 
 void takeover_start(takeover_t *takeover, uint64_t term, const char *primary,
-		    bool planned, const takeover_server_t *servers,
+		    takeover_kind_t kind, const takeover_server_t *servers,
 		    uint32_t count, uint64_t now_ms)
 {
 	const takeover_actions_t actions = takeover->actions;
@@ -98,7 +98,7 @@
 		return;
 	*takeover = (takeover_t){.actions = actions,
 				 .term = term,
-				 .planned = planned,
+				 .kind = kind,
 				 .count = MIN(count, TAKEOVER_SERVERS_MAX)};
 	g_strlcpy(takeover->primary, primary, sizeof(takeover->primary));
 	for (uint32_t i = 0; i < takeover->count; i++) {
@@ -344,7 +344,8 @@
 
 		if (server->answered || server->status.unreachable)
 			continue;
-		if (is_primary(takeover, server) && !takeover->planned)
+		if (is_primary(takeover, server) &&
+		    takeover->kind == TAKEOVER_LOST)
 			continue;
 		return false;
 	}
@@ -365,6 +366,27 @@
 	publish(takeover, now_ms);
 }
 
+static bool has_caught_up(const server_t *server, const server_t *old)
+{
+	return log_point_covers(server->status.received, old->status.received);
+}
+
+static bool must_keep(const takeover_t *takeover, const server_t *old,
+		      const server_t *best, uint64_t waited_ms)
+{
+	switch (takeover->kind) {
+	case TAKEOVER_LOST:
+		return leads_still(takeover, old);
+	case TAKEOVER_LEAVING:
+		return leads_still(takeover, old) && !best &&
+		       waited_ms >= CATCH_UP_MS;
+	case TAKEOVER_RELIEF:
+		return waited_ms >= CATCH_UP_MS &&
+		       !(old->answered && best && has_caught_up(best, old));
+	}
+	return false;
+}
+
 static void choose(takeover_t *takeover, uint64_t now_ms)
 {
 	server_t *old = find(takeover, takeover->primary);
@@ -374,15 +396,16 @@
 	if (publish_leader(takeover, now_ms))
 		return;
 	ask_all(takeover, now_ms);
-	if (old && leads_still(takeover, old) &&
-	    (!takeover->planned || (!best && waited_ms >= CATCH_UP_MS))) {
+	if (old && must_keep(takeover, old, best, waited_ms)) {
 		keep_primary(takeover, old, now_ms);
 		return;
 	}
 	if (!best || (!all_answered(takeover) && waited_ms < COMPARE_MS))
 		return;
 	if (old && old->answered && waited_ms < CATCH_UP_MS &&
-	    !log_point_covers(best->status.received, old->status.received))
+	    !has_caught_up(best, old))
+		return;
+	if (takeover->kind == TAKEOVER_RELIEF && old && !old->answered)
 		return;
 	takeover->candidate = best;
 	enter(takeover, TAKEOVER_CONFIRM, now_ms);
@@ -405,7 +428,8 @@
 	}
 	if (takeover->phase == TAKEOVER_REVOKE ||
 	    takeover->phase == TAKEOVER_WAIT) {
-		if (!publish_leader(takeover, now_ms) && !takeover->planned &&
+		if (!publish_leader(takeover, now_ms) &&
+		    takeover->kind == TAKEOVER_LOST &&
 		    is_primary(takeover, server) &&
 		    leads_still(takeover, server))
 			keep_primary(takeover, server, now_ms);
--- a/src/coordination/takeover.h
+++ b/src/coordination/takeover.h
@@ -36,6 +36,14 @@
 	TAKEOVER_PUBLISH, /**< the new primary is being written */
 } takeover_phase_t;
 
+/** Why a primary is replaced. */
+typedef enum {
+	TAKEOVER_LOST,	  /**< it does not answer, or there is none */
+	TAKEOVER_LEAVING, /**< it answers, but leaves for good */
+	/** It is well, and stays if a replica does not have all it has. */
+	TAKEOVER_RELIEF,
+} takeover_kind_t;
+
 /** What is known of a server at the start. */
 typedef struct {
 	const char *id;
@@ -83,10 +91,9 @@
  * Starts, unless one runs.
  *
  * @param primary the present primary, or "" when there is none
- * @param planned the primary answers and leaves; nothing may be lost
  */
 void takeover_start(takeover_t *takeover, uint64_t term, const char *primary,
-		    bool planned, const takeover_server_t *servers,
+		    takeover_kind_t kind, const takeover_server_t *servers,
 		    uint32_t count, uint64_t now_ms);
 
 /** Gives up; another node goes on. */
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -75,7 +75,8 @@
 	server_role_t role;
 	uint64_t term;
 	log_point_t received;
-	uint64_t fence; /**< term of the fence it is under, or 0 */
+	uint64_t fence;	 /**< term of the fence it is under, or 0 */
+	uint64_t lag_ms; /**< by which it applies later than it receives */
 } relay_status_t;
 
 /**
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -2,6 +2,7 @@
 #define RELAY_RELAY_DUTY_PRIVATE_H
 
 #include "coordination/primary_watch.h"
+#include "coordination/replica_watch.h"
 #include "relay/relay_duty.h"
 #include "relay/relay_revocation.h"
 #include "state/primary_record.h"
@@ -15,8 +16,11 @@
 	int64_t revision; /**< of the record, 0 when there is none */
 	primary_record_t record;
 	primary_watch_t watch;
-	bool asking;	   /**< the primary is being asked */
-	uint64_t asked_ms; /**< when it was asked last */
+	replica_watch_t replicas;
+	bool relief_asking;	  /**< all its servers are being asked */
+	uint64_t relief_asked_ms; /**< when they were asked last */
+	bool asking;		  /**< the primary is being asked */
+	uint64_t asked_ms;	  /**< when it was asked last */
 	takeover_t *takeover;
 	relay_revocation_t *revocation; /**< of the takeover, or NULL */
 	void *writing; /**< the takeover's write under way, or NULL */
@@ -77,7 +81,7 @@
 void duty_service_step(duty_service_t *entry, uint64_t now_ms);
 
 /** Starts a takeover of the service. */
-void duty_takeover_start(duty_service_t *entry, bool planned,
+void duty_takeover_start(duty_service_t *entry, takeover_kind_t kind,
 			 const char *reason);
 
 /**
@@ -87,6 +91,14 @@
 void duty_takeover_seen(duty_service_t *entry, const primary_record_t *record,
 			int64_t revision);
 
+/**
+ * Asks the replicas, if they seem late to apply what they receive.
+ *
+ * @return whether the primary should hand over to one of them now
+ */
+bool duty_relief_is_due(duty_service_t *entry, relay_service_t *service,
+			relay_server_t *primary, uint64_t now_ms);
+
 /** Gives the takeover up, if one runs. */
 void duty_takeover_stop(duty_service_t *entry);
 
--- /dev/null
+++ b/src/relay/relay_duty_relief.c
@@ -0,0 +1,137 @@
+#include "relay/relay_duty_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "relay/relay_control.h"
+
+/* Time between two rounds of questions to a service's servers. */
+#define ROUND_MS 300
+
+/* What the primary had this long ago a replica must have received. */
+#define RECEIVED_MS 600
+
+/* Longest wait for an answer. */
+#define ANSWER_MS 400
+
+/* One round: every replica of a service is asked for its status. */
+typedef struct {
+	duty_service_t *entry;
+	char primary[64];
+	uint32_t pending;
+	uint32_t count;
+	relay_status_t statuses[TAKEOVER_SERVERS_MAX]; /* of replicas */
+	bool answered[TAKEOVER_SERVERS_MAX];
+} round_t;
+
+typedef struct {
+	round_t *round;
+	uint32_t index; /* of the replica */
+} ask_t;
+
+static void round_end(round_t *round)
+{
+	duty_service_t *entry = round->entry;
+	replica_watch_answer_t answers[TAKEOVER_SERVERS_MAX] = {{0}};
+	const uint64_t now_ms = clock_boot_ms();
+	relay_service_t *service =
+		relay_services_find(entry->duty->services, entry->name);
+	log_point_t point;
+	const bool known = point_samples_since(relay_service_samples(service),
+					       now_ms - RECEIVED_MS, &point);
+
+	entry->relief_asking = false;
+	for (uint32_t i = 0; i < round->count; i++) {
+		const relay_status_t *status = &round->statuses[i];
+
+		answers[i] = (replica_watch_answer_t){
+			.answered = round->answered[i],
+			.complete = known &&
+				    log_point_covers(status->received, point),
+			.lag_ms = status->lag_ms,
+		};
+		log_event(LOG_LEVEL_INFO, "replica_late",
+			  "service=%s answered=%d complete=%d lag_ms=%" PRIu64,
+			  entry->name, answers[i].answered, answers[i].complete,
+			  answers[i].lag_ms);
+	}
+	if (!strcmp(round->primary, entry->record.primary))
+		replica_watch_round(&entry->replicas, answers, round->count,
+				    now_ms);
+	g_free(round);
+}
+
+static void on_status(void *context, const relay_control_answer_t *answer)
+{
+	g_autofree ask_t *ask = context;
+	round_t *round = ask->round;
+	const bool done = answer->result == RELAY_CONTROL_DONE;
+
+	round->answered[ask->index] =
+		done && answer->status.role == SERVER_REPLICA;
+	round->statuses[ask->index] = answer->status;
+	if (!--round->pending)
+		round_end(round);
+}
+
+static void ask_all(duty_service_t *entry, relay_service_t *service)
+{
+	const GPtrArray *servers = relay_service_servers(service);
+	round_t *round = g_new0(round_t, 1);
+
+	round->entry = entry;
+	g_strlcpy(round->primary, entry->record.primary,
+		  sizeof(round->primary));
+	for (guint i = 0; i < servers->len && i < TAKEOVER_SERVERS_MAX; i++) {
+		const char *id = relay_server_entry(servers->pdata[i])->id;
+		ask_t *ask;
+
+		if (!strcmp(id, round->primary))
+			continue;
+		ask = g_new0(ask_t, 1);
+		ask->round = round;
+		ask->index = round->count++;
+		round->pending++;
+		relay_control_ask(service, id, RELAY_CONTROL_STATUS, 0,
+				  ANSWER_MS, on_status, ask);
+	}
+	entry->relief_asking = round->pending;
+	if (!round->pending)
+		g_free(round);
+}
+
+/* As far as this node's own reads have shown. */
+static bool all_seem_late(const duty_service_t *entry,
+			  const relay_service_t *service, uint64_t now_ms)
+{
+	const GPtrArray *servers = relay_service_servers(service);
+
+	for (guint i = 0; i < servers->len; i++) {
+		const relay_server_t *server = servers->pdata[i];
+
+		if (strcmp(relay_server_entry(server)->id,
+			   entry->record.primary) &&
+		    relay_server_lag_ms(server, now_ms) < REPLICA_WATCH_LAG_MS)
+			return false;
+	}
+	return true;
+}
+
+bool duty_relief_is_due(duty_service_t *entry, relay_service_t *service,
+			relay_server_t *primary, uint64_t now_ms)
+{
+	if (!send_budget_is_free(relay_server_budget(primary), now_ms))
+		replica_watch_overloaded(&entry->replicas, now_ms);
+	if (!entry->relief_asking &&
+	    now_ms >= entry->relief_asked_ms + ROUND_MS &&
+	    all_seem_late(entry, service, now_ms)) {
+		entry->relief_asked_ms = now_ms;
+		ask_all(entry, service);
+	}
+	if (!replica_watch_is_due(&entry->replicas, now_ms))
+		return false;
+	replica_watch_handed_over(&entry->replicas, now_ms);
+	return true;
+}
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -52,7 +52,7 @@
 	return relay_services_find(entry->duty->services, entry->name);
 }
 
-void duty_takeover_start(duty_service_t *entry, bool planned,
+void duty_takeover_start(duty_service_t *entry, takeover_kind_t kind,
 			 const char *reason)
 {
 	const GPtrArray *servers = relay_service_servers(service_of(entry));
@@ -72,12 +72,12 @@
 		};
 	}
 	log_event(LOG_LEVEL_NOTICE, "takeover_started",
-		  "service=%s term=%" PRIu64 " primary=%s reason=%s planned=%d "
+		  "service=%s term=%" PRIu64 " primary=%s reason=%s "
 		  "servers=%u heard_ms_ago=%" PRIu64,
 		  entry->name, entry->record.term, entry->record.primary,
-		  reason, planned, count, now_ms - entry->watch.heard_ms);
+		  reason, count, now_ms - entry->watch.heard_ms);
 	takeover_start(entry->takeover, entry->record.term,
-		       entry->record.primary, planned, known, count, now_ms);
+		       entry->record.primary, kind, known, count, now_ms);
 }
 
 /* Two questions to the primary: one to its port, one to itself. */
@@ -262,7 +262,7 @@
 	if (!entry->absent_ms)
 		entry->absent_ms = now_ms;
 	if (now_ms >= entry->absent_ms + ABSENT_MS)
-		duty_takeover_start(entry, false, "absent");
+		duty_takeover_start(entry, TAKEOVER_LOST, "absent");
 }
 
 void duty_service_reset(duty_service_t *entry)
@@ -286,7 +286,7 @@
 	if (!has_successor(entry))
 		return;
 	if (entry->record.takeover_term) {
-		duty_takeover_start(entry, false, "unfinished");
+		duty_takeover_start(entry, TAKEOVER_LOST, "unfinished");
 		return;
 	}
 	primary =
@@ -297,12 +297,14 @@
 	}
 	entry->absent_ms = 0;
 	if (relay_server_entry(primary)->draining) {
-		duty_takeover_start(entry, true, "draining");
+		duty_takeover_start(entry, TAKEOVER_LEAVING, "draining");
 		return;
 	}
 	primary_watch_heard(&entry->watch, relay_server_heard_ms(primary));
 	if (primary_watch_is_lost(&entry->watch, now_ms))
-		duty_takeover_start(entry, false, "lost");
+		duty_takeover_start(entry, TAKEOVER_LOST, "lost");
 	else if (primary_watch_must_ask(&entry->watch, now_ms))
 		ask_primary(entry, primary);
+	else if (duty_relief_is_due(entry, service_of(entry), primary, now_ms))
+		duty_takeover_start(entry, TAKEOVER_RELIEF, "replicas_late");
 }
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -126,15 +126,17 @@
 	return 0;
 }
 
-static void start(fixture_t *fixture, bool planned)
+static void start(fixture_t *fixture, takeover_kind_t kind)
 {
 	const takeover_server_t servers[] = {
-		{.id = "a", .started_ms = 1, .draining = planned},
+		{.id = "a",
+		 .started_ms = 1,
+		 .draining = kind == TAKEOVER_LEAVING},
 		{.id = "b", .started_ms = 2},
 		{.id = "c", .started_ms = 3},
 	};
 
-	takeover_start(fixture->takeover, 1, "a", planned, servers, 3,
+	takeover_start(fixture->takeover, 1, "a", kind, servers, 3,
 		       fixture->now_ms);
 }
 
@@ -210,7 +212,7 @@
 
 	fixture->servers[0].silent = true;
 	fixture->servers[2].status.received.position = 120;
-	start(fixture, false);
+	start(fixture, TAKEOVER_LOST);
 	run(fixture, 5000);
 	assert_true(fixture->led);
 	assert_int_equal(fixture->term, 2);
@@ -225,7 +227,7 @@
 	fixture_t *fixture = *state;
 
 	fixture->servers[0].silent = true;
-	start(fixture, false);
+	start(fixture, TAKEOVER_LOST);
 	run(fixture, 300);
 	assert_int_equal(takeover_phase(fixture->takeover), TAKEOVER_WAIT);
 	assert_false(fixture->promoted);
@@ -243,7 +245,7 @@
 
 	for (int i = 0; i < 3; i++)
 		fixture->servers[i].silent = true;
-	start(fixture, false);
+	start(fixture, TAKEOVER_LOST);
 	run(fixture, 200);
 	takeover_forgotten(fixture->takeover, fixture->now_ms);
 	run(fixture, 10000);
@@ -256,7 +258,7 @@
 	fixture_t *fixture = *state;
 
 	fixture->servers[0].silent = true;
-	start(fixture, false);
+	start(fixture, TAKEOVER_LOST);
 	takeover_revoked(fixture->takeover, fixture->now_ms);
 	takeover_forgotten(fixture->takeover, fixture->now_ms);
 	run(fixture, 2000);
@@ -265,11 +267,47 @@
 		    fixture->fenced_ms + PRIMARY_LEASE_VALID_MS);
 }
 
+/* Relief of a primary that is well: to a replica that has all of its log. */
+static void test_relief_goes_to_who_has_all(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start(fixture, TAKEOVER_RELIEF);
+	run(fixture, 2000);
+	assert_true(fixture->led);
+	assert_int_equal(fixture->term, 2);
+	assert_string_not_equal(fixture->primary, "a");
+}
+
+static void test_relief_loses_nothing(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->servers[0].status.received.position = 101;
+	start(fixture, TAKEOVER_RELIEF);
+	run(fixture, 6000);
+	assert_true(fixture->done);
+	assert_false(fixture->promoted);
+	assert_string_equal(fixture->primary, "a");
+}
+
+static void test_relief_ends_if_the_primary_falls_silent(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start(fixture, TAKEOVER_RELIEF);
+	fixture->servers[0].silent = true;
+	run(fixture, 6000);
+	assert_true(fixture->done);
+	assert_false(fixture->promoted);
+	assert_string_equal(fixture->primary, "a");
+}
+
 static void test_primary_that_answers_is_kept(void **state)
 {
 	fixture_t *fixture = *state;
 
-	start(fixture, false);
+	start(fixture, TAKEOVER_LOST);
 	run(fixture, 5000);
 	assert_true(fixture->done);
 	assert_false(fixture->promoted);
@@ -282,7 +320,7 @@
 	fixture_t *fixture = *state;
 
 	fixture->servers[0].status.received.position = 150;
-	start(fixture, true);
+	start(fixture, TAKEOVER_LEAVING);
 	run(fixture, 1600);
 	assert_false(fixture->promoted);
 	fixture->servers[2].status.received.position = 150;
@@ -297,7 +335,7 @@
 
 	fixture->servers[0].silent = true;
 	fixture->servers[1].silent = true;
-	start(fixture, false);
+	start(fixture, TAKEOVER_LOST);
 	run(fixture, 8000);
 	assert_true(fixture->led);
 	assert_string_equal(fixture->fenced_id, "c");
@@ -309,7 +347,7 @@
 	fixture_t *fixture = *state;
 
 	fixture->writes_fail = true;
-	start(fixture, false);
+	start(fixture, TAKEOVER_LOST);
 	run(fixture, 100);
 	assert_true(fixture->done);
 	assert_false(fixture->led);
@@ -323,7 +361,7 @@
 	fixture->servers[0].silent = true;
 	take_effect(fixture, "b");
 	fixture->servers[2].status.term = 2;
-	start(fixture, false);
+	start(fixture, TAKEOVER_LOST);
 	run(fixture, 5000);
 	assert_true(fixture->led);
 	assert_false(fixture->promoted);
@@ -338,7 +376,7 @@
 	const takeover_server_t servers[3] = {
 		{.id = "a"}, {.id = "b"}, {.id = "c"}};
 
-	takeover_start(fixture->takeover, 1, "", false, servers, 3,
+	takeover_start(fixture->takeover, 1, "", TAKEOVER_LOST, servers, 3,
 		       fixture->now_ms);
 	run(fixture, 5000);
 	assert_true(fixture->led);
@@ -362,6 +400,13 @@
 		cmocka_unit_test_setup_teardown(
 			test_fence_after_forgetting_is_enough, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(test_relief_goes_to_who_has_all,
+						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(test_relief_loses_nothing,
+						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_relief_ends_if_the_primary_falls_silent,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_primary_that_answers_is_kept, open_fixture,
 			close_fixture),
