Write the first records of all services together

Cause: the records of who leads were written one by one while a fleet starts; each change costs every node two calls to the store. The first registration asked both watches anew, too.

--- a/src/relay/relay_duty.c
+++ b/src/relay/relay_duty.c
@@ -177,6 +177,7 @@
 		busy |= entry->asking ||
 			takeover_phase(entry->takeover) != TAKEOVER_IDLE;
 	}
+	duty_first_write(duty, now_ms);
 	return busy;
 }
 
@@ -358,25 +359,40 @@
 	lose(duty, "leaving");
 }
 
-void duty_write(duty_service_t *entry, const primary_record_t *record,
-		kv_done_t done, void *context)
+void duty_write_all(relay_duty_t *duty, duty_service_t *const *entries,
+		    const primary_record_t *records, uint32_t count,
+		    kv_done_t done, void *context)
 {
-	relay_duty_t *duty = entry->duty;
-	g_autofree char *key =
-		g_strconcat(DUTY_SERVICE_PREFIX, entry->name, NULL);
-	g_autofree char *value = primary_record_encode(record);
-	const kv_condition_t conditions[] = {
-		{.key = DUTY_KEY, .revision = duty->held_revision},
-		{.key = key, .revision = entry->revision},
-	};
-	const kv_put_t put = {.key = key, .value = value};
+	g_autofree kv_condition_t *conditions =
+		g_new0(kv_condition_t, count + 1);
+	g_autofree kv_put_t *puts = g_new0(kv_put_t, count);
+	g_autoptr(GPtrArray) texts = g_ptr_array_new_with_free_func(g_free);
 	const kv_transaction_t transaction = {
 		.conditions = conditions,
-		.conditions_count = G_N_ELEMENTS(conditions),
-		.puts = &put,
-		.puts_count = 1,
+		.conditions_count = count + 1,
+		.puts = puts,
+		.puts_count = count,
 	};
 
+	for (uint32_t i = 0; i < count; i++) {
+		char *key = g_strconcat(DUTY_SERVICE_PREFIX, entries[i]->name,
+					NULL);
+		char *value = primary_record_encode(&records[i]);
+
+		g_ptr_array_add(texts, key);
+		g_ptr_array_add(texts, value);
+		conditions[i] = (kv_condition_t){
+			.key = key, .revision = entries[i]->revision};
+		puts[i] = (kv_put_t){.key = key, .value = value};
+	}
+	conditions[count] = (kv_condition_t){.key = DUTY_KEY,
+					     .revision = duty->held_revision};
 	duty->store->calls->commit(duty->store->self, &transaction, done,
 				   context);
 }
+
+void duty_write(duty_service_t *entry, const primary_record_t *record,
+		kv_done_t done, void *context)
+{
+	duty_write_all(entry->duty, &entry, record, 1, done, context);
+}
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -32,6 +32,7 @@
 	uint64_t seen_takeover;
 	uint64_t seen_token;
 	uint64_t first_ms;  /**< since when a record is missing, or 0 */
+	uint64_t ready_ms;  /**< since when one can be written, or 0 */
 	uint64_t absent_ms; /**< since when the primary has no entry, or 0 */
 	uint64_t round;	    /**< of takeovers; answers of others are dropped */
 	bool writing_first;
@@ -105,6 +106,17 @@
 /** Makes the service's takeover, which is idle at first. */
 void duty_takeover_create(duty_service_t *entry);
 
+/** Finds out who leads a service that has no record yet. */
+void duty_first_prepare(duty_service_t *entry, uint64_t now_ms);
+
+/** Writes the records that were prepared, together where possible. */
+void duty_first_write(relay_duty_t *duty, uint64_t now_ms);
+
+/** Writes records of several services under the duty, all or none. */
+void duty_write_all(relay_duty_t *duty, duty_service_t *const *entries,
+		    const primary_record_t *records, uint32_t count,
+		    kv_done_t done, void *context);
+
 /** Writes the service's record under the duty. */
 void duty_write(duty_service_t *entry, const primary_record_t *record,
 		kv_done_t done, void *context);
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -14,39 +14,9 @@
 /* Longest wait until the primary's machine takes a connection. */
 #define PROBE_TIMEOUT_MS 350
 
-/* Longest wait for any other operation at a server. */
-#define CONTROL_TIMEOUT_MS 500
-
-/* Pause between two rounds of questions for the first record. */
-#define DUTY_ASK_AGAIN_MS 300
-
 /* Time without an entry after which a primary is replaced. */
 #define ABSENT_MS 1500
 
-/* Wait for all servers before the first record of a service is written. */
-#define FIRST_RECORD_MS 1500
-
-/* One operation at a server, or call to the store, of a service. */
-typedef struct {
-	duty_service_t *entry;
-	char *server;
-} ask_t;
-
-static ask_t *ask_new(duty_service_t *entry, const char *server)
-{
-	ask_t *ask = g_new0(ask_t, 1);
-
-	ask->entry = entry;
-	ask->server = g_strdup(server);
-	return ask;
-}
-
-static void ask_free(ask_t *ask)
-{
-	g_free(ask->server);
-	g_free(ask);
-}
-
 static relay_service_t *service_of(const duty_service_t *entry)
 {
 	return relay_services_find(entry->duty->services, entry->name);
@@ -152,95 +122,6 @@
 			  0, ASK_TIMEOUT_MS, on_primary_asked, look);
 }
 
-static void on_first_written(void *context, const kv_answer_t *answer)
-{
-	duty_service_t *entry = context;
-
-	entry->writing_first = false;
-	log_event(LOG_LEVEL_NOTICE, "first_record_written",
-		  "service=%s result=%s", entry->name,
-		  kv_result_name(answer->result));
-}
-
-static void on_first_status(void *context, const relay_control_answer_t *answer)
-{
-	ask_t *ask = context;
-	duty_service_t *entry = ask->entry;
-
-	if (answer->result == RELAY_CONTROL_DONE) {
-		relay_status_t *status = g_new(relay_status_t, 1);
-
-		*status = answer->status;
-		g_hash_table_replace(entry->statuses, g_strdup(ask->server),
-				     status);
-	}
-	ask_free(ask);
-}
-
-static const char *first_primary(const duty_service_t *entry, uint64_t *term)
-{
-	const char *primary = NULL;
-	GHashTableIter iter;
-	gpointer id;
-	gpointer value;
-
-	*term = 0;
-	g_hash_table_iter_init(&iter, entry->statuses);
-	while (g_hash_table_iter_next(&iter, &id, &value)) {
-		const relay_status_t *status = value;
-
-		if (status->term < *term)
-			continue;
-		if (status->term > *term)
-			primary = NULL;
-		*term = status->term;
-		if (status->role == SERVER_PRIMARY)
-			primary = id;
-	}
-	return primary;
-}
-
-/* No record yet: whoever leads now is written down. */
-static void step_first(duty_service_t *entry, uint64_t now_ms)
-{
-	relay_service_t *service = service_of(entry);
-	const GPtrArray *servers = relay_service_servers(service);
-	primary_record_t record = {
-		.token = (uint64_t)entry->duty->held_revision};
-	const char *primary;
-	const bool complete =
-		servers->len > 1 &&
-		g_hash_table_size(entry->statuses) >= servers->len;
-
-	if (!servers->len || entry->writing_first)
-		return;
-	if (!entry->first_ms)
-		entry->first_ms = now_ms;
-	if (!complete && now_ms < entry->first_ms + FIRST_RECORD_MS) {
-		if (now_ms < entry->asked_ms + DUTY_ASK_AGAIN_MS)
-			return;
-		entry->asked_ms = now_ms;
-		for (guint i = 0; i < servers->len; i++) {
-			const char *id =
-				relay_server_entry(servers->pdata[i])->id;
-
-			relay_control_ask(service, id, RELAY_CONTROL_STATUS, 0,
-					  CONTROL_TIMEOUT_MS, on_first_status,
-					  ask_new(entry, id));
-		}
-		return;
-	}
-	primary = first_primary(entry, &record.term);
-	if (!record.term) {
-		entry->first_ms = 0;
-		return;
-	}
-	if (primary)
-		g_strlcpy(record.primary, primary, sizeof(record.primary));
-	entry->writing_first = true;
-	duty_write(entry, &record, on_first_written, entry);
-}
-
 /* @return whether another server could take over */
 static bool has_successor(const duty_service_t *entry)
 {
@@ -280,7 +161,7 @@
 		return;
 	}
 	if (!entry->revision) {
-		step_first(entry, now_ms);
+		duty_first_prepare(entry, now_ms);
 		return;
 	}
 	if (!has_successor(entry))
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -62,6 +62,7 @@
 	bool read_again;
 	uint64_t read_asked_ms;
 	bool nodes_changed;
+	bool registered;  /* at least once */
 	bool confirm_due; /* a takeover was told */
 	catalog_t *catalog;
 	GHashTable *node_values; /* key -> what the node wrote there */
@@ -306,6 +307,9 @@
 	relay_services_unchanged(node->services, answer->revision,
 				 node->read_asked_ms);
 	confirm_if_due(node, answer->revision);
+	log_event(LOG_LEVEL_INFO, "primaries_read",
+		  "revision=%" PRId64 " after_ms=%" PRIu64, answer->revision,
+		  clock_boot_ms() - node->read_asked_ms);
 	if (node->read_again)
 		read_primaries(node);
 }
@@ -335,10 +339,15 @@
 	kv_follow_restart(node->primaries);
 }
 
+/* The first registration finds calls that were just made. */
 static void on_registered(void *context)
 {
-	read_primaries(context);
-	on_recovered(context);
+	relay_node_t *node = context;
+
+	read_primaries(node);
+	if (node->registered)
+		on_recovered(node);
+	node->registered = true;
 }
 
 static void on_read_timer(evutil_socket_t fd, short what, void *context)
