Reach a server that is silent on all connections over other nodes

Cause: a partition drops packets. Statements at the primary hung until their timeout, and a new connection hung for 1.5 s before another node was asked, while a third of the nodes reached that primary. After half a second of silence on all connections with two statements unanswered, idle connections are given up and new ones are borrowed; a lender that fails is followed by the next.

test_relay_server cut_off_server fails without the change.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -371,6 +371,14 @@
 	return log_point_covers(server->status.received, old->status.received);
 }
 
+/* A primary that was well when its relief began. */
+static bool is_lost_meanwhile(const takeover_t *takeover, const server_t *old,
+			      uint64_t waited_ms)
+{
+	return takeover->kind == TAKEOVER_RELIEF && !old->answered &&
+	       (old->status.unreachable || waited_ms >= CATCH_UP_MS);
+}
+
 static bool must_keep(const takeover_t *takeover, const server_t *old,
 		      const server_t *best, uint64_t waited_ms)
 {
@@ -381,8 +389,8 @@
 		return leads_still(takeover, old) && !best &&
 		       waited_ms >= CATCH_UP_MS;
 	case TAKEOVER_RELIEF:
-		return waited_ms >= CATCH_UP_MS &&
-		       !(old->answered && best && has_caught_up(best, old));
+		return old->answered && waited_ms >= CATCH_UP_MS &&
+		       !(best && has_caught_up(best, old));
 	}
 	return false;
 }
@@ -396,6 +404,8 @@
 	if (publish_leader(takeover, now_ms))
 		return;
 	ask_all(takeover, now_ms);
+	if (old && is_lost_meanwhile(takeover, old, waited_ms))
+		takeover->kind = TAKEOVER_LOST;
 	if (old && must_keep(takeover, old, best, waited_ms)) {
 		keep_primary(takeover, old, now_ms);
 		return;
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -1,5 +1,6 @@
 #include "relay/relay_server.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -21,6 +22,9 @@
 /* Rest after which a connection above the share is closed. */
 #define REST_MS 400
 
+/* Silence on all connections after which the server counts as cut off. */
+#define CUT_OFF_MS 500
+
 /* The mean run time moves by this part of each new value. */
 #define RUN_WEIGHT 0.1
 #define RUN_MS_DEFAULT 25.0
@@ -82,12 +86,20 @@
 	server->reopen_ms = MIN(2 * server->reopen_ms, REOPEN_MS_MAX);
 }
 
+/* A server without room may have some again; where it can't be reached, the
+ * next node may reach it. */
+static void lender_failed(relay_server_t *server)
+{
+	if (server->is_full)
+		server->borrow_until_ms = 0;
+}
+
 /* After a failure other nodes are tried, after theirs the server itself. */
 static void borrow(relay_server_t *server, const relay_link_t *link,
 		   relay_error_t error)
 {
 	if (relay_link_is_lent(link)) {
-		server->borrow_until_ms = 0;
+		lender_failed(server);
 		return;
 	}
 	server->is_full = error == RELAY_ERROR_CONNECTION_LIMIT;
@@ -532,9 +544,8 @@
 void relay_server_discard(relay_server_t *server, relay_link_t *link)
 {
 	note_heard(server, link, relay_link_heard_ms(link));
-	/* What another node can't do, the server itself may do. */
 	if (relay_link_is_lent(link))
-		server->borrow_until_ms = 0;
+		lender_failed(server);
 	g_ptr_array_remove_fast(server->granted, link);
 	g_ptr_array_remove_fast(server->links, link);
 	relay_link_destroy(link);
@@ -548,11 +559,37 @@
 	server->avoid_until_ms = 0;
 }
 
+/* The server does not answer at all: its idle connections are as good as cut,
+ * and new ones would hang. */
+static void turn_to_lenders(relay_server_t *server, uint64_t now_ms)
+{
+	server->borrow_until_ms = now_ms + BORROW_MS;
+	server->reopen_at_ms = 0;
+	for (guint i = server->idle->len; i > 0; i--) {
+		relay_link_t *link = server->idle->pdata[i - 1];
+
+		if (relay_link_is_lent(link))
+			continue;
+		g_ptr_array_remove_index_fast(server->idle, i - 1);
+		g_ptr_array_remove_fast(server->links, link);
+		relay_link_destroy(link);
+	}
+	log_event(LOG_LEVEL_NOTICE, "server_silent",
+		  "server=%s heard_ms_ago=%" PRIu64 " open=%u",
+		  server->entry->id, now_ms - server->heard_ms,
+		  server->links->len - server->opening);
+	pump_after(server, 0);
+}
+
 void relay_server_silent(relay_server_t *server)
 {
+	const uint64_t now_ms = clock_boot_ms();
+
 	if (++server->unanswered < AVOID_AFTER)
 		return;
-	server->avoid_until_ms = clock_boot_ms() + AVOID_MS;
+	server->avoid_until_ms = now_ms + AVOID_MS;
+	if (now_ms >= relay_server_heard_ms(server) + CUT_OFF_MS)
+		turn_to_lenders(server, now_ms);
 	server->host->troubled(server->host->context, server);
 }
 
