Find servers that fail what they run by their answers

A read that failed is tried elsewhere, at most twice: it had no effect. A server of which three in ten answers are failures gets a statement each 0.4 s and no more; a primary that stays so hands over, as one whose replicas are late does, and only to a replica with all of its log. Writes that failed are told as before.

--- a/src/coordination/replica_watch.c
+++ b/src/coordination/replica_watch.c
@@ -37,6 +37,7 @@
 		all_late &= is_late(&answers[i]);
 		relief |= can_relieve(&answers[i]);
 	}
+	watch->relief = relief;
 	if (!all_late || !relief)
 		watch->late_ms = 0;
 	else if (!watch->late_ms)
@@ -48,13 +49,26 @@
 	watch->overloaded_ms = now_ms;
 }
 
+void replica_watch_failing(replica_watch_t *watch, uint64_t now_ms)
+{
+	watch->failing_ms = now_ms;
+}
+
+static bool is_recent(uint64_t at_ms, uint64_t within_ms, uint64_t now_ms)
+{
+	return at_ms && now_ms <= at_ms + within_ms;
+}
+
 bool replica_watch_is_due(const replica_watch_t *watch, uint64_t now_ms)
 {
-	if (!watch->late_ms || now_ms < watch->late_ms + LATE_FOR_MS ||
-	    now_ms > watch->round_ms + ROUND_MS)
+	const bool late =
+		watch->late_ms && now_ms >= watch->late_ms + LATE_FOR_MS &&
+		is_recent(watch->overloaded_ms, OVERLOADED_MS, now_ms);
+	const bool failing = is_recent(watch->failing_ms, ROUND_MS, now_ms);
+
+	if (!watch->relief || !is_recent(watch->round_ms, ROUND_MS, now_ms))
 		return false;
-	if (!watch->overloaded_ms ||
-	    now_ms > watch->overloaded_ms + OVERLOADED_MS)
+	if (!late && !failing)
 		return false;
 	return !watch->handed_over_ms ||
 	       now_ms >= watch->handed_over_ms + PAUSE_MS;
@@ -64,4 +78,5 @@
 {
 	watch->handed_over_ms = now_ms;
 	watch->late_ms = 0;
+	watch->relief = false;
 }
--- a/src/coordination/replica_watch.h
+++ b/src/coordination/replica_watch.h
@@ -5,15 +5,18 @@
 #include <stdint.h>
 
 /**
- * Finds out when a primary should hand over to a replica because all of them
- * are late to apply what they have received: then the primary alone serves
- * every read. A replica that is promoted applies what it has at once, and the
- * old primary follows as one that is not late.
+ * Finds out when a primary should hand over to a replica: because it fails
+ * what it runs, or because all replicas are late to apply what they have
+ * received. Then the primary alone serves every read; a replica that is
+ * promoted applies what it has at once, and the old primary follows as one
+ * that is not late.
  *
  * Plain data, all zero at first.
  */
 typedef struct {
 	uint64_t late_ms;	 /**< since when all replicas are late, or 0 */
+	uint64_t failing_ms;	 /**< when the primary was failing last */
+	bool relief;		 /**< a replica could lead, as of the round */
 	uint64_t round_ms;	 /**< when they answered last */
 	uint64_t overloaded_ms;	 /**< when the primary turned work away last */
 	uint64_t handed_over_ms; /**< the last time, or 0 */
@@ -37,6 +40,9 @@
 /** Takes in that the primary has more work than it takes. */
 void replica_watch_overloaded(replica_watch_t *watch, uint64_t now_ms);
 
+/** Takes in that the primary fails statements that it runs. */
+void replica_watch_failing(replica_watch_t *watch, uint64_t now_ms);
+
 /** @return whether the primary should hand over now */
 bool replica_watch_is_due(const replica_watch_t *watch, uint64_t now_ms);
 
--- a/src/relay/relay_duty_private.h
+++ b/src/relay/relay_duty_private.h
@@ -93,12 +93,13 @@
 			int64_t revision);
 
 /**
- * Asks the replicas, if they seem late to apply what they receive.
+ * Asks the replicas, if they seem late to apply what they receive or the
+ * primary fails statements.
  *
- * @return whether the primary should hand over to one of them now
+ * @return why the primary should hand over to one of them now, or NULL
  */
-bool duty_relief_is_due(duty_service_t *entry, relay_service_t *service,
-			relay_server_t *primary, uint64_t now_ms);
+const char *duty_relief_reason(duty_service_t *entry, relay_service_t *service,
+			       relay_server_t *primary, uint64_t now_ms);
 
 /** Gives the takeover up, if one runs. */
 void duty_takeover_stop(duty_service_t *entry);
--- a/src/relay/relay_duty_relief.c
+++ b/src/relay/relay_duty_relief.c
@@ -13,6 +13,9 @@
 /* What the primary had this long ago a replica must have received. */
 #define RECEIVED_MS 600
 
+/* Time for which a primary must have failed statements. */
+#define FAILING_MS 400
+
 /* Longest wait for an answer. */
 #define ANSWER_MS 400
 
@@ -119,19 +122,32 @@
 	return true;
 }
 
-bool duty_relief_is_due(duty_service_t *entry, relay_service_t *service,
-			relay_server_t *primary, uint64_t now_ms)
+/* A primary that fails what it runs, for longer than a moment. */
+static bool is_failing(relay_server_t *primary, uint64_t now_ms)
 {
+	const uint64_t since_ms =
+		outlier_since_ms(relay_server_outlier(primary), now_ms);
+
+	return since_ms && now_ms >= since_ms + FAILING_MS;
+}
+
+const char *duty_relief_reason(duty_service_t *entry, relay_service_t *service,
+			       relay_server_t *primary, uint64_t now_ms)
+{
+	const bool failing = is_failing(primary, now_ms);
+
+	if (failing)
+		replica_watch_failing(&entry->replicas, now_ms);
 	if (!send_budget_is_free(relay_server_budget(primary), now_ms))
 		replica_watch_overloaded(&entry->replicas, now_ms);
 	if (!entry->relief_asking &&
 	    now_ms >= entry->relief_asked_ms + ROUND_MS &&
-	    all_seem_late(entry, service, now_ms)) {
+	    (failing || all_seem_late(entry, service, now_ms))) {
 		entry->relief_asked_ms = now_ms;
 		ask_all(entry, service);
 	}
 	if (!replica_watch_is_due(&entry->replicas, now_ms))
-		return false;
+		return NULL;
 	replica_watch_handed_over(&entry->replicas, now_ms);
-	return true;
+	return failing ? "failing" : "replicas_late";
 }
--- a/src/relay/relay_duty_service.c
+++ b/src/relay/relay_duty_service.c
@@ -155,6 +155,7 @@
 void duty_service_step(duty_service_t *entry, uint64_t now_ms)
 {
 	relay_server_t *primary;
+	const char *relief;
 
 	if (takeover_phase(entry->takeover) != TAKEOVER_IDLE) {
 		takeover_step(entry->takeover, now_ms);
@@ -186,6 +187,7 @@
 		duty_takeover_start(entry, TAKEOVER_LOST, "lost");
 	else if (primary_watch_must_ask(&entry->watch, now_ms))
 		ask_primary(entry, primary);
-	else if (duty_relief_is_due(entry, service_of(entry), primary, now_ms))
-		duty_takeover_start(entry, TAKEOVER_RELIEF, "replicas_late");
+	else if ((relief = duty_relief_reason(entry, service_of(entry), primary,
+					      now_ms)))
+		duty_takeover_start(entry, TAKEOVER_RELIEF, relief);
 }
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -37,6 +37,9 @@
 /* The same after the replica said that it lacks the change. */
 #define BEHIND_RETRY_MS 30
 
+/* Failed reads that are tried again. */
+#define FAILURES_MAX 2
+
 /* When callers may come back, as the refusal tells them. */
 #define COME_BACK_MS 300
 
@@ -74,6 +77,7 @@
 	const relay_server_t *tried[TRIED_MAX]; /* compared, never used */
 	uint32_t tried_count;
 	bool only_primary;  /* replicas could not serve it */
+	uint32_t failures;  /* reads that ran and failed so far */
 	uint32_t catch_ups; /* waits for a replica so far */
 	relay_hold_t *hold;
 	/* Ends with this result at the next turn of the loop. */
@@ -503,6 +507,23 @@
 	on_not_run(job, server, error);
 }
 
+/* A read that failed has had no effect: another server may do better. */
+static void on_failed_read(relay_job_t *job, relay_attempt_t *attempt)
+{
+	const relay_server_t *server = relay_attempt_server(attempt);
+
+	job->failures++;
+	log_event(LOG_LEVEL_INFO, "read_failed",
+		  "id=%s server=%s term=%" PRIu64, job->ask.id,
+		  relay_server_entry(server)->id, job->term);
+	attempt_remove(job, attempt);
+	relay_attempt_finish(attempt);
+	if (job->attempts_count)
+		return;
+	note_tried(job, server);
+	retry_now(job);
+}
+
 /* What the answer says of the server. */
 static void learn(const relay_job_t *job, const relay_attempt_t *attempt,
 		  const relay_answer_t *answer)
@@ -515,6 +536,11 @@
 		answer->failed && answer->error == RELAY_ERROR_OVERLOADED;
 
 	relay_server_ran(server, now_ms - answer->sent_ms);
+	if (!relay_error_is_promise(answer->error) || !answer->failed)
+		outlier_answered(relay_server_outlier(server),
+				 answer->failed &&
+					 answer->error == RELAY_ERROR_FAILED,
+				 now_ms);
 	/* Another node's refusal says nothing of the server. */
 	if (!relay_attempt_is_lent(attempt))
 		send_budget_answered(relay_server_budget(server), !shed,
@@ -560,6 +586,11 @@
 		on_refused_by_server(job, attempt, answer->error);
 		return;
 	}
+	if (answer->failed && answer->error == RELAY_ERROR_FAILED &&
+	    is_repeatable(job) && job->failures < FAILURES_MAX) {
+		on_failed_read(job, attempt);
+		return;
+	}
 	deliver(job, attempt, answer);
 }
 
@@ -567,6 +598,7 @@
 {
 	job->tries++;
 	job->ran_ms = clock_boot_ms();
+	outlier_runs(relay_server_outlier(server), job->ran_ms);
 	g_strlcpy(job->server, relay_server_entry(server)->id,
 		  sizeof(job->server));
 	job->attempts[job->attempts_count++] =
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -55,6 +55,7 @@
 	uint64_t heard_ms;
 	double run_ms;
 	replica_lag_t lag;
+	outlier_t outlier;
 	send_budget_t budget;
 	bool retired;
 };
@@ -595,7 +596,8 @@
 
 bool relay_server_usable(const relay_server_t *server, uint64_t now_ms)
 {
-	if (now_ms < server->avoid_until_ms)
+	if (now_ms < server->avoid_until_ms ||
+	    !outlier_may_run(&server->outlier, now_ms))
 		return false;
 	return server->links->len > server->opening ||
 	       now_ms >= server->reopen_at_ms;
@@ -682,6 +684,11 @@
 	return replica_lag_ms(&server->lag, now_ms);
 }
 
+outlier_t *relay_server_outlier(relay_server_t *server)
+{
+	return &server->outlier;
+}
+
 send_budget_t *relay_server_budget(relay_server_t *server)
 {
 	return &server->budget;
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -3,6 +3,7 @@
 
 #include <event2/event.h>
 
+#include "coordination/outlier.h"
 #include "coordination/send_budget.h"
 #include "coordination/wait_queue.h"
 #include "relay/relay_link.h"
@@ -128,6 +129,9 @@
 replica_lag_t *relay_server_lag(relay_server_t *server);
 uint64_t relay_server_lag_ms(const relay_server_t *server, uint64_t now_ms);
 
+/** Whether it fails what it runs. */
+outlier_t *relay_server_outlier(relay_server_t *server);
+
 /** What may be sent to it while it turns work away. */
 send_budget_t *relay_server_budget(relay_server_t *server);
 
--- a/tests/unit/test_replica_watch.c
+++ b/tests/unit/test_replica_watch.c
@@ -75,6 +75,19 @@
 	assert_in_range(play(&watch, 22000, 30000, late, true), 22800, 23200);
 }
 
+static void test_failing_primary_hands_over(void **state)
+{
+	const replica_watch_answer_t well = {
+		.answered = true, .complete = true, .lag_ms = 90};
+	const replica_watch_answer_t deaf = {.answered = true, .lag_ms = 90};
+	replica_watch_t watch = {0};
+
+	replica_watch_failing(&watch, 1000);
+	assert_int_equal(play(&watch, 1000, 1300, deaf, false), 0);
+	assert_int_equal(play(&watch, 1300, 1600, well, false), 1300);
+	assert_int_equal(play(&watch, 9000, 9300, well, false), 0);
+}
+
 static void test_handovers_are_rare(void **state)
 {
 	replica_watch_t watch = {0};
@@ -91,6 +104,7 @@
 		cmocka_unit_test(test_one_replica_that_is_well_is_enough),
 		cmocka_unit_test(test_nobody_leads_without_the_whole_log),
 		cmocka_unit_test(test_old_answers_do_not_count),
+		cmocka_unit_test(test_failing_primary_hands_over),
 		cmocka_unit_test(test_handovers_are_rare),
 	};
 
