--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -28,6 +28,8 @@
 	char *node;
 	char *lease_key;      /* of the lease last registered, or NULL */
 	int64_t key_revision; /* of that key's last change */
+	bool confirming;
+	int64_t confirm_next; /* revision to confirm after that, or 0 */
 	char *node_key;
 	char *description;
 	struct event *timer;
@@ -292,24 +294,31 @@
 	tick_after(registration, 0);
 }
 
+static void confirm(relay_registration_t *registration, int64_t revision);
+
 static void on_confirmed(void *context, const kv_answer_t *answer)
 {
 	const call_t call = call_end(context);
 	relay_registration_t *registration = call.registration;
+	const int64_t next = registration->confirm_next;
 
+	registration->confirming = false;
+	registration->confirm_next = 0;
 	if (call.lease != registration->lease->lease)
 		return;
 	log_event(LOG_LEVEL_INFO, "takeover_confirmed",
 		  "lease=%" PRId64 " result=%s", call.lease,
 		  kv_result_name(answer->result));
-	if (answer->result == KV_OK)
-		registration->key_revision = answer->revision;
-	else
+	if (answer->result != KV_OK) {
 		relay_registration_renew(registration);
+		return;
+	}
+	registration->key_revision = answer->revision;
+	if (next)
+		confirm(registration, next);
 }
 
-void relay_registration_confirm(relay_registration_t *registration,
-				int64_t revision)
+static void confirm(relay_registration_t *registration, int64_t revision)
 {
 	const int64_t lease = registration->lease->lease;
 	g_autofree char *record = record_of(lease, revision);
@@ -325,14 +334,26 @@
 		.puts_count = 1,
 	};
 
-	/* Who registers now reads the records after that. */
-	if (registration->leaving || registration->opening || !lease)
-		return;
+	registration->confirming = true;
 	registration->store->calls->commit(registration->store->self,
 					   &transaction, on_confirmed,
 					   call_new(registration, lease));
 }
 
+void relay_registration_confirm(relay_registration_t *registration,
+				int64_t revision)
+{
+	/* Who registers now reads the records after that. */
+	if (registration->leaving || registration->opening ||
+	    !registration->lease->lease)
+		return;
+	/* One at a time: each is conditional on the one before. */
+	if (registration->confirming)
+		registration->confirm_next = revision;
+	else
+		confirm(registration, revision);
+}
+
 void relay_registration_leave(relay_registration_t *registration)
 {
 	const char *const removals[] = {registration->lease_key,
--- /dev/null
+++ b/tests/unit/test_relay_registration.c
@@ -0,0 +1,208 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "relay/relay_registration.h"
+#include "state/lease_record.h"
+
+#define LEASE 7
+
+/* A store with one key whose condition is checked, slower than its callers. */
+typedef struct {
+	struct event_base *base;
+	kv_store_t store;
+	relay_services_t *services;
+	relay_registration_t *registration;
+	int64_t revision;
+	int64_t key_revision;
+	lease_record_t record;
+	uint32_t leases; /* that were opened */
+	uint32_t conflicts;
+	bool registered;
+} fixture_t;
+
+typedef struct {
+	fixture_t *fixture;
+	kv_done_t done;
+	void *context;
+	kv_answer_t answer;
+	struct event *timer;
+} call_t;
+
+static void on_answer(evutil_socket_t fd, short what, void *context)
+{
+	call_t *call = context;
+
+	call->answer.items = g_ptr_array_new();
+	if (call->done)
+		call->done(call->context, &call->answer);
+	g_ptr_array_unref(call->answer.items);
+	event_free(call->timer);
+	g_free(call);
+}
+
+static void answer_soon(fixture_t *fixture, kv_done_t done, void *context,
+			kv_answer_t answer)
+{
+	const struct timeval delay = {.tv_usec = 5000};
+	call_t *call = g_new0(call_t, 1);
+
+	call->fixture = fixture;
+	call->done = done;
+	call->context = context;
+	call->answer = answer;
+	call->timer = evtimer_new(fixture->base, on_answer, call);
+	event_add(call->timer, &delay);
+}
+
+static void fake_lease_open(void *self, uint32_t ttl_ms, kv_done_t done,
+			    void *context)
+{
+	((fixture_t *)self)->leases++;
+	answer_soon(self, done, context, (kv_answer_t){.lease = LEASE});
+}
+
+static void fake_lease_renew(void *self, int64_t lease, kv_done_t done,
+			     void *context)
+{
+	answer_soon(self, done, context, (kv_answer_t){0});
+}
+
+static bool holds(const fixture_t *fixture, const kv_transaction_t *transaction)
+{
+	return !transaction->conditions_count ||
+	       transaction->conditions[0].revision == fixture->key_revision;
+}
+
+static void fake_commit(void *self, const kv_transaction_t *transaction,
+			kv_done_t done, void *context)
+{
+	fixture_t *fixture = self;
+	g_autoptr(GBytes) value = g_bytes_new(
+		transaction->puts[0].value, strlen(transaction->puts[0].value));
+
+	if (!holds(fixture, transaction)) {
+		fixture->conflicts++;
+		answer_soon(fixture, done, context,
+			    (kv_answer_t){.result = KV_CONFLICT});
+		return;
+	}
+	assert_true(lease_record_decode(value, &fixture->record));
+	fixture->key_revision = ++fixture->revision;
+	answer_soon(fixture, done, context,
+		    (kv_answer_t){.revision = fixture->revision});
+}
+
+static const kv_store_calls_t calls = {
+	.commit = fake_commit,
+	.lease_open = fake_lease_open,
+	.lease_renew = fake_lease_renew,
+};
+
+static void on_registered(void *context)
+{
+	((fixture_t *)context)->registered = true;
+}
+
+static void on_recovered(void *context)
+{
+}
+
+static void run_for(fixture_t *fixture, uint32_t ms)
+{
+	const struct timeval delay = {.tv_usec = 1000 * (suseconds_t)ms};
+
+	event_base_loopexit(fixture->base, &delay);
+	event_base_dispatch(fixture->base);
+}
+
+static int open_fixture(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	const relay_registration_handlers_t handlers = {
+		.registered = on_registered,
+		.recovered = on_recovered,
+		.context = fixture,
+	};
+
+	fixture->base = event_base_new();
+	fixture->revision = 10;
+	fixture->store = (kv_store_t){.calls = &calls, .self = fixture};
+	fixture->services = relay_services_create((relay_services_settings_t){
+		.base = fixture->base, .node = "node-1"});
+	fixture->registration = relay_registration_create(
+		fixture->base, &fixture->store, fixture->services, "node-1",
+		"akl-a 127.0.0.1:1", handlers);
+	while (!fixture->registered)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	*state = fixture;
+	return 0;
+}
+
+static int close_fixture(void **state)
+{
+	fixture_t *fixture = *state;
+
+	run_for(fixture, 50);
+	relay_registration_destroy(fixture->registration);
+	relay_services_destroy(fixture->services);
+	event_base_free(fixture->base);
+	g_free(fixture);
+	return 0;
+}
+
+static void test_takeover_is_confirmed_under_the_same_lease(void **state)
+{
+	fixture_t *fixture = *state;
+
+	relay_registration_confirm(fixture->registration, 30);
+	run_for(fixture, 100);
+	assert_int_equal(fixture->record.seen_revision, 30);
+	assert_int_equal(fixture->record.lease, LEASE);
+	assert_int_equal(fixture->leases, 1);
+}
+
+/* Two services lose their primaries at the same moment. */
+static void test_confirmations_do_not_get_in_each_others_way(void **state)
+{
+	fixture_t *fixture = *state;
+
+	relay_registration_confirm(fixture->registration, 30);
+	relay_registration_confirm(fixture->registration, 31);
+	relay_registration_confirm(fixture->registration, 32);
+	run_for(fixture, 200);
+	assert_int_equal(fixture->conflicts, 0);
+	assert_int_equal(fixture->record.seen_revision, 32);
+	assert_int_equal(fixture->leases, 1);
+}
+
+static void test_failed_confirmation_registers_anew(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->key_revision++;
+	relay_registration_confirm(fixture->registration, 30);
+	run_for(fixture, 200);
+	assert_int_equal(fixture->conflicts, 1);
+	assert_int_equal(fixture->leases, 2);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_takeover_is_confirmed_under_the_same_lease,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_confirmations_do_not_get_in_each_others_way,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_failed_confirmation_registers_anew, open_fixture,
+			close_fixture),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
