--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -5,15 +5,13 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "coordination/read_placement.h"
 #include "relay/relay_attempt.h"
+#include "relay/relay_hold.h"
+#include "relay/relay_placement.h"
 
 /* Tries of one statement at once: the second when the first is slow. */
 #define TRIES_AT_ONCE 2
 
-/* Servers that answered in vain and are passed over. */
-#define TRIED_MAX 8
-
 /* Silence after which a read is tried elsewhere, as a multiple of its mean. */
 #define HEDGE_FACTOR 4
 #define HEDGE_MS_MIN 150
@@ -43,17 +41,6 @@
 /* When callers may come back, as the refusal tells them. */
 #define COME_BACK_MS 300
 
-struct relay_hold {
-	relay_service_t *service;
-	relay_server_t *server;
-	relay_link_t *link;
-	uint64_t term; /* of the primary, 0 at a replica */
-	uint64_t started_ms;
-	uint64_t running_ms; /* spent in statements, not between them */
-	uint32_t statements;
-	bool wrote;
-};
-
 struct relay_job {
 	relay_service_t *service;
 	relay_ask_t ask;
@@ -74,8 +61,7 @@
 	char server[64]; /* of the last try */
 	uint64_t term;	 /* of the primary that was asked, 0 for a replica */
 	log_point_t after;
-	const relay_server_t *tried[TRIED_MAX]; /* compared, never used */
-	uint32_t tried_count;
+	relay_placement_t placement;
 	bool only_primary;  /* replicas could not serve it */
 	uint32_t failures;  /* reads that ran and failed so far */
 	uint32_t catch_ups; /* waits for a replica so far */
@@ -274,20 +260,6 @@
 	schedule(job);
 }
 
-static bool was_tried(const relay_job_t *job, const relay_server_t *server)
-{
-	for (uint32_t i = 0; i < job->tried_count; i++)
-		if (job->tried[i] == server)
-			return true;
-	return false;
-}
-
-static void note_tried(relay_job_t *job, const relay_server_t *server)
-{
-	if (job->tried_count < TRIED_MAX && !was_tried(job, server))
-		job->tried[job->tried_count++] = server;
-}
-
 static void attempt_remove(relay_job_t *job, const relay_attempt_t *attempt)
 {
 	for (uint32_t i = 0; i < job->attempts_count; i++)
@@ -319,23 +291,6 @@
 	return hold;
 }
 
-static void log_hold(const relay_hold_t *hold, const char *end)
-{
-	log_event(LOG_LEVEL_INFO, "transaction_ended",
-		  "service=%s server=%s end=%s statements=%u held_ms=%" PRIu64
-		  " running_ms=%" PRIu64,
-		  relay_service_name(hold->service),
-		  relay_server_entry(hold->server)->id, end, hold->statements,
-		  clock_boot_ms() - hold->started_ms, hold->running_ms);
-}
-
-void relay_hold_release(relay_hold_t *hold)
-{
-	log_hold(hold, "released");
-	relay_server_discard(hold->server, hold->link);
-	g_free(hold);
-}
-
 /* Keeps the connection for the transaction, or gives it back. */
 static void settle_link(relay_job_t *job, relay_attempt_t *attempt,
 			relay_result_t *result)
@@ -349,7 +304,7 @@
 	if (result->status == 'I') {
 		relay_attempt_finish(attempt);
 		if (job->hold)
-			log_hold(job->hold, "ended");
+			relay_hold_log_end(job->hold, "ended");
 		g_clear_pointer(&job->hold, g_free);
 		return;
 	}
@@ -463,14 +418,14 @@
 			schedule(job);
 			return;
 		}
-		note_tried(job, server);
+		relay_placement_note_tried(&job->placement, server);
 		retry_now(job);
 		return;
 	case RELAY_ERROR_READ_ONLY:
 	case RELAY_ERROR_OVERLOADED:
 	case RELAY_ERROR_OTHER_SERVER:
 		if (!needs_primary(job))
-			note_tried(job, server);
+			relay_placement_note_tried(&job->placement, server);
 		retry_later(job);
 		return;
 	default:
@@ -520,7 +475,7 @@
 	relay_attempt_finish(attempt);
 	if (job->attempts_count)
 		return;
-	note_tried(job, server);
+	relay_placement_note_tried(&job->placement, server);
 	retry_now(job);
 }
 
@@ -635,35 +590,17 @@
 
 	job->waiting_at = NULL;
 	if (!needs_primary(job))
-		note_tried(job, server);
+		relay_placement_note_tried(&job->placement, server);
 	if (!job->attempts_count)
 		retry_later(job);
 }
 
-static uint32_t rank_of(const relay_job_t *job)
-{
-	const catalog_reads_t reads = job->ask.database->reads;
-	const send_rank_t rank = {
-		.priority = job->ask.database->priority,
-		.elsewhere = reads != READS_AT_PRIMARY && !job->ask.writes,
-		.any_age = reads == READS_BOUNDED,
-		.opens = job->ask.begin_id,
-	};
-
-	return send_budget_rank(&rank);
-}
-
-static bool within_budget(const relay_job_t *job, relay_server_t *server)
-{
-	return send_budget_allows(relay_server_budget(server), rank_of(job),
-				  clock_boot_ms());
-}
-
 static void wait_at(relay_job_t *job, relay_server_t *server)
 {
-	const bool allowed = within_budget(job, server);
+	const bool allowed = relay_placement_allows(&job->placement, server);
 
-	send_budget_offered(relay_server_budget(server), rank_of(job), allowed,
+	send_budget_offered(relay_server_budget(server),
+			    relay_placement_rank(&job->placement), allowed,
 			    clock_boot_ms());
 	if (!allowed) {
 		if (!job->attempts_count)
@@ -695,74 +632,11 @@
 	wait_at(job, primary);
 }
 
-/* Finds the point that a replica must have; false when none is known. */
-static bool point_needed(relay_job_t *job, log_point_t *point)
-{
-	const relay_ask_t *ask = &job->ask;
-	const point_samples_t *samples = relay_service_samples(job->service);
-	const uint64_t age_ms = ask->database->max_age_ms;
-	const uint64_t since_ms =
-		ask->received_ms > age_ms ? ask->received_ms - age_ms : 0;
-
-	if (!point_samples_since(samples, since_ms, point))
-		return false;
-	/* A point of an older term may have been rolled back; all that was
-	 * kept of it lies before the samples of the present primary. */
-	if (ask->database->reads == READS_OWN_WRITES &&
-	    ask->own_term == relay_service_lease(job->service)->term)
-		*point = log_point_max(*point, ask->own_point);
-	return true;
-}
-
-static uint64_t behind_ms(const relay_job_t *job, const relay_server_t *server,
-			  log_point_t point)
-{
-	const uint64_t now_ms = clock_boot_ms();
-	const uint64_t age_ms = point_samples_age_ms(
-		relay_service_samples(job->service), point, now_ms);
-	const uint64_t lag_ms = relay_server_lag_ms(server, now_ms);
-
-	return lag_ms > age_ms ? lag_ms - age_ms : 0;
-}
-
-static relay_server_t *choose_for_read(relay_job_t *job, log_point_t point)
-{
-	relay_services_t *services = relay_service_services(job->service);
-	const char *domain = relay_services_settings(services)->failure_domain;
-	const GPtrArray *servers = relay_service_servers(job->service);
-	read_candidate_t candidates[READ_PLACEMENT_SERVERS_MAX] = {{0}};
-	const uint32_t count = MIN(servers->len, READ_PLACEMENT_SERVERS_MAX);
-	const uint64_t now_ms = clock_boot_ms();
-	int chosen;
-
-	for (uint32_t i = 0; i < count; i++) {
-		relay_server_t *server = servers->pdata[i];
-		const backend_entry_t *entry = relay_server_entry(server);
-		read_candidate_t *candidate = &candidates[i];
-
-		candidate->usable = !entry->draining &&
-				    !was_tried(job, server) &&
-				    within_budget(job, server) &&
-				    relay_server_usable(server, now_ms);
-		candidate->near = !strcmp(entry->failure_domain, domain);
-		candidate->same_region = relay_services_same_region(
-			services, entry->failure_domain);
-		candidate->wait_ms = relay_server_wait_ms(server);
-		candidate->run_ms = relay_server_run_ms(server);
-		candidate->behind_ms = behind_ms(job, server, point);
-		/* It would have caught up only after the deadline. */
-		candidate->usable &=
-			now_ms + candidate->behind_ms + candidate->run_ms <
-			job->deadline_ms;
-	}
-	chosen = read_placement_choose(candidates, count);
-	return chosen < 0 ? NULL : servers->pdata[chosen];
-}
-
 /* A replica that lacks the session's last change mostly has it soon. */
 static bool let_catch_up(relay_job_t *job, const relay_server_t *server)
 {
-	const uint64_t wait_ms = behind_ms(job, server, job->after);
+	const uint64_t wait_ms =
+		relay_placement_behind_ms(&job->placement, server, job->after);
 
 	if (job->catch_ups >= CATCH_UPS_MAX || wait_ms < CATCH_UP_MS_MIN ||
 	    wait_ms > CATCH_UP_MS_MAX)
@@ -778,15 +652,15 @@
 	log_point_t point;
 	relay_server_t *server;
 
-	if (!point_needed(job, &point)) {
+	if (!relay_placement_point(&job->placement, &point)) {
 		place_at_primary(job);
 		return;
 	}
-	server = choose_for_read(job, point);
+	server = relay_placement_choose(&job->placement, point);
 	if (!server) {
 		if (job->attempts_count)
 			return;
-		job->tried_count = 0;
+		job->placement.tried_count = 0;
 		if (relay_service_primary(job->service))
 			place_at_primary(job);
 		else
@@ -828,7 +702,7 @@
 	}
 	relay_server_silent(server);
 	if (!needs_primary(job))
-		note_tried(job, server);
+		relay_placement_note_tried(&job->placement, server);
 	place(job);
 	schedule(job);
 }
@@ -888,6 +762,9 @@
 	job->context = context;
 	job->retry_ms = RETRY_MS;
 	job->deadline_ms = ask->received_ms + database->timeout_ms;
+	job->placement = (relay_placement_t){.service = service,
+					     .ask = &job->ask,
+					     .deadline_ms = job->deadline_ms};
 	job->timer = evtimer_new(relay_services_settings(services)->base,
 				 on_timer, job);
 	job->waiter = (relay_waiter_t){
--- a/src/relay/relay_job.h
+++ b/src/relay/relay_job.h
@@ -56,7 +56,4 @@
 /** The caller went away; what runs is abandoned. */
 void relay_job_cancel(relay_job_t *job);
 
-/** Ends a transaction by closing its connection, which rolls it back. */
-void relay_hold_release(relay_hold_t *hold);
-
 #endif
