Take no answer from before a promotion for the primary's position

A read was turned away by replica i-4e19740d6a at 12.756 s, which was 30 s late and was promoted to relieve its primary at that moment. The refusal carried the position that it had applied as a replica (1.52) and came after the node knew it as the primary: it counted as a sample of the primary's log, and the next read went to the other late replica, at 1.52 as well.

Samples are taken only from questions sent after the node knew who leads.

test_relay_control answer_from_before fails without the change.

--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -25,7 +25,8 @@
 	primary_lease_t lease;
 	point_samples_t samples;
 	uint64_t verified_ms;
-	GQueue parked; /* relay_parked_t */
+	uint64_t led_ms; /* since when the present primary is known */
+	GQueue parked;	 /* relay_parked_t */
 };
 
 struct relay_services {
@@ -410,8 +411,10 @@
 			     takeover != service->lease.takeover ||
 			     strcmp(primary, service->lease.primary);
 
-	if (strcmp(primary, service->lease.primary))
+	if (strcmp(primary, service->lease.primary)) {
 		service->samples = (point_samples_t){0};
+		service->led_ms = clock_boot_ms();
+	}
 	primary_lease_record(&service->lease, term, primary, takeover,
 			     revision);
 	if (!changed)
@@ -524,9 +527,11 @@
 
 	if (!point.term || relay_server_is_retired(server))
 		return;
-	/* A lease that runs now also ran when the question was sent. */
+	/* A lease that runs now also ran when the question was sent. What was
+	 * asked before may be the answer of a replica that leads only since. */
 	if (server == relay_service_primary(service)) {
-		point_samples_add(&service->samples, sent_ms, point);
+		if (sent_ms >= service->led_ms)
+			point_samples_add(&service->samples, sent_ms, point);
 		return;
 	}
 	replica_lag_measured(
--- a/tests/unit/test_relay_control.c
+++ b/tests/unit/test_relay_control.c
@@ -8,6 +8,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include "base/clock.h"
 #include "platform/line_codec.h"
 #include "relay/relay_control.h"
 
@@ -199,6 +200,36 @@
 	assert_int_equal(relay_service_verified_ms(service), 5000);
 }
 
+/*
+ * A replica that is late answers a read; when the answer comes it has been
+ * promoted, with all that it had received. The answer says nothing of what
+ * the primary has.
+ */
+static void test_answer_from_before_a_promotion_is_no_sample(void **state)
+{
+	fixture_t *fixture = *state;
+	relay_service_t *service =
+		relay_services_find(fixture->services, "svc");
+	relay_server_t *server = relay_service_server(service, "i-1");
+	node_lease_t *lease = relay_services_lease(fixture->services);
+	const uint64_t asked_ms = clock_boot_ms() - 20;
+	log_point_t point;
+
+	lease->lease = 1;
+	lease->registered_at = 5;
+	node_lease_renewed(lease, clock_boot_ms());
+	relay_service_lead(service, 2, "i-1", false, 10);
+	assert_ptr_equal(relay_service_primary(service), server);
+	relay_service_seen(service, server, (log_point_t){1, 52}, asked_ms);
+	assert_false(
+		point_samples_since(relay_service_samples(service), 0, &point));
+	relay_service_seen(service, server, (log_point_t){1, 200},
+			   clock_boot_ms());
+	assert_true(
+		point_samples_since(relay_service_samples(service), 0, &point));
+	assert_int_equal(point.position, 200);
+}
+
 static void test_a_closed_port_is_unreachable(void **state)
 {
 	fixture_t *fixture = *state;
@@ -222,6 +253,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_late_watch_does_not_undo_a_reading, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_answer_from_before_a_promotion_is_no_sample,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_a_closed_port_is_unreachable, open_fixture,
 			close_fixture),
