--- a/Makefile
+++ b/Makefile
@@ -157,6 +157,7 @@
 $(BUILD)/tests/unit/test_relay_session \
 $(BUILD)/tests/unit/test_relay_server \
 $(BUILD)/tests/unit/test_relay_control \
+$(BUILD)/tests/unit/test_relay_subscription \
 $(BUILD)/tests/unit/test_relay_link: $(PLATFORM_OBJ)
 $(BUILD)/tests/unit/test_platform_codec: $(PLATFORM_OBJ)
 $(BUILD)/tests/unit/test_platform_documents: $(PLATFORM_OBJ)
--- a/src/coordination/primary_lease.c
+++ b/src/coordination/primary_lease.c
@@ -42,7 +42,9 @@
 
 void primary_lease_unchanged(primary_lease_t *service, int64_t revision)
 {
-	service->read_at = MAX(service->read_at, revision);
+	/* Without a record, one that was written earlier is still to come. */
+	if (*service->primary)
+		service->read_at = MAX(service->read_at, revision);
 }
 
 static bool same_replicas(const primary_lease_t *service,
@@ -113,8 +115,13 @@
 	return service->replicas_until_ms;
 }
 
-uint64_t primary_lease_until_ms(const primary_lease_t *service,
-				const node_lease_t *node)
+void primary_lease_delegated(primary_lease_t *service, uint64_t until_ms)
+{
+	service->delegated_until_ms = until_ms;
+}
+
+uint64_t primary_lease_own_until_ms(const primary_lease_t *service,
+				    const node_lease_t *node)
 {
 	if (!*service->primary || service->takeover)
 		return 0;
@@ -124,6 +131,15 @@
 		   replicas_proof_until_ms(service));
 }
 
+uint64_t primary_lease_until_ms(const primary_lease_t *service,
+				const node_lease_t *node)
+{
+	if (!*service->primary || service->takeover)
+		return 0;
+	return MAX(service->delegated_until_ms,
+		   primary_lease_own_until_ms(service, node));
+}
+
 bool primary_lease_valid(const primary_lease_t *service,
 			 const node_lease_t *node, uint64_t now_ms)
 {
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -23,6 +23,11 @@
  * must read the record, which shows the takeover. The fence is lifted only
  * after the proofs that the other replicas gave before the promotion have
  * expired, too. All times include time for which the machine was suspended.
+ *
+ * A hub delegates its proofs to nodes that need not register. It confirms a
+ * takeover, and registers again, only after each of them knows the takeover or
+ * can no longer use a proof (see delegation.h). So a delegated proof holds for
+ * any record without a takeover that the node has read.
  */
 
 /** Validity of one proof. */
@@ -54,8 +59,9 @@
 		uint64_t sent_ms; /**< when the query of that round was sent */
 	} replicas[PRIMARY_LEASE_REPLICAS_MAX];
 	uint32_t replicas_count;
-	uint64_t replicas_until_ms; /**< end of the replicas' latest proof */
-	uint64_t granted_until_ms;  /**< end of another node's latest proof */
+	uint64_t replicas_until_ms;  /**< end of the replicas' latest proof */
+	uint64_t granted_until_ms;   /**< end of another node's latest proof */
+	uint64_t delegated_until_ms; /**< end of the hubs' proofs */
 } primary_lease_t;
 
 /** Records that a renewal sent at @p sent_ms succeeded. */
@@ -95,6 +101,16 @@
 void primary_lease_granted(primary_lease_t *service, uint64_t term,
 			   const char *primary, uint64_t until_ms);
 
+/** Sets the end of the proofs that hubs delegate to this node, 0 for none. */
+void primary_lease_delegated(primary_lease_t *service, uint64_t until_ms);
+
+/**
+ * @return until when the node's own registration and proofs allow the use of
+ *         the primary; 0 if they don't
+ */
+uint64_t primary_lease_own_until_ms(const primary_lease_t *service,
+				    const node_lease_t *node);
+
 /** @return until when the primary may be used; 0 if it may not be used */
 uint64_t primary_lease_until_ms(const primary_lease_t *service,
 				const node_lease_t *node);
--- a/src/protocol/command.c
+++ b/src/protocol/command.c
@@ -11,7 +11,7 @@
 	static const char *const names[COMMAND_KIND_COUNT] = {
 		"begin", "begin_read", "commit",  "rollback", "read",
 		"write", "set",	       "prepare", "execute",  "close",
-		"reset", "prove",      "invalid"};
+		"reset", "prove",      "follow",  "invalid"};
 
 	return names[kind];
 }
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -21,6 +21,7 @@
 	COMMAND_CLOSE,	 /**< closes a prepared statement */
 	COMMAND_RESET,	 /**< resets variables and closes prepared statements */
 	COMMAND_PROVE,	 /**< another node queries the proofs of this node */
+	COMMAND_FOLLOW,	 /**< another node follows this hub */
 	COMMAND_INVALID,
 	COMMAND_KIND_COUNT,
 } command_kind_t;
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -11,6 +11,9 @@
 /** Maximum size of a message that is accepted or sent. */
 #define RELAY_MESSAGE_SIZE_BYTES_MAX (1024u * 1024)
 
+/** Name of the service to which a node that follows a hub connects. */
+#define RELAY_HUB_SERVICE "toucanhook.hub"
+
 /** Why a statement or a connection failed. */
 typedef enum {
 	/* These prove that the attempt had no effect. */
@@ -104,6 +107,8 @@
 	char *(*text_prepare)(const char *name, const char *definition);
 	char *(*text_execute)(const char *name, const char *arguments);
 	char *(*text_control)(relay_control_t control, uint64_t term);
+	/** A request to a hub, see relay_hub_message.h. */
+	char *(*text_follow)(const char *arguments);
 	bool (*parse_status)(const char *row, relay_status_t *status);
 } relay_codec_t;
 
--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -213,7 +213,8 @@
 			renew(coordinator, now_ms);
 			busy = step_services(coordinator, now_ms);
 		}
-	} else if (coordinator->synced && !coordinator->key_revision) {
+	} else if (coordinator->enabled && coordinator->synced &&
+		   !coordinator->key_revision) {
 		acquire(coordinator, now_ms);
 	}
 	delay = clock_timeval(busy ? COORDINATOR_BUSY_TICK_MS :
@@ -357,6 +358,11 @@
 	}
 }
 
+void relay_coordinator_enable(relay_coordinator_t *coordinator)
+{
+	coordinator->enabled = true;
+}
+
 void relay_coordinator_synced(relay_coordinator_t *coordinator)
 {
 	coordinator->synced = true;
--- a/src/relay/relay_coordinator.h
+++ b/src/relay/relay_coordinator.h
@@ -34,6 +34,9 @@
 void relay_coordinator_key_changed(relay_coordinator_t *coordinator,
 				   const kv_item_t *item);
 
+/** Lets the node acquire the coordinator lease; at first it may not. */
+void relay_coordinator_enable(relay_coordinator_t *coordinator);
+
 /** Records that all changes of those keys up to a revision were applied. */
 void relay_coordinator_synced(relay_coordinator_t *coordinator);
 
--- a/src/relay/relay_forwarding.c
+++ b/src/relay/relay_forwarding.c
@@ -26,6 +26,7 @@
 	relay_services_t *services;
 	struct evconnlistener *listener;
 	GHashTable *sessions; /* set of forwarding_session_t */
+	relay_hub_t *hub;     /* NULL if this node is no hub */
 	bool draining;
 };
 
@@ -34,6 +35,8 @@
 	relay_forwarding_t *forwarding;
 	struct bufferevent *bev;
 	relay_service_t *service; /* NULL before the start-up */
+	relay_hub_subscriber_t
+		*subscriber; /* of a node that follows, or NULL */
 	char *server_id;
 	GHashTable *values;   /* session variables, name -> value */
 	GHashTable *prepared; /* name -> definition */
@@ -78,6 +81,8 @@
 
 static void session_free(forwarding_session_t *session)
 {
+	if (session->subscriber)
+		relay_hub_leave(session->subscriber);
 	if (session->waiting_at)
 		relay_server_cancel_wait(session->waiting_at, &session->waiter);
 	if (session->attempt) {
@@ -132,16 +137,17 @@
 
 /*
  * Rejects the statement, which has not run. An open transaction is rolled
- * back.
+ * back. The error differs from those of a server, so that the other node does
+ * not take it for the server's own.
  */
-static void refuse(forwarding_session_t *session, relay_error_t error,
-		   const char *reason)
+static void refuse(forwarding_session_t *session, const char *reason)
 {
 	log_event(LOG_LEVEL_INFO, "forwarded_statement_refused",
 		  "id=%s server=%s reason=\"%s\"", session->message.id,
 		  session->server_id, reason);
 	discard_link(session);
-	codec_of(session)->put_error(output_of(session), error, reason);
+	codec_of(session)->put_error(output_of(session),
+				     RELAY_ERROR_CONNECTION_LIMIT, reason);
 	answer_ready(session, (log_point_t){0});
 	statement_done(session);
 	process(session);
@@ -161,7 +167,7 @@
 		relay_attempt_discard(attempt);
 		session->link = NULL;
 		if (end == RELAY_ATTEMPT_NOT_RUN)
-			refuse(session, RELAY_ERROR_OVERLOADED, "unreachable");
+			refuse(session, "unreachable");
 		else /* the other node must see a broken connection */
 			session_end(session);
 		return;
@@ -239,7 +245,7 @@
 		relay_server_cancel_wait(session->waiting_at, &session->waiter);
 	session->waiting_at = NULL;
 	if (session->busy && !session->attempt)
-		refuse(session, RELAY_ERROR_OVERLOADED, "no connection");
+		refuse(session, "no connection");
 }
 
 static void wait_for_link(forwarding_session_t *session)
@@ -288,11 +294,41 @@
 	answer_complete(session);
 }
 
+/* Sends the answer of the hub. */
+static void on_hub_reply(void *context, const GPtrArray *rows)
+{
+	forwarding_session_t *session = context;
+
+	for (guint i = 0; i < rows->len; i++)
+		codec_of(session)->put_row(output_of(session), rows->pdata[i]);
+	answer_complete(session);
+	statement_done(session);
+}
+
+static void follow(forwarding_session_t *session)
+{
+	hub_request_t request;
+
+	if (session->command.kind != COMMAND_FOLLOW ||
+	    !hub_request_decode(session->command.value, &request)) {
+		log_event(LOG_LEVEL_WARNING, "hub_request_invalid",
+			  "text=\"%.60s\"", session->message.text);
+		close_soon(session);
+		return;
+	}
+	session->busy = true;
+	relay_hub_request(session->subscriber, &request);
+}
+
 static void dispatch(forwarding_session_t *session)
 {
 	command_t *command = &session->command;
 
 	codec_of(session)->parse(session->message.text, command);
+	if (session->subscriber) {
+		follow(session);
+		return;
+	}
 	switch (command->kind) {
 	case COMMAND_BEGIN:
 	case COMMAND_BEGIN_READ:
@@ -338,8 +374,28 @@
 	close_soon(session);
 }
 
+/* Accepts a node that follows this hub. */
+static void start_following(forwarding_session_t *session)
+{
+	relay_forwarding_t *forwarding = session->forwarding;
+
+	relay_message_clear(&session->message);
+	if (forwarding->draining || !forwarding->hub ||
+	    !relay_hub_is_open(forwarding->hub)) {
+		refuse_session(session, RELAY_ERROR_CONNECTION_LIMIT);
+		return;
+	}
+	session->subscriber =
+		relay_hub_join(forwarding->hub, on_hub_reply, session);
+	answer_ready(session, (log_point_t){0});
+}
+
 static void start_up(forwarding_session_t *session)
 {
+	if (!strcmp(session->message.text, RELAY_HUB_SERVICE)) {
+		start_following(session);
+		return;
+	}
 	session->service = relay_services_find(session->forwarding->services,
 					       session->message.text);
 	session->server_id = g_strdup(session->message.id);
@@ -374,10 +430,10 @@
 			break;
 		}
 		if (session->message.kind == RELAY_MESSAGE_QUERY &&
-		    session->service)
+		    (session->service || session->subscriber))
 			dispatch(session);
 		else if (session->message.kind == RELAY_MESSAGE_STARTUP &&
-			 !session->service)
+			 !session->service && !session->subscriber)
 			start_up(session);
 		else
 			close_soon(session);
@@ -450,6 +506,11 @@
 	return NULL;
 }
 
+void relay_forwarding_set_hub(relay_forwarding_t *forwarding, relay_hub_t *hub)
+{
+	forwarding->hub = hub;
+}
+
 static GPtrArray *list_sessions(const relay_forwarding_t *forwarding)
 {
 	GPtrArray *list = g_ptr_array_new();
@@ -485,8 +546,10 @@
 	for (guint i = 0; i < sessions->len; i++) {
 		forwarding_session_t *session = sessions->pdata[i];
 
-		if (!session->busy && !session->link && !session->begin_id &&
-		    !session->closing)
+		if (session->closing)
+			continue;
+		if (session->subscriber ||
+		    (!session->busy && !session->link && !session->begin_id))
 			close_soon(session);
 	}
 }
--- a/src/relay/relay_forwarding.h
+++ b/src/relay/relay_forwarding.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_RELAY_FORWARDING_H
 #define RELAY_RELAY_FORWARDING_H
 
+#include "relay/relay_hub.h"
 #include "relay/relay_service.h"
 #include "state/endpoint.h"
 
@@ -26,6 +27,9 @@
 					    GError **error);
 void relay_forwarding_destroy(relay_forwarding_t *forwarding);
 
+/** Serves nodes that follow this hub; the hub must outlive the sessions. */
+void relay_forwarding_set_hub(relay_forwarding_t *forwarding, relay_hub_t *hub);
+
 /** Rejects new sessions and closes the idle ones. */
 void relay_forwarding_drain(relay_forwarding_t *forwarding);
 
--- /dev/null
+++ b/src/relay/relay_hub.c
@@ -0,0 +1,351 @@
+#include "relay/relay_hub.h"
+
+#include <inttypes.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/delegation.h"
+#include "state/change_log.h"
+
+/*
+ * Time for which a request waits for a change. A proof is valid for
+ * PRIMARY_LEASE_VALID_MS from when the store was asked.
+ */
+#define HOLD_MS 400
+
+/* Age above which points of a primary's log are not sent. */
+#define SAMPLE_AGE_MS_MAX 2000
+
+/* Number of removed keys that are remembered. */
+#define REMOVALS_MAX 512
+
+struct relay_hub_subscriber {
+	relay_hub_t *hub;
+	uint64_t id;
+	relay_hub_reply_t reply;
+	void *context;
+	struct event *timer; /* answers the request after HOLD_MS */
+	bool asking;	     /* a request waits for its answer */
+	hub_request_t request;
+	uint64_t received_ms;
+};
+
+struct relay_hub {
+	relay_services_t *services;
+	change_log_t *logs[HUB_STREAM_COUNT]; /* texts are encoded items */
+	GPtrArray *subscribers;
+	delegation_t *delegation;
+	uint64_t next_id;
+	struct event *settle_timer;
+	int64_t settle_revision; /* revision waited for, or 0 */
+	void (*settled)(void *context, int64_t revision);
+	void *settled_context;
+	bool closed; /* no more proofs are given */
+};
+
+static void on_settle_timer(evutil_socket_t fd, short what, void *context);
+
+relay_hub_t *relay_hub_create(relay_services_t *services)
+{
+	relay_hub_t *hub = g_new0(relay_hub_t, 1);
+
+	hub->services = services;
+	for (uint32_t i = 0; i < HUB_STREAM_COUNT; i++)
+		hub->logs[i] = change_log_create(REMOVALS_MAX);
+	hub->subscribers = g_ptr_array_new();
+	hub->delegation = delegation_create();
+	hub->settle_timer = evtimer_new(relay_services_settings(services)->base,
+					on_settle_timer, hub);
+	return hub;
+}
+
+void relay_hub_destroy(relay_hub_t *hub)
+{
+	if (!hub)
+		return;
+	for (uint32_t i = 0; i < HUB_STREAM_COUNT; i++)
+		change_log_destroy(hub->logs[i]);
+	g_ptr_array_unref(hub->subscribers);
+	delegation_destroy(hub->delegation);
+	event_free(hub->settle_timer);
+	g_free(hub);
+}
+
+/* @return the end of the proof for all services, 0 if it lacks for one */
+static uint64_t common_until_ms(const relay_hub_t *hub, uint64_t now_ms)
+{
+	const node_lease_t *lease = relay_services_lease(hub->services);
+	g_autoptr(GPtrArray) names = relay_services_names(hub->services);
+
+	if (!lease->registered_at || lease->valid_until_ms <= now_ms)
+		return 0;
+	for (guint i = 0; i < names->len; i++) {
+		const primary_lease_t *service = relay_service_lease(
+			relay_services_find(hub->services, names->pdata[i]));
+
+		if (service->read_at < lease->registered_at &&
+		    *service->primary)
+			return 0;
+	}
+	return lease->valid_until_ms;
+}
+
+static bool may_prove(const relay_hub_t *hub)
+{
+	return !hub->closed && hub->settle_revision != DELEGATION_ALL;
+}
+
+static void add_proof(const relay_hub_t *hub, relay_service_t *service,
+		      uint64_t common_ms, GPtrArray *rows, uint64_t *latest_ms)
+{
+	const primary_lease_t *lease = relay_service_lease(service);
+	const hub_proof_t proof = {
+		.service = (char *)relay_service_name(service),
+		.term = lease->term,
+		.until_ms = primary_lease_own_until_ms(
+			lease, relay_services_lease(hub->services)),
+	};
+
+	if (proof.until_ms <= common_ms || proof.until_ms <= clock_boot_ms())
+		return;
+	g_ptr_array_add(rows, hub_encode_proof(&proof));
+	*latest_ms = MAX(*latest_ms, proof.until_ms);
+}
+
+static void add_sample(relay_service_t *service, uint64_t now_ms,
+		       GPtrArray *rows)
+{
+	const point_samples_t *samples = relay_service_samples(service);
+	hub_sample_t sample = {
+		.service = (char *)relay_service_name(service),
+		.term = relay_service_lease(service)->term,
+	};
+
+	if (!point_samples_last(samples, &sample.sampled_ms, &sample.point) ||
+	    sample.sampled_ms + SAMPLE_AGE_MS_MAX < now_ms)
+		return;
+	g_ptr_array_add(rows, hub_encode_sample(&sample));
+}
+
+/* Adds proofs and points. @return the end of the last proof */
+static uint64_t add_services(const relay_hub_t *hub, uint64_t common_ms,
+			     GPtrArray *rows)
+{
+	g_autoptr(GPtrArray) names = relay_services_names(hub->services);
+	const uint64_t now_ms = clock_boot_ms();
+	uint64_t latest_ms = common_ms;
+
+	for (guint i = 0; i < names->len; i++) {
+		relay_service_t *service =
+			relay_services_find(hub->services, names->pdata[i]);
+
+		if (may_prove(hub))
+			add_proof(hub, service, common_ms, rows, &latest_ms);
+		add_sample(service, now_ms, rows);
+	}
+	return latest_ms;
+}
+
+static void add_changes(const relay_hub_t *hub, hub_stream_t stream,
+			int64_t known, hub_changes_t *changes, GPtrArray *rows)
+{
+	const change_log_t *log = hub->logs[stream];
+	g_autoptr(GPtrArray) list = g_ptr_array_new();
+
+	changes->revision = change_log_revision(log);
+	if (changes->revision < known)
+		return;
+	changes->whole = change_log_since(log, known, list);
+	for (guint i = 0; i < list->len; i++) {
+		const change_t *change = list->pdata[i];
+		const kv_item_t removal = {.key = change->key,
+					   .revision = change->revision,
+					   .deleted = true};
+
+		g_ptr_array_add(
+			rows, change->text ? g_strdup(change->text) :
+					     hub_encode_item(stream, &removal));
+	}
+}
+
+static void answer(relay_hub_subscriber_t *subscriber)
+{
+	relay_hub_t *hub = subscriber->hub;
+	const uint64_t now_ms = clock_boot_ms();
+	g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(hub_answer_t) head = hub_answer_new();
+	uint64_t until_ms;
+
+	head->received_ms = subscriber->received_ms;
+	head->until_ms = may_prove(hub) ? common_until_ms(hub, now_ms) : 0;
+	g_ptr_array_add(rows, NULL); /* the head, known last */
+	for (uint32_t i = 0; i < HUB_STREAM_COUNT; i++)
+		add_changes(hub, (hub_stream_t)i,
+			    subscriber->request.revisions[i], &head->changes[i],
+			    rows);
+	until_ms = add_services(hub, head->until_ms, rows);
+	rows->pdata[0] = hub_encode_head(head);
+	delegation_answered(hub->delegation, subscriber->id,
+			    head->changes[HUB_STREAM_PRIMARIES].revision,
+			    until_ms);
+	subscriber->asking = false;
+	event_del(subscriber->timer);
+	subscriber->reply(subscriber->context, rows);
+}
+
+static bool lacks_changes(const relay_hub_subscriber_t *subscriber)
+{
+	for (uint32_t i = 0; i < HUB_STREAM_COUNT; i++)
+		if (change_log_revision(subscriber->hub->logs[i]) >
+		    subscriber->request.revisions[i])
+			return true;
+	return false;
+}
+
+static void answer_all(relay_hub_t *hub, bool lacking_only)
+{
+	g_autoptr(GPtrArray) list =
+		g_ptr_array_copy(hub->subscribers, NULL, NULL);
+
+	for (guint i = 0; i < list->len; i++) {
+		relay_hub_subscriber_t *subscriber = list->pdata[i];
+
+		/* A reply may have ended another subscriber's connection. */
+		if (!g_ptr_array_find(hub->subscribers, subscriber, NULL) ||
+		    !subscriber->asking)
+			continue;
+		if (!lacking_only || lacks_changes(subscriber))
+			answer(subscriber);
+	}
+}
+
+void relay_hub_put(relay_hub_t *hub, hub_stream_t stream, const kv_item_t *item)
+{
+	g_autofree char *text = NULL;
+
+	if (!item->deleted && item->value)
+		text = hub_encode_item(stream, item);
+	change_log_put(hub->logs[stream], item->key, item->revision, text);
+}
+
+void relay_hub_synced(relay_hub_t *hub, hub_stream_t stream, int64_t revision)
+{
+	const bool opened = !relay_hub_is_open(hub);
+
+	change_log_synced(hub->logs[stream], revision);
+	answer_all(hub, !opened);
+}
+
+bool relay_hub_is_open(const relay_hub_t *hub)
+{
+	return change_log_revision(hub->logs[HUB_STREAM_CATALOG]) &&
+	       change_log_revision(hub->logs[HUB_STREAM_PRIMARIES]);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	answer(context);
+}
+
+relay_hub_subscriber_t *relay_hub_join(relay_hub_t *hub,
+				       relay_hub_reply_t reply, void *context)
+{
+	relay_hub_subscriber_t *subscriber = g_new0(relay_hub_subscriber_t, 1);
+
+	subscriber->hub = hub;
+	subscriber->id = ++hub->next_id;
+	subscriber->reply = reply;
+	subscriber->context = context;
+	subscriber->timer =
+		evtimer_new(relay_services_settings(hub->services)->base,
+			    on_timer, subscriber);
+	g_ptr_array_add(hub->subscribers, subscriber);
+	return subscriber;
+}
+
+void relay_hub_leave(relay_hub_subscriber_t *subscriber)
+{
+	relay_hub_t *hub = subscriber->hub;
+
+	delegation_left(hub->delegation, subscriber->id, clock_boot_ms());
+	g_ptr_array_remove_fast(hub->subscribers, subscriber);
+	event_free(subscriber->timer);
+	g_free(subscriber);
+	if (hub->settle_revision)
+		event_active(hub->settle_timer, EV_TIMEOUT, 0);
+}
+
+/* Ends the wait for the subscribers, or waits for their proofs to expire. */
+static void check_settled(relay_hub_t *hub)
+{
+	const int64_t revision = hub->settle_revision;
+	const uint64_t now_ms = clock_boot_ms();
+	const uint64_t until_ms =
+		revision ?
+			delegation_until_ms(hub->delegation, revision, now_ms) :
+			0;
+	struct timeval delay;
+
+	if (!revision)
+		return;
+	if (until_ms) {
+		delay = clock_timeval(until_ms - now_ms);
+		event_add(hub->settle_timer, &delay);
+		return;
+	}
+	hub->settle_revision = 0;
+	event_del(hub->settle_timer);
+	hub->settled(hub->settled_context, revision);
+}
+
+static void on_settle_timer(evutil_socket_t fd, short what, void *context)
+{
+	check_settled(context);
+}
+
+void relay_hub_request(relay_hub_subscriber_t *subscriber,
+		       const hub_request_t *request)
+{
+	const struct timeval hold = clock_timeval(HOLD_MS);
+	relay_hub_t *hub = subscriber->hub;
+	const bool first = !subscriber->received_ms;
+
+	subscriber->request = *request;
+	subscriber->received_ms = clock_boot_ms();
+	subscriber->asking = true;
+	delegation_requested(hub->delegation, subscriber->id,
+			     request->revisions[HUB_STREAM_PRIMARIES]);
+	event_add(subscriber->timer, &hold);
+	if (first || lacks_changes(subscriber))
+		answer(subscriber);
+	/* Calls back, so that this comes last. */
+	check_settled(hub);
+}
+
+uint32_t relay_hub_count(const relay_hub_t *hub)
+{
+	return hub->subscribers->len;
+}
+
+void relay_hub_settle(relay_hub_t *hub, int64_t revision,
+		      void (*settled)(void *context, int64_t revision),
+		      void *context)
+{
+	hub->settle_revision = revision;
+	hub->settled = settled;
+	hub->settled_context = context;
+	answer_all(hub, revision != DELEGATION_ALL);
+	check_settled(hub);
+}
+
+bool relay_hub_is_settled(const relay_hub_t *hub)
+{
+	return !delegation_until_ms(hub->delegation, DELEGATION_ALL,
+				    clock_boot_ms());
+}
+
+void relay_hub_close(relay_hub_t *hub)
+{
+	hub->closed = true;
+	answer_all(hub, false);
+}
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -469,7 +469,8 @@
 	return error == RELAY_ERROR_OVERLOADED || error == RELAY_ERROR_BEHIND ||
 	       error == RELAY_ERROR_READ_ONLY ||
 	       error == RELAY_ERROR_UNKNOWN_NAME ||
-	       error == RELAY_ERROR_OTHER_SERVER;
+	       error == RELAY_ERROR_OTHER_SERVER ||
+	       error == RELAY_ERROR_CONNECTION_LIMIT;
 }
 
 static void on_refused_by_server(relay_job_t *job, relay_attempt_t *attempt,
@@ -484,9 +485,10 @@
 		  relay_error_name(error), job->term, job->after.term,
 		  job->after.position);
 	attempt_remove(job, attempt);
+	if (error == RELAY_ERROR_CONNECTION_LIMIT)
+		relay_server_forwarding_refused(server);
 	if (error == RELAY_ERROR_UNKNOWN_NAME ||
-	    (error == RELAY_ERROR_OVERLOADED &&
-	     relay_attempt_is_forwarded(attempt)))
+	    error == RELAY_ERROR_CONNECTION_LIMIT)
 		relay_attempt_discard(attempt);
 	else
 		relay_attempt_finish(attempt);
@@ -528,8 +530,8 @@
 				 answer->failed &&
 					 answer->error == RELAY_ERROR_FAILED,
 				 now_ms);
-	/* A forwarding node may reject a statement for reasons of its own. */
-	if (!relay_attempt_is_forwarded(attempt))
+	/* A forwarding node rejects a statement with an error of its own. */
+	if (!answer->failed || answer->error != RELAY_ERROR_CONNECTION_LIMIT)
 		send_budget_answered(relay_server_budget(server), !overloaded,
 				     now_ms);
 	if (!job->after.term)
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -22,6 +22,7 @@
 	relay_link_done_t done;
 	void *context;
 	uint64_t sent_ms; /* on the boot clock */
+	bool own;	  /* a statement of the proxy itself */
 } pending_t;
 
 struct relay_link {
@@ -41,6 +42,7 @@
 	relay_error_t error;
 	char *error_text;
 	char *row;
+	GPtrArray *rows; /* char *, rows of a statement of the proxy itself */
 	relay_link_state_t state;
 };
 
@@ -83,11 +85,13 @@
 	g_autoptr(GByteArray) body = link->body;
 	g_autofree char *error_text = g_steal_pointer(&link->error_text);
 	g_autofree char *row = g_steal_pointer(&link->row);
+	g_autoptr(GPtrArray) rows = g_steal_pointer(&link->rows);
 	const relay_answer_t answer = {
 		.failed = link->failed,
 		.error = link->error,
 		.error_text = error_text ? error_text : "",
 		.row = row,
+		.rows = rows,
 		.status = message->status,
 		.point = message->point,
 		.body = body,
@@ -100,6 +104,17 @@
 	first->done(first->context, &answer);
 }
 
+static void append_row(relay_link_t *link, const char *text)
+{
+	const pending_t *first = g_queue_peek_head(&link->pending);
+
+	if (!first->own)
+		return;
+	if (!link->rows)
+		link->rows = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(link->rows, g_strdup(text));
+}
+
 /* Adds one message to the current answer. */
 static void append_message(relay_link_t *link, relay_message_t *message)
 {
@@ -108,8 +123,10 @@
 		link->error = message->error;
 		g_free(link->error_text);
 		link->error_text = g_steal_pointer(&message->text);
-	} else if (message->kind == RELAY_MESSAGE_ROW && !link->row) {
-		link->row = g_steal_pointer(&message->text);
+	} else if (message->kind == RELAY_MESSAGE_ROW) {
+		append_row(link, message->text);
+		if (!link->row)
+			link->row = g_steal_pointer(&message->text);
 	}
 	g_byte_array_append(link->body, (const guint8 *)message->encoded,
 			    (guint)message->encoded_size);
@@ -254,6 +271,7 @@
 	g_byte_array_unref(link->body);
 	g_free(link->error_text);
 	g_free(link->row);
+	g_clear_pointer(&link->rows, g_ptr_array_unref);
 	g_free(link->server);
 	g_hash_table_destroy(link->state.values);
 	g_hash_table_destroy(link->state.prepared);
@@ -268,6 +286,7 @@
 	pending->done = done;
 	pending->context = context;
 	pending->sent_ms = clock_boot_ms();
+	pending->own = !id;
 	g_queue_push_tail(&link->pending, pending);
 	link->codec->put_query(bufferevent_get_output(link->bev), id, after,
 			       text);
--- a/src/relay/relay_link.h
+++ b/src/relay/relay_link.h
@@ -19,7 +19,9 @@
 	bool failed; /**< the server answered with an error */
 	relay_error_t error;
 	const char *error_text;
-	const char *row;   /**< first row of the answer, or NULL */
+	const char *row; /**< first row of the answer, or NULL */
+	/** All rows (char *) of a statement of the proxy itself, or NULL. */
+	const GPtrArray *rows;
 	char status;	   /**< 'I' idle, 'T' in transaction, 'E' failed */
 	log_point_t point; /**< server's log point, or zero */
 	GByteArray *body; /**< encoded answer without the final ready message */
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -7,10 +7,14 @@
 #include "base/log.h"
 #include "relay/relay_callers.h"
 #include "relay/relay_coordinator.h"
+#include "coordination/delegation.h"
 #include "relay/relay_forwarding.h"
+#include "relay/relay_hub.h"
+#include "relay/relay_join.h"
 #include "relay/relay_proof.h"
 #include "relay/relay_registration.h"
 #include "relay/relay_status_page.h"
+#include "relay/relay_subscription.h"
 #include "store/kv_follow.h"
 
 /* Maximum number of series of one metric; further labels share one series. */
@@ -62,19 +66,24 @@
 	relay_coordinator_t *coordinator;
 	relay_proof_t *proof;
 	relay_status_page_t *page;
+	relay_join_t *join;
+	relay_subscription_t *subscription;
+	/* Of a hub alone; NULL on other nodes. */
+	relay_hub_t *hub;
 	kv_follow_t *follow;	/* all keys, with a long pause */
 	kv_follow_t *primaries; /* primary records, with a short pause */
 	struct event *read_timer;
 	bool reading;	       /* the primary records are being read */
 	bool read_again;       /* another read is due after the present one */
 	uint64_t read_sent_ms; /* when the last read was sent */
-	bool nodes_changed;    /* node_values changed since the last sync */
+	bool hubs_changed;     /* hub_values changed since the last sync */
 	bool registered;       /* a lease was registered at least once */
 	bool confirm_due;      /* a takeover must be confirmed */
 	catalog_t *catalog;
-	GHashTable *node_values; /* key -> value written by the node */
-	GHashTable *removals;	 /* server id -> removal_t */
-	bool synced;		 /* all keys were read at least once */
+	GHashTable *revisions; /* key -> revision of its last change, int64_t */
+	GHashTable *hub_values; /* key -> value written by the hub */
+	GHashTable *removals;	/* server id -> removal_t */
+	bool synced;		/* all keys were read at least once */
 	struct event *drain_timer;
 	uint64_t leave_ms; /* when the node left, 0 before */
 	uint64_t drain_ms; /* when the drain began, 0 before */
@@ -180,44 +189,43 @@
 	node->catalog = catalog;
 }
 
-static void on_node(relay_node_t *node, const kv_item_t *item)
+static void on_hub_key(relay_node_t *node, const kv_item_t *item)
 {
+	const char *own = relay_registration_key(node->registration);
 	gsize size;
 	const char *text;
 
-	node->nodes_changed = true;
+	node->hubs_changed = true;
 	if (item->deleted || !item->value) {
-		const char *name = item->key + strlen(RELAY_NODES_PREFIX);
-
-		g_hash_table_remove(node->node_values, item->key);
-		if (!strcmp(name, node->settings->node))
+		g_hash_table_remove(node->hub_values, item->key);
+		if (!g_strcmp0(own, item->key))
 			relay_registration_key_removed(node->registration,
 						       item->revision);
 		return;
 	}
 	text = g_bytes_get_data(item->value, &size);
-	g_hash_table_replace(node->node_values, g_strdup(item->key),
+	g_hash_table_replace(node->hub_values, g_strdup(item->key),
 			     g_strndup(text, size));
 }
 
-/* Parses the value of a node's key: "DOMAIN IP:PORT". */
 static relay_peer_t *peer_parse(const char *key, const char *value)
 {
-	const char *space = strchr(value, ' ');
-	relay_peer_t *peer = g_new0(relay_peer_t, 1);
+	relay_peer_t *peer;
+	relay_hub_key_t hub;
 
-	if (!space || !endpoint_parse(space + 1, &peer->forwarding)) {
-		log_event(LOG_LEVEL_WARNING, "peer_invalid",
+	if (!relay_hub_key_decode(key, value, &hub)) {
+		log_event(LOG_LEVEL_WARNING, "hub_key_invalid",
 			  "key=%s value=\"%s\"", key, value);
-		g_free(peer);
 		return NULL;
 	}
-	peer->name = g_strdup(key + strlen(RELAY_NODES_PREFIX));
-	peer->failure_domain = g_strndup(value, (gsize)(space - value));
+	peer = g_new0(relay_peer_t, 1);
+	peer->name = hub.name;
+	peer->failure_domain = hub.domain;
+	peer->forwarding = hub.forwarding;
 	return peer;
 }
 
-static void update_nodes(relay_node_t *node)
+static void update_hubs(relay_node_t *node)
 {
 	GPtrArray *peers =
 		g_ptr_array_new_with_free_func((GDestroyNotify)relay_peer_free);
@@ -225,44 +233,127 @@
 	gpointer key;
 	gpointer value;
 
-	node->nodes_changed = false;
-	g_hash_table_iter_init(&iter, node->node_values);
+	node->hubs_changed = false;
+	g_hash_table_iter_init(&iter, node->hub_values);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		relay_peer_t *peer = peer_parse(key, value);
 
 		if (peer)
 			g_ptr_array_add(peers, peer);
 	}
+	relay_subscription_set_hubs(node->subscription, peers);
 	relay_services_set_nodes(node->services, peers);
 }
 
-static void on_changed(void *context, const kv_item_t *item)
+/*
+ * The store and several hubs report changes, each in its own order.
+ *
+ * @return the revision of the key that was applied last, 0 for none
+ */
+static int64_t applied_revision(const relay_node_t *node, const char *key)
+{
+	const int64_t *revision = g_hash_table_lookup(node->revisions, key);
+
+	return revision ? *revision : 0;
+}
+
+static void note_applied(relay_node_t *node, const kv_item_t *item)
+{
+	g_hash_table_replace(
+		node->revisions, g_strdup(item->key),
+		g_memdup2(&item->revision, sizeof(item->revision)));
+}
+
+/* @return whether the node uses the key; others are not passed on either */
+static bool is_followed(const relay_node_t *node, const char *key)
 {
-	relay_node_t *node = context;
 	const relay_source_t *source = node->platform.source;
 
+	return g_str_has_prefix(key, source->backends_prefix) ||
+	       g_str_has_prefix(key, source->catalog_prefix) ||
+	       g_str_has_prefix(key, RELAY_HUBS_PREFIX);
+}
+
+/* Applies a change of the configuration, a server or a hub. */
+static void apply_change(relay_node_t *node, const kv_item_t *item)
+{
+	const relay_source_t *source = node->platform.source;
+
+	if (!is_followed(node, item->key) ||
+	    item->revision <= applied_revision(node, item->key))
+		return;
+	note_applied(node, item);
 	if (g_str_has_prefix(item->key, source->backends_prefix))
 		on_backend(node, item);
 	else if (g_str_has_prefix(item->key, source->catalog_prefix))
 		on_catalog(node, item);
-	else if (g_str_has_prefix(item->key, RELAY_NODES_PREFIX))
-		on_node(node, item);
+	else
+		on_hub_key(node, item);
+}
+
+/*
+ * Applies a primary record. One that is read again is applied again: its
+ * service may have been unknown the first time.
+ */
+static void apply_primary(relay_node_t *node, const kv_item_t *item)
+{
+	if (item->revision < applied_revision(node, item->key))
+		return;
+	note_applied(node, item);
+	relay_coordinator_key_changed(node->coordinator, item);
+}
+
+static void changes_applied(relay_node_t *node)
+{
+	node->synced = true;
+	if (node->hubs_changed)
+		update_hubs(node);
+}
+
+static void on_changed(void *context, const kv_item_t *item)
+{
+	relay_node_t *node = context;
+
+	if (is_followed(node, item->key))
+		relay_hub_put(node->hub, HUB_STREAM_CATALOG, item);
+	apply_change(node, item);
 }
 
 static void on_synced(void *context, int64_t revision, uint64_t queried_ms)
 {
 	relay_node_t *node = context;
 
-	node->synced = true;
-	if (node->nodes_changed)
-		update_nodes(node);
+	changes_applied(node);
+	relay_hub_synced(node->hub, HUB_STREAM_CATALOG, revision);
 }
 
 static void on_primary(void *context, const kv_item_t *item)
 {
 	relay_node_t *node = context;
 
-	relay_coordinator_key_changed(node->coordinator, item);
+	relay_hub_put(node->hub, HUB_STREAM_PRIMARIES, item);
+	apply_primary(node, item);
+}
+
+static void on_hub_changed(void *context, hub_stream_t stream,
+			   const kv_item_t *item)
+{
+	relay_node_t *node = context;
+
+	if (stream == HUB_STREAM_CATALOG)
+		apply_change(node, item);
+	else
+		apply_primary(node, item);
+}
+
+static void on_hub_synced(void *context, hub_stream_t stream, int64_t revision)
+{
+	relay_node_t *node = context;
+
+	if (stream == HUB_STREAM_CATALOG)
+		changes_applied(node);
+	else
+		relay_coordinator_synced(node->coordinator);
 }
 
 static void on_takeover(void *context)
@@ -272,12 +363,23 @@
 	node->confirm_due = true;
 }
 
+/* All nodes that follow this hub know the takeover, or can use no proof. */
+static void on_takeover_settled(void *context, int64_t revision)
+{
+	relay_node_t *node = context;
+
+	relay_registration_confirm(node->registration, revision);
+}
+
 static void confirm_if_due(relay_node_t *node, int64_t revision)
 {
-	if (!node->confirm_due || !node->registration)
+	if (!node->confirm_due)
 		return;
 	node->confirm_due = false;
-	relay_registration_confirm(node->registration, revision);
+	/* A node that is registering reads the records afterwards. */
+	if (relay_registration_is_active(node->registration))
+		relay_hub_settle(node->hub, revision, on_takeover_settled,
+				 node);
 }
 
 static void on_primaries_synced(void *context, int64_t revision,
@@ -287,6 +389,7 @@
 
 	relay_coordinator_synced(node->coordinator);
 	relay_services_records_unchanged(node->services, revision, queried_ms);
+	relay_hub_synced(node->hub, HUB_STREAM_PRIMARIES, revision);
 	confirm_if_due(node, revision);
 }
 
@@ -301,6 +404,9 @@
 }
 
 static void read_primaries(void *context);
+static void start_hub(relay_node_t *node);
+static void open_hub(relay_node_t *node);
+static void stop_hub(relay_node_t *node);
 
 static void on_primaries(void *context, const kv_answer_t *answer)
 {
@@ -308,15 +414,18 @@
 	const struct timeval delay = clock_timeval(READ_RETRY_MS);
 
 	node->reading = false;
+	if (!node->hub)
+		return;
 	if (answer->result != KV_OK || answer->has_more) {
 		event_add(node->read_timer, &delay);
 		return;
 	}
 	for (guint i = 0; i < answer->items->len; i++)
-		relay_coordinator_key_changed(node->coordinator,
-					      answer->items->pdata[i]);
+		on_primary(node, answer->items->pdata[i]);
+	relay_coordinator_synced(node->coordinator);
 	relay_services_records_unchanged(node->services, answer->revision,
 					 node->read_sent_ms);
+	relay_hub_synced(node->hub, HUB_STREAM_PRIMARIES, answer->revision);
 	confirm_if_due(node, answer->revision);
 	log_event(LOG_LEVEL_INFO, "primaries_read",
 		  "revision=%" PRId64 " after_ms=%" PRIu64, answer->revision,
@@ -334,7 +443,7 @@
 	relay_node_t *node = context;
 
 	node->read_again = node->reading;
-	if (node->reading)
+	if (node->reading || !node->hub)
 		return;
 	node->reading = true;
 	node->read_sent_ms = clock_boot_ms();
@@ -352,6 +461,70 @@
 	kv_follow_restart(node->primaries);
 }
 
+static void on_claim_taken(void *context)
+{
+	relay_node_t *node = context;
+
+	stop_hub(node);
+	relay_join_taken(node->join);
+}
+
+static void on_proofs_settled(void *context, int64_t revision)
+{
+	relay_node_t *node = context;
+
+	relay_registration_settled(node->registration);
+}
+
+/* Before a new lease, all proofs that were given must have expired. */
+static void on_settle(void *context)
+{
+	relay_node_t *node = context;
+
+	relay_hub_settle(node->hub, DELEGATION_ALL, on_proofs_settled, node);
+}
+
+static void on_keys_listed(void *context, const GPtrArray *items)
+{
+	relay_node_t *node = context;
+
+	for (guint i = 0; i < items->len; i++)
+		apply_change(node, items->pdata[i]);
+	if (node->hubs_changed)
+		update_hubs(node);
+}
+
+static GHashTable *get_hubs(void *context)
+{
+	return ((relay_node_t *)context)->hub_values;
+}
+
+static uint64_t get_answered_ms(void *context)
+{
+	const relay_node_t *node = context;
+
+	return relay_subscription_answered_ms(node->subscription);
+}
+
+static void on_claim(void *context, const char *key, int64_t revision)
+{
+	relay_node_t *node = context;
+
+	start_hub(node);
+	relay_registration_claim(node->registration, key, revision,
+				 revision != 0);
+}
+
+static const endpoint_t *route_over_hub(void *context, const char *server,
+					uint32_t failures)
+{
+	const relay_node_t *node = context;
+
+	if (node->hub)
+		return NULL;
+	return relay_subscription_route(node->subscription, server, failures);
+}
+
 /* The first registration needs no restart: the watches were just started. */
 static void on_registered(void *context)
 {
@@ -360,6 +533,8 @@
 	read_primaries(node);
 	if (node->registered)
 		on_recovered(node);
+	else
+		open_hub(node);
 	node->registered = true;
 }
 
@@ -389,23 +564,121 @@
 
 static void on_drain(evutil_socket_t fd, short what, void *context);
 
-relay_node_t *relay_node_create(struct event_base *base,
-				const relay_settings_t *settings,
-				relay_platform_t platform, GError **error)
+static void start_following(relay_node_t *node)
 {
-	relay_node_t *node = g_new0(relay_node_t, 1);
-	const relay_registration_handlers_t handlers = {
+	kv_store_t *store = node->platform.store;
+
+	if (node->follow) {
+		kv_follow_resume(node->follow);
+		kv_follow_resume(node->primaries);
+		return;
+	}
+	node->follow = kv_follow_create(node->base, store, "", FOLLOW_PAUSE_MS,
+					(kv_follow_handlers_t){
+						.changed = on_changed,
+						.synced = on_synced,
+						.context = node,
+					});
+	node->primaries = kv_follow_create(
+		node->base, store, RELAY_PRIMARIES_PREFIX, PRIMARIES_PAUSE_MS,
+		(kv_follow_handlers_t){
+			.changed = on_primary,
+			.synced = on_primaries_synced,
+			.context = node,
+		});
+}
+
+/* Starts to follow the store, while the hub's key is being claimed. */
+static void start_hub(relay_node_t *node)
+{
+	node->hub = relay_hub_create(node->services);
+	relay_services_set_hub(node->services, true);
+	start_following(node);
+}
+
+/* Serves the nodes of the domain, once the key is claimed. */
+static void open_hub(relay_node_t *node)
+{
+	relay_forwarding_set_hub(node->forwarding, node->hub);
+	relay_coordinator_enable(node->coordinator);
+	node->proof = relay_proof_create(node->services, read_primaries, node);
+}
+
+/* Ends what start_hub() began. */
+static void stop_hub(relay_node_t *node)
+{
+	kv_follow_stop(node->follow);
+	kv_follow_stop(node->primaries);
+	relay_services_set_hub(node->services, false);
+	g_clear_pointer(&node->hub, relay_hub_destroy);
+}
+
+/* Creates what finds the hubs, follows them, and claims a hub's key. */
+static void create_hub_tasks(relay_node_t *node)
+{
+	const relay_settings_t *settings = node->settings;
+	const relay_registration_handlers_t registration_handlers = {
 		.registered = on_registered,
 		.recovered = on_recovered,
+		.taken = on_claim_taken,
+		.settle = on_settle,
+		.context = node,
+	};
+	const relay_join_handlers_t join_handlers = {
+		.listed = on_keys_listed,
+		.claim = on_claim,
+		.hubs = get_hubs,
+		.answered_ms = get_answered_ms,
+		.context = node,
+	};
+	const relay_subscription_handlers_t subscription_handlers = {
+		.changed = on_hub_changed,
+		.synced = on_hub_synced,
 		.context = node,
 	};
-	g_autofree char *description = NULL;
+	g_autofree char *description =
+		relay_hub_key_encode(settings->node, &settings->forwarding);
+
+	node->registration = relay_registration_create(
+		node->base, node->platform.store, node->services,
+		settings->node, description, registration_handlers);
+	node->subscription = relay_subscription_create(node->services,
+						       subscription_handlers);
+	node->join = relay_join_create(node->base, node->platform.store,
+				       settings, join_handlers);
+}
+
+/* Listens for callers, other nodes and the balancer. */
+static bool listen_all(relay_node_t *node, GError **error)
+{
+	const relay_settings_t *settings = node->settings;
+
+	node->callers =
+		relay_callers_create(node->base, node->platform.codec,
+				     node->services, &settings->callers, error);
+	if (node->callers)
+		node->forwarding = relay_forwarding_create(
+			node->services, &settings->forwarding, error);
+	if (node->forwarding)
+		node->page = relay_status_page_create(
+			node->base, &settings->readiness, &settings->metrics,
+			node->metrics, is_ready, update_gauges, node, error);
+	return node->page;
+}
+
+relay_node_t *relay_node_create(struct event_base *base,
+				const relay_settings_t *settings,
+				relay_platform_t platform, GError **error)
+{
+	relay_node_t *node = g_new0(relay_node_t, 1);
 
 	node->base = base;
 	node->settings = settings;
 	node->platform = platform;
 	node->metrics = metrics_create(METRIC_SERIES_MAX);
-	node->node_values =
+	node->hub_values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	node->revisions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->removals = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       removal_free);
@@ -418,49 +691,18 @@
 		.node = settings->node,
 		.failure_domain = settings->failure_domain,
 		.regions = settings->regions,
+		.hub = route_over_hub,
 		.on_connection_failure = report_connection_failure,
 		.context = node,
 	});
 	node->coordinator = relay_coordinator_create(
 		base, platform.store, node->services, platform.promoter,
 		settings->node, on_takeover, node);
-	description = g_strdup_printf("%s %s:%u", settings->failure_domain,
-				      settings->forwarding.address,
-				      settings->forwarding.port);
-	node->registration = relay_registration_create(
-		base, platform.store, node->services, settings->node,
-		description, handlers);
-	node->proof = relay_proof_create(node->services, read_primaries, node);
-	node->follow =
-		kv_follow_create(base, platform.store, "", FOLLOW_PAUSE_MS,
-				 (kv_follow_handlers_t){
-					 .changed = on_changed,
-					 .synced = on_synced,
-					 .context = node,
-				 });
-	node->primaries =
-		kv_follow_create(base, platform.store, RELAY_PRIMARIES_PREFIX,
-				 PRIMARIES_PAUSE_MS,
-				 (kv_follow_handlers_t){
-					 .changed = on_primary,
-					 .synced = on_primaries_synced,
-					 .context = node,
-				 });
-	node->callers =
-		relay_callers_create(base, platform.codec, node->services,
-				     &settings->callers, error);
-	if (node->callers)
-		node->forwarding = relay_forwarding_create(
-			node->services, &settings->forwarding, error);
-	if (node->forwarding)
-		node->page = relay_status_page_create(
-			base, &settings->readiness, &settings->metrics,
-			node->metrics, is_ready, update_gauges, node, error);
-	if (!node->page) {
-		relay_node_destroy(node);
-		return NULL;
-	}
-	return node;
+	create_hub_tasks(node);
+	if (listen_all(node, error))
+		return node;
+	relay_node_destroy(node);
+	return NULL;
 }
 
 void relay_node_destroy(relay_node_t *node)
@@ -470,17 +712,21 @@
 	relay_status_page_destroy(node->page);
 	relay_callers_destroy(node->callers);
 	relay_forwarding_destroy(node->forwarding);
+	relay_join_destroy(node->join);
+	relay_subscription_destroy(node->subscription);
 	kv_follow_destroy(node->follow);
 	kv_follow_destroy(node->primaries);
 	event_free(node->read_timer);
 	g_hash_table_destroy(node->removals);
 	relay_registration_destroy(node->registration);
 	relay_proof_destroy(node->proof);
+	relay_hub_destroy(node->hub);
 	relay_services_destroy(node->services);
 	relay_coordinator_destroy(node->coordinator);
 	kv_store_destroy(node->platform.store);
 	catalog_unref(node->catalog);
-	g_hash_table_destroy(node->node_values);
+	g_hash_table_destroy(node->hub_values);
+	g_hash_table_destroy(node->revisions);
 	event_free(node->drain_timer);
 	metrics_destroy(node->metrics);
 	g_free(node);
@@ -494,7 +740,11 @@
 		  "reason=%s callers=%u after_ms=%" PRIu64, reason,
 		  relay_callers_count(node->callers),
 		  clock_boot_ms() - node->drain_ms);
-	relay_registration_leave(node->registration);
+	/* Without its key a takeover would not wait for the proofs it gave. */
+	if (!node->hub || relay_hub_is_settled(node->hub))
+		relay_registration_leave(node->registration);
+	else
+		relay_services_forget_proofs(node->services);
 }
 
 static bool is_served(const relay_node_t *node)
@@ -546,6 +796,9 @@
 	log_event(LOG_LEVEL_NOTICE, "draining", "callers=%u",
 		  relay_callers_count(node->callers));
 	relay_coordinator_resign(node->coordinator);
+	relay_join_stop(node->join);
+	if (node->hub)
+		relay_hub_close(node->hub);
 	relay_callers_drain(node->callers);
 	event_add(node->drain_timer, &step);
 }
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -21,6 +21,9 @@
 /* Delay before a failed registration is retried. */
 #define REGISTER_RETRY_MS 200
 
+/* Validity of the proofs that an earlier run of the node may have given. */
+#define EARLIER_PROOFS_MS (PRIMARY_LEASE_VALID_MS + 100)
+
 /* Maximum number of unanswered renewals. */
 #define PENDING_RENEWALS_MAX 6
 
@@ -33,14 +36,20 @@
 	int64_t key_revision; /* revision of that key's last change */
 	bool confirming;      /* a confirmation is under way */
 	int64_t next_confirmation; /* revision to confirm next, or 0 */
-	char *node_key;
-	char *description; /* value of node_key */
+	int64_t seen_revision; /* highest revision confirmed for the lease */
+	char *hub_key;	       /* NULL before it is claimed */
+	int64_t hub_revision;  /* expected revision of that key */
+	bool claimed;	       /* the key was written by this run */
+	bool settling;	       /* waits for relay_registration_settled() */
+	uint64_t settled_ms;   /* when proofs of earlier runs have expired */
+	char *description;     /* value of hub_key */
 	struct event *timer;
-	GHashTable *calls;	   /* call_t, the calls under way */
-	uint32_t pending_renewals; /* renewals under way */
-	bool opening;		   /* a lease is being opened and registered */
-	bool leaving;		   /* the keys were removed permanently */
-	bool valid;		   /* validity last logged */
+	struct event *settled_timer; /* rewrites the record at settled_ms */
+	GHashTable *calls;	     /* call_t, the calls under way */
+	uint32_t pending_renewals;   /* renewals under way */
+	bool opening; /* a lease is being opened and registered */
+	bool leaving; /* the keys were removed permanently */
+	bool valid;   /* validity last logged */
 	relay_registration_handlers_t handlers;
 };
 
@@ -101,12 +110,20 @@
 	relay_registration_t *registration = call.registration;
 
 	registration->opening = false;
+	if (answer->result == KV_CONFLICT) {
+		log_event(LOG_LEVEL_NOTICE, "hub_key_taken", "key=%s",
+			  registration->hub_key);
+		g_clear_pointer(&registration->hub_key, g_free);
+		registration->handlers.taken(registration->handlers.context);
+		return;
+	}
 	if (answer->result != KV_OK) {
 		log_event(LOG_LEVEL_NOTICE, "registration_failed", "result=%s",
 			  kv_result_name(answer->result));
 		schedule(registration, REGISTER_RETRY_MS);
 		return;
 	}
+	registration->claimed = true;
 	registration->lease->lease = call.lease;
 	registration->lease->registered_at = answer->revision;
 	registration->key_revision = answer->revision;
@@ -118,12 +135,15 @@
 	registration->handlers.registered(registration->handlers.context);
 }
 
-static char *encode_record(int64_t lease, int64_t seen_revision)
+static char *encode_record(const relay_registration_t *registration,
+			   int64_t lease, int64_t seen_revision)
 {
+	const bool settled = clock_boot_ms() >= registration->settled_ms;
 	const lease_record_t record = {
 		.lease = lease,
 		.written_ms = g_get_real_time() / 1000,
-		.seen_revision = seen_revision,
+		.seen_revision =
+			MAX(seen_revision, settled ? LEASE_RECORD_SETTLED : 0),
 	};
 
 	return lease_record_encode(&record);
@@ -137,18 +157,25 @@
 	 * late cannot overwrite the record of the present lease.
 	 */
 	g_autofree char *value = g_strdup_printf("%" PRId64, lease);
-	g_autofree char *record = encode_record(lease, 0);
+	g_autofree char *record = encode_record(registration, lease, 0);
 	g_autofree char *old_key = g_steal_pointer(&registration->lease_key);
 	const char *const removals[] = {old_key};
 	g_autofree char *key = g_strdup_printf(RELAY_LEASES_PREFIX "%s/%s",
 					       registration->node, value);
+	/* After the first time the key is this node's, or nobody's. */
+	const kv_condition_t condition = {
+		.key = registration->hub_key,
+		.revision = registration->hub_revision,
+	};
 	const kv_put_t puts[] = {
 		{.key = key, .value = record},
-		{.key = registration->node_key,
+		{.key = registration->hub_key,
 		 .value = registration->description,
 		 .lease = lease},
 	};
 	const kv_transaction_t transaction = {
+		.conditions = &condition,
+		.conditions_count = registration->claimed ? 0 : 1,
 		.puts = puts,
 		.puts_count = G_N_ELEMENTS(puts),
 		.removals = removals,
@@ -157,6 +184,7 @@
 	call_t *call = call_new(registration, lease);
 
 	registration->lease_key = g_strdup(key);
+	registration->seen_revision = 0;
 	/* The lease counts from when opening it was requested. */
 	call->sent_ms = sent_ms;
 	registration->store->calls->commit(registration->store->self,
@@ -229,7 +257,8 @@
 {
 	relay_registration_t *registration = context;
 
-	if (registration->leaving || registration->opening)
+	if (registration->leaving || registration->opening ||
+	    registration->settling || !registration->hub_key)
 		return;
 	log_validity(registration);
 	if (registration->lease->lease &&
@@ -237,13 +266,20 @@
 		    registration->lease->renewed_ms + RELAY_LEASE_AGE_MAX_MS)
 		relay_services_forget_proofs(registration->services);
 	if (!registration->lease->lease) {
-		open_lease(registration);
+		registration->settling = true;
+		registration->handlers.settle(registration->handlers.context);
 		return;
 	}
 	renew(registration);
 	schedule(registration, RENEW_MS);
 }
 
+/* Earlier proofs have expired: the record now stands for earlier leases. */
+static void on_settled_timer(evutil_socket_t fd, short what, void *context)
+{
+	relay_registration_confirm(context, LEASE_RECORD_SETTLED);
+}
+
 relay_registration_t *
 relay_registration_create(struct event_base *base, kv_store_t *store,
 			  relay_services_t *services, const char *node,
@@ -256,25 +292,61 @@
 	registration->services = services;
 	registration->lease = relay_services_lease(services);
 	registration->node = g_strdup(node);
-	registration->node_key = g_strconcat(RELAY_NODES_PREFIX, node, NULL);
 	registration->description = g_strdup(description);
 	registration->calls = g_hash_table_new_full(
 		g_direct_hash, g_direct_equal, g_free, NULL);
 	registration->timer = evtimer_new(base, on_timer, registration);
+	registration->settled_timer =
+		evtimer_new(base, on_settled_timer, registration);
 	registration->handlers = handlers;
-	schedule(registration, 0);
 	return registration;
 }
 
+void relay_registration_claim(relay_registration_t *registration,
+			      const char *key, int64_t revision, bool restarted)
+{
+	const struct timeval delay = clock_timeval(EARLIER_PROOFS_MS);
+
+	g_free(registration->hub_key);
+	registration->hub_key = g_strdup(key);
+	registration->hub_revision = revision;
+	if (restarted && !registration->settled_ms) {
+		registration->settled_ms = clock_boot_ms() + EARLIER_PROOFS_MS;
+		event_add(registration->settled_timer, &delay);
+	}
+	schedule(registration, 0);
+}
+
+const char *relay_registration_key(const relay_registration_t *registration)
+{
+	return registration->hub_key;
+}
+
+void relay_registration_settled(relay_registration_t *registration)
+{
+	if (!registration->settling)
+		return;
+	registration->settling = false;
+	if (!registration->leaving)
+		open_lease(registration);
+}
+
+bool relay_registration_is_active(const relay_registration_t *registration)
+{
+	return !registration->leaving && !registration->opening &&
+	       !registration->settling && registration->lease->lease;
+}
+
 void relay_registration_destroy(relay_registration_t *registration)
 {
 	if (!registration)
 		return;
 	event_free(registration->timer);
+	event_free(registration->settled_timer);
 	g_hash_table_destroy(registration->calls);
 	g_free(registration->node);
 	g_free(registration->lease_key);
-	g_free(registration->node_key);
+	g_free(registration->hub_key);
 	g_free(registration->description);
 	g_free(registration);
 }
@@ -282,8 +354,7 @@
 void relay_registration_key_removed(relay_registration_t *registration,
 				    int64_t revision)
 {
-	if (registration->leaving || registration->opening ||
-	    !registration->lease->lease ||
+	if (!relay_registration_is_active(registration) ||
 	    revision <= registration->lease->registered_at)
 		return;
 	log_event(LOG_LEVEL_NOTICE, "registration_removed", "lease=%" PRId64,
@@ -294,8 +365,7 @@
 
 void relay_registration_renew(relay_registration_t *registration)
 {
-	if (registration->leaving || registration->opening ||
-	    !registration->lease->lease)
+	if (!relay_registration_is_active(registration))
 		return;
 	relay_services_forget_proofs(registration->services);
 	schedule(registration, 0);
@@ -328,7 +398,8 @@
 static void confirm(relay_registration_t *registration, int64_t revision)
 {
 	const int64_t lease = registration->lease->lease;
-	g_autofree char *record = encode_record(lease, revision);
+	const int64_t seen = MAX(registration->seen_revision, revision);
+	g_autofree char *record = encode_record(registration, lease, seen);
 	const kv_condition_t condition = {
 		.key = registration->lease_key,
 		.revision = registration->key_revision,
@@ -341,6 +412,7 @@
 		.puts_count = 1,
 	};
 
+	registration->seen_revision = seen;
 	registration->confirming = true;
 	registration->store->calls->commit(registration->store->self,
 					   &transaction, on_confirmed,
@@ -351,8 +423,7 @@
 				int64_t revision)
 {
 	/* A node that is registering reads the records afterwards. */
-	if (registration->leaving || registration->opening ||
-	    !registration->lease->lease)
+	if (!relay_registration_is_active(registration))
 		return;
 	/* Each confirmation is conditional on the previous one. */
 	if (registration->confirming)
@@ -364,7 +435,7 @@
 void relay_registration_leave(relay_registration_t *registration)
 {
 	const char *const removals[] = {registration->lease_key,
-					registration->node_key};
+					registration->hub_key};
 	const kv_transaction_t transaction = {
 		.removals = removals,
 		.removals_count = G_N_ELEMENTS(removals),
--- a/src/relay/relay_registration.h
+++ b/src/relay/relay_registration.h
@@ -17,8 +17,11 @@
 /** Maximum time without the store during which a node may use any proof. */
 #define RELAY_LEASE_AGE_MAX_MS (30u * 60 * 1000)
 
-/** Prefix of the keys of live nodes; a key is removed with its node's lease. */
-#define RELAY_NODES_PREFIX "toucanhook/nodes/"
+/**
+ * Prefix of the keys DOMAIN/SLOT of the hubs, see hub_slots.h; a key is removed
+ * with its node's lease.
+ */
+#define RELAY_HUBS_PREFIX "toucanhook/hubs/"
 
 /**
  * Maintains the node's own lease at the store: opens, registers and renews the
@@ -31,12 +34,20 @@
 	void (*registered)(void *context);
 	/** The store answers again after an outage. */
 	void (*recovered)(void *context);
+	/** The claimed key belongs to another node; nothing was registered. */
+	void (*taken)(void *context);
+	/**
+	 * Asks to call relay_registration_settled() once no other node can use
+	 * a proof that this node gave; a new lease is registered then.
+	 */
+	void (*settle)(void *context);
 	void *context;
 } relay_registration_handlers_t;
 
 /**
- * @param description value of the node's key below RELAY_NODES_PREFIX, which
- *        other nodes read
+ * Nothing is registered before relay_registration_claim().
+ *
+ * @param description value of the hub's key, which other nodes read
  */
 relay_registration_t *
 relay_registration_create(struct event_base *base, kv_store_t *store,
@@ -44,11 +55,31 @@
 			  const char *description,
 			  relay_registration_handlers_t handlers);
 
+/**
+ * Registers the node with a key below RELAY_HUBS_PREFIX.
+ *
+ * @param revision  revision of the key, 0 if it must not exist
+ * @param restarted whether an earlier run of this node may have given proofs
+ *        that other nodes still use
+ */
+void relay_registration_claim(relay_registration_t *registration,
+			      const char *key, int64_t revision,
+			      bool restarted);
+
+/** @return the key of this hub, or NULL before relay_registration_claim() */
+const char *relay_registration_key(const relay_registration_t *registration);
+
+/** See relay_registration_handlers_t. */
+void relay_registration_settled(relay_registration_t *registration);
+
+/** @return whether a lease is registered and no new one is being registered */
+bool relay_registration_is_active(const relay_registration_t *registration);
+
 /** Must be called before the store is destroyed. */
 void relay_registration_destroy(relay_registration_t *registration);
 
 /**
- * Handles the removal of the node's key at @p revision. If the removal came
+ * Handles the removal of the hub's key at @p revision. If the removal came
  * after the registration, the node registers a new lease.
  */
 void relay_registration_key_removed(relay_registration_t *registration,
--- a/src/relay/relay_revocation.c
+++ b/src/relay/relay_revocation.c
@@ -92,7 +92,19 @@
 		       2 * (int64_t)RELAY_LEASE_AGE_MAX_MS;
 }
 
-/* @return whether the key's node has another lease in the store */
+/* @return whether the record stands for the node's earlier leases as well */
+static bool stands_for_earlier(const kv_item_t *item)
+{
+	lease_record_t record;
+
+	return lease_record_decode(item->value, &record) &&
+	       record.seen_revision >= LEASE_RECORD_SETTLED;
+}
+
+/*
+ * @return whether the key's node has another lease in the store that stands
+ *         for this one
+ */
 static bool has_newer(const relay_revocation_t *revocation, const char *key)
 {
 	const char *lease = strrchr(key, '/');
@@ -102,7 +114,8 @@
 	for (guint i = 0; i < items->len; i++) {
 		const kv_item_t *item = items->pdata[i];
 
-		if (!strncmp(item->key, key, size) && strcmp(item->key, key))
+		if (!strncmp(item->key, key, size) &&
+		    strcmp(item->key, key) != 0 && stands_for_earlier(item))
 			return true;
 	}
 	return false;
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -22,6 +22,12 @@
 /* Idle time after which a connection above the share is closed. */
 #define IDLE_MS 400
 
+/* Idle time of a connection over a hub; it occupies no server connection. */
+#define HUB_IDLE_MS 10000
+
+/* Time after which failures of hubs are forgotten. */
+#define HUB_FAILURES_MS 3000
+
 /*
  * Time without data on any connection after which a server counts as cut off.
  */
@@ -54,6 +60,8 @@
 	uint64_t full_until_ms; /* time until which only the share is opened */
 	/* Time until which connections are forwarded. */
 	uint64_t forwarding_until_ms;
+	uint32_t hub_failures;	/* connections over hubs that failed lately */
+	uint64_t hub_failed_ms; /* when the last of them failed */
 	struct event *close_idle_event; /* closes idle links above the share */
 	wait_queue_t queue;
 	struct event *serve_event;   /* serves the queue, or frees the server */
@@ -97,6 +105,33 @@
 		MIN(2 * server->reconnect_delay_ms, RECONNECT_DELAY_MS_MAX);
 }
 
+static uint32_t hub_failures(const relay_server_t *server, uint64_t now_ms)
+{
+	return now_ms < server->hub_failed_ms + HUB_FAILURES_MS ?
+		       server->hub_failures :
+		       0;
+}
+
+/* @return the hub to connect through, or NULL to connect directly */
+static const endpoint_t *hub_endpoint(const relay_server_t *server,
+				      uint64_t now_ms)
+{
+	return server->host->hub(server->host->context, server,
+				 hub_failures(server, now_ms));
+}
+
+/* The next connection goes over another hub, in the end directly. */
+static void hub_failed(relay_server_t *server)
+{
+	const uint64_t now_ms = clock_boot_ms();
+
+	if (!hub_endpoint(server, now_ms))
+		return;
+	server->hub_failures = hub_failures(server, now_ms) + 1;
+	server->hub_failed_ms = now_ms;
+	server->reconnect_at_ms = 0;
+}
+
 /*
  * Handles the failure of a forwarded connection. If the server was full, it may
  * have room again and is tried directly; if it is unreachable, the next node is
@@ -104,6 +139,7 @@
  */
 static void forwarding_failed(relay_server_t *server)
 {
+	hub_failed(server);
 	if (server->is_full)
 		server->forwarding_until_ms = 0;
 }
@@ -205,8 +241,13 @@
 static const endpoint_t *forwarding_endpoint(const relay_server_t *server,
 					     uint64_t now_ms)
 {
-	if (now_ms >= server->forwarding_until_ms || has_direct_waiter(server))
+	const endpoint_t *hub;
+
+	if (has_direct_waiter(server))
 		return NULL;
+	hub = hub_endpoint(server, now_ms);
+	if (hub || now_ms >= server->forwarding_until_ms)
+		return hub;
 	return server->host->forwarding_node(server->host->context, server);
 }
 
@@ -422,6 +463,12 @@
 	return oldest;
 }
 
+static uint64_t idle_limit_ms(const relay_link_t *link, bool over_hub)
+{
+	return over_hub && relay_link_is_forwarded(link) ? HUB_IDLE_MS :
+							   IDLE_MS;
+}
+
 /*
  * Closes idle connections above the share. The oldest connection is kept
  * because it can prove which server is primary.
@@ -431,20 +478,23 @@
 	relay_server_t *server = context;
 	const relay_link_t *oldest = server->share ? oldest_open(server) : NULL;
 	const uint64_t now_ms = clock_boot_ms();
+	const bool over_hub = hub_endpoint(server, now_ms);
 
 	for (guint i = server->idle->len;
 	     i > 0 && server->links->len > server->share; i--) {
 		relay_link_t *link = server->idle->pdata[i - 1];
 
 		if (link == oldest ||
-		    now_ms < relay_link_last_received_ms(link) + IDLE_MS)
+		    now_ms < relay_link_last_received_ms(link) +
+				     idle_limit_ms(link, over_hub))
 			continue;
 		g_ptr_array_remove_index_fast(server->idle, i - 1);
 		g_ptr_array_remove_fast(server->links, link);
 		relay_link_destroy(link);
 	}
 	if (server->links->len > server->share)
-		close_idle_after(server, IDLE_MS / 2);
+		close_idle_after(server,
+				 over_hub ? HUB_IDLE_MS / 4 : IDLE_MS / 2);
 }
 
 static void server_free(relay_server_t *server);
@@ -578,8 +628,8 @@
 void relay_server_discard(relay_server_t *server, relay_link_t *link)
 {
 	record_received(server, link, relay_link_last_received_ms(link));
-	if (relay_link_is_forwarded(link))
-		forwarding_failed(server);
+	if (relay_link_is_forwarded(link) && server->is_full)
+		server->forwarding_until_ms = 0;
 	g_ptr_array_remove_fast(server->granted, link);
 	g_ptr_array_remove_fast(server->links, link);
 	relay_link_destroy(link);
@@ -594,17 +644,20 @@
 }
 
 /*
- * Switches to forwarded connections. The server does not answer at all, so that
- * its idle connections are useless and new direct ones would hang.
+ * Switches to other connections. The server does not answer at all, so that its
+ * idle connections are useless and new ones on the same way would hang.
  */
 static void switch_to_forwarding(relay_server_t *server, uint64_t now_ms)
 {
+	const bool over_hub = hub_endpoint(server, now_ms);
+
 	server->forwarding_until_ms = now_ms + FORWARDING_MS;
 	server->reconnect_at_ms = 0;
+	hub_failed(server);
 	for (guint i = server->idle->len; i > 0; i--) {
 		relay_link_t *link = server->idle->pdata[i - 1];
 
-		if (relay_link_is_forwarded(link))
+		if (relay_link_is_forwarded(link) != over_hub)
 			continue;
 		g_ptr_array_remove_index_fast(server->idle, i - 1);
 		g_ptr_array_remove_fast(server->links, link);
@@ -617,6 +670,11 @@
 	serve_queue_after(server, 0);
 }
 
+void relay_server_forwarding_refused(relay_server_t *server)
+{
+	hub_failed(server);
+}
+
 void relay_server_record_timeout(relay_server_t *server)
 {
 	const uint64_t now_ms = clock_boot_ms();
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -45,6 +45,13 @@
 	 */
 	void (*opened)(void *context, relay_server_t *server, log_point_t point,
 		       uint64_t requested_ms);
+	/**
+	 * @param failures connections over hubs that failed lately
+	 * @return the hub to connect through, or NULL if this node connects to
+	 *         the server itself
+	 */
+	const endpoint_t *(*hub)(void *context, const relay_server_t *server,
+				 uint32_t failures);
 	/** @return a node that may forward a connection, or NULL */
 	const endpoint_t *(*forwarding_node)(void *context,
 					     const relay_server_t *server);
@@ -104,6 +111,9 @@
 /** Records the time from sending a statement to its answer. */
 void relay_server_record_run_time(relay_server_t *server, uint64_t run_ms);
 
+/** Records that the forwarding node of a connection could not use it. */
+void relay_server_forwarding_refused(relay_server_t *server);
+
 /** Records that a statement got no answer in time. */
 void relay_server_record_timeout(relay_server_t *server);
 
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -34,8 +34,9 @@
 	relay_server_host_t host;
 	node_lease_t lease;
 	const catalog_t *catalog;
-	GPtrArray *nodes;   /* relay_peer_t, or NULL before any node is known */
-	uint32_t next_node; /* rotates over the nodes */
+	GPtrArray *nodes; /* relay_peer_t, hubs, or NULL before any is known */
+	uint32_t next_node;   /* rotates over the nodes */
+	bool is_hub;	      /* keeps connections to the servers */
 	GHashTable *services; /* name -> relay_service_t */
 };
 
@@ -81,6 +82,15 @@
 static const endpoint_t *pick_endpoint(void *context,
 				       const relay_server_t *server);
 
+static const endpoint_t *pick_hub(void *context, const relay_server_t *server,
+				  uint32_t failures)
+{
+	const relay_services_t *services = context;
+
+	return services->settings.hub(services->settings.context,
+				      relay_server_entry(server)->id, failures);
+}
+
 relay_services_t *relay_services_create(relay_services_settings_t settings)
 {
 	relay_services_t *services = g_new0(relay_services_t, 1);
@@ -90,6 +100,7 @@
 		.base = settings.base,
 		.codec = settings.codec,
 		.opened = on_opened,
+		.hub = pick_hub,
 		.forwarding_node = pick_endpoint,
 		.on_connection_failure = report_connection_failure,
 		.context = services,
@@ -214,7 +225,10 @@
 			.nodes_far = nodes_all(services) - near,
 		};
 
-		if (limits && services->nodes)
+		if (limits && services->nodes && !services->is_hub)
+			relay_server_set_limit(server, 0,
+					       connection_share_max(&input));
+		else if (limits && services->nodes)
 			relay_server_set_limit(
 				server, MAX(connection_share(&input), prover),
 				connection_share_max(&input));
@@ -267,6 +281,12 @@
 	apply_all_limits(services);
 }
 
+void relay_services_set_hub(relay_services_t *services, bool is_hub)
+{
+	services->is_hub = is_hub;
+	apply_all_limits(services);
+}
+
 static bool can_forward(const relay_services_t *services,
 			const relay_peer_t *peer, const char *domain)
 {
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -24,6 +24,12 @@
 	const char *node;
 	const char *failure_domain;
 	GHashTable *regions; /**< failure domain -> region */
+	/**
+	 * @return where to reach a server over a hub; NULL if this node is a
+	 *         hub itself or no hub answers
+	 */
+	const endpoint_t *(*hub)(void *context, const char *server,
+				 uint32_t failures);
 	/** Called when connections to a server failed. */
 	void (*on_connection_failure)(void *context, const char *service,
 				      const char *server);
@@ -54,7 +60,7 @@
 void relay_services_configure(relay_services_t *services,
 			      const catalog_t *catalog);
 
-/** A live node; other nodes may forward statements over its connections. */
+/** A hub; other nodes may forward statements over its connections. */
 typedef struct {
 	char *name;
 	char *failure_domain;
@@ -64,12 +70,18 @@
 void relay_peer_free(relay_peer_t *peer);
 
 /**
- * Sets the list of live nodes, including this one.
+ * Sets the list of hubs, including this node if it is one.
  *
  * @param peers relay_peer_t; ownership is transferred
  */
 void relay_services_set_nodes(relay_services_t *services, GPtrArray *peers);
 
+/**
+ * Sets whether this node is a hub, which keeps connections to the servers.
+ * Other nodes reach the servers over hubs and keep none.
+ */
+void relay_services_set_hub(relay_services_t *services, bool is_hub);
+
 /**
  * @return whether this node is a prover: it keeps a connection to every server
  *         even where there are too few for all nodes, and proves the primaries
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -437,10 +437,11 @@
 static void dispatch(relay_session_t *session)
 {
 	session->host->codec->parse(session->message.text, &session->command);
-	/* Only nodes may send log points, RESET and PROVE. */
+	/* Only nodes may send log points, RESET, PROVE and FOLLOW. */
 	if (session->command.after.term ||
 	    session->command.kind == COMMAND_RESET ||
-	    session->command.kind == COMMAND_PROVE)
+	    session->command.kind == COMMAND_PROVE ||
+	    session->command.kind == COMMAND_FOLLOW)
 		session->command.kind = COMMAND_INVALID;
 	if (session->transaction == TRANSACTION_FAILED) {
 		dispatch_failed(session);
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -11,14 +11,15 @@
 typedef struct {
 	char *node;
 	char *failure_domain;
-	GHashTable *regions;   /**< failure domain -> region, both owned */
-	endpoint_t callers;    /**< listens for callers */
-	endpoint_t readiness;  /**< HTTP readiness check */
-	endpoint_t metrics;    /**< HTTP metrics */
-	endpoint_t forwarding; /**< forwards the statements of other nodes */
-	endpoint_t store;      /**< key-value store */
-	endpoint_t control;    /**< the platform's promotion interface */
-	uint32_t grace_ms;     /**< time from the stop signal to the kill */
+	GHashTable *regions;	/**< failure domain -> region, both owned */
+	endpoint_t callers;	/**< listens for callers */
+	endpoint_t readiness;	/**< HTTP readiness check */
+	endpoint_t metrics;	/**< HTTP metrics */
+	endpoint_t forwarding;	/**< forwards the statements of other nodes */
+	endpoint_t store;	/**< key-value store */
+	endpoint_t control;	/**< the platform's promotion interface */
+	double processor_share; /**< processor of the VM, in cores */
+	uint32_t grace_ms;	/**< time from the stop signal to the kill */
 } relay_settings_t;
 
 /** Frees the settings; NULL is allowed. */
--- /dev/null
+++ b/src/relay/relay_subscription.c
@@ -0,0 +1,509 @@
+#include "relay/relay_subscription.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordination/hub_slots.h"
+#include "coordination/owner.h"
+#include "relay/relay_link.h"
+
+/* Interval of checking the connections. */
+#define TICK_MS 100
+
+/*
+ * Time after which a hub without an answer counts as unresponsive: it holds a
+ * request for up to 400 ms.
+ */
+#define ANSWER_TIMEOUT_MS 750
+
+/* Timeout of opening a connection. */
+#define OPEN_TIMEOUT_MS 400
+
+/* Delay before a hub is tried again after a failure. */
+#define RETRY_MS 150
+
+/* Further time without a proof of the domain's hubs until others are asked. */
+#define FAR_AFTER_MS 400
+
+/* Number of hubs in other domains that are asked then. */
+#define FAR_HUBS 2
+
+/* A hub and the connection to it. */
+typedef struct {
+	relay_subscription_t *subscription;
+	char *name;
+	bool near; /* in this node's failure domain */
+	endpoint_t endpoint;
+	uint64_t weight;      /* rank among the hubs of other domains */
+	relay_link_t *link;   /* NULL while not connected */
+	uint64_t since_ms;    /* when the connection or request was sent */
+	bool asking;	      /* a request is unanswered */
+	uint64_t answered_ms; /* when the last answer came, 0 before */
+	uint64_t retry_ms;    /* no connection is opened before then */
+	uint64_t until_ms;    /* end of its proof of all primaries */
+	GPtrArray *proofs;    /* hub_proof_t on this node's clock, or NULL */
+} hub_t;
+
+struct relay_subscription {
+	relay_services_t *services;
+	relay_subscription_handlers_t handlers;
+	struct event *timer;
+	GPtrArray *hubs; /* hub_t */
+	int64_t revisions[HUB_STREAM_COUNT];
+	GHashTable *known[HUB_STREAM_COUNT]; /* set of reported keys */
+	uint64_t answered_ms;		     /* when any hub last answered */
+	uint64_t near_proved_ms; /* when one of this domain gave a proof */
+};
+
+static void ask(hub_t *hub);
+
+static const relay_services_settings_t *settings_of(const hub_t *hub)
+{
+	return relay_services_settings(hub->subscription->services);
+}
+
+static void hub_disconnect(hub_t *hub)
+{
+	g_clear_pointer(&hub->link, relay_link_destroy);
+	hub->asking = false;
+}
+
+static void hub_free(gpointer data)
+{
+	hub_t *hub = data;
+
+	hub_disconnect(hub);
+	g_clear_pointer(&hub->proofs, g_ptr_array_unref);
+	g_free(hub->endpoint.address);
+	g_free(hub->name);
+	g_free(hub);
+}
+
+static bool is_answering(const hub_t *hub, uint64_t now_ms)
+{
+	return hub->link && hub->answered_ms &&
+	       now_ms < hub->answered_ms + ANSWER_TIMEOUT_MS;
+}
+
+static void hub_failed(hub_t *hub, const char *reason)
+{
+	log_event(LOG_LEVEL_INFO, "hub_lost", "hub=%s reason=%s", hub->name,
+		  reason);
+	hub_disconnect(hub);
+	hub->retry_ms = clock_boot_ms() + RETRY_MS;
+}
+
+/* Proofs are on the hub's clock; this returns a time that is not later. */
+static uint64_t local_ms(const hub_answer_t *answer, uint64_t sent_ms,
+			 uint64_t hub_ms)
+{
+	const int64_t offset_ms =
+		(int64_t)sent_ms - (int64_t)answer->received_ms;
+
+	return hub_ms ? (uint64_t)MAX((int64_t)hub_ms + offset_ms, 0) : 0;
+}
+
+/* @return the end of a hub's proof of a service's primary, or 0 */
+static uint64_t proof_until_ms(const hub_t *hub, const char *service,
+			       uint64_t term)
+{
+	uint64_t until_ms = hub->until_ms;
+
+	for (guint i = 0; hub->proofs && i < hub->proofs->len; i++) {
+		const hub_proof_t *proof = hub->proofs->pdata[i];
+
+		if (proof->term == term && !strcmp(proof->service, service))
+			until_ms = MAX(until_ms, proof->until_ms);
+	}
+	return until_ms;
+}
+
+static void apply_proofs(relay_subscription_t *subscription)
+{
+	g_autoptr(GPtrArray) names =
+		relay_services_names(subscription->services);
+
+	for (guint i = 0; i < names->len; i++) {
+		primary_lease_t *lease =
+			relay_service_lease(relay_services_find(
+				subscription->services, names->pdata[i]));
+		uint64_t until_ms = 0;
+
+		for (guint j = 0; j < subscription->hubs->len; j++)
+			until_ms = MAX(
+				until_ms,
+				proof_until_ms(subscription->hubs->pdata[j],
+					       names->pdata[i], lease->term));
+		primary_lease_delegated(lease, until_ms);
+	}
+	relay_services_wake(subscription->services);
+}
+
+static void take_proofs(hub_t *hub, hub_answer_t *answer, uint64_t sent_ms)
+{
+	hub->until_ms = local_ms(answer, sent_ms, answer->until_ms);
+	g_clear_pointer(&hub->proofs, g_ptr_array_unref);
+	for (guint i = 0; i < answer->proofs->len; i++) {
+		hub_proof_t *proof = answer->proofs->pdata[i];
+
+		proof->until_ms = local_ms(answer, sent_ms, proof->until_ms);
+	}
+	if (answer->proofs->len)
+		hub->proofs = g_ptr_array_ref(answer->proofs);
+}
+
+static void apply_samples(relay_subscription_t *subscription,
+			  const hub_answer_t *answer, uint64_t sent_ms)
+{
+	for (guint i = 0; i < answer->samples->len; i++) {
+		const hub_sample_t *sample = answer->samples->pdata[i];
+		relay_service_t *service = relay_services_find(
+			subscription->services, sample->service);
+
+		if (service &&
+		    relay_service_lease(service)->term == sample->term)
+			point_samples_add(
+				relay_service_samples(service),
+				local_ms(answer, sent_ms, sample->sampled_ms),
+				sample->point);
+	}
+}
+
+static void apply_item(relay_subscription_t *subscription, hub_stream_t stream,
+		       const kv_item_t *item)
+{
+	GHashTable *known = subscription->known[stream];
+
+	if (item->deleted)
+		g_hash_table_remove(known, item->key);
+	else
+		g_hash_table_add(known, g_strdup(item->key));
+	subscription->handlers.changed(subscription->handlers.context, stream,
+				       item);
+}
+
+/* Reports the removal of all keys that a whole answer does not have. */
+static void apply_absence(relay_subscription_t *subscription,
+			  hub_stream_t stream, const hub_changes_t *changes)
+{
+	g_autoptr(GHashTable) present =
+		g_hash_table_new(g_str_hash, g_str_equal);
+	g_autoptr(GPtrArray) absent = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer key;
+
+	for (guint i = 0; i < changes->items->len; i++)
+		g_hash_table_add(present,
+				 ((kv_item_t *)changes->items->pdata[i])->key);
+	g_hash_table_iter_init(&iter, subscription->known[stream]);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		if (!g_hash_table_contains(present, key))
+			g_ptr_array_add(absent, g_strdup(key));
+	for (guint i = 0; i < absent->len; i++) {
+		const kv_item_t item = {.key = absent->pdata[i],
+					.revision = changes->revision,
+					.deleted = true};
+
+		apply_item(subscription, stream, &item);
+	}
+}
+
+static void apply_changes(relay_subscription_t *subscription,
+			  hub_stream_t stream, const hub_changes_t *changes)
+{
+	int64_t *revision = &subscription->revisions[stream];
+
+	/* A hub that is behind has nothing new. */
+	if (changes->revision < *revision || !changes->revision)
+		return;
+	if (changes->whole)
+		apply_absence(subscription, stream, changes);
+	for (guint i = 0; i < changes->items->len; i++)
+		apply_item(subscription, stream, changes->items->pdata[i]);
+	*revision = changes->revision;
+	subscription->handlers.synced(subscription->handlers.context, stream,
+				      *revision);
+}
+
+static void apply_answer(hub_t *hub, hub_answer_t *answer, uint64_t sent_ms)
+{
+	relay_subscription_t *subscription = hub->subscription;
+
+	for (uint32_t i = 0; i < HUB_STREAM_COUNT; i++)
+		apply_changes(subscription, (hub_stream_t)i,
+			      &answer->changes[i]);
+	take_proofs(hub, answer, sent_ms);
+	apply_samples(subscription, answer, sent_ms);
+	apply_proofs(subscription);
+}
+
+/* Whether the hub still exists; a change may have removed it from the list. */
+static bool is_listed(const relay_subscription_t *subscription,
+		      const hub_t *hub)
+{
+	return g_ptr_array_find(subscription->hubs, hub, NULL);
+}
+
+static void on_answer(void *context, const relay_answer_t *link_answer)
+{
+	hub_t *hub = context;
+	relay_subscription_t *subscription = hub->subscription;
+	const uint64_t now_ms = clock_boot_ms();
+	g_autoptr(GError) error = NULL;
+	g_autoptr(hub_answer_t) answer = NULL;
+
+	hub->asking = false;
+	if (link_answer->broken)
+		return;
+	if (!link_answer->failed && link_answer->rows)
+		answer = hub_answer_decode(link_answer->rows, &error);
+	if (!answer) {
+		hub_failed(hub, error ? error->message : "refused");
+		return;
+	}
+	if (!hub->answered_ms)
+		log_event(LOG_LEVEL_NOTICE, "hub_answered", "hub=%s near=%d",
+			  hub->name, hub->near);
+	hub->answered_ms = now_ms;
+	subscription->answered_ms = now_ms;
+	/* A hub that the store turns away answers, but may know nothing new. */
+	if (hub->near && answer->until_ms)
+		subscription->near_proved_ms = now_ms;
+	apply_answer(hub, answer, link_answer->sent_ms);
+	if (is_listed(subscription, hub) && hub->link)
+		ask(hub);
+}
+
+static void ask(hub_t *hub)
+{
+	const relay_subscription_t *subscription = hub->subscription;
+	hub_request_t request;
+	g_autofree char *arguments = NULL;
+	g_autofree char *text = NULL;
+
+	memcpy(request.revisions, subscription->revisions,
+	       sizeof(request.revisions));
+	arguments = hub_request_encode(&request);
+	text = settings_of(hub)->codec->text_follow(arguments);
+	hub->asking = true;
+	hub->since_ms = clock_boot_ms();
+	relay_link_run(hub->link, NULL, (log_point_t){0}, text, on_answer, hub);
+}
+
+static void on_opened(void *context, relay_link_t *link, log_point_t point,
+		      uint64_t requested_ms)
+{
+	ask(context);
+}
+
+static void on_closed(void *context, relay_link_t *link, relay_error_t error,
+		      bool was_open)
+{
+	hub_failed(context, relay_error_name(error));
+}
+
+static void hub_connect(hub_t *hub, uint64_t now_ms)
+{
+	static char service[] = RELAY_HUB_SERVICE;
+	static const backend_entry_t entry = {.id = service,
+					      .service = service};
+	const relay_link_handlers_t handlers = {
+		.opened = on_opened,
+		.closed = on_closed,
+		.context = hub,
+	};
+
+	hub->since_ms = now_ms;
+	hub->link =
+		relay_link_open(settings_of(hub)->base, settings_of(hub)->codec,
+				&entry, &hub->endpoint, handlers);
+}
+
+static void hub_step(hub_t *hub, bool wanted, uint64_t now_ms)
+{
+	if (!wanted) {
+		hub_disconnect(hub);
+		return;
+	}
+	if (!hub->link) {
+		if (now_ms >= hub->retry_ms)
+			hub_connect(hub, now_ms);
+		return;
+	}
+	if (hub->asking && now_ms >= hub->since_ms + ANSWER_TIMEOUT_MS)
+		hub_failed(hub, "unresponsive");
+	else if (!hub->asking && now_ms >= hub->since_ms + OPEN_TIMEOUT_MS)
+		hub_failed(hub, "open_timeout");
+}
+
+/* @return the rank of a hub among those of other domains, from 0 */
+static uint32_t far_rank(const relay_subscription_t *subscription,
+			 const hub_t *hub)
+{
+	uint32_t rank = 0;
+
+	for (guint i = 0; i < subscription->hubs->len; i++) {
+		const hub_t *other = subscription->hubs->pdata[i];
+
+		rank += !other->near && other->weight > hub->weight;
+	}
+	return rank;
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	relay_subscription_t *subscription = context;
+	const struct timeval delay = clock_timeval(TICK_MS);
+	const uint64_t now_ms = clock_boot_ms();
+	const bool far_wanted = now_ms >= subscription->near_proved_ms +
+						  ANSWER_TIMEOUT_MS +
+						  FAR_AFTER_MS;
+
+	event_add(subscription->timer, &delay);
+	for (guint i = 0; i < subscription->hubs->len; i++) {
+		hub_t *hub = subscription->hubs->pdata[i];
+
+		hub_step(hub,
+			 hub->near || (far_wanted &&
+				       far_rank(subscription, hub) < FAR_HUBS),
+			 now_ms);
+	}
+}
+
+relay_subscription_t *
+relay_subscription_create(relay_services_t *services,
+			  relay_subscription_handlers_t handlers)
+{
+	relay_subscription_t *subscription = g_new0(relay_subscription_t, 1);
+	const struct timeval delay = clock_timeval(0);
+
+	subscription->services = services;
+	subscription->near_proved_ms = clock_boot_ms();
+	subscription->handlers = handlers;
+	subscription->hubs = g_ptr_array_new_with_free_func(hub_free);
+	for (uint32_t i = 0; i < HUB_STREAM_COUNT; i++)
+		subscription->known[i] = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+	subscription->timer =
+		evtimer_new(relay_services_settings(services)->base, on_timer,
+			    subscription);
+	event_add(subscription->timer, &delay);
+	return subscription;
+}
+
+void relay_subscription_destroy(relay_subscription_t *subscription)
+{
+	if (!subscription)
+		return;
+	event_free(subscription->timer);
+	g_ptr_array_unref(subscription->hubs);
+	for (uint32_t i = 0; i < HUB_STREAM_COUNT; i++)
+		g_hash_table_destroy(subscription->known[i]);
+	g_free(subscription);
+}
+
+static bool same_hub(const hub_t *hub, const relay_peer_t *peer)
+{
+	return !strcmp(hub->name, peer->name) &&
+	       hub->endpoint.port == peer->forwarding.port &&
+	       !strcmp(hub->endpoint.address, peer->forwarding.address);
+}
+
+static bool is_known(const relay_subscription_t *subscription,
+		     const relay_peer_t *peer)
+{
+	for (guint i = 0; i < subscription->hubs->len; i++)
+		if (same_hub(subscription->hubs->pdata[i], peer))
+			return true;
+	return false;
+}
+
+static hub_t *hub_new(relay_subscription_t *subscription,
+		      const relay_peer_t *peer)
+{
+	const relay_services_settings_t *settings =
+		relay_services_settings(subscription->services);
+	hub_t *hub = g_new0(hub_t, 1);
+
+	hub->subscription = subscription;
+	hub->name = g_strdup(peer->name);
+	hub->near = !strcmp(peer->failure_domain, settings->failure_domain);
+	hub->endpoint = (endpoint_t){
+		.address = g_strdup(peer->forwarding.address),
+		.port = peer->forwarding.port,
+	};
+	hub->weight =
+		owner_weight(owner_key(peer->name), owner_key(settings->node));
+	return hub;
+}
+
+static bool is_wanted(const hub_t *hub, const GPtrArray *peers)
+{
+	for (guint i = 0; i < peers->len; i++)
+		if (same_hub(hub, peers->pdata[i]))
+			return true;
+	return false;
+}
+
+void relay_subscription_set_hubs(relay_subscription_t *subscription,
+				 const GPtrArray *peers)
+{
+	const struct timeval now = clock_timeval(0);
+	const char *node =
+		relay_services_settings(subscription->services)->node;
+
+	for (guint i = subscription->hubs->len; i > 0; i--) {
+		const hub_t *hub = subscription->hubs->pdata[i - 1];
+
+		/* A hub whose key lapsed is used while it answers. */
+		if (!is_wanted(hub, peers) &&
+		    !is_answering(hub, clock_boot_ms()))
+			g_ptr_array_remove_index_fast(subscription->hubs,
+						      i - 1);
+	}
+	for (guint i = 0; i < peers->len; i++) {
+		const relay_peer_t *peer = peers->pdata[i];
+
+		if (strcmp(peer->name, node) && !is_known(subscription, peer))
+			g_ptr_array_add(subscription->hubs,
+					hub_new(subscription, peer));
+	}
+	event_add(subscription->timer, &now);
+}
+
+uint64_t
+relay_subscription_answered_ms(const relay_subscription_t *subscription)
+{
+	return subscription->answered_ms;
+}
+
+const endpoint_t *
+relay_subscription_route(const relay_subscription_t *subscription,
+			 const char *server, uint32_t failures)
+{
+	const uint64_t server_key = owner_key(server);
+	const uint64_t now_ms = clock_boot_ms();
+	owner_ranking_t ranking = {.wanted = HUB_SLOTS};
+	const char *chosen;
+
+	for (guint i = 0; i < subscription->hubs->len; i++) {
+		const hub_t *hub = subscription->hubs->pdata[i];
+
+		if (hub->near && is_answering(hub, now_ms))
+			owner_ranking_add(
+				&ranking, hub->name,
+				owner_weight(owner_key(hub->name), server_key));
+	}
+	if (failures >= ranking.count)
+		return NULL;
+	chosen = ranking.nodes[failures];
+	for (guint i = 0; i < subscription->hubs->len; i++) {
+		const hub_t *hub = subscription->hubs->pdata[i];
+
+		if (hub->name == chosen)
+			return &hub->endpoint;
+	}
+	return NULL;
+}
--- a/src/state/point_samples.c
+++ b/src/state/point_samples.c
@@ -55,6 +55,19 @@
 	return samples->entries[ring_index(samples, samples->count - 1)].point;
 }
 
+bool point_samples_last(const point_samples_t *samples, uint64_t *sent_ms,
+			log_point_t *point)
+{
+	uint32_t last;
+
+	if (!samples->count)
+		return false;
+	last = ring_index(samples, samples->count - 1);
+	*sent_ms = samples->entries[last].sent_ms;
+	*point = samples->entries[last].point;
+	return true;
+}
+
 uint64_t point_samples_age_ms(const point_samples_t *samples, log_point_t point,
 			      uint64_t now_ms)
 {
--- a/src/state/point_samples.h
+++ b/src/state/point_samples.h
@@ -44,6 +44,14 @@
 /** @return the newest point, or the zero point if there is no sample. */
 log_point_t point_samples_newest(const point_samples_t *samples);
 
+/**
+ * Reads the newest sample.
+ *
+ * @return false if there is none
+ */
+bool point_samples_last(const point_samples_t *samples, uint64_t *sent_ms,
+			log_point_t *point);
+
 /**
  * Estimates the age of @p point: the time since the primary's log ended there.
  *
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -238,8 +238,22 @@
 	schedule(follow, 0);
 }
 
+void kv_follow_stop(kv_follow_t *follow)
+{
+	follow->round++;
+	event_del(follow->timer);
+}
+
+void kv_follow_resume(kv_follow_t *follow)
+{
+	follow->revision = 0;
+	schedule(follow, 0);
+}
+
 void kv_follow_destroy(kv_follow_t *follow)
 {
+	if (!follow)
+		return;
 	if (!follow)
 		return;
 	event_free(follow->timer);
--- a/tests/unit/test_primary_lease.c
+++ b/tests/unit/test_primary_lease.c
@@ -56,6 +56,34 @@
 	assert_true(primary_lease_valid(&service, &node, 5000));
 }
 
+/* A service that is configured after its record was written and read. */
+static void test_record_counts_after_a_read_without_it(void **state)
+{
+	primary_lease_t service = {0};
+	node_lease_t node = {.lease = 7, .registered_at = 10};
+
+	node_lease_renewed(&node, 5000);
+	primary_lease_unchanged(&service, 30);
+	primary_lease_apply_record(&service, 1, "a", false, 20);
+	assert_true(primary_lease_valid(&service, &node, 5000));
+}
+
+/* A node without a registration uses the proofs of hubs. */
+static void test_delegated_proof_needs_no_registration(void **state)
+{
+	primary_lease_t service = {0};
+	const node_lease_t node = {0};
+
+	primary_lease_apply_record(&service, 1, "a", false, 20);
+	assert_false(primary_lease_valid(&service, &node, 5000));
+	primary_lease_delegated(&service, 6000);
+	assert_true(primary_lease_valid(&service, &node, 5999));
+	assert_false(primary_lease_valid(&service, &node, 6000));
+	assert_int_equal(primary_lease_own_until_ms(&service, &node), 0);
+	primary_lease_apply_record(&service, 1, "a", true, 21);
+	assert_false(primary_lease_valid(&service, &node, 5000));
+}
+
 static void test_takeover_ends_use_at_once(void **state)
 {
 	primary_lease_t service;
@@ -177,6 +205,8 @@
 		cmocka_unit_test(test_older_renewal_shortens_nothing),
 		cmocka_unit_test(
 			test_record_must_be_read_after_the_registration),
+		cmocka_unit_test(test_record_counts_after_a_read_without_it),
+		cmocka_unit_test(test_delegated_proof_needs_no_registration),
 		cmocka_unit_test(test_takeover_ends_use_at_once),
 		cmocka_unit_test(test_older_records_change_nothing),
 		cmocka_unit_test(test_all_replicas_prove_in_one_round),
--- a/tests/unit/test_relay_control.c
+++ b/tests/unit/test_relay_control.c
@@ -106,6 +106,12 @@
 	return peers;
 }
 
+static const endpoint_t *no_hub(void *context, const char *server,
+				uint32_t failures)
+{
+	return NULL;
+}
+
 static int open_fixture(void **state)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
@@ -120,8 +126,10 @@
 		.codec = &line_codec,
 		.node = "node-1",
 		.failure_domain = "akl-a",
+		.hub = no_hub,
 		.on_connection_failure = ignore_failure,
 	});
+	relay_services_set_hub(fixture->services, true);
 	entry->id = g_strdup("i-1");
 	entry->service = g_strdup("svc");
 	entry->failure_domain = g_strdup("akl-a");
--- a/tests/unit/test_relay_registration.c
+++ b/tests/unit/test_relay_registration.c
@@ -9,6 +9,7 @@
 #include "state/lease_record.h"
 
 #define LEASE 7
+#define HUB_KEY RELAY_HUBS_PREFIX "akl-a/0"
 
 /* A store with one key that checks conditions and answers with a delay. */
 typedef struct {
@@ -16,6 +17,9 @@
 	kv_store_t store;
 	relay_services_t *services;
 	relay_registration_t *registration;
+	bool holds_proofs; /* other nodes may use proofs of this node */
+	bool taken;	   /* the claimed key was taken */
+	bool restarted;	   /* an earlier run of the node held the key */
 	int64_t revision;
 	int64_t key_revision;
 	lease_record_t record;
@@ -111,6 +115,19 @@
 {
 }
 
+static void on_taken(void *context)
+{
+	((fixture_t *)context)->taken = true;
+}
+
+static void on_settle(void *context)
+{
+	fixture_t *fixture = context;
+
+	if (!fixture->holds_proofs)
+		relay_registration_settled(fixture->registration);
+}
+
 static void run_for(fixture_t *fixture, uint32_t ms)
 {
 	const struct timeval delay = {.tv_usec = 1000 * (suseconds_t)ms};
@@ -119,12 +136,13 @@
 	event_base_dispatch(fixture->base);
 }
 
-static int open_fixture(void **state)
+static void create_node(fixture_t *fixture)
 {
-	fixture_t *fixture = g_new0(fixture_t, 1);
 	const relay_registration_handlers_t handlers = {
 		.registered = on_registered,
 		.recovered = on_recovered,
+		.taken = on_taken,
+		.settle = on_settle,
 		.context = fixture,
 	};
 
@@ -135,7 +153,16 @@
 		.base = fixture->base, .node = "node-1"});
 	fixture->registration = relay_registration_create(
 		fixture->base, &fixture->store, fixture->services, "node-1",
-		"akl-a 127.0.0.1:1", handlers);
+		"node-1 127.0.0.1:1", handlers);
+	relay_registration_claim(fixture->registration, HUB_KEY, 0,
+				 fixture->restarted);
+}
+
+static int open_fixture(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+
+	create_node(fixture);
 	while (!fixture->registered)
 		event_base_loop(fixture->base, EVLOOP_ONCE);
 	*state = fixture;
@@ -193,6 +220,56 @@
 	assert_int_equal(fixture->leases, 2);
 }
 
+/* Two nodes of a domain claim the same free key at the same moment. */
+static void test_taken_key_registers_nothing(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	void *other = fixture;
+
+	fixture->key_revision = 4; /* the key that the node takes to be free */
+	create_node(fixture);
+	run_for(fixture, 100);
+	assert_true(fixture->taken);
+	assert_false(fixture->registered);
+	assert_false(relay_registration_is_active(fixture->registration));
+	close_fixture(&other);
+}
+
+/*
+ * A lease is lost while nodes that follow this hub use proofs of it. A new
+ * lease would tell a takeover that no proof is in use any more.
+ */
+static void test_new_lease_waits_for_given_proofs(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->holds_proofs = true;
+	relay_registration_renew(fixture->registration);
+	run_for(fixture, 200);
+	assert_int_equal(fixture->leases, 1);
+	relay_registration_settled(fixture->registration);
+	run_for(fixture, 100);
+	assert_int_equal(fixture->leases, 2);
+	assert_int_equal(fixture->record.seen_revision, LEASE_RECORD_SETTLED);
+}
+
+/* A restarted hub cannot know which proofs its earlier run gave. */
+static void test_restarted_node_is_settled_later(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	void *other = fixture;
+
+	fixture->restarted = true;
+	create_node(fixture);
+	run_for(fixture, 100);
+	assert_true(fixture->registered);
+	assert_int_equal(fixture->record.seen_revision, 0);
+	run_for(fixture, 900);
+	run_for(fixture, 500);
+	assert_int_equal(fixture->record.seen_revision, LEASE_RECORD_SETTLED);
+	close_fixture(&other);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -205,6 +282,11 @@
 		cmocka_unit_test_setup_teardown(
 			test_failed_confirmation_registers_again, open_fixture,
 			close_fixture),
+		cmocka_unit_test(test_taken_key_registers_nothing),
+		cmocka_unit_test_setup_teardown(
+			test_new_lease_waits_for_given_proofs, open_fixture,
+			close_fixture),
+		cmocka_unit_test(test_restarted_node_is_settled_later),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_relay_revocation.c
+++ b/tests/unit/test_relay_revocation.c
@@ -229,6 +229,15 @@
 {
 	fixture_t *fixture = context;
 
+	if (fixture->ended->len && fixture->keys->len == 1)
+		lease_add(fixture, "toucanhook/leases/a/2", 2,
+			  LEASE_RECORD_SETTLED);
+}
+
+static void restart(void *context)
+{
+	fixture_t *fixture = context;
+
 	if (fixture->ended->len && fixture->keys->len == 1)
 		lease_add(fixture, "toucanhook/leases/a/2", 2, 0);
 }
@@ -244,6 +253,21 @@
 	assert_true(fixture->forgotten);
 }
 
+/*
+ * A hub that was killed and started again knows nothing of the proofs that it
+ * gave before; the takeover must wait for them.
+ */
+static void test_restarted_hub_does_not_discard_proofs(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->before_range = restart;
+	lease_add(fixture, "toucanhook/leases/a/1", 1, 0);
+	run_revocation(fixture);
+	assert_int_equal(fixture->revoked, 1);
+	assert_false(fixture->forgotten);
+}
+
 static void test_stop_during_a_call(void **state)
 {
 	fixture_t *fixture = *state;
@@ -287,6 +311,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_registering_again_discards_proofs, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_restarted_hub_does_not_discard_proofs,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(test_stop_during_a_call,
 						open_fixture, close_fixture),
 		cmocka_unit_test(test_invalid_records_are_rejected),
--- a/tests/unit/test_relay_server.c
+++ b/tests/unit/test_relay_server.c
@@ -59,6 +59,12 @@
 	return &((fixture_t *)context)->endpoint;
 }
 
+static const endpoint_t *no_hub(void *context, const relay_server_t *server,
+				uint32_t failures)
+{
+	return NULL;
+}
+
 static void ignore_connection_failure(void *context, relay_server_t *server)
 {
 }
@@ -84,6 +90,7 @@
 		.base = fixture->base,
 		.codec = &line_codec,
 		.opened = on_opened,
+		.hub = no_hub,
 		.forwarding_node = find_forwarding_node,
 		.on_connection_failure = ignore_connection_failure,
 		.context = fixture,
--- /dev/null
+++ b/tests/unit/test_relay_subscription.c
@@ -0,0 +1,237 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "base/clock.h"
+#include "platform/line_codec.h"
+#include "relay/relay_subscription.h"
+
+/* Time in which the node must hear of a change, whichever hub knows it. */
+#define NEWS_MS 4000
+
+/* A hub of the test; it answers each request at once with the same head. */
+typedef struct {
+	struct evconnlistener *listener;
+	relay_peer_t peer;
+	const char *head;     /* first entry of its answer, NULL for silence */
+	const char *item;     /* further entry, or NULL */
+	uint32_t connections; /* accepted so far */
+} hub_t;
+
+typedef struct {
+	struct event_base *base;
+	relay_services_t *services;
+	relay_subscription_t *subscription;
+	hub_t near;
+	hub_t far;
+	uint32_t changes; /* changes reported */
+	char *key;	  /* key of the last one */
+} fixture_t;
+
+static void write_line(struct bufferevent *bev, const char *word,
+		       const char *rest)
+{
+	evbuffer_add_printf(bufferevent_get_output(bev), "%s %s\r\n", word,
+			    rest);
+}
+
+static void on_line(struct bufferevent *bev, const hub_t *hub, const char *line)
+{
+	if (!g_str_has_prefix(line, "STARTUP")) {
+		if (!hub->head)
+			return;
+		write_line(bev, "DATAROW", hub->head);
+		if (hub->item)
+			write_line(bev, "DATAROW", hub->item);
+		write_line(bev, "COMPLETE", "-");
+	}
+	write_line(bev, "READY", "I -");
+}
+
+static void on_read(struct bufferevent *bev, void *context)
+{
+	char *line;
+
+	while ((line = evbuffer_readln(bufferevent_get_input(bev), NULL,
+				       EVBUFFER_EOL_CRLF))) {
+		on_line(bev, context, line);
+		free(line);
+	}
+}
+
+static void on_event(struct bufferevent *bev, short what, void *context)
+{
+	bufferevent_free(bev);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int size, void *context)
+{
+	struct bufferevent *bev = bufferevent_socket_new(
+		evconnlistener_get_base(listener), fd, BEV_OPT_CLOSE_ON_FREE);
+
+	((hub_t *)context)->connections++;
+	bufferevent_setcb(bev, on_read, NULL, on_event, context);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+static void open_hub(fixture_t *fixture, hub_t *hub, char *name, char *domain)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr =
+					      htonl(INADDR_LOOPBACK)};
+	socklen_t size = sizeof(address);
+
+	hub->listener = evconnlistener_new_bind(
+		fixture->base, on_accept, hub, LEV_OPT_CLOSE_ON_FREE, 8,
+		(struct sockaddr *)&address, sizeof(address));
+	getsockname(evconnlistener_get_fd(hub->listener),
+		    (struct sockaddr *)&address, &size);
+	hub->peer = (relay_peer_t){
+		.name = name,
+		.failure_domain = domain,
+		.forwarding = {.address = "127.0.0.1",
+			       .port = ntohs(address.sin_port)},
+	};
+}
+
+static void on_changed(void *context, hub_stream_t stream,
+		       const kv_item_t *item)
+{
+	fixture_t *fixture = context;
+
+	fixture->changes++;
+	g_free(fixture->key);
+	fixture->key = g_strdup(item->key);
+}
+
+static void on_synced(void *context, hub_stream_t stream, int64_t revision)
+{
+}
+
+static const endpoint_t *no_hub(void *context, const char *server,
+				uint32_t failures)
+{
+	return NULL;
+}
+
+static int open_fixture(void **state)
+{
+	static char near_name[] = "node-2";
+	static char far_name[] = "node-3";
+	static char near_domain[] = "akl-a";
+	static char far_domain[] = "wlg-a";
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	g_autoptr(GPtrArray) hubs = g_ptr_array_new();
+
+	fixture->base = event_base_new();
+	fixture->services = relay_services_create((relay_services_settings_t){
+		.base = fixture->base,
+		.codec = &line_codec,
+		.node = "node-1",
+		.failure_domain = "akl-a",
+		.hub = no_hub,
+	});
+	open_hub(fixture, &fixture->near, near_name, near_domain);
+	open_hub(fixture, &fixture->far, far_name, far_domain);
+	fixture->subscription = relay_subscription_create(
+		fixture->services,
+		(relay_subscription_handlers_t){.changed = on_changed,
+						.synced = on_synced,
+						.context = fixture});
+	g_ptr_array_add(hubs, &fixture->near.peer);
+	g_ptr_array_add(hubs, &fixture->far.peer);
+	relay_subscription_set_hubs(fixture->subscription, hubs);
+	*state = fixture;
+	return 0;
+}
+
+static int close_fixture(void **state)
+{
+	fixture_t *fixture = *state;
+
+	relay_subscription_destroy(fixture->subscription);
+	relay_services_destroy(fixture->services);
+	evconnlistener_free(fixture->near.listener);
+	evconnlistener_free(fixture->far.listener);
+	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+	event_base_free(fixture->base);
+	g_free(fixture->key);
+	g_free(fixture);
+	return 0;
+}
+
+static void wait_for_change(fixture_t *fixture, const char *key)
+{
+	const uint64_t deadline_ms = clock_boot_ms() + NEWS_MS;
+
+	while (g_strcmp0(fixture->key, key) != 0 &&
+	       clock_boot_ms() < deadline_ms)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	assert_string_equal(fixture->key, key);
+}
+
+static void test_hubs_of_the_domain_suffice(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->near.head = "H 1000 2200 9 1 9 1";
+	fixture->near.item = "I 0 9 p eA== op/config";
+	wait_for_change(fixture, "op/config");
+	assert_true(relay_subscription_answered_ms(fixture->subscription));
+	assert_non_null(
+		relay_subscription_route(fixture->subscription, "i-1", 0));
+	assert_null(relay_subscription_route(fixture->subscription, "i-1", 1));
+	assert_int_equal(fixture->changes, 1);
+}
+
+/*
+ * The store turns all hubs of a domain away for nine seconds and serves the
+ * other domains. They answer as ever, without proofs, and with an old
+ * configuration.
+ */
+static void test_change_reaches_a_domain_without_the_store(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->near.head = "H 1000 0 5 1 5 1";
+	fixture->near.item = "I 0 5 p eA== old";
+	fixture->far.head = "H 1000 2200 9 1 9 1";
+	fixture->far.item = "I 0 9 p eA== new";
+	wait_for_change(fixture, "old");
+	/* The keys of the whole answer replace the old one. */
+	wait_for_change(fixture, "new");
+}
+
+/* A frozen hub keeps its connection open and answers nothing. */
+static void test_silent_hub_is_not_used(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->far.head = "H 1000 2200 9 1 9 1";
+	fixture->far.item = "I 0 9 p eA== new";
+	wait_for_change(fixture, "new");
+	assert_null(relay_subscription_route(fixture->subscription, "i-1", 0));
+	assert_true(fixture->near.connections >= 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_hubs_of_the_domain_suffice,
+						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_change_reaches_a_domain_without_the_store,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(test_silent_hub_is_not_used,
+						open_fixture, close_fixture),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
