Confirm no takeover for a restarted hub before its earlier proofs expired

The record of that confirmation then stood for the earlier lease, and the old primary could be used after a promotion. test_restarted_node_confirms_when_settled failed before. The confirmation now waits until those proofs have expired.

--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -277,7 +277,12 @@
 /* Earlier proofs have expired: the record now stands for earlier leases. */
 static void on_settled_timer(evutil_socket_t fd, short what, void *context)
 {
-	relay_registration_confirm(context, LEASE_RECORD_SETTLED);
+	relay_registration_t *registration = context;
+	const int64_t next = registration->next_confirmation;
+
+	registration->next_confirmation = 0;
+	relay_registration_confirm(registration,
+				   MAX(next, LEASE_RECORD_SETTLED));
 }
 
 relay_registration_t *
@@ -423,11 +428,17 @@
 				int64_t revision)
 {
 	/* A node that is registering reads the records afterwards. */
+	const bool settled = clock_boot_ms() >= registration->settled_ms;
+
 	if (!relay_registration_is_active(registration))
 		return;
-	/* Each confirmation is conditional on the previous one. */
-	if (registration->confirming)
-		registration->next_confirmation = revision;
+	/*
+	 * Each confirmation is conditional on the previous one, and says that
+	 * proofs of earlier runs have expired.
+	 */
+	if (registration->confirming || !settled)
+		registration->next_confirmation =
+			MAX(registration->next_confirmation, revision);
 	else
 		confirm(registration, revision);
 }
--- a/tests/unit/test_relay_registration.c
+++ b/tests/unit/test_relay_registration.c
@@ -270,6 +270,27 @@
 	close_fixture(&other);
 }
 
+/*
+ * A takeover right after the restart: a confirmation would say that the record
+ * stands for the earlier lease as well, so that it must wait.
+ */
+static void test_restarted_node_confirms_when_settled(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	void *other = fixture;
+
+	fixture->restarted = true;
+	create_node(fixture);
+	run_for(fixture, 100);
+	relay_registration_confirm(fixture->registration, 30);
+	run_for(fixture, 100);
+	assert_int_equal(fixture->record.seen_revision, 0);
+	run_for(fixture, 900);
+	run_for(fixture, 500);
+	assert_int_equal(fixture->record.seen_revision, 30);
+	close_fixture(&other);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -287,6 +308,7 @@
 			test_new_lease_waits_for_given_proofs, open_fixture,
 			close_fixture),
 		cmocka_unit_test(test_restarted_node_is_settled_later),
+		cmocka_unit_test(test_restarted_node_confirms_when_settled),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
