Ask hubs of other domains that are in touch with the store

A hub that gives no proof, or fails, is now passed over for 3 s. test_relay_subscription change_is_found_at_the_one_hub_that_knows fails without it.

--- a/src/coordination/connection_share.c
+++ b/src/coordination/connection_share.c
@@ -6,7 +6,7 @@
 #define IDLE_DIVISOR 2
 
 /* Maximum idle connections that one node keeps. */
-#define IDLE_MAX 1
+#define IDLE_MAX 3
 
 /* Maximum connections that are useful to one node. */
 #define CONNECTIONS_MAX 16
--- a/src/relay/relay_join.c
+++ b/src/relay/relay_join.c
@@ -204,12 +204,22 @@
 		 join->claim_ms ? join->claim_ms - clock_boot_ms() : TICK_MS);
 }
 
+/*
+ * The first read may be stale: it finds the hubs of a running deployment, and
+ * the node's own key. Keys that it shows to be free are read again.
+ */
 static void read_keys(relay_join_t *join)
 {
+	const kv_store_calls_t *calls = join->store->calls;
+
 	join->reading = true;
 	join->read_ms = clock_boot_ms();
-	join->store->calls->range(join->store->self, RELAY_HUBS_PREFIX, NULL,
-				  on_read, join);
+	if (join->listed || join->purpose == PURPOSE_CLAIM)
+		calls->range(join->store->self, RELAY_HUBS_PREFIX, NULL,
+			     on_read, join);
+	else
+		calls->range_stale(join->store->self, RELAY_HUBS_PREFIX,
+				   on_read, join);
 }
 
 /* Arms a claim when the keys that the hubs report show a free one. */
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -15,6 +15,7 @@
 #include "relay/relay_registration.h"
 #include "relay/relay_status_page.h"
 #include "relay/relay_subscription.h"
+#include "state/revision_table.h"
 #include "store/kv_follow.h"
 
 /* Maximum number of series of one metric; further labels share one series. */
@@ -80,10 +81,10 @@
 	bool registered;       /* a lease was registered at least once */
 	bool confirm_due;      /* a takeover must be confirmed */
 	catalog_t *catalog;
-	GHashTable *revisions; /* key -> revision of its last change, int64_t */
-	GHashTable *hub_values; /* key -> value written by the hub */
-	GHashTable *removals;	/* server id -> removal_t */
-	bool synced;		/* all keys were read at least once */
+	revision_table_t *applied; /* changes of keys, from all sources */
+	GHashTable *hub_values;	   /* key -> value written by the hub */
+	GHashTable *removals;	   /* server id -> removal_t */
+	bool synced;		   /* all keys were read at least once */
 	struct event *drain_timer;
 	uint64_t leave_ms; /* when the node left, 0 before */
 	uint64_t drain_ms; /* when the drain began, 0 before */
@@ -245,25 +246,6 @@
 	relay_services_set_nodes(node->services, peers);
 }
 
-/*
- * The store and several hubs report changes, each in its own order.
- *
- * @return the revision of the key that was applied last, 0 for none
- */
-static int64_t applied_revision(const relay_node_t *node, const char *key)
-{
-	const int64_t *revision = g_hash_table_lookup(node->revisions, key);
-
-	return revision ? *revision : 0;
-}
-
-static void note_applied(relay_node_t *node, const kv_item_t *item)
-{
-	g_hash_table_replace(
-		node->revisions, g_strdup(item->key),
-		g_memdup2(&item->revision, sizeof(item->revision)));
-}
-
 /* @return whether the node uses the key; others are not passed on either */
 static bool is_followed(const relay_node_t *node, const char *key)
 {
@@ -280,9 +262,9 @@
 	const relay_source_t *source = node->platform.source;
 
 	if (!is_followed(node, item->key) ||
-	    item->revision <= applied_revision(node, item->key))
+	    !revision_table_advance(node->applied, item->key, item->revision,
+				    false))
 		return;
-	note_applied(node, item);
 	if (g_str_has_prefix(item->key, source->backends_prefix))
 		on_backend(node, item);
 	else if (g_str_has_prefix(item->key, source->catalog_prefix))
@@ -297,10 +279,9 @@
  */
 static void apply_primary(relay_node_t *node, const kv_item_t *item)
 {
-	if (item->revision < applied_revision(node, item->key))
-		return;
-	note_applied(node, item);
-	relay_coordinator_key_changed(node->coordinator, item);
+	if (revision_table_advance(node->applied, item->key, item->revision,
+				   true))
+		relay_coordinator_key_changed(node->coordinator, item);
 }
 
 static void changes_applied(relay_node_t *node)
@@ -678,8 +659,7 @@
 	node->metrics = metrics_create(METRIC_SERIES_MAX);
 	node->hub_values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	node->revisions =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	node->applied = revision_table_create();
 	node->removals = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       removal_free);
 	node->read_timer = evtimer_new(base, on_read_timer, node);
@@ -726,7 +706,7 @@
 	kv_store_destroy(node->platform.store);
 	catalog_unref(node->catalog);
 	g_hash_table_destroy(node->hub_values);
-	g_hash_table_destroy(node->revisions);
+	revision_table_destroy(node->applied);
 	event_free(node->drain_timer);
 	metrics_destroy(node->metrics);
 	g_free(node);
--- a/src/relay/relay_subscription.c
+++ b/src/relay/relay_subscription.c
@@ -9,8 +9,9 @@
 #include "coordination/owner.h"
 #include "relay/relay_link.h"
 
-/* Interval of checking the connections. */
+/* Interval of checking the connections, and before the first answer. */
 #define TICK_MS 100
+#define TICK_MS_UNANSWERED 25
 
 /*
  * Time after which a hub without an answer counts as unresponsive: it holds a
@@ -22,7 +23,10 @@
 #define OPEN_TIMEOUT_MS 400
 
 /* Delay before a hub is tried again after a failure. */
-#define RETRY_MS 150
+#define RETRY_MS 300
+
+/* The same after a refusal: a hub that has just started refuses at first. */
+#define REFUSED_RETRY_MS 50
 
 /* Further time without a proof of the domain's hubs until others are asked. */
 #define FAR_AFTER_MS 400
@@ -30,6 +34,9 @@
 /* Number of hubs in other domains that are asked then. */
 #define FAR_HUBS 2
 
+/* Time for which a far hub that failed or gave no proof is passed over. */
+#define FAR_AVOID_MS 3000
+
 /* A hub and the connection to it. */
 typedef struct {
 	relay_subscription_t *subscription;
@@ -42,6 +49,7 @@
 	bool asking;	      /* a request is unanswered */
 	uint64_t answered_ms; /* when the last answer came, 0 before */
 	uint64_t retry_ms;    /* no connection is opened before then */
+	uint64_t avoid_ms;    /* as a far hub it is passed over until then */
 	uint64_t until_ms;    /* end of its proof of all primaries */
 	GPtrArray *proofs;    /* hub_proof_t on this node's clock, or NULL */
 } hub_t;
@@ -87,12 +95,13 @@
 	       now_ms < hub->answered_ms + ANSWER_TIMEOUT_MS;
 }
 
-static void hub_failed(hub_t *hub, const char *reason)
+static void hub_failed(hub_t *hub, const char *reason, uint64_t retry_ms)
 {
 	log_event(LOG_LEVEL_INFO, "hub_lost", "hub=%s reason=%s", hub->name,
 		  reason);
 	hub_disconnect(hub);
-	hub->retry_ms = clock_boot_ms() + RETRY_MS;
+	hub->avoid_ms = clock_boot_ms() + FAR_AVOID_MS;
+	hub->retry_ms = clock_boot_ms() + retry_ms;
 }
 
 /* Proofs are on the hub's clock; this returns a time that is not later. */
@@ -260,7 +269,7 @@
 	if (!link_answer->failed && link_answer->rows)
 		answer = hub_answer_decode(link_answer->rows, &error);
 	if (!answer) {
-		hub_failed(hub, error ? error->message : "refused");
+		hub_failed(hub, error ? error->message : "refused", RETRY_MS);
 		return;
 	}
 	if (!hub->answered_ms)
@@ -269,7 +278,9 @@
 	hub->answered_ms = now_ms;
 	subscription->answered_ms = now_ms;
 	/* A hub that the store turns away answers, but may know nothing new. */
-	if (hub->near && answer->until_ms)
+	if (!answer->until_ms)
+		hub->avoid_ms = now_ms + FAR_AVOID_MS;
+	else if (hub->near)
 		subscription->near_proved_ms = now_ms;
 	apply_answer(hub, answer, link_answer->sent_ms);
 	if (is_listed(subscription, hub) && hub->link)
@@ -301,7 +312,10 @@
 static void on_closed(void *context, relay_link_t *link, relay_error_t error,
 		      bool was_open)
 {
-	hub_failed(context, relay_error_name(error));
+	const bool refused = error == RELAY_ERROR_CONNECTION_LIMIT;
+
+	hub_failed(context, relay_error_name(error),
+		   refused ? REFUSED_RETRY_MS : RETRY_MS);
 }
 
 static void hub_connect(hub_t *hub, uint64_t now_ms)
@@ -333,29 +347,37 @@
 		return;
 	}
 	if (hub->asking && now_ms >= hub->since_ms + ANSWER_TIMEOUT_MS)
-		hub_failed(hub, "unresponsive");
+		hub_failed(hub, "unresponsive", RETRY_MS);
 	else if (!hub->asking && now_ms >= hub->since_ms + OPEN_TIMEOUT_MS)
-		hub_failed(hub, "open_timeout");
+		hub_failed(hub, "open_timeout", RETRY_MS);
 }
 
-/* @return the rank of a hub among those of other domains, from 0 */
-static uint32_t far_rank(const relay_subscription_t *subscription,
-			 const hub_t *hub)
+/*
+ * @return whether a hub of another domain is among those to be asked: the
+ *         highest in rank that are not passed over
+ */
+static bool is_far_choice(const relay_subscription_t *subscription,
+			  const hub_t *hub, uint64_t now_ms)
 {
 	uint32_t rank = 0;
 
+	if (now_ms < hub->avoid_ms)
+		return false;
+
 	for (guint i = 0; i < subscription->hubs->len; i++) {
 		const hub_t *other = subscription->hubs->pdata[i];
 
-		rank += !other->near && other->weight > hub->weight;
+		rank += !other->near && now_ms >= other->avoid_ms &&
+			other->weight > hub->weight;
 	}
-	return rank;
+	return rank < FAR_HUBS;
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	relay_subscription_t *subscription = context;
-	const struct timeval delay = clock_timeval(TICK_MS);
+	const struct timeval delay = clock_timeval(
+		subscription->answered_ms ? TICK_MS : TICK_MS_UNANSWERED);
 	const uint64_t now_ms = clock_boot_ms();
 	const bool far_wanted = now_ms >= subscription->near_proved_ms +
 						  ANSWER_TIMEOUT_MS +
@@ -366,8 +388,9 @@
 		hub_t *hub = subscription->hubs->pdata[i];
 
 		hub_step(hub,
-			 hub->near || (far_wanted &&
-				       far_rank(subscription, hub) < FAR_HUBS),
+			 hub->near ||
+				 (far_wanted &&
+				  is_far_choice(subscription, hub, now_ms)),
 			 now_ms);
 	}
 }
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -72,6 +72,12 @@
 	/** Lists keys under a prefix after @p after_key, or all if NULL. */
 	void (*range)(void *self, const char *prefix, const char *after_key,
 		      kv_done_t done, void *context);
+	/**
+	 * Lists the first keys under a prefix as they were up to seconds ago,
+	 * at a fraction of the cost of a range.
+	 */
+	void (*range_stale)(void *self, const char *prefix, kv_done_t done,
+			    void *context);
 	/** Waits up to @p wait_ms for changes after a revision. */
 	void (*watch)(void *self, const char *prefix, int64_t after_revision,
 		      uint32_t wait_ms, kv_done_t done, void *context);
--- a/tests/unit/test_relay_subscription.c
+++ b/tests/unit/test_relay_subscription.c
@@ -9,9 +9,13 @@
 #include <event2/listener.h>
 
 #include "base/clock.h"
+#include "coordination/owner.h"
 #include "platform/line_codec.h"
 #include "relay/relay_subscription.h"
 
+/* Hubs of other domains; more than are asked at a time. */
+#define FAR_HUBS 4u
+
 /* Time in which the node must hear of a change, whichever hub knows it. */
 #define NEWS_MS 4000
 
@@ -29,7 +33,7 @@
 	relay_services_t *services;
 	relay_subscription_t *subscription;
 	hub_t near;
-	hub_t far;
+	hub_t far[FAR_HUBS];
 	uint32_t changes; /* changes reported */
 	char *key;	  /* key of the last one */
 } fixture_t;
@@ -124,7 +128,7 @@
 static int open_fixture(void **state)
 {
 	static char near_name[] = "node-2";
-	static char far_name[] = "node-3";
+	static char far_names[FAR_HUBS][8];
 	static char near_domain[] = "akl-a";
 	static char far_domain[] = "wlg-a";
 	fixture_t *fixture = g_new0(fixture_t, 1);
@@ -139,14 +143,18 @@
 		.hub = no_hub,
 	});
 	open_hub(fixture, &fixture->near, near_name, near_domain);
-	open_hub(fixture, &fixture->far, far_name, far_domain);
+	for (uint32_t i = 0; i < FAR_HUBS; i++) {
+		g_snprintf(far_names[i], sizeof(far_names[i]), "node-%u",
+			   3 + i);
+		open_hub(fixture, &fixture->far[i], far_names[i], far_domain);
+		g_ptr_array_add(hubs, &fixture->far[i].peer);
+	}
 	fixture->subscription = relay_subscription_create(
 		fixture->services,
 		(relay_subscription_handlers_t){.changed = on_changed,
 						.synced = on_synced,
 						.context = fixture});
 	g_ptr_array_add(hubs, &fixture->near.peer);
-	g_ptr_array_add(hubs, &fixture->far.peer);
 	relay_subscription_set_hubs(fixture->subscription, hubs);
 	*state = fixture;
 	return 0;
@@ -159,7 +167,8 @@
 	relay_subscription_destroy(fixture->subscription);
 	relay_services_destroy(fixture->services);
 	evconnlistener_free(fixture->near.listener);
-	evconnlistener_free(fixture->far.listener);
+	for (uint32_t i = 0; i < FAR_HUBS; i++)
+		evconnlistener_free(fixture->far[i].listener);
 	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
 	event_base_free(fixture->base);
 	g_free(fixture->key);
@@ -177,6 +186,34 @@
 	assert_string_equal(fixture->key, key);
 }
 
+/* Lets far hubs know the newest state. */
+static void set_far(fixture_t *fixture, uint32_t first, uint32_t count)
+{
+	for (uint32_t i = first; i < first + count; i++) {
+		fixture->far[i].head = "H 1000 2200 9 1 9 1";
+		fixture->far[i].item = "I 0 9 p eA== new";
+	}
+}
+
+/* @return the far hub that the node ranks last */
+static uint32_t last_far(const fixture_t *fixture)
+{
+	uint64_t lowest = UINT64_MAX;
+	uint32_t last = 0;
+
+	for (uint32_t i = 0; i < FAR_HUBS; i++) {
+		const uint64_t weight =
+			owner_weight(owner_key(fixture->far[i].peer.name),
+				     owner_key("node-1"));
+
+		if (weight >= lowest)
+			continue;
+		lowest = weight;
+		last = i;
+	}
+	return last;
+}
+
 static void test_hubs_of_the_domain_suffice(void **state)
 {
 	fixture_t *fixture = *state;
@@ -202,20 +239,33 @@
 
 	fixture->near.head = "H 1000 0 5 1 5 1";
 	fixture->near.item = "I 0 5 p eA== old";
-	fixture->far.head = "H 1000 2200 9 1 9 1";
-	fixture->far.item = "I 0 9 p eA== new";
+	set_far(fixture, 0, FAR_HUBS);
 	wait_for_change(fixture, "old");
 	/* The keys of the whole answer replace the old one. */
 	wait_for_change(fixture, "new");
 }
 
+/* The same while the store also turns away some hubs of other domains. */
+static void test_change_is_found_at_the_one_hub_that_knows(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->near.head = "H 1000 0 5 1 5 1";
+	fixture->near.item = "I 0 5 p eA== old";
+	for (uint32_t i = 0; i < FAR_HUBS; i++)
+		fixture->far[i].head = "H 1000 0 5 0 5 0";
+	wait_for_change(fixture, "old");
+	/* The hub that ranks last of all, which is asked last. */
+	set_far(fixture, last_far(fixture), 1);
+	wait_for_change(fixture, "new");
+}
+
 /* A frozen hub keeps its connection open and answers nothing. */
 static void test_silent_hub_is_not_used(void **state)
 {
 	fixture_t *fixture = *state;
 
-	fixture->far.head = "H 1000 2200 9 1 9 1";
-	fixture->far.item = "I 0 9 p eA== new";
+	set_far(fixture, 0, FAR_HUBS);
 	wait_for_change(fixture, "new");
 	assert_null(relay_subscription_route(fixture->subscription, "i-1", 0));
 	assert_true(fixture->near.connections >= 1);
@@ -229,6 +279,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_change_reaches_a_domain_without_the_store,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_change_is_found_at_the_one_hub_that_knows,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(test_silent_hub_is_not_used,
 						open_fixture, close_fixture),
 	};
