Promote no second server while the first may be a busy new primary

Both promotions took effect, and the first was published: changes were acknowledged at a primary that had been replaced.

A promotion without visible effect is repeated at the same server, up to four times, which changes nothing if it is primary; a server that was promoted before another one is published no more. test_takeover busy_new_primary_is_not_replaced failed before; replaced_new_primary_is_not_published guards the second half and did not fail before.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -24,6 +24,9 @@
 /* Time after which the choice, or the write of the result, is repeated. */
 #define PROMOTE_RETRY_MS 900
 
+/* Promotions of one server before another one is promoted in its place. */
+#define PROMOTIONS_MAX 4u
+
 /* Time after which another replica is fenced if a fence got no answer. */
 #define FENCE_RETRY_MS 400
 
@@ -38,6 +41,8 @@
 	bool answered;
 	uint64_t queried_ms; /* time of the latest status query, or 0 */
 	bool refused;	     /* the server cannot be promoted */
+	uint32_t promotions; /* promotions of the server that were requested */
+	bool superseded;     /* another server was promoted after this one */
 	takeover_status_t status;
 } server_t;
 
@@ -165,7 +170,8 @@
  */
 static bool is_new_primary(const takeover_t *takeover, const server_t *server)
 {
-	if (!server->answered || server->status.role != SERVER_PRIMARY)
+	if (!server->answered || server->superseded ||
+	    server->status.role != SERVER_PRIMARY)
 		return false;
 	return server->status.term > takeover->term ||
 	       (server->status.term == takeover->term && !*takeover->primary);
@@ -201,6 +207,13 @@
 
 static void promote(takeover_t *takeover, uint64_t now_ms)
 {
+	for (uint32_t i = 0; i < takeover->count; i++) {
+		server_t *server = &takeover->servers[i];
+
+		server->superseded =
+			server->promotions && server != takeover->candidate;
+	}
+	takeover->candidate->promotions++;
 	enter_phase(takeover, TAKEOVER_PROMOTE, now_ms);
 	takeover->promote_ms = now_ms;
 	takeover->candidate->queried_ms = now_ms;
@@ -338,7 +351,7 @@
 		server_t *server = &takeover->servers[i];
 
 		if (!server->answered || server->refused ||
-		    is_primary(takeover, server))
+		    server->superseded || is_primary(takeover, server))
 			continue;
 		if (!best || is_better_candidate(server, best))
 			best = server;
@@ -346,6 +359,29 @@
 	return best;
 }
 
+/* @return the server whose promotion may have taken effect, or NULL */
+static server_t *find_promoted(takeover_t *takeover)
+{
+	for (uint32_t i = 0; i < takeover->count; i++) {
+		server_t *server = &takeover->servers[i];
+
+		if (server->promotions && !server->refused &&
+		    !server->superseded)
+			return server;
+	}
+	return NULL;
+}
+
+/* Makes all servers candidates again, after each was tried in vain. */
+static void forget_promotions(takeover_t *takeover)
+{
+	for (uint32_t i = 0; i < takeover->count; i++) {
+		takeover->servers[i].refused = false;
+		takeover->servers[i].superseded = false;
+		takeover->servers[i].promotions = 0;
+	}
+}
+
 /*
  * Whether all servers that matter have answered. A lost primary was queried
  * during the wait for proofs to expire, so its answer is not waited for.
@@ -409,10 +445,19 @@
 	return false;
 }
 
+/* Writes the record once more, as proof of the lease, before a promotion. */
+static void confirm(takeover_t *takeover, uint64_t now_ms)
+{
+	enter_phase(takeover, TAKEOVER_CONFIRM, now_ms);
+	takeover->actions.write(takeover->actions.context, takeover->term,
+				takeover->primary, takeover->term + 1);
+}
+
 static void choose(takeover_t *takeover, uint64_t now_ms)
 {
 	server_t *old = find_server(takeover, takeover->primary);
-	server_t *best = find_longest_log(takeover);
+	server_t *promoted = find_promoted(takeover);
+	server_t *best = promoted ? promoted : find_longest_log(takeover);
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 
 	if (publish_new_primary(takeover, now_ms))
@@ -424,6 +469,8 @@
 		keep_primary(takeover, old, now_ms);
 		return;
 	}
+	if (!best && waited_ms >= CATCH_UP_MS)
+		forget_promotions(takeover);
 	if (!best || (!all_answered(takeover) && waited_ms < COMPARE_MS))
 		return;
 	if (old && old->answered && waited_ms < CATCH_UP_MS &&
@@ -432,9 +479,22 @@
 	if (takeover->kind == TAKEOVER_HANDOVER && old && !old->answered)
 		return;
 	takeover->candidate = best;
-	enter_phase(takeover, TAKEOVER_CONFIRM, now_ms);
-	takeover->actions.write(takeover->actions.context, takeover->term,
-				takeover->primary, takeover->term + 1);
+	confirm(takeover, now_ms);
+}
+
+/*
+ * Handles a promotion without a visible effect. The server may be primary and
+ * too busy to answer, so that it is promoted again, which changes nothing then;
+ * only one that stays silent is replaced.
+ */
+static void retry_promotion(takeover_t *takeover, uint64_t now_ms)
+{
+	if (takeover->candidate->promotions < PROMOTIONS_MAX) {
+		confirm(takeover, now_ms);
+		return;
+	}
+	takeover->candidate->refused = true;
+	begin_choice(takeover, now_ms);
 }
 
 void takeover_status(takeover_t *takeover, const char *id,
@@ -502,7 +562,7 @@
 	case TAKEOVER_PROMOTE:
 		query_server(takeover, takeover->candidate, now_ms);
 		if (now_ms >= takeover->promote_ms + PROMOTE_RETRY_MS)
-			begin_choice(takeover, now_ms);
+			retry_promotion(takeover, now_ms);
 		return;
 	case TAKEOVER_PUBLISH:
 		if (now_ms >= takeover->phase_ms + PROMOTE_RETRY_MS)
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -21,6 +21,9 @@
 	bool writes_fail;
 	bool promoted;
 	char promoted_id[16];
+	bool other_promoted; /* a second server was promoted after the first */
+	uint32_t promotions; /* requested so far */
+	bool busy_after_promotion; /* the promoted server answers no status */
 	uint64_t promoted_ms;
 	bool fenced;
 	char fenced_id[16];
@@ -70,6 +73,9 @@
 {
 	fixture_t *fixture = context;
 
+	fixture->other_promoted |=
+		fixture->promoted && strcmp(fixture->promoted_id, server) != 0;
+	fixture->promotions++;
 	fixture->promoted = true;
 	fixture->promoted_ms = fixture->now_ms;
 	g_strlcpy(fixture->promoted_id, server, sizeof(fixture->promoted_id));
@@ -157,9 +163,18 @@
 			continue;
 		fixture->servers[i].status.role = SERVER_PRIMARY;
 		fixture->servers[i].status.term = 2;
+		fixture->servers[i].unresponsive =
+			fixture->busy_after_promotion;
 	}
 }
 
+static void make_responsive(fixture_t *fixture, const char *id)
+{
+	for (int i = 0; i < 3; i++)
+		if (!strcmp(fixture->servers[i].id, id))
+			fixture->servers[i].unresponsive = false;
+}
+
 static void answer(fixture_t *fixture, const char *operation, const char *id)
 {
 	const takeover_status_t status = status_of(fixture, id);
@@ -375,6 +390,56 @@
 	assert_int_equal(fixture->term, 2);
 }
 
+/*
+ * The replicas are full of reads that wait for the primary: the promoted one
+ * answers no status for seconds. A promotion of the other one would replace it
+ * while it acknowledges changes.
+ */
+static void test_busy_new_primary_is_not_replaced(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->servers[0].unresponsive = true;
+	fixture->busy_after_promotion = true;
+	start(fixture, TAKEOVER_LOST);
+	run(fixture, 1300 + 2 * 1000);
+	assert_true(fixture->promoted);
+	assert_false(fixture->done);
+	assert_false(fixture->other_promoted);
+	make_responsive(fixture, fixture->promoted_id);
+	run(fixture, 1500);
+	assert_true(fixture->published);
+	assert_false(fixture->other_promoted);
+	assert_string_equal(fixture->primary, fixture->promoted_id);
+	assert_in_range(fixture->promotions, 2, 4);
+}
+
+/*
+ * A new primary that stays silent is replaced in the end. It must not be
+ * published when it answers again: the later promotion is in force.
+ */
+static void test_replaced_new_primary_is_not_published(void **state)
+{
+	fixture_t *fixture = *state;
+	g_autofree char *first = NULL;
+
+	fixture->servers[0].unresponsive = true;
+	fixture->busy_after_promotion = true;
+	start(fixture, TAKEOVER_LOST);
+	run(fixture, 2000);
+	first = g_strdup(fixture->promoted_id);
+	while (!fixture->other_promoted && fixture->now_ms < 130000)
+		run(fixture, 100);
+	assert_true(fixture->other_promoted);
+	make_responsive(fixture, first);
+	run(fixture, 300);
+	assert_false(fixture->published && !strcmp(fixture->primary, first));
+	make_responsive(fixture, fixture->promoted_id);
+	run(fixture, 3000);
+	assert_true(fixture->published);
+	assert_string_not_equal(fixture->primary, first);
+}
+
 /* The primary was unresponsive when the initial record was written. */
 static void test_unknown_primary_is_recorded(void **state)
 {
@@ -394,6 +459,12 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_busy_new_primary_is_not_replaced, open_fixture,
+			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_replaced_new_primary_is_not_published,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_lost_primary_is_replaced_after_proofs_ran_out,
 			open_fixture, close_fixture),
