--- a/src/relay/relay_hub.c
+++ b/src/relay/relay_hub.c
@@ -168,7 +168,7 @@
 	}
 }
 
-static void answer(relay_hub_subscriber_t *subscriber)
+static void send_answer(relay_hub_subscriber_t *subscriber)
 {
 	relay_hub_t *hub = subscriber->hub;
 	const uint64_t now_ms = clock_boot_ms();
@@ -202,7 +202,7 @@
 	return false;
 }
 
-static void answer_all(relay_hub_t *hub, bool lacking_only)
+static void answer_subscribers(relay_hub_t *hub, bool lacking_only)
 {
 	g_autoptr(GPtrArray) list =
 		g_ptr_array_copy(hub->subscribers, NULL, NULL);
@@ -215,7 +215,7 @@
 		    !subscriber->asking)
 			continue;
 		if (!lacking_only || lacks_changes(subscriber))
-			answer(subscriber);
+			send_answer(subscriber);
 	}
 }
 
@@ -233,7 +233,7 @@
 	const bool opened = !relay_hub_is_open(hub);
 
 	change_log_synced(hub->logs[stream], revision);
-	answer_all(hub, !opened);
+	answer_subscribers(hub, !opened);
 }
 
 bool relay_hub_is_open(const relay_hub_t *hub)
@@ -244,7 +244,7 @@
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
-	answer(context);
+	send_answer(context);
 }
 
 relay_hub_subscriber_t *relay_hub_join(relay_hub_t *hub,
@@ -317,7 +317,7 @@
 			     request->revisions[HUB_STREAM_PRIMARIES]);
 	event_add(subscriber->timer, &hold);
 	if (first || lacks_changes(subscriber))
-		answer(subscriber);
+		send_answer(subscriber);
 	/* Calls back, so that this comes last. */
 	check_settled(hub);
 }
@@ -334,7 +334,7 @@
 	hub->settle_revision = revision;
 	hub->settled = settled;
 	hub->settled_context = context;
-	answer_all(hub, revision != DELEGATION_ALL);
+	answer_subscribers(hub, revision != DELEGATION_ALL);
 	check_settled(hub);
 }
 
@@ -347,5 +347,5 @@
 void relay_hub_close(relay_hub_t *hub)
 {
 	hub->closed = true;
-	answer_all(hub, false);
+	answer_subscribers(hub, false);
 }
