Settle a restarted hub's record also when its timer fires early

The event loop counts a delay from when its iteration began, so the timer may fire before the clock says that the proofs have expired; the confirmation was then put off for good, and takeovers waited 1.2 s longer. The timer is now set again for the rest.

--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -279,7 +279,15 @@
 {
 	relay_registration_t *registration = context;
 	const int64_t next = registration->next_confirmation;
+	const uint64_t now_ms = clock_boot_ms();
+	struct timeval delay;
 
+	/* The event loop counts from when its iteration began. */
+	if (now_ms < registration->settled_ms) {
+		delay = clock_timeval(registration->settled_ms - now_ms);
+		event_add(registration->settled_timer, &delay);
+		return;
+	}
 	registration->next_confirmation = 0;
 	relay_registration_confirm(registration,
 				   MAX(next, LEASE_RECORD_SETTLED));
