Log the store's era, why a change is not applied, and how long a watch waited

To tell the hypotheses on the restored store apart: answers carry the era, `store_changed` says from which revision the watch started, `store_lost` how long the call had been pending, `change_superseded` names a change that the node dropped because it knew a higher revision. No logic is changed.

--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -256,14 +256,36 @@
 	       g_str_has_prefix(key, RELAY_HUBS_PREFIX);
 }
 
+/*
+ * Records a change of a key. One that a hub reports again has the recorded
+ * revision.
+ *
+ * @return whether the change is to be applied
+ */
+static bool advance(relay_node_t *node, const kv_item_t *item, bool again)
+{
+	const int64_t known = revision_table_known(node->applied, item->key);
+
+	if (revision_table_advance(node->applied, item->key, item->revision,
+				   again))
+		return true;
+	if (item->revision == known)
+		return false;
+	metric_add(metrics_counter(node->metrics,
+				   "toucanhook_superseded_changes", ""),
+		   1);
+	log_event(LOG_LEVEL_INFO, "change_superseded",
+		  "key=%s revision=%" PRId64 " known=%" PRId64, item->key,
+		  item->revision, known);
+	return false;
+}
+
 /* Applies a change of the configuration, a server or a hub. */
 static void apply_change(relay_node_t *node, const kv_item_t *item)
 {
 	const relay_source_t *source = node->platform.source;
 
-	if (!is_followed(node, item->key) ||
-	    !revision_table_advance(node->applied, item->key, item->revision,
-				    false))
+	if (!is_followed(node, item->key) || !advance(node, item, false))
 		return;
 	if (g_str_has_prefix(item->key, source->backends_prefix))
 		on_backend(node, item);
@@ -279,8 +301,7 @@
  */
 static void apply_primary(relay_node_t *node, const kv_item_t *item)
 {
-	if (revision_table_advance(node->applied, item->key, item->revision,
-				   true))
+	if (advance(node, item, true))
 		relay_coordinator_key_changed(node->coordinator, item);
 }
 
--- a/src/state/revision_table.c
+++ b/src/state/revision_table.c
@@ -23,6 +23,13 @@
 	g_free(table);
 }
 
+int64_t revision_table_known(const revision_table_t *table, const char *key)
+{
+	const int64_t *known = g_hash_table_lookup(table->revisions, key);
+
+	return known ? *known : 0;
+}
+
 bool revision_table_advance(revision_table_t *table, const char *key,
 			    int64_t revision, bool again)
 {
--- a/src/state/revision_table.h
+++ b/src/state/revision_table.h
@@ -15,6 +15,9 @@
 /** NULL is allowed. */
 void revision_table_destroy(revision_table_t *table);
 
+/** @return the revision of the key's change that was recorded last, or 0 */
+int64_t revision_table_known(const revision_table_t *table, const char *key);
+
 /**
  * Records a change unless a later one of the key was recorded.
  *
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -60,7 +60,8 @@
 	return round == follow->round ? follow : NULL;
 }
 
-static void set_reachable(kv_follow_t *follow, bool reachable)
+/* @param sent_ms when the call was sent that was answered or failed */
+static void set_reachable(kv_follow_t *follow, bool reachable, uint64_t sent_ms)
 {
 	if (reachable)
 		follow->retry_ms = KV_FOLLOW_RETRY_MS;
@@ -68,8 +69,8 @@
 		return;
 	follow->reachable = reachable;
 	log_event(LOG_LEVEL_NOTICE, reachable ? "store_reached" : "store_lost",
-		  "prefix=%s revision=%" PRId64, follow->prefix,
-		  follow->revision);
+		  "prefix=%s revision=%" PRId64 " after_ms=%" PRIu64,
+		  follow->prefix, follow->revision, clock_boot_ms() - sent_ms);
 	if (follow->handlers.reachability_changed)
 		follow->handlers.reachability_changed(follow->handlers.context,
 						      reachable);
@@ -82,9 +83,9 @@
 	event_add(follow->timer, &delay);
 }
 
-static void retry(kv_follow_t *follow)
+static void retry(kv_follow_t *follow, uint64_t sent_ms)
 {
-	set_reachable(follow, false);
+	set_reachable(follow, false, sent_ms);
 	schedule(follow, follow->retry_ms);
 	follow->retry_ms = MIN(2 * follow->retry_ms, KV_FOLLOW_RETRY_MS_MAX);
 }
@@ -133,19 +134,21 @@
 		return;
 	if (answer->result == KV_COMPACTED) {
 		log_event(LOG_LEVEL_NOTICE, "store_history_lost",
-			  "prefix=%s revision=%" PRId64, follow->prefix,
-			  follow->revision);
+			  "prefix=%s revision=%" PRId64 " era=%" PRId64,
+			  follow->prefix, follow->revision, answer->era);
 		follow->revision = 0;
 		schedule(follow, 0);
 		return;
 	}
 	if (answer->result != KV_OK) {
-		retry(follow);
+		retry(follow, sent_ms);
 		return;
 	}
-	set_reachable(follow, true);
+	set_reachable(follow, true, sent_ms);
 	log_event(LOG_LEVEL_INFO, "store_changed",
-		  "revision=%" PRId64 " items=%u first=%s", answer->revision,
+		  "after=%" PRId64 " revision=%" PRId64 " era=%" PRId64
+		  " items=%u first=%s",
+		  follow->revision, answer->revision, answer->era,
 		  answer->items->len,
 		  answer->items->len ?
 			  ((kv_item_t *)answer->items->pdata[0])->key :
@@ -158,16 +161,17 @@
 
 static void on_listed(void *context, const kv_answer_t *answer)
 {
+	const uint64_t sent_ms = ((follow_call_t *)context)->sent_ms;
 	kv_follow_t *follow = call_end(context);
 	const kv_item_t *item = NULL;
 
 	if (!follow)
 		return;
 	if (answer->result != KV_OK) {
-		retry(follow);
+		retry(follow, sent_ms);
 		return;
 	}
-	set_reachable(follow, true);
+	set_reachable(follow, true, sent_ms);
 	/* The watch reports the changes that were made between the pages. */
 	if (!follow->listing_revision)
 		follow->listing_revision = answer->revision;
@@ -252,8 +256,6 @@
 
 void kv_follow_destroy(kv_follow_t *follow)
 {
-	if (!follow)
-		return;
 	if (!follow)
 		return;
 	event_free(follow->timer);
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -35,6 +35,11 @@
 /** Answer to a call. */
 typedef struct {
 	kv_result_t result;
+	/**
+	 * Rises by one each time the service was restored from an older copy;
+	 * 0 if there was no answer or the service does not tell.
+	 */
+	int64_t era;
 	GPtrArray *items; /**< kv_item_t of a range, watch or get */
 	int64_t revision; /**< of the service or the transaction */
 	int64_t lease;	  /**< id of the new lease */
