--- a/tests/standin/site/database.h
+++ b/tests/standin/site/database.h
@@ -27,6 +27,8 @@
 	char *zone;
 	uint16_t port;
 	bool primary;
+	bool draining;	  /**< reported as leaving */
+	uint64_t reports; /**< number of entries reported so far */
 	uint64_t term;
 	uint64_t fence; /**< rejects replication in lower terms */
 	GPtrArray *log; /**< of commit_t, owned by the group */
--- a/tests/standin/site/main.c
+++ b/tests/standin/site/main.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +21,7 @@
 	group_t *groups[GROUPS_MAX];
 	int groups_count;
 	uint64_t config_version;
+	GPtrArray *extra_routes; /**< of char *, further names of group 0 */
 	/** added to each server's port in the registry, to route by a relay */
 	uint16_t registered_port_offset;
 	uint64_t last_token;	  /**< highest fencing token so far */
@@ -33,12 +35,14 @@
 	g_autofree char *key = g_strdup_printf("servers/%s", server->id);
 	g_autofree char *value = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":"
-		"\"%s\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
-		"\"cold_remaining_ms\":0,\"db_role\":\"%s\",\"sequence\":1,"
-		"\"born\":%u}",
+		"\"%s\",\"version\":\"v1\",\"slots\":3,\"state\":\"%s\","
+		"\"cold_remaining_ms\":0,\"db_role\":\"%s\","
+		"\"sequence\":%" PRIu64 ",\"born\":%u}",
 		server->group->name,
 		server->port + site->registered_port_offset, server->zone,
-		server->primary ? "primary" : "replica", server->port);
+		server->draining ? "draining" : "ready",
+		server->primary ? "primary" : "replica", ++server->reports,
+		server->port);
 
 	if (present)
 		site_store_put(site->store, key, value);
@@ -46,7 +50,7 @@
 		site_store_remove(site->store, key);
 }
 
-/* Publishes the next version of the configuration. */
+/* Publishes the configuration, as the version it has. */
 static void put_config(site_t *site)
 {
 	json_t *routes = json_array();
@@ -84,8 +88,15 @@
 			services,
 			json_pack("{s:s,s:i}", "name", name, "max_conns", 40));
 	}
+	for (guint i = 0; i < site->extra_routes->len; i++)
+		json_array_append_new(
+			routes,
+			json_pack("{s:s,s:s,s:s,s:i}", "database",
+				  site->extra_routes->pdata[i], "service",
+				  site->groups[0]->name, "route_type",
+				  "primary", "timeout_ms", 1000));
 	config = json_pack("{s:I,s:o,s:o,s:{s:i}}", "version",
-			   (json_int_t)++site->config_version, "routes", routes,
+			   (json_int_t)site->config_version, "routes", routes,
 			   "services", services, "limits", "tx_idle_ms", 3000);
 	text = json_dumps(config, JSON_COMPACT);
 	site_store_put(site->store, "op/config", text);
@@ -93,6 +104,33 @@
 	json_decref(config);
 }
 
+/* Publishes the next version, with a further route if @p route is not NULL. */
+static void change_config(site_t *site, const char *route)
+{
+	if (route)
+		g_ptr_array_add(site->extra_routes, g_strdup(route));
+	site->config_version++;
+	put_config(site);
+}
+
+/*
+ * Restores the store's copy. The operator and the servers write again what
+ * they had written.
+ */
+static void restore_store(site_t *site, uint64_t down_until_ms)
+{
+	site_store_restore(site->store);
+	site_store_faults(site->store)->down_until_ms = down_until_ms;
+	put_config(site);
+	for (int i = 0; i < site->groups_count; i++)
+		for (int j = 0; j < GROUP_SERVERS_COUNT; j++) {
+			db_server_t *server = &site->groups[i]->servers[j];
+
+			if (server->listener)
+				on_server_change(site, server, true);
+		}
+}
+
 static db_server_t *find_server(site_t *site, const char *id)
 {
 	for (int i = 0; i < site->groups_count; i++) {
@@ -125,6 +163,12 @@
 	json_decref(body);
 }
 
+static void drain_server(site_t *site, db_server_t *server)
+{
+	server->draining = true;
+	on_server_change(site, server, true);
+}
+
 /*
  * Injects the fault of a call /fault/KIND?server=ID&for_ms=N. For "lose" N is
  * a percentage, for "store-slow" a delay.
@@ -133,6 +177,7 @@
 		     const char *kind)
 {
 	g_autofree char *id = http_argument(request, "server");
+	g_autofree char *route = http_argument(request, "route");
 	const uint32_t for_ms = (uint32_t)http_number(request, "for_ms", 1000);
 	const uint64_t until_ms = clock_now_ms() + for_ms;
 	db_server_t *server = id ? find_server(site, id) : NULL;
@@ -154,8 +199,14 @@
 		faults->slow_ms = for_ms;
 	else if (!strcmp(kind, "compact"))
 		site_store_compact(site->store);
+	else if (!strcmp(kind, "store-copy"))
+		site_store_keep_copy(site->store);
+	else if (!strcmp(kind, "store-restore"))
+		restore_store(site, until_ms);
+	else if (!strcmp(kind, "drain") && server)
+		drain_server(site, server);
 	else if (!strcmp(kind, "config"))
-		put_config(site);
+		change_config(site, route);
 	http_reply_text(request, HTTP_OK, "{}");
 }
 
@@ -223,6 +274,7 @@
 
 	site->base = event_base_new();
 	site->store = site_store_create(site->base);
+	site->extra_routes = g_ptr_array_new_with_free_func(g_free);
 	site->groups_count = groups;
 	site->registered_port_offset = registered_port_offset;
 	http = http_listen(site->base, "127.0.0.1", port);
@@ -239,7 +291,7 @@
 			(uint16_t)(port + 1 + i * GROUP_SERVERS_COUNT),
 			seed + (uint32_t)i, on_server_change, site);
 	}
-	put_config(site);
+	change_config(site, NULL);
 	return site;
 }
 
--- a/tests/standin/site/store.c
+++ b/tests/standin/site/store.c
@@ -7,35 +7,13 @@
 
 #include "base/clock.h"
 #include "standin/common/http.h"
+#include "standin/site/store_data.h"
 
 #define HTTP_CONFLICT 412
 #define HTTP_COMPACTED 410
-#define FIRST_REVISION 10
 /** Interval at which expired leases and watches are ended. */
 #define SWEEP_MS 50
 
-/** The value of a key. */
-typedef struct {
-	char *key;
-	char *value;	  /**< base64 */
-	int64_t revision; /**< revision of the last write */
-	int64_t created;  /**< revision of the first write */
-	int64_t lease;	  /**< lease that the key ends with, or 0 */
-} item_t;
-
-/** A write or removal in the history. */
-typedef struct {
-	char *key;
-	char *value; /**< base64, or NULL for a removal */
-	int64_t revision;
-	int64_t lease; /**< lease that the key ends with, or 0 */
-} change_t;
-
-typedef struct {
-	uint64_t expires_ms; /**< when the lease expires */
-	uint32_t ttl_ms;
-} lease_t;
-
 /** A call that waits for a change of a key with a prefix. */
 typedef struct {
 	site_store_t *store;
@@ -47,6 +25,7 @@
 
 /** An answer that the store's slowness delays. */
 typedef struct {
+	const site_store_t *store;
 	struct evhttp_request *request;
 	int status;
 	json_t *body;
@@ -55,36 +34,15 @@
 
 struct site_store {
 	struct event_base *base;
-	GTree *items;	       /**< of item_t by key */
-	GPtrArray *changes;    /**< of change_t, the history */
-	int64_t compacted;     /**< last revision dropped from the history */
-	int64_t revision;      /**< current revision */
-	int64_t last_lease_id; /**< id of the newest lease */
-	GHashTable *leases;    /**< of lease_t by id */
-	GPtrArray *watches;    /**< of watch_t */
-	struct event *sweep;   /**< ends expired leases and watches */
+	store_data_t *data;
+	store_data_t *copy;  /**< restored by site_store_restore(), or NULL */
+	int64_t era;	     /**< 1, and one more with each restore */
+	GPtrArray *watches;  /**< of watch_t */
+	struct event *sweep; /**< ends expired leases and watches */
 	site_store_faults_t faults;
 };
 
-static void item_free(gpointer data)
-{
-	item_t *item = data;
-
-	g_free(item->key);
-	g_free(item->value);
-	g_free(item);
-}
-
-static void change_free(gpointer data)
-{
-	change_t *change = data;
-
-	g_free(change->key);
-	g_free(change->value);
-	g_free(change);
-}
-
-static json_t *change_json(const change_t *change)
+static json_t *change_json(const store_change_t *change)
 {
 	if (!change->value)
 		return json_pack("{s:s,s:I,s:b}", "key", change->key,
@@ -96,7 +54,7 @@
 			 (json_int_t)change->lease);
 }
 
-static json_t *item_json(const item_t *item)
+static json_t *item_json(const store_item_t *item)
 {
 	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "key", item->key, "value",
 			 item->value, "revision", (json_int_t)item->revision,
@@ -104,11 +62,15 @@
 			 (json_int_t)item->lease);
 }
 
-static void reply_now(struct evhttp_request *request, int status, json_t *body)
+static void reply_now(const site_store_t *store, struct evhttp_request *request,
+		      int status, json_t *body)
 {
 	g_autofree char *text =
 		body ? json_dumps(body, JSON_COMPACT) : g_strdup("{}");
+	g_autofree char *era = g_strdup_printf("%" PRId64, store->era);
 
+	evhttp_add_header(evhttp_request_get_output_headers(request),
+			  "Store-Era", era);
 	http_reply_text(request, status, text);
 	json_decref(body);
 }
@@ -117,7 +79,8 @@
 {
 	delayed_t *delayed = context;
 
-	reply_now(delayed->request, delayed->status, delayed->body);
+	reply_now(delayed->store, delayed->request, delayed->status,
+		  delayed->body);
 	event_free(delayed->timer);
 	g_free(delayed);
 }
@@ -129,10 +92,11 @@
 	delayed_t *delayed;
 
 	if (!store->faults.slow_ms) {
-		reply_now(request, status, body);
+		reply_now(store, request, status, body);
 		return;
 	}
 	delayed = g_new0(delayed_t, 1);
+	delayed->store = store;
 	delayed->request = request;
 	delayed->status = status;
 	delayed->body = body;
@@ -140,51 +104,13 @@
 	event_add(delayed->timer, &delay);
 }
 
-static void add_change(site_store_t *store, const char *key, const char *value,
-		       int64_t lease)
-{
-	change_t *change = g_new0(change_t, 1);
-
-	change->key = g_strdup(key);
-	change->value = g_strdup(value);
-	change->revision = store->revision;
-	change->lease = lease;
-	g_ptr_array_add(store->changes, change);
-}
-
-static void set_item(site_store_t *store, const char *key, const char *value,
-		     int64_t lease)
-{
-	item_t *item = g_tree_lookup(store->items, key);
-
-	if (!item) {
-		item = g_new0(item_t, 1);
-		item->key = g_strdup(key);
-		item->created = store->revision;
-		g_tree_insert(store->items, item->key, item);
-	}
-	g_free(item->value);
-	item->value = g_strdup(value);
-	item->revision = store->revision;
-	item->lease = lease;
-	add_change(store, key, value, lease);
-}
-
-static void drop_item(site_store_t *store, const char *key)
-{
-	if (!g_tree_lookup(store->items, key))
-		return;
-	add_change(store, key, NULL, 0);
-	g_tree_remove(store->items, key);
-}
-
 static json_t *changes_after(site_store_t *store, const char *prefix,
 			     int64_t after)
 {
 	json_t *events = json_array();
 
-	for (guint i = 0; i < store->changes->len; i++) {
-		const change_t *change = store->changes->pdata[i];
+	for (guint i = 0; i < store->data->changes->len; i++) {
+		const store_change_t *change = store->data->changes->pdata[i];
 
 		if (change->revision > after &&
 		    g_str_has_prefix(change->key, prefix))
@@ -200,7 +126,7 @@
 	g_ptr_array_remove_fast(store->watches, watch);
 	reply(store, watch->request, HTTP_OK,
 	      json_pack("{s:o,s:I}", "events", events, "current_rev",
-			(json_int_t)store->revision));
+			(json_int_t)store->data->revision));
 	g_free(watch->prefix);
 	g_free(watch);
 }
@@ -226,22 +152,50 @@
 	g_autofree char *encoded =
 		g_base64_encode((const guchar *)value, strlen(value));
 
-	store->revision++;
-	set_item(store, key, encoded, 0);
+	store->data->revision++;
+	store_data_set(store->data, key, encoded, 0);
 	wake_watches(store);
 }
 
 void site_store_remove(site_store_t *store, const char *key)
 {
-	store->revision++;
-	drop_item(store, key);
+	store->data->revision++;
+	store_data_drop(store->data, key);
 	wake_watches(store);
 }
 
 void site_store_compact(site_store_t *store)
 {
-	g_ptr_array_set_size(store->changes, 0);
-	store->compacted = store->revision;
+	g_ptr_array_set_size(store->data->changes, 0);
+	store->data->compacted = store->data->revision;
+}
+
+void site_store_keep_copy(site_store_t *store)
+{
+	store_data_destroy(store->copy);
+	store->copy = store_data_copy(store->data);
+}
+
+/* The pending watches are not answered, as those of a stopped store. */
+static void forget_watches(site_store_t *store)
+{
+	for (guint i = 0; i < store->watches->len; i++) {
+		watch_t *watch = store->watches->pdata[i];
+
+		g_free(watch->prefix);
+		g_free(watch);
+	}
+	g_ptr_array_set_size(store->watches, 0);
+}
+
+void site_store_restore(site_store_t *store)
+{
+	if (!store->copy)
+		return;
+	forget_watches(store);
+	store_data_destroy(store->data);
+	store->data = store_data_copy(store->copy);
+	store->era++;
 }
 
 site_store_faults_t *site_store_faults(site_store_t *store)
@@ -259,7 +213,7 @@
 {
 	lease_keys_t *found = data;
 
-	if (((item_t *)value)->lease == found->lease)
+	if (((store_item_t *)value)->lease == found->lease)
 		g_ptr_array_add(found->names, g_strdup(key));
 	return FALSE;
 }
@@ -270,13 +224,13 @@
 	g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(g_free);
 	lease_keys_t found = {.lease = lease, .names = list};
 
-	g_hash_table_remove(store->leases, &lease);
-	g_tree_foreach(store->items, collect_leased, &found);
+	g_hash_table_remove(store->data->leases, &lease);
+	g_tree_foreach(store->data->items, collect_leased, &found);
 	if (!list->len)
 		return;
-	store->revision++;
+	store->data->revision++;
 	for (guint i = 0; i < list->len; i++)
-		drop_item(store, list->pdata[i]);
+		store_data_drop(store->data, list->pdata[i]);
 }
 
 static void on_sweep(evutil_socket_t fd, short what, void *context)
@@ -287,9 +241,9 @@
 	gpointer id;
 	gpointer lease;
 
-	g_hash_table_iter_init(&iter, store->leases);
+	g_hash_table_iter_init(&iter, store->data->leases);
 	while (g_hash_table_iter_next(&iter, &id, &lease))
-		if (clock_now_ms() >= ((lease_t *)lease)->expires_ms)
+		if (clock_now_ms() >= ((store_lease_t *)lease)->expires_ms)
 			g_array_append_val(ended, *(int64_t *)id);
 	for (guint i = 0; i < ended->len; i++)
 		end_lease(store, g_array_index(ended, int64_t, i));
@@ -316,10 +270,10 @@
 	g_autofree char *prefix = http_argument(request, "prefix");
 	range_t range = {.prefix = prefix ? prefix : "", .items = json_array()};
 
-	g_tree_foreach(store->items, collect_range, &range);
+	g_tree_foreach(store->data->items, collect_range, &range);
 	reply(store, request, HTTP_OK,
 	      json_pack("{s:o,s:b,s:I}", "items", range.items, "has_more", 0,
-			"current_rev", (json_int_t)store->revision));
+			"current_rev", (json_int_t)store->data->revision));
 }
 
 static void serve_watch(site_store_t *store, struct evhttp_request *request)
@@ -328,7 +282,7 @@
 	const int64_t after = http_number(request, "after", 0);
 	watch_t *watch;
 
-	if (after < store->compacted) {
+	if (after < store->data->compacted || after > store->data->revision) {
 		reply(store, request, HTTP_COMPACTED, NULL);
 		return;
 	}
@@ -353,7 +307,8 @@
 	{
 		const char *key =
 			json_string_value(json_object_get(row, "key"));
-		const item_t *item = g_tree_lookup(store->items, key);
+		const store_item_t *item =
+			g_tree_lookup(store->data->items, key);
 		const int64_t wanted =
 			json_integer_value(json_object_get(row, "revision"));
 
@@ -374,7 +329,8 @@
 		const int64_t lease =
 			json_integer_value(json_object_get(put, "lease"));
 
-		if (lease && !g_hash_table_contains(store->leases, &lease))
+		if (lease &&
+		    !g_hash_table_contains(store->data->leases, &lease))
 			return false;
 	}
 	return true;
@@ -385,13 +341,15 @@
 	size_t i;
 	json_t *row;
 
-	store->revision++;
+	store->data->revision++;
 	json_array_foreach(json_object_get(body, "puts"), i, row)
-		set_item(store, json_string_value(json_object_get(row, "key")),
-			 json_string_value(json_object_get(row, "value")),
-			 json_integer_value(json_object_get(row, "lease")));
+		store_data_set(
+			store->data,
+			json_string_value(json_object_get(row, "key")),
+			json_string_value(json_object_get(row, "value")),
+			json_integer_value(json_object_get(row, "lease")));
 	json_array_foreach(json_object_get(body, "remove"), i, row)
-		drop_item(store, json_string_value(row));
+		store_data_drop(store->data, json_string_value(row));
 }
 
 static void serve_commit(site_store_t *store, struct evhttp_request *request)
@@ -407,7 +365,7 @@
 		apply_commit(store, body);
 		reply(store, request, HTTP_OK,
 		      json_pack("{s:I}", "revision",
-				(json_int_t)store->revision));
+				(json_int_t)store->data->revision));
 		wake_watches(store);
 	}
 	json_decref(body);
@@ -418,14 +376,14 @@
 {
 	g_autofree char *text = http_body(request);
 	json_t *body = json_loads(text, 0, NULL);
-	lease_t *lease = g_new0(lease_t, 1);
+	store_lease_t *lease = g_new0(store_lease_t, 1);
 	int64_t *id = g_new(int64_t, 1);
 
-	*id = ++store->last_lease_id;
+	*id = ++store->data->last_lease_id;
 	lease->ttl_ms =
 		(uint32_t)json_integer_value(json_object_get(body, "ttl_ms"));
 	lease->expires_ms = clock_now_ms() + lease->ttl_ms;
-	g_hash_table_insert(store->leases, id, lease);
+	g_hash_table_insert(store->data->leases, id, lease);
 	reply(store, request, HTTP_OK,
 	      json_pack("{s:I,s:i}", "lease", (json_int_t)*id, "ttl_ms",
 			(int)lease->ttl_ms));
@@ -435,7 +393,7 @@
 static void serve_lease_renew(site_store_t *store,
 			      struct evhttp_request *request, int64_t id)
 {
-	lease_t *lease = g_hash_table_lookup(store->leases, &id);
+	store_lease_t *lease = g_hash_table_lookup(store->data->leases, &id);
 
 	if (!lease) {
 		reply(store, request, HTTP_NOTFOUND, NULL);
@@ -448,7 +406,7 @@
 static void serve_lease_end(site_store_t *store, struct evhttp_request *request,
 			    int64_t id)
 {
-	const bool known = g_hash_table_contains(store->leases, &id);
+	const bool known = g_hash_table_contains(store->data->leases, &id);
 
 	end_lease(store, id);
 	wake_watches(store);
@@ -463,7 +421,7 @@
 	if (now_ms < store->faults.unresponsive_until_ms)
 		return true; /* ended by the timeout of the calling node */
 	if (now_ms < store->faults.down_until_ms) {
-		reply_now(request, HTTP_SERVUNAVAIL, NULL);
+		reply_now(store, request, HTTP_SERVUNAVAIL, NULL);
 		return true;
 	}
 	return false;
@@ -491,12 +449,7 @@
 	else if (g_str_has_prefix(path, "/kv-lease-end/"))
 		serve_lease_end(store, request, id);
 	else
-		reply_now(request, HTTP_NOTFOUND, NULL);
-}
-
-static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
-{
-	return strcmp(a, b);
+		reply_now(store, request, HTTP_NOTFOUND, NULL);
 }
 
 site_store_t *site_store_create(struct event_base *base)
@@ -505,11 +458,8 @@
 	const struct timeval step = clock_timeval(SWEEP_MS);
 
 	store->base = base;
-	store->revision = FIRST_REVISION;
-	store->items = g_tree_new_full(compare_keys, NULL, NULL, item_free);
-	store->changes = g_ptr_array_new_with_free_func(change_free);
-	store->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					      g_free, g_free);
+	store->era = 1;
+	store->data = store_data_create();
 	store->watches = g_ptr_array_new();
 	store->sweep = event_new(base, -1, EV_PERSIST, on_sweep, store);
 	event_add(store->sweep, &step);
--- a/tests/standin/site/store.h
+++ b/tests/standin/site/store.h
@@ -35,6 +35,15 @@
 /** Drops the history of changes; watches from before it get 410. */
 void site_store_compact(site_store_t *store);
 
+/** Keeps a copy of all keys, leases and the history. */
+void site_store_keep_copy(site_store_t *store);
+
+/**
+ * Goes back to the copy, if there is one: later writes and leases are lost,
+ * revisions and leases' ids are given out again, and the era rises by one.
+ */
+void site_store_restore(site_store_t *store);
+
 /** @return the store's faults, for the control URLs to set. */
 site_store_faults_t *site_store_faults(site_store_t *store);
 
