Let revisions of the store carry their era

Cause: each node drops a change whose revision is not above the one it knows of the key, and starts a watch where the last one ended. Both compared revisions of two eras. Ruled out: a version check (no catalog_older), a silent watch (the changes had arrived).

kv_eras wraps the store of a node: revisions carry the era in their upper bits, so that every table, log, message between nodes and condition that orders them is right without a change of its own. A watch, condition or lease of an earlier era fails instead of meaning something else.

--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -16,6 +16,7 @@
 #include "relay/relay_status_page.h"
 #include "relay/relay_subscription.h"
 #include "state/revision_table.h"
+#include "store/kv_eras.h"
 #include "store/kv_follow.h"
 
 /* Maximum number of series of one metric; further labels share one series. */
@@ -463,6 +464,20 @@
 	kv_follow_restart(node->primaries);
 }
 
+/*
+ * The store came back from an older copy: what the node knows of it must be
+ * read again, and what the node wrote there may be gone.
+ */
+static void on_restored(void *context)
+{
+	relay_node_t *node = context;
+
+	if (!node->hub)
+		return;
+	kv_follow_relist(node->follow);
+	kv_follow_relist(node->primaries);
+}
+
 static void on_claim_taken(void *context)
 {
 	relay_node_t *node = context;
@@ -571,8 +586,8 @@
 	kv_store_t *store = node->platform.store;
 
 	if (node->follow) {
-		kv_follow_resume(node->follow);
-		kv_follow_resume(node->primaries);
+		kv_follow_relist(node->follow);
+		kv_follow_relist(node->primaries);
 		return;
 	}
 	node->follow = kv_follow_create(node->base, store, "", FOLLOW_PAUSE_MS,
@@ -677,6 +692,9 @@
 	node->base = base;
 	node->settings = settings;
 	node->platform = platform;
+	node->platform.store = kv_eras_create(base, platform.store);
+	node->platform.store->restored = on_restored;
+	node->platform.store->restored_context = node;
 	node->metrics = metrics_create(METRIC_SERIES_MAX);
 	node->hub_values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -697,7 +715,7 @@
 		.context = node,
 	});
 	node->coordinator = relay_coordinator_create(
-		base, platform.store, node->services, platform.promoter,
+		base, node->platform.store, node->services, platform.promoter,
 		settings->node, on_takeover, node);
 	create_hub_tasks(node);
 	if (listen_all(node, error))
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -242,16 +242,16 @@
 	schedule(follow, 0);
 }
 
-void kv_follow_stop(kv_follow_t *follow)
+void kv_follow_relist(kv_follow_t *follow)
 {
-	follow->round++;
-	event_del(follow->timer);
+	follow->revision = 0;
+	kv_follow_restart(follow);
 }
 
-void kv_follow_resume(kv_follow_t *follow)
+void kv_follow_stop(kv_follow_t *follow)
 {
-	follow->revision = 0;
-	schedule(follow, 0);
+	follow->round++;
+	event_del(follow->timer);
 }
 
 void kv_follow_destroy(kv_follow_t *follow)
--- a/src/store/kv_follow.h
+++ b/src/store/kv_follow.h
@@ -41,11 +41,14 @@
  */
 void kv_follow_restart(kv_follow_t *follow);
 
-/** Ignores the answer to the pending request and sends no more. */
-void kv_follow_stop(kv_follow_t *follow);
+/** Ignores the answer to the pending request and lists all keys anew. */
+void kv_follow_relist(kv_follow_t *follow);
 
-/** Follows again after kv_follow_stop(): lists all keys anew. */
-void kv_follow_resume(kv_follow_t *follow);
+/**
+ * Ignores the answer to the pending request and sends no more until
+ * kv_follow_relist().
+ */
+void kv_follow_stop(kv_follow_t *follow);
 
 /** Frees the follower, before the store is destroyed; NULL is allowed. */
 void kv_follow_destroy(kv_follow_t *follow);
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -103,6 +103,12 @@
 struct kv_store {
 	const kv_store_calls_t *calls;
 	void *self;
+	/**
+	 * Called when the service was restored from an older copy; NULL for
+	 * none. Set by the store's user.
+	 */
+	void (*restored)(void *context);
+	void *restored_context;
 };
 
 /** Frees the store; pending callbacks are not called. NULL is allowed. */
