Count a primary record only in the era of the store it was written in

By reading, worse was possible: a restored record names the primary of before a lost promotion, and a node that had just started believed it, with the store's own renewal as proof; a fencing number could be given out twice; the list of registered nodes that a takeover waits for could lack some.

Cause: what a node wrote in one era was taken for true in the next: records, leases, the key that names the last holder.

A record now says in which era it was written and counts only there. After a restore the coordinator writes each record anew once the servers agree with what it knows (primary_survey: all of them at once, or the known primary and one replica after 1.5 s); else a takeover of its own kind promotes a server in any case, which changes nothing if it is primary already. A node that remembers a later term than the store shows writes its record back, so that the coordinator learns of it. Nodes keep their registration and the replicas' proofs under it until the records are written, then register anew. The holder of the coordinator lease takes it back at once, and waits before it promotes (it may not have been the last one). The token of a promotion is the revision with its era, so it grows.

New: primary_survey, takeover of a restored service, record of an earlier era.

--- a/src/coordination/primary_lease.c
+++ b/src/coordination/primary_lease.c
@@ -4,6 +4,8 @@
 
 #include <glib.h>
 
+#include "state/store_revision.h"
+
 void node_lease_renewed(node_lease_t *lease, uint64_t sent_ms)
 {
 	lease->valid_until_ms =
@@ -40,11 +42,16 @@
 	service->read_at = revision;
 }
 
-void primary_lease_unchanged(primary_lease_t *service, int64_t revision)
+bool primary_lease_unchanged(primary_lease_t *service, int64_t revision)
 {
 	/* Without a record, one that was written earlier is still to come. */
-	if (*service->primary)
-		service->read_at = MAX(service->read_at, revision);
+	if (!*service->primary)
+		return true;
+	if (store_revision_era(service->read_at) !=
+	    store_revision_era(revision))
+		return false;
+	service->read_at = MAX(service->read_at, revision);
+	return true;
 }
 
 static bool same_replicas(const primary_lease_t *service,
--- a/src/coordination/primary_lease.h
+++ b/src/coordination/primary_lease.h
@@ -28,6 +28,12 @@
  * takeover, and registers again, only after each of them knows the takeover or
  * can no longer use a proof (see delegation.h). So a delegated proof holds for
  * any record without a takeover that the node has read.
+ *
+ * A restore of the store from an older copy may take back a record, an intent
+ * or the end of a lease. A record counts only in the era it was written in;
+ * after a restore the coordinator writes it again once it knows that no other
+ * server was promoted (see primary_survey.h). Until then a node keeps its
+ * earlier registration and the replicas' proofs under it, which need no store.
  */
 
 /** Validity of one proof. */
@@ -75,8 +81,13 @@
 				const char *primary, bool takeover,
 				int64_t revision);
 
-/** Records that the service's record is unchanged up to a store revision. */
-void primary_lease_unchanged(primary_lease_t *service, int64_t revision);
+/**
+ * Records that the service's record is unchanged up to a store revision. A
+ * record that was read in another era of the store says nothing in this one.
+ *
+ * @return false if the known record is one of another era
+ */
+bool primary_lease_unchanged(primary_lease_t *service, int64_t revision);
 
 /** Discards the proofs of the replicas and of other nodes. */
 void primary_lease_forget_proofs(primary_lease_t *service);
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -27,6 +27,12 @@
 /* Promotions of one server before another one is promoted in its place. */
 #define PROMOTIONS_MAX 4u
 
+/*
+ * Time after the first promotion in which it surely takes effect; a server that
+ * is still primary of the recorded term afterwards was so before.
+ */
+#define PROMOTED_MS 1300
+
 /* Time after which another replica is fenced if a fence got no answer. */
 #define FENCE_RETRY_MS 400
 
@@ -62,7 +68,10 @@
 	uint64_t wait_until_ms; /* when earlier proofs have expired */
 	server_t *candidate;	/* the server to promote or publish */
 	uint64_t promote_ms;	/* when the promotion was requested */
-	uint64_t new_term;	/* the term to publish */
+	/* When the candidate was first promoted and that was accepted, or 0. */
+	uint64_t first_promote_ms;
+	bool accepted;
+	uint64_t new_term; /* the term to publish */
 };
 
 takeover_t *takeover_create(takeover_actions_t actions)
@@ -213,7 +222,10 @@
 		server->superseded =
 			server->promotions && server != takeover->candidate;
 	}
-	takeover->candidate->promotions++;
+	if (!takeover->candidate->promotions++) {
+		takeover->first_promote_ms = now_ms;
+		takeover->accepted = false;
+	}
 	enter_phase(takeover, TAKEOVER_PROMOTE, now_ms);
 	takeover->promote_ms = now_ms;
 	takeover->candidate->queried_ms = now_ms;
@@ -359,6 +371,28 @@
 	return best;
 }
 
+/*
+ * @return the server to promote after a restore: the primary of the highest
+ *         term, else the replica with the longest log, or NULL
+ */
+static server_t *find_restored(takeover_t *takeover)
+{
+	server_t *best = NULL;
+
+	for (uint32_t i = 0; i < takeover->count; i++) {
+		server_t *server = &takeover->servers[i];
+		const bool primary = server->status.role == SERVER_PRIMARY;
+
+		if (!server->answered || server->refused ||
+		    server->superseded || !primary ||
+		    server->status.term < takeover->term)
+			continue;
+		if (!best || server->status.term > best->status.term)
+			best = server;
+	}
+	return best ? best : find_longest_log(takeover);
+}
+
 /* @return the server whose promotion may have taken effect, or NULL */
 static server_t *find_promoted(takeover_t *takeover)
 {
@@ -441,6 +475,8 @@
 	case TAKEOVER_HANDOVER:
 		return old->answered && waited_ms >= CATCH_UP_MS &&
 		       !(best && has_caught_up(best, old));
+	case TAKEOVER_RESTORED:
+		return false;
 	}
 	return false;
 }
@@ -453,6 +489,21 @@
 				takeover->primary, takeover->term + 1);
 }
 
+static void choose_restored(takeover_t *takeover, uint64_t now_ms)
+{
+	server_t *promoted = find_promoted(takeover);
+	server_t *best = promoted ? promoted : find_restored(takeover);
+	const uint64_t waited_ms = now_ms - takeover->phase_ms;
+
+	query_all(takeover, now_ms);
+	if (!best && waited_ms >= CATCH_UP_MS)
+		forget_promotions(takeover);
+	if (!best || (!all_answered(takeover) && waited_ms < COMPARE_MS))
+		return;
+	takeover->candidate = best;
+	confirm(takeover, now_ms);
+}
+
 static void choose(takeover_t *takeover, uint64_t now_ms)
 {
 	server_t *old = find_server(takeover, takeover->primary);
@@ -460,6 +511,10 @@
 	server_t *best = promoted ? promoted : find_longest_log(takeover);
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 
+	if (takeover->kind == TAKEOVER_RESTORED) {
+		choose_restored(takeover, now_ms);
+		return;
+	}
 	if (publish_new_primary(takeover, now_ms))
 		return;
 	query_all(takeover, now_ms);
@@ -497,6 +552,16 @@
 	begin_choice(takeover, now_ms);
 }
 
+/* Whether a promotion has shown that the server was primary before it. */
+static bool is_confirmed_primary(const takeover_t *takeover,
+				 const server_t *server, uint64_t now_ms)
+{
+	return takeover->kind == TAKEOVER_RESTORED && takeover->accepted &&
+	       now_ms >= takeover->first_promote_ms + PROMOTED_MS &&
+	       server->answered && server->status.role == SERVER_PRIMARY &&
+	       server->status.term >= takeover->term;
+}
+
 void takeover_status(takeover_t *takeover, const char *id,
 		     const takeover_status_t *status, uint64_t now_ms)
 {
@@ -512,6 +577,8 @@
 	}
 	if (takeover->phase == TAKEOVER_REVOKE ||
 	    takeover->phase == TAKEOVER_WAIT) {
+		if (takeover->kind == TAKEOVER_RESTORED)
+			return;
 		if (!publish_new_primary(takeover, now_ms) &&
 		    takeover->kind == TAKEOVER_LOST &&
 		    is_primary(takeover, server) &&
@@ -520,7 +587,9 @@
 		return;
 	}
 	if (takeover->phase != TAKEOVER_PROMOTE ||
-	    server != takeover->candidate || !is_new_primary(takeover, server))
+	    server != takeover->candidate ||
+	    !(is_new_primary(takeover, server) ||
+	      is_confirmed_primary(takeover, server, now_ms)))
 		return;
 	takeover->new_term = status->term;
 	publish(takeover, now_ms);
@@ -531,6 +600,7 @@
 {
 	if (takeover->phase != TAKEOVER_PROMOTE)
 		return;
+	takeover->accepted |= result == TAKEOVER_PROMOTED;
 	if (result == TAKEOVER_NOT_RUNNING) {
 		takeover->candidate->refused = true;
 		begin_choice(takeover, now_ms);
@@ -561,7 +631,11 @@
 		return;
 	case TAKEOVER_PROMOTE:
 		query_server(takeover, takeover->candidate, now_ms);
-		if (now_ms >= takeover->promote_ms + PROMOTE_RETRY_MS)
+		if (now_ms >= takeover->promote_ms + PROMOTE_RETRY_MS &&
+		    !(takeover->accepted &&
+		      takeover->kind == TAKEOVER_RESTORED &&
+		      now_ms < takeover->first_promote_ms + PROMOTED_MS +
+				       PROMOTE_RETRY_MS))
 			retry_promotion(takeover, now_ms);
 		return;
 	case TAKEOVER_PUBLISH:
--- a/src/coordination/takeover.h
+++ b/src/coordination/takeover.h
@@ -43,6 +43,12 @@
 	TAKEOVER_LEAVING, /**< the primary answers, but will be removed */
 	/** The primary answers; it stays unless a replica has its whole log. */
 	TAKEOVER_HANDOVER,
+	/**
+	 * A restore of the store may have lost a promotion, so that it is not
+	 * known which server is primary. One is promoted in any case; this
+	 * changes nothing if it is primary already.
+	 */
+	TAKEOVER_RESTORED,
 } takeover_kind_t;
 
 /** A server of the service, as known at the start of the takeover. */
--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "state/store_revision.h"
 
 /* Time to live of the coordinator lease. */
 #define COORDINATOR_TTL_MS 2000
@@ -87,9 +88,24 @@
 		coordinator_takeover_stop(entry);
 }
 
+/*
+ * Whether another node may still have requested a promotion. After a restore
+ * the store may not know who held the lease last.
+ */
+static bool must_settle(const relay_coordinator_t *coordinator)
+{
+	const coordinator_holder_t *last = &coordinator->last_holder;
+
+	if (!last->node)
+		return coordinator->next_holder.restored_ms != 0;
+	return strcmp(last->node, coordinator->node) ||
+	       last->era != coordinator->next_holder.era;
+}
+
 static void on_acquired(void *context, const kv_answer_t *answer)
 {
 	relay_coordinator_t *coordinator = context;
+	const coordinator_holder_t *last = &coordinator->last_holder;
 	const uint64_t now_ms = clock_boot_ms();
 	GHashTableIter iter;
 	gpointer entry;
@@ -105,43 +121,60 @@
 	g_hash_table_iter_init(&iter, coordinator->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &entry))
 		coordinator_service_reset(entry);
-	coordinator->settled_ms =
-		coordinator->last_holder && strcmp(coordinator->last_holder,
-						   coordinator->node) ?
-			now_ms + COORDINATOR_SETTLE_MS :
-			now_ms;
+	coordinator->settled_ms = must_settle(coordinator) ?
+					  now_ms + COORDINATOR_SETTLE_MS :
+					  now_ms;
+	coordinator->held_before = true;
 	log_event(LOG_LEVEL_NOTICE, "duty_held",
 		  "token=%" PRId64 " last_holder=%s settle_ms=%" PRIu64,
-		  answer->revision,
-		  coordinator->last_holder ? coordinator->last_holder : "-",
+		  answer->revision, last->node ? last->node : "-",
 		  coordinator->settled_ms - now_ms);
+	coordinator_holder_clear(&coordinator->last_holder);
+	coordinator->last_holder = coordinator->next_holder;
+	coordinator->next_holder = (coordinator_holder_t){0};
+	coordinator->holder_revision = answer->revision;
 }
 
-static void on_lease_opened(void *context, const kv_answer_t *answer)
+static void write_keys(relay_coordinator_t *coordinator)
 {
-	relay_coordinator_t *coordinator = context;
-	const kv_condition_t condition = {.key = COORDINATOR_KEY};
+	g_autofree char *holder =
+		coordinator_holder_encode(&coordinator->next_holder);
+	const kv_condition_t conditions[] = {
+		{.key = COORDINATOR_KEY, .revision = coordinator->key_revision},
+		{.key = COORDINATOR_HOLDER_KEY,
+		 .revision = coordinator->holder_revision},
+	};
 	const kv_put_t puts[] = {
 		{.key = COORDINATOR_KEY,
 		 .value = coordinator->node,
-		 .lease = answer->lease},
-		{.key = COORDINATOR_HOLDER_KEY, .value = coordinator->node},
+		 .lease = coordinator->lease},
+		{.key = COORDINATOR_HOLDER_KEY, .value = holder},
 	};
 	const kv_transaction_t transaction = {
-		.conditions = &condition,
-		.conditions_count = 1,
+		.conditions = conditions,
+		.conditions_count = G_N_ELEMENTS(conditions),
 		.puts = puts,
 		.puts_count = G_N_ELEMENTS(puts),
 	};
 
+	coordinator->store->calls->commit(coordinator->store->self,
+					  &transaction, on_acquired,
+					  coordinator);
+}
+
+static void on_lease_opened(void *context, const kv_answer_t *answer)
+{
+	relay_coordinator_t *coordinator = context;
+
 	if (answer->result != KV_OK || !answer->lease || coordinator->leaving) {
 		coordinator->acquiring = false;
 		return;
 	}
 	coordinator->lease = answer->lease;
-	coordinator->store->calls->commit(coordinator->store->self,
-					  &transaction, on_acquired,
-					  coordinator);
+	coordinator_holder_clear(&coordinator->next_holder);
+	coordinator->next_holder =
+		coordinator_holder_next(coordinator, answer->era);
+	write_keys(coordinator);
 }
 
 static void on_renewed(void *context, const kv_answer_t *answer)
@@ -197,6 +230,13 @@
 	return busy;
 }
 
+/* A key of this run's own earlier lease came back with a restored copy. */
+static bool may_acquire(const relay_coordinator_t *coordinator)
+{
+	return !coordinator->key_revision ||
+	       (coordinator->key_own && coordinator->held_before);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	relay_coordinator_t *coordinator = context;
@@ -214,9 +254,11 @@
 			busy = step_services(coordinator, now_ms);
 		}
 	} else if (coordinator->enabled && coordinator->synced &&
-		   !coordinator->key_revision) {
+		   may_acquire(coordinator)) {
 		acquire(coordinator, now_ms);
 	}
+	if (coordinator->enabled)
+		coordinator_recall_step(coordinator, now_ms);
 	delay = clock_timeval(busy ? COORDINATOR_BUSY_TICK_MS :
 				     COORDINATOR_IDLE_TICK_MS);
 	event_add(coordinator->timer, &delay);
@@ -254,14 +296,27 @@
 	g_hash_table_destroy(coordinator->entries);
 	g_rand_free(coordinator->random);
 	coordinator->promoter.destroy(coordinator->promoter.self);
-	g_free(coordinator->last_holder);
+	coordinator_holder_clear(&coordinator->last_holder);
+	coordinator_holder_clear(&coordinator->next_holder);
 	g_free(coordinator->node);
 	g_free(coordinator);
 }
 
+static bool names_node(const relay_coordinator_t *coordinator,
+		       const kv_item_t *item)
+{
+	gsize size;
+	const char *text =
+		item->value ? g_bytes_get_data(item->value, &size) : NULL;
+
+	return text && size == strlen(coordinator->node) &&
+	       !memcmp(text, coordinator->node, size);
+}
+
 static void apply_key(relay_coordinator_t *coordinator, const kv_item_t *item)
 {
 	coordinator->key_revision = item->deleted ? 0 : item->revision;
+	coordinator->key_own = names_node(coordinator, item);
 	if (item->deleted) {
 		if (item->revision > coordinator->held_revision)
 			drop_lease(coordinator, "key_removed");
@@ -275,86 +330,15 @@
 	}
 }
 
-/*
- * Reports a takeover once for each holder and term. The same takeover continued
- * by another holder is reported again.
- */
-static void report_takeover(coordinator_service_t *entry,
-			    const primary_record_t *record)
-{
-	const bool known = record->takeover_term == entry->seen_takeover_term &&
-			   record->token == entry->seen_token;
-
-	entry->seen_takeover_term = record->takeover_term;
-	entry->seen_token = record->token;
-	if (record->takeover_term && !known)
-		entry->coordinator->on_takeover(entry->coordinator->context);
-}
-
-static void apply_record(relay_coordinator_t *coordinator,
-			 const kv_item_t *item)
-{
-	const char *name = item->key + strlen(COORDINATOR_SERVICE_PREFIX);
-	relay_service_t *service =
-		relay_services_find(coordinator->services, name);
-	coordinator_service_t *entry =
-		coordinator_service_get(coordinator, name);
-	primary_record_t record;
-
-	if (item->deleted || !item->value ||
-	    !primary_record_decode(item->value, &record)) {
-		log_event(LOG_LEVEL_WARNING, "primary_record_invalid",
-			  "service=%s revision=%" PRId64 " deleted=%d", name,
-			  item->revision, item->deleted);
-		return;
-	}
-	if (service)
-		relay_service_set_primary(service, record.term, record.primary,
-					  record.takeover_term, item->revision);
-	report_takeover(entry, &record);
-	if (item->revision <= entry->revision)
-		return;
-	coordinator_takeover_record_seen(entry, &record, item->revision);
-	if (strcmp(entry->record.primary, record.primary))
-		coordinator_service_reset(entry);
-	entry->revision = item->revision;
-	entry->record = record;
-	entry->missing_since_ms = 0;
-}
-
 void relay_coordinator_key_changed(relay_coordinator_t *coordinator,
 				   const kv_item_t *item)
 {
 	if (!strcmp(item->key, COORDINATOR_KEY)) {
 		apply_key(coordinator, item);
-	} else if (!strcmp(item->key, COORDINATOR_HOLDER_KEY) && item->value) {
-		gsize size;
-		const char *text = g_bytes_get_data(item->value, &size);
-
-		g_free(coordinator->last_holder);
-		coordinator->last_holder = g_strndup(text, size);
+	} else if (!strcmp(item->key, COORDINATOR_HOLDER_KEY)) {
+		coordinator_holder_seen(coordinator, item);
 	} else if (g_str_has_prefix(item->key, COORDINATOR_SERVICE_PREFIX)) {
-		apply_record(coordinator, item);
-	}
-}
-
-/* Applies the records of services that were unknown when the record arrived. */
-static void reapply_records(relay_coordinator_t *coordinator)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, coordinator->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const coordinator_service_t *entry = value;
-		relay_service_t *service =
-			relay_services_find(coordinator->services, entry->name);
-
-		if (service && entry->revision)
-			relay_service_set_primary(service, entry->record.term,
-						  entry->record.primary,
-						  entry->record.takeover_term,
-						  entry->revision);
+		coordinator_record_seen(coordinator, item);
 	}
 }
 
@@ -363,10 +347,11 @@
 	coordinator->enabled = true;
 }
 
-void relay_coordinator_synced(relay_coordinator_t *coordinator)
+void relay_coordinator_restored(relay_coordinator_t *coordinator)
 {
-	coordinator->synced = true;
-	reapply_records(coordinator);
+	coordinator->restored_ms = g_get_real_time() / 1000;
+	coordinator->synced = false;
+	drop_lease(coordinator, "restored");
 }
 
 void relay_coordinator_connection_failed(relay_coordinator_t *coordinator,
@@ -416,8 +401,11 @@
 	for (uint32_t i = 0; i < count; i++) {
 		char *key = g_strconcat(COORDINATOR_SERVICE_PREFIX,
 					entries[i]->name, NULL);
-		char *value = primary_record_encode(&records[i]);
+		primary_record_t record = records[i];
+		char *value;
 
+		record.era = store_revision_era(coordinator->held_revision);
+		value = primary_record_encode(&record);
 		g_ptr_array_add(texts, key);
 		g_ptr_array_add(texts, value);
 		conditions[i] = (kv_condition_t){
--- a/src/relay/relay_coordinator.h
+++ b/src/relay/relay_coordinator.h
@@ -37,6 +37,16 @@
 /** Lets the node acquire the coordinator lease; at first it may not. */
 void relay_coordinator_enable(relay_coordinator_t *coordinator);
 
+/**
+ * Handles a restore of the store from an older copy: the lease is lost, and the
+ * keys are read anew. Records count again once they are written in the store's
+ * new era.
+ */
+void relay_coordinator_restored(relay_coordinator_t *coordinator);
+
+/** @return whether the records of all services count in the store's era */
+bool relay_coordinator_is_current(const relay_coordinator_t *coordinator);
+
 /** Records that all changes of those keys up to a revision were applied. */
 void relay_coordinator_synced(relay_coordinator_t *coordinator);
 
--- a/src/relay/relay_coordinator_initial.c
+++ b/src/relay/relay_coordinator_initial.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/primary_survey.h"
 #include "relay/relay_control.h"
 
 /* Timeout of a status query. */
@@ -92,38 +93,107 @@
 	return primary;
 }
 
+/* Surveys the servers for a record that was written before a restore. */
+static survey_t survey(const coordinator_service_t *entry,
+		       const GPtrArray *servers, uint64_t now_ms)
+{
+	const survey_known_t known = {
+		.term = entry->record.term,
+		.primary = entry->record.primary,
+		.takeover = entry->record.takeover_term,
+	};
+	survey_server_t answers[TAKEOVER_SERVERS_MAX] = {0};
+	const uint32_t count = MIN(servers->len, TAKEOVER_SERVERS_MAX);
+
+	for (uint32_t i = 0; i < count; i++) {
+		const relay_status_t *status;
+
+		answers[i].id = relay_server_entry(servers->pdata[i])->id;
+		status = g_hash_table_lookup(entry->statuses, answers[i].id);
+		if (!status)
+			continue;
+		answers[i].status = (takeover_status_t){
+			.answered = true,
+			.role = status->role,
+			.term = status->term,
+			.fence = status->fence,
+			.received = status->received,
+		};
+	}
+	return primary_survey(&known, answers, count,
+			      now_ms - entry->missing_since_ms);
+}
+
+static void set_surveyed(coordinator_service_t *entry, const survey_t *found)
+{
+	entry->record.term = found->term;
+	if (found->primary != entry->record.primary)
+		g_strlcpy(entry->record.primary, found->primary,
+			  sizeof(entry->record.primary));
+}
+
+/* @return whether the record is ready to be written */
+static bool check_survey(coordinator_service_t *entry, const GPtrArray *servers,
+			 uint64_t now_ms)
+{
+	const survey_t found = survey(entry, servers, now_ms);
+
+	if (found.result == SURVEY_WAITING)
+		return false;
+	set_surveyed(entry, &found);
+	if (found.result == SURVEY_AGREED)
+		return true;
+	coordinator_takeover_start(entry, TAKEOVER_RESTORED, "restored");
+	return false;
+}
+
 /*
- * Marks the record as ready once several servers exist and all of them have
- * answered, or after ALL_STATUSES_WAIT_MS. Restarts the wait if no server
- * reported a term.
+ * @return whether the first record is ready: several servers exist and all have
+ *         answered, or enough time has passed and one reported a term
  */
-void coordinator_initial_prepare(coordinator_service_t *entry, uint64_t now_ms)
+static bool check_first(coordinator_service_t *entry, const GPtrArray *servers,
+			uint64_t now_ms)
 {
-	relay_service_t *service =
-		relay_services_find(entry->coordinator->services, entry->name);
-	const GPtrArray *servers = relay_service_servers(service);
 	const bool complete =
 		servers->len > 1 &&
 		g_hash_table_size(entry->statuses) >= servers->len;
 	uint64_t term;
 
-	if (!servers->len || entry->writing_initial)
-		return;
-	if (!entry->missing_since_ms)
-		entry->missing_since_ms = now_ms;
 	if (!complete &&
-	    now_ms < entry->missing_since_ms + ALL_STATUSES_WAIT_MS) {
-		if (now_ms < entry->polled_ms + POLL_INTERVAL_MS)
-			return;
-		entry->polled_ms = now_ms;
-		poll_servers(entry, service);
-		return;
-	}
+	    now_ms < entry->missing_since_ms + ALL_STATUSES_WAIT_MS)
+		return false;
 	newest_primary(entry, &term);
 	if (!term)
 		entry->missing_since_ms = 0;
-	else if (!entry->ready_since_ms)
+	return term;
+}
+
+static void poll_if_due(coordinator_service_t *entry, relay_service_t *service,
+			uint64_t now_ms)
+{
+	if (now_ms < entry->polled_ms + POLL_INTERVAL_MS)
+		return;
+	entry->polled_ms = now_ms;
+	poll_servers(entry, service);
+}
+
+void coordinator_initial_prepare(coordinator_service_t *entry, uint64_t now_ms)
+{
+	relay_service_t *service =
+		relay_services_find(entry->coordinator->services, entry->name);
+	const GPtrArray *servers = relay_service_servers(service);
+	bool ready;
+
+	if (!servers->len || entry->writing_initial)
+		return;
+	if (!entry->missing_since_ms)
+		entry->missing_since_ms = now_ms;
+	ready = entry->record.term ? check_survey(entry, servers, now_ms) :
+				     check_first(entry, servers, now_ms);
+	if (ready && !entry->ready_since_ms)
 		entry->ready_since_ms = now_ms;
+	else if (!ready)
+		poll_if_due(entry, service, now_ms);
 }
 
 static void on_written(void *context, const kv_answer_t *answer)
@@ -132,26 +202,38 @@
 
 	for (uint32_t i = 0; i < batch->count; i++) {
 		batch->entries[i]->writing_initial = false;
-		log_event(LOG_LEVEL_NOTICE, "initial_record_written",
+		log_event(LOG_LEVEL_NOTICE, "primary_record_written",
 			  "service=%s result=%s", batch->entries[i]->name,
 			  kv_result_name(answer->result));
 	}
 }
 
+/* @return the record to write: as surveyed, or the first of the service */
+static primary_record_t next_record(const coordinator_service_t *entry)
+{
+	primary_record_t record = {
+		.token = (uint64_t)entry->coordinator->held_revision};
+	const char *primary;
+
+	if (entry->record.term) {
+		record.term = entry->record.term;
+		primary = entry->record.primary;
+	} else {
+		primary = newest_primary(entry, &record.term);
+	}
+	if (primary)
+		g_strlcpy(record.primary, primary, sizeof(record.primary));
+	return record;
+}
+
 static void write_batch(relay_coordinator_t *coordinator, batch_t *batch)
 {
 	primary_record_t records[RECORDS_MAX];
 
 	for (uint32_t i = 0; i < batch->count; i++) {
 		coordinator_service_t *entry = batch->entries[i];
-		const char *primary;
-
-		records[i] = (primary_record_t){
-			.token = (uint64_t)coordinator->held_revision};
-		primary = newest_primary(entry, &records[i].term);
-		if (primary)
-			g_strlcpy(records[i].primary, primary,
-				  sizeof(records[i].primary));
+
+		records[i] = next_record(entry);
 		entry->writing_initial = true;
 		entry->ready_since_ms = 0;
 	}
@@ -174,7 +256,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const coordinator_service_t *entry = value;
 
-		if (entry->revision || entry->writing_initial)
+		if (entry->current || entry->writing_initial)
 			continue;
 		all_ready &= entry->ready_since_ms != 0;
 		overdue |= entry->ready_since_ms &&
@@ -198,7 +280,7 @@
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
 		coordinator_service_t *entry = value;
 
-		if (entry->ready_since_ms && !entry->revision &&
+		if (entry->ready_since_ms && !entry->current &&
 		    !entry->writing_initial)
 			batch->entries[batch->count++] = entry;
 	}
--- a/src/relay/relay_coordinator_private.h
+++ b/src/relay/relay_coordinator_private.h
@@ -14,7 +14,15 @@
 	relay_coordinator_t *coordinator;
 	char *name;
 	int64_t revision; /**< store revision of the record, 0 without one */
-	primary_record_t record; /**< last primary record seen or written */
+	/**
+	 * The record at that revision was written in the store's present era,
+	 * so that it counts.
+	 */
+	bool current;
+	/**
+	 * Newest primary record known; the store may have lost it in a restore.
+	 */
+	primary_record_t record;
 	primary_watch_t watch;
 	replica_watch_t replicas;
 	bool polling_replicas; /**< a poll round of the replicas is under way */
@@ -23,6 +31,7 @@
 	/** When the servers were last polled for the initial record. */
 	uint64_t polled_ms;
 	takeover_t *takeover;
+	takeover_kind_t takeover_kind; /**< of the last takeover started */
 	relay_revocation_t *revocation; /**< takeover's revocation, or NULL */
 	void *pending_write; /**< identifies the write under way, or NULL */
 	primary_record_t pending_record; /**< the record of that write */
@@ -37,8 +46,20 @@
 	/** Counts takeovers; answers to actions of earlier ones are dropped. */
 	uint64_t round;
 	bool writing_initial; /**< the initial record is being written */
+	uint64_t recall_ms;   /**< when a lost record is written again, or 0 */
 } coordinator_service_t;
 
+/** Value of the key that names the node that last acquired the lease. */
+typedef struct {
+	char *node;  /**< NULL if the lease was never acquired */
+	int64_t era; /**< era of the store in which it was acquired */
+	/**
+	 * When a restore of the store was last noticed, Unix ms, or 0. Nodes
+	 * may then have registered without the store knowing it.
+	 */
+	int64_t restored_ms;
+} coordinator_holder_t;
+
 struct relay_coordinator {
 	struct event_base *base;
 	kv_store_t *store;
@@ -55,8 +76,14 @@
 	 */
 	int64_t held_revision;
 	int64_t key_revision; /**< coordinator key's revision, 0 when free */
-	char *last_holder;    /**< node that last acquired the lease, or NULL */
-	uint64_t renewed_ms;  /**< when the last successful renewal was sent */
+	bool key_own;	      /**< the key names this node */
+	bool held_before;     /**< this run held the lease before */
+	coordinator_holder_t last_holder; /**< who last acquired the lease */
+	coordinator_holder_t next_holder; /**< written while acquiring */
+	int64_t holder_revision; /**< revision of that key, 0 without one */
+	/** A restore of the store was noticed, by the wall clock, or 0. */
+	int64_t restored_ms;
+	uint64_t renewed_ms; /**< when the last successful renewal was sent */
 	uint64_t renew_sent_ms;	 /**< when the last renewal was sent */
 	uint64_t settled_ms;	 /**< time from which promotions are allowed */
 	uint64_t acquire_at_ms;	 /**< earliest time of the next acquisition */
@@ -81,6 +108,36 @@
  */
 bool coordinator_may_promote(const relay_coordinator_t *coordinator);
 
+/**
+ * @return whether the store knows every node that may use a proof; not for a
+ *         while after a restore
+ */
+bool coordinator_knows_all_nodes(const relay_coordinator_t *coordinator);
+
+/** Applies the key that names who last acquired the coordinator lease. */
+void coordinator_holder_seen(relay_coordinator_t *coordinator,
+			     const kv_item_t *item);
+
+/**
+ * @param era the store's present era
+ * @return the next value of that key; its node is not copied
+ */
+coordinator_holder_t
+coordinator_holder_next(const relay_coordinator_t *coordinator, int64_t era);
+
+/** @return the value of the key as text; free with g_free() */
+char *coordinator_holder_encode(const coordinator_holder_t *holder);
+
+/** Frees the members. */
+void coordinator_holder_clear(coordinator_holder_t *holder);
+
+/** Applies a primary record that was read from the store. */
+void coordinator_record_seen(relay_coordinator_t *coordinator,
+			     const kv_item_t *item);
+
+/** Writes records again that the store has lost and this node remembers. */
+void coordinator_recall_step(relay_coordinator_t *coordinator, uint64_t now_ms);
+
 /** @return the state of a service, created on first use */
 coordinator_service_t *coordinator_service_get(relay_coordinator_t *coordinator,
 					       const char *name);
@@ -127,12 +184,13 @@
 void coordinator_takeover_create(coordinator_service_t *entry);
 
 /**
- * Polls the servers of a service that has no primary record yet, to find the
- * present primary.
+ * Polls the servers of a service whose primary record is missing, or is older
+ * than the last restore of the store, to find the present primary. Starts a
+ * takeover if the servers do not agree with what is known.
  */
 void coordinator_initial_prepare(coordinator_service_t *entry, uint64_t now_ms);
 
-/** Writes the prepared initial records, several in one transaction. */
+/** Writes the prepared records, several in one transaction. */
 void coordinator_initial_write(relay_coordinator_t *coordinator,
 			       uint64_t now_ms);
 
--- a/src/relay/relay_coordinator_service.c
+++ b/src/relay/relay_coordinator_service.c
@@ -46,6 +46,7 @@
 		  "servers=%u heard_ms_ago=%" PRIu64,
 		  entry->name, entry->record.term, entry->record.primary,
 		  reason, count, now_ms - entry->watch.heard_ms);
+	entry->takeover_kind = kind;
 	takeover_start(entry->takeover, entry->record.term,
 		       entry->record.primary, kind, known, count, now_ms);
 }
@@ -165,14 +166,18 @@
 		takeover_step(entry->takeover, now_ms);
 		return;
 	}
-	if (!entry->revision) {
+	if (!entry->current) {
 		coordinator_initial_prepare(entry, now_ms);
 		return;
 	}
 	if (!has_candidate(entry))
 		return;
 	if (entry->record.takeover_term) {
-		coordinator_takeover_start(entry, TAKEOVER_LOST, "unfinished");
+		coordinator_takeover_start(entry,
+					   entry->record.restored ?
+						   TAKEOVER_RESTORED :
+						   TAKEOVER_LOST,
+					   "unfinished");
 		return;
 	}
 	primary =
--- a/src/relay/relay_coordinator_takeover.c
+++ b/src/relay/relay_coordinator_takeover.c
@@ -65,6 +65,7 @@
 	if (result == KV_OK && revision >= entry->revision) {
 		entry->revision = revision;
 		entry->record = entry->pending_record;
+		entry->current = true;
 	}
 	takeover_written(entry->takeover, result == KV_OK, clock_boot_ms());
 }
@@ -108,6 +109,8 @@
 		.takeover_term = takeover_term,
 		.token = (uint64_t)entry->coordinator->held_revision,
 		.attempt = ++entry->coordinator->write_attempts,
+		.restored = takeover_term &&
+			    entry->takeover_kind == TAKEOVER_RESTORED,
 	};
 	action_t *action;
 
@@ -133,6 +136,8 @@
 {
 	coordinator_service_t *entry = context;
 
+	if (!coordinator_knows_all_nodes(entry->coordinator))
+		return;
 	log_step(entry, "proofs_forgotten", "all");
 	takeover_proofs_forgotten(entry->takeover, clock_boot_ms());
 }
@@ -280,6 +285,20 @@
 	}
 }
 
+/* A primary that a restore of the store has made unknown stops as well. */
+static void step_down_others(coordinator_service_t *entry, uint64_t term,
+			     const char *primary)
+{
+	const GPtrArray *servers = relay_service_servers(service_of(entry));
+
+	for (guint i = 0; i < servers->len; i++) {
+		const char *id = relay_server_entry(servers->pdata[i])->id;
+
+		if (strcmp(id, primary))
+			run_control(entry, id, RELAY_CONTROL_STEP_DOWN, term);
+	}
+}
+
 static void on_done(void *context, bool succeeded, uint64_t term,
 		    const char *old, const char *primary)
 {
@@ -295,8 +314,8 @@
 	coordinator_service_reset(entry);
 	/* Proofs by replicas from before the promotion must expire first. */
 	event_add(entry->release_timer, &delay);
-	if (succeeded && strcmp(old, primary))
-		run_control(entry, old, RELAY_CONTROL_STEP_DOWN, term);
+	if (succeeded)
+		step_down_others(entry, term, primary);
 }
 
 void coordinator_takeover_create(coordinator_service_t *entry)
--- a/src/relay/relay_hub.c
+++ b/src/relay/relay_hub.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "coordination/delegation.h"
 #include "state/change_log.h"
+#include "state/store_revision.h"
 
 /*
  * Time for which a request waits for a change. A proof is valid for
@@ -76,15 +77,19 @@
 {
 	const node_lease_t *lease = relay_services_lease(hub->services);
 	g_autoptr(GPtrArray) names = relay_services_names(hub->services);
+	const int64_t known =
+		change_log_revision(hub->logs[HUB_STREAM_PRIMARIES]);
 
-	if (!lease->registered_at || lease->valid_until_ms <= now_ms)
+	if (!lease->registered_at || lease->valid_until_ms <= now_ms ||
+	    store_revision_era(lease->registered_at) !=
+		    store_revision_era(known))
 		return 0;
 	for (guint i = 0; i < names->len; i++) {
 		const primary_lease_t *service = relay_service_lease(
 			relay_services_find(hub->services, names->pdata[i]));
 
-		if (service->read_at < lease->registered_at &&
-		    *service->primary)
+		/* The node may know a primary that this hub does not. */
+		if (service->read_at < lease->registered_at)
 			return 0;
 	}
 	return lease->valid_until_ms;
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -385,15 +385,23 @@
 				 node);
 }
 
-static void on_primaries_synced(void *context, int64_t revision,
-				uint64_t queried_ms)
+static void records_synced(relay_node_t *node, int64_t revision,
+			   uint64_t queried_ms)
 {
-	relay_node_t *node = context;
-
 	relay_coordinator_synced(node->coordinator);
 	relay_services_records_unchanged(node->services, revision, queried_ms);
 	relay_hub_synced(node->hub, HUB_STREAM_PRIMARIES, revision);
 	confirm_if_due(node, revision);
+	if (relay_coordinator_is_current(node->coordinator))
+		relay_registration_records_restored(node->registration);
+}
+
+static void on_primaries_synced(void *context, int64_t revision,
+				uint64_t queried_ms)
+{
+	relay_node_t *node = context;
+
+	records_synced(node, revision, queried_ms);
 }
 
 static void report_connection_failure(void *context, const char *service,
@@ -425,11 +433,7 @@
 	}
 	for (guint i = 0; i < answer->items->len; i++)
 		on_primary(node, answer->items->pdata[i]);
-	relay_coordinator_synced(node->coordinator);
-	relay_services_records_unchanged(node->services, answer->revision,
-					 node->read_sent_ms);
-	relay_hub_synced(node->hub, HUB_STREAM_PRIMARIES, answer->revision);
-	confirm_if_due(node, answer->revision);
+	records_synced(node, answer->revision, node->read_sent_ms);
 	log_event(LOG_LEVEL_INFO, "primaries_read",
 		  "revision=%" PRId64 " after_ms=%" PRIu64, answer->revision,
 		  clock_boot_ms() - node->read_sent_ms);
@@ -474,6 +478,8 @@
 
 	if (!node->hub)
 		return;
+	relay_registration_restored(node->registration);
+	relay_coordinator_restored(node->coordinator);
 	kv_follow_relist(node->follow);
 	kv_follow_relist(node->primaries);
 }
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -24,6 +24,12 @@
 /* Validity of the proofs that an earlier run of the node may have given. */
 #define EARLIER_PROOFS_MS (PRIMARY_LEASE_VALID_MS + 100)
 
+/*
+ * Time after a restore of the store for which the node keeps its earlier
+ * registration, while the primary records are written again.
+ */
+#define RESTORED_MS 3000
+
 /* Maximum number of unanswered renewals. */
 #define PENDING_RENEWALS_MAX 6
 
@@ -49,7 +55,13 @@
 	uint32_t pending_renewals;   /* renewals under way */
 	bool opening; /* a lease is being opened and registered */
 	bool leaving; /* the keys were removed permanently */
-	bool valid;   /* validity last logged */
+	/*
+	 * The lease was lost in a restore of the store. The replicas' proofs
+	 * under it still hold, since they need no store.
+	 */
+	bool restored;
+	uint64_t restored_ms; /* when that was noticed */
+	bool valid;	      /* validity last logged */
 	relay_registration_handlers_t handlers;
 };
 
@@ -124,6 +136,7 @@
 		return;
 	}
 	registration->claimed = true;
+	registration->restored = false;
 	registration->lease->lease = call.lease;
 	registration->lease->registered_at = answer->revision;
 	registration->key_revision = answer->revision;
@@ -213,7 +226,7 @@
 	node_lease_t *lease = registration->lease;
 
 	registration->pending_renewals--;
-	if (call.lease != lease->lease)
+	if (call.lease != lease->lease || registration->restored)
 		return;
 	if (answer->result == KV_OK) {
 		const bool lapsed = clock_boot_ms() >= lease->valid_until_ms;
@@ -261,6 +274,13 @@
 	    registration->settling || !registration->hub_key)
 		return;
 	log_validity(registration);
+	if (registration->restored) {
+		if (clock_boot_ms() < registration->restored_ms + RESTORED_MS)
+			schedule(registration, RENEW_MS);
+		else
+			open_lease(registration);
+		return;
+	}
 	if (registration->lease->lease &&
 	    clock_boot_ms() >
 		    registration->lease->renewed_ms + RELAY_LEASE_AGE_MAX_MS)
@@ -347,7 +367,28 @@
 bool relay_registration_is_active(const relay_registration_t *registration)
 {
 	return !registration->leaving && !registration->opening &&
-	       !registration->settling && registration->lease->lease;
+	       !registration->settling && !registration->restored &&
+	       registration->lease->lease;
+}
+
+void relay_registration_restored(relay_registration_t *registration)
+{
+	if (!relay_registration_is_active(registration))
+		return;
+	log_event(LOG_LEVEL_NOTICE, "registration_restored", "lease=%" PRId64,
+		  registration->lease->lease);
+	registration->restored = true;
+	registration->restored_ms = clock_boot_ms();
+	schedule(registration, RENEW_MS);
+}
+
+void relay_registration_records_restored(relay_registration_t *registration)
+{
+	if (!registration->restored || registration->leaving ||
+	    registration->opening)
+		return;
+	registration->restored_ms = 0;
+	open_lease(registration);
 }
 
 void relay_registration_destroy(relay_registration_t *registration)
--- a/src/relay/relay_registration.h
+++ b/src/relay/relay_registration.h
@@ -75,6 +75,17 @@
 /** @return whether a lease is registered and no new one is being registered */
 bool relay_registration_is_active(const relay_registration_t *registration);
 
+/**
+ * Handles a restore of the store from an older copy: the lease and the keys may
+ * be gone. They are registered again after
+ * relay_registration_records_restored(), at the latest after some seconds; the
+ * replicas' proofs are kept until then.
+ */
+void relay_registration_restored(relay_registration_t *registration);
+
+/** Records that all primary records were written again after a restore. */
+void relay_registration_records_restored(relay_registration_t *registration);
+
 /** Must be called before the store is destroyed. */
 void relay_registration_destroy(relay_registration_t *registration);
 
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -461,8 +461,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		relay_service_t *service = value;
 
-		primary_lease_unchanged(&service->lease, revision);
-		service->verified_ms = MAX(service->verified_ms, queried_ms);
+		if (primary_lease_unchanged(&service->lease, revision))
+			service->verified_ms =
+				MAX(service->verified_ms, queried_ms);
 	}
 	relay_services_wake(services);
 }
--- a/src/relay/relay_subscription.c
+++ b/src/relay/relay_subscription.c
@@ -8,6 +8,7 @@
 #include "coordination/hub_slots.h"
 #include "coordination/owner.h"
 #include "relay/relay_link.h"
+#include "state/store_revision.h"
 
 /* Interval of checking the connections, and before the first answer. */
 #define TICK_MS 100
@@ -51,6 +52,7 @@
 	uint64_t retry_ms;    /* no connection is opened before then */
 	uint64_t avoid_ms;    /* as a far hub it is passed over until then */
 	uint64_t until_ms;    /* end of its proof of all primaries */
+	int64_t era;	      /* era of the records that this proof is for */
 	GPtrArray *proofs;    /* hub_proof_t on this node's clock, or NULL */
 } hub_t;
 
@@ -116,14 +118,16 @@
 
 /* @return the end of a hub's proof of a service's primary, or 0 */
 static uint64_t proof_until_ms(const hub_t *hub, const char *service,
-			       uint64_t term)
+			       const primary_lease_t *lease)
 {
-	uint64_t until_ms = hub->until_ms;
+	const bool same_era = store_revision_era(lease->read_at) == hub->era;
+	uint64_t until_ms = same_era ? hub->until_ms : 0;
 
 	for (guint i = 0; hub->proofs && i < hub->proofs->len; i++) {
 		const hub_proof_t *proof = hub->proofs->pdata[i];
 
-		if (proof->term == term && !strcmp(proof->service, service))
+		if (proof->term == lease->term &&
+		    !strcmp(proof->service, service))
 			until_ms = MAX(until_ms, proof->until_ms);
 	}
 	return until_ms;
@@ -141,10 +145,10 @@
 		uint64_t until_ms = 0;
 
 		for (guint j = 0; j < subscription->hubs->len; j++)
-			until_ms = MAX(
-				until_ms,
-				proof_until_ms(subscription->hubs->pdata[j],
-					       names->pdata[i], lease->term));
+			until_ms =
+				MAX(until_ms,
+				    proof_until_ms(subscription->hubs->pdata[j],
+						   names->pdata[i], lease));
 		primary_lease_delegated(lease, until_ms);
 	}
 	relay_services_wake(subscription->services);
@@ -153,6 +157,8 @@
 static void take_proofs(hub_t *hub, hub_answer_t *answer, uint64_t sent_ms)
 {
 	hub->until_ms = local_ms(answer, sent_ms, answer->until_ms);
+	hub->era = store_revision_era(
+		answer->changes[HUB_STREAM_PRIMARIES].revision);
 	g_clear_pointer(&hub->proofs, g_ptr_array_unref);
 	for (guint i = 0; i < answer->proofs->len; i++) {
 		hub_proof_t *proof = answer->proofs->pdata[i];
--- a/src/state/primary_record.h
+++ b/src/state/primary_record.h
@@ -13,6 +13,10 @@
 	uint64_t takeover_term; /**< term of the takeover in progress, or 0 */
 	uint64_t token;		/**< fencing token of the writer */
 	uint64_t attempt;	/**< distinguishes writes of one writer */
+	/** the takeover must not keep the primary, see TAKEOVER_RESTORED */
+	bool restored;
+	/** era of the store in which it was written, 0 if not told */
+	int64_t era;
 } primary_record_t;
 
 /** @return the encoded record; free with g_free(). */
--- a/tests/unit/test_primary_lease.c
+++ b/tests/unit/test_primary_lease.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 
 #include "coordination/primary_lease.h"
+#include "state/store_revision.h"
 
 static const char *const replicas[] = {"b", "c"};
 
@@ -56,6 +57,22 @@
 	assert_true(primary_lease_valid(&service, &node, 5000));
 }
 
+/* A lease of the new era proves nothing for a record of the one before. */
+static void test_record_of_an_earlier_era_does_not_count(void **state)
+{
+	const int64_t later = store_revision_make(2, 5);
+	primary_lease_t service;
+	node_lease_t node;
+
+	init(&service, &node);
+	node.registered_at = later;
+	node_lease_renewed(&node, 5000);
+	assert_false(primary_lease_unchanged(&service, later + 1));
+	assert_false(primary_lease_valid(&service, &node, 5000));
+	primary_lease_apply_record(&service, 1, "a", false, later + 2);
+	assert_true(primary_lease_valid(&service, &node, 5000));
+}
+
 /* A service that is configured after its record was written and read. */
 static void test_record_counts_after_a_read_without_it(void **state)
 {
@@ -205,6 +222,7 @@
 		cmocka_unit_test(test_older_renewal_shortens_nothing),
 		cmocka_unit_test(
 			test_record_must_be_read_after_the_registration),
+		cmocka_unit_test(test_record_of_an_earlier_era_does_not_count),
 		cmocka_unit_test(test_record_counts_after_a_read_without_it),
 		cmocka_unit_test(test_delegated_proof_needs_no_registration),
 		cmocka_unit_test(test_takeover_ends_use_at_once),
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -24,6 +24,7 @@
 	bool other_promoted; /* a second server was promoted after the first */
 	uint32_t promotions; /* requested so far */
 	bool busy_after_promotion; /* the promoted server answers no status */
+	bool promotions_change_nothing; /* the server is primary already */
 	uint64_t promoted_ms;
 	bool fenced;
 	char fenced_id[16];
@@ -199,7 +200,8 @@
 	} else {
 		takeover_promoted(fixture->takeover, TAKEOVER_PROMOTED,
 				  fixture->now_ms);
-		make_primary(fixture, id);
+		if (!fixture->promotions_change_nothing)
+			make_primary(fixture, id);
 	}
 }
 
@@ -324,6 +326,54 @@
 	assert_string_not_equal(fixture->primary, "a");
 }
 
+/*
+ * After a restore of the store the old primary alone answers. It is promoted,
+ * since another may have been; it stays if that changes nothing.
+ */
+static void test_restored_primary_is_promoted_before_it_counts(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->promotions_change_nothing = true;
+	fixture->servers[2].unresponsive = true;
+	start(fixture, TAKEOVER_RESTORED);
+	run(fixture, 8000);
+	assert_true(fixture->published);
+	assert_string_equal(fixture->promoted_id, "a");
+	assert_string_equal(fixture->primary, "a");
+	assert_int_equal(fixture->term, 1);
+	assert_true(fixture->promoted_ms >
+		    fixture->fenced_ms + PRIMARY_LEASE_VALID_MS);
+}
+
+/* A promotion that the copy does not know is not undone. */
+static void test_restored_service_follows_the_promoted_server(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->promotions_change_nothing = true;
+	make_primary(fixture, "c");
+	start(fixture, TAKEOVER_RESTORED);
+	run(fixture, 8000);
+	assert_true(fixture->published);
+	assert_string_equal(fixture->primary, "c");
+	assert_int_equal(fixture->term, 2);
+	assert_false(fixture->other_promoted);
+}
+
+static void test_lost_primary_of_a_restored_service_is_replaced(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->servers[0].unresponsive = true;
+	fixture->servers[2].status.received.position = 120;
+	start(fixture, TAKEOVER_RESTORED);
+	run(fixture, 8000);
+	assert_true(fixture->published);
+	assert_string_equal(fixture->primary, "c");
+	assert_int_equal(fixture->term, 2);
+}
+
 static void test_primary_that_answers_is_kept(void **state)
 {
 	fixture_t *fixture = *state;
@@ -480,6 +530,15 @@
 		cmocka_unit_test_setup_teardown(
 			test_handover_needs_the_whole_log, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_restored_primary_is_promoted_before_it_counts,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_restored_service_follows_the_promoted_server,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_lost_primary_of_a_restored_service_is_replaced,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(test_handover_loses_nothing,
 						open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
