Take the coordinator's lease back at once after a restore; let leavers go

Three causes, each in the order of the log lines: the key of the coordinator's lease came back with the copy, under a lease that nobody holds, and was waited for; healthy services waited 1.5 s for one that was not; a takeover of a restored service promoted the primary that was leaving, and a second takeover replaced it.

A key that was acquired in an earlier era is free; the last holder goes first. A leaving primary is succeeded by a replica that has its whole log.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -489,12 +489,29 @@
 				takeover->primary, takeover->term + 1);
 }
 
+/*
+ * @return the server that takes over from a restored primary that will be
+ *         removed, NULL while none has its whole log
+ */
+static server_t *find_successor(takeover_t *takeover, server_t *leaving,
+				uint64_t waited_ms)
+{
+	server_t *best = find_longest_log(takeover);
+
+	if (!best || best->draining || waited_ms >= CATCH_UP_MS)
+		return leaving;
+	return has_caught_up(best, leaving) ? best : NULL;
+}
+
 static void choose_restored(takeover_t *takeover, uint64_t now_ms)
 {
 	server_t *promoted = find_promoted(takeover);
 	server_t *best = promoted ? promoted : find_restored(takeover);
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 
+	if (best && best->draining && !promoted)
+		best = find_successor(takeover, best, waited_ms);
+
 	query_all(takeover, now_ms);
 	if (!best && waited_ms >= CATCH_UP_MS)
 		forget_promotions(takeover);
--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -124,7 +124,6 @@
 	coordinator->settled_ms = must_settle(coordinator) ?
 					  now_ms + COORDINATOR_SETTLE_MS :
 					  now_ms;
-	coordinator->held_before = true;
 	log_event(LOG_LEVEL_NOTICE, "duty_held",
 		  "token=%" PRId64 " last_holder=%s settle_ms=%" PRIu64,
 		  answer->revision, last->node ? last->node : "-",
@@ -230,11 +229,21 @@
 	return busy;
 }
 
-/* A key of this run's own earlier lease came back with a restored copy. */
+/*
+ * Whether the key came back with a copy of the store: its holder has lost the
+ * lease, as every lease of an earlier era.
+ */
+static bool is_key_restored(const relay_coordinator_t *coordinator)
+{
+	const int64_t acquired = coordinator->last_holder.era;
+
+	return acquired &&
+	       acquired != store_revision_era(coordinator->key_revision);
+}
+
 static bool may_acquire(const relay_coordinator_t *coordinator)
 {
-	return !coordinator->key_revision ||
-	       (coordinator->key_own && coordinator->held_before);
+	return !coordinator->key_revision || is_key_restored(coordinator);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
@@ -302,21 +311,9 @@
 	g_free(coordinator);
 }
 
-static bool names_node(const relay_coordinator_t *coordinator,
-		       const kv_item_t *item)
-{
-	gsize size;
-	const char *text =
-		item->value ? g_bytes_get_data(item->value, &size) : NULL;
-
-	return text && size == strlen(coordinator->node) &&
-	       !memcmp(text, coordinator->node, size);
-}
-
 static void apply_key(relay_coordinator_t *coordinator, const kv_item_t *item)
 {
 	coordinator->key_revision = item->deleted ? 0 : item->revision;
-	coordinator->key_own = names_node(coordinator, item);
 	if (item->deleted) {
 		if (item->revision > coordinator->held_revision)
 			drop_lease(coordinator, "key_removed");
@@ -349,6 +346,17 @@
 
 void relay_coordinator_restored(relay_coordinator_t *coordinator)
 {
+	const bool held =
+		coordinator->last_holder.node &&
+		!strcmp(coordinator->last_holder.node, coordinator->node);
+
+	/* The last holder goes first, so that the others need not try. */
+	coordinator->acquire_at_ms =
+		held ? 0 :
+		       clock_boot_ms() + COORDINATOR_ACQUIRE_JITTER_MS +
+				(uint64_t)g_rand_int_range(
+					coordinator->random, 0,
+					COORDINATOR_ACQUIRE_JITTER_MS);
 	coordinator->restored_ms = g_get_real_time() / 1000;
 	coordinator->synced = false;
 	drop_lease(coordinator, "restored");
--- a/src/relay/relay_coordinator_initial.c
+++ b/src/relay/relay_coordinator_initial.c
@@ -23,6 +23,9 @@
  */
 #define BATCH_WAIT_MS 1500
 
+/* The same after a restore of the store, when the services are waiting. */
+#define RESTORED_BATCH_WAIT_MS 100
+
 /* Maximum number of records, each with a condition, in one transaction. */
 #define RECORDS_MAX 15
 
@@ -241,6 +244,11 @@
 				  batch->count, on_written, batch);
 }
 
+static uint64_t batch_wait_ms(const coordinator_service_t *entry)
+{
+	return entry->record.term ? RESTORED_BATCH_WAIT_MS : BATCH_WAIT_MS;
+}
+
 /*
  * @return whether the prepared records should be written now: all missing
  *         records are ready, or one has waited for the others long enough
@@ -259,8 +267,9 @@
 		if (entry->current || entry->writing_initial)
 			continue;
 		all_ready &= entry->ready_since_ms != 0;
-		overdue |= entry->ready_since_ms &&
-			   now_ms >= entry->ready_since_ms + BATCH_WAIT_MS;
+		overdue |=
+			entry->ready_since_ms &&
+			now_ms >= entry->ready_since_ms + batch_wait_ms(entry);
 	}
 	return all_ready || overdue;
 }
--- a/src/relay/relay_coordinator_private.h
+++ b/src/relay/relay_coordinator_private.h
@@ -31,7 +31,7 @@
 	/** When the servers were last polled for the initial record. */
 	uint64_t polled_ms;
 	takeover_t *takeover;
-	takeover_kind_t takeover_kind; /**< of the last takeover started */
+	takeover_kind_t takeover_kind;	/**< of the last takeover started */
 	relay_revocation_t *revocation; /**< takeover's revocation, or NULL */
 	void *pending_write; /**< identifies the write under way, or NULL */
 	primary_record_t pending_record; /**< the record of that write */
@@ -76,8 +76,6 @@
 	 */
 	int64_t held_revision;
 	int64_t key_revision; /**< coordinator key's revision, 0 when free */
-	bool key_own;	      /**< the key names this node */
-	bool held_before;     /**< this run held the lease before */
 	coordinator_holder_t last_holder; /**< who last acquired the lease */
 	coordinator_holder_t next_holder; /**< written while acquiring */
 	int64_t holder_revision; /**< revision of that key, 0 without one */
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -361,6 +361,25 @@
 	assert_false(fixture->other_promoted);
 }
 
+/* A primary that is about to leave is not promoted once more. */
+static void test_restored_primary_that_leaves_hands_over(void **state)
+{
+	static const takeover_server_t servers[] = {
+		{.id = "a", .started_ms = 1, .draining = true},
+		{.id = "b", .started_ms = 2},
+		{.id = "c", .started_ms = 3},
+	};
+	fixture_t *fixture = *state;
+
+	takeover_start(fixture->takeover, 1, "a", TAKEOVER_RESTORED, servers, 3,
+		       fixture->now_ms);
+	run(fixture, 8000);
+	assert_true(fixture->published);
+	assert_string_not_equal(fixture->promoted_id, "a");
+	assert_int_equal(fixture->promotions, 1);
+	assert_int_equal(fixture->term, 2);
+}
+
 static void test_lost_primary_of_a_restored_service_is_replaced(void **state)
 {
 	fixture_t *fixture = *state;
@@ -536,6 +555,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_restored_service_follows_the_promoted_server,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_restored_primary_that_leaves_hands_over,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_lost_primary_of_a_restored_service_is_replaced,
 			open_fixture, close_fixture),
