Keep a server that left out when the store comes back from an older copy

What a server says of itself has an order of its own: its start and the number of its report. Within an era the store's order holds; over eras a report that is older than the known one does not count, and not at all after its server had said that it leaves. A server whose entry merely lapsed counts again, since it need not write an unchanged entry anew.

--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -15,6 +15,7 @@
 #include "relay/relay_registration.h"
 #include "relay/relay_status_page.h"
 #include "relay/relay_subscription.h"
+#include "state/report_table.h"
 #include "state/revision_table.h"
 #include "store/kv_eras.h"
 #include "store/kv_follow.h"
@@ -84,6 +85,7 @@
 	catalog_t *catalog;
 	revision_table_t *applied; /* changes of keys, from all sources */
 	GHashTable *hub_values;	   /* key -> value written by the hub */
+	report_table_t *reports;   /* what the servers last reported */
 	GHashTable *removals;	   /* server id -> removal_t */
 	bool synced;		   /* all keys were read at least once */
 	struct event *drain_timer;
@@ -121,6 +123,7 @@
 	relay_node_t *node = removal->node;
 
 	relay_services_remove(node->services, removal->server);
+	report_table_removed(node->reports, removal->server, clock_boot_ms());
 	g_hash_table_remove(node->removals, removal->server);
 }
 
@@ -143,7 +146,8 @@
 	const relay_source_t *source = node->platform.source;
 	const char *id = item->key + strlen(source->backends_prefix);
 	g_autoptr(GError) error = NULL;
-	backend_entry_t *entry;
+	g_autoptr(backend_entry_t) entry = NULL;
+	report_verdict_t verdict;
 
 	if (item->deleted || !item->value) {
 		schedule_removal(node, id);
@@ -155,8 +159,16 @@
 			  "server=%s reason=\"%s\"", id, error->message);
 		return;
 	}
-	g_hash_table_remove(node->removals, id);
-	relay_services_put(node->services, entry);
+	verdict = report_table_judge(node->reports, entry, item->revision);
+	if (verdict != REPORT_APPLY)
+		log_event(LOG_LEVEL_NOTICE, "server_report_outdated",
+			  "server=%s sequence=%" PRIu64 " draining=%d left=%d",
+			  id, entry->sequence, entry->draining,
+			  verdict == REPORT_IGNORE);
+	if (verdict != REPORT_IGNORE)
+		g_hash_table_remove(node->removals, id);
+	if (verdict == REPORT_APPLY)
+		relay_services_put(node->services, g_steal_pointer(&entry));
 }
 
 static void on_catalog(relay_node_t *node, const kv_item_t *item)
@@ -705,6 +717,7 @@
 	node->hub_values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->applied = revision_table_create();
+	node->reports = report_table_create();
 	node->removals = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       removal_free);
 	node->read_timer = evtimer_new(base, on_read_timer, node);
@@ -752,6 +765,7 @@
 	catalog_unref(node->catalog);
 	g_hash_table_destroy(node->hub_values);
 	revision_table_destroy(node->applied);
+	report_table_destroy(node->reports);
 	event_free(node->drain_timer);
 	metrics_destroy(node->metrics);
 	g_free(node);
--- a/src/state/backend_entry.h
+++ b/src/state/backend_entry.h
@@ -18,6 +18,7 @@
 	bool draining;	      /**< shutting down, takes no new work */
 	bool reports_primary; /**< the server reports the primary role */
 	uint64_t started_ms;  /**< start time by the server's clock, Unix ms */
+	uint64_t sequence;    /**< number of the report since the start */
 } backend_entry_t;
 
 /** Frees the entry; NULL is allowed. */
