Notice a watch that a short outage of the store has swallowed

Cause, from the logs: the store was away for 0.2 to 0.5 s; a watch sent in that time got no answer and no sign, and was believed for 13.5 s. The watches were sent again only after renewals had been missing for 1.5 s. A cause of its own, not the restore's.

A renewal that fails shows the outage: the next that succeeds sends the watches again. Renewals are 450 ms apart, so that an outage may fall between two; watches now wait 3.5 s in place of 12, less than a change may take.

--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -62,6 +62,7 @@
 	bool restored;
 	uint64_t restored_ms; /* when that was noticed */
 	bool valid;	      /* validity last logged */
+	bool interrupted;     /* a renewal since the last recovery failed */
 	relay_registration_handlers_t handlers;
 };
 
@@ -231,8 +232,10 @@
 	if (answer->result == KV_OK) {
 		const bool lapsed = clock_boot_ms() >= lease->valid_until_ms;
 		const bool recovered =
+			registration->interrupted ||
 			call.sent_ms > lease->renewed_ms + RECOVERED_MS;
 
+		registration->interrupted = false;
 		node_lease_renewed(lease, call.sent_ms);
 		if (recovered)
 			registration->handlers.recovered(
@@ -245,6 +248,9 @@
 			  lease->lease);
 		relay_services_forget_proofs(registration->services);
 		schedule(registration, 0);
+	} else {
+		/* The outage may have swallowed a watch as well. */
+		registration->interrupted = true;
 	}
 }
 
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -5,8 +5,11 @@
 #include "base/clock.h"
 #include "base/log.h"
 
-/* Time after which the store answers a watch even without a change. */
-#define KV_FOLLOW_WAIT_MS 12000
+/*
+ * Time after which the store answers a watch even without a change. A watch may
+ * be lost without a sign; for so long a change is not noticed then.
+ */
+#define KV_FOLLOW_WAIT_MS 3500
 
 /* Initial and maximum delay before a failed call is retried; it doubles. */
 #define KV_FOLLOW_RETRY_MS 100
--- a/tests/unit/test_kv_follow.c
+++ b/tests/unit/test_kv_follow.c
@@ -12,6 +12,7 @@
 typedef struct {
 	bool watch;
 	int64_t after;
+	uint32_t wait_ms; /* of a watch */
 	kv_done_t done;
 	void *context;
 } call_t;
@@ -46,7 +47,10 @@
 static void fake_watch(void *self, const char *prefix, int64_t after,
 		       uint32_t wait_ms, kv_done_t done, void *context)
 {
-	add_call(self, true, after, done, context);
+	fixture_t *fixture = self;
+
+	add_call(fixture, true, after, done, context);
+	((call_t *)g_queue_peek_tail(&fixture->calls))->wait_ms = wait_ms;
 }
 
 static void fake_destroy(void *self)
@@ -133,6 +137,22 @@
 	g_free(call);
 }
 
+/* Time in which a change must be in force on the users' small sites. */
+#define APPLY_MS 4000
+
+/* The store's answer may be lost without a sign. */
+static void test_silent_watch_ends_before_a_change_is_due(void **state)
+{
+	fixture_t *fixture = *state;
+	call_t *call;
+
+	answer(next_call(fixture), KV_OK, 7, "a");
+	call = next_call(fixture);
+	assert_true(call->watch);
+	assert_true(call->wait_ms < APPLY_MS);
+	g_free(call);
+}
+
 static void test_lists_and_then_watches(void **state)
 {
 	fixture_t *fixture = *state;
@@ -201,6 +221,9 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_silent_watch_ends_before_a_change_is_due,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(test_lists_and_then_watches,
 						open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
--- a/tests/unit/test_relay_registration.c
+++ b/tests/unit/test_relay_registration.c
@@ -25,6 +25,9 @@
 	lease_record_t record;
 	uint32_t leases;    /* leases opened */
 	uint32_t conflicts; /* transactions refused */
+	bool renewals_fail; /* renewals get no answer */
+	uint32_t renewals;
+	uint32_t recoveries; /* times the watches were restarted */
 	bool registered;
 } fixture_t;
 
@@ -72,7 +75,13 @@
 static void fake_lease_renew(void *self, int64_t lease, kv_done_t done,
 			     void *context)
 {
-	answer_soon(self, done, context, (kv_answer_t){0});
+	fixture_t *fixture = self;
+
+	fixture->renewals++;
+	answer_soon(self, done, context,
+		    (kv_answer_t){.result = fixture->renewals_fail ?
+						    KV_UNKNOWN :
+						    KV_OK});
 }
 
 static bool holds(const fixture_t *fixture, const kv_transaction_t *transaction)
@@ -113,6 +122,7 @@
 
 static void on_recovered(void *context)
 {
+	((fixture_t *)context)->recoveries++;
 }
 
 static void on_taken(void *context)
@@ -253,6 +263,32 @@
 	assert_int_equal(fixture->record.seen_revision, LEASE_RECORD_SETTLED);
 }
 
+static void run_until_renewed(fixture_t *fixture, uint32_t renewals)
+{
+	while (fixture->renewals < renewals)
+		run_for(fixture, 50);
+	run_for(fixture, 50);
+}
+
+/*
+ * An outage shorter than the leases swallows the watches that were sent during
+ * it; one renewal shows it.
+ */
+static void test_short_outage_restarts_the_watches(void **state)
+{
+	fixture_t *fixture = *state;
+
+	run_until_renewed(fixture, 1);
+	assert_int_equal(fixture->recoveries, 0);
+	fixture->renewals_fail = true;
+	run_until_renewed(fixture, 2);
+	fixture->renewals_fail = false;
+	run_until_renewed(fixture, 3);
+	assert_int_equal(fixture->recoveries, 1);
+	run_until_renewed(fixture, 4);
+	assert_int_equal(fixture->recoveries, 1);
+}
+
 /* Waits for the first record that is not the one of a restarted node. */
 static void wait_until_seen(fixture_t *fixture, int64_t revision)
 {
@@ -311,6 +347,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_new_lease_waits_for_given_proofs, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_short_outage_restarts_the_watches, open_fixture,
+			close_fixture),
 		cmocka_unit_test(test_restarted_node_is_settled_later),
 		cmocka_unit_test(test_restarted_node_confirms_when_settled),
 	};
