Fence a restored service above its servers' real term

Log: `takeover_started term=1 reason=restored`, intent written, and no further step. The node remembered the intent of term 2 alone, its servers were of term 2 already, and a fence of term 2 has no effect on them.

The survey waits for the servers' terms also where a takeover is known to be needed, and a takeover of a restored service that meets a higher term fences again above it. test_takeover restored_service_is_fenced_above_its_real_term fails without.

--- a/src/coordination/primary_survey.c
+++ b/src/coordination/primary_survey.c
@@ -57,15 +57,15 @@
 {
 	const bool consistent = is_consistent(known, counted);
 
-	if (known->takeover)
-		return SURVEY_UNCLEAR;
-	if (consistent && counted->answered == count)
+	if (consistent && counted->answered == count && !known->takeover)
 		return SURVEY_AGREED;
+	/* A takeover fences above the highest term, which must be known. */
 	if (waited_ms < SURVEY_WAIT_MS)
 		return SURVEY_WAITING;
 	/* A server that does not answer may have been promoted last. */
-	return consistent && counted->term == known->term ? SURVEY_AGREED :
-							    SURVEY_UNCLEAR;
+	return consistent && !known->takeover && counted->term == known->term ?
+		       SURVEY_AGREED :
+		       SURVEY_UNCLEAR;
 }
 
 survey_t primary_survey(const survey_known_t *known,
--- a/src/coordination/primary_survey.h
+++ b/src/coordination/primary_survey.h
@@ -45,7 +45,7 @@
 } survey_t;
 
 /** Time after which servers that have not answered are not waited for. */
-#define SURVEY_WAIT_MS 800u
+#define SURVEY_WAIT_MS 600u
 
 /**
  * Evaluates the answers. All servers must agree; after SURVEY_WAIT_MS it is
--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -569,6 +569,25 @@
 	begin_choice(takeover, now_ms);
 }
 
+/*
+ * Fences again above a term that a restore of the store had made unknown: a
+ * server of that term ignores the present fence.
+ */
+static void raise_term(takeover_t *takeover, const takeover_status_t *status,
+		       uint64_t now_ms)
+{
+	if (!status->answered || status->term <= takeover->term)
+		return;
+	takeover->term = status->term;
+	takeover->fenced_ms = 0;
+	for (uint32_t i = 0; i < takeover->count; i++) {
+		takeover->servers[i].fenced = false;
+		takeover->servers[i].fence_sent = false;
+	}
+	enter_phase(takeover, TAKEOVER_REVOKE, now_ms);
+	fence_one(takeover, now_ms);
+}
+
 /* Whether a promotion has shown that the server was primary before it. */
 static bool is_confirmed_primary(const takeover_t *takeover,
 				 const server_t *server, uint64_t now_ms)
@@ -594,8 +613,10 @@
 	}
 	if (takeover->phase == TAKEOVER_REVOKE ||
 	    takeover->phase == TAKEOVER_WAIT) {
-		if (takeover->kind == TAKEOVER_RESTORED)
+		if (takeover->kind == TAKEOVER_RESTORED) {
+			raise_term(takeover, status, now_ms);
 			return;
+		}
 		if (!publish_new_primary(takeover, now_ms) &&
 		    takeover->kind == TAKEOVER_LOST &&
 		    is_primary(takeover, server) &&
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -361,6 +361,26 @@
 	assert_false(fixture->other_promoted);
 }
 
+/*
+ * All servers are of a term that the restored record does not have: a fence
+ * above the record's term has no effect on them.
+ */
+static void test_restored_service_is_fenced_above_its_real_term(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->servers[0].unresponsive = true;
+	fixture->servers[1].status.term = 7;
+	fixture->servers[2].status.term = 7;
+	fixture->servers[2].status.role = SERVER_PRIMARY;
+	fixture->promotions_change_nothing = true;
+	start(fixture, TAKEOVER_RESTORED);
+	run(fixture, 9000);
+	assert_true(fixture->published);
+	assert_string_equal(fixture->primary, "c");
+	assert_int_equal(fixture->term, 7);
+}
+
 /* A primary that is about to leave is not promoted once more. */
 static void test_restored_primary_that_leaves_hands_over(void **state)
 {
@@ -555,6 +575,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_restored_service_follows_the_promoted_server,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_restored_service_is_fenced_above_its_real_term,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_restored_primary_that_leaves_hands_over,
 			open_fixture, close_fixture),
