--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -119,8 +119,10 @@
 	coordinator->key_revision = answer->revision;
 	coordinator->renewed_ms = coordinator->renew_sent_ms;
 	g_hash_table_iter_init(&iter, coordinator->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &entry))
+	while (g_hash_table_iter_next(&iter, NULL, &entry)) {
 		coordinator_service_reset(entry);
+		((coordinator_service_t *)entry)->settled = false;
+	}
 	coordinator->settled_ms = must_settle(coordinator) ?
 					  now_ms + COORDINATOR_SETTLE_MS :
 					  now_ms;
@@ -161,6 +163,23 @@
 					  coordinator);
 }
 
+/*
+ * Whether the key came back with a copy of the store: its holder has lost the
+ * lease, as every lease of an earlier era.
+ */
+static bool is_key_restored(const relay_coordinator_t *coordinator)
+{
+	const int64_t acquired = coordinator->last_holder.era;
+
+	return acquired &&
+	       acquired != store_revision_era(coordinator->key_revision);
+}
+
+static bool may_acquire(const relay_coordinator_t *coordinator)
+{
+	return !coordinator->key_revision || is_key_restored(coordinator);
+}
+
 static void on_lease_opened(void *context, const kv_answer_t *answer)
 {
 	relay_coordinator_t *coordinator = context;
@@ -169,6 +188,13 @@
 		coordinator->acquiring = false;
 		return;
 	}
+	/* Another node has acquired the key meanwhile. */
+	if (!may_acquire(coordinator)) {
+		coordinator->acquiring = false;
+		coordinator->store->calls->lease_end(coordinator->store->self,
+						     answer->lease, NULL, NULL);
+		return;
+	}
 	coordinator->lease = answer->lease;
 	coordinator_holder_clear(&coordinator->next_holder);
 	coordinator->next_holder =
@@ -229,23 +255,6 @@
 	return busy;
 }
 
-/*
- * Whether the key came back with a copy of the store: its holder has lost the
- * lease, as every lease of an earlier era.
- */
-static bool is_key_restored(const relay_coordinator_t *coordinator)
-{
-	const int64_t acquired = coordinator->last_holder.era;
-
-	return acquired &&
-	       acquired != store_revision_era(coordinator->key_revision);
-}
-
-static bool may_acquire(const relay_coordinator_t *coordinator)
-{
-	return !coordinator->key_revision || is_key_restored(coordinator);
-}
-
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	relay_coordinator_t *coordinator = context;
--- a/src/relay/relay_coordinator_initial.c
+++ b/src/relay/relay_coordinator_initial.c
@@ -135,6 +135,20 @@
 			  sizeof(entry->record.primary));
 }
 
+/*
+ * Starts the poll anew once all promotions of earlier holders have taken
+ * effect. A poll before that may only show that a takeover is needed.
+ */
+static void settle(coordinator_service_t *entry, uint64_t now_ms)
+{
+	if (entry->settled || now_ms < entry->coordinator->settled_ms)
+		return;
+	entry->settled = true;
+	g_hash_table_remove_all(entry->statuses);
+	entry->missing_since_ms = now_ms;
+	entry->polled_ms = 0;
+}
+
 /* @return whether the record is ready to be written */
 static bool check_survey(coordinator_service_t *entry, const GPtrArray *servers,
 			 uint64_t now_ms)
@@ -143,6 +157,8 @@
 
 	if (found.result == SURVEY_WAITING)
 		return false;
+	if (found.result == SURVEY_AGREED && !entry->settled)
+		return false;
 	set_surveyed(entry, &found);
 	if (found.result == SURVEY_AGREED)
 		return true;
@@ -191,6 +207,7 @@
 		return;
 	if (!entry->missing_since_ms)
 		entry->missing_since_ms = now_ms;
+	settle(entry, now_ms);
 	ready = entry->record.term ? check_survey(entry, servers, now_ms) :
 				     check_first(entry, servers, now_ms);
 	if (ready && !entry->ready_since_ms)
--- a/src/relay/relay_coordinator_private.h
+++ b/src/relay/relay_coordinator_private.h
@@ -47,6 +47,8 @@
 	uint64_t round;
 	bool writing_initial; /**< the initial record is being written */
 	uint64_t recall_ms;   /**< when a lost record is written again, or 0 */
+	/** The servers are polled since earlier promotions have settled. */
+	bool settled;
 } coordinator_service_t;
 
 /** Value of the key that names the node that last acquired the lease. */
