Explore a restore of the store in the model of the primary's right

The store may come back from a copy of before the takeover, with the node's lease as it was or without it, while a promotion is on its way.

--- a/tests/unit/test_primary_model.c
+++ b/tests/unit/test_primary_model.c
@@ -4,8 +4,10 @@
  * that replace the primary. The node may lose the store at any time, the two
  * replicas may restart and lose their fence, answers may be delayed, a
  * coordinator may fail at any step and be followed by another, and one clock
- * may run faster. No order may let the node use the old primary after a
- * promotion; each variant that leaves out a part of the rule must allow that.
+ * may run faster. The store may come back from a copy of before the takeover,
+ * with the node's lease or without knowing the node. No order may let the node
+ * use the old primary after a promotion; each variant that leaves out a part of
+ * the rule must allow that.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -21,10 +23,6 @@
 #define VALID 3
 #define WAIT (VALID + 1)
 
-/* Maximum failed or ended takeovers, and ticks of the faster clock alone. */
-#define TAKEOVERS_MAX 2
-#define DRIFT_MAX 1
-
 /* The intent that an acknowledgement is for. */
 enum { NO_ACK, OLD_INTENT, THIS_INTENT };
 
@@ -39,7 +37,11 @@
 	uint8_t takeover;   /* the record shows a takeover */
 	uint8_t acked;	    /* the intent that the node has acknowledged */
 	uint8_t lease_runs; /* the node's lease was not ended */
+	uint8_t era;	    /* the store was restored */
+	uint8_t current;    /* the record was written since then */
+	uint8_t unlisted;   /* the store does not know the node's lease */
 	/* The node. */
+	uint8_t registered_era; /* of its lease */
 	uint8_t registered;
 	uint8_t read;	     /* record read without takeover since then */
 	uint8_t acking;	     /* the acknowledgement on its way to the store */
@@ -57,6 +59,8 @@
 	uint8_t lease_done;
 	uint8_t wait;	      /* ticks until the promotion may start */
 	uint8_t release_wait; /* ticks until the fence may be lifted */
+	/* Ticks in which a promotion of before the restore takes effect. */
+	uint8_t in_flight;
 	/* Counts that bound the search. */
 	uint8_t restarts; /* of replicas */
 	uint8_t failures; /* of coordinators */
@@ -74,15 +78,23 @@
 	NO_ROUNDS,	       /* combines answers of different rounds */
 	RELEASE_AT_ONCE,       /* lifts the fence without a wait */
 	PROOF_WITHOUT_READING, /* uses replicas' proofs without the record */
-	ANY_ACK,    /* accepts the acknowledgement of an old intent */
-	ACK_UNREAD, /* acknowledges but still uses the old record */
+	ANY_ACK,      /* accepts the acknowledgement of an old intent */
+	ACK_UNREAD,   /* acknowledges but still uses the old record */
+	TRUST_RECORD, /* believes a record that the copy brought back */
+	TRUST_LEASE,  /* counts renewals of a lease of before the restore */
+	NO_SURVEY,    /* writes the record anew without asking the servers */
+	SURVEY_UNSETTLED, /* asks them while a promotion may be in flight */
+	TRUST_LISTING,	  /* skips the wait if all nodes that are listed know */
 } variant_t;
 
 /* Bounds of the search. */
 typedef struct {
 	uint8_t restarts_max;
 	uint8_t kept_max;
-	bool acks; /* the node acknowledges intents that it has read */
+	uint8_t takeovers_max; /* failed or ended takeovers */
+	uint8_t drift_max;     /* ticks of the faster clock alone */
+	bool acks;     /* the node acknowledges intents that it has read */
+	bool restores; /* the store may be restored once */
 } bounds_t;
 
 typedef struct {
@@ -148,13 +160,14 @@
 {
 	state.wait = decrement(state.wait);
 	state.release_wait = decrement(state.release_wait);
+	state.in_flight = decrement(state.in_flight);
 	return state;
 }
 
 static void time_steps(search_t *search, state_t state)
 {
 	visit(search, node_tick(coordinator_tick(state)));
-	if (state.drift < DRIFT_MAX) {
+	if (state.drift < search->bounds.drift_max) {
 		state.drift++;
 		visit(search, coordinator_tick(state));
 	}
@@ -172,27 +185,51 @@
 	state->query[1] = NOT_QUERIED;
 }
 
+static state_t register_node(state_t state)
+{
+	state.registered = 1;
+	state.registered_era = state.era;
+	state.lease_runs = 1;
+	state.unlisted = 0;
+	return state;
+}
+
+/* A node of before the restore keeps its proofs, but must read again. */
+static void register_again(search_t *search, state_t state)
+{
+	if (!state.registered || state.registered_era == state.era)
+		return;
+	state = register_node(state);
+	state.read = 0;
+	state.store_left = 0;
+	state.acking = NO_ACK;
+	state.acked = NO_ACK;
+	visit(search, state);
+}
+
 /* Steps of the node at the store; they may also never happen. */
 static void store_steps(search_t *search, state_t state)
 {
+	const bool same_era = state.registered_era == state.era;
+	const bool counts =
+		!state.era || state.current || search->variant == TRUST_RECORD;
 	state_t next = state;
 
-	if (state.registered && state.lease_runs) {
+	register_again(search, state);
+	if (state.registered && state.lease_runs &&
+	    (same_era || search->variant == TRUST_LEASE)) {
 		next.store_left = VALID;
 		visit(search, next);
 	}
-	if (state.registered && !state.lease_runs) {
+	if (state.registered && !state.lease_runs && same_era) {
 		next = state;
 		forget_proofs(&next);
 		visit(search, next);
 	}
 	if (!state.registered) {
-		next = state;
-		next.registered = 1;
-		next.lease_runs = 1;
-		visit(search, next);
+		visit(search, register_node(state));
 	}
-	if (state.registered && !state.takeover) {
+	if (state.registered && !state.takeover && counts) {
 		next = state;
 		next.read = 1;
 		next.verified[0] = 1;
@@ -313,7 +350,8 @@
 
 	if (!state.lease_done) {
 		next.lease_done = 1;
-		if (search->variant != NO_REVOKE && !has_acked(search, &state))
+		if (search->variant != NO_REVOKE && !state.unlisted &&
+		    !has_acked(search, &state))
 			next.lease_runs = 0;
 		visit(search, next);
 	}
@@ -337,13 +375,65 @@
 	return state->registered && state->lease_runs;
 }
 
+/* Whether the store shows that no node may use a proof any more. */
+static bool all_forgotten(const search_t *search, const state_t *state)
+{
+	if (state->era && search->variant != TRUST_LISTING)
+		return false;
+	return state->unlisted || has_forgotten(state) ||
+	       has_acked(search, state);
+}
+
+/* The record is written anew if the servers agree that nothing has changed. */
+static void survey_step(search_t *search, state_t state)
+{
+	const bool settled =
+		!state.in_flight || search->variant == SURVEY_UNSETTLED;
+	const bool agreed = (!state.fenced && !state.promoted) ||
+			    search->variant == NO_SURVEY;
+
+	if (!state.era || state.current || !settled || !agreed)
+		return;
+	state.current = 1;
+	visit(search, state);
+}
+
+/*
+ * The store comes back from a copy of before the takeover. A promotion that was
+ * requested may still take effect; the next coordinator starts anew.
+ */
+static void restore_steps(search_t *search, state_t state)
+{
+	if (state.in_flight) {
+		state_t next = state;
+
+		next.in_flight = 0;
+		next.promoted = 1;
+		visit(search, next);
+	}
+	if (!search->bounds.restores || state.era)
+		return;
+	state.in_flight = state.phase == PROMOTING ? VALID : 0;
+	state.era = 1;
+	state.phase = IDLE;
+	state.takeover = 0;
+	state.acked = NO_ACK;
+	state.acking = NO_ACK;
+	state.lease_runs = 1;
+	visit(search, state);
+	state.unlisted = 1;
+	visit(search, state);
+}
+
 static void coordinator_steps(search_t *search, state_t state)
 {
 	state_t next = state;
 
 	switch (state.phase) {
 	case IDLE:
+		survey_step(search, state);
 		write_intent(&next);
+		next.current = state.era;
 		next.takeover = search->variant != NO_INTENT;
 		visit(search, next);
 		break;
@@ -351,8 +441,7 @@
 		revoke_steps(search, state);
 		break;
 	case WAITING:
-		if (!state.wait || has_forgotten(&state) ||
-		    has_acked(search, &state)) {
+		if (!state.wait || all_forgotten(search, &state)) {
 			next.phase = PROMOTING;
 			visit(search, next);
 		}
@@ -377,7 +466,7 @@
 	/* The old primary turns out to be healthy and is kept. */
 	if ((state.phase == INTENT || state.phase == WAITING) &&
 	    state.kept < search->bounds.kept_max &&
-	    state.failures + state.kept < TAKEOVERS_MAX) {
+	    state.failures + state.kept < search->bounds.takeovers_max) {
 		next = state;
 		next.kept++;
 		next.takeover = 0;
@@ -386,7 +475,7 @@
 	}
 	/* The coordinator fails before the promotion; another one starts. */
 	if (state.phase > IDLE && state.phase < PROMOTING &&
-	    state.failures + state.kept < TAKEOVERS_MAX) {
+	    state.failures + state.kept < search->bounds.takeovers_max) {
 		next = state;
 		next.failures++;
 		write_intent(&next);
@@ -416,6 +505,7 @@
 		round_steps(&search, state);
 		replica_steps(&search, state);
 		coordinator_steps(&search, state);
+		restore_steps(&search, state);
 	}
 	*states = g_hash_table_size(search.seen);
 	g_queue_clear(&search.todo);
@@ -423,8 +513,14 @@
 	return !search.broken;
 }
 
-static const bounds_t more_restarts = {.restarts_max = 2};
-static const bounds_t more_takeovers = {.kept_max = 1, .acks = true};
+static const bounds_t more_restarts = {.restarts_max = 2,
+				       .takeovers_max = 2,
+				       .drift_max = 1};
+static const bounds_t more_takeovers = {.kept_max = 1,
+					.takeovers_max = 2,
+					.drift_max = 1,
+					.acks = true};
+static const bounds_t restore = {.restarts_max = 1, .restores = true};
 
 static void test_rule_holds_in_every_order(void **state)
 {
@@ -438,6 +534,30 @@
 	assert_true(states > 1000000);
 }
 
+static void test_rule_holds_when_the_store_is_restored(void **state)
+{
+	uint32_t states;
+
+	assert_true(explore(RULE, restore, &states));
+	print_message("%u states\n", states);
+	assert_true(states > 500000);
+}
+
+static void test_restore_breaks_every_shortcut(void **state)
+{
+	static const variant_t variants[] = {TRUST_RECORD, TRUST_LEASE,
+					     NO_SURVEY, SURVEY_UNSETTLED,
+					     TRUST_LISTING};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
+		uint32_t states;
+
+		if (explore(variants[i], restore, &states))
+			fail_msg("variant %d keeps the rule in %u states",
+				 variants[i], states);
+	}
+}
+
 static void test_every_variant_breaks_the_rule(void **state)
 {
 	static const variant_t variants[] = {NO_WAIT,
@@ -467,6 +587,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_rule_holds_in_every_order),
 		cmocka_unit_test(test_every_variant_breaks_the_rule),
+		cmocka_unit_test(test_rule_holds_when_the_store_is_restored),
+		cmocka_unit_test(test_restore_breaks_every_shortcut),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
