Keep the list of VMs from going back when the platform was restored

The same cause in toucanhookd: nodes pass the list of VMs on by the platform's index, and the higher index wins. After a restore of the platform the index starts lower; the node that read the new list was told of a higher index, fetched the list of before and applied it, again and again: a VM that had left was listed, and one that had come was not.

An index that goes back starts a new era, kept in its upper bits as for the users' platform. test_config_sync list_of_before_a_restore_does_not_come_back failed before.

--- a/src/coordination/config_sync.c
+++ b/src/coordination/config_sync.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "coordination/owner.h"
+#include "state/store_revision.h"
 
 #define RANK_KEY "toucanhook/config"
 
@@ -214,6 +215,11 @@
 					CONFIG_SYNC_WAIT_MS_MAX);
 }
 
+uint64_t config_sync_list_index(const config_sync_t *sync)
+{
+	return sync->list_index;
+}
+
 uint64_t config_sync_revision(const config_sync_t *sync)
 {
 	return sync->revision;
@@ -324,15 +330,29 @@
 	reader_ended(sync, &sync->config, result, index, now_ms);
 }
 
+/*
+ * @return the index with the era in which the platform gave it: an index that
+ *         went back shows that the platform was restored from an older copy
+ */
+static uint64_t with_era(const config_sync_t *sync, uint64_t index)
+{
+	const int64_t known = (int64_t)sync->list_index;
+	const bool restored = (int64_t)index < store_revision_number(known);
+
+	return (uint64_t)store_revision_make(
+		store_revision_era(known) + restored, (int64_t)index);
+}
+
 void config_sync_members_read(config_sync_t *sync, config_read_t result,
 			      uint64_t index, uint64_t now_ms, GArray *actions)
 {
-	const bool changed = index != sync->list_index;
+	const uint64_t list_index = with_era(sync, index);
 
 	reader_ended(sync, &sync->list, result, index, now_ms);
-	if (result != CONFIG_READ_DONE || !index || !changed)
+	if (result != CONFIG_READ_DONE || !index ||
+	    list_index == sync->list_index)
 		return;
-	sync->list_index = index;
+	sync->list_index = list_index;
 	end_fetch(sync);
 	if (sync->watches)
 		send_digests(sync, actions);
--- a/src/coordination/config_sync.h
+++ b/src/coordination/config_sync.h
@@ -96,11 +96,18 @@
 
 /**
  * Handles the end of a read of the list of VMs. The platform's own list is
- * accepted whatever its index.
+ * accepted whatever its index; if the index went back, the platform was
+ * restored from an older copy, and the list counts as newer than all before.
  */
 void config_sync_members_read(config_sync_t *sync, config_read_t result,
 			      uint64_t index, uint64_t now_ms, GArray *actions);
 
+/**
+ * @return the index of this node's list of VMs with its era, see
+ *         state/store_revision.h; 0 without a list
+ */
+uint64_t config_sync_list_index(const config_sync_t *sync);
+
 /**
  * Checks whether a peer's list of VMs is newer than this node's.
  *
--- a/src/daemon/config_task.c
+++ b/src/daemon/config_task.c
@@ -224,12 +224,13 @@
 	config_task_t *task = context;
 	GArray *actions = actions_new();
 
+	config_sync_members_read(task->sync, read_result(result), index,
+				 clock_now_ms(), actions);
 	if (result == STORE_OK)
-		store_list(task, members, members_count, index);
+		store_list(task, members, members_count,
+			   config_sync_list_index(task->sync));
 	else
 		metric_add(task->failed_reads, 1);
-	config_sync_members_read(task->sync, read_result(result), index,
-				 clock_now_ms(), actions);
 	run_actions(task, actions);
 	if (result == STORE_OK)
 		task->handlers.listed(task->handlers.context, members,
