Write a group's record again that the platform has lost

toucanhookd wrote the record of a group's primary once, with the promotion. A platform that was restored from an older copy kept the older term until the next promotion, so that nodes that start are told a primary that was replaced (servers refuse its term; the node finds the new one from its peers).

A node that has read or written a term reads the record again every 30 s and writes it anew if the term went back. Some 70 bytes a second for a node of 660 (7 groups each), by arithmetic.

test_group_record record_that_the_store_lost_is_written_again failed before. The other cases took the end of time for "later than any retry", which now is also later than the check: they take 20 s, above the longest retry of 16 s, and assert the same.

--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -69,6 +69,10 @@
 	bool write; /**< a newer term has to be written */
 	uint64_t retry_at_ms;
 	uint32_t failures; /**< consecutive failed calls */
+	/** Highest term read or written; the store must not have a lower one.
+	 */
+	uint64_t known_term;
+	uint64_t check_at_ms; /**< when the record is read again */
 } group_record_t;
 
 /** Freshness proofs for bounded-staleness reads. */
--- a/src/daemon/group_record.c
+++ b/src/daemon/group_record.c
@@ -14,6 +14,9 @@
 #define RECORD_RETRY_MS_MIN 500
 #define RECORD_RETRY_MS_MAX 16000
 
+/** Interval of checking that the store has not lost the record. */
+#define RECORD_CHECK_MS 30000
+
 /** A call in flight; the database may be deleted before the call ends. */
 typedef struct {
 	group_task_t *task;
@@ -46,6 +49,12 @@
 	return g_strdup_printf("toucanhook/groups/%s", database->name);
 }
 
+static void record_known(group_record_t *record, uint64_t term)
+{
+	record->known_term = MAX(record->known_term, term);
+	record->check_at_ms = clock_now_ms() + RECORD_CHECK_MS;
+}
+
 static void record_failed(group_record_t *record)
 {
 	uint64_t pause_ms = RECORD_RETRY_MS_MIN;
@@ -90,6 +99,7 @@
 
 	/* After a conflict or a lost answer the record is read again. */
 	if (database && result == STORE_OK) {
+		record_known(&database->record, call->term);
 		database->record.write = view.term > call->term;
 		database->record.failures = 0;
 	} else if (database) {
@@ -134,6 +144,10 @@
 	database->record.failures = 0;
 	if (result == STORE_OK)
 		record_term = record_apply(database, bytes, size_bytes);
+	/* The store was restored from a copy of before the last write. */
+	if (record_term < database->record.known_term)
+		database->record.write = true;
+	record_known(&database->record, record_term);
 	if (!database->record.write)
 		return;
 	if (group_table_view(database->task->table, database->name).term >
@@ -143,6 +157,11 @@
 		database->record.write = false;
 }
 
+static bool is_check_due(const group_record_t *record, uint64_t now_ms)
+{
+	return record->known_term && now_ms >= record->check_at_ms;
+}
+
 void group_record_step(group_database_t *database, uint64_t now_ms)
 {
 	group_record_t *record = &database->record;
@@ -151,7 +170,7 @@
 
 	if (!store || record->busy || now_ms < record->retry_at_ms)
 		return;
-	if (!record->write &&
+	if (!record->write && !is_check_due(record, now_ms) &&
 	    (record->read || !group_database_watches(database)))
 		return;
 	key = record_key(database);
--- a/tests/unit/test_group_record.c
+++ b/tests/unit/test_group_record.c
@@ -5,9 +5,12 @@
 
 #include <cmocka.h>
 
+#include "base/clock.h"
 #include "daemon/group_private.h"
 
-#define LATER_MS UINT64_MAX
+/* Later than any retry, and later than the next check of the record. */
+#define LATER_MS (clock_now_ms() + 20000)
+#define CHECK_MS (clock_now_ms() + 40000)
 
 /* A group task and a store whose answers the test provides. */
 typedef struct {
@@ -169,6 +172,21 @@
 	assert_int_equal(group_table_view(fixture.table, "match").term, 9);
 }
 
+/* The store was restored from a copy of before the promotion. */
+static void test_record_that_the_store_lost_is_written_again(void **state)
+{
+	group_record_step(fixture.database, 1000);
+	answer_get(STORE_ABSENT, NULL);
+	answer_swap(STORE_OK);
+	fixture.written[0] = '\0';
+	group_record_step(fixture.database, clock_now_ms());
+	assert_null(fixture.get);
+	group_record_step(fixture.database, CHECK_MS);
+	answer_get(STORE_OK, "{\"term\":4,\"primary\":\"c\"}");
+	assert_string_equal(fixture.written, "{\"term\":9,\"primary\":\"b\"}");
+	answer_swap(STORE_OK);
+}
+
 #define FIXTURE_TEST(test) \
 	cmocka_unit_test_setup_teardown(test, setup, teardown)
 
@@ -179,6 +197,7 @@
 		FIXTURE_TEST(test_lower_record_is_replaced_at_its_index),
 		FIXTURE_TEST(test_higher_record_is_adopted_and_kept),
 		FIXTURE_TEST(test_damaged_record_is_replaced),
+		FIXTURE_TEST(test_record_that_the_store_lost_is_written_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
