--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -13,7 +13,7 @@
 LIGHT_AT_ONCE=${LIGHT_AT_ONCE:-6}
 WORLDS_AT_ONCE=${WORLDS_AT_ONCE:-3}
 # Seeds of the fault soak; the second is a regression test: it once failed.
-SOAK_SEEDS=${SOAK_SEEDS:-1 34}
+SOAK_SEEDS=${SOAK_SEEDS:-1 34 1000}
 kinds=${*:-unit sanitize property e2e soak}
 results=build/logs/results
 echo "seed $SEED"
--- a/src/coordination/primary_survey.c
+++ b/src/coordination/primary_survey.c
@@ -44,7 +44,7 @@
 static bool is_consistent(const survey_known_t *known, const count_t *counted)
 {
 	if (counted->answered < SERVERS_MIN || counted->primaries != 1 ||
-	    !counted->same_term || counted->fenced)
+	    !counted->primary || !counted->same_term || counted->fenced)
 		return false;
 	if (counted->term != known->term)
 		return counted->term > known->term;
--- a/src/relay/relay_coordinator_private.h
+++ b/src/relay/relay_coordinator_private.h
@@ -14,29 +14,21 @@
 	relay_coordinator_t *coordinator;
 	char *name;
 	int64_t revision; /**< store revision of the record, 0 without one */
-	/**
-	 * The record at that revision was written in the store's present era,
-	 * so that it counts.
-	 */
-	bool current;
 	/**
 	 * Newest primary record known; the store may have lost it in a restore.
 	 */
 	primary_record_t record;
 	primary_watch_t watch;
 	replica_watch_t replicas;
-	bool polling_replicas; /**< a poll round of the replicas is under way */
 	uint64_t replicas_polled_ms; /**< when the last poll round started */
-	bool probing;		     /**< a probe of the primary is under way */
-	/** When the servers were last polled for the initial record. */
+	/** When the servers were last polled for a new record. */
 	uint64_t polled_ms;
 	takeover_t *takeover;
-	takeover_kind_t takeover_kind;	/**< of the last takeover started */
 	relay_revocation_t *revocation; /**< takeover's revocation, or NULL */
 	void *pending_write; /**< identifies the write under way, or NULL */
 	primary_record_t pending_record; /**< the record of that write */
 	struct event *release_timer; /**< lifts the fences after a takeover */
-	/** Server id -> relay_status_t, for the initial record. */
+	/** Server id -> relay_status_t, for a new record. */
 	GHashTable *statuses;
 	uint64_t seen_takeover_term; /**< takeover term last seen, or 0 */
 	uint64_t seen_token;	   /**< fencing token of the last record seen */
@@ -45,8 +37,16 @@
 	uint64_t absent_since_ms; /**< when the primary lost its entry, or 0 */
 	/** Counts takeovers; answers to actions of earlier ones are dropped. */
 	uint64_t round;
-	bool writing_initial; /**< the initial record is being written */
-	uint64_t recall_ms;   /**< when a lost record is written again, or 0 */
+	uint64_t recall_ms; /**< when a lost record is written again, or 0 */
+	takeover_kind_t takeover_kind; /**< of the last takeover started */
+	/**
+	 * The record at that revision was written in the store's present era,
+	 * so that it counts.
+	 */
+	bool current;
+	bool polling_replicas; /**< a poll round of the replicas is under way */
+	bool probing;	       /**< a probe of the primary is under way */
+	bool writing_initial;  /**< the record is being written */
 	/** The servers are polled since earlier promotions have settled. */
 	bool settled;
 } coordinator_service_t;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -12,6 +12,12 @@
 
 #define FAULT_DURATION_MS_MIN 200
 #define FAULT_DURATION_MS_MAX 5000
+/*
+ * The store is restored from older copies from this seed on; the draws of
+ * earlier seeds stay as they were when they failed.
+ */
+#define RESTORES_SEED_MIN 1000
+
 /* Nodes that have ended are looked for at multiples of this time. */
 #define RESTART_CHECK_MS 400
 
@@ -110,10 +116,13 @@
 
 static void inject_store_fault(faults_t *faults, uint32_t for_ms)
 {
-	static const char *const kinds[] = {"store-down", "store-silent",
-					    "compact", "config"};
-	const char *kind =
-		kinds[random_between(faults, 0, G_N_ELEMENTS(kinds))];
+	static const char *const kinds[] = {
+		"store-down", "store-silent", "compact",       "config",
+		"store-copy", "store-copy",   "store-restore", "store-restore"};
+	const uint32_t count = faults->plan.seed < RESTORES_SEED_MIN ?
+				       G_N_ELEMENTS(kinds) / 2 :
+				       G_N_ELEMENTS(kinds);
+	const char *kind = kinds[random_between(faults, 0, count)];
 	g_autofree char *fault = g_strdup_printf("%s?for_ms=%u", kind, for_ms);
 
 	print_fault(faults, kind, "store", for_ms);
@@ -242,6 +251,8 @@
 	faults->random = g_rand_new_with_seed(plan->seed);
 	faults->undos = g_ptr_array_new_with_free_func(undo_free);
 	faults->started_ms = clock_now_ms();
+	if (plan->seed >= RESTORES_SEED_MIN)
+		site_world_inject_fault(world, "store-copy");
 	return faults;
 }
 
--- a/tests/unit/test_config_sync.c
+++ b/tests/unit/test_config_sync.c
@@ -18,8 +18,7 @@
 static config_sync_t *create_node(const char *name)
 {
 	config_sync_t *sync = config_sync_create(name, "akl-a", 1);
-	member_t members[2] = {{.state = MEMBER_LIVE},
-			       {.state = MEMBER_LIVE}};
+	member_t members[2] = {{.state = MEMBER_LIVE}, {.state = MEMBER_LIVE}};
 	const member_view_t view = {.members = members, .members_count = 2};
 
 	for (int i = 0; i < 2; i++) {
