--- a/tests/unit/test_report_table.c
+++ b/tests/unit/test_report_table.c
@@ -7,8 +7,8 @@
 #include "state/report_table.h"
 #include "state/store_revision.h"
 
-static const int64_t ERA_1 = INT64_C(1) << STORE_REVISION_NUMBER_BITS;
-static const int64_t ERA_2 = INT64_C(2) << STORE_REVISION_NUMBER_BITS;
+#define ERA_1 (INT64_C(1) << STORE_REVISION_NUMBER_BITS)
+#define ERA_2 (INT64_C(2) << STORE_REVISION_NUMBER_BITS)
 
 static report_verdict_t judge(report_table_t *table, uint64_t started_ms,
 			      uint64_t sequence, bool draining,
