Keep the earlier registration until records count, for 15 s at most

A new registration brings nothing before records count. After a further restore the time starts anew.

--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -28,7 +28,7 @@
  * Time after a restore of the store for which the node keeps its earlier
  * registration, while the primary records are written again.
  */
-#define RESTORED_MS 3000
+#define RESTORED_MS 15000
 
 /* Maximum number of unanswered renewals. */
 #define PENDING_RENEWALS_MAX 6
@@ -379,6 +379,9 @@
 
 void relay_registration_restored(relay_registration_t *registration)
 {
+	/* Of two restores the later one counts. */
+	if (registration->restored)
+		registration->restored_ms = clock_boot_ms();
 	if (!relay_registration_is_active(registration))
 		return;
 	log_event(LOG_LEVEL_NOTICE, "registration_restored", "lease=%" PRId64,
