Wait for the previous holder's promotions also if the watch is faster

The watch reports the node's own acquisition before the store's answer comes; when the answer was handled, the node took itself for the previous holder and promoted at once, while a promotion of the real one might still take effect.

Whether to wait is decided when the keys are written. test_relay_coordinator promotions_settle_if_the_watch_is_faster failed before; its case key_is_not_taken_from_a_new_holder guards.

--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -88,20 +88,6 @@
 		coordinator_takeover_stop(entry);
 }
 
-/*
- * Whether another node may still have requested a promotion. After a restore
- * the store may not know who held the lease last.
- */
-static bool must_settle(const relay_coordinator_t *coordinator)
-{
-	const coordinator_holder_t *last = &coordinator->last_holder;
-
-	if (!last->node)
-		return coordinator->next_holder.restored_ms != 0;
-	return strcmp(last->node, coordinator->node) ||
-	       last->era != coordinator->next_holder.era;
-}
-
 static void on_acquired(void *context, const kv_answer_t *answer)
 {
 	relay_coordinator_t *coordinator = context;
@@ -123,9 +109,8 @@
 		coordinator_service_reset(entry);
 		((coordinator_service_t *)entry)->settled = false;
 	}
-	coordinator->settled_ms = must_settle(coordinator) ?
-					  now_ms + COORDINATOR_SETTLE_MS :
-					  now_ms;
+	coordinator->settled_ms =
+		coordinator->settling ? now_ms + COORDINATOR_SETTLE_MS : now_ms;
 	log_event(LOG_LEVEL_NOTICE, "duty_held",
 		  "token=%" PRId64 " last_holder=%s settle_ms=%" PRIu64,
 		  answer->revision, last->node ? last->node : "-",
@@ -180,6 +165,20 @@
 	return !coordinator->key_revision || is_key_restored(coordinator);
 }
 
+/*
+ * Whether another node may still have requested a promotion. After a restore
+ * the store may not know who held the lease last.
+ */
+static bool must_settle(const relay_coordinator_t *coordinator)
+{
+	const coordinator_holder_t *last = &coordinator->last_holder;
+
+	if (!last->node)
+		return coordinator->next_holder.restored_ms != 0;
+	return strcmp(last->node, coordinator->node) ||
+	       last->era != coordinator->next_holder.era;
+}
+
 static void on_lease_opened(void *context, const kv_answer_t *answer)
 {
 	relay_coordinator_t *coordinator = context;
@@ -199,6 +198,8 @@
 	coordinator_holder_clear(&coordinator->next_holder);
 	coordinator->next_holder =
 		coordinator_holder_next(coordinator, answer->era);
+	/* The watch may report this node as the holder before the answer. */
+	coordinator->settling = must_settle(coordinator);
 	write_keys(coordinator);
 }
 
--- a/src/relay/relay_coordinator_private.h
+++ b/src/relay/relay_coordinator_private.h
@@ -89,9 +89,10 @@
 	uint64_t acquire_at_ms;	 /**< earliest time of the next acquisition */
 	uint64_t write_attempts; /**< record writes by takeovers so far */
 	bool acquiring;		 /**< an acquisition is under way */
-	bool enabled;		 /**< may acquire the lease */
-	bool synced;		 /**< the keys were read at least once */
-	bool leaving;		 /**< the lease was released permanently */
+	bool settling; /**< promotions wait after the present acquisition */
+	bool enabled;  /**< may acquire the lease */
+	bool synced;   /**< the keys were read at least once */
+	bool leaving;  /**< the lease was released permanently */
 	void (*on_takeover)(
 		void *context); /**< see relay_coordinator_create() */
 	void *context;
--- /dev/null
+++ b/tests/unit/test_relay_coordinator.c
@@ -0,0 +1,217 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "relay/relay_coordinator_private.h"
+#include "state/store_revision.h"
+
+#define LEASE 7
+#define TIMEOUT_MS 3000
+
+/* A store that holds the last transaction until the test answers it. */
+typedef struct {
+	struct event_base *base;
+	kv_store_t store;
+	relay_services_t *services;
+	relay_coordinator_t *coordinator;
+	kv_done_t commit; /* callback of the transaction under way, or NULL */
+	void *commit_context;
+	uint32_t leases_ended;
+	/* The answer to opening a lease is sent by this timer. */
+	struct event *lease_timer;
+	kv_done_t lease_done;
+	void *lease_context;
+} fixture_t;
+
+static void on_lease_timer(evutil_socket_t fd, short what, void *context)
+{
+	fixture_t *fixture = context;
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	const kv_answer_t answer = {.era = 1, .lease = LEASE, .items = none};
+
+	fixture->lease_done(fixture->lease_context, &answer);
+}
+
+static void fake_lease_open(void *self, uint32_t ttl_ms, kv_done_t done,
+			    void *context)
+{
+	fixture_t *fixture = self;
+	const struct timeval now = clock_timeval(0);
+
+	fixture->lease_done = done;
+	fixture->lease_context = context;
+	event_add(fixture->lease_timer, &now);
+}
+
+static void fake_lease_renew(void *self, int64_t lease, kv_done_t done,
+			     void *context)
+{
+}
+
+static void fake_lease_end(void *self, int64_t lease, kv_done_t done,
+			   void *context)
+{
+	((fixture_t *)self)->leases_ended++;
+}
+
+static void fake_commit(void *self, const kv_transaction_t *transaction,
+			kv_done_t done, void *context)
+{
+	((fixture_t *)self)->commit = done;
+	((fixture_t *)self)->commit_context = context;
+}
+
+static void destroy_promoter(void *self)
+{
+}
+
+static void on_takeover(void *context)
+{
+}
+
+static int open_fixture(void **state)
+{
+	static const kv_store_calls_t calls = {
+		.lease_open = fake_lease_open,
+		.lease_renew = fake_lease_renew,
+		.lease_end = fake_lease_end,
+		.commit = fake_commit,
+	};
+	fixture_t *fixture = g_new0(fixture_t, 1);
+
+	fixture->base = event_base_new();
+	fixture->lease_timer =
+		evtimer_new(fixture->base, on_lease_timer, fixture);
+	fixture->store = (kv_store_t){.calls = &calls, .self = fixture};
+	fixture->services = relay_services_create((relay_services_settings_t){
+		.base = fixture->base, .node = "node-1"});
+	fixture->coordinator = relay_coordinator_create(
+		fixture->base, &fixture->store, fixture->services,
+		(relay_promoter_t){.destroy = destroy_promoter}, "node-1",
+		on_takeover, fixture);
+	relay_coordinator_enable(fixture->coordinator);
+	*state = fixture;
+	return 0;
+}
+
+static int close_fixture(void **state)
+{
+	fixture_t *fixture = *state;
+
+	relay_coordinator_destroy(fixture->coordinator);
+	relay_services_destroy(fixture->services);
+	event_free(fixture->lease_timer);
+	event_base_free(fixture->base);
+	g_free(fixture);
+	return 0;
+}
+
+static void report(fixture_t *fixture, const char *key, const char *value,
+		   int64_t revision)
+{
+	g_autoptr(GBytes) bytes = g_bytes_new(value, strlen(value));
+	const kv_item_t item = {
+		.key = (char *)key, .value = bytes, .revision = revision};
+
+	relay_coordinator_key_changed(fixture->coordinator, &item);
+}
+
+static void run_until_commit(fixture_t *fixture)
+{
+	const uint64_t end_ms = clock_boot_ms() + TIMEOUT_MS;
+
+	while (!fixture->commit && clock_boot_ms() < end_ms)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	assert_non_null(fixture->commit);
+}
+
+static void answer_commit(fixture_t *fixture, int64_t revision)
+{
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	const kv_answer_t answer = {
+		.era = 1, .revision = revision, .items = none};
+
+	fixture->commit(fixture->commit_context, &answer);
+}
+
+/*
+ * The watch may report the acquisition before the store answers it. Promotions
+ * that the previous holder requested must still be waited for.
+ */
+static void test_promotions_settle_if_the_watch_is_faster(void **state)
+{
+	fixture_t *fixture = *state;
+	const int64_t revision = store_revision_make(1, 20);
+
+	report(fixture, COORDINATOR_HOLDER_KEY, "node-2 1 0",
+	       store_revision_make(1, 10));
+	relay_coordinator_synced(fixture->coordinator);
+	run_until_commit(fixture);
+	report(fixture, COORDINATOR_KEY, "node-1", revision);
+	report(fixture, COORDINATOR_HOLDER_KEY, "node-1 1 0", revision);
+	answer_commit(fixture, revision);
+	assert_true(relay_coordinator_is_held(fixture->coordinator));
+	assert_false(coordinator_may_promote(fixture->coordinator));
+}
+
+static void test_own_promotions_need_no_settling(void **state)
+{
+	fixture_t *fixture = *state;
+
+	report(fixture, COORDINATOR_HOLDER_KEY, "node-1 1 0",
+	       store_revision_make(1, 10));
+	relay_coordinator_synced(fixture->coordinator);
+	run_until_commit(fixture);
+	answer_commit(fixture, store_revision_make(1, 20));
+	assert_true(coordinator_may_promote(fixture->coordinator));
+}
+
+/* It held the lease before the restore; another may have held it since. */
+static void test_promotions_settle_after_a_restore(void **state)
+{
+	fixture_t *fixture = *state;
+
+	report(fixture, COORDINATOR_HOLDER_KEY, "node-1 3 0",
+	       store_revision_make(1, 10));
+	relay_coordinator_synced(fixture->coordinator);
+	run_until_commit(fixture);
+	answer_commit(fixture, store_revision_make(1, 20));
+	assert_true(relay_coordinator_is_held(fixture->coordinator));
+	assert_false(coordinator_may_promote(fixture->coordinator));
+	assert_false(coordinator_knows_all_nodes(fixture->coordinator));
+}
+
+/* Another node acquires the key while this one opens its lease. */
+static void test_key_is_not_taken_from_a_new_holder(void **state)
+{
+	fixture_t *fixture = *state;
+
+	relay_coordinator_synced(fixture->coordinator);
+	while (!fixture->lease_done)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	report(fixture, COORDINATOR_KEY, "node-2", store_revision_make(1, 20));
+	report(fixture, COORDINATOR_HOLDER_KEY, "node-2 1 0",
+	       store_revision_make(1, 20));
+	event_base_loop(fixture->base, EVLOOP_ONCE);
+	assert_null(fixture->commit);
+	assert_int_equal(fixture->leases_ended, 1);
+}
+
+#define COORDINATOR_TEST(test) \
+	cmocka_unit_test_setup_teardown(test, open_fixture, close_fixture)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		COORDINATOR_TEST(test_promotions_settle_if_the_watch_is_faster),
+		COORDINATOR_TEST(test_own_promotions_need_no_settling),
+		COORDINATOR_TEST(test_promotions_settle_after_a_restore),
+		COORDINATOR_TEST(test_key_is_not_taken_from_a_new_holder),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
