Restore the stand-in of toucanhookd's platform from a copy as well

test_config change_after_a_restore_is_in_force_everywhere: the platform comes back from an older copy, and what the operator applies above the revision that the VMs have is in force on all of them, as CONFIGURATION.md says. It passes on the code of before; a guard, not a mend.

--- a/tests/e2e/test_config.c
+++ b/tests/e2e/test_config.c
@@ -43,8 +43,10 @@
  * Starts toucanctl to set drain_ms.
  *
  * @param number distinguishes the files of operators that run at once
+ * @param above  lower bound of the revision, or 0
  */
-static process_t *operator_start(uint32_t number, uint32_t drain_ms)
+static process_t *operator_start_above(uint32_t number, uint32_t drain_ms,
+				       uint32_t above)
 {
 	g_autofree char *name = g_strdup_printf("operator-%u", number);
 	g_autofree char *path =
@@ -59,7 +61,10 @@
 						    world->platform_port);
 	g_autofree char *base = g_strdup_printf("--base=%s", base_path);
 	g_autofree char *overlay = g_strdup_printf("--overlay=%s", path);
-	char *arguments[] = {program, "apply", platform, base, overlay, NULL};
+	g_autofree char *bound = g_strdup_printf("--above-revision=%u", above);
+	char *arguments[] = {program, "apply", platform,
+			     base,    overlay, above ? bound : NULL,
+			     NULL};
 	process_t *process;
 
 	assert_true(g_file_set_contents(path, text, -1, NULL));
@@ -68,6 +73,11 @@
 	return process;
 }
 
+static process_t *operator_start(uint32_t number, uint32_t drain_ms)
+{
+	return operator_start_above(number, drain_ms, 0);
+}
+
 static int operator_end(process_t *process)
 {
 	int status = -1;
@@ -211,6 +221,28 @@
 	await_revision(&target);
 }
 
+/*
+ * The platform comes back from an older copy, and the operator applies above
+ * the revision that the VMs have, as CONFIGURATION.md says.
+ */
+static void test_change_after_a_restore_is_in_force_everywhere(void **state)
+{
+	target_t target = target_new(3);
+
+	assert_int_equal(apply(20000), EXIT_APPLIED);
+	assert_true(world_post_control(world->platform_control_port,
+				       "/fault?copy=1"));
+	assert_int_equal(apply(21000), EXIT_APPLIED);
+	await_revision(&target);
+	assert_true(world_post_control(world->platform_control_port,
+				       "/fault?restore=1&outage=300"));
+	g_usleep(500 * 1000);
+	assert_int_equal(operator_end(operator_start_above(0, 22000, 3)),
+			 EXIT_APPLIED);
+	target.revision = 4;
+	await_revision(&target);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 /** @param argv name of one test to run; all tests run if absent */
@@ -221,6 +253,7 @@
 		TEST(test_concurrent_operators_apply_or_get_conflict),
 		TEST(test_lost_answer_is_found_to_have_taken_effect),
 		TEST(test_vm_started_in_an_outage_gets_newest_config),
+		TEST(test_change_after_a_restore_is_in_force_everywhere),
 		TEST(test_cut_off_domain_catches_up),
 	};
 
--- a/tests/standin/platform/control.c
+++ b/tests/standin/platform/control.c
@@ -56,6 +56,24 @@
 		api_cut_watches(platform);
 }
 
+static void keep_copy(platform_t *platform)
+{
+	if (platform->has_copy)
+		kv_close(&platform->copy);
+	kv_copy(&platform->kv, &platform->copy);
+	platform->has_copy = true;
+}
+
+/* Goes back to the copy; later writes are lost, indexes are reused. */
+static void restore_copy(platform_t *platform)
+{
+	if (!platform->has_copy)
+		return;
+	api_cut_watches(platform);
+	kv_close(&platform->kv);
+	kv_copy(&platform->copy, &platform->kv);
+}
+
 static void on_fault(struct evhttp_request *request, void *context)
 {
 	platform_t *platform = context;
@@ -64,6 +82,10 @@
 	int64_t slow_ms = http_number(request, "slow", -1);
 	int64_t slow_for_ms = http_number(request, "slow_for", 3600000);
 
+	if (http_number(request, "copy", 0))
+		keep_copy(platform);
+	if (http_number(request, "restore", 0))
+		restore_copy(platform);
 	if (outage_ms >= 0)
 		start_outage(platform, outage_ms,
 			     http_number(request, "hang", 0));
--- a/tests/standin/platform/kv.c
+++ b/tests/standin/platform/kv.c
@@ -26,6 +26,29 @@
 	g_hash_table_unref(kv->sessions);
 }
 
+void kv_copy(const kv_t *kv, kv_t *copy)
+{
+	GHashTableIter iterator;
+	void *name;
+	void *data;
+
+	kv_open(copy);
+	copy->index = kv->index;
+	copy->last_session_number = kv->last_session_number;
+	g_hash_table_iter_init(&iterator, kv->entries);
+	while (g_hash_table_iter_next(&iterator, &name, &data)) {
+		kv_entry_t *entry = g_memdup2(data, sizeof(kv_entry_t));
+
+		g_bytes_ref(entry->value);
+		entry->session_id = g_strdup(entry->session_id);
+		g_hash_table_insert(copy->entries, g_strdup(name), entry);
+	}
+	g_hash_table_iter_init(&iterator, kv->sessions);
+	while (g_hash_table_iter_next(&iterator, &name, &data))
+		g_hash_table_insert(copy->sessions, g_strdup(name),
+				    g_memdup2(data, sizeof(kv_session_t)));
+}
+
 const kv_entry_t *kv_get(const kv_t *kv, const char *key)
 {
 	return g_hash_table_lookup(kv->entries, key);
--- a/tests/standin/platform/kv.h
+++ b/tests/standin/platform/kv.h
@@ -44,6 +44,9 @@
 void kv_open(kv_t *kv);
 void kv_close(kv_t *kv);
 
+/** Makes @p copy a copy of all entries and sessions. */
+void kv_copy(const kv_t *kv, kv_t *copy);
+
 /** @return the entry of @p key, or NULL. */
 const kv_entry_t *kv_get(const kv_t *kv, const char *key);
 
--- a/tests/standin/platform/platform.h
+++ b/tests/standin/platform/platform.h
@@ -36,6 +36,8 @@
 typedef struct {
 	struct event_base *base;
 	kv_t kv;
+	kv_t copy;	      /**< restored by a fault */
+	bool has_copy;	      /**< a copy was kept */
 	json_t *nodes;	      /**< the list of VMs that callers get */
 	uint64_t nodes_index; /**< index of the list's last change */
 	uint32_t list_lag_ms; /**< delay until a new list is published */
