--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -13,9 +13,9 @@
 #include "relay/relay_join.h"
 #include "relay/relay_proof.h"
 #include "relay/relay_registration.h"
+#include "relay/relay_backends.h"
 #include "relay/relay_status_page.h"
 #include "relay/relay_subscription.h"
-#include "state/report_table.h"
 #include "state/revision_table.h"
 #include "store/kv_eras.h"
 #include "store/kv_follow.h"
@@ -32,9 +32,6 @@
 /* Delay before a failed read of the primary records is retried. */
 #define READ_RETRY_MS 150
 
-/* Time for which a server is still used after its entry was removed. */
-#define REMOVAL_DELAY_MS 2500
-
 /* Time in which the load balancer may still send callers to a draining node. */
 #define DRAIN_ACCEPT_MS 2500
 
@@ -83,24 +80,16 @@
 	bool registered;       /* a lease was registered at least once */
 	bool confirm_due;      /* a takeover must be confirmed */
 	catalog_t *catalog;
-	revision_table_t *applied; /* changes of keys, from all sources */
-	GHashTable *hub_values;	   /* key -> value written by the hub */
-	report_table_t *reports;   /* what the servers last reported */
-	GHashTable *removals;	   /* server id -> removal_t */
-	bool synced;		   /* all keys were read at least once */
+	revision_table_t *applied;  /* changes of keys, from all sources */
+	GHashTable *hub_values;	    /* key -> value written by the hub */
+	relay_backends_t *backends; /* the backend servers' entries */
+	bool synced;		    /* all keys were read at least once */
 	struct event *drain_timer;
 	uint64_t leave_ms; /* when the node left, 0 before */
 	uint64_t drain_ms; /* when the drain began, 0 before */
 	bool stopped;	   /* relay_callers_stop() was called */
 };
 
-/* The pending removal of a server whose entry was removed from the store. */
-typedef struct {
-	relay_node_t *node;
-	char *server;
-	struct event *timer; /* removes the server */
-} removal_t;
-
 static bool is_ready(void *context)
 {
 	const relay_node_t *node = context;
@@ -108,69 +97,6 @@
 	return node->catalog && node->synced && !node->drain_ms;
 }
 
-static void removal_free(gpointer data)
-{
-	removal_t *removal = data;
-
-	event_free(removal->timer);
-	g_free(removal->server);
-	g_free(removal);
-}
-
-static void on_removal_timer(evutil_socket_t fd, short what, void *context)
-{
-	removal_t *removal = context;
-	relay_node_t *node = removal->node;
-
-	relay_services_remove(node->services, removal->server);
-	report_table_removed(node->reports, removal->server, clock_boot_ms());
-	g_hash_table_remove(node->removals, removal->server);
-}
-
-/* Delays the removal: entries vanish briefly after an outage of the store. */
-static void schedule_removal(relay_node_t *node, const char *server)
-{
-	const struct timeval delay = clock_timeval(REMOVAL_DELAY_MS);
-	removal_t *removal = g_new0(removal_t, 1);
-
-	log_event(LOG_LEVEL_NOTICE, "server_lapsed", "server=%s", server);
-	removal->node = node;
-	removal->server = g_strdup(server);
-	removal->timer = evtimer_new(node->base, on_removal_timer, removal);
-	event_add(removal->timer, &delay);
-	g_hash_table_replace(node->removals, removal->server, removal);
-}
-
-static void on_backend(relay_node_t *node, const kv_item_t *item)
-{
-	const relay_source_t *source = node->platform.source;
-	const char *id = item->key + strlen(source->backends_prefix);
-	g_autoptr(GError) error = NULL;
-	g_autoptr(backend_entry_t) entry = NULL;
-	report_verdict_t verdict;
-
-	if (item->deleted || !item->value) {
-		schedule_removal(node, id);
-		return;
-	}
-	entry = source->decode_backend(item->key, item->value, &error);
-	if (!entry) {
-		log_event(LOG_LEVEL_WARNING, "server_entry_invalid",
-			  "server=%s reason=\"%s\"", id, error->message);
-		return;
-	}
-	verdict = report_table_judge(node->reports, entry, item->revision);
-	if (verdict != REPORT_APPLY)
-		log_event(LOG_LEVEL_NOTICE, "server_report_outdated",
-			  "server=%s sequence=%" PRIu64 " draining=%d left=%d",
-			  id, entry->sequence, entry->draining,
-			  verdict == REPORT_IGNORE);
-	if (verdict != REPORT_IGNORE)
-		g_hash_table_remove(node->removals, id);
-	if (verdict == REPORT_APPLY)
-		relay_services_put(node->services, g_steal_pointer(&entry));
-}
-
 static void on_catalog(relay_node_t *node, const kv_item_t *item)
 {
 	const relay_source_t *source = node->platform.source;
@@ -301,7 +227,7 @@
 	if (!is_followed(node, item->key) || !advance(node, item, false))
 		return;
 	if (g_str_has_prefix(item->key, source->backends_prefix))
-		on_backend(node, item);
+		relay_backends_apply(node->backends, item);
 	else if (g_str_has_prefix(item->key, source->catalog_prefix))
 		on_catalog(node, item);
 	else
@@ -717,9 +643,6 @@
 	node->hub_values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	node->applied = revision_table_create();
-	node->reports = report_table_create();
-	node->removals = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					       removal_free);
 	node->read_timer = evtimer_new(base, on_read_timer, node);
 	node->drain_timer = event_new(base, -1, EV_PERSIST, on_drain, node);
 	node->services = relay_services_create((relay_services_settings_t){
@@ -733,6 +656,8 @@
 		.on_connection_failure = report_connection_failure,
 		.context = node,
 	});
+	node->backends =
+		relay_backends_create(base, node->services, platform.source);
 	node->coordinator = relay_coordinator_create(
 		base, node->platform.store, node->services, platform.promoter,
 		settings->node, on_takeover, node);
@@ -755,7 +680,7 @@
 	kv_follow_destroy(node->follow);
 	kv_follow_destroy(node->primaries);
 	event_free(node->read_timer);
-	g_hash_table_destroy(node->removals);
+	relay_backends_destroy(node->backends);
 	relay_registration_destroy(node->registration);
 	relay_proof_destroy(node->proof);
 	relay_hub_destroy(node->hub);
@@ -765,7 +690,6 @@
 	catalog_unref(node->catalog);
 	g_hash_table_destroy(node->hub_values);
 	revision_table_destroy(node->applied);
-	report_table_destroy(node->reports);
 	event_free(node->drain_timer);
 	metrics_destroy(node->metrics);
 	g_free(node);
