Agree on a service of one server after a restore

Found by reading the diff: the survey asked for two servers in any case, and the takeover that follows has no replica to fence, so that a service of one server would have had no primary after a restore. test_primary_survey service_of_one_server_is_agreed failed before.

--- a/src/coordination/primary_survey.c
+++ b/src/coordination/primary_survey.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
-/* Minimum number of servers that must agree. */
+#include <glib.h>
+
+/* Minimum number of servers that must agree, if the service has so many. */
 #define SERVERS_MIN 2u
 
 /* The answers, counted. */
@@ -41,10 +43,12 @@
 }
 
 /* Whether the answers contradict neither each other nor what was known. */
-static bool is_consistent(const survey_known_t *known, const count_t *counted)
+static bool is_consistent(const survey_known_t *known, const count_t *counted,
+			  uint32_t count)
 {
-	if (counted->answered < SERVERS_MIN || counted->primaries != 1 ||
-	    !counted->primary || !counted->same_term || counted->fenced)
+	if (counted->answered < MIN(SERVERS_MIN, count) ||
+	    counted->primaries != 1 || !counted->primary ||
+	    !counted->same_term || counted->fenced)
 		return false;
 	if (counted->term != known->term)
 		return counted->term > known->term;
@@ -55,7 +59,7 @@
 				const count_t *counted, uint32_t count,
 				uint64_t waited_ms)
 {
-	const bool consistent = is_consistent(known, counted);
+	const bool consistent = is_consistent(known, counted, count);
 
 	if (consistent && counted->answered == count && !known->takeover)
 		return SURVEY_AGREED;
--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -88,13 +88,25 @@
 		coordinator_takeover_stop(entry);
 }
 
+static void reset_services(relay_coordinator_t *coordinator)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, coordinator->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		coordinator_service_t *entry = value;
+
+		coordinator_service_reset(entry);
+		entry->settled = false;
+	}
+}
+
 static void on_acquired(void *context, const kv_answer_t *answer)
 {
 	relay_coordinator_t *coordinator = context;
 	const coordinator_holder_t *last = &coordinator->last_holder;
 	const uint64_t now_ms = clock_boot_ms();
-	GHashTableIter iter;
-	gpointer entry;
 
 	coordinator->acquiring = false;
 	if (answer->result != KV_OK) {
@@ -104,11 +116,7 @@
 	coordinator->held_revision = answer->revision;
 	coordinator->key_revision = answer->revision;
 	coordinator->renewed_ms = coordinator->renew_sent_ms;
-	g_hash_table_iter_init(&iter, coordinator->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &entry)) {
-		coordinator_service_reset(entry);
-		((coordinator_service_t *)entry)->settled = false;
-	}
+	reset_services(coordinator);
 	coordinator->settled_ms =
 		coordinator->settling ? now_ms + COORDINATOR_SETTLE_MS : now_ms;
 	log_event(LOG_LEVEL_NOTICE, "duty_held",
--- a/tests/unit/test_primary_survey.c
+++ b/tests/unit/test_primary_survey.c
@@ -135,6 +135,15 @@
 	assert_int_equal(survey(&service, LATE).result, SURVEY_UNCLEAR);
 }
 
+static void test_service_of_one_server_is_agreed(void **state)
+{
+	const service_t service = healthy();
+	const survey_t found =
+		primary_survey(&service.known, service.servers, 1, 0);
+
+	assert_int_equal(found.result, SURVEY_AGREED);
+}
+
 static void test_newer_term_needs_all_servers(void **state)
 {
 	service_t service = healthy();
@@ -156,6 +165,7 @@
 		cmocka_unit_test(test_silent_replica_is_waited_for),
 		cmocka_unit_test(test_silent_primary_is_unclear),
 		cmocka_unit_test(test_lone_primary_is_unclear),
+		cmocka_unit_test(test_service_of_one_server_is_agreed),
 		cmocka_unit_test(test_newer_term_needs_all_servers),
 	};
 
