--- a/tests/unit/test_relay_subscription.c
+++ b/tests/unit/test_relay_subscription.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -12,6 +13,7 @@
 #include "coordination/owner.h"
 #include "platform/line_codec.h"
 #include "relay/relay_subscription.h"
+#include "state/store_revision.h"
 
 /* Hubs of other domains; more than are asked at a time. */
 #define FAR_HUBS 4u
@@ -271,6 +273,56 @@
 	assert_true(fixture->near.connections >= 1);
 }
 
+static relay_service_t *add_service(fixture_t *fixture)
+{
+	g_autoptr(catalog_t) catalog = catalog_new();
+	catalog_service_t *service = g_new0(catalog_service_t, 1);
+
+	service->name = g_strdup("svc");
+	service->connections_max = 10;
+	catalog_add_service(catalog, service);
+	relay_services_configure(fixture->services, catalog);
+	return relay_services_find(fixture->services, "svc");
+}
+
+static void wait_for_answer(fixture_t *fixture)
+{
+	const uint64_t since_ms =
+		relay_subscription_answered_ms(fixture->subscription);
+	const uint64_t end_ms = clock_boot_ms() + NEWS_MS;
+
+	while (relay_subscription_answered_ms(fixture->subscription) ==
+		       since_ms &&
+	       clock_boot_ms() < end_ms)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+}
+
+/*
+ * The hub has read the records after a restore of the store; this node's
+ * record is of before, and may name a primary that was replaced.
+ */
+static void test_proof_of_all_primaries_is_for_its_era(void **state)
+{
+	fixture_t *fixture = *state;
+	relay_service_t *service = add_service(fixture);
+	g_autofree char *head = g_strdup_printf(
+		"H 1000 2200 %" PRId64 " 0 %" PRId64 " 0",
+		store_revision_make(2, 5), store_revision_make(2, 5));
+
+	relay_service_set_primary(service, 1, "i-1", false,
+				  store_revision_make(1, 9));
+	fixture->near.head = head;
+	wait_for_answer(fixture);
+	wait_for_answer(fixture);
+	assert_true(relay_subscription_answered_ms(fixture->subscription));
+	assert_int_equal(relay_service_lease(service)->delegated_until_ms, 0);
+	relay_service_set_primary(service, 1, "i-1", false,
+				  store_revision_make(2, 4));
+	wait_for_answer(fixture);
+	wait_for_answer(fixture);
+	assert_true(relay_service_lease(service)->delegated_until_ms);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -282,6 +334,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_change_is_found_at_the_one_hub_that_knows,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_proof_of_all_primaries_is_for_its_era,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(test_silent_hub_is_not_used,
 						open_fixture, close_fixture),
 	};
