Keep no primary in a takeover that another coordinator began

If a promotion was requested right before 29.00, it takes effect 0.3 s later, and the old primary does not know of it for a second more: what it says of itself proves nothing. The promotion itself waits 1.2 s after a change of the coordinator; keeping did not.

An unfinished takeover publishes a new primary if one answers, and promotes one otherwise, which changes nothing if it is primary already: as after a restore. test_takeover promotion_in_flight_of_an_unfinished_takeover fails with the kind of before (the old primary is published within 0.3 s). Price: a well primary of an unfinished takeover is published after about 2.6 s.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -371,11 +371,19 @@
 	return best;
 }
 
+/* Whether a server may have been promoted without this node's knowledge. */
+static bool is_unclear(const takeover_t *takeover)
+{
+	return takeover->kind == TAKEOVER_RESTORED ||
+	       takeover->kind == TAKEOVER_UNFINISHED;
+}
+
 /*
- * @return the server to promote after a restore: the primary of the highest
- *         term, else the replica with the longest log, or NULL
+ * @return the server to promote if it is unclear which is primary: the one of
+ *         the highest term that says so, else the replica with the longest
+ *         log, or NULL
  */
-static server_t *find_restored(takeover_t *takeover)
+static server_t *find_unclear(takeover_t *takeover)
 {
 	server_t *best = NULL;
 
@@ -476,6 +484,7 @@
 		return old->answered && waited_ms >= CATCH_UP_MS &&
 		       !(best && has_caught_up(best, old));
 	case TAKEOVER_RESTORED:
+	case TAKEOVER_UNFINISHED:
 		return false;
 	}
 	return false;
@@ -503,10 +512,10 @@
 	return has_caught_up(best, leaving) ? best : NULL;
 }
 
-static void choose_restored(takeover_t *takeover, uint64_t now_ms)
+static void choose_unclear(takeover_t *takeover, uint64_t now_ms)
 {
 	server_t *promoted = find_promoted(takeover);
-	server_t *best = promoted ? promoted : find_restored(takeover);
+	server_t *best = promoted ? promoted : find_unclear(takeover);
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 
 	if (best && best->draining && !promoted)
@@ -528,12 +537,13 @@
 	server_t *best = promoted ? promoted : find_longest_log(takeover);
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 
-	if (takeover->kind == TAKEOVER_RESTORED) {
-		choose_restored(takeover, now_ms);
+	if (takeover->kind != TAKEOVER_RESTORED &&
+	    publish_new_primary(takeover, now_ms))
 		return;
-	}
-	if (publish_new_primary(takeover, now_ms))
+	if (is_unclear(takeover)) {
+		choose_unclear(takeover, now_ms);
 		return;
+	}
 	query_all(takeover, now_ms);
 	if (old && is_lost_in_handover(takeover, old, waited_ms))
 		takeover->kind = TAKEOVER_LOST;
@@ -592,7 +602,7 @@
 static bool is_confirmed_primary(const takeover_t *takeover,
 				 const server_t *server, uint64_t now_ms)
 {
-	return takeover->kind == TAKEOVER_RESTORED && takeover->accepted &&
+	return is_unclear(takeover) && takeover->accepted &&
 	       now_ms >= takeover->first_promote_ms + PROMOTED_MS &&
 	       server->answered && server->status.role == SERVER_PRIMARY &&
 	       server->status.term >= takeover->term;
@@ -670,8 +680,7 @@
 	case TAKEOVER_PROMOTE:
 		query_server(takeover, takeover->candidate, now_ms);
 		if (now_ms >= takeover->promote_ms + PROMOTE_RETRY_MS &&
-		    !(takeover->accepted &&
-		      takeover->kind == TAKEOVER_RESTORED &&
+		    !(takeover->accepted && is_unclear(takeover) &&
 		      now_ms < takeover->first_promote_ms + PROMOTED_MS +
 				       PROMOTE_RETRY_MS))
 			retry_promotion(takeover, now_ms);
--- a/src/coordination/takeover.h
+++ b/src/coordination/takeover.h
@@ -49,6 +49,12 @@
 	 * changes nothing if it is primary already.
 	 */
 	TAKEOVER_RESTORED,
+	/**
+	 * Another holder began it and may have promoted a server, which takes
+	 * effect later. Likewise one is promoted in any case, unless a new
+	 * primary answers.
+	 */
+	TAKEOVER_UNFINISHED,
 } takeover_kind_t;
 
 /** A server of the service, as known at the start of the takeover. */
--- a/src/relay/relay_coordinator_service.c
+++ b/src/relay/relay_coordinator_service.c
@@ -176,7 +176,7 @@
 		coordinator_takeover_start(entry,
 					   entry->record.restored ?
 						   TAKEOVER_RESTORED :
-						   TAKEOVER_LOST,
+						   TAKEOVER_UNFINISHED,
 					   "unfinished");
 		return;
 	}
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -381,6 +381,40 @@
 	assert_int_equal(fixture->term, 7);
 }
 
+/*
+ * The coordinator before requested a promotion and left; it takes effect only
+ * now, and the old primary does not know of it yet.
+ */
+static void test_promotion_in_flight_of_an_unfinished_takeover(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->promotions_change_nothing = true;
+	start(fixture, TAKEOVER_UNFINISHED);
+	run(fixture, 300);
+	assert_false(fixture->done);
+	make_primary(fixture, "c");
+	run(fixture, 8000);
+	assert_true(fixture->published);
+	assert_string_equal(fixture->primary, "c");
+	assert_int_equal(fixture->term, 2);
+	assert_false(fixture->promoted);
+}
+
+/* Nobody was promoted: the primary is, which changes nothing. */
+static void test_unfinished_takeover_of_a_well_primary_ends(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->promotions_change_nothing = true;
+	start(fixture, TAKEOVER_UNFINISHED);
+	run(fixture, 8000);
+	assert_true(fixture->published);
+	assert_string_equal(fixture->promoted_id, "a");
+	assert_string_equal(fixture->primary, "a");
+	assert_int_equal(fixture->term, 1);
+}
+
 /* A primary that is about to leave is not promoted once more. */
 static void test_restored_primary_that_leaves_hands_over(void **state)
 {
@@ -578,6 +612,12 @@
 		cmocka_unit_test_setup_teardown(
 			test_restored_service_is_fenced_above_its_real_term,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_promotion_in_flight_of_an_unfinished_takeover,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_unfinished_takeover_of_a_well_primary_ends,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_restored_primary_that_leaves_hands_over,
 			open_fixture, close_fixture),
