--- a/tests/unit/test_primary_model.c
+++ b/tests/unit/test_primary_model.c
@@ -59,8 +59,9 @@
 	uint8_t lease_done;
 	uint8_t wait;	      /* ticks until the promotion may start */
 	uint8_t release_wait; /* ticks until the fence may be lifted */
-	/* Ticks in which a promotion of before the restore takes effect. */
+	/* Ticks in which a promotion of an earlier coordinator takes effect. */
 	uint8_t in_flight;
+	uint8_t unfinished; /* the takeover was begun by another one */
 	/* Counts that bound the search. */
 	uint8_t restarts; /* of replicas */
 	uint8_t failures; /* of coordinators */
@@ -84,6 +85,7 @@
 	TRUST_LEASE,  /* counts renewals of a lease of before the restore */
 	NO_SURVEY,    /* writes the record anew without asking the servers */
 	SURVEY_UNSETTLED, /* asks them while a promotion may be in flight */
+	KEEP_UNFINISHED,  /* keeps the primary in another's takeover */
 	TRUST_LISTING,	  /* skips the wait if all nodes that are listed know */
 } variant_t;
 
@@ -449,6 +451,7 @@
 	case PROMOTING:
 		next.phase = DONE;
 		next.promoted = 1;
+		next.in_flight = 0;
 		next.release_wait =
 			search->variant == RELEASE_AT_ONCE ? 0 : WAIT;
 		visit(search, next);
@@ -465,6 +468,7 @@
 	}
 	/* The old primary turns out to be healthy and is kept. */
 	if ((state.phase == INTENT || state.phase == WAITING) &&
+	    (!state.unfinished || search->variant == KEEP_UNFINISHED) &&
 	    state.kept < search->bounds.kept_max &&
 	    state.failures + state.kept < search->bounds.takeovers_max) {
 		next = state;
@@ -473,11 +477,15 @@
 		next.phase = IDLE;
 		visit(search, next);
 	}
-	/* The coordinator fails before the promotion; another one starts. */
-	if (state.phase > IDLE && state.phase < PROMOTING &&
+	/* The coordinator fails, perhaps after it has requested the promotion.
+	 */
+	if (state.phase > IDLE && state.phase <= PROMOTING &&
 	    state.failures + state.kept < search->bounds.takeovers_max) {
 		next = state;
 		next.failures++;
+		next.unfinished = 1;
+		if (state.phase == PROMOTING)
+			next.in_flight = VALID;
 		write_intent(&next);
 		visit(search, next);
 	}
@@ -568,7 +576,8 @@
 					     RELEASE_AT_ONCE,
 					     PROOF_WITHOUT_READING,
 					     ANY_ACK,
-					     ACK_UNREAD};
+					     ACK_UNREAD,
+					     KEEP_UNFINISHED};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(variants); i++) {
 		uint32_t states;
