--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -22,6 +22,8 @@
 	COMMAND_RESET,	 /**< resets variables and closes prepared statements */
 	COMMAND_PROVE,	 /**< another node queries the proofs of this node */
 	COMMAND_FOLLOW,	 /**< another node follows this hub */
+	COMMAND_AS,	 /**< sets the customer of a forwarded connection */
+	COMMAND_ADMIT,	 /**< another node asks for a share of a quota */
 	COMMAND_INVALID,
 	COMMAND_KIND_COUNT,
 } command_kind_t;
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -32,6 +32,7 @@
 	RELAY_ERROR_UNKNOWN_NAME,
 	RELAY_ERROR_MALFORMED,
 	RELAY_ERROR_NO_DATABASE,
+	RELAY_ERROR_UNAUTHORIZED, /**< unknown or withdrawn key */
 	RELAY_ERROR_OTHER,
 	RELAY_ERROR_COUNT,
 } relay_error_t;
@@ -53,6 +54,7 @@
 	size_t encoded_size;
 	char *id;   /**< query: statement id; start-up: expected server id */
 	char *text; /**< statement, row, or name of the database or service */
+	char *user; /**< start-up: key of a caller or name of a customer */
 	relay_error_t error;
 	char status; /**< ready: 'I' idle, 'T' in transaction, 'E' failed */
 	log_point_t point; /**< ready: the server's log point, or zero */
@@ -91,8 +93,9 @@
 	relay_decoded_t (*decode)(struct evbuffer *input,
 				  relay_message_t *message, GError **error);
 	void (*parse)(const char *text, command_t *command);
+	/** @param customer NULL for a control connection or a node */
 	void (*put_startup)(struct evbuffer *out, const char *service,
-			    const char *server);
+			    const char *customer, const char *server);
 	/** @param id NULL for a statement that the proxy itself issues */
 	void (*put_query)(struct evbuffer *out, const char *id,
 			  log_point_t after, const char *text);
@@ -107,6 +110,10 @@
 	char *(*text_prepare)(const char *name, const char *definition);
 	char *(*text_execute)(const char *name, const char *arguments);
 	char *(*text_control)(relay_control_t control, uint64_t term);
+	/** Sets the customer of the statements that follow. */
+	char *(*text_as)(const char *customer);
+	/** Asks for the admission of operations of a customer. */
+	char *(*text_admit)(const char *customer, uint32_t count);
 	/** A request to a hub, see relay_hub_message.h. */
 	char *(*text_follow)(const char *arguments);
 	bool (*parse_status)(const char *row, relay_status_t *status);
--- a/src/relay/relay_grant.c
+++ b/src/relay/relay_grant.c
@@ -148,7 +148,7 @@
 		return;
 	grant->opened_ms = now_ms;
 	grant->link = relay_link_open(settings->base, settings->codec, entry,
-				      peer, handlers);
+				      NULL, peer, handlers);
 }
 
 static void send_request(relay_grant_t *grant, uint64_t now_ms)
--- a/src/relay/relay_job.h
+++ b/src/relay/relay_job.h
@@ -23,6 +23,8 @@
 	const char *begin_text; /**< text of the BEGIN to send first, or NULL */
 	bool read_only;		/**< the transaction to open is read-only */
 	const catalog_database_t *database;
+	/** Customer of the caller; NULL where no customers are configured. */
+	const catalog_customer_t *customer;
 	GHashTable *values; /**< session variables, name -> value, or NULL */
 	const char *definition; /**< COMMAND_EXECUTE: prepared statement */
 	const char *arguments;	/**< COMMAND_EXECUTE: its arguments */
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -228,7 +228,7 @@
 relay_link_t *relay_link_open(struct event_base *base,
 			      const relay_codec_t *codec,
 			      const backend_entry_t *entry,
-			      const endpoint_t *via,
+			      const char *customer, const endpoint_t *via,
 			      relay_link_handlers_t handlers)
 {
 	relay_link_t *link = g_new0(relay_link_t, 1);
@@ -250,13 +250,14 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	link->state.prepared =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	link->state.customer = g_strdup(customer);
 	link->bev = bufferevent_socket_new(
 		base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
 	bufferevent_set_timeouts(link->bev, &timeout, &timeout);
 	bufferevent_enable(link->bev, EV_READ | EV_WRITE);
 	codec->put_startup(bufferevent_get_output(link->bev), entry->service,
-			   entry->id);
+			   customer, entry->id);
 	bufferevent_socket_connect(link->bev, (struct sockaddr *)&address,
 				   sizeof(address));
 	return link;
@@ -275,6 +276,7 @@
 	g_free(link->server);
 	g_hash_table_destroy(link->state.values);
 	g_hash_table_destroy(link->state.prepared);
+	g_free(link->state.customer);
 	g_free(link);
 }
 
--- a/src/relay/relay_link.h
+++ b/src/relay/relay_link.h
@@ -57,18 +57,20 @@
 	GHashTable *values;   /**< session variables, name -> value */
 	GHashTable *prepared; /**< set of names of prepared statements */
 	bool in_transaction;  /**< a transaction is open */
+	char *customer;	      /**< that the statements are for, or NULL */
 } relay_link_state_t;
 
 /**
  * Opens a connection; the result is reported to @p handlers.
  *
+ * @param customer that the connection serves; NULL for control statements
  * @param via endpoint of a node that forwards the connection, or NULL to
  *            connect to the server itself
  */
 relay_link_t *relay_link_open(struct event_base *base,
 			      const relay_codec_t *codec,
 			      const backend_entry_t *entry,
-			      const endpoint_t *via,
+			      const char *customer, const endpoint_t *via,
 			      relay_link_handlers_t handlers);
 
 /** Closes the connection; callbacks of unanswered statements are dropped. */
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -288,7 +288,7 @@
 		g_ptr_array_add(
 			server->links,
 			relay_link_open(server->host->base, server->host->codec,
-					server->entry,
+					server->entry, NULL,
 					forwarding_endpoint(server, now_ms),
 					handlers));
 		server->opening++;
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -18,9 +18,10 @@
 /** An entry in the queue for a connection; the waiting user owns it. */
 typedef struct {
 	wait_entry_t entry;
-	GHashTable *values; /**< session variables to match, or NULL */
-	bool urgent;	    /**< may exceed the connection limit by one */
-	bool direct;	    /**< accepts no forwarded connection */
+	GHashTable *values;   /**< session variables to match, or NULL */
+	const char *customer; /**< to serve; NULL for control statements */
+	bool urgent;	      /**< may exceed the connection limit by one */
+	bool direct;	      /**< accepts no forwarded connection */
 	/**
 	 * While a connection opened before this time exists, only such a
 	 * connection is accepted; 0 to accept any.
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -434,14 +434,25 @@
 	close_soon(session);
 }
 
+/* @return whether only other nodes may send such a command */
+static bool is_for_nodes(command_kind_t kind)
+{
+	switch (kind) {
+	case COMMAND_RESET:
+	case COMMAND_PROVE:
+	case COMMAND_FOLLOW:
+	case COMMAND_AS:
+	case COMMAND_ADMIT:
+		return true;
+	default:
+		return false;
+	}
+}
+
 static void dispatch(relay_session_t *session)
 {
 	session->host->codec->parse(session->message.text, &session->command);
-	/* Only nodes may send log points, RESET, PROVE and FOLLOW. */
-	if (session->command.after.term ||
-	    session->command.kind == COMMAND_RESET ||
-	    session->command.kind == COMMAND_PROVE ||
-	    session->command.kind == COMMAND_FOLLOW)
+	if (session->command.after.term || is_for_nodes(session->command.kind))
 		session->command.kind = COMMAND_INVALID;
 	if (session->transaction == TRANSACTION_FAILED) {
 		dispatch_failed(session);
--- a/src/relay/relay_subscription.c
+++ b/src/relay/relay_subscription.c
@@ -338,7 +338,7 @@
 	hub->since_ms = now_ms;
 	hub->link =
 		relay_link_open(settings_of(hub)->base, settings_of(hub)->codec,
-				&entry, &hub->endpoint, handlers);
+				&entry, NULL, &hub->endpoint, handlers);
 }
 
 static void hub_step(hub_t *hub, bool wanted, uint64_t now_ms)
--- a/src/state/catalog.c
+++ b/src/state/catalog.c
@@ -1,5 +1,9 @@
 #include "state/catalog.h"
 
+#include <string.h>
+
+#include <sodium.h>
+
 static void database_free(gpointer data)
 {
 	catalog_database_t *database = data;
@@ -17,6 +21,35 @@
 	g_free(service);
 }
 
+static void free_key(gpointer key)
+{
+	sodium_memzero(key, strlen(key));
+	g_free(key);
+}
+
+catalog_customer_t *catalog_customer_new(const char *name)
+{
+	catalog_customer_t *customer = g_new0(catalog_customer_t, 1);
+
+	customer->name = g_strdup(name);
+	customer->keys = g_ptr_array_new_with_free_func(free_key);
+	return customer;
+}
+
+void catalog_customer_delete(catalog_customer_t *customer)
+{
+	if (!customer)
+		return;
+	g_ptr_array_unref(customer->keys);
+	g_free(customer->name);
+	g_free(customer);
+}
+
+static void customer_free(gpointer data)
+{
+	catalog_customer_delete(data);
+}
+
 catalog_t *catalog_new(void)
 {
 	catalog_t *catalog = g_new0(catalog_t, 1);
@@ -26,6 +59,8 @@
 						   NULL, database_free);
 	catalog->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						  service_free);
+	catalog->customers = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, customer_free);
 	return catalog;
 }
 
@@ -41,6 +76,7 @@
 		return;
 	g_hash_table_destroy(catalog->databases);
 	g_hash_table_destroy(catalog->services);
+	g_hash_table_destroy(catalog->customers);
 	g_free(catalog);
 }
 
@@ -54,6 +90,17 @@
 	g_hash_table_insert(catalog->services, service->name, service);
 }
 
+void catalog_add_customer(catalog_t *catalog, catalog_customer_t *customer)
+{
+	g_hash_table_insert(catalog->customers, customer->name, customer);
+}
+
+const catalog_customer_t *catalog_customer(const catalog_t *catalog,
+					   const char *name)
+{
+	return g_hash_table_lookup(catalog->customers, name);
+}
+
 const catalog_database_t *catalog_database(const catalog_t *catalog,
 					   const char *name)
 {
--- a/src/state/catalog.h
+++ b/src/state/catalog.h
@@ -22,8 +22,19 @@
 	uint32_t timeout_ms;	    /**< deadline of one statement */
 	uint32_t target_latency_ms; /**< target duration of an operation */
 	uint32_t priority;	    /**< 0 is the highest */
+	bool is_public;		    /**< callers need no key */
 } catalog_database_t;
 
+/** One customer, whose callers identify themselves by its keys. */
+typedef struct {
+	char *name;
+	GPtrArray *keys;     /**< char *; secret, never to be logged */
+	bool has_quota;	     /**< the next two limits apply */
+	uint32_t rate_per_s; /**< operations per second */
+	uint32_t burst;	     /**< operations above the rate at once */
+	uint32_t priority;   /**< 0 is the highest */
+} catalog_customer_t;
+
 /** One replicated service that stores databases. */
 typedef struct {
 	char *name;
@@ -36,6 +47,8 @@
 	uint64_t version;
 	GHashTable *databases;	      /**< name -> catalog_database_t */
 	GHashTable *services;	      /**< name -> catalog_service_t */
+	GHashTable *customers;	      /**< name -> catalog_customer_t */
+	bool identifies_callers;      /**< the site has customers with keys */
 	uint32_t transaction_idle_ms; /**< idle timeout of a transaction */
 	uint32_t references;	      /**< private */
 } catalog_t;
@@ -55,6 +68,15 @@
 /** Takes ownership of @p service; its name must be new in the catalog. */
 void catalog_add_service(catalog_t *catalog, catalog_service_t *service);
 
+/** Takes ownership of @p customer; its name must be new in the catalog. */
+void catalog_add_customer(catalog_t *catalog, catalog_customer_t *customer);
+
+/** Creates a customer without keys and quota. */
+catalog_customer_t *catalog_customer_new(const char *name);
+
+/** NULL is allowed. */
+void catalog_customer_delete(catalog_customer_t *customer);
+
 /** @return the database of that name, or NULL. */
 const catalog_database_t *catalog_database(const catalog_t *catalog,
 					   const char *name);
@@ -63,6 +85,11 @@
 const catalog_service_t *catalog_service(const catalog_t *catalog,
 					 const char *name);
 
+/** @return the customer of that name, or NULL. */
+const catalog_customer_t *catalog_customer(const catalog_t *catalog,
+					   const char *name);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(catalog_customer_t, catalog_customer_delete)
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(catalog_t, catalog_unref)
 
 #endif
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -201,7 +201,7 @@
 	struct evbuffer *out = evbuffer_new();
 	g_autofree char *text = NULL;
 
-	line_codec.put_startup(out, "svc", "i-1");
+	line_codec.put_startup(out, "svc", NULL, "i-1");
 	line_codec.put_query(out, "5c", (log_point_t){3, 7}, "READ a");
 	line_codec.put_query(out, NULL, (log_point_t){0}, "STATUS");
 	line_codec.put_complete(out);
--- a/tests/unit/test_relay_link.c
+++ b/tests/unit/test_relay_link.c
@@ -122,7 +122,7 @@
 	};
 
 	fixture->link = relay_link_open(fixture->base, &line_codec,
-					&fixture->entry, via, handlers);
+					&fixture->entry, NULL, via, handlers);
 	while (!fixture->opened && !fixture->closed)
 		event_base_loop(fixture->base, EVLOOP_ONCE);
 	assert_true(fixture->opened);
