Identify callers by their keys

The node ignored the key of a start-up and served every caller. A session now keeps the hash of its key and looks it up in the newest catalog at the start-up, at each operation and at each statement of a transaction.

--- a/src/relay/relay_callers.c
+++ b/src/relay/relay_callers.c
@@ -55,6 +55,7 @@
 		.base = base,
 		.codec = codec,
 		.services = services,
+		.metrics = relay_services_settings(services)->metrics,
 		.ended = on_ended,
 		.context = callers,
 	};
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "relay/relay_caller.h"
 #include "relay/relay_pin.h"
 #include "relay/relay_job.h"
 #include "transport/socket_options.h"
@@ -46,6 +47,7 @@
 	catalog_t *catalog; /* used by the current transaction or statement */
 	const catalog_database_t *database; /* database, owned by the catalog */
 	char *database_name;		    /* NULL before the start-up */
+	relay_caller_t caller;
 	bool waiting;	      /* waits for the node's first catalog */
 	GHashTable *values;   /* session variables, name -> value, or NULL */
 	GHashTable *prepared; /* name -> prepared_t, or NULL */
@@ -262,6 +264,7 @@
 		.text = session->message.text,
 		.kind = command->kind,
 		.database = session->database,
+		.customer = session->caller.customer,
 		.values = session->values,
 		.own_point = session->own_point,
 		.own_term = session->own_term,
@@ -434,6 +437,50 @@
 	close_soon(session);
 }
 
+/* Rejects a caller whose key identifies no customer. */
+static void refuse_caller(relay_session_t *session, relay_caller_check_t check)
+{
+	relay_caller_report(check, session->database_name,
+			    session->host->metrics);
+	session->host->codec->put_error(output_of(session),
+					RELAY_ERROR_UNAUTHORIZED,
+					"the key is not valid");
+	close_soon(session);
+}
+
+/*
+ * Starts an operation in the newest catalog.
+ *
+ * @return whether the caller may run it; the session is closed if not
+ */
+static bool start_operation(relay_session_t *session)
+{
+	relay_caller_check_t check;
+
+	if (!refresh_catalog(session)) {
+		refuse_database(session);
+		return false;
+	}
+	check = relay_caller_identify(&session->caller, session->catalog,
+				      session->database);
+	if (check == RELAY_CALLER_KNOWN)
+		return true;
+	refuse_caller(session, check);
+	return false;
+}
+
+/* Rolls back a transaction whose caller is no longer the same customer. */
+static void abort_transaction(relay_session_t *session)
+{
+	log_event(LOG_LEVEL_INFO, "transaction_unauthorized",
+		  "id=%s database=%s", session->message.id,
+		  session->database_name);
+	end_transaction(session);
+	answer_error(session, RELAY_ERROR_ABORTED,
+		     "customer of the key changed, rolled back");
+	statement_done(session);
+}
+
 /* @return whether only other nodes may send such a command */
 static bool is_for_nodes(command_kind_t kind)
 {
@@ -454,13 +501,17 @@
 	session->host->codec->parse(session->message.text, &session->command);
 	if (session->command.after.term || is_for_nodes(session->command.kind))
 		session->command.kind = COMMAND_INVALID;
-	if (session->transaction == TRANSACTION_FAILED) {
-		dispatch_failed(session);
+	if (session->transaction == TRANSACTION_NONE) {
+		if (!start_operation(session))
+			return;
+	} else if (!relay_caller_is_unchanged(&session->caller,
+					      session->host->catalog,
+					      session->database)) {
+		abort_transaction(session);
 		return;
 	}
-	if (session->transaction == TRANSACTION_NONE &&
-	    !refresh_catalog(session)) {
-		refuse_database(session);
+	if (session->transaction == TRANSACTION_FAILED) {
+		dispatch_failed(session);
 		return;
 	}
 	if (is_remote(session))
@@ -471,10 +522,8 @@
 
 static void answer_startup(relay_session_t *session)
 {
-	if (refresh_catalog(session))
+	if (start_operation(session))
 		answer_ready(session, (log_point_t){0});
-	else
-		refuse_database(session);
 }
 
 /* Delays the answer: only the catalog shows whether the database exists. */
@@ -501,6 +550,8 @@
 static void start_up(relay_session_t *session)
 {
 	session->database_name = g_steal_pointer(&session->message.text);
+	relay_caller_init(&session->caller,
+			  g_steal_pointer(&session->message.user));
 	relay_message_clear(&session->message);
 	if (session->host->catalog)
 		answer_startup(session);
@@ -627,10 +678,22 @@
 	return session;
 }
 
+/* An idle session must not keep an old catalog and its customers in memory. */
+static void release_catalog(relay_session_t *session)
+{
+	if (relay_session_is_busy(session))
+		return;
+	session->caller.customer = NULL;
+	session->database = NULL;
+	g_clear_pointer(&session->catalog, catalog_unref);
+}
+
 void relay_session_configured(relay_session_t *session)
 {
-	if (!session->waiting)
+	if (!session->waiting) {
+		release_catalog(session);
 		return;
+	}
 	session->waiting = false;
 	evtimer_del(session->idle);
 	answer_startup(session);
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -17,6 +17,7 @@
 	const relay_codec_t *codec;
 	relay_services_t *services;
 	catalog_t *catalog; /**< NULL until the node has its first catalog */
+	metrics_t *metrics; /**< NULL to count nothing */
 	bool draining;	    /**< sessions close as they become idle */
 	/** The session ended on its own and is about to be freed. */
 	void (*ended)(void *context, relay_session_t *session);
@@ -33,7 +34,10 @@
  */
 void relay_session_destroy(relay_session_t *session);
 
-/** Resumes a session that waited for the node's first catalog. */
+/**
+ * Applies a new catalog: resumes a session that waited for the first one, and
+ * drops the reference of an idle session to the previous one.
+ */
 void relay_session_configured(relay_session_t *session);
 
 /** Closes the session if nothing is open and it has been idle long enough. */
--- a/src/state/catalog.c
+++ b/src/state/catalog.c
@@ -4,6 +4,8 @@
 
 #include <sodium.h>
 
+#include "state/customer_index.h"
+
 static void database_free(gpointer data)
 {
 	catalog_database_t *database = data;
@@ -61,6 +63,7 @@
 						  service_free);
 	catalog->customers = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   NULL, customer_free);
+	catalog->keys = customer_index_create();
 	return catalog;
 }
 
@@ -76,6 +79,7 @@
 		return;
 	g_hash_table_destroy(catalog->databases);
 	g_hash_table_destroy(catalog->services);
+	customer_index_destroy(catalog->keys);
 	g_hash_table_destroy(catalog->customers);
 	g_free(catalog);
 }
@@ -93,6 +97,7 @@
 void catalog_add_customer(catalog_t *catalog, catalog_customer_t *customer)
 {
 	g_hash_table_insert(catalog->customers, customer->name, customer);
+	customer_index_add(catalog->keys, customer);
 }
 
 const catalog_customer_t *catalog_customer(const catalog_t *catalog,
--- a/src/state/catalog.h
+++ b/src/state/catalog.h
@@ -49,6 +49,7 @@
 	GHashTable *services;	      /**< name -> catalog_service_t */
 	GHashTable *customers;	      /**< name -> catalog_customer_t */
 	bool identifies_callers;      /**< the site has customers with keys */
+	struct customer_index *keys;  /**< keys of all customers */
 	uint32_t transaction_idle_ms; /**< idle timeout of a transaction */
 	uint32_t references;	      /**< private */
 } catalog_t;
@@ -68,7 +69,10 @@
 /** Takes ownership of @p service; its name must be new in the catalog. */
 void catalog_add_service(catalog_t *catalog, catalog_service_t *service);
 
-/** Takes ownership of @p customer; its name must be new in the catalog. */
+/**
+ * Takes ownership of @p customer, which must have all its keys; its name must
+ * be new in the catalog.
+ */
 void catalog_add_customer(catalog_t *catalog, catalog_customer_t *customer);
 
 /** Creates a customer without keys and quota. */
