--- a/Makefile
+++ b/Makefile
@@ -160,6 +160,7 @@
 $(BUILD)/tests/unit/test_relay_subscription \
 $(BUILD)/tests/unit/test_relay_link: $(PLATFORM_OBJ)
 $(BUILD)/tests/unit/test_platform_codec: $(PLATFORM_OBJ)
+$(BUILD)/tests/unit/test_platform_customers: $(PLATFORM_OBJ)
 $(BUILD)/tests/unit/test_platform_documents: $(PLATFORM_OBJ)
 $(BUILD)/tests/e2e/test_group: $(BUILD)/tests/e2e/fleet.o
 
