--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -100,29 +100,19 @@
 static void on_catalog(relay_node_t *node, const kv_item_t *item)
 {
 	const relay_source_t *source = node->platform.source;
-	g_autoptr(GError) error = NULL;
 	catalog_t *catalog;
 
 	if (strcmp(item->key, source->catalog_key) || item->deleted)
 		return;
-	catalog = source->decode_catalog(item->value, &error);
-	if (!catalog) {
-		log_event(LOG_LEVEL_ERROR, "catalog_invalid",
-			  "revision=%" PRId64 " reason=\"%s\"", item->revision,
-			  error->message);
+	catalog = relay_source_newer_catalog(source, item, node->catalog);
+	if (!catalog)
 		return;
-	}
-	if (node->catalog && catalog->version < node->catalog->version) {
-		log_event(LOG_LEVEL_WARNING, "catalog_older",
-			  "version=%" PRIu64 " known=%" PRIu64,
-			  catalog->version, node->catalog->version);
-		catalog_unref(catalog);
-		return;
-	}
 	log_event(LOG_LEVEL_NOTICE, "catalog_applied",
-		  "version=%" PRIu64 " revision=%" PRId64 " databases=%u",
+		  "version=%" PRIu64 " revision=%" PRId64
+		  " databases=%u customers=%u",
 		  catalog->version, item->revision,
-		  g_hash_table_size(catalog->databases));
+		  g_hash_table_size(catalog->databases),
+		  g_hash_table_size(catalog->customers));
 	relay_services_configure(node->services, catalog);
 	relay_callers_configure(node->callers, catalog);
 	catalog_unref(node->catalog);
--- a/tests/unit/test_relay_session.c
+++ b/tests/unit/test_relay_session.c
@@ -10,7 +10,9 @@
 #include <event2/util.h>
 
 #include "base/clock.h"
+#include "platform/documents.h"
 #include "platform/line_codec.h"
+#include "relay/relay_caller.h"
 #include "relay/relay_session.h"
 
 /* Upper bound that also holds on a busy machine. */
@@ -44,6 +46,7 @@
 	fixture->host = (relay_session_host_t){
 		.base = event_base_new(),
 		.codec = &line_codec,
+		.metrics = metrics_create(8),
 		.ended = on_ended,
 		.context = fixture,
 	};
@@ -65,6 +68,7 @@
 		relay_session_destroy(fixture->session);
 	close(fixture->caller);
 	catalog_unref(fixture->catalog);
+	metrics_destroy(fixture->host.metrics);
 	event_base_free(fixture->host.base);
 	g_free(fixture);
 	return 0;
@@ -133,6 +137,214 @@
 	assert_non_null(strstr(receive(fixture, ANSWER_TIMEOUT_MS), "NODB"));
 }
 
+#define KEY_OF_ACME ",\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"u1\"]}]"
+#define KEY_OF_TAHI ",\"tenants\":[{\"name\":\"tahi\",\"api_keys\":[\"u1\"]}]"
+#define KEY_WITHDRAWN ",\"tenants\":[{\"name\":\"acme\",\"api_keys\":[]}]"
+#define NO_CUSTOMERS ""
+
+/* Applies a configuration to the session as the node does. */
+static void configure(fixture_t *fixture, int version, bool is_public,
+		      const char *customers)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"version\":%d,\"routes\":[{\"database\":\"orders\","
+		"\"service\":\"svc\",\"route_type\":\"primary\","
+		"\"public\":%s}],\"services\":[]%s}",
+		version, is_public ? "true" : "false", customers);
+	g_autoptr(GBytes) bytes = g_bytes_new(text, strlen(text));
+	const kv_item_t item = {.value = bytes};
+	catalog_t *catalog = relay_source_newer_catalog(
+		&documents_source, &item, fixture->host.catalog);
+
+	if (!catalog)
+		return;
+	catalog_unref(fixture->catalog);
+	fixture->catalog = catalog;
+	fixture->host.catalog = catalog;
+	relay_session_configured(fixture->session);
+}
+
+static void assert_answer(fixture_t *fixture, const char *text,
+			  const char *expected)
+{
+	const char *answer;
+
+	send_text(fixture, text);
+	answer = receive(fixture, ANSWER_TIMEOUT_MS);
+	if (!strstr(answer, expected))
+		fail_msg("%s answered by %s", text, answer);
+}
+
+/* Asserts that a statement is rejected and the session is closed. */
+static void assert_unauthorized(fixture_t *fixture, const char *text,
+				const char *reason)
+{
+	g_autofree char *labels = metrics_labels("reason", reason, NULL);
+
+	assert_answer(fixture, text, "ERROR UNAUTH");
+	assert_null(strstr(fixture->answer, "u1"));
+	assert_string_equal(receive(fixture, 50), "");
+	assert_true(fixture->ended);
+	assert_int_equal(metric_value(metrics_counter(
+				 fixture->host.metrics,
+				 "toucanhook_unauthorized_total", labels)),
+			 1);
+}
+
+static void test_unknown_key_is_rejected(void **state)
+{
+	configure(*state, 1, false, KEY_OF_ACME);
+	assert_unauthorized(*state, "STARTUP orders u2\r\n", "unknown");
+}
+
+static void test_missing_key_is_rejected(void **state)
+{
+	configure(*state, 1, false, KEY_OF_ACME);
+	assert_unauthorized(*state, "STARTUP orders\r\n", "unknown");
+}
+
+/* The first catalog must not let a waiting caller pass unchecked. */
+static void test_unknown_key_waits_for_the_first_catalog(void **state)
+{
+	fixture_t *fixture = *state;
+
+	send_text(fixture, "STARTUP orders u2\r\n");
+	assert_string_equal(receive(fixture, 50), "");
+	configure(fixture, 1, false, KEY_OF_ACME);
+	assert_answer(fixture, "", "ERROR UNAUTH");
+}
+
+/* Statements that no server sees are checked as well. */
+static void test_withdrawn_key_is_rejected_in_an_idle_session(void **state)
+{
+	static const char *const statements[] = {
+		"QUERY a SET unit mm\r\n", "QUERY a PREPARE p READ x\r\n",
+		"QUERY a ROLLBACK\r\n",	   "QUERY a BEGIN\r\n",
+		"QUERY a READ x\r\n",	   "QUERY a nonsense\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statements); i++) {
+		void *other;
+
+		assert_int_equal(open_fixture(&other), 0);
+		configure(other, 1, false, KEY_OF_ACME);
+		assert_answer(other, "STARTUP orders u1\r\n", "READY I");
+		assert_answer(other, "QUERY 1 SET a b\r\n", "COMPLETE");
+		configure(other, 2, false, KEY_WITHDRAWN);
+		assert_unauthorized(other, statements[i], "withdrawn");
+		close_fixture(&other);
+	}
+}
+
+static void test_withdrawn_key_aborts_the_transaction(void **state)
+{
+	static const char *const statements[] = {
+		"QUERY a READ x\r\n",	 "QUERY a SET unit mm\r\n",
+		"QUERY a COMMIT\r\n",	 "QUERY a ROLLBACK\r\n",
+		"QUERY a WRITE x y\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statements); i++) {
+		void *other;
+
+		assert_int_equal(open_fixture(&other), 0);
+		configure(other, 1, false, KEY_OF_ACME);
+		assert_answer(other, "STARTUP orders u1\r\n", "READY I");
+		assert_answer(other, "QUERY 1 BEGIN\r\n", "READY T");
+		configure(other, 2, false, KEY_WITHDRAWN);
+		assert_answer(other, statements[i], "ERROR ABORTED");
+		assert_non_null(
+			strstr(((fixture_t *)other)->answer, "READY I"));
+		assert_unauthorized(other, "QUERY b BEGIN\r\n", "withdrawn");
+		close_fixture(&other);
+	}
+}
+
+static void test_withdrawn_key_ends_a_failed_transaction(void **state)
+{
+	configure(*state, 1, false, KEY_OF_ACME);
+	assert_answer(*state, "STARTUP orders u1\r\n", "READY I");
+	assert_answer(*state, "QUERY 1 BEGIN\r\n", "READY T");
+	assert_answer(*state, "QUERY 2 BEGIN\r\n", "READY E");
+	configure(*state, 2, false, KEY_WITHDRAWN);
+	assert_answer(*state, "QUERY 3 READ x\r\n", "ERROR ABORTED");
+	assert_unauthorized(*state, "QUERY 4 SET a b\r\n", "withdrawn");
+}
+
+/*
+ * The transaction's connection was opened for the earlier customer, so it must
+ * not run statements of the new one.
+ */
+static void test_moved_key_aborts_only_the_open_transaction(void **state)
+{
+	configure(*state, 1, false, KEY_OF_ACME);
+	assert_answer(*state, "STARTUP orders u1\r\n", "READY I");
+	assert_answer(*state, "QUERY 1 BEGIN\r\n", "READY T");
+	configure(*state, 2, false, KEY_OF_TAHI);
+	assert_answer(*state, "QUERY 2 COMMIT\r\n", "ERROR ABORTED");
+	assert_answer(*state, "QUERY 3 BEGIN\r\n", "READY T");
+	configure(*state, 3, false, KEY_OF_TAHI);
+	assert_answer(*state, "QUERY 4 SET a b\r\n", "READY T");
+	assert_answer(*state, "QUERY 5 ROLLBACK\r\n", "READY I");
+}
+
+/* The customer of the first operation must not be kept for the next one. */
+static void test_customer_follows_the_newest_catalog(void **state)
+{
+	fixture_t *fixture = *state;
+	relay_caller_t caller;
+	const catalog_database_t *database;
+
+	relay_caller_init(&caller, g_strdup("u1"));
+	configure(fixture, 1, false, KEY_OF_ACME);
+	database = catalog_database(fixture->catalog, "orders");
+	assert_int_equal(
+		relay_caller_identify(&caller, fixture->catalog, database),
+		RELAY_CALLER_KNOWN);
+	assert_string_equal(caller.customer->name, "acme");
+	configure(fixture, 2, false, KEY_OF_TAHI);
+	database = catalog_database(fixture->catalog, "orders");
+	relay_caller_identify(&caller, fixture->catalog, database);
+	assert_string_equal(caller.customer->name, "tahi");
+	configure(fixture, 3, true, KEY_WITHDRAWN);
+	database = catalog_database(fixture->catalog, "orders");
+	assert_int_equal(
+		relay_caller_identify(&caller, fixture->catalog, database),
+		RELAY_CALLER_KNOWN);
+	assert_null(caller.customer);
+}
+
+static void test_public_database_needs_no_key(void **state)
+{
+	configure(*state, 1, true, KEY_OF_ACME);
+	assert_answer(*state, "STARTUP orders\r\n", "READY I");
+	assert_answer(*state, "QUERY 1 BEGIN\r\n", "READY T");
+	configure(*state, 2, true, KEY_WITHDRAWN);
+	assert_answer(*state, "QUERY 2 SET a b\r\n", "READY T");
+	configure(*state, 3, false, KEY_OF_ACME);
+	assert_answer(*state, "QUERY 3 SET a b\r\n", "ERROR ABORTED");
+	assert_unauthorized(*state, "QUERY 4 SET a b\r\n", "unknown");
+}
+
+static void test_site_without_customers_needs_no_key(void **state)
+{
+	configure(*state, 1, false, NO_CUSTOMERS);
+	assert_answer(*state, "STARTUP orders u9\r\n", "READY I");
+	assert_answer(*state, "QUERY 1 BEGIN\r\n", "READY T");
+	configure(*state, 2, false, NO_CUSTOMERS);
+	assert_answer(*state, "QUERY 2 ROLLBACK\r\n", "READY I");
+}
+
+/* A restored store or an older hub must not bring a withdrawn key back. */
+static void test_older_configuration_does_not_restore_a_key(void **state)
+{
+	configure(*state, 1, false, KEY_OF_ACME);
+	assert_answer(*state, "STARTUP orders u1\r\n", "READY I");
+	configure(*state, 3, false, KEY_WITHDRAWN);
+	configure(*state, 2, false, KEY_OF_ACME);
+	assert_unauthorized(*state, "QUERY 1 SET a b\r\n", "withdrawn");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -144,6 +356,34 @@
 		cmocka_unit_test_setup_teardown(
 			test_unknown_database_is_reported_at_once, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(test_unknown_key_is_rejected,
+						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(test_missing_key_is_rejected,
+						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_unknown_key_waits_for_the_first_catalog,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_withdrawn_key_ends_a_failed_transaction,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_moved_key_aborts_only_the_open_transaction,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_customer_follows_the_newest_catalog, open_fixture,
+			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_public_database_needs_no_key, open_fixture,
+			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_site_without_customers_needs_no_key, open_fixture,
+			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_older_configuration_does_not_restore_a_key,
+			open_fixture, close_fixture),
+		cmocka_unit_test(
+			test_withdrawn_key_is_rejected_in_an_idle_session),
+		cmocka_unit_test(test_withdrawn_key_aborts_the_transaction),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
