--- a/tests/standin/site/main.c
+++ b/tests/standin/site/main.c
@@ -22,6 +22,7 @@
 	int groups_count;
 	uint64_t config_version;
 	GPtrArray *extra_routes; /**< of char *, further names of group 0 */
+	GHashTable *customers;	 /**< name -> key or "", published if any */
 	/** added to each server's port in the registry, to route by a relay */
 	uint16_t registered_port_offset;
 	uint64_t last_token;	  /**< highest fencing token so far */
@@ -50,6 +51,26 @@
 		site_store_remove(site->store, key);
 }
 
+/* @return the customers, or NULL if the site has none */
+static json_t *list_customers(site_t *site)
+{
+	json_t *list = g_hash_table_size(site->customers) ? json_array() : NULL;
+	GHashTableIter iter;
+	gpointer name;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, site->customers);
+	while (g_hash_table_iter_next(&iter, &name, &key)) {
+		json_t *keys = json_array();
+
+		if (*(const char *)key)
+			json_array_append_new(keys, json_string(key));
+		json_array_append_new(list, json_pack("{s:s,s:o}", "name", name,
+						      "api_keys", keys));
+	}
+	return list;
+}
+
 /* Publishes the configuration, as the version it has. */
 static void put_config(site_t *site)
 {
@@ -98,6 +119,7 @@
 	config = json_pack("{s:I,s:o,s:o,s:{s:i}}", "version",
 			   (json_int_t)site->config_version, "routes", routes,
 			   "services", services, "limits", "tx_idle_ms", 3000);
+	json_object_set_new(config, "tenants", list_customers(site));
 	text = json_dumps(config, JSON_COMPACT);
 	site_store_put(site->store, "op/config", text);
 	free(text);
@@ -113,6 +135,14 @@
 	put_config(site);
 }
 
+/* Publishes a customer with one key, or with none if @p key is NULL. */
+static void change_customer(site_t *site, const char *name, const char *key)
+{
+	g_hash_table_replace(site->customers, g_strdup(name),
+			     g_strdup(key ? key : ""));
+	change_config(site, NULL);
+}
+
 /*
  * Restores the store's copy. The operator and the servers write again what
  * they had written.
@@ -178,6 +208,8 @@
 {
 	g_autofree char *id = http_argument(request, "server");
 	g_autofree char *route = http_argument(request, "route");
+	g_autofree char *customer = http_argument(request, "customer");
+	g_autofree char *key = http_argument(request, "key");
 	const uint32_t for_ms = (uint32_t)http_number(request, "for_ms", 1000);
 	const uint64_t until_ms = clock_now_ms() + for_ms;
 	db_server_t *server = id ? find_server(site, id) : NULL;
@@ -205,6 +237,8 @@
 		restore_store(site, until_ms);
 	else if (!strcmp(kind, "drain") && server)
 		drain_server(site, server);
+	else if (!strcmp(kind, "config") && customer)
+		change_customer(site, customer, key);
 	else if (!strcmp(kind, "config"))
 		change_config(site, route);
 	http_reply_text(request, HTTP_OK, "{}");
@@ -275,6 +309,8 @@
 	site->base = event_base_new();
 	site->store = site_store_create(site->base);
 	site->extra_routes = g_ptr_array_new_with_free_func(g_free);
+	site->customers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	site->groups_count = groups;
 	site->registered_port_offset = registered_port_offset;
 	http = http_listen(site->base, "127.0.0.1", port);
--- a/tests/world/line_client.c
+++ b/tests/world/line_client.c
@@ -106,15 +106,24 @@
 }
 
 line_client_t *line_client_open(uint16_t port, const char *database)
+{
+	g_autofree char *error = NULL;
+
+	return line_client_open_as(port, database, "soak", &error);
+}
+
+line_client_t *line_client_open_as(uint16_t port, const char *database,
+				   const char *key, char **error)
 {
 	const struct sockaddr_in address = {.sin_family = AF_INET,
 					    .sin_port = htons(port),
 					    .sin_addr.s_addr =
 						    htonl(INADDR_LOOPBACK)};
 	g_autofree char *startup_message =
-		g_strdup_printf("STARTUP %s soak\r\n", database);
+		g_strdup_printf("STARTUP %s %s\r\n", database, key);
 	line_client_t *client = g_new0(line_client_t, 1);
 
+	*error = NULL;
 	client->input = g_string_new("");
 	client->error = g_strdup("");
 	client->id_prefix = next_id_prefix();
@@ -124,6 +133,7 @@
 	    send_text(client, startup_message) &&
 	    read_answer(client, NULL) == LINE_DONE)
 		return client;
+	*error = g_steal_pointer(&client->error);
 	line_client_close(client);
 	return NULL;
 }
--- a/tests/world/line_client.h
+++ b/tests/world/line_client.h
@@ -26,6 +26,15 @@
  */
 line_client_t *line_client_open(uint16_t port, const char *database);
 
+/**
+ * Opens a session as line_client_open() does, with the caller's key.
+ *
+ * @param error receives the error's text if the session was rejected, or NULL;
+ *              to be freed with g_free()
+ */
+line_client_t *line_client_open_as(uint16_t port, const char *database,
+				   const char *key, char **error);
+
 /** Closes the connection and frees the session. NULL is allowed. */
 void line_client_close(line_client_t *client);
 
--- a/tests/world/site_world.c
+++ b/tests/world/site_world.c
@@ -319,6 +319,22 @@
 		     NULL);
 }
 
+bool site_world_logs_contain(const site_world_t *world, const char *text)
+{
+	bool found = false;
+
+	for (uint32_t i = 0; i < world->plan.nodes; i++) {
+		g_autofree char *name = g_strdup_printf("node-%u", i);
+		g_autofree char *path = log_path(world, name);
+		g_autofree char *log = NULL;
+
+		if (!g_file_get_contents(path, &log, NULL, NULL))
+			g_error("cannot read %s", path);
+		found |= strstr(log, text) != NULL;
+	}
+	return found;
+}
+
 void site_world_print_logs(const site_world_t *world)
 {
 	for (uint32_t i = 0; i < world->plan.nodes; i++)
--- a/tests/world/site_world.h
+++ b/tests/world/site_world.h
@@ -68,6 +68,9 @@
 void site_world_set_link(site_world_t *world, const char *tag,
 			 const char *settings);
 
+/** @return whether any node's log contains @p text */
+bool site_world_logs_contain(const site_world_t *world, const char *text);
+
 /** Prints the last lines of each node's log to standard error. */
 void site_world_print_logs(const site_world_t *world);
 
