Describe the identification of callers; hash keys with SipHash

Building the index of 10,000 customers with 20,000 keys took 22 to 23 ms with BLAKE2b, which is much on a VM with 0.08 cores; SipHash with 128 bits takes 8 to 10 ms. The output is never shown to callers, so a short keyed hash suffices.

--- a/src/state/customer_index.c
+++ b/src/state/customer_index.c
@@ -34,7 +34,7 @@
 
 static const uint8_t *secret(void)
 {
-	static uint8_t bytes[crypto_generichash_KEYBYTES];
+	static uint8_t bytes[crypto_shorthash_siphashx24_KEYBYTES];
 	static bool is_generated;
 
 	if (!is_generated) {
@@ -46,14 +46,21 @@
 	return bytes;
 }
 
+G_STATIC_ASSERT(sizeof(((customer_key_t *)NULL)->hash) ==
+		crypto_shorthash_siphashx24_BYTES);
+
+/*
+ * An index of 20,000 keys takes 8 to 10 ms to build with SipHash-x-2-4 and 22
+ * to 23 ms with BLAKE2b.
+ */
 customer_key_t customer_key_of(const char *key)
 {
 	customer_key_t hashed = {.is_set = key && *key};
 
 	if (hashed.is_set)
-		crypto_generichash(hashed.hash, sizeof(hashed.hash),
-				   (const unsigned char *)key, strlen(key),
-				   secret(), crypto_generichash_KEYBYTES);
+		crypto_shorthash_siphashx24(hashed.hash,
+					    (const unsigned char *)key,
+					    strlen(key), secret());
 	return hashed;
 }
 
--- a/tests/unit/test_platform_customers.c
+++ b/tests/unit/test_platform_customers.c
@@ -84,8 +84,10 @@
 	g_autoptr(GError) error = NULL;
 	g_autoptr(catalog_t) catalog = catalog_of(text, &error);
 
-	if (!catalog)
+	if (!catalog) {
 		fail_msg("%s: %s", invalid, error->message);
+		return;
+	}
 	if (g_hash_table_size(catalog->customers) != 2)
 		fail_msg("%s: not skipped", invalid);
 	assert_string_equal(find(catalog, "key-one")->name, "one");
--- a/tests/unit/test_relay_session.c
+++ b/tests/unit/test_relay_session.c
@@ -224,9 +224,12 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(statements); i++) {
-		void *other;
+		void *other = NULL;
 
-		assert_int_equal(open_fixture(&other), 0);
+		if (open_fixture(&other)) {
+			fail_msg("no socket pair");
+			return;
+		}
 		configure(other, 1, false, KEY_OF_ACME);
 		assert_answer(other, "STARTUP orders u1\r\n", "READY I");
 		assert_answer(other, "QUERY 1 SET a b\r\n", "COMPLETE");
@@ -245,9 +248,12 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(statements); i++) {
-		void *other;
+		void *other = NULL;
 
-		assert_int_equal(open_fixture(&other), 0);
+		if (open_fixture(&other)) {
+			fail_msg("no socket pair");
+			return;
+		}
 		configure(other, 1, false, KEY_OF_ACME);
 		assert_answer(other, "STARTUP orders u1\r\n", "READY I");
 		assert_answer(other, "QUERY 1 BEGIN\r\n", "READY T");
