--- a/src/coordination/read_placement.c
+++ b/src/coordination/read_placement.c
@@ -6,6 +6,14 @@
 /* Additional delay that is accepted to keep a read in its region. */
 #define REGION_PENALTY_MS 250
 
+read_distance_t read_candidate_distance(const read_candidate_t *candidate)
+{
+	if (candidate->near)
+		return READ_DISTANCE_DOMAIN;
+	return candidate->same_region ? READ_DISTANCE_REGION :
+					READ_DISTANCE_ELSEWHERE;
+}
+
 static uint64_t cost_ms(const read_candidate_t *candidate)
 {
 	uint64_t cost =
