Place reads with zone_spill; count and log where they go

Without trouble both send none. The old rule did not oscillate in this model; it kept a stale run time instead.

--- a/src/coordination/zone_spill.c
+++ b/src/coordination/zone_spill.c
@@ -320,19 +320,20 @@
 		CLAMP(server->credit + credit, -CREDIT_MAX, CREDIT_MAX);
 }
 
-/* @return the server that can serve the read and is owed most, or -1 */
-static int most_owed(const view_t *view, double credit_min)
+/* @return the server that is owed most, if it is owed a read, or -1 */
+static int most_owed(const view_t *view)
 {
+	double most = 1;
 	int best = -1;
 
 	for (uint32_t i = 0; i < view->count; i++) {
-		const double credit = view->servers[i]->credit;
+		const zone_server_t *server = view->servers[i];
 
-		if (in_zone(view, i) || !can_serve(view, i) ||
-		    credit < credit_min || view->servers[i]->full)
+		if (!server->share || server->credit < most || server->full ||
+		    !can_serve(view, i))
 			continue;
-		if (best < 0 || credit > view->servers[(uint32_t)best]->credit)
-			best = (int)i;
+		most = server->credit;
+		best = (int)i;
 	}
 	return best;
 }
@@ -346,15 +347,9 @@
 {
 	int chosen;
 
-	for (uint32_t i = 0; i < view->count; i++) {
-		zone_server_t *server = view->servers[i];
-
-		if (server->share > 0)
-			add_credit(server, server->share);
-		else
-			server->credit = 0;
-	}
-	chosen = most_owed(view, 1);
+	for (uint32_t i = 0; i < view->count; i++)
+		add_credit(view->servers[i], view->servers[i]->share);
+	chosen = most_owed(view);
 	if (chosen >= 0)
 		add_credit(view->servers[chosen], -1);
 	return chosen;
@@ -410,8 +405,12 @@
 			continue;
 		if (view->candidates[i].held_back)
 			return ZONE_SPILL_REJECTS;
-		if (view->candidates[i].usable)
-			reason = ZONE_SPILL_DEADLINE;
+		if (!view->candidates[i].usable)
+			continue;
+		reason = (double)view->candidates[i].behind_ms >
+					 run_ms(view, i) ?
+				 ZONE_SPILL_BEHIND :
+				 ZONE_SPILL_DEADLINE;
 	}
 	return reason;
 }
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -525,6 +525,7 @@
 		answer->failed && answer->error == RELAY_ERROR_OVERLOADED;
 
 	relay_server_record_run_time(server, now_ms - answer->sent_ms);
+	relay_placement_record_answer(&job->placement, server, answer, now_ms);
 	if (!relay_error_proves_no_effect(answer->error) || !answer->failed)
 		outlier_answered(relay_server_outlier(server),
 				 answer->failed &&
--- a/src/relay/relay_placement.c
+++ b/src/relay/relay_placement.c
@@ -1,9 +1,16 @@
 #include "relay/relay_placement.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/clock.h"
-#include "coordination/read_placement.h"
+#include "base/log.h"
+
+/*
+ * Callers need a read within this part of the target latency: an operation is
+ * up to a dozen statements, and a rejected one must leave time for a retry.
+ */
+#define NEEDED_DIVISOR 3
 
 static bool was_tried(const relay_placement_t *placement,
 		      const relay_server_t *server)
@@ -80,38 +87,126 @@
 	return lag_ms > age_ms ? lag_ms - age_ms : 0;
 }
 
-relay_server_t *relay_placement_choose(const relay_placement_t *placement,
-				       log_point_t point)
+/* Time in which callers need a read's answer. */
+static uint64_t needed_ms(const relay_placement_t *placement)
+{
+	const catalog_database_t *database = placement->request->database;
+	const uint32_t target_ms = database->target_latency_ms ?
+					   database->target_latency_ms :
+					   database->timeout_ms;
+
+	return MIN(target_ms, database->timeout_ms) / NEEDED_DIVISOR;
+}
+
+static read_candidate_t candidate_of(const relay_placement_t *placement,
+				     relay_server_t *server, log_point_t point,
+				     uint64_t now_ms)
 {
 	relay_services_t *services = relay_service_services(placement->service);
 	const char *domain = relay_services_settings(services)->failure_domain;
-	const GPtrArray *servers = relay_service_servers(placement->service);
-	read_candidate_t candidates[READ_PLACEMENT_SERVERS_MAX] = {{0}};
-	const uint32_t count = MIN(servers->len, READ_PLACEMENT_SERVERS_MAX);
+	const backend_entry_t *entry = relay_server_entry(server);
+	const bool reachable = !entry->draining &&
+			       !was_tried(placement, server) &&
+			       relay_server_is_usable(server, now_ms);
+	const bool allowed = relay_placement_allows(placement, server);
+
+	return (read_candidate_t){
+		.usable = reachable && allowed,
+		.leaving = entry->draining,
+		.held_back = reachable && !allowed,
+		.near = !strcmp(entry->failure_domain, domain),
+		.same_region = relay_services_same_region(
+			services, entry->failure_domain),
+		.wait_ms = relay_server_wait_ms(server),
+		.run_ms = relay_server_mean_run_ms(server),
+		.behind_ms =
+			relay_placement_behind_ms(placement, server, point),
+	};
+}
+
+static void count_choice(const relay_placement_t *placement,
+			 const zone_spill_choice_t *choice)
+{
+	static const char *const places[] = {
+		[READ_DISTANCE_DOMAIN] = "domain",
+		[READ_DISTANCE_REGION] = "region",
+		[READ_DISTANCE_ELSEWHERE] = "elsewhere",
+	};
+	relay_services_t *services = relay_service_services(placement->service);
+	g_autofree char *labels =
+		metrics_labels("place", places[choice->distance], "reason",
+			       zone_spill_reason_name(choice->reason), NULL);
+
+	metric_add(metrics_counter(relay_services_settings(services)->metrics,
+				   "toucanhook_reads_placed_total", labels),
+		   1);
+}
+
+static void log_share(const relay_placement_t *placement,
+		      const zone_spill_choice_t *choice)
+{
+	const zone_spill_t *spill = relay_service_spill(placement->service);
+
+	log_event(LOG_LEVEL_NOTICE, "read_share_changed",
+		  "service=%s away=%.2f reason=%s needed_ms=%" PRIu64
+		  " answer_bytes=%.0f",
+		  relay_service_name(placement->service), choice->share,
+		  zone_spill_reason_name(choice->share > 0 ? spill->reason :
+							     ZONE_SPILL_STAYS),
+		  spill->needed_ms, spill->answer_bytes);
+}
+
+relay_server_t *relay_placement_choose(relay_placement_t *placement,
+				       log_point_t point)
+{
+	const GPtrArray *all = relay_service_servers(placement->service);
+	const uint32_t count = MIN(all->len, READ_PLACEMENT_SERVERS_MAX);
 	const uint64_t now_ms = clock_boot_ms();
-	int chosen;
+	const zone_spill_read_t read = {
+		.needed_ms = needed_ms(placement),
+		.remaining_ms = placement->deadline_ms > now_ms ?
+					placement->deadline_ms - now_ms :
+					0,
+		.repeated = placement->chosen || placement->tried_count,
+	};
+	read_candidate_t candidates[READ_PLACEMENT_SERVERS_MAX];
+	zone_server_t *servers[READ_PLACEMENT_SERVERS_MAX];
+	zone_spill_choice_t choice;
+	relay_server_t *chosen;
 
 	for (uint32_t i = 0; i < count; i++) {
-		relay_server_t *server = servers->pdata[i];
-		const backend_entry_t *entry = relay_server_entry(server);
-		read_candidate_t *candidate = &candidates[i];
-
-		candidate->usable = !entry->draining &&
-				    !was_tried(placement, server) &&
-				    relay_placement_allows(placement, server) &&
-				    relay_server_is_usable(server, now_ms);
-		candidate->near = !strcmp(entry->failure_domain, domain);
-		candidate->same_region = relay_services_same_region(
-			services, entry->failure_domain);
-		candidate->wait_ms = relay_server_wait_ms(server);
-		candidate->run_ms = relay_server_mean_run_ms(server);
-		candidate->behind_ms =
-			relay_placement_behind_ms(placement, server, point);
-		/* Excludes servers that would answer after the deadline. */
-		candidate->usable &=
-			now_ms + candidate->behind_ms + candidate->run_ms <
-			placement->deadline_ms;
+		relay_server_t *server = all->pdata[i];
+
+		candidates[i] = candidate_of(placement, server, point, now_ms);
+		servers[i] = relay_server_zone(server);
+	}
+	choice = zone_spill_choose(relay_service_spill(placement->service),
+				   &read, candidates, servers, count, now_ms);
+	if (choice.changed)
+		log_share(placement, &choice);
+	if (choice.server < 0)
+		return NULL;
+	chosen = all->pdata[choice.server];
+	if (chosen != placement->chosen)
+		count_choice(placement, &choice);
+	placement->chosen = chosen;
+	return chosen;
+}
+
+void relay_placement_record_answer(const relay_placement_t *placement,
+				   relay_server_t *server,
+				   const relay_answer_t *answer,
+				   uint64_t now_ms)
+{
+	zone_server_t *zone = relay_server_zone(server);
+
+	if (answer->failed) {
+		if (answer->error == RELAY_ERROR_OVERLOADED)
+			zone_server_rejected(zone, now_ms);
+		return;
 	}
-	chosen = read_placement_choose(candidates, count);
-	return chosen < 0 ? NULL : servers->pdata[chosen];
+	zone_server_answered(zone, now_ms - answer->sent_ms, now_ms);
+	if (placement->chosen && answer->body)
+		zone_spill_answered(relay_service_spill(placement->service),
+				    answer->body->len);
 }
--- a/src/relay/relay_placement.h
+++ b/src/relay/relay_placement.h
@@ -17,6 +17,8 @@
 	 */
 	const relay_server_t *tried[RELAY_PLACEMENT_TRIED_MAX];
 	uint32_t tried_count;
+	/** The server chosen last, or NULL; only compared, never followed. */
+	const relay_server_t *chosen;
 } relay_placement_t;
 
 /** Excludes a server from later choices. */
@@ -43,8 +45,19 @@
 				   const relay_server_t *server,
 				   log_point_t point);
 
-/** @return the best server for a read that needs @p point, or NULL */
-relay_server_t *relay_placement_choose(const relay_placement_t *placement,
+/**
+ * Chooses the server for a read that needs @p point. The first choice for a
+ * read counts towards the shares of zone_spill_t.
+ *
+ * @return the server, or NULL if none is usable
+ */
+relay_server_t *relay_placement_choose(relay_placement_t *placement,
 				       log_point_t point);
 
+/** Records a server's answer for later choices. */
+void relay_placement_record_answer(const relay_placement_t *placement,
+				   relay_server_t *server,
+				   const relay_answer_t *answer,
+				   uint64_t now_ms);
+
 #endif
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -74,6 +74,7 @@
 	replica_lag_t lag;
 	outlier_t outlier;
 	send_budget_t budget;
+	zone_server_t zone;
 	bool retired; /* destroyed; freed when all links are closed */
 };
 
@@ -788,3 +789,8 @@
 {
 	return &server->budget;
 }
+
+zone_server_t *relay_server_zone(relay_server_t *server)
+{
+	return &server->zone;
+}
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -6,6 +6,7 @@
 #include "coordination/outlier.h"
 #include "coordination/send_budget.h"
 #include "coordination/wait_queue.h"
+#include "coordination/zone_server.h"
 #include "relay/relay_link.h"
 #include "state/replica_lag.h"
 
@@ -165,4 +166,7 @@
 /** @return limit on new work while the server rejects work as overloaded */
 send_budget_t *relay_server_budget(relay_server_t *server);
 
+/** @return how well the server answers, to decide which reads it gets */
+zone_server_t *relay_server_zone(relay_server_t *server);
+
 #endif
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -24,6 +24,7 @@
 	GPtrArray *servers; /* relay_server_t */
 	primary_lease_t lease;
 	point_samples_t samples; /* log points of the primary */
+	zone_spill_t spill;
 	uint64_t verified_ms; /* when the last completed record read was sent */
 	uint64_t primary_since_ms; /* when the present primary became known */
 	GQueue parked;		   /* relay_parked_t */
@@ -521,6 +522,11 @@
 	return &service->samples;
 }
 
+zone_spill_t *relay_service_spill(relay_service_t *service)
+{
+	return &service->spill;
+}
+
 uint64_t relay_service_verified_ms(const relay_service_t *service)
 {
 	return service->verified_ms;
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -3,6 +3,7 @@
 
 #include "base/metrics.h"
 #include "coordination/primary_lease.h"
+#include "coordination/zone_spill.h"
 #include "relay/relay_server.h"
 #include "state/catalog.h"
 #include "state/point_samples.h"
@@ -137,6 +138,9 @@
 primary_lease_t *relay_service_lease(relay_service_t *service);
 point_samples_t *relay_service_samples(relay_service_t *service);
 
+/** @return which part of the service's reads leaves the zone */
+zone_spill_t *relay_service_spill(relay_service_t *service);
+
 /** @return when the latest completed read of the primary record was sent */
 uint64_t relay_service_verified_ms(const relay_service_t *service);
 
--- a/tests/unit/test_zone_spill_fleet.c
+++ b/tests/unit/test_zone_spill_fleet.c
@@ -67,6 +67,7 @@
 	GArray *answers[DURATION_MS + 4000];
 	uint32_t reads[SECONDS];
 	uint32_t away[SECONDS];
+	uint32_t to_second[SECONDS]; /* of these, to the second server */
 	uint64_t latency_ms[SECONDS];
 } model_t;
 
@@ -114,6 +115,7 @@
 	g_array_append_val(*due, answer);
 	model->reads[now_ms / 1000]++;
 	model->away[now_ms / 1000] += !!server;
+	model->to_second[now_ms / 1000] += server == 1;
 	model->latency_ms[now_ms / 1000] +=
 		answer.rejected ? TIMEOUT_MS : answer.run_ms;
 }
@@ -196,15 +198,15 @@
 			g_array_unref(model->answers[i]);
 }
 
-/* The share of reads sent away, in windows of two seconds. */
+/* What the first region's reads did in a period, in windows of two seconds. */
 typedef struct {
-	double min;
+	double min; /* share of reads sent away */
 	double max;
 	double mean;
-	double latency_ms;
-	uint32_t turns; /* changes of direction by more than 0.1 */
+	double latency_ms; /* a rejected read counts as TIMEOUT_MS */
 	uint32_t far_rejected;
-} summary_t;
+	uint32_t to_second;
+} period_t;
 
 static double share_of(const model_t *model, uint32_t second)
 {
@@ -212,69 +214,58 @@
 	       (model->reads[second] + model->reads[second + 1]);
 }
 
-static summary_t summary_of(const model_t *model, uint32_t from, uint32_t until)
+static period_t period_of(const model_t *model, uint32_t from, uint32_t until)
 {
-	summary_t summary = {.min = 1};
+	period_t period = {.min = 1};
 	uint64_t reads = 0;
 	uint64_t latency_ms = 0;
-	double extreme = share_of(model, from);
-	int direction = 0;
 
-	for (uint32_t i = from; i + 1 < until; i += 2) {
+	for (uint32_t i = from; i < until; i += 2) {
 		const double share = share_of(model, i);
 
-		summary.min = MIN(summary.min, share);
-		summary.max = MAX(summary.max, share);
-		summary.mean += share * 2 / (until - from);
-		reads += model->reads[i] + model->reads[i + 1];
-		latency_ms += model->latency_ms[i] + model->latency_ms[i + 1];
-		for (uint32_t j = 1; j < SERVERS; j++)
-			summary.far_rejected +=
-				model->servers[j].rejected[i] +
-				model->servers[j].rejected[i + 1];
-		if (direction >= 0 ? share > extreme : share < extreme)
-			extreme = share;
-		if (share > extreme + 0.1 || share < extreme - 0.1) {
-			summary.turns += direction != 0;
-			direction = share > extreme ? 1 : -1;
-			extreme = share;
+		period.min = MIN(period.min, share);
+		period.max = MAX(period.max, share);
+		period.mean += share * 2 / (until - from);
+		for (uint32_t j = i; j < i + 2; j++) {
+			reads += model->reads[j];
+			latency_ms += model->latency_ms[j];
+			period.to_second += model->to_second[j];
+			period.far_rejected += model->servers[1].rejected[j] +
+					       model->servers[2].rejected[j];
 		}
 	}
-	summary.latency_ms = (double)latency_ms / (double)reads;
-	return summary;
+	period.latency_ms = (double)latency_ms / (double)reads;
+	return period;
 }
 
-static void both(const char *name, day_t day, summary_t *old, summary_t *new)
+/* The last 30 s of a trouble of 60 s, and the end of the 50 s after it. */
+typedef struct {
+	period_t settled;
+	period_t after;
+} outcome_t;
+
+static outcome_t run(const char *name, day_t day, bool old_rule)
 {
 	static model_t model;
+	outcome_t outcome;
 
-	day.old_rule = true;
-	model_run(&model, &day);
-	*old = summary_of(&model, 30, 70);
-	g_print("%s old", name);
-	for (uint32_t i = 0; i < SECONDS; i += 2)
-		g_print(" %.0f", 100 * share_of(&model, i));
-	g_print("\n");
-	day.old_rule = false;
+	day.old_rule = old_rule;
 	model_run(&model, &day);
-	*new = summary_of(&model, 30, 70);
-	g_print("%s new", name);
-	for (uint32_t i = 0; i < SECONDS; i += 2)
-		g_print(" %.0f", 100 * share_of(&model, i));
-	g_print("\n");
-	for (int i = 0; i < 2; i++) {
-		const summary_t *s = i ? new : old;
-
-		g_print("%s %s: min %.2f max %.2f mean %.2f turns %u latency "
-			"%.0f far rejected %u\n",
-			name, i ? "new" : "old", s->min, s->max, s->mean,
-			s->turns, s->latency_ms, s->far_rejected);
-	}
+	outcome = (outcome_t){.settled = period_of(&model, 40, 70),
+			      .after = period_of(&model, 116, 120)};
+	print_message("%s, %s rule: away %.2f to %.2f, mean %.2f; latency %.0f "
+		      "ms; rejected far away %u; afterwards %.2f\n",
+		      name, old_rule ? "old" : "new", outcome.settled.min,
+		      outcome.settled.max, outcome.settled.mean,
+		      outcome.settled.latency_ms, outcome.settled.far_rejected,
+		      outcome.after.mean);
+	return outcome;
 }
 
-static const day_t QUIET = {
-	.interval_ms = 11,
-	.burst_interval_ms = 11,
+/* 84 reads per second; a server runs 200 per second. */
+static const day_t quiet_day = {
+	.interval_ms = 12,
+	.burst_interval_ms = 12,
 	.work_ms = 15,
 	.queue = QUEUE,
 	.far_interval_ms = {11, 11},
@@ -282,47 +273,130 @@
 	.until_ms = 70000,
 };
 
-static void test_all(void **state)
+static void assert_settled(const outcome_t *outcome, double min, double max)
+{
+	assert_true(outcome->settled.min >= min);
+	assert_true(outcome->settled.max <= max);
+	assert_int_equal(outcome->settled.far_rejected, 0);
+	assert_true(outcome->after.mean <= 0.1);
+}
+
+/* Guards against reads that leave although nothing is wrong. */
+static void test_quiet(void **state)
+{
+	assert_true(run("quiet", quiet_day, true).settled.max == 0);
+	assert_true(run("quiet", quiet_day, false).settled.max == 0);
+}
+
+/*
+ * At 150 ms the server runs 20 reads per second, so 76 % must leave. The old
+ * rule does not bring them back: without reads the run time stays as it was.
+ */
+static void test_ten_times_slower(void **state)
 {
-	summary_t old;
-	summary_t new;
-	day_t day = QUIET;
+	day_t day = quiet_day;
+	outcome_t outcome;
 
-	both("quiet", day, &old, &new);
 	day.work_ms = 150;
-	both("slow", day, &old, &new);
-	day = QUIET;
-	day.work_ms = 50;
-	both("slow3", day, &old, &new);
-	day = QUIET;
-	day.reject_one_in = 3;
-	both("rejects", day, &old, &new);
-	day = QUIET;
-	day.burst_interval_ms = 4;
-	both("burst", day, &old, &new);
-	day.burst_interval_ms = 3;
-	both("burst4", day, &old, &new);
-	day = QUIET;
+	assert_true(run("10 times slower", day, true).after.mean > 0.7);
+	outcome = run("10 times slower", day, false);
+	assert_settled(&outcome, 0.7, 0.9);
+}
+
+/* 60 reads per second remain possible, so 28 % must leave. */
+static void test_three_times_slower(void **state)
+{
+	day_t day = quiet_day;
+	outcome_t outcome;
+
 	day.work_ms = 50;
-	day.queue = 2;
-	both("rejects-cap", day, &old, &new);
-	day = QUIET;
+	outcome = run("3 times slower", day, true);
+	assert_true(outcome.settled.mean > 0.5);
+	outcome = run("3 times slower", day, false);
+	assert_settled(&outcome, 0.2, 0.38);
+}
+
+/* 57 reads per second of each other region's capacity are not in use. */
+static void test_little_room_elsewhere(void **state)
+{
+	day_t day = quiet_day;
+	outcome_t outcome;
+
 	day.work_ms = 150;
-	day.far_interval_ms[0] = 5;
-	both("farfull", day, &old, &new);
 	day.far_interval_ms[0] = 7;
 	day.far_interval_ms[1] = 7;
-	both("tight", day, &old, &new);
-	day.work_ms = 50;
-	day.far_interval_ms[0] = 6;
-	day.far_interval_ms[1] = 6;
-	both("tight3", day, &old, &new);
+	run("little room", day, true);
+	outcome = run("little room", day, false);
+	assert_settled(&outcome, 0.7, 0.9);
+}
+
+/* The server rejects what exceeds two thirds of the load. */
+static void test_rejects_a_third(void **state)
+{
+	day_t day = quiet_day;
+	outcome_t outcome;
+
+	day.work_ms = 53;
+	day.queue = 2;
+	run("rejects a third", day, true);
+	outcome = run("rejects a third", day, false);
+	assert_settled(&outcome, 0.25, 0.5);
+}
+
+/* Less load does not help here, so nearly all reads leave. */
+static void test_rejects_every_third_read(void **state)
+{
+	day_t day = quiet_day;
+	outcome_t outcome;
+
+	day.reject_one_in = 3;
+	run("rejects every third", day, true);
+	outcome = run("rejects every third", day, false);
+	assert_true(outcome.settled.max - outcome.settled.min < 0.1);
+	assert_true(outcome.settled.latency_ms < 150);
+	assert_int_equal(outcome.settled.far_rejected, 0);
+	assert_true(outcome.after.mean <= 0.2);
+}
+
+/* 250 reads per second, 20 % more than the server runs. */
+static void test_burst(void **state)
+{
+	day_t day = quiet_day;
+	outcome_t outcome;
+
+	day.burst_interval_ms = 4;
+	run("burst", day, true);
+	outcome = run("burst", day, false);
+	assert_settled(&outcome, 0.12, 0.3);
+}
+
+/* The second server has more reads of its own than it can run. */
+static void test_full_server_gets_no_reads(void **state)
+{
+	day_t day = quiet_day;
+	outcome_t outcome;
+
+	day.work_ms = 150;
+	day.far_interval_ms[0] = 4;
+	run("full server", day, true);
+	outcome = run("full server", day, false);
+	print_message("reads sent to the full server: %u\n",
+		      outcome.settled.to_second);
+	assert_true(outcome.settled.min >= 0.7);
+	assert_true(outcome.settled.to_second <= 25); /* 1 % */
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_all),
+		cmocka_unit_test(test_quiet),
+		cmocka_unit_test(test_ten_times_slower),
+		cmocka_unit_test(test_three_times_slower),
+		cmocka_unit_test(test_little_room_elsewhere),
+		cmocka_unit_test(test_rejects_a_third),
+		cmocka_unit_test(test_rejects_every_third_read),
+		cmocka_unit_test(test_burst),
+		cmocka_unit_test(test_full_server_gets_no_reads),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
