--- a/src/coordination/zone_spill.c
+++ b/src/coordination/zone_spill.c
@@ -238,7 +238,10 @@
 	return true;
 }
 
-/* Takes reads from the servers outside the zone that have become full. */
+/*
+ * Takes reads from the servers outside the zone that have become full or cannot
+ * be used, so that others can get them.
+ */
 static void reduce_full(const view_t *view, double elapsed_s)
 {
 	for (uint32_t i = 0; i < view->count; i++) {
@@ -249,7 +252,7 @@
 			server->share = 0;
 		server->full =
 			server->full ? load >= ROOM_BELOW : load > FULL_ABOVE;
-		if (server->full)
+		if (server->full || !view->candidates[i].usable)
 			server->share *= exp(-FULL_REDUCTION_PER_S * elapsed_s);
 	}
 }
--- a/tests/unit/test_zone_spill.c
+++ b/tests/unit/test_zone_spill.c
@@ -212,6 +212,19 @@
 	assert_true(read_for(&node, 20000).share < 0.05);
 }
 
+/* The share of a lost server must not keep others from getting the reads. */
+static void test_share_of_a_lost_server_is_taken_over(void **state)
+{
+	node_t node = node_new();
+
+	node.candidates[0].wait_ms = 600;
+	node.states[1].share = 0.9;
+	node.candidates[1].usable = false;
+	read_for(&node, 20000);
+	assert_true(node.states[1].share < 0.1);
+	assert_true(node.states[2].share > 0.8);
+}
+
 /* Reads that the send budget holds back are rejections too. */
 static void test_held_back_reads_move_a_share(void **state)
 {
@@ -272,6 +285,7 @@
 		cmocka_unit_test(test_short_deadline_ignores_the_shares),
 		cmocka_unit_test(test_reads_of_a_failed_server_are_spread),
 		cmocka_unit_test(test_full_server_gets_no_share),
+		cmocka_unit_test(test_share_of_a_lost_server_is_taken_over),
 		cmocka_unit_test(test_held_back_reads_move_a_share),
 		cmocka_unit_test(test_large_answers_need_a_larger_gain),
 		cmocka_unit_test(test_old_estimate_expires),
