Show where a statement would go and why: toucanctl explain

The node answers GET /explain on its metrics endpoint from the code that places reads, run on copies of its state (test_relay_placement). It needs no key and opens no session.

An answer that arrived in the same millisecond as another one had no weight, so that a rejection right after it was not counted (test_slow_answers_move_reads failed).

--- a/daemons/toucanctl.c
+++ b/daemons/toucanctl.c
@@ -11,6 +11,7 @@
 	{"diff", "compare files with the configuration in force", ctl_diff},
 	{"apply", "put the configuration of files in force", ctl_apply},
 	{"status", "show the state of a node", ctl_status},
+	{"explain", "show where a statement would go, and why", ctl_explain},
 	{"drain", "drain and stop a node", ctl_drain},
 	{"promote", "replace a primary by one of its replicas", ctl_promote},
 	{"verifier", "print the SCRAM verifier of a password", ctl_verifier},
--- a/src/coordination/read_placement.c
+++ b/src/coordination/read_placement.c
@@ -6,6 +6,17 @@
 /* Additional delay that is accepted to keep a read in its region. */
 #define REGION_PENALTY_MS 250
 
+const char *read_distance_name(read_distance_t distance)
+{
+	static const char *const names[] = {
+		[READ_DISTANCE_DOMAIN] = "domain",
+		[READ_DISTANCE_REGION] = "region",
+		[READ_DISTANCE_ELSEWHERE] = "elsewhere",
+	};
+
+	return names[distance];
+}
+
 read_distance_t read_candidate_distance(const read_candidate_t *candidate)
 {
 	if (candidate->near)
--- a/src/coordination/read_placement.h
+++ b/src/coordination/read_placement.h
@@ -26,6 +26,9 @@
 	uint64_t behind_ms; /**< expected wait until the server has caught up */
 } read_candidate_t;
 
+/** @return the name of a distance, for logs and metrics */
+const char *read_distance_name(read_distance_t distance);
+
 read_distance_t read_candidate_distance(const read_candidate_t *candidate);
 
 /**
--- a/src/coordination/zone_server.c
+++ b/src/coordination/zone_server.c
@@ -10,6 +10,9 @@
  */
 #define AVERAGE_MS 1200.0
 
+/* Minimum weight, for answers that arrive in the same millisecond. */
+#define WEIGHT_MIN 0.02
+
 /*
  * An average without new answers is lowered after this time, with this time
  * constant, so that the server is tried again.
@@ -27,7 +30,9 @@
 /* @return the weight of a new value after a time without one */
 static double new_weight(uint64_t last_ms, uint64_t now_ms)
 {
-	return 1 - exp(-(double)(now_ms - MIN(last_ms, now_ms)) / AVERAGE_MS);
+	const double elapsed_ms = (double)(now_ms - MIN(last_ms, now_ms));
+
+	return MAX(1 - exp(-elapsed_ms / AVERAGE_MS), WEIGHT_MIN);
 }
 
 static void record_rejected(zone_server_t *server, double rejected,
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -38,6 +38,9 @@
 /** Shows the state of a node. */
 ctl_exit_t ctl_status(int argc, char **argv);
 
+/** Shows to which server a node would send a statement. */
+ctl_exit_t ctl_explain(int argc, char **argv);
+
 /** Orders a node to drain and stop. */
 ctl_exit_t ctl_drain(int argc, char **argv);
 
--- a/src/ctl/ctl_node.c
+++ b/src/ctl/ctl_node.c
@@ -145,6 +145,57 @@
 	return code;
 }
 
+static ctl_exit_t explain(const ctl_endpoint_t *node, const char *database,
+			  bool writes)
+{
+	g_autofree char *escaped = g_uri_escape_string(database, NULL, FALSE);
+	g_autofree char *path = g_strdup_printf(
+		"/explain?database=%s%s", escaped, writes ? "&write=1" : "");
+	answer_t answer = send_request(node, HTTP_GET, path);
+	ctl_exit_t code = CTL_DONE;
+
+	if (answer.status == 200) {
+		fputs(answer.body, stdout);
+	} else if (answer.status) {
+		fprintf(stderr, "toucanctl: the node knows no database %s\n",
+			database);
+		code = CTL_REFUSED;
+	} else {
+		fprintf(stderr,
+			"toucanctl: no answer from the node at %s port %u\n",
+			node->address, node->port);
+		code = CTL_UNREACHABLE;
+	}
+	g_free(answer.body);
+	return code;
+}
+
+ctl_exit_t ctl_explain(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_str *node = arg_str1("m", "metrics", "IP:PORT",
+					"metrics endpoint of the node");
+	struct arg_lit *write =
+		arg_lit0("w", "write", "a statement that may change data");
+	struct arg_str *database = arg_str1(
+		NULL, NULL, "DATABASE", "database that the statement is for");
+	struct arg_end *end = arg_end(20);
+	void *table[] = {help, node, write, database, end};
+	const ctl_arguments_t arguments = {
+		"explain",
+		"Shows to which server a node would send a statement now, and "
+		"why. Nothing is sent\nto a server.",
+		table, G_N_ELEMENTS(table)};
+	ctl_endpoint_t endpoint;
+	ctl_exit_t code = CTL_USAGE;
+
+	if (ctl_parse(&arguments, argc, argv, &code) &&
+	    ctl_endpoint_parse("metrics", node->sval[0], &endpoint))
+		code = explain(&endpoint, database->sval[0], write->count > 0);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
+
 ctl_exit_t ctl_drain(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "show this help");
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -8,6 +8,7 @@
 #include "relay/relay_callers.h"
 #include "relay/relay_coordinator.h"
 #include "coordination/delegation.h"
+#include "relay/relay_explain.h"
 #include "relay/relay_forwarding.h"
 #include "relay/relay_hub.h"
 #include "relay/relay_join.h"
@@ -513,6 +514,16 @@
 		node->catalog ? (int64_t)node->catalog->version : 0);
 }
 
+static char *explain(void *context, const char *name, bool writes)
+{
+	const relay_node_t *node = context;
+	const catalog_database_t *database =
+		node->catalog ? catalog_database(node->catalog, name) : NULL;
+
+	return database ? relay_explain(node->services, database, writes) :
+			  NULL;
+}
+
 static void on_drain(evutil_socket_t fd, short what, void *context);
 
 static void start_following(relay_node_t *node)
@@ -614,6 +625,8 @@
 		node->page = relay_status_page_create(
 			node->base, &settings->readiness, &settings->metrics,
 			node->metrics, is_ready, update_gauges, node, error);
+	if (node->page)
+		relay_status_page_set_explain(node->page, explain);
 	return node->page;
 }
 
--- a/src/relay/relay_placement.c
+++ b/src/relay/relay_placement.c
@@ -127,15 +127,10 @@
 static void count_choice(const relay_placement_t *placement,
 			 const zone_spill_choice_t *choice)
 {
-	static const char *const places[] = {
-		[READ_DISTANCE_DOMAIN] = "domain",
-		[READ_DISTANCE_REGION] = "region",
-		[READ_DISTANCE_ELSEWHERE] = "elsewhere",
-	};
 	relay_services_t *services = relay_service_services(placement->service);
-	g_autofree char *labels =
-		metrics_labels("place", places[choice->distance], "reason",
-			       zone_spill_reason_name(choice->reason), NULL);
+	g_autofree char *labels = metrics_labels(
+		"place", read_distance_name(choice->distance), "reason",
+		zone_spill_reason_name(choice->reason), NULL);
 
 	metric_add(metrics_counter(relay_services_settings(services)->metrics,
 				   "toucanhook_reads_placed_total", labels),
@@ -156,37 +151,46 @@
 		  spill->needed_ms, spill->answer_bytes);
 }
 
-relay_server_t *relay_placement_choose(relay_placement_t *placement,
-				       log_point_t point)
+void relay_placement_view(const relay_placement_t *placement, log_point_t point,
+			  uint64_t now_ms, relay_placement_view_t *view)
 {
-	const GPtrArray *all = relay_service_servers(placement->service);
-	const uint32_t count = MIN(all->len, READ_PLACEMENT_SERVERS_MAX);
-	const uint64_t now_ms = clock_boot_ms();
-	const zone_spill_read_t read = {
+	const GPtrArray *servers = relay_service_servers(placement->service);
+
+	view->read = (zone_spill_read_t){
 		.needed_ms = needed_ms(placement),
 		.remaining_ms = placement->deadline_ms > now_ms ?
 					placement->deadline_ms - now_ms :
 					0,
 		.repeated = placement->chosen || placement->tried_count,
 	};
-	read_candidate_t candidates[READ_PLACEMENT_SERVERS_MAX];
-	zone_server_t *servers[READ_PLACEMENT_SERVERS_MAX];
+	view->count = MIN(servers->len, READ_PLACEMENT_SERVERS_MAX);
+	for (uint32_t i = 0; i < view->count; i++) {
+		relay_server_t *server = servers->pdata[i];
+
+		view->candidates[i] =
+			candidate_of(placement, server, point, now_ms);
+		view->states[i] = relay_server_zone(server);
+	}
+}
+
+relay_server_t *relay_placement_choose(relay_placement_t *placement,
+				       log_point_t point)
+{
+	const GPtrArray *servers = relay_service_servers(placement->service);
+	const uint64_t now_ms = clock_boot_ms();
+	relay_placement_view_t view;
 	zone_spill_choice_t choice;
 	relay_server_t *chosen;
 
-	for (uint32_t i = 0; i < count; i++) {
-		relay_server_t *server = all->pdata[i];
-
-		candidates[i] = candidate_of(placement, server, point, now_ms);
-		servers[i] = relay_server_zone(server);
-	}
+	relay_placement_view(placement, point, now_ms, &view);
 	choice = zone_spill_choose(relay_service_spill(placement->service),
-				   &read, candidates, servers, count, now_ms);
+				   &view.read, view.candidates, view.states,
+				   view.count, now_ms);
 	if (choice.changed)
 		log_share(placement, &choice);
 	if (choice.server < 0)
 		return NULL;
-	chosen = all->pdata[choice.server];
+	chosen = servers->pdata[choice.server];
 	if (chosen != placement->chosen)
 		count_choice(placement, &choice);
 	placement->chosen = chosen;
--- a/src/relay/relay_placement.h
+++ b/src/relay/relay_placement.h
@@ -21,6 +21,15 @@
 	const relay_server_t *chosen;
 } relay_placement_t;
 
+/** What a choice is based on. */
+typedef struct {
+	zone_spill_read_t read;
+	read_candidate_t candidates[READ_PLACEMENT_SERVERS_MAX];
+	/** States of the servers in the order of relay_service_servers(). */
+	zone_server_t *states[READ_PLACEMENT_SERVERS_MAX];
+	uint32_t count;
+} relay_placement_view_t;
+
 /** Excludes a server from later choices. */
 void relay_placement_note_tried(relay_placement_t *placement,
 				const relay_server_t *server);
@@ -45,6 +54,10 @@
 				   const relay_server_t *server,
 				   log_point_t point);
 
+/** Collects what a choice for a read that needs @p point is based on. */
+void relay_placement_view(const relay_placement_t *placement, log_point_t point,
+			  uint64_t now_ms, relay_placement_view_t *view);
+
 /**
  * Chooses the server for a read that needs @p point. The first choice for a
  * read counts towards the shares of zone_spill_t.
--- a/src/relay/relay_status_page.c
+++ b/src/relay/relay_status_page.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 
 G_DEFINE_QUARK(relay - status - page - error - quark, relay_status_page_error)
 
@@ -11,6 +12,7 @@
 	const metrics_t *metrics;
 	bool (*is_ready)(void *context);
 	void (*update)(void *context);
+	char *(*explain)(void *context, const char *database, bool writes);
 	void *context;
 };
 
@@ -24,21 +26,50 @@
 		evhttp_send_reply(request, HTTP_SERVUNAVAIL, "Not ready", NULL);
 }
 
-static void on_metrics(struct evhttp_request *request, void *context)
+static void send_text(struct evhttp_request *request, const char *type,
+		      const char *text)
 {
-	const relay_status_page_t *page = context;
 	struct evbuffer *body = evbuffer_new();
-	g_autofree char *text = NULL;
 
-	page->update(page->context);
-	text = metrics_render(page->metrics);
 	evbuffer_add(body, text, strlen(text));
 	evhttp_add_header(evhttp_request_get_output_headers(request),
-			  "Content-Type", "text/plain; version=0.0.4");
+			  "Content-Type", type);
 	evhttp_send_reply(request, HTTP_OK, "OK", body);
 	evbuffer_free(body);
 }
 
+static void on_explain(struct evhttp_request *request, void *context)
+{
+	const relay_status_page_t *page = context;
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+	const char *query = evhttp_uri_get_query(uri);
+	struct evkeyvalq values = {0};
+	const char *database = NULL;
+	g_autofree char *text = NULL;
+
+	if (query && !evhttp_parse_query_str(query, &values))
+		database = evhttp_find_header(&values, "database");
+	if (database)
+		text = page->explain(page->context, database,
+				     evhttp_find_header(&values, "write"));
+	if (text)
+		send_text(request, "text/plain", text);
+	else
+		evhttp_send_reply(request, HTTP_NOTFOUND, "Unknown database",
+				  NULL);
+	evhttp_clear_headers(&values);
+}
+
+static void on_metrics(struct evhttp_request *request, void *context)
+{
+	const relay_status_page_t *page = context;
+	g_autofree char *text = NULL;
+
+	page->update(page->context);
+	text = metrics_render(page->metrics);
+	send_text(request, "text/plain; version=0.0.4", text);
+}
+
 static struct evhttp *
 listen_on(struct event_base *base, const endpoint_t *endpoint,
 	  void (*handler)(struct evhttp_request *, void *), void *context,
@@ -80,6 +111,15 @@
 	return page;
 }
 
+void relay_status_page_set_explain(relay_status_page_t *page,
+				   char *(*explain)(void *context,
+						    const char *database,
+						    bool writes))
+{
+	page->explain = explain;
+	evhttp_set_cb(page->metrics_server, "/explain", on_explain, page);
+}
+
 void relay_status_page_destroy(relay_status_page_t *page)
 {
 	if (!page)
--- a/src/relay/relay_status_page.h
+++ b/src/relay/relay_status_page.h
@@ -25,6 +25,19 @@
 	const endpoint_t *metrics_endpoint, const metrics_t *metrics,
 	bool (*is_ready)(void *context), void (*update)(void *context),
 	void *context, GError **error);
+
+/**
+ * Sets what answers GET /explain?database=NAME[&write=1] on the metrics
+ * endpoint.
+ *
+ * @param explain returns a text to be freed with g_free(), or NULL if the
+ *        database is unknown
+ */
+void relay_status_page_set_explain(relay_status_page_t *page,
+				   char *(*explain)(void *context,
+						    const char *database,
+						    bool writes));
+
 void relay_status_page_destroy(relay_status_page_t *page);
 
 #endif
