--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -116,6 +116,33 @@
 	}
 }
 
+/* No key and no session is needed to ask where a statement would go. */
+static void test_node_explains_where_a_statement_goes(void **state)
+{
+	const uint16_t port = site_world_metrics_port(*state, 0);
+	g_autofree char *read = NULL;
+	g_autofree char *write = NULL;
+	g_autofree char *metrics = NULL;
+
+	assert_int_equal(http_request(HTTP_REQUEST_GET, port,
+				      "/explain?database=own-0", NULL, &read),
+			 200);
+	assert_non_null(strstr(read, "choice server="));
+	assert_int_equal(http_request(HTTP_REQUEST_GET, port,
+				      "/explain?database=own-0&write=1", NULL,
+				      &write),
+			 200);
+	assert_non_null(strstr(write, "reason=needs_primary"));
+	assert_int_equal(http_request(HTTP_REQUEST_GET, port,
+				      "/explain?database=none", NULL, NULL),
+			 404);
+	assert_int_equal(http_request(HTTP_REQUEST_GET, port, "/metrics", NULL,
+				      &metrics),
+			 200);
+	assert_non_null(strstr(metrics, "toucanhook_reads_placed_total"));
+	print_message("%s", read);
+}
+
 static void test_other_node_reads_it_at_the_primary(void **state)
 {
 	site_world_t *world = *state;
@@ -341,6 +368,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_every_node_serves_own_changes),
+		cmocka_unit_test(test_node_explains_where_a_statement_goes),
 		cmocka_unit_test(test_other_node_reads_it_at_the_primary),
 		cmocka_unit_test(
 			test_transaction_with_prepared_names_and_values),
--- a/tests/world/site_world.c
+++ b/tests/world/site_world.c
@@ -25,6 +25,7 @@
 #define STORE_LINK_OFFSET 210
 #define NODES_OFFSET 320
 #define PORTS_PER_NODE 6
+#define METRICS_OFFSET 2
 
 /* Bound while the site exists, so that no other site uses the same ports. */
 #define GUARD_PORT_OFFSET 999
@@ -277,6 +278,11 @@
 	return node_port(world, node);
 }
 
+uint16_t site_world_metrics_port(const site_world_t *world, uint32_t node)
+{
+	return (uint16_t)(node_port(world, node) + METRICS_OFFSET);
+}
+
 uint16_t site_world_port(const site_world_t *world)
 {
 	return world->port;
--- a/tests/world/site_world.h
+++ b/tests/world/site_world.h
@@ -40,6 +40,9 @@
 /** Returns the port at which a node accepts callers. */
 uint16_t site_world_callers_port(const site_world_t *world, uint32_t node);
 
+/** @return the port of a node's metrics endpoint */
+uint16_t site_world_metrics_port(const site_world_t *world, uint32_t node);
+
 /** Returns the HTTP port of the stand-in, for faults and its report. */
 uint16_t site_world_port(const site_world_t *world);
 
