Start hubs and their nodes in fewer serial steps

The other nodes are refused every 50 ms until the hub is registered and have their configuration at 184 to 479 ms. In the store's own region, four nodes that started before their hubs' VMs were up had it after 779 to 798 ms: a connection request to a dark VM is lost, was given up after 400 ms and repeated 300 ms later.

The order lease, record, proof is unchanged. A hub that has not read its records gives no proof (may_prove), test_primary_model and test_delegation_model pass unchanged.

--- a/src/relay/relay_forwarding.c
+++ b/src/relay/relay_forwarding.c
@@ -380,8 +380,7 @@
 	relay_forwarding_t *forwarding = session->forwarding;
 
 	relay_message_clear(&session->message);
-	if (forwarding->draining || !forwarding->hub ||
-	    !relay_hub_is_open(forwarding->hub)) {
+	if (forwarding->draining || !forwarding->hub) {
 		refuse_session(session, RELAY_ERROR_CONNECTION_LIMIT);
 		return;
 	}
@@ -506,11 +505,6 @@
 	return NULL;
 }
 
-void relay_forwarding_set_hub(relay_forwarding_t *forwarding, relay_hub_t *hub)
-{
-	forwarding->hub = hub;
-}
-
 static GPtrArray *list_sessions(const relay_forwarding_t *forwarding)
 {
 	GPtrArray *list = g_ptr_array_new();
@@ -523,6 +517,19 @@
 	return list;
 }
 
+void relay_forwarding_set_hub(relay_forwarding_t *forwarding, relay_hub_t *hub)
+{
+	g_autoptr(GPtrArray) sessions = list_sessions(forwarding);
+
+	for (guint i = 0; i < sessions->len; i++) {
+		forwarding_session_t *session = sessions->pdata[i];
+
+		if (session->subscriber)
+			session_end(session);
+	}
+	forwarding->hub = hub;
+}
+
 void relay_forwarding_destroy(relay_forwarding_t *forwarding)
 {
 	g_autoptr(GPtrArray) sessions = NULL;
--- a/src/relay/relay_forwarding.h
+++ b/src/relay/relay_forwarding.h
@@ -27,7 +27,12 @@
 					    GError **error);
 void relay_forwarding_destroy(relay_forwarding_t *forwarding);
 
-/** Serves nodes that follow this hub; the hub must outlive the sessions. */
+/**
+ * Serves nodes that follow this hub; the hub must outlive the sessions. Ends
+ * the sessions of nodes that followed an earlier one.
+ *
+ * @param hub NULL to serve none
+ */
 void relay_forwarding_set_hub(relay_forwarding_t *forwarding, relay_hub_t *hub);
 
 /** Rejects new sessions and closes the idle ones. */
--- a/src/relay/relay_hub.c
+++ b/src/relay/relay_hub.c
@@ -41,7 +41,8 @@
 	int64_t settle_revision; /* revision waited for, or 0 */
 	void (*settled)(void *context, int64_t revision);
 	void *settled_context;
-	bool closed; /* no more proofs are given */
+	bool proving; /* a primary could be proved at the last sync */
+	bool closed;  /* no more proofs are given */
 };
 
 static void on_settle_timer(evutil_socket_t fd, short what, void *context);
@@ -97,7 +98,26 @@
 
 static bool may_prove(const relay_hub_t *hub)
 {
-	return !hub->closed && hub->settle_revision != DELEGATION_ALL;
+	return !hub->closed && relay_hub_is_open(hub) &&
+	       hub->settle_revision != DELEGATION_ALL;
+}
+
+/* @return whether an answer sent now has a proof of a primary */
+static bool has_proof(const relay_hub_t *hub)
+{
+	g_autoptr(GPtrArray) names = relay_services_names(hub->services);
+	const uint64_t now_ms = clock_boot_ms();
+
+	for (guint i = 0; may_prove(hub) && i < names->len; i++) {
+		const primary_lease_t *service = relay_service_lease(
+			relay_services_find(hub->services, names->pdata[i]));
+
+		if (primary_lease_own_until_ms(
+			    service, relay_services_lease(hub->services)) >
+		    now_ms)
+			return true;
+	}
+	return false;
 }
 
 static void add_proof(const relay_hub_t *hub, relay_service_t *service,
@@ -215,6 +235,8 @@
 	for (guint i = 0; i < list->len; i++) {
 		relay_hub_subscriber_t *subscriber = list->pdata[i];
 
+		if (!relay_hub_is_open(hub))
+			return;
 		/* A reply may have ended another subscriber's connection. */
 		if (!g_ptr_array_find(hub->subscribers, subscriber, NULL) ||
 		    !subscriber->asking)
@@ -235,10 +257,12 @@
 
 void relay_hub_synced(relay_hub_t *hub, hub_stream_t stream, int64_t revision)
 {
-	const bool opened = !relay_hub_is_open(hub);
+	const bool was_open = relay_hub_is_open(hub);
+	const bool was_proving = hub->proving;
 
 	change_log_synced(hub->logs[stream], revision);
-	answer_subscribers(hub, !opened);
+	hub->proving = has_proof(hub);
+	answer_subscribers(hub, was_open && (was_proving || !hub->proving));
 }
 
 bool relay_hub_is_open(const relay_hub_t *hub)
@@ -249,7 +273,11 @@
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
-	send_answer(context);
+	relay_hub_subscriber_t *subscriber = context;
+
+	/* A hub that has read nothing yet answers once it has. */
+	if (relay_hub_is_open(subscriber->hub))
+		send_answer(subscriber);
 }
 
 relay_hub_subscriber_t *relay_hub_join(relay_hub_t *hub,
@@ -321,7 +349,7 @@
 	delegation_requested(hub->delegation, subscriber->id,
 			     request->revisions[HUB_STREAM_PRIMARIES]);
 	event_add(subscriber->timer, &hold);
-	if (first || lacks_changes(subscriber))
+	if (relay_hub_is_open(hub) && (first || lacks_changes(subscriber)))
 		send_answer(subscriber);
 	/* Calls back, so that this comes last. */
 	check_settled(hub);
--- a/src/relay/relay_hub.h
+++ b/src/relay/relay_hub.h
@@ -9,6 +9,10 @@
  * the store, with proofs of the primaries and with points of their logs. A
  * request is answered when something changes, or after a short wait; the next
  * request acknowledges the answer.
+ *
+ * Load pattern: all nodes of a domain start at once. A hub that has read
+ * nothing yet holds requests; it answers them all when it has read both
+ * streams, and again when it can first prove a primary.
  */
 typedef struct relay_hub relay_hub_t;
 
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -256,6 +256,8 @@
 	relay_node_t *node = context;
 
 	changes_applied(node);
+	if (!node->registered)
+		relay_proof_connect(node->services);
 	relay_hub_synced(node->hub, HUB_STREAM_CATALOG, revision);
 }
 
@@ -550,18 +552,21 @@
 		});
 }
 
-/* Starts to follow the store, while the hub's key is being claimed. */
+/*
+ * Starts to follow the store and to serve other nodes what it reads, while the
+ * hub's key is being claimed. Proofs need the registration.
+ */
 static void start_hub(relay_node_t *node)
 {
 	node->hub = relay_hub_create(node->services);
 	relay_services_set_hub(node->services, true);
+	relay_forwarding_set_hub(node->forwarding, node->hub);
 	start_following(node);
 }
 
-/* Serves the nodes of the domain, once the key is claimed. */
+/* Proves the primaries for the domain, once the key is claimed. */
 static void open_hub(relay_node_t *node)
 {
-	relay_forwarding_set_hub(node->forwarding, node->hub);
 	relay_coordinator_enable(node->coordinator);
 	node->proof = relay_proof_create(node->services, read_primaries, node);
 }
@@ -572,6 +577,7 @@
 	kv_follow_stop(node->follow);
 	kv_follow_stop(node->primaries);
 	relay_services_set_hub(node->services, false);
+	relay_forwarding_set_hub(node->forwarding, NULL);
 	g_clear_pointer(&node->hub, relay_hub_destroy);
 }
 
--- a/src/relay/relay_proof.c
+++ b/src/relay/relay_proof.c
@@ -136,6 +136,15 @@
 	return unverified;
 }
 
+void relay_proof_connect(relay_services_t *services)
+{
+	g_autoptr(GPtrArray) names = relay_services_names(services);
+
+	for (guint i = 0; i < names->len; i++)
+		open_connections(
+			relay_services_find(services, names->pdata[i]));
+}
+
 static void log_source(relay_proof_t *proof, bool by_others)
 {
 	if (by_others == proof->by_others)
--- a/src/relay/relay_proof.h
+++ b/src/relay/relay_proof.h
@@ -15,4 +15,11 @@
 				  void (*verify)(void *context), void *context);
 void relay_proof_destroy(relay_proof_t *proof);
 
+/**
+ * Opens a connection to each server that should have one but has none. A hub
+ * that starts does so while it registers: opening takes two round trips and a
+ * slot of the server, which the first statements would wait for.
+ */
+void relay_proof_connect(relay_services_t *services);
+
 #endif
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -272,10 +272,9 @@
 		on_renewed, call_new(registration, registration->lease->lease));
 }
 
-static void on_timer(evutil_socket_t fd, short what, void *context)
+/* Registers the lease or renews it, whichever is due. */
+static void step(relay_registration_t *registration)
 {
-	relay_registration_t *registration = context;
-
 	if (registration->leaving || registration->opening ||
 	    registration->settling || !registration->hub_key)
 		return;
@@ -300,6 +299,11 @@
 	schedule(registration, RENEW_MS);
 }
 
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	step(context);
+}
+
 /* Earlier proofs have expired: the record now stands for earlier leases. */
 static void on_settled_timer(evutil_socket_t fd, short what, void *context)
 {
@@ -353,7 +357,13 @@
 		registration->settled_ms = clock_boot_ms() + EARLIER_PROOFS_MS;
 		event_add(registration->settled_timer, &delay);
 	}
-	schedule(registration, 0);
+	/*
+	 * At once, so that opening the lease takes the connection on which the
+	 * store has just answered: the watches that start now open their own,
+	 * 40 ms later in another region, and registering must not wait for it.
+	 */
+	event_del(registration->timer);
+	step(registration);
 }
 
 const char *relay_registration_key(const relay_registration_t *registration)
--- a/src/relay/relay_subscription.c
+++ b/src/relay/relay_subscription.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/hub_contact.h"
 #include "coordination/hub_slots.h"
 #include "coordination/owner.h"
 #include "relay/relay_link.h"
@@ -20,15 +21,6 @@
  */
 #define ANSWER_TIMEOUT_MS 750
 
-/* Timeout of opening a connection. */
-#define OPEN_TIMEOUT_MS 400
-
-/* Delay before a hub is tried again after a failure. */
-#define RETRY_MS 300
-
-/* The same after a refusal: a hub that has just started refuses at first. */
-#define REFUSED_RETRY_MS 50
-
 /* Further time without a proof of the domain's hubs until others are asked. */
 #define FAR_AFTER_MS 400
 
@@ -63,6 +55,7 @@
 	GPtrArray *hubs; /* hub_t */
 	int64_t revisions[HUB_STREAM_COUNT];
 	GHashTable *known[HUB_STREAM_COUNT]; /* set of reported keys */
+	uint64_t started_ms;		     /* when it was created */
 	uint64_t answered_ms;		     /* when any hub last answered */
 	uint64_t near_proved_ms; /* when one of this domain gave a proof */
 };
@@ -97,13 +90,29 @@
 	       now_ms < hub->answered_ms + ANSWER_TIMEOUT_MS;
 }
 
-static void hub_failed(hub_t *hub, const char *reason, uint64_t retry_ms)
+static hub_contact_t contact_of(const hub_t *hub, uint64_t now_ms)
+{
+	const relay_subscription_t *subscription = hub->subscription;
+
+	return (hub_contact_t){
+		.near = hub->near,
+		.answered = subscription->answered_ms,
+		.run_time_ms = (uint32_t)MIN(now_ms - subscription->started_ms,
+					     UINT32_MAX),
+	};
+}
+
+static void hub_failed(hub_t *hub, const char *reason,
+		       hub_contact_failure_t failure)
 {
+	const uint64_t now_ms = clock_boot_ms();
+	const hub_contact_t contact = contact_of(hub, now_ms);
+
 	log_event(LOG_LEVEL_INFO, "hub_lost", "hub=%s reason=%s", hub->name,
 		  reason);
 	hub_disconnect(hub);
-	hub->avoid_ms = clock_boot_ms() + FAR_AVOID_MS;
-	hub->retry_ms = clock_boot_ms() + retry_ms;
+	hub->avoid_ms = now_ms + FAR_AVOID_MS;
+	hub->retry_ms = now_ms + hub_contact_retry_ms(&contact, failure);
 }
 
 /* Proofs are on the hub's clock; this returns a time that is not later. */
@@ -275,7 +284,8 @@
 	if (!link_answer->failed && link_answer->rows)
 		answer = hub_answer_decode(link_answer->rows, &error);
 	if (!answer) {
-		hub_failed(hub, error ? error->message : "refused", RETRY_MS);
+		hub_failed(hub, error ? error->message : "refused",
+			   HUB_CONTACT_FAILED);
 		return;
 	}
 	if (!hub->answered_ms)
@@ -321,7 +331,7 @@
 	const bool refused = error == RELAY_ERROR_CONNECTION_LIMIT;
 
 	hub_failed(context, relay_error_name(error),
-		   refused ? REFUSED_RETRY_MS : RETRY_MS);
+		   refused ? HUB_CONTACT_REFUSED : HUB_CONTACT_FAILED);
 }
 
 static void hub_connect(hub_t *hub, uint64_t now_ms)
@@ -343,6 +353,9 @@
 
 static void hub_step(hub_t *hub, bool wanted, uint64_t now_ms)
 {
+	const hub_contact_t contact = contact_of(hub, now_ms);
+	const uint32_t open_timeout_ms = hub_contact_open_timeout_ms(&contact);
+
 	if (!wanted) {
 		hub_disconnect(hub);
 		return;
@@ -353,9 +366,9 @@
 		return;
 	}
 	if (hub->asking && now_ms >= hub->since_ms + ANSWER_TIMEOUT_MS)
-		hub_failed(hub, "unresponsive", RETRY_MS);
-	else if (!hub->asking && now_ms >= hub->since_ms + OPEN_TIMEOUT_MS)
-		hub_failed(hub, "open_timeout", RETRY_MS);
+		hub_failed(hub, "unresponsive", HUB_CONTACT_FAILED);
+	else if (!hub->asking && now_ms >= hub->since_ms + open_timeout_ms)
+		hub_failed(hub, "open_timeout", HUB_CONTACT_FAILED);
 }
 
 /*
@@ -409,7 +422,8 @@
 	const struct timeval delay = clock_timeval(0);
 
 	subscription->services = services;
-	subscription->near_proved_ms = clock_boot_ms();
+	subscription->started_ms = clock_boot_ms();
+	subscription->near_proved_ms = subscription->started_ms;
 	subscription->handlers = handlers;
 	subscription->hubs = g_ptr_array_new_with_free_func(hub_free);
 	for (uint32_t i = 0; i < HUB_STREAM_COUNT; i++)
--- a/tests/unit/test_relay_registration.c
+++ b/tests/unit/test_relay_registration.c
@@ -331,6 +331,24 @@
 	close_fixture(&other);
 }
 
+/*
+ * All VMs start at once. Watches of the store that are sent before the lease is
+ * opened would take the one open connection to the store, and the lease would
+ * wait for a new one.
+ */
+static void test_claim_opens_the_lease_at_once(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	void *other = fixture;
+
+	create_node(fixture);
+	assert_int_equal(fixture->leases, 1);
+	run_for(fixture, 50);
+	assert_true(fixture->registered);
+	assert_int_equal(fixture->leases, 1);
+	close_fixture(&other);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -344,6 +362,7 @@
 			test_failed_confirmation_registers_again, open_fixture,
 			close_fixture),
 		cmocka_unit_test(test_taken_key_registers_nothing),
+		cmocka_unit_test(test_claim_opens_the_lease_at_once),
 		cmocka_unit_test_setup_teardown(
 			test_new_lease_waits_for_given_proofs, open_fixture,
 			close_fixture),
