Share a server's connections among the customers that wait

With a burst and one customer at six times its load, the statements of that customer filled the queue, and the earliest-target order let them take every grant. Each waiting customer now gets an equal share of the grants (start-time fair queueing: the customer with the fewest, counted from when it joined), a statement that continues a transaction goes before one that begins something, and each eighth grant of a customer goes to its earliest target, so that its last class is not starved. Without customers the order is unchanged.

Shares count grants and not the time of the connection: the time is known only after the grant, and a returned entry must be refunded exactly.

New tests in test_wait_queue: with the former order five of seven fail (hot customer, late customer, last class, open transactions, returned entry); the unused share and the order without customers pass both ways and guard what must stay.

--- a/src/coordination/wait_queue.h
+++ b/src/coordination/wait_queue.h
@@ -6,23 +6,42 @@
 
 #include <glib.h>
 
+/** Private: what one customer was granted. */
+typedef struct wait_share wait_share_t;
+
 /**
  * Queue of statements that wait for a connection to one server, ordered by the
  * earliest target time. Statements that can no longer meet their target are
  * served after those that can. Each step of lower priority adds a fixed delay.
+ *
+ * Entries may bear the name of a customer. Then each customer that waits gets
+ * an equal share of the connections granted, and the order above holds among
+ * the entries of one customer; every eighth grant of a customer goes to its
+ * earliest target, whatever its priority and also if that has passed, so that
+ * none is starved. Entries without a customer share as one customer; if there
+ * are no others, only the order above applies.
+ *
+ * Load pattern: a burst of 2.1 to 2.5 times the usual load of one kind while
+ * one customer sends six times its usual load. Without shares that customer's
+ * statements fill the queue and all others miss their targets with it.
  */
 typedef struct {
 	GPtrArray *entries; /**< wait_entry_t, owned by the callers */
 	double hold_ms;	    /**< mean time for which a connection is held */
+	GHashTable *shares; /**< private: customer -> what it was granted */
+	uint64_t granted;   /**< private: share of the last customer served */
 } wait_queue_t;
 
 /** An entry of the queue, embedded in the waiting statement. */
 typedef struct {
 	bool first;	      /**< is served before all other entries */
+	bool continues;	      /**< of an open transaction: next after those */
 	uint32_t priority;    /**< 0 is the highest */
 	uint64_t target_ms;   /**< time by which the answer is wanted */
 	uint64_t deadline_ms; /**< time from which the answer is useless */
+	const char *customer; /**< its name while the entry waits, or NULL */
 	void *owner;	      /**< the waiting statement */
+	wait_share_t *share;  /**< private; NULL unless the entry waits */
 } wait_entry_t;
 
 /** Mean hold time that is assumed before any was recorded. */
@@ -48,4 +67,7 @@
 /** Removes the entry to be served next. @return NULL if the queue is empty */
 wait_entry_t *wait_queue_next(wait_queue_t *queue, uint64_t now_ms);
 
+/** Adds an entry again that wait_queue_next() returned and was not served. */
+void wait_queue_return(wait_queue_t *queue, wait_entry_t *entry);
+
 #endif
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -437,7 +437,7 @@
 				take_idle(server, waiter));
 	}
 	for (guint i = 0; i < skipped->len; i++)
-		wait_queue_add(&server->queue, skipped->pdata[i]);
+		wait_queue_return(&server->queue, skipped->pdata[i]);
 	if (connections_wanted(server))
 		open_more(server, connections_wanted(server));
 }
@@ -592,6 +592,7 @@
 void relay_server_acquire(relay_server_t *server, relay_waiter_t *waiter)
 {
 	waiter->entry.owner = waiter;
+	waiter->entry.customer = waiter->customer;
 	if (waiter->direct && clock_boot_ms() < server->forwarding_until_ms) {
 		waiter->refused(waiter->context, server);
 		return;
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -1,6 +1,7 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -124,6 +125,193 @@
 	assert_in_range(wait_queue_estimate_ms(queue, 2), 750, 800);
 }
 
+/* Entries of the load below: statements of one class and one customer. */
+typedef struct {
+	const char *customer;
+	uint32_t count;
+	uint32_t priority;
+	uint64_t target_ms;
+	uint32_t served; /* in time */
+} group_t;
+
+/* Serves the queue for a second over four connections, 20 ms a statement. */
+static void serve_second(wait_queue_t *queue)
+{
+	for (uint64_t now_ms = 1000; now_ms < 2000; now_ms += 5) {
+		const wait_entry_t *entry = wait_queue_next(queue, now_ms);
+
+		if (!entry)
+			return;
+		wait_queue_served(queue, 20);
+		if (now_ms + 20 <= entry->deadline_ms)
+			((group_t *)entry->owner)->served++;
+	}
+}
+
+static void serve_groups(wait_queue_t *queue, group_t *groups, uint32_t count)
+{
+	g_autoptr(GPtrArray) entries = g_ptr_array_new_with_free_func(g_free);
+
+	for (uint32_t i = 0; i < count; i++)
+		for (uint32_t j = 0; j < groups[i].count; j++) {
+			wait_entry_t *entry = g_new0(wait_entry_t, 1);
+
+			entry->customer = groups[i].customer;
+			entry->priority = groups[i].priority;
+			entry->target_ms = groups[i].target_ms;
+			entry->deadline_ms = 2000;
+			entry->owner = &groups[i];
+			g_ptr_array_add(entries, entry);
+			wait_queue_add(queue, entry);
+		}
+	serve_second(queue);
+	while (wait_queue_next(queue, 2000))
+		;
+}
+
+/*
+ * One customer sends six times its usual load during a burst. Its statements
+ * have the earlier targets and took all of the 200 grants of the second.
+ */
+static void test_hot_customer_takes_no_other_share(void **state)
+{
+	group_t groups[] = {
+		{.customer = "hot", .count = 360, .target_ms = 1500},
+		{.customer = "b", .count = 60, .target_ms = 1800},
+		{.customer = "c", .count = 30, .target_ms = 1800},
+	};
+
+	serve_groups(*state, groups, G_N_ELEMENTS(groups));
+	assert_in_range(groups[1].served, 55, 60);
+	assert_int_equal(groups[2].served, 30);
+	assert_in_range(groups[0].served, 100, 115);
+}
+
+/* Customers that wait for less than their share leave the rest to others. */
+static void test_unused_share_goes_to_the_others(void **state)
+{
+	group_t groups[] = {
+		{.customer = "hot", .count = 360, .target_ms = 1500},
+		{.customer = "b", .count = 2, .target_ms = 1800},
+	};
+
+	serve_groups(*state, groups, G_N_ELEMENTS(groups));
+	assert_int_equal(groups[1].served, 2);
+	assert_in_range(groups[0].served, 190, 198);
+}
+
+/* A customer that waited for nothing so far must not catch up on that. */
+static void test_late_customer_gets_no_more_than_its_share(void **state)
+{
+	wait_queue_t *queue = *state;
+	wait_entry_t early[60] = {{0}};
+	wait_entry_t late[20] = {{0}};
+	uint32_t served = 0;
+
+	for (uint32_t i = 0; i < 60; i++) {
+		early[i] = (wait_entry_t){.customer = "a", .target_ms = 5000};
+		wait_queue_add(queue, &early[i]);
+	}
+	for (uint32_t i = 0; i < 40; i++)
+		wait_queue_next(queue, 1000);
+	for (uint32_t i = 0; i < 20; i++) {
+		late[i] = (wait_entry_t){.customer = "b", .target_ms = 5000};
+		wait_queue_add(queue, &late[i]);
+	}
+	for (uint32_t i = 0; i < 10; i++)
+		served += !strcmp(wait_queue_next(queue, 1000)->customer, "b");
+	assert_in_range(served, 5, 6);
+}
+
+/*
+ * A burst of payments fills a customer's share. Its statements of the last
+ * class must not all wait until their deadline.
+ */
+static void test_last_class_is_not_starved(void **state)
+{
+	group_t groups[] = {
+		{.customer = "a", .count = 400, .target_ms = 2100},
+		{.customer = "a",
+		 .count = 20,
+		 .priority = 2,
+		 .target_ms = 1010},
+	};
+
+	serve_groups(*state, groups, G_N_ELEMENTS(groups));
+	assert_int_equal(groups[1].served, 20);
+}
+
+/* What was begun holds a server's slot and locks: it is ended first. */
+static void test_open_transactions_go_first(void **state)
+{
+	wait_queue_t *queue = *state;
+	wait_entry_t begins = {.customer = "a", .target_ms = 1200};
+	wait_entry_t continues = {
+		.customer = "b", .continues = true, .priority = 2};
+
+	wait_queue_add(queue, &begins);
+	wait_queue_add(queue, &continues);
+	assert_ptr_equal(wait_queue_next(queue, 1000), &continues);
+}
+
+/* A connection that does not fit an entry must not cost its customer a turn. */
+static void test_returned_entry_keeps_its_turn(void **state)
+{
+	wait_queue_t *queue = *state;
+	wait_entry_t a[2] = {{.customer = "a", .target_ms = 1500},
+			     {.customer = "a", .target_ms = 1600}};
+	wait_entry_t b = {.customer = "b", .target_ms = 1800};
+
+	wait_queue_add(queue, &a[0]);
+	wait_queue_add(queue, &a[1]);
+	wait_queue_add(queue, &b);
+	assert_ptr_equal(wait_queue_next(queue, 1000), &a[0]);
+	wait_queue_return(queue, &a[0]);
+	assert_ptr_equal(wait_queue_next(queue, 1000), &a[0]);
+	assert_ptr_equal(wait_queue_next(queue, 1000), &b);
+}
+
+/* The order on a site without customers, as documented. */
+static bool precedes_plainly(const wait_entry_t *a, const wait_entry_t *b,
+			     uint64_t done_ms)
+{
+	const bool a_in_time = done_ms <= a->target_ms;
+	const bool b_in_time = done_ms <= b->target_ms;
+
+	if (a->first != b->first)
+		return a->first;
+	if (a_in_time != b_in_time)
+		return a_in_time;
+	return a->target_ms + a->priority * 150 <
+	       b->target_ms + b->priority * 150;
+}
+
+/* A site without customers must be served in the order of before. */
+static void test_order_without_customers_is_as_before(void **state)
+{
+	wait_queue_t *queue = *state;
+	GRand *random = g_rand_new_with_seed(7);
+	wait_entry_t entries[60] = {{0}};
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(entries); i++) {
+		entries[i].first = g_rand_int_range(random, 0, 8) == 0;
+		entries[i].priority = (uint32_t)g_rand_int_range(random, 0, 3);
+		entries[i].target_ms =
+			(uint64_t)g_rand_int_range(random, 500, 2000);
+		wait_queue_add(queue, &entries[i]);
+	}
+	for (uint32_t i = 0; i < G_N_ELEMENTS(entries); i++) {
+		const uint64_t now_ms = 500 + 20 * i;
+		const wait_entry_t *next = wait_queue_next(queue, now_ms);
+
+		for (uint32_t j = 0; j < queue->entries->len; j++)
+			assert_false(precedes_plainly(
+				queue->entries->pdata[j], next,
+				now_ms + (uint64_t)queue->hold_ms));
+	}
+	g_rand_free(random);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -144,6 +332,25 @@
 		cmocka_unit_test_setup_teardown(
 			test_estimate_follows_slow_servers, open_queue,
 			close_queue),
+		cmocka_unit_test_setup_teardown(
+			test_hot_customer_takes_no_other_share, open_queue,
+			close_queue),
+		cmocka_unit_test_setup_teardown(
+			test_unused_share_goes_to_the_others, open_queue,
+			close_queue),
+		cmocka_unit_test_setup_teardown(
+			test_late_customer_gets_no_more_than_its_share,
+			open_queue, close_queue),
+		cmocka_unit_test_setup_teardown(test_last_class_is_not_starved,
+						open_queue, close_queue),
+		cmocka_unit_test_setup_teardown(test_open_transactions_go_first,
+						open_queue, close_queue),
+		cmocka_unit_test_setup_teardown(
+			test_returned_entry_keeps_its_turn, open_queue,
+			close_queue),
+		cmocka_unit_test_setup_teardown(
+			test_order_without_customers_is_as_before, open_queue,
+			close_queue),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
