Reject statements at once that a takeover will not serve in time

takeover_times estimates when a takeover under way ends, from those that this node has seen, and without any from the phases of a takeover. wait_estimate decides: a statement is rejected only if even the fastest known takeover would end after its deadline (a caller has two retries), is examined every 40 ms, and its caller is told the slowest known end plus a random spread of half that time (seeded with the node's name). The retry time of the other rejections is the estimated wait for the server. A read whose server has no open connection, or does not answer, moves to another one after 200 ms.

A first caller that finds no configuration waits 500 ms instead of 300: nodes had theirs after 184 to 479 ms, and 39 sessions were rejected meanwhile.

statement_refused has takeover_ms and retry_ms, a new reason takeover, and toucanhook_statements_refused_total{service,reason} counts rejections.

--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -1,6 +1,7 @@
 #include "relay/relay_job_private.h"
 
 #include "base/clock.h"
+#include "coordination/wait_estimate.h"
 #include "relay/relay_pin.h"
 
 /* Initial and maximum delay before a statement that did not run is retried. */
@@ -36,6 +37,8 @@
 		due_ms = MIN(due_ms, job->retry_at_ms);
 	if (job->hedge_at_ms)
 		due_ms = MIN(due_ms, job->hedge_at_ms);
+	if (job->parked.queue_link || job->waiting_at)
+		due_ms = MIN(due_ms, now_ms + WAIT_ESTIMATE_CHECK_MS);
 	if (job->ending || job->unproved.body)
 		due_ms = job->ending ? now_ms : now_ms + LEASE_POLL_MS;
 	delay = clock_timeval(due_ms > now_ms ? due_ms - now_ms : 0);
@@ -123,7 +126,7 @@
 			relay_attempt_server(job->attempts[i]));
 	}
 	if (!sent) {
-		job_refuse(job, "deadline");
+		job_refuse(job, "deadline", job_takeover_left_ms(job));
 		return;
 	}
 	if (job->request.kind == COMMAND_COMMIT ||
@@ -154,7 +157,7 @@
 		job_place(job);
 	} else if (job->hedge_at_ms && now_ms >= job->hedge_at_ms)
 		hedge(job);
-	else
+	else if (!job_check_wait(job))
 		job_schedule_timer(job);
 }
 
--- a/src/relay/relay_job_end.c
+++ b/src/relay/relay_job_end.c
@@ -4,11 +4,9 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/wait_estimate.h"
 #include "relay/relay_pin.h"
 
-/* Retry delay that the error message recommends to rejected callers. */
-#define RETRY_HINT_MS 300
-
 /* Maximum time to wait for the proof that a change may be acknowledged. */
 #define ACKNOWLEDGE_MS_MAX 1500
 
@@ -82,7 +80,7 @@
 	job_stop_waiting(job);
 	job->ending = true;
 	job->error = error;
-	job->error_text = text;
+	g_strlcpy(job->error_text, text, sizeof(job->error_text));
 	job_schedule_timer(job);
 }
 
@@ -101,23 +99,62 @@
 	job_finish(job, &result);
 }
 
-void job_refuse(relay_job_t *job, const char *reason)
+static void count_refusal(const relay_job_t *job, const char *reason)
+{
+	const relay_services_settings_t *settings =
+		relay_services_settings(relay_service_services(job->service));
+	g_autofree char *labels =
+		metrics_labels("service", relay_service_name(job->service),
+			       "reason", reason, NULL);
+
+	metric_add(metrics_counter(settings->metrics,
+				   "toucanhook_statements_refused_total",
+				   labels),
+		   1);
+}
+
+static int64_t lease_left_ms(const relay_job_t *job)
+{
+	node_lease_t *node =
+		relay_services_lease(relay_service_services(job->service));
+
+	return (int64_t)(primary_lease_until_ms(
+				 relay_service_lease(job->service), node) -
+			 clock_boot_ms());
+}
+
+uint64_t job_takeover_left_ms(const relay_job_t *job)
+{
+	const uint64_t now_ms = clock_boot_ms();
+	takeover_end_t end;
+
+	if (!relay_service_takeover_end(job->service, &end) ||
+	    end.latest_ms <= now_ms)
+		return 0;
+	return end.latest_ms - now_ms;
+}
+
+void job_refuse(relay_job_t *job, const char *reason, uint64_t ready_ms)
 {
+	const uint32_t retry_ms = wait_estimate_retry_ms(
+		ready_ms,
+		relay_services_random(relay_service_services(job->service)));
+	g_autofree char *text =
+		g_strdup_printf("not run, retry after %u ms", retry_ms);
+
 	log_event(LOG_LEVEL_INFO, "statement_refused",
 		  "id=%s service=%s reason=%s waited_ms=%" PRIu64
-		  " parked=%u lease_ms=%" PRId64,
+		  " parked=%u lease_ms=%" PRId64 " takeover_ms=%" PRIu64
+		  " retry_ms=%u",
 		  job->request.id, relay_service_name(job->service), reason,
 		  clock_boot_ms() - job->request.received_ms,
-		  relay_service_parked_count(job->service),
-		  (int64_t)(primary_lease_until_ms(
-				    relay_service_lease(job->service),
-				    relay_services_lease(relay_service_services(
-					    job->service))) -
-			    clock_boot_ms()));
+		  relay_service_parked_count(job->service), lease_left_ms(job),
+		  job_takeover_left_ms(job), retry_ms);
+	count_refusal(job, reason);
 	job_fail(job,
 		 job->pin || job->request.begin_id ? RELAY_ERROR_ABORTED :
 						     RELAY_ERROR_OVERLOADED,
-		 "not run, retry after " G_STRINGIFY(RETRY_HINT_MS) " ms");
+		 text);
 }
 
 bool job_may_acknowledge(const relay_job_t *job)
--- a/src/relay/relay_job_place.c
+++ b/src/relay/relay_job_place.c
@@ -1,6 +1,7 @@
 #include "relay/relay_job_private.h"
 
 #include "base/clock.h"
+#include "coordination/wait_estimate.h"
 #include "relay/relay_pin.h"
 
 /*
@@ -11,6 +12,12 @@
 #define HEDGE_DELAY_MS_MIN 150
 #define HEDGE_DELAY_MS_MAX 450
 
+/*
+ * Time after which a server that was sent too much is tried again, where
+ * nothing better is known; its budget grows again within that time.
+ */
+#define READY_MS_DEFAULT 250
+
 void job_run_on(relay_job_t *job, relay_server_t *server, relay_link_t *link)
 {
 	job->attempts_started++;
@@ -44,7 +51,7 @@
 		 * unknown outcome. A rejected change has certainly not run.
 		 */
 		relay_server_release(server, link, 0);
-		job_refuse(job, "late");
+		job_refuse(job, "late", relay_server_wait_ms(server));
 		return;
 	}
 	job_run_on(job, server, link);
@@ -70,25 +77,76 @@
 			    clock_boot_ms());
 	if (!allowed) {
 		if (!job->attempts_count)
-			job_refuse(job, "budget");
+			job_refuse(job, "budget", READY_MS_DEFAULT);
 		return;
 	}
 	if (!relay_server_can_serve(server, &job->waiter, clock_boot_ms())) {
 		if (!job->attempts_count)
-			job_refuse(job, "queue");
+			job_refuse(job, "queue", relay_server_wait_ms(server));
 		return;
 	}
 	job->waiting_at = server;
+	job->waiting_since_ms = clock_boot_ms();
 	relay_server_acquire(server, &job->waiter);
 	if (job->waiting_at)
 		job_schedule_timer(job);
 }
 
+/* @return whether a takeover will probably end too late for the statement */
+static bool waits_in_vain(const relay_job_t *job)
+{
+	wait_for_primary_t wait = {.now_ms = clock_boot_ms(),
+				   .deadline_ms = job->deadline_ms};
+	const relay_server_t *any = NULL;
+
+	if (job->attempts_count ||
+	    !relay_service_takeover_end(job->service, &wait.end))
+		return false;
+	if (relay_service_servers(job->service)->len)
+		any = relay_service_servers(job->service)->pdata[0];
+	wait.run_ms = any ? relay_server_mean_run_ms(any) : 0;
+	return !wait_estimate_primary(&wait);
+}
+
+/* @return whether a read should look for another server than it waits at */
+static bool should_move(const relay_job_t *job)
+{
+	const relay_server_t *server = job->waiting_at;
+	const uint64_t now_ms = clock_boot_ms();
+	wait_for_connection_t wait = {
+		.waited_ms = now_ms - job->waiting_since_ms,
+		.left_ms = job->deadline_ms - MIN(now_ms, job->deadline_ms),
+	};
+
+	if (!server || job->attempts_count || job_needs_primary(job))
+		return false;
+	wait.answers = relay_server_open_count(server) &&
+		       relay_server_is_usable(server, now_ms);
+	return wait_estimate_moves(&wait);
+}
+
+bool job_check_wait(relay_job_t *job)
+{
+	if (job->parked.queue_link && waits_in_vain(job)) {
+		job_refuse(job, "takeover", job_takeover_left_ms(job));
+		return true;
+	}
+	if (!should_move(job))
+		return false;
+	relay_placement_note_tried(&job->placement, job->waiting_at);
+	job_place(job);
+	return true;
+}
+
 static void place_at_primary(relay_job_t *job)
 {
 	relay_server_t *primary = relay_service_primary(job->service);
 
 	job->after = (log_point_t){0};
+	if (!primary && waits_in_vain(job)) {
+		job_refuse(job, "takeover", job_takeover_left_ms(job));
+		return;
+	}
 	if (!primary) {
 		relay_service_park(job->service, &job->parked);
 		job_schedule_timer(job);
--- a/src/relay/relay_job_private.h
+++ b/src/relay/relay_job_private.h
@@ -30,6 +30,7 @@
 	uint32_t retry_delay_ms; /* delay of the next retry */
 	relay_waiter_t waiter;
 	relay_server_t *waiting_at; /* server that has the waiter, or NULL */
+	uint64_t waiting_since_ms;  /* when the wait at that server began */
 	relay_parked_t parked;	    /* entry in the queue for a primary */
 	relay_attempt_t *attempts[ATTEMPTS_MAX];
 	uint32_t attempts_count;
@@ -46,7 +47,7 @@
 	/* While set, the job ends with this error from the timer event. */
 	bool ending;
 	relay_error_t error;
-	const char *error_text;
+	char error_text[64];
 	/* Result of a change that must be proved before it is acknowledged. */
 	relay_result_t unproved;
 	uint64_t proof_deadline_ms; /* end of the wait, on the boot clock */
@@ -110,8 +111,25 @@
  */
 void job_fail(relay_job_t *job, relay_error_t error, const char *text);
 
-/** Rejects the statement, which was not run. */
-void job_refuse(relay_job_t *job, const char *reason);
+/**
+ * Rejects the statement, which was not run.
+ *
+ * @param ready_ms estimated time until it could be served; the caller is told
+ *                 to retry after that time, spread at random
+ */
+void job_refuse(relay_job_t *job, const char *reason, uint64_t ready_ms);
+
+/**
+ * Examines a wait for a primary or for a connection: rejects the statement if
+ * it will probably not be served in time, moves a read whose server has no
+ * connection to give.
+ *
+ * @return whether the job was rejected or moved
+ */
+bool job_check_wait(relay_job_t *job);
+
+/** @return time until a takeover that is under way ends, 0 if there is none */
+uint64_t job_takeover_left_ms(const relay_job_t *job);
 
 /** Closes the pinned connection, which rolls its transaction back. */
 void job_close_pin(relay_job_t *job);
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -26,8 +26,9 @@
 	point_samples_t samples; /* log points of the primary */
 	zone_spill_t spill;
 	uint64_t verified_ms; /* when the last completed record read was sent */
-	uint64_t primary_since_ms; /* when the present primary became known */
-	GQueue parked;		   /* relay_parked_t */
+	uint64_t primary_since_ms;  /* when the present primary became known */
+	uint64_t takeover_since_ms; /* when its takeover became known, or 0 */
+	GQueue parked;		    /* relay_parked_t */
 };
 
 struct relay_services {
@@ -36,9 +37,11 @@
 	node_lease_t lease;
 	const catalog_t *catalog;
 	GPtrArray *nodes; /* relay_peer_t, hubs, or NULL before any is known */
-	uint32_t next_node;   /* rotates over the nodes */
-	bool is_hub;	      /* keeps connections to the servers */
-	GHashTable *services; /* name -> relay_service_t */
+	uint32_t next_node;	    /* rotates over the nodes */
+	takeover_times_t takeovers; /* how long those of all services took */
+	GRand *random;		    /* spreads the retries of callers */
+	bool is_hub;		    /* keeps connections to the servers */
+	GHashTable *services;	    /* name -> relay_service_t */
 };
 
 static void service_free(gpointer data)
@@ -97,6 +100,7 @@
 	relay_services_t *services = g_new0(relay_services_t, 1);
 
 	services->settings = settings;
+	services->random = g_rand_new_with_seed(g_str_hash(settings.node));
 	services->host = (relay_server_host_t){
 		.base = settings.base,
 		.codec = settings.codec,
@@ -116,6 +120,7 @@
 	if (!services)
 		return;
 	g_hash_table_destroy(services->services);
+	g_rand_free(services->random);
 	g_clear_pointer(&services->nodes, g_ptr_array_unref);
 	g_free(services);
 }
@@ -427,6 +432,30 @@
 	}
 }
 
+/* Records when a takeover begins, and how long it took when it has ended. */
+static void note_takeover(relay_service_t *service)
+{
+	const uint64_t now_ms = clock_boot_ms();
+
+	if (service->lease.takeover && !service->takeover_since_ms) {
+		service->takeover_since_ms = now_ms;
+	} else if (!service->lease.takeover && service->takeover_since_ms) {
+		takeover_times_add(&service->services->takeovers,
+				   now_ms - service->takeover_since_ms);
+		service->takeover_since_ms = 0;
+	}
+}
+
+bool relay_service_takeover_end(const relay_service_t *service,
+				takeover_end_t *end)
+{
+	if (!service->takeover_since_ms)
+		return false;
+	*end = takeover_times_end(&service->services->takeovers,
+				  service->takeover_since_ms, clock_boot_ms());
+	return true;
+}
+
 void relay_service_set_primary(relay_service_t *service, uint64_t term,
 			       const char *primary, bool takeover,
 			       int64_t revision)
@@ -441,6 +470,7 @@
 	}
 	primary_lease_apply_record(&service->lease, term, primary, takeover,
 				   revision);
+	note_takeover(service);
 	if (!changed)
 		return;
 	log_event(LOG_LEVEL_NOTICE, "primary_changed",
@@ -592,6 +622,11 @@
 	return service->parked.length;
 }
 
+double relay_services_random(relay_services_t *services)
+{
+	return g_rand_double(services->random);
+}
+
 bool relay_services_same_region(const relay_services_t *services,
 				const char *domain)
 {
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -3,6 +3,7 @@
 
 #include "base/metrics.h"
 #include "coordination/primary_lease.h"
+#include "coordination/takeover_times.h"
 #include "coordination/zone_spill.h"
 #include "relay/relay_server.h"
 #include "state/catalog.h"
@@ -154,6 +155,13 @@
 /** @return whether a valid proof allows use of the present primary now */
 bool relay_service_primary_valid(const relay_service_t *service);
 
+/**
+ * @param end set to the expected end of the takeover that is under way
+ * @return false if none is known to be under way
+ */
+bool relay_service_takeover_end(const relay_service_t *service,
+				takeover_end_t *end);
+
 /** @return the primary, or NULL if none may be used now */
 relay_server_t *relay_service_primary(const relay_service_t *service);
 
@@ -175,6 +183,9 @@
 /** @return number of statements that wait for a primary */
 uint32_t relay_service_parked_count(const relay_service_t *service);
 
+/** @return a random number from 0 to 1, seeded with the node's name */
+double relay_services_random(relay_services_t *services);
+
 /** @return whether a failure domain is in the region of this node */
 bool relay_services_same_region(const relay_services_t *services,
 				const char *domain);
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -20,8 +20,13 @@
 /* Idle time after which a draining node closes a session without statements. */
 #define DRAIN_UNUSED_MS 1000
 
-/* Maximum time that a caller waits for a starting node's first catalog. */
-#define CATALOG_WAIT_MS 300u
+/*
+ * Maximum time that a caller waits for a starting node's first catalog. When
+ * all VMs come back at once, nodes of regions without the store have it after
+ * 184 to 479 ms; a caller that was rejected before then came back no later to a
+ * node that was no further.
+ */
+#define CATALOG_WAIT_MS 500u
 
 /* Maximum number of bytes that are read ahead while a statement runs. */
 #define READ_AHEAD_SIZE_BYTES (RELAY_MESSAGE_SIZE_BYTES_MAX + 65536u)
