End the wait for a former primary's connection when it is replaced

A statement that waited for a connection to the primary stayed in that queue when a takeover began: it was held until its timeout, or sent to a server that could no longer prove to be primary, which ends a change in doubt. It now waits for the new primary, or is rejected if that is too late.

test_takeover_ends_the_wait_for_a_connection fails without the check.

--- a/Makefile
+++ b/Makefile
@@ -155,6 +155,7 @@
 	$(BUILD)/tests/standin/backend/journal.o
 $(BUILD)/tests/unit/test_standin_kv: $(BUILD)/tests/standin/platform/kv.o
 $(BUILD)/tests/unit/test_relay_session \
+$(BUILD)/tests/unit/test_relay_job \
 $(BUILD)/tests/unit/test_relay_server \
 $(BUILD)/tests/unit/test_relay_control \
 $(BUILD)/tests/unit/test_relay_subscription \
--- a/src/relay/relay_job_place.c
+++ b/src/relay/relay_job_place.c
@@ -118,15 +118,29 @@
 		.left_ms = job->deadline_ms - MIN(now_ms, job->deadline_ms),
 	};
 
-	if (!server || job->attempts_count || job_needs_primary(job))
+	if (!server || job->attempts_count || job->term)
 		return false;
 	wait.answers = relay_server_open_count(server) &&
 		       relay_server_is_usable(server, now_ms);
 	return wait_estimate_moves(&wait);
 }
 
+/*
+ * @return whether the job waits for a connection to a server that may no longer
+ *         be used as the primary
+ */
+static bool waits_at_former_primary(const relay_job_t *job)
+{
+	return job->waiting_at && !job->attempts_count && job->term &&
+	       relay_service_primary(job->service) != job->waiting_at;
+}
+
 bool job_check_wait(relay_job_t *job)
 {
+	if (waits_at_former_primary(job)) {
+		job_place(job);
+		return true;
+	}
 	if (job->parked.queue_link && waits_in_vain(job)) {
 		job_refuse(job, "takeover", job_takeover_left_ms(job));
 		return true;
