Take a read to another replica when two ways to one have failed

One such rejection still says nothing of the server (the hub may be at the server's connection limit); after the second the replica is passed over.

test_read_leaves_a_replica_that_is_out_of_reach fails without the rule: the read is rejected at its timeout.

--- a/src/relay/relay_job_answer.c
+++ b/src/relay/relay_job_answer.c
@@ -12,6 +12,14 @@
 /* Number of times that a failed read is retried. */
 #define READ_FAILURES_MAX 2
 
+/*
+ * Ways to a replica that a read tries before it goes to another one. A hub that
+ * has no connection says nothing of the server; two hubs do. Without this,
+ * reads were sent 4 to 6 times to a dark replica until their timeout, over one
+ * hub after the other, while two replicas had room.
+ */
+#define PATH_FAILURES_MAX 2
+
 static relay_pin_t *pin_new(const relay_job_t *job, relay_server_t *server,
 			    relay_link_t *link)
 {
@@ -114,6 +122,16 @@
 		job_retry_now(job);
 }
 
+/* @return whether a read should no longer try to reach this replica */
+static bool gives_up_replica(relay_job_t *job, relay_error_t error)
+{
+	if (job->term || (error != RELAY_ERROR_CONNECTION_LIMIT &&
+			  error != RELAY_ERROR_OTHER))
+		return false;
+	job->path_failures = (job->path_failures + 1) % PATH_FAILURES_MAX;
+	return !job->path_failures;
+}
+
 /*
  * Retries a statement that did not run: later, on another server, or on the
  * next primary.
@@ -144,7 +162,12 @@
 		job_retry_later(job);
 		return;
 	default:
-		job_retry_later(job);
+		if (!gives_up_replica(job, error)) {
+			job_retry_later(job);
+			return;
+		}
+		relay_placement_note_tried(&job->placement, server);
+		job_retry_now(job);
 		return;
 	}
 }
--- a/src/relay/relay_job_private.h
+++ b/src/relay/relay_job_private.h
@@ -40,10 +40,11 @@
 	uint64_t term;	   /* term of the chosen primary; 0 for a replica */
 	log_point_t after; /* point that the server must have, or zero */
 	relay_placement_t placement;
-	bool only_primary;  /* no replica could serve the read */
-	uint32_t failures;  /* attempts of the read that ran and failed */
-	uint32_t catch_ups; /* waits for a replica to catch up */
-	relay_pin_t *pin;   /* pinned connection of the transaction, or NULL */
+	bool only_primary;	/* no replica could serve the read */
+	uint32_t failures;	/* attempts of the read that ran and failed */
+	uint32_t catch_ups;	/* waits for a replica to catch up */
+	uint32_t path_failures; /* ways to the last replica that failed */
+	relay_pin_t *pin; /* pinned connection of the transaction, or NULL */
 	/* While set, the job ends with this error from the timer event. */
 	bool ending;
 	relay_error_t error;
