Estimate a customer's wait from its share of the queue

A statement is rejected on arrival if the whole queue before it would be served after its deadline. With shares between customers that is wrong: a hot customer that has filled the queue had all others rejected, whose statements would have been next. Of each other customer only as many statements count as shares let before the new one. Without customers the estimate is the same.

test_full_queue_rejects_the_hot_customer_alone fails with the former estimate.

--- a/src/coordination/wait_queue.c
+++ b/src/coordination/wait_queue.c
@@ -42,19 +42,43 @@
 			  MAX(connections, 1));
 }
 
-bool wait_queue_can_serve(const wait_queue_t *queue, const wait_entry_t *entry,
-			  uint32_t connections, uint64_t now_ms)
-{
-	return now_ms + wait_queue_estimate_ms(queue, connections) <
-	       entry->deadline_ms;
-}
-
 /* Entries without a customer share under the empty name, which none has. */
 static const char *name_of(const wait_entry_t *entry)
 {
 	return entry->customer ? entry->customer : "";
 }
 
+/* @return number of entries that are served before a new one of its customer */
+static uint32_t count_before(const wait_queue_t *queue,
+			     const wait_entry_t *entry)
+{
+	const wait_share_t *own =
+		g_hash_table_lookup(queue->shares, name_of(entry));
+	const uint32_t own_waiting = own ? own->waiting : 0;
+	uint32_t before = own_waiting;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, queue->shares);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const wait_share_t *share = value;
+
+		if (share != own)
+			before += MIN(share->waiting, own_waiting + 1);
+	}
+	return before;
+}
+
+bool wait_queue_can_serve(const wait_queue_t *queue, const wait_entry_t *entry,
+			  uint32_t connections, uint64_t now_ms)
+{
+	const uint64_t wait_ms =
+		(uint64_t)(queue->hold_ms * count_before(queue, entry) /
+			   MAX(connections, 1));
+
+	return now_ms + wait_ms < entry->deadline_ms;
+}
+
 /* Counts an entry that waits; a customer saves no share while it has none. */
 static void join(wait_queue_t *queue, wait_entry_t *entry)
 {
--- a/src/coordination/wait_queue.h
+++ b/src/coordination/wait_queue.h
@@ -57,7 +57,10 @@
 uint64_t wait_queue_estimate_ms(const wait_queue_t *queue,
 				uint32_t connections);
 
-/** @return whether the entry would be served before its deadline */
+/**
+ * @return whether the entry would be served before its deadline; of the other
+ *         customers, only what shares put before it counts
+ */
 bool wait_queue_can_serve(const wait_queue_t *queue, const wait_entry_t *entry,
 			  uint32_t connections, uint64_t now_ms);
 
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -167,6 +167,8 @@
 			    relay_job_done_t done, void *context)
 {
 	const catalog_database_t *database = request->database;
+	const char *customer =
+		request->customer ? request->customer->name : NULL;
 	relay_job_t *job = g_new0(relay_job_t, 1);
 
 	job->service = service;
@@ -184,9 +186,10 @@
 		.entry = {.priority = database->priority,
 			  .target_ms = request->received_ms +
 				       database->target_latency_ms,
-			  .deadline_ms = job->deadline_ms},
+			  .deadline_ms = job->deadline_ms,
+			  .customer = customer},
 		.values = request->values,
-		.customer = request->customer ? request->customer->name : NULL,
+		.customer = customer,
 		.granted = job_on_granted,
 		.refused = job_on_refused,
 		.context = job,
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -254,6 +254,27 @@
 	assert_ptr_equal(wait_queue_next(queue, 1000), &continues);
 }
 
+/*
+ * A hot customer has filled the queue beyond what is served in time. Its
+ * further statements are rejected, those of the others, whose share is free,
+ * are not.
+ */
+static void test_full_queue_rejects_the_hot_customer_alone(void **state)
+{
+	wait_queue_t *queue = *state;
+	wait_entry_t hot[200] = {{0}};
+	wait_entry_t other = {.customer = "b", .deadline_ms = 1800};
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(hot); i++) {
+		hot[i] = (wait_entry_t){.customer = "hot", .deadline_ms = 1800};
+		wait_queue_add(queue, &hot[i]);
+	}
+	assert_false(wait_queue_can_serve(queue, &hot[0], 4, 1000));
+	assert_true(wait_queue_can_serve(queue, &other, 4, 1000));
+	other.customer = NULL;
+	assert_true(wait_queue_can_serve(queue, &other, 4, 1000));
+}
+
 /* A connection that does not fit an entry must not cost its customer a turn. */
 static void test_returned_entry_keeps_its_turn(void **state)
 {
@@ -345,6 +366,9 @@
 						open_queue, close_queue),
 		cmocka_unit_test_setup_teardown(test_open_transactions_go_first,
 						open_queue, close_queue),
+		cmocka_unit_test_setup_teardown(
+			test_full_queue_rejects_the_hot_customer_alone,
+			open_queue, close_queue),
 		cmocka_unit_test_setup_teardown(
 			test_returned_entry_keeps_its_turn, open_queue,
 			close_queue),
