--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -1,4 +1,4 @@
-#include "relay/relay_registration.h"
+#include "relay/relay_registration_private.h"
 
 #include <inttypes.h>
 
@@ -33,52 +33,10 @@
 /* Maximum number of unanswered renewals. */
 #define PENDING_RENEWALS_MAX 6
 
-struct relay_registration {
-	kv_store_t *store;
-	node_lease_t *lease;
-	relay_services_t *services;
-	char *node;
-	char *lease_key;      /* key of the lease last registered, or NULL */
-	int64_t key_revision; /* revision of that key's last change */
-	bool confirming;      /* a confirmation is under way */
-	int64_t next_confirmation; /* revision to confirm next, or 0 */
-	int64_t seen_revision; /* highest revision confirmed for the lease */
-	char *hub_key;	       /* NULL before it is claimed */
-	int64_t hub_revision;  /* expected revision of that key */
-	bool claimed;	       /* the key was written by this run */
-	bool settling;	       /* waits for relay_registration_settled() */
-	uint64_t settled_ms;   /* when proofs of earlier runs have expired */
-	char *description;     /* value of hub_key */
-	struct event *timer;
-	struct event *settled_timer; /* rewrites the record at settled_ms */
-	GHashTable *calls;	     /* call_t, the calls under way */
-	uint32_t pending_renewals;   /* renewals under way */
-	bool opening; /* a lease is being opened and registered */
-	bool leaving; /* the keys were removed permanently */
-	/*
-	 * The lease was lost in a restore of the store. The replicas' proofs
-	 * under it still hold, since they need no store.
-	 */
-	bool restored;
-	uint64_t restored_ms; /* when that was noticed */
-	bool valid;	      /* validity last logged */
-	bool interrupted;     /* a renewal since the last recovery failed */
-	relay_registration_handlers_t handlers;
-};
-
-/* A call to the store. */
-typedef struct {
-	relay_registration_t *registration;
-	int64_t lease; /* lease the call is for, or 0 */
-	uint64_t sent_ms;
-} call_t;
-
-static void register_keys(relay_registration_t *registration, int64_t lease,
-			  uint64_t sent_ms);
-
-static call_t *call_new(relay_registration_t *registration, int64_t lease)
+registration_call_t *registration_call_new(relay_registration_t *registration,
+					   int64_t lease)
 {
-	call_t *call = g_new0(call_t, 1);
+	registration_call_t *call = g_new0(registration_call_t, 1);
 
 	call->registration = registration;
 	call->lease = lease;
@@ -87,10 +45,9 @@
 	return call;
 }
 
-/* Frees a call and returns a copy of it. */
-static call_t call_end(call_t *call)
+registration_call_t registration_call_end(registration_call_t *call)
 {
-	const call_t copy = *call;
+	const registration_call_t copy = *call;
 
 	g_hash_table_remove(call->registration->calls, call);
 	return copy;
@@ -119,7 +76,7 @@
 
 static void on_registered(void *context, const kv_answer_t *answer)
 {
-	const call_t call = call_end(context);
+	const registration_call_t call = registration_call_end(context);
 	relay_registration_t *registration = call.registration;
 
 	registration->opening = false;
@@ -149,20 +106,6 @@
 	registration->handlers.registered(registration->handlers.context);
 }
 
-static char *encode_record(const relay_registration_t *registration,
-			   int64_t lease, int64_t seen_revision)
-{
-	const bool settled = clock_boot_ms() >= registration->settled_ms;
-	const lease_record_t record = {
-		.lease = lease,
-		.written_ms = g_get_real_time() / 1000,
-		.seen_revision =
-			MAX(seen_revision, settled ? LEASE_RECORD_SETTLED : 0),
-	};
-
-	return lease_record_encode(&record);
-}
-
 static void register_keys(relay_registration_t *registration, int64_t lease,
 			  uint64_t sent_ms)
 {
@@ -171,7 +114,8 @@
 	 * late cannot overwrite the record of the present lease.
 	 */
 	g_autofree char *value = g_strdup_printf("%" PRId64, lease);
-	g_autofree char *record = encode_record(registration, lease, 0);
+	g_autofree char *record =
+		registration_encode_record(registration, lease, 0);
 	g_autofree char *old_key = g_steal_pointer(&registration->lease_key);
 	const char *const removals[] = {old_key};
 	g_autofree char *key = g_strdup_printf(RELAY_LEASES_PREFIX "%s/%s",
@@ -195,7 +139,7 @@
 		.removals = removals,
 		.removals_count = old_key ? 1 : 0,
 	};
-	call_t *call = call_new(registration, lease);
+	registration_call_t *call = registration_call_new(registration, lease);
 
 	registration->lease_key = g_strdup(key);
 	registration->seen_revision = 0;
@@ -207,7 +151,7 @@
 
 static void on_opened(void *context, const kv_answer_t *answer)
 {
-	const call_t call = call_end(context);
+	const registration_call_t call = registration_call_end(context);
 	relay_registration_t *registration = call.registration;
 
 	if (answer->result != KV_OK || !answer->lease) {
@@ -222,7 +166,7 @@
 
 static void on_renewed(void *context, const kv_answer_t *answer)
 {
-	const call_t call = call_end(context);
+	const registration_call_t call = registration_call_end(context);
 	relay_registration_t *registration = call.registration;
 	node_lease_t *lease = registration->lease;
 
@@ -257,9 +201,9 @@
 static void open_lease(relay_registration_t *registration)
 {
 	registration->opening = true;
-	registration->store->calls->lease_open(registration->store->self,
-					       LEASE_TTL_MS, on_opened,
-					       call_new(registration, 0));
+	registration->store->calls->lease_open(
+		registration->store->self, LEASE_TTL_MS, on_opened,
+		registration_call_new(registration, 0));
 }
 
 static void renew(relay_registration_t *registration)
@@ -269,7 +213,9 @@
 	registration->pending_renewals++;
 	registration->store->calls->lease_renew(
 		registration->store->self, registration->lease->lease,
-		on_renewed, call_new(registration, registration->lease->lease));
+		on_renewed,
+		registration_call_new(registration,
+				      registration->lease->lease));
 }
 
 /* Registers the lease or renews it, whichever is due. */
@@ -444,73 +390,6 @@
 	schedule(registration, 0);
 }
 
-static void confirm(relay_registration_t *registration, int64_t revision);
-
-static void on_confirmed(void *context, const kv_answer_t *answer)
-{
-	const call_t call = call_end(context);
-	relay_registration_t *registration = call.registration;
-	const int64_t next = registration->next_confirmation;
-
-	registration->confirming = false;
-	registration->next_confirmation = 0;
-	if (call.lease != registration->lease->lease)
-		return;
-	log_event(LOG_LEVEL_INFO, "takeover_confirmed",
-		  "lease=%" PRId64 " result=%s", call.lease,
-		  kv_result_name(answer->result));
-	if (answer->result != KV_OK) {
-		relay_registration_renew(registration);
-		return;
-	}
-	registration->key_revision = answer->revision;
-	if (next)
-		confirm(registration, next);
-}
-
-static void confirm(relay_registration_t *registration, int64_t revision)
-{
-	const int64_t lease = registration->lease->lease;
-	const int64_t seen = MAX(registration->seen_revision, revision);
-	g_autofree char *record = encode_record(registration, lease, seen);
-	const kv_condition_t condition = {
-		.key = registration->lease_key,
-		.revision = registration->key_revision,
-	};
-	const kv_put_t put = {.key = registration->lease_key, .value = record};
-	const kv_transaction_t transaction = {
-		.conditions = &condition,
-		.conditions_count = 1,
-		.puts = &put,
-		.puts_count = 1,
-	};
-
-	registration->seen_revision = seen;
-	registration->confirming = true;
-	registration->store->calls->commit(registration->store->self,
-					   &transaction, on_confirmed,
-					   call_new(registration, lease));
-}
-
-void relay_registration_confirm(relay_registration_t *registration,
-				int64_t revision)
-{
-	/* A node that is registering reads the records afterwards. */
-	const bool settled = clock_boot_ms() >= registration->settled_ms;
-
-	if (!relay_registration_is_active(registration))
-		return;
-	/*
-	 * Each confirmation is conditional on the previous one, and says that
-	 * proofs of earlier runs have expired.
-	 */
-	if (registration->confirming || !settled)
-		registration->next_confirmation =
-			MAX(registration->next_confirmation, revision);
-	else
-		confirm(registration, revision);
-}
-
 void relay_registration_leave(relay_registration_t *registration)
 {
 	const char *const removals[] = {registration->lease_key,
