--- /dev/null
+++ b/src/coordination/quota_bucket.c
@@ -0,0 +1,199 @@
+#include "coordination/quota_bucket.h"
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+/* Longest time until the next token that is stated. */
+#define RETRY_AFTER_MS_MAX 60000u
+
+/*
+ * Idle time before a bucket may be dropped. Quotas hold for windows of 5 s; a
+ * bucket that is created again must not add to what it admitted in the same
+ * window under a limit that has changed since.
+ */
+#define IDLE_MS 10000u
+
+/* Interval of looking for buckets to be dropped. */
+#define SWEEP_MS 10000u
+
+/*
+ * Levels are in parts of a token, 1000 times the number of domains each, so
+ * that one domain's bucket gains rate_per_s parts in a millisecond.
+ */
+#define PARTS_PER_DOMAIN 1000u
+
+typedef struct {
+	quota_limit_t limit;
+	uint64_t level; /* in parts */
+	uint64_t used_ms;
+} bucket_t;
+
+struct quota_buckets {
+	uint32_t domains;
+	uint64_t initial; /* level at the start, less than a token */
+	uint32_t customers_max;
+	uint64_t created_ms;
+	uint64_t swept_ms;
+	GHashTable *table; /* customer -> bucket_t */
+};
+
+quota_buckets_t *quota_buckets_create(quota_share_t share,
+				      uint32_t customers_max, uint64_t now_ms)
+{
+	quota_buckets_t *buckets = g_new0(quota_buckets_t, 1);
+
+	buckets->domains = MAX(share.domains, 1);
+	buckets->initial = (uint64_t)PARTS_PER_DOMAIN *
+			   MIN(share.rank, buckets->domains - 1);
+	buckets->customers_max = customers_max;
+	buckets->created_ms = now_ms;
+	buckets->swept_ms = now_ms;
+	buckets->table =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return buckets;
+}
+
+void quota_buckets_destroy(quota_buckets_t *buckets)
+{
+	if (!buckets)
+		return;
+	g_hash_table_destroy(buckets->table);
+	g_free(buckets);
+}
+
+static uint64_t token_parts(const quota_buckets_t *buckets)
+{
+	return (uint64_t)PARTS_PER_DOMAIN * buckets->domains;
+}
+
+static uint64_t capacity_parts(const quota_buckets_t *buckets,
+			       quota_limit_t limit)
+{
+	const uint64_t parts = ((uint64_t)limit.burst + QUOTA_BUCKETS_SLACK) *
+			       PARTS_PER_DOMAIN;
+
+	return MAX(parts, token_parts(buckets));
+}
+
+/* @return the level that a bucket of @p level reaches in @p elapsed_ms */
+static uint64_t refill(uint64_t level, uint64_t rate, uint64_t capacity,
+		       uint64_t elapsed_ms)
+{
+	if (level >= capacity)
+		return capacity;
+	if (rate && elapsed_ms > (capacity - level) / rate)
+		return capacity;
+	return level + rate * elapsed_ms;
+}
+
+static uint64_t elapsed_ms(uint64_t since_ms, uint64_t now_ms)
+{
+	return now_ms > since_ms ? now_ms - since_ms : 0;
+}
+
+/* @return the level of a bucket that was not used since the leader began */
+static uint64_t initial_level(const quota_buckets_t *buckets,
+			      quota_limit_t limit, uint64_t now_ms)
+{
+	return refill(buckets->initial, limit.rate_per_s,
+		      capacity_parts(buckets, limit),
+		      elapsed_ms(buckets->created_ms, now_ms));
+}
+
+static void update(const quota_buckets_t *buckets, bucket_t *bucket,
+		   quota_limit_t limit, uint64_t now_ms)
+{
+	const uint64_t capacity = MIN(capacity_parts(buckets, bucket->limit),
+				      capacity_parts(buckets, limit));
+
+	bucket->level = refill(bucket->level,
+			       MIN(bucket->limit.rate_per_s, limit.rate_per_s),
+			       capacity, elapsed_ms(bucket->used_ms, now_ms));
+	bucket->limit = limit;
+	bucket->used_ms = MAX(bucket->used_ms, now_ms);
+}
+
+/* Whether a bucket created anew would have no more tokens than this one. */
+static bool is_dispensable(const quota_buckets_t *buckets,
+			   const bucket_t *bucket, uint64_t now_ms)
+{
+	const uint64_t idle_ms = elapsed_ms(bucket->used_ms, now_ms);
+
+	return idle_ms >= IDLE_MS &&
+	       initial_level(buckets, bucket->limit, now_ms) <=
+		       refill(bucket->level, bucket->limit.rate_per_s,
+			      capacity_parts(buckets, bucket->limit), idle_ms);
+}
+
+static void sweep(quota_buckets_t *buckets, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer bucket;
+
+	if (now_ms < buckets->swept_ms + SWEEP_MS)
+		return;
+	buckets->swept_ms = now_ms;
+	g_hash_table_iter_init(&iter, buckets->table);
+	while (g_hash_table_iter_next(&iter, NULL, &bucket))
+		if (is_dispensable(buckets, bucket, now_ms))
+			g_hash_table_iter_remove(&iter);
+}
+
+/* @return the customer's bucket as of now, or NULL if there are too many */
+static bucket_t *get_bucket(quota_buckets_t *buckets, const char *customer,
+			    quota_limit_t limit, uint64_t now_ms)
+{
+	bucket_t *bucket = g_hash_table_lookup(buckets->table, customer);
+
+	if (bucket) {
+		update(buckets, bucket, limit, now_ms);
+		return bucket;
+	}
+	if (g_hash_table_size(buckets->table) >= buckets->customers_max)
+		return NULL;
+	bucket = g_new0(bucket_t, 1);
+	bucket->limit = limit;
+	bucket->level = initial_level(buckets, limit, now_ms);
+	bucket->used_ms = now_ms;
+	g_hash_table_insert(buckets->table, g_strdup(customer), bucket);
+	return bucket;
+}
+
+static uint32_t retry_after_ms(const quota_buckets_t *buckets,
+			       const bucket_t *bucket)
+{
+	const uint64_t token = token_parts(buckets);
+	const uint64_t rate = bucket->limit.rate_per_s;
+	uint64_t wait_ms;
+
+	if (bucket->level >= token)
+		return 0;
+	if (!rate)
+		return RETRY_AFTER_MS_MAX;
+	wait_ms = (token - bucket->level + rate - 1) / rate;
+	return (uint32_t)MIN(wait_ms, RETRY_AFTER_MS_MAX);
+}
+
+quota_admission_t quota_buckets_admit(quota_buckets_t *buckets,
+				      const char *customer, quota_limit_t limit,
+				      uint32_t count, uint64_t now_ms)
+{
+	const uint64_t token = token_parts(buckets);
+	quota_admission_t admission = {.retry_after_ms = RETRY_AFTER_MS_MAX};
+	bucket_t *bucket;
+
+	sweep(buckets, now_ms);
+	bucket = get_bucket(buckets, customer, limit, now_ms);
+	if (!bucket)
+		return admission;
+	admission.granted = (uint32_t)MIN(bucket->level / token, count);
+	bucket->level -= admission.granted * token;
+	admission.retry_after_ms = retry_after_ms(buckets, bucket);
+	return admission;
+}
+
+uint32_t quota_buckets_count(const quota_buckets_t *buckets)
+{
+	return g_hash_table_size(buckets->table);
+}
--- /dev/null
+++ b/src/coordination/quota_bucket.h
@@ -0,0 +1,67 @@
+#ifndef COORDINATION_QUOTA_BUCKET_H
+#define COORDINATION_QUOTA_BUCKET_H
+
+#include <stdint.h>
+
+/**
+ * The token buckets of one quota leader, one for each customer in use.
+ *
+ * Load pattern: a customer at several times its quota, on any number of nodes,
+ * while quota leaders restart and limits change. Each failure domain's leader
+ * may admit its part of the quota alone, so that the sum holds without any
+ * message between leaders.
+ */
+typedef struct quota_buckets quota_buckets_t;
+
+/** Operations that all leaders together may admit above a quota in 5 s. */
+#define QUOTA_BUCKETS_SLACK 12u
+
+/** Limits of one customer, over all nodes together. */
+typedef struct {
+	uint32_t rate_per_s;
+	uint32_t burst;
+} quota_limit_t;
+
+/** Answer to a request for tokens. */
+typedef struct {
+	uint32_t granted;
+	/** When the next token is available, 0 if there is one now. */
+	uint32_t retry_after_ms;
+} quota_admission_t;
+
+/** A leader among those of all failure domains. */
+typedef struct {
+	uint32_t
+		domains; /**< number of failure domains, each with one leader */
+	uint32_t rank;	 /**< of this leader's domain, from 0 on */
+} quota_share_t;
+
+/**
+ * Creates the buckets of a leader. They hold no token at @p now_ms, only a part
+ * of one that differs between the domains: leaders that start at the same time
+ * gain their tokens one after the other, together as many as one empty bucket
+ * of the whole quota.
+ *
+ * @param customers_max upper bound of the number of buckets; further customers
+ *        are rejected
+ */
+quota_buckets_t *quota_buckets_create(quota_share_t share,
+				      uint32_t customers_max, uint64_t now_ms);
+
+/** Frees the buckets; NULL is allowed. */
+void quota_buckets_destroy(quota_buckets_t *buckets);
+
+/**
+ * Takes up to @p count tokens of a customer. A bucket whose limit has changed
+ * has gained tokens at the lower of both rates since it was last used.
+ *
+ * @param now_ms time on the boot clock
+ */
+quota_admission_t quota_buckets_admit(quota_buckets_t *buckets,
+				      const char *customer, quota_limit_t limit,
+				      uint32_t count, uint64_t now_ms);
+
+/** @return number of buckets that are kept */
+uint32_t quota_buckets_count(const quota_buckets_t *buckets);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_quota_bucket.c
@@ -0,0 +1,179 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "coordination/quota_bucket.h"
+
+#define DOMAINS 6u
+#define START_MS 1000000u
+
+static const quota_share_t first = {.domains = DOMAINS};
+static const quota_limit_t usual = {.rate_per_s = 60, .burst = 30};
+
+static uint32_t admit(quota_buckets_t *buckets, quota_limit_t limit,
+		      uint32_t count, uint64_t now_ms)
+{
+	return quota_buckets_admit(buckets, "a", limit, count, now_ms).granted;
+}
+
+/* A restarted leader must not admit what its earlier run has admitted. */
+static void test_buckets_are_empty_at_start(void **state)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
+	const quota_admission_t admission =
+		quota_buckets_admit(buckets, "a", usual, 5, START_MS);
+
+	assert_int_equal(admission.granted, 0);
+	assert_int_equal(admission.retry_after_ms, 100);
+	assert_int_equal(admit(buckets, usual, 5, START_MS + 99), 0);
+	assert_int_equal(admit(buckets, usual, 5, START_MS + 100), 1);
+	quota_buckets_destroy(buckets);
+}
+
+/* A customer that is rarely used must find tokens at its first operation. */
+static void test_unused_bucket_has_filled_since_start(void **state)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
+
+	/* burst / 6 + 12 / 6 */
+	assert_int_equal(admit(buckets, usual, 100, START_MS + 60000), 7);
+	quota_buckets_destroy(buckets);
+}
+
+/*
+ * After a loss of power a small customer must not wait until all leaders have a
+ * token at the same time, nor get more than from one empty bucket.
+ */
+static void test_leaders_gain_tokens_one_after_the_other(void **state)
+{
+	const quota_limit_t limit = {.rate_per_s = 2, .burst = 2};
+	quota_buckets_t *leaders[DOMAINS];
+	uint32_t granted = 0;
+
+	for (uint32_t i = 0; i < DOMAINS; i++)
+		leaders[i] = quota_buckets_create((quota_share_t){DOMAINS, i},
+						  10, START_MS);
+	for (uint32_t now_ms = 0; now_ms <= 6000; now_ms += 100) {
+		for (uint32_t i = 0; i < DOMAINS; i++)
+			granted +=
+				admit(leaders[i], limit, 1, START_MS + now_ms);
+		assert_int_equal(granted, now_ms * limit.rate_per_s / 1000);
+	}
+	for (uint32_t i = 0; i < DOMAINS; i++)
+		quota_buckets_destroy(leaders[i]);
+}
+
+static void test_small_quota_has_whole_token(void **state)
+{
+	quota_buckets_t *buckets =
+		quota_buckets_create((quota_share_t){32, 0}, 10, START_MS);
+	const quota_limit_t limit = {.rate_per_s = 1, .burst = 0};
+
+	assert_int_equal(admit(buckets, limit, 5, START_MS + 60000), 1);
+	quota_buckets_destroy(buckets);
+}
+
+static void test_rate_zero_admits_nothing(void **state)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
+	const quota_limit_t limit = {.rate_per_s = 0, .burst = 1000};
+
+	assert_int_equal(admit(buckets, limit, 5, START_MS + 3600000), 0);
+	quota_buckets_destroy(buckets);
+}
+
+/* Largest accepted limits over a year must not overflow. */
+static void test_extreme_limits_do_not_overflow(void **state)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
+	const quota_limit_t limit = {1000000000, 1000000000};
+	const uint64_t year_ms = 365ull * 24 * 3600 * 1000;
+
+	assert_int_equal(admit(buckets, limit, UINT32_MAX, START_MS + year_ms),
+			 166666668);
+	assert_int_equal(admit(buckets, limit, 1, START_MS + year_ms), 0);
+	quota_buckets_destroy(buckets);
+}
+
+static void test_lower_limit_takes_effect(void **state)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
+	const quota_limit_t lower = {.rate_per_s = 6, .burst = 0};
+
+	assert_int_equal(admit(buckets, usual, 0, START_MS + 60000), 0);
+	assert_int_equal(admit(buckets, lower, 100, START_MS + 60000), 2);
+	assert_int_equal(admit(buckets, lower, 100, START_MS + 61000), 1);
+	quota_buckets_destroy(buckets);
+}
+
+/* The time before a limit was raised must not count at the new rate. */
+static void test_higher_limit_counts_from_now(void **state)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
+	const quota_limit_t lower = {.rate_per_s = 6, .burst = 0};
+
+	assert_int_equal(admit(buckets, lower, 100, START_MS + 60000), 2);
+	assert_int_equal(admit(buckets, usual, 100, START_MS + 61000), 1);
+	assert_int_equal(admit(buckets, usual, 100, START_MS + 62000), 7);
+	quota_buckets_destroy(buckets);
+}
+
+/* Buckets are bounded, and dropping one must not refill it. */
+static void test_full_buckets_are_dropped_and_used_ones_kept(void **state)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 2, START_MS);
+	const quota_limit_t slow = {.rate_per_s = 1, .burst = 100};
+	const uint64_t hour_ms = START_MS + 3600000;
+
+	assert_int_equal(
+		quota_buckets_admit(buckets, "slow", slow, 18, hour_ms).granted,
+		18);
+	assert_int_equal(admit(buckets, usual, 7, hour_ms), 7);
+	assert_int_equal(
+		quota_buckets_admit(buckets, "c", usual, 1, hour_ms).granted,
+		0);
+	assert_int_equal(quota_buckets_count(buckets), 2);
+	assert_int_equal(
+		quota_buckets_admit(buckets, "c", usual, 1, hour_ms + 11000)
+			.granted,
+		1);
+	assert_int_equal(
+		quota_buckets_admit(buckets, "slow", slow, 18, hour_ms + 24000)
+			.granted,
+		4);
+	quota_buckets_destroy(buckets);
+}
+
+/* The clock of another core may seem to go back by a millisecond. */
+static void test_earlier_time_adds_nothing(void **state)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
+
+	assert_int_equal(admit(buckets, usual, 10, START_MS + 1000), 7);
+	assert_int_equal(admit(buckets, usual, 10, START_MS + 900), 0);
+	assert_int_equal(admit(buckets, usual, 10, START_MS + 1000), 0);
+	quota_buckets_destroy(buckets);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_buckets_are_empty_at_start),
+		cmocka_unit_test(test_unused_bucket_has_filled_since_start),
+		cmocka_unit_test(test_leaders_gain_tokens_one_after_the_other),
+		cmocka_unit_test(test_small_quota_has_whole_token),
+		cmocka_unit_test(test_rate_zero_admits_nothing),
+		cmocka_unit_test(test_extreme_limits_do_not_overflow),
+		cmocka_unit_test(test_lower_limit_takes_effect),
+		cmocka_unit_test(test_higher_limit_counts_from_now),
+		cmocka_unit_test(
+			test_full_buckets_are_dropped_and_used_ones_kept),
+		cmocka_unit_test(test_earlier_time_adds_nothing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
