Admit operations of customers with a quota by tokens

Before the first statement of an operation gets a job, its node obtains a token from a quota leader (relay_quota), which keeps its record in the store (relay_quota_leader) and answers on the forwarding port. Without a token the answer is BUSY, in a transaction ABORTED; no server has seen anything of it.

The wait for a token counts as part of the statement's time. Tokens of operations that reached no server are kept for the next one, so relay_result_t says whether any server was sent the statement.

--- a/Makefile
+++ b/Makefile
@@ -156,6 +156,7 @@
 $(BUILD)/tests/unit/test_standin_kv: $(BUILD)/tests/standin/platform/kv.o
 $(BUILD)/tests/unit/test_relay_session \
 $(BUILD)/tests/unit/test_relay_server \
+$(BUILD)/tests/unit/test_relay_quota \
 $(BUILD)/tests/unit/test_relay_control \
 $(BUILD)/tests/unit/test_relay_subscription \
 $(BUILD)/tests/unit/test_relay_link: $(PLATFORM_OBJ)
--- a/src/relay/relay_callers.c
+++ b/src/relay/relay_callers.c
@@ -77,6 +77,11 @@
 	return callers;
 }
 
+void relay_callers_set_quota(relay_callers_t *callers, relay_quota_t *quota)
+{
+	callers->host.quota = quota;
+}
+
 static GPtrArray *list_sessions(const relay_callers_t *callers)
 {
 	GPtrArray *list = g_ptr_array_new();
--- a/src/relay/relay_callers.h
+++ b/src/relay/relay_callers.h
@@ -21,6 +21,9 @@
 				      relay_services_t *services,
 				      const endpoint_t *endpoint,
 				      GError **error);
+
+/** Sets where sessions obtain tokens; @p quota must outlive the sessions. */
+void relay_callers_set_quota(relay_callers_t *callers, relay_quota_t *quota);
 void relay_callers_destroy(relay_callers_t *callers);
 
 /** Sets the catalog that all transactions begun from now on use. */
--- a/src/relay/relay_forwarding.c
+++ b/src/relay/relay_forwarding.c
@@ -1,6 +1,7 @@
 #include "relay/relay_forwarding.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <string.h>
 
 #include <arpa/inet.h>
@@ -25,8 +26,9 @@
 struct relay_forwarding {
 	relay_services_t *services;
 	struct evconnlistener *listener;
-	GHashTable *sessions; /* set of forwarding_session_t */
-	relay_hub_t *hub;     /* NULL if this node is no hub */
+	GHashTable *sessions;	      /* set of forwarding_session_t */
+	relay_hub_t *hub;	      /* NULL if this node is no hub */
+	relay_quota_leader_t *leader; /* NULL to reject requests for tokens */
 	bool draining;
 };
 
@@ -37,6 +39,7 @@
 	relay_service_t *service; /* NULL before the start-up */
 	relay_hub_subscriber_t
 		*subscriber; /* of a node that follows, or NULL */
+	bool asks_tokens;    /* of a node that asks the quota leader */
 	char *server_id;
 	GHashTable *values;   /* session variables, name -> value */
 	GHashTable *prepared; /* name -> definition */
@@ -320,6 +323,31 @@
 	relay_hub_request(session->subscriber, &request);
 }
 
+/* Answers "granted retry_after_ms", both 0 if this node may not admit now. */
+static void admit(forwarding_session_t *session)
+{
+	const command_t *command = &session->command;
+	quota_admission_t admission = {0};
+	g_autofree char *row = NULL;
+	guint64 count;
+
+	if (command->kind != COMMAND_ADMIT ||
+	    !g_ascii_string_to_unsigned(command->value, 10, 1, G_MAXUINT32,
+					&count, NULL)) {
+		log_event(LOG_LEVEL_WARNING, "token_request_invalid",
+			  "text=\"%.60s\"", session->message.text);
+		close_soon(session);
+		return;
+	}
+	relay_quota_leader_admit(session->forwarding->leader, command->name,
+				 (uint32_t)count, &admission);
+	row = g_strdup_printf("%" PRIu32 " %" PRIu32, admission.granted,
+			      admission.retry_after_ms);
+	codec_of(session)->put_row(output_of(session), row);
+	answer_complete(session);
+	statement_done(session);
+}
+
 static void dispatch(forwarding_session_t *session)
 {
 	command_t *command = &session->command;
@@ -329,6 +357,10 @@
 		follow(session);
 		return;
 	}
+	if (session->asks_tokens) {
+		admit(session);
+		return;
+	}
 	switch (command->kind) {
 	case COMMAND_BEGIN:
 	case COMMAND_BEGIN_READ:
@@ -390,8 +422,32 @@
 	answer_ready(session, (log_point_t){0});
 }
 
+/* Accepts a node that asks for tokens. */
+static void start_asking(forwarding_session_t *session)
+{
+	const relay_forwarding_t *forwarding = session->forwarding;
+
+	relay_message_clear(&session->message);
+	if (forwarding->draining || !forwarding->leader ||
+	    !relay_quota_leader_is_active(forwarding->leader)) {
+		refuse_session(session, RELAY_ERROR_CONNECTION_LIMIT);
+		return;
+	}
+	session->asks_tokens = true;
+	answer_ready(session, (log_point_t){0});
+}
+
+static bool is_started(const forwarding_session_t *session)
+{
+	return session->service || session->subscriber || session->asks_tokens;
+}
+
 static void start_up(forwarding_session_t *session)
 {
+	if (!strcmp(session->message.text, RELAY_QUOTA_SERVICE)) {
+		start_asking(session);
+		return;
+	}
 	if (!strcmp(session->message.text, RELAY_HUB_SERVICE)) {
 		start_following(session);
 		return;
@@ -430,10 +486,10 @@
 			break;
 		}
 		if (session->message.kind == RELAY_MESSAGE_QUERY &&
-		    (session->service || session->subscriber))
+		    is_started(session))
 			dispatch(session);
 		else if (session->message.kind == RELAY_MESSAGE_STARTUP &&
-			 !session->service && !session->subscriber)
+			 !is_started(session))
 			start_up(session);
 		else
 			close_soon(session);
@@ -511,6 +567,12 @@
 	forwarding->hub = hub;
 }
 
+void relay_forwarding_set_quota(relay_forwarding_t *forwarding,
+				relay_quota_leader_t *leader)
+{
+	forwarding->leader = leader;
+}
+
 static GPtrArray *list_sessions(const relay_forwarding_t *forwarding)
 {
 	GPtrArray *list = g_ptr_array_new();
--- a/src/relay/relay_forwarding.h
+++ b/src/relay/relay_forwarding.h
@@ -2,6 +2,7 @@
 #define RELAY_RELAY_FORWARDING_H
 
 #include "relay/relay_hub.h"
+#include "relay/relay_quota_leader.h"
 #include "relay/relay_service.h"
 #include "state/endpoint.h"
 
@@ -30,6 +31,10 @@
 /** Serves nodes that follow this hub; the hub must outlive the sessions. */
 void relay_forwarding_set_hub(relay_forwarding_t *forwarding, relay_hub_t *hub);
 
+/** Answers requests for tokens; the leader must outlive the sessions. */
+void relay_forwarding_set_quota(relay_forwarding_t *forwarding,
+				relay_quota_leader_t *leader);
+
 /** Rejects new sessions and closes the idle ones. */
 void relay_forwarding_drain(relay_forwarding_t *forwarding);
 
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -238,6 +238,7 @@
 		.error = error,
 		.text = text,
 		.status = in_transaction ? 'E' : 'I',
+		.unsent = relay_job_is_unsent(job),
 	};
 
 	close_pin(job);
@@ -863,6 +864,11 @@
 	return job;
 }
 
+bool relay_job_is_unsent(const relay_job_t *job)
+{
+	return !job->attempts_started;
+}
+
 void relay_job_cancel(relay_job_t *job)
 {
 	close_pin(job);
--- a/src/relay/relay_job.h
+++ b/src/relay/relay_job.h
@@ -43,6 +43,7 @@
 	log_point_t point; /**< log point that the server reported */
 	uint64_t term;	   /**< term of the primary that ran it, or 0 */
 	relay_pin_t *pin;  /**< pinned to the open transaction, or NULL */
+	bool unsent;	   /**< no server was sent the statement */
 } relay_result_t;
 
 /** Called once, never during the call that starts the job. */
@@ -61,6 +62,9 @@
 				const relay_request_t *request,
 				relay_job_done_t done, void *context);
 
+/** @return whether no server was sent the statement so far */
+bool relay_job_is_unsent(const relay_job_t *job);
+
 /**
  * Cancels the job after the caller has disconnected. Its attempts are
  * abandoned and its callback is not called.
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -13,6 +13,7 @@
 #include "relay/relay_hub.h"
 #include "relay/relay_join.h"
 #include "relay/relay_proof.h"
+#include "relay/relay_quota.h"
 #include "relay/relay_registration.h"
 #include "relay/relay_backends.h"
 #include "relay/relay_status_page.h"
@@ -66,6 +67,8 @@
 	relay_registration_t *registration;
 	relay_coordinator_t *coordinator;
 	relay_proof_t *proof;
+	relay_quota_leader_t *quota_leader;
+	relay_quota_t *quota;
 	relay_status_page_t *page;
 	relay_join_t *join;
 	relay_subscription_t *subscription;
@@ -115,6 +118,8 @@
 		  g_hash_table_size(catalog->databases),
 		  g_hash_table_size(catalog->customers));
 	relay_services_configure(node->services, catalog);
+	relay_quota_leader_configure(node->quota_leader, catalog);
+	relay_quota_configure(node->quota, catalog);
 	relay_callers_configure(node->callers, catalog);
 	catalog_unref(node->catalog);
 	node->catalog = catalog;
@@ -174,6 +179,7 @@
 	}
 	relay_subscription_set_hubs(node->subscription, peers);
 	relay_services_set_nodes(node->services, peers);
+	relay_quota_hubs_changed(node->quota);
 }
 
 /* @return whether the node uses the key; others are not passed on either */
@@ -231,8 +237,14 @@
  */
 static void apply_primary(relay_node_t *node, const kv_item_t *item)
 {
-	if (advance(node, item, true))
+	if (!advance(node, item, true))
+		return;
+	if (g_str_has_prefix(item->key, RELAY_QUOTA_PREFIX)) {
+		relay_quota_leader_key_changed(node->quota_leader, item);
+		relay_quota_key_changed(node->quota, item);
+	} else {
 		relay_coordinator_key_changed(node->coordinator, item);
+	}
 }
 
 static void changes_applied(relay_node_t *node)
@@ -330,6 +342,7 @@
 {
 	relay_node_t *node = context;
 
+	relay_quota_leader_synced(node->quota_leader, revision, queried_ms);
 	records_synced(node, revision, queried_ms);
 }
 
@@ -509,6 +522,8 @@
 		   clock_boot_ms() < lease->valid_until_ms);
 	metric_set(metrics_gauge(node->metrics, "toucanhook_duty_held", ""),
 		   relay_coordinator_is_held(node->coordinator));
+	metric_set(metrics_gauge(node->metrics, "toucanhook_quota_leader", ""),
+		   relay_quota_leader_is_active(node->quota_leader));
 	metric_set(
 		metrics_gauge(node->metrics, "toucanhook_catalog_version", ""),
 		node->catalog ? (int64_t)node->catalog->version : 0);
@@ -555,6 +570,7 @@
 {
 	node->hub = relay_hub_create(node->services);
 	relay_services_set_hub(node->services, true);
+	relay_quota_leader_set_hub(node->quota_leader, true);
 	start_following(node);
 }
 
@@ -572,6 +588,7 @@
 	kv_follow_stop(node->follow);
 	kv_follow_stop(node->primaries);
 	relay_services_set_hub(node->services, false);
+	relay_quota_leader_set_hub(node->quota_leader, false);
 	g_clear_pointer(&node->hub, relay_hub_destroy);
 }
 
@@ -610,6 +627,60 @@
 				       settings, join_handlers);
 }
 
+/* @return the hub's address, or NULL if it is unknown */
+static const endpoint_t *hub_endpoint(void *context, const char *hub)
+{
+	const relay_node_t *node = context;
+
+	return relay_services_hub_endpoint(node->services, hub);
+}
+
+static bool is_hub(void *context, const char *name)
+{
+	return hub_endpoint(context, name);
+}
+
+static uint64_t hub_heard_ms(void *context, const char *hub)
+{
+	const relay_node_t *node = context;
+
+	return relay_subscription_heard_ms(node->subscription, hub);
+}
+
+/* @return the part of the quotas that a leader of this domain has */
+static quota_share_t quota_share(const relay_settings_t *settings)
+{
+	quota_share_t share = {.domains = g_hash_table_size(settings->regions)};
+	GHashTableIter iter;
+	gpointer domain;
+
+	g_hash_table_iter_init(&iter, settings->regions);
+	while (g_hash_table_iter_next(&iter, &domain, NULL))
+		share.rank += strcmp(domain, settings->failure_domain) < 0;
+	return share;
+}
+
+static void create_quota_tasks(relay_node_t *node)
+{
+	const relay_settings_t *settings = node->settings;
+	const relay_quota_leader_handlers_t leader_handlers = {
+		.is_hub = is_hub,
+		.heard_ms = hub_heard_ms,
+		.context = node,
+	};
+	const relay_quota_handlers_t quota_handlers = {
+		.endpoint = hub_endpoint,
+		.context = node,
+	};
+
+	node->quota_leader = relay_quota_leader_create(
+		node->base, node->platform.store, settings->node,
+		settings->failure_domain, quota_share(settings),
+		leader_handlers);
+	node->quota = relay_quota_create(node->services, node->quota_leader,
+					 quota_handlers);
+}
+
 /* Listens for callers, other nodes and the balancer. */
 static bool listen_all(relay_node_t *node, GError **error)
 {
@@ -621,6 +692,11 @@
 	if (node->callers)
 		node->forwarding = relay_forwarding_create(
 			node->services, &settings->forwarding, error);
+	if (node->callers)
+		relay_callers_set_quota(node->callers, node->quota);
+	if (node->forwarding)
+		relay_forwarding_set_quota(node->forwarding,
+					   node->quota_leader);
 	if (node->forwarding)
 		node->page = relay_status_page_create(
 			node->base, &settings->readiness, &settings->metrics,
@@ -665,6 +741,7 @@
 		base, node->platform.store, node->services, platform.promoter,
 		settings->node, on_takeover, node);
 	create_hub_tasks(node);
+	create_quota_tasks(node);
 	if (listen_all(node, error))
 		return node;
 	relay_node_destroy(node);
@@ -678,6 +755,8 @@
 	relay_status_page_destroy(node->page);
 	relay_callers_destroy(node->callers);
 	relay_forwarding_destroy(node->forwarding);
+	relay_quota_destroy(node->quota);
+	relay_quota_leader_destroy(node->quota_leader);
 	relay_join_destroy(node->join);
 	relay_subscription_destroy(node->subscription);
 	kv_follow_destroy(node->follow);
@@ -762,6 +841,7 @@
 	log_event(LOG_LEVEL_NOTICE, "draining", "callers=%u",
 		  relay_callers_count(node->callers));
 	relay_coordinator_resign(node->coordinator);
+	relay_quota_leader_resign(node->quota_leader);
 	relay_join_stop(node->join);
 	if (node->hub)
 		relay_hub_close(node->hub);
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -282,6 +282,18 @@
 	apply_all_limits(services);
 }
 
+const endpoint_t *relay_services_hub_endpoint(const relay_services_t *services,
+					      const char *name)
+{
+	for (guint i = 0; services->nodes && i < services->nodes->len; i++) {
+		const relay_peer_t *peer = services->nodes->pdata[i];
+
+		if (!strcmp(peer->name, name))
+			return &peer->forwarding;
+	}
+	return NULL;
+}
+
 void relay_services_set_hub(relay_services_t *services, bool is_hub)
 {
 	services->is_hub = is_hub;
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -77,6 +77,10 @@
  */
 void relay_services_set_nodes(relay_services_t *services, GPtrArray *peers);
 
+/** @return the forwarding endpoint of a hub, or NULL if there is none */
+const endpoint_t *relay_services_hub_endpoint(const relay_services_t *services,
+					      const char *name);
+
 /**
  * Sets whether this node is a hub, which keeps connections to the servers.
  * Other nodes reach the servers over hubs and keep none.
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -57,6 +57,9 @@
 	char *begin_text; /* text of the transaction's BEGIN, or NULL */
 	relay_pin_t *pin; /* pinned connection while no job runs, or NULL */
 	relay_job_t *job; /* job of the running statement, or NULL */
+	relay_quota_ticket_t *ticket; /* while it waits for a token, or NULL */
+	bool admitted;	      /* a token was obtained for the statement */
+	uint64_t received_ms; /* when the statement arrived, boot clock */
 	/* The running statement; must stay valid for the job. */
 	relay_message_t message;
 	command_t command;
@@ -69,6 +72,7 @@
 };
 
 static void process(relay_session_t *session);
+static void run(relay_session_t *session);
 
 static void prepared_free(gpointer data)
 {
@@ -83,6 +87,12 @@
 	return bufferevent_get_output(session->bev);
 }
 
+/* @return whether a statement waits for a token or runs */
+static bool is_running(const relay_session_t *session)
+{
+	return session->job || session->ticket;
+}
+
 static char status_of(const relay_session_t *session)
 {
 	switch (session->transaction) {
@@ -104,10 +114,23 @@
 	evtimer_del(session->idle);
 }
 
+/* Keeps the token of an operation of which no server has seen anything. */
+static void keep_token(relay_session_t *session, bool unsent)
+{
+	if (session->admitted && unsent)
+		relay_quota_keep(session->host->quota,
+				 session->caller.customer->name);
+	session->admitted = false;
+}
+
 void relay_session_destroy(relay_session_t *session)
 {
-	if (session->job)
+	if (session->ticket)
+		relay_quota_cancel(session->ticket);
+	if (session->job) {
+		keep_token(session, relay_job_is_unsent(session->job));
 		relay_job_cancel(session->job);
+	}
 	end_transaction(session);
 	relay_message_clear(&session->message);
 	command_clear(&session->command);
@@ -222,6 +245,7 @@
 	relay_session_t *session = context;
 
 	session->job = NULL;
+	keep_token(session, result->unsent);
 	session->answered = true;
 	session->just_answered = true;
 	apply_result(session, result);
@@ -255,6 +279,61 @@
 	       (prepared && prepared->writes);
 }
 
+/* @return whether the statement begins an operation that needs a token */
+static bool needs_token(const relay_session_t *session)
+{
+	const catalog_customer_t *customer = session->caller.customer;
+
+	return session->host->quota && customer && customer->has_quota &&
+	       !session->pin && !session->admitted;
+}
+
+/* Rejects an operation beyond the quota; no server has seen any of it. */
+static void refuse_by_quota(relay_session_t *session, uint32_t retry_after_ms)
+{
+	const bool begun = session->transaction == TRANSACTION_BEGUN;
+	g_autofree char *text = g_strdup_printf(
+		"not run, quota, retry after %" PRIu32 " ms", retry_after_ms);
+
+	if (begun && session->command.kind == COMMAND_COMMIT)
+		end_transaction(session);
+	else if (begun)
+		session->transaction = TRANSACTION_FAILED;
+	session->answered = true;
+	session->just_answered = true;
+	answer_error(session,
+		     begun ? RELAY_ERROR_ABORTED : RELAY_ERROR_OVERLOADED,
+		     text);
+	statement_done(session);
+}
+
+static void on_token(void *context, bool admitted, uint32_t retry_after_ms)
+{
+	relay_session_t *session = context;
+
+	session->ticket = NULL;
+	session->admitted = admitted;
+	if (admitted)
+		run(session);
+	else
+		refuse_by_quota(session, retry_after_ms);
+	process(session);
+}
+
+/* @return whether the statement has to wait for a token */
+static bool wait_for_token(relay_session_t *session)
+{
+	if (!needs_token(session))
+		return false;
+	session->received_ms = clock_boot_ms();
+	evtimer_del(session->idle);
+	session->ticket = relay_quota_acquire(
+		session->host->quota, session->caller.customer->name,
+		session->message.id, on_token, session);
+	session->admitted = !session->ticket;
+	return session->ticket;
+}
+
 static void run(relay_session_t *session)
 {
 	const command_t *command = &session->command;
@@ -268,7 +347,6 @@
 		.values = session->values,
 		.own_point = session->own_point,
 		.own_term = session->own_term,
-		.received_ms = clock_boot_ms(),
 	};
 
 	if (command->kind == COMMAND_EXECUTE) {
@@ -285,6 +363,11 @@
 		request.definition = prepared->definition;
 		request.arguments = command->value;
 	}
+	if (wait_for_token(session))
+		return;
+	/* The wait for a token is a part of the statement's time. */
+	request.received_ms =
+		session->admitted ? session->received_ms : clock_boot_ms();
 	request.writes = writes(session, prepared);
 	evtimer_del(session->idle);
 	if (session->transaction == TRANSACTION_BEGUN) {
@@ -604,7 +687,7 @@
 {
 	struct evbuffer *input = bufferevent_get_input(session->bev);
 
-	while (!session->job && !session->closing && !session->waiting) {
+	while (!is_running(session) && !session->closing && !session->waiting) {
 		g_autoptr(GError) error = NULL;
 
 		relay_message_clear(&session->message);
@@ -640,7 +723,7 @@
 
 void relay_session_end_transaction(relay_session_t *session)
 {
-	if (session->job || session->transaction == TRANSACTION_NONE)
+	if (is_running(session) || session->transaction == TRANSACTION_NONE)
 		return;
 	g_clear_pointer(&session->pin, relay_pin_close);
 	session->transaction = TRANSACTION_FAILED;
@@ -702,7 +785,7 @@
 
 bool relay_session_is_busy(const relay_session_t *session)
 {
-	return session->job || session->transaction != TRANSACTION_NONE;
+	return is_running(session) || session->transaction != TRANSACTION_NONE;
 }
 
 void relay_session_drain(relay_session_t *session)
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -3,6 +3,7 @@
 
 #include <event2/util.h>
 
+#include "relay/relay_quota.h"
 #include "relay/relay_service.h"
 
 /**
@@ -16,9 +17,10 @@
 	struct event_base *base;
 	const relay_codec_t *codec;
 	relay_services_t *services;
-	catalog_t *catalog; /**< NULL until the node has its first catalog */
-	metrics_t *metrics; /**< NULL to count nothing */
-	bool draining;	    /**< sessions close as they become idle */
+	catalog_t *catalog;   /**< NULL until the node has its first catalog */
+	metrics_t *metrics;   /**< NULL to count nothing */
+	relay_quota_t *quota; /**< NULL to admit all operations */
+	bool draining;	      /**< sessions close as they become idle */
 	/** The session ended on its own and is about to be freed. */
 	void (*ended)(void *context, relay_session_t *session);
 	void *context;
--- a/src/relay/relay_subscription.c
+++ b/src/relay/relay_subscription.c
@@ -508,6 +508,18 @@
 	return subscription->answered_ms;
 }
 
+uint64_t relay_subscription_heard_ms(const relay_subscription_t *subscription,
+				     const char *name)
+{
+	for (guint i = 0; i < subscription->hubs->len; i++) {
+		const hub_t *hub = subscription->hubs->pdata[i];
+
+		if (!strcmp(hub->name, name))
+			return hub->answered_ms;
+	}
+	return 0;
+}
+
 const endpoint_t *
 relay_subscription_route(const relay_subscription_t *subscription,
 			 const char *server, uint32_t failures)
--- a/src/relay/relay_subscription.h
+++ b/src/relay/relay_subscription.h
@@ -44,6 +44,10 @@
 uint64_t
 relay_subscription_answered_ms(const relay_subscription_t *subscription);
 
+/** @return when the hub @p name last answered, on the boot clock, or 0 */
+uint64_t relay_subscription_heard_ms(const relay_subscription_t *subscription,
+				     const char *name);
+
 /**
  * @param failures connections over hubs that failed lately; each chooses the
  *        next hub
--- a/src/state/catalog.c
+++ b/src/state/catalog.c
@@ -106,6 +106,18 @@
 	return g_hash_table_lookup(catalog->customers, name);
 }
 
+bool catalog_has_quotas(const catalog_t *catalog)
+{
+	GHashTableIter iter;
+	gpointer customer;
+
+	g_hash_table_iter_init(&iter, catalog->customers);
+	while (g_hash_table_iter_next(&iter, NULL, &customer))
+		if (((const catalog_customer_t *)customer)->has_quota)
+			return true;
+	return false;
+}
+
 const catalog_database_t *catalog_database(const catalog_t *catalog,
 					   const char *name)
 {
--- a/src/state/catalog.h
+++ b/src/state/catalog.h
@@ -93,6 +93,9 @@
 const catalog_customer_t *catalog_customer(const catalog_t *catalog,
 					   const char *name);
 
+/** @return whether any customer has a quota */
+bool catalog_has_quotas(const catalog_t *catalog);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(catalog_customer_t, catalog_customer_delete)
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(catalog_t, catalog_unref)
 
--- a/tests/unit/test_relay_session.c
+++ b/tests/unit/test_relay_session.c
@@ -351,6 +351,102 @@
 	assert_unauthorized(*state, "QUERY 1 SET a b\r\n", "withdrawn");
 }
 
+#define QUOTA_OF_ACME                                             \
+	",\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"u1\"]," \
+	"\"rate_per_s\":10,\"burst\":10}]"
+
+/* What a node needs for quotas; its only domain has no leader. */
+typedef struct {
+	GHashTable *regions;
+	relay_services_t *services;
+	relay_quota_leader_t *leader;
+} quota_parts_t;
+
+static quota_parts_t open_quota(fixture_t *fixture)
+{
+	static char domain[] = "akl-a";
+	quota_parts_t parts = {
+		.regions = g_hash_table_new(g_str_hash, g_str_equal)};
+
+	g_hash_table_insert(parts.regions, domain, domain);
+	parts.services = relay_services_create((relay_services_settings_t){
+		.base = fixture->host.base,
+		.codec = &line_codec,
+		.metrics = fixture->host.metrics,
+		.node = "node-1",
+		.failure_domain = domain,
+		.regions = parts.regions,
+	});
+	parts.leader = relay_quota_leader_create(
+		fixture->host.base, NULL, "node-1", domain,
+		(quota_share_t){1, 0}, (relay_quota_leader_handlers_t){0});
+	fixture->host.quota = relay_quota_create(parts.services, parts.leader,
+						 (relay_quota_handlers_t){0});
+	return parts;
+}
+
+static void close_quota(fixture_t *fixture, const quota_parts_t *parts)
+{
+	relay_quota_destroy(fixture->host.quota);
+	relay_quota_leader_destroy(parts->leader);
+	relay_services_destroy(parts->services);
+	g_hash_table_destroy(parts->regions);
+}
+
+/* The wait for a token must not use the memory of a session that has ended. */
+static void test_caller_disconnects_while_waiting_for_a_token(void **state)
+{
+	fixture_t *fixture = *state;
+	const quota_parts_t parts = open_quota(fixture);
+
+	configure(fixture, 1, false, QUOTA_OF_ACME);
+	assert_answer(fixture, "STARTUP orders u1\r\n", "READY I");
+	send_text(fixture, "QUERY 1 READ x\r\n");
+	assert_string_equal(receive(fixture, 50), "");
+	assert_true(relay_session_is_busy(fixture->session));
+	relay_session_drain(fixture->session);
+	relay_session_end_transaction(fixture->session);
+	shutdown(fixture->caller, SHUT_RDWR);
+	receive(fixture, 400);
+	assert_true(fixture->ended);
+	close_quota(fixture, &parts);
+}
+
+/* A new configuration must not free what the waiting statement uses. */
+static void test_statement_without_a_token_is_rejected(void **state)
+{
+	fixture_t *fixture = *state;
+	const quota_parts_t parts = open_quota(fixture);
+
+	configure(fixture, 1, false, QUOTA_OF_ACME);
+	assert_answer(fixture, "STARTUP orders u1\r\n", "READY I");
+	send_text(fixture, "QUERY 1 READ x\r\n");
+	assert_string_equal(receive(fixture, 50), "");
+	configure(fixture, 2, false, KEY_WITHDRAWN);
+	assert_answer(fixture, "", "ERROR BUSY not run");
+	assert_unauthorized(fixture, "QUERY 2 READ x\r\n", "withdrawn");
+	close_quota(fixture, &parts);
+}
+
+static void test_transaction_without_a_token_fails(void **state)
+{
+	fixture_t *fixture = *state;
+	const quota_parts_t parts = open_quota(fixture);
+
+	configure(fixture, 1, false, QUOTA_OF_ACME);
+	assert_answer(fixture, "STARTUP orders u1\r\n", "READY I");
+	assert_answer(fixture, "QUERY 1 BEGIN\r\n", "READY T");
+	assert_answer(fixture, "QUERY 2 WRITE x y\r\n", "ERROR ABORTED");
+	assert_non_null(strstr(fixture->answer, "READY E"));
+	assert_answer(fixture, "QUERY 3 ROLLBACK\r\n", "READY I");
+	assert_answer(fixture, "QUERY 4 BEGIN\r\n", "READY T");
+	assert_answer(fixture, "QUERY 5 COMMIT\r\n", "ERROR ABORTED");
+	assert_non_null(strstr(fixture->answer, "READY I"));
+	relay_session_destroy(fixture->session);
+	fixture->ended = true;
+	close_quota(fixture, &parts);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -387,6 +483,15 @@
 		cmocka_unit_test_setup_teardown(
 			test_older_configuration_does_not_restore_a_key,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_caller_disconnects_while_waiting_for_a_token,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_statement_without_a_token_is_rejected,
+			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_transaction_without_a_token_fails, open_fixture,
+			close_fixture),
 		cmocka_unit_test(
 			test_withdrawn_key_is_rejected_in_an_idle_session),
 		cmocka_unit_test(test_withdrawn_key_aborts_the_transaction),
