--- a/tests/standin/site/main.c
+++ b/tests/standin/site/main.c
@@ -23,6 +23,7 @@
 	uint64_t config_version;
 	GPtrArray *extra_routes; /**< of char *, further names of group 0 */
 	GHashTable *customers;	 /**< name -> key or "", published if any */
+	GHashTable *quotas; /**< customer -> its rate, which is its burst */
 	/** added to each server's port in the registry, to route by a relay */
 	uint16_t registered_port_offset;
 	uint64_t last_token;	  /**< highest fencing token so far */
@@ -62,11 +63,19 @@
 	g_hash_table_iter_init(&iter, site->customers);
 	while (g_hash_table_iter_next(&iter, &name, &key)) {
 		json_t *keys = json_array();
+		const char *quota = g_hash_table_lookup(site->quotas, name);
+		json_t *customer;
 
 		if (*(const char *)key)
 			json_array_append_new(keys, json_string(key));
-		json_array_append_new(list, json_pack("{s:s,s:o}", "name", name,
-						      "api_keys", keys));
+		customer =
+			json_pack("{s:s,s:o}", "name", name, "api_keys", keys);
+		if (quota)
+			json_object_update_new(
+				customer,
+				json_pack("{s:i,s:i}", "rate_per_s",
+					  atoi(quota), "burst", atoi(quota)));
+		json_array_append_new(list, customer);
 	}
 	return list;
 }
@@ -135,9 +144,18 @@
 	put_config(site);
 }
 
-/* Publishes a customer with one key, or with none if @p key is NULL. */
-static void change_customer(site_t *site, const char *name, const char *key)
+/*
+ * Publishes a customer with one key, or with none if @p key is NULL, and with a
+ * quota, or with none if @p quota is NULL.
+ */
+static void change_customer(site_t *site, const char *name, const char *key,
+			    const char *quota)
 {
+	if (quota)
+		g_hash_table_replace(site->quotas, g_strdup(name),
+				     g_strdup(quota));
+	else
+		g_hash_table_remove(site->quotas, name);
 	g_hash_table_replace(site->customers, g_strdup(name),
 			     g_strdup(key ? key : ""));
 	change_config(site, NULL);
@@ -210,6 +228,7 @@
 	g_autofree char *route = http_argument(request, "route");
 	g_autofree char *customer = http_argument(request, "customer");
 	g_autofree char *key = http_argument(request, "key");
+	g_autofree char *quota = http_argument(request, "quota");
 	const uint32_t for_ms = (uint32_t)http_number(request, "for_ms", 1000);
 	const uint64_t until_ms = clock_now_ms() + for_ms;
 	db_server_t *server = id ? find_server(site, id) : NULL;
@@ -238,7 +257,7 @@
 	else if (!strcmp(kind, "drain") && server)
 		drain_server(site, server);
 	else if (!strcmp(kind, "config") && customer)
-		change_customer(site, customer, key);
+		change_customer(site, customer, key, quota);
 	else if (!strcmp(kind, "config"))
 		change_config(site, route);
 	http_reply_text(request, HTTP_OK, "{}");
@@ -311,6 +330,8 @@
 	site->extra_routes = g_ptr_array_new_with_free_func(g_free);
 	site->customers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	site->quotas =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	site->groups_count = groups;
 	site->registered_port_offset = registered_port_offset;
 	http = http_listen(site->base, "127.0.0.1", port);
--- a/tests/world/line_client.c
+++ b/tests/world/line_client.c
@@ -148,16 +148,21 @@
 	g_free(client);
 }
 
-line_result_t line_client_run(line_client_t *client, const char *text,
-			      char **row)
+bool line_client_send(line_client_t *client, const char *text)
 {
 	g_autofree char *message = g_strdup_printf(
 		"QUERY %lx-%lx %s\r\n", (unsigned long)client->id_prefix,
 		(unsigned long)++client->last_id, text);
 
+	return send_text(client, message);
+}
+
+line_result_t line_client_run(line_client_t *client, const char *text,
+			      char **row)
+{
 	if (row)
 		*row = NULL;
-	if (!send_text(client, message))
+	if (!line_client_send(client, text))
 		return LINE_NO_ANSWER;
 	return read_answer(client, row);
 }
--- a/tests/world/line_client.h
+++ b/tests/world/line_client.h
@@ -47,6 +47,9 @@
 line_result_t line_client_run(line_client_t *client, const char *text,
 			      char **row);
 
+/** Sends a statement without waiting for its answer. */
+bool line_client_send(line_client_t *client, const char *text);
+
 /** Returns the text of the last error, "" if there was none. */
 const char *line_client_error(const line_client_t *client);
 
