--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -237,6 +237,11 @@
 	return job;
 }
 
+bool relay_job_is_unsent(const relay_job_t *job)
+{
+	return !job->attempts_started;
+}
+
 void relay_job_cancel(relay_job_t *job)
 {
 	job_close_pin(job);
--- a/src/relay/relay_job_end.c
+++ b/src/relay/relay_job_end.c
@@ -93,6 +93,7 @@
 		.error = error,
 		.text = text,
 		.status = in_transaction ? 'E' : 'I',
+		.unsent = relay_job_is_unsent(job),
 	};
 
 	job_close_pin(job);
