Split the connections and the paths of a server from relay_server

No behaviour changes: the unit tests of the server, the session and the control statements pass unchanged.

--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -5,29 +5,18 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-
-/* Delay after a failed attempt to connect; doubles up to the maximum. */
-#define RECONNECT_DELAY_MS 50
-#define RECONNECT_DELAY_MS_MAX 800
+#include "relay/relay_link_pool.h"
+#include "relay/relay_path.h"
 
 /* Number of connections that may be in the process of being opened. */
 #define OPENING_MAX 4
 
-/* Time for which no connections above the share are opened at a full server. */
-#define FULL_MS 1000
-
-/* Time for which connections are forwarded after direct ones failed. */
-#define FORWARDING_MS 2000
-
 /* Idle time after which a connection above the share is closed. */
 #define IDLE_MS 400
 
 /* Idle time of a connection over a hub; it occupies no server connection. */
 #define HUB_IDLE_MS 10000
 
-/* Time after which failures of hubs are forgotten. */
-#define HUB_FAILURES_MS 3000
-
 /*
  * Time without data on any connection after which a server counts as cut off.
  */
@@ -50,23 +39,13 @@
 struct relay_server {
 	const relay_server_host_t *host;
 	backend_entry_t *entry;
-	GPtrArray *links;     /* relay_link_t: opening, idle and granted */
-	GPtrArray *idle;      /* relay_link_t */
-	GPtrArray *granted;   /* relay_link_t in use */
-	uint32_t opening;     /* number of links that are being opened */
+	relay_link_pool_t pool;
+	relay_path_t path;
 	uint32_t share;	      /* number of connections kept open while idle */
 	uint32_t burst_limit; /* maximum number of open connections */
-	bool is_full; /* the server's limit rejected the last connection */
-	uint64_t full_until_ms; /* time until which only the share is opened */
-	/* Time until which connections are forwarded. */
-	uint64_t forwarding_until_ms;
-	uint32_t hub_failures;	/* connections over hubs that failed lately */
-	uint64_t hub_failed_ms; /* when the last of them failed */
 	struct event *close_idle_event; /* closes idle links above the share */
 	wait_queue_t queue;
-	struct event *serve_event;   /* serves the queue, or frees the server */
-	uint64_t reconnect_at_ms;    /* no connection is opened before then */
-	uint32_t reconnect_delay_ms; /* next delay after a failure to connect */
+	struct event *serve_event; /* serves the queue, or frees the server */
 	uint32_t unanswered;	 /* consecutive statements without an answer */
 	uint64_t avoid_until_ms; /* time until which it gets no reads */
 	uint64_t last_received_ms; /* when the server itself last sent data */
@@ -99,50 +78,21 @@
 	}
 }
 
-static void back_off(relay_server_t *server)
-{
-	server->reconnect_at_ms = clock_boot_ms() + server->reconnect_delay_ms;
-	server->reconnect_delay_ms =
-		MIN(2 * server->reconnect_delay_ms, RECONNECT_DELAY_MS_MAX);
-}
-
-static uint32_t hub_failures(const relay_server_t *server, uint64_t now_ms)
-{
-	return now_ms < server->hub_failed_ms + HUB_FAILURES_MS ?
-		       server->hub_failures :
-		       0;
-}
-
 /* @return the hub to connect through, or NULL to connect directly */
 static const endpoint_t *hub_endpoint(const relay_server_t *server,
 				      uint64_t now_ms)
 {
-	return server->host->hub(server->host->context, server,
-				 hub_failures(server, now_ms));
+	return server->host->hub(
+		server->host->context, server,
+		relay_path_hub_failures(&server->path, now_ms));
 }
 
-/* The next connection goes over another hub, in the end directly. */
 static void hub_failed(relay_server_t *server)
 {
 	const uint64_t now_ms = clock_boot_ms();
 
-	if (!hub_endpoint(server, now_ms))
-		return;
-	server->hub_failures = hub_failures(server, now_ms) + 1;
-	server->hub_failed_ms = now_ms;
-	server->reconnect_at_ms = 0;
-}
-
-/*
- * Handles the failure of a forwarded connection. If the server was full, it may
- * have room again and is tried directly; if it is unreachable, the next node is
- * tried.
- */
-static void forwarding_failed(relay_server_t *server)
-{
-	hub_failed(server);
-	if (server->is_full)
-		server->forwarding_until_ms = 0;
+	if (hub_endpoint(server, now_ms))
+		relay_path_hub_failed(&server->path, now_ms);
 }
 
 /*
@@ -155,15 +105,15 @@
 				   relay_error_t error)
 {
 	if (relay_link_is_forwarded(link)) {
-		forwarding_failed(server);
+		hub_failed(server);
+		relay_path_forwarding_failed(&server->path);
 		return;
 	}
-	server->is_full = error == RELAY_ERROR_CONNECTION_LIMIT;
+	server->path.is_full = error == RELAY_ERROR_CONNECTION_LIMIT;
 	if (error == RELAY_ERROR_CONNECTION_LIMIT &&
-	    server->links->len > server->opening + 1)
+	    server->pool.links->len > server->pool.opening + 1)
 		return;
-	server->forwarding_until_ms = clock_boot_ms() + FORWARDING_MS;
-	server->reconnect_at_ms = 0;
+	relay_path_forward(&server->path, clock_boot_ms());
 }
 
 /* Data on a forwarded connection proves nothing about the server itself. */
@@ -180,12 +130,9 @@
 {
 	relay_server_t *server = context;
 
-	server->opening--;
-	server->reconnect_delay_ms = RECONNECT_DELAY_MS;
-	if (!relay_link_is_forwarded(link))
-		server->is_full = false;
+	relay_path_opened(&server->path, relay_link_is_forwarded(link));
 	record_received(server, link, clock_boot_ms());
-	g_ptr_array_add(server->idle, link);
+	relay_link_pool_put_idle(&server->pool, link);
 	server->host->opened(server->host->context, server, point,
 			     requested_ms);
 	serve_queue(server);
@@ -195,29 +142,27 @@
 		      bool was_open)
 {
 	relay_server_t *server = context;
-	const bool granted = g_ptr_array_find(server->granted, link, NULL);
+	const bool granted = relay_link_pool_is_granted(&server->pool, link);
 
 	if (!was_open) {
-		server->opening--;
-		back_off(server);
+		server->pool.opening--;
+		relay_path_back_off(&server->path, clock_boot_ms());
 		handle_connect_failure(server, link, error);
 		log_event(LOG_LEVEL_INFO, "server_connect_failed",
 			  "server=%s reason=%s open=%u", server->entry->id,
-			  relay_error_name(error), server->links->len - 1);
+			  relay_error_name(error), server->pool.links->len - 1);
 	}
 	if (granted) /* the user of the connection discards it */
 		return;
-	g_ptr_array_remove_fast(server->idle, link);
-	g_ptr_array_remove_fast(server->links, link);
 	if (error == RELAY_ERROR_CONNECTION_LIMIT)
 		record_received(server, link, clock_boot_ms());
-	relay_link_destroy(link);
-	if (error == RELAY_ERROR_CONNECTION_LIMIT) {
-		server->full_until_ms = clock_boot_ms() + FULL_MS;
-	} else
+	relay_link_pool_close(&server->pool, link);
+	if (error == RELAY_ERROR_CONNECTION_LIMIT)
+		relay_path_limited(&server->path, clock_boot_ms());
+	else
 		server->host->on_connection_failure(server->host->context,
 						    server);
-	if (!server->links->len && error != RELAY_ERROR_CONNECTION_LIMIT)
+	if (!server->pool.links->len && error != RELAY_ERROR_CONNECTION_LIMIT)
 		refuse_all(server);
 	serve_queue_after(server, 0);
 }
@@ -247,15 +192,15 @@
 	if (has_direct_waiter(server))
 		return NULL;
 	hub = hub_endpoint(server, now_ms);
-	if (hub || now_ms >= server->forwarding_until_ms)
+	if (hub || now_ms >= server->path.forwarding_until_ms)
 		return hub;
 	return server->host->forwarding_node(server->host->context, server);
 }
 
 static uint32_t limit_now(const relay_server_t *server, uint64_t now_ms)
 {
-	return now_ms < server->full_until_ms ? MAX(server->share, 1) :
-						server->burst_limit;
+	return now_ms < server->path.full_until_ms ? MAX(server->share, 1) :
+						     server->burst_limit;
 }
 
 static bool has_urgent_waiter(const relay_server_t *server)
@@ -280,127 +225,19 @@
 	const uint32_t limit =
 		limit_now(server, now_ms) + (has_urgent_waiter(server) ? 1 : 0);
 
-	if (now_ms < server->reconnect_at_ms) {
-		serve_queue_after(server, server->reconnect_at_ms - now_ms);
+	if (now_ms < server->path.reconnect_at_ms) {
+		serve_queue_after(server,
+				  server->path.reconnect_at_ms - now_ms);
 		return;
 	}
-	while (server->opening < MIN(OPENING_MAX, wanted) &&
-	       server->links->len < limit) {
-		g_ptr_array_add(
-			server->links,
+	while (server->pool.opening < MIN(OPENING_MAX, wanted) &&
+	       server->pool.links->len < limit)
+		relay_link_pool_add(
+			&server->pool,
 			relay_link_open(server->host->base, server->host->codec,
 					server->entry, NULL,
 					forwarding_endpoint(server, now_ms),
 					handlers));
-		server->opening++;
-	}
-}
-
-static bool values_match(GHashTable *wanted, GHashTable *held)
-{
-	GHashTableIter iter;
-	gpointer name;
-	gpointer value;
-
-	if ((wanted ? g_hash_table_size(wanted) : 0) != g_hash_table_size(held))
-		return false;
-	if (!wanted)
-		return true;
-	g_hash_table_iter_init(&iter, wanted);
-	while (g_hash_table_iter_next(&iter, &name, &value))
-		if (g_strcmp0(g_hash_table_lookup(held, name), value))
-			return false;
-	return true;
-}
-
-static guint oldest_idle(const relay_server_t *server)
-{
-	guint oldest = 0;
-
-	for (guint i = 1; i < server->idle->len; i++)
-		if (relay_link_opened_ms(server->idle->pdata[i]) <
-		    relay_link_opened_ms(server->idle->pdata[oldest]))
-			oldest = i;
-	return oldest;
-}
-
-static relay_link_t *grant_idle(relay_server_t *server, guint index)
-{
-	g_ptr_array_add(server->granted, server->idle->pdata[index]);
-	return g_ptr_array_steal_index(server->idle, index);
-}
-
-static bool is_old_enough(const relay_waiter_t *waiter,
-			  const relay_link_t *link)
-{
-	return !waiter->opened_before_ms ||
-	       relay_link_opened_ms(link) < waiter->opened_before_ms;
-}
-
-/* @return whether an open connection, idle or not, is old enough */
-static bool has_old_enough(const relay_server_t *server,
-			   const relay_waiter_t *waiter)
-{
-	for (guint i = 0; i < server->links->len; i++) {
-		const relay_link_t *link = server->links->pdata[i];
-
-		if (relay_link_is_open(link) && is_old_enough(waiter, link))
-			return true;
-	}
-	return false;
-}
-
-static bool may_take(const relay_waiter_t *waiter, const relay_link_t *link)
-{
-	return !waiter->direct || !relay_link_is_forwarded(link);
-}
-
-/*
- * Takes a connection whose variables match if there is one, and the newest of
- * several: the old ones are kept free to prove which server is primary.
- */
-static relay_link_t *take_idle(relay_server_t *server,
-			       const relay_waiter_t *waiter)
-{
-	const relay_link_t *best = NULL;
-	bool best_matches = false;
-	guint chosen = 0;
-
-	if (waiter->urgent)
-		return grant_idle(server, oldest_idle(server));
-
-	for (guint i = 0; i < server->idle->len; i++) {
-		relay_link_t *link = server->idle->pdata[i];
-		const bool matches = values_match(
-			waiter->values, relay_link_state(link)->values);
-
-		if (!may_take(waiter, link))
-			continue;
-		if (best && (best_matches != matches ?
-				     best_matches :
-				     relay_link_opened_ms(best) >=
-					     relay_link_opened_ms(link)))
-			continue;
-		best = link;
-		best_matches = matches;
-		chosen = i;
-	}
-	return grant_idle(server, chosen);
-}
-
-static bool can_take(const relay_server_t *server, const relay_waiter_t *waiter)
-{
-	const bool needs_old =
-		waiter->opened_before_ms && has_old_enough(server, waiter);
-
-	for (guint i = 0; i < server->idle->len; i++) {
-		const relay_link_t *link = server->idle->pdata[i];
-
-		if (may_take(waiter, link) &&
-		    (!needs_old || is_old_enough(waiter, link)))
-			return true;
-	}
-	return false;
 }
 
 /* @return number of waiters that a new connection could serve */
@@ -410,10 +247,9 @@
 
 	for (guint i = 0; i < server->queue.entries->len; i++) {
 		const wait_entry_t *entry = server->queue.entries->pdata[i];
-		const relay_waiter_t *waiter = entry->owner;
 
-		wanted += !waiter->opened_before_ms ||
-			  !has_old_enough(server, waiter);
+		wanted +=
+			relay_link_pool_wants_new(&server->pool, entry->owner);
 	}
 	return wanted;
 }
@@ -423,18 +259,18 @@
 {
 	g_autoptr(GPtrArray) skipped = g_ptr_array_new();
 
-	while (server->idle->len && server->queue.entries->len) {
+	while (server->pool.idle->len && server->queue.entries->len) {
 		wait_entry_t *entry =
 			wait_queue_next(&server->queue, clock_boot_ms());
 		relay_waiter_t *waiter = entry->owner;
 
-		if (!can_take(server, waiter)) {
+		if (!relay_link_pool_can_take(&server->pool, waiter)) {
 			g_ptr_array_add(skipped, entry);
 			continue;
 		}
 		waiter->waiting = false;
 		waiter->granted(waiter->context, server,
-				take_idle(server, waiter));
+				relay_link_pool_take(&server->pool, waiter));
 	}
 	for (guint i = 0; i < skipped->len; i++)
 		wait_queue_return(&server->queue, skipped->pdata[i]);
@@ -449,21 +285,6 @@
 	event_add(server->close_idle_event, &delay);
 }
 
-static relay_link_t *oldest_open(const relay_server_t *server)
-{
-	relay_link_t *oldest = NULL;
-
-	for (guint i = 0; i < server->links->len; i++) {
-		relay_link_t *link = server->links->pdata[i];
-
-		if (relay_link_is_open(link) &&
-		    (!oldest ||
-		     relay_link_opened_ms(link) < relay_link_opened_ms(oldest)))
-			oldest = link;
-	}
-	return oldest;
-}
-
 static uint64_t idle_limit_ms(const relay_link_t *link, bool over_hub)
 {
 	return over_hub && relay_link_is_forwarded(link) ? HUB_IDLE_MS :
@@ -477,23 +298,23 @@
 static void on_close_idle(evutil_socket_t fd, short what, void *context)
 {
 	relay_server_t *server = context;
-	const relay_link_t *oldest = server->share ? oldest_open(server) : NULL;
+	const relay_link_t *oldest =
+		server->share ? relay_link_pool_oldest_open(&server->pool) :
+				NULL;
 	const uint64_t now_ms = clock_boot_ms();
 	const bool over_hub = hub_endpoint(server, now_ms);
 
-	for (guint i = server->idle->len;
-	     i > 0 && server->links->len > server->share; i--) {
-		relay_link_t *link = server->idle->pdata[i - 1];
+	for (guint i = server->pool.idle->len;
+	     i > 0 && server->pool.links->len > server->share; i--) {
+		relay_link_t *link = server->pool.idle->pdata[i - 1];
 
 		if (link == oldest ||
 		    now_ms < relay_link_last_received_ms(link) +
 				     idle_limit_ms(link, over_hub))
 			continue;
-		g_ptr_array_remove_index_fast(server->idle, i - 1);
-		g_ptr_array_remove_fast(server->links, link);
-		relay_link_destroy(link);
+		relay_link_pool_close(&server->pool, link);
 	}
-	if (server->links->len > server->share)
+	if (server->pool.links->len > server->share)
 		close_idle_after(server,
 				 over_hub ? HUB_IDLE_MS / 4 : IDLE_MS / 2);
 }
@@ -506,7 +327,7 @@
 
 	if (!server->retired)
 		serve_queue(server);
-	else if (!server->links->len)
+	else if (!server->pool.links->len)
 		server_free(server);
 }
 
@@ -517,14 +338,12 @@
 
 	server->host = host;
 	server->entry = entry;
-	server->links = g_ptr_array_new();
-	server->idle = g_ptr_array_new();
-	server->granted = g_ptr_array_new();
+	relay_link_pool_init(&server->pool);
 	server->share = 1;
 	server->burst_limit = 1;
 	server->close_idle_event =
 		evtimer_new(host->base, on_close_idle, server);
-	server->reconnect_delay_ms = RECONNECT_DELAY_MS;
+	relay_path_init(&server->path);
 	server->run_ms = RUN_MS_DEFAULT;
 	server->serve_event = evtimer_new(host->base, on_serve_event, server);
 	wait_queue_init(&server->queue);
@@ -533,9 +352,7 @@
 
 static void server_free(relay_server_t *server)
 {
-	g_ptr_array_unref(server->links);
-	g_ptr_array_unref(server->idle);
-	g_ptr_array_unref(server->granted);
+	relay_link_pool_clear(&server->pool);
 	event_free(server->serve_event);
 	event_free(server->close_idle_event);
 	wait_queue_clear(&server->queue);
@@ -543,25 +360,11 @@
 	g_free(server);
 }
 
-static void close_unused(relay_server_t *server)
-{
-	for (guint i = server->links->len; i > 0; i--) {
-		relay_link_t *link = server->links->pdata[i - 1];
-
-		if (g_ptr_array_find(server->granted, link, NULL))
-			continue;
-		g_ptr_array_remove_index_fast(server->links, i - 1);
-		relay_link_destroy(link);
-	}
-	g_ptr_array_set_size(server->idle, 0);
-	server->opening = 0;
-}
-
 void relay_server_destroy(relay_server_t *server)
 {
 	server->retired = true;
 	refuse_all(server);
-	close_unused(server);
+	relay_link_pool_close_unused(&server->pool);
 	serve_queue_after(server, 0);
 }
 
@@ -593,7 +396,8 @@
 {
 	waiter->entry.owner = waiter;
 	waiter->entry.customer = waiter->customer;
-	if (waiter->direct && clock_boot_ms() < server->forwarding_until_ms) {
+	if (waiter->direct &&
+	    clock_boot_ms() < server->path.forwarding_until_ms) {
 		waiter->refused(waiter->context, server);
 		return;
 	}
@@ -614,15 +418,14 @@
 			  uint64_t held_ms)
 {
 	wait_queue_served(&server->queue, held_ms);
-	if (server->retired || server->links->len > server->burst_limit ||
+	if (server->retired || server->pool.links->len > server->burst_limit ||
 	    !relay_link_is_open(link) || relay_link_is_busy(link)) {
 		relay_server_discard(server, link);
 		return;
 	}
-	g_ptr_array_remove_fast(server->granted, link);
-	g_ptr_array_add(server->idle, link);
+	relay_link_pool_put_idle(&server->pool, link);
 	serve_queue(server);
-	if (server->links->len > server->share &&
+	if (server->pool.links->len > server->share &&
 	    !evtimer_pending(server->close_idle_event, NULL))
 		close_idle_after(server, IDLE_MS);
 }
@@ -630,11 +433,9 @@
 void relay_server_discard(relay_server_t *server, relay_link_t *link)
 {
 	record_received(server, link, relay_link_last_received_ms(link));
-	if (relay_link_is_forwarded(link) && server->is_full)
-		server->forwarding_until_ms = 0;
-	g_ptr_array_remove_fast(server->granted, link);
-	g_ptr_array_remove_fast(server->links, link);
-	relay_link_destroy(link);
+	if (relay_link_is_forwarded(link))
+		relay_path_forwarding_failed(&server->path);
+	relay_link_pool_close(&server->pool, link);
 	serve_queue_after(server, 0);
 }
 
@@ -653,22 +454,19 @@
 {
 	const bool over_hub = hub_endpoint(server, now_ms);
 
-	server->forwarding_until_ms = now_ms + FORWARDING_MS;
-	server->reconnect_at_ms = 0;
+	relay_path_forward(&server->path, now_ms);
 	hub_failed(server);
-	for (guint i = server->idle->len; i > 0; i--) {
-		relay_link_t *link = server->idle->pdata[i - 1];
+	for (guint i = server->pool.idle->len; i > 0; i--) {
+		relay_link_t *link = server->pool.idle->pdata[i - 1];
 
 		if (relay_link_is_forwarded(link) != over_hub)
 			continue;
-		g_ptr_array_remove_index_fast(server->idle, i - 1);
-		g_ptr_array_remove_fast(server->links, link);
-		relay_link_destroy(link);
+		relay_link_pool_close(&server->pool, link);
 	}
 	log_event(LOG_LEVEL_NOTICE, "server_unresponsive",
 		  "server=%s heard_ms_ago=%" PRIu64 " open=%u",
 		  server->entry->id, now_ms - server->last_received_ms,
-		  server->links->len - server->opening);
+		  server->pool.links->len - server->pool.opening);
 	serve_queue_after(server, 0);
 }
 
@@ -694,21 +492,21 @@
 	if (now_ms < server->avoid_until_ms ||
 	    !outlier_may_run(&server->outlier, now_ms))
 		return false;
-	return server->links->len > server->opening ||
-	       now_ms >= server->reconnect_at_ms;
+	return server->pool.links->len > server->pool.opening ||
+	       now_ms >= server->path.reconnect_at_ms;
 }
 
 bool relay_server_is_full(const relay_server_t *server)
 {
-	return server->is_full;
+	return server->path.is_full;
 }
 
 uint64_t relay_server_last_received_ms(const relay_server_t *server)
 {
 	uint64_t last_received_ms = server->last_received_ms;
 
-	for (guint i = 0; i < server->links->len; i++) {
-		const relay_link_t *link = server->links->pdata[i];
+	for (guint i = 0; i < server->pool.links->len; i++) {
+		const relay_link_t *link = server->pool.links->pdata[i];
 
 		if (relay_link_is_open(link) && !relay_link_is_forwarded(link))
 			last_received_ms =
@@ -721,17 +519,18 @@
 /* @return number of connections that are open or can be opened soon */
 static uint32_t capacity(const relay_server_t *server)
 {
-	const uint32_t open = server->links->len - server->opening;
+	const uint32_t open = server->pool.links->len - server->pool.opening;
 	const uint64_t now_ms = clock_boot_ms();
 
-	if (now_ms < server->full_until_ms || now_ms < server->reconnect_at_ms)
+	if (now_ms < server->path.full_until_ms ||
+	    now_ms < server->path.reconnect_at_ms)
 		return MAX(open, 1);
 	return MAX(MIN(server->burst_limit, open + OPENING_MAX), 1);
 }
 
 uint64_t relay_server_wait_ms(const relay_server_t *server)
 {
-	if (server->idle->len > server->queue.entries->len)
+	if (server->pool.idle->len > server->queue.entries->len)
 		return 0;
 	return wait_queue_estimate_ms(&server->queue, capacity(server));
 }
@@ -750,7 +549,7 @@
 
 uint32_t relay_server_open_count(const relay_server_t *server)
 {
-	return server->links->len - server->opening;
+	return server->pool.links->len - server->pool.opening;
 }
 
 uint32_t relay_server_share(const relay_server_t *server)
@@ -760,13 +559,13 @@
 
 void relay_server_ensure_connection(relay_server_t *server)
 {
-	if (!server->links->len)
+	if (!server->pool.links->len)
 		open_more(server, 1);
 }
 
 uint64_t relay_server_oldest_opened_ms(const relay_server_t *server)
 {
-	const relay_link_t *oldest = oldest_open(server);
+	const relay_link_t *oldest = relay_link_pool_oldest_open(&server->pool);
 
 	return oldest ? relay_link_opened_ms(oldest) : UINT64_MAX;
 }
