Open every server connection in the name of one customer

Cause: all connections were opened as toucanhook, and any idle one served any statement. Now a waiter names its customer, a connection to a server serves only the customer it was opened for, and a forwarded connection is switched with AS (in the same packet) before a statement of another customer.

With customers, hubs too route callers' statements over the hub of the domain that ranks first for the server; only that one and the provers hold connections to it, and the server's limit is divided by failure domain. A node without room goes over the first hub of another domain instead of to the server itself.

Ruled out: rejecting AS itself, because the statement in the same packet would count as sent and a change would end in doubt; the hub rejects the statement.

Without customers all names are NULL and the old rules apply.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -192,8 +192,41 @@
 	return false;
 }
 
-/* Queues the statements that set the session variables. */
-static void queue_variables(relay_attempt_t *attempt)
+static void queue_reset(relay_attempt_t *attempt)
+{
+	relay_link_state_t *state = relay_link_state(attempt->link);
+
+	g_queue_push_tail(&attempt->setup, codec_of(attempt)->text_reset());
+	g_hash_table_remove_all(state->values);
+	g_hash_table_remove_all(state->prepared);
+	/* The hub forgets the customer as well. */
+	if (relay_link_is_forwarded(attempt->link))
+		g_clear_pointer(&state->customer, g_free);
+}
+
+/*
+ * Queues the statement that switches a forwarded connection to the customer.
+ * A connection to the server itself was opened for its customer.
+ */
+static void queue_customer(relay_attempt_t *attempt)
+{
+	relay_link_state_t *state = relay_link_state(attempt->link);
+	const catalog_customer_t *customer = attempt->request.customer;
+
+	if (!relay_link_is_forwarded(attempt->link))
+		return;
+	if (!customer && state->customer)
+		queue_reset(attempt);
+	if (!customer || !g_strcmp0(state->customer, customer->name))
+		return;
+	g_queue_push_tail(&attempt->setup,
+			  codec_of(attempt)->text_as(customer->name));
+	g_free(state->customer);
+	state->customer = g_strdup(customer->name);
+}
+
+/* Queues the statements that set the customer and the session variables. */
+static void queue_session(relay_attempt_t *attempt)
 {
 	relay_link_state_t *state = relay_link_state(attempt->link);
 	const relay_codec_t *codec = codec_of(attempt);
@@ -201,11 +234,9 @@
 	gpointer name;
 	gpointer value;
 
-	if (has_other_values(state->values, attempt->request.values)) {
-		g_queue_push_tail(&attempt->setup, codec->text_reset());
-		g_hash_table_remove_all(state->values);
-		g_hash_table_remove_all(state->prepared);
-	}
+	if (has_other_values(state->values, attempt->request.values))
+		queue_reset(attempt);
+	queue_customer(attempt);
 	if (!attempt->request.values)
 		return;
 	g_hash_table_iter_init(&iter, attempt->request.values);
@@ -258,7 +289,7 @@
 	attempt->context = context;
 	attempt->started_ms = clock_boot_ms();
 	g_queue_init(&attempt->setup);
-	queue_variables(attempt);
+	queue_session(attempt);
 	queue_prepare(attempt);
 	send_all(attempt);
 	return attempt;
--- a/src/relay/relay_forwarding.c
+++ b/src/relay/relay_forwarding.c
@@ -41,6 +41,7 @@
 		*subscriber; /* of a node that follows, or NULL */
 	bool asks_tokens;    /* of a node that asks the quota leader */
 	char *server_id;
+	char *customer;	      /* that the statements are for, or NULL */
 	GHashTable *values;   /* session variables, name -> value */
 	GHashTable *prepared; /* name -> definition */
 	char *begin_id;	      /* id of a BEGIN that was not sent yet, or NULL */
@@ -54,6 +55,7 @@
 	relay_waiter_t waiter;
 	relay_server_t *waiting_at; /* server that has the waiter, or NULL */
 	struct event *timer;	    /* ends the wait for a connection */
+	const char *refusal;	    /* why the statement will be refused */
 	relay_attempt_t *attempt;
 	bool busy;    /* a statement waits or runs */
 	bool closing; /* closed once the output is written */
@@ -98,6 +100,7 @@
 	g_hash_table_destroy(session->values);
 	g_hash_table_destroy(session->prepared);
 	g_free(session->server_id);
+	g_free(session->customer);
 	event_free(session->timer);
 	bufferevent_free(session->bev);
 	g_free(session);
@@ -227,8 +230,9 @@
 	run_on(session, server, link);
 }
 
-static void refuse_later(forwarding_session_t *session)
+static void refuse_later(forwarding_session_t *session, const char *reason)
 {
+	session->refusal = reason;
 	event_active(session->timer, EV_TIMEOUT, 0);
 }
 
@@ -237,7 +241,7 @@
 	forwarding_session_t *session = context;
 
 	session->waiting_at = NULL;
-	refuse_later(session);
+	refuse_later(session, "no connection");
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *context)
@@ -248,7 +252,7 @@
 		relay_server_cancel_wait(session->waiting_at, &session->waiter);
 	session->waiting_at = NULL;
 	if (session->busy && !session->attempt)
-		refuse(session, "no connection");
+		refuse(session, session->refusal);
 }
 
 static void wait_for_link(forwarding_session_t *session)
@@ -262,24 +266,38 @@
 		.entry = {.target_ms = now_ms + CONNECTION_WAIT_MS,
 			  .deadline_ms = now_ms + CONNECTION_WAIT_MS},
 		.values = session->values,
+		.customer = session->customer,
 		.direct = true,
 		.granted = on_granted,
 		.refused = on_refused,
 		.context = session,
 	};
 	if (!server) {
-		refuse_later(session);
+		refuse_later(session, "server unknown");
 		return;
 	}
+	session->refusal = "no connection";
 	event_add(session->timer, &wait);
 	session->waiting_at = server;
 	relay_server_acquire(server, &session->waiter);
 }
 
+/* The node may have a newer configuration, or an older one. */
+static bool is_customer_known(const forwarding_session_t *session)
+{
+	const catalog_t *catalog =
+		relay_services_catalog(session->forwarding->services);
+
+	return !session->customer ||
+	       (catalog && catalog_customer(catalog, session->customer));
+}
+
 static void run(forwarding_session_t *session)
 {
 	session->busy = true;
-	if (session->link && relay_link_is_open(session->link))
+	if (!is_customer_known(session))
+		refuse_later(session, "customer unknown");
+	else if (session->link && relay_link_is_open(session->link))
 		run_on(session, session->server, session->link);
 	else if (session->link) /* a broken connection ends the session */
 		close_soon(session);
@@ -382,9 +400,20 @@
 	case COMMAND_PROVE:
 		send_proof(session);
 		break;
+	case COMMAND_AS:
+		if (session->link) { /* another customer's transaction */
+			close_soon(session);
+			break;
+		}
+		g_free(session->customer);
+		session->customer = g_strdup(command->name);
+		answer_complete(session);
+		break;
 	case COMMAND_RESET:
 		g_hash_table_remove_all(session->values);
 		g_hash_table_remove_all(session->prepared);
+		if (!session->link)
+			g_clear_pointer(&session->customer, g_free);
 		answer_complete(session);
 		break;
 	default:
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -214,6 +214,13 @@
 	return job;
 }
 
+/* The key of a caller may move to another customer during a transaction. */
+static bool serves_customer(const relay_job_t *job)
+{
+	return !g_strcmp0(relay_link_state(job->pin->link)->customer,
+			  job->waiter.customer);
+}
+
 relay_job_t *relay_job_continue(relay_pin_t *pin,
 				const relay_request_t *request,
 				relay_job_done_t done, void *context)
@@ -229,6 +236,9 @@
 	if (!relay_link_is_open(pin->link))
 		job_fail(job, RELAY_ERROR_ABORTED,
 			 "connection lost, rolled back");
+	else if (!serves_customer(job))
+		job_fail(job, RELAY_ERROR_ABORTED,
+			 "customer changed, rolled back");
 	else if (needs_lease && !job_may_acknowledge(job))
 		job_fail(job, RELAY_ERROR_ABORTED,
 			 "the primary may have been replaced, rolled back");
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -32,6 +32,7 @@
 	char *server;		   /* id of the server, for logs */
 	bool open;		   /* the server has accepted the connection */
 	bool forwarded;		   /* forwarded by another node */
+	bool served;		   /* has answered a statement */
 	uint64_t created_ms;	   /* connection requested, on the boot clock */
 	uint64_t opened_ms;	   /* connection accepted, on the boot clock */
 	uint64_t last_received_ms; /* data last received, on the boot clock */
@@ -100,6 +101,7 @@
 
 	link->body = g_byte_array_new();
 	link->failed = false;
+	link->served = true;
 	link->state.in_transaction = message->status != 'I';
 	first->done(first->context, &answer);
 }
@@ -309,6 +311,11 @@
 	return link->pending.length > 0;
 }
 
+bool relay_link_has_served(const relay_link_t *link)
+{
+	return link->served;
+}
+
 uint64_t relay_link_opened_ms(const relay_link_t *link)
 {
 	return link->forwarded ? UINT64_MAX : link->opened_ms;
--- a/src/relay/relay_link.h
+++ b/src/relay/relay_link.h
@@ -94,6 +94,9 @@
 /** @return whether a statement waits for its answer */
 bool relay_link_is_busy(const relay_link_t *link);
 
+/** @return whether the connection has answered a statement */
+bool relay_link_has_served(const relay_link_t *link);
+
 /**
  * @return when the server accepted the connection, on the boot clock;
  *         UINT64_MAX for a forwarded connection, because the server may have
--- a/src/relay/relay_link_pool.c
+++ b/src/relay/relay_link_pool.c
@@ -63,6 +63,7 @@
 		relay_link_t *link = pool->links->pdata[i];
 
 		if (relay_link_is_open(link) &&
+		    !relay_link_state(link)->customer &&
 		    (!oldest ||
 		     relay_link_opened_ms(link) < relay_link_opened_ms(oldest)))
 			oldest = link;
@@ -87,14 +88,34 @@
 	return true;
 }
 
-static guint oldest_idle(const relay_link_pool_t *pool)
+/*
+ * A connection to the server serves the customer in whose name it was opened.
+ * A forwarded one is switched to the customer of the next statement, except
+ * back to control statements, which do not name one.
+ */
+bool relay_link_pool_may_take(const relay_waiter_t *waiter, relay_link_t *link)
 {
-	guint oldest = 0;
+	const char *customer = relay_link_state(link)->customer;
 
-	for (guint i = 1; i < pool->idle->len; i++)
-		if (relay_link_opened_ms(pool->idle->pdata[i]) <
-		    relay_link_opened_ms(pool->idle->pdata[oldest]))
+	if (!relay_link_is_forwarded(link))
+		return !g_strcmp0(customer, waiter->customer);
+	return !waiter->direct && (!waiter->urgent || !customer);
+}
+
+static guint oldest_idle(const relay_link_pool_t *pool,
+			 const relay_waiter_t *waiter)
+{
+	guint oldest = pool->idle->len;
+
+	for (guint i = 0; i < pool->idle->len; i++) {
+		relay_link_t *link = pool->idle->pdata[i];
+
+		if (relay_link_pool_may_take(waiter, link) &&
+		    (oldest == pool->idle->len ||
+		     relay_link_opened_ms(link) <
+			     relay_link_opened_ms(pool->idle->pdata[oldest])))
 			oldest = i;
+	}
 	return oldest;
 }
 
@@ -116,19 +137,15 @@
 			   const relay_waiter_t *waiter)
 {
 	for (guint i = 0; i < pool->links->len; i++) {
-		const relay_link_t *link = pool->links->pdata[i];
+		relay_link_t *link = pool->links->pdata[i];
 
-		if (relay_link_is_open(link) && is_old_enough(waiter, link))
+		if (relay_link_is_open(link) && is_old_enough(waiter, link) &&
+		    relay_link_pool_may_take(waiter, link))
 			return true;
 	}
 	return false;
 }
 
-static bool may_take(const relay_waiter_t *waiter, const relay_link_t *link)
-{
-	return !waiter->direct || !relay_link_is_forwarded(link);
-}
-
 relay_link_t *relay_link_pool_take(relay_link_pool_t *pool,
 				   const relay_waiter_t *waiter)
 {
@@ -137,14 +154,14 @@
 	guint chosen = 0;
 
 	if (waiter->urgent)
-		return grant_idle(pool, oldest_idle(pool));
+		return grant_idle(pool, oldest_idle(pool, waiter));
 
 	for (guint i = 0; i < pool->idle->len; i++) {
 		relay_link_t *link = pool->idle->pdata[i];
 		const bool matches = values_match(
 			waiter->values, relay_link_state(link)->values);
 
-		if (!may_take(waiter, link))
+		if (!relay_link_pool_may_take(waiter, link))
 			continue;
 		if (best && (best_matches != matches ?
 				     best_matches :
@@ -165,15 +182,24 @@
 		waiter->opened_before_ms && has_old_enough(pool, waiter);
 
 	for (guint i = 0; i < pool->idle->len; i++) {
-		const relay_link_t *link = pool->idle->pdata[i];
+		relay_link_t *link = pool->idle->pdata[i];
 
-		if (may_take(waiter, link) &&
+		if (relay_link_pool_may_take(waiter, link) &&
 		    (!needs_old || is_old_enough(waiter, link)))
 			return true;
 	}
 	return false;
 }
 
+uint32_t relay_link_pool_direct_count(const relay_link_pool_t *pool)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < pool->links->len; i++)
+		count += !relay_link_is_forwarded(pool->links->pdata[i]);
+	return count;
+}
+
 bool relay_link_pool_wants_new(const relay_link_pool_t *pool,
 			       const relay_waiter_t *waiter)
 {
--- a/src/relay/relay_link_pool.h
+++ b/src/relay/relay_link_pool.h
@@ -31,7 +31,7 @@
 bool relay_link_pool_is_granted(const relay_link_pool_t *pool,
 				const relay_link_t *link);
 
-/** @return the link that was opened first, or NULL */
+/** @return the link without a customer that was opened first, or NULL */
 relay_link_t *relay_link_pool_oldest_open(const relay_link_pool_t *pool);
 
 /** @return whether an idle link can serve @p waiter */
@@ -46,6 +46,12 @@
 relay_link_t *relay_link_pool_take(relay_link_pool_t *pool,
 				   const relay_waiter_t *waiter);
 
+/** @return whether the link could serve @p waiter when it is idle */
+bool relay_link_pool_may_take(const relay_waiter_t *waiter, relay_link_t *link);
+
+/** @return number of links to the server itself */
+uint32_t relay_link_pool_direct_count(const relay_link_pool_t *pool);
+
 /** @return whether a new link could serve @p waiter */
 bool relay_link_pool_wants_new(const relay_link_pool_t *pool,
 			       const relay_waiter_t *waiter);
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -29,6 +29,14 @@
 	/** @return a node that may forward a connection, or NULL */
 	const endpoint_t *(*forwarding_node)(void *context,
 					     const relay_server_t *server);
+	/**
+	 * A connection was opened, closed for another customer or closed after
+	 * it was idle.
+	 *
+	 * @param event name of the event in metrics
+	 */
+	void (*count_connection)(void *context, const relay_server_t *server,
+				 const char *event);
 	/** Connections of the server were refused, reset or unresponsive. */
 	void (*on_connection_failure)(void *context, relay_server_t *server);
 	void *context;
@@ -62,6 +70,16 @@
 void relay_server_set_limit(relay_server_t *server, uint32_t share,
 			    uint32_t burst_limit);
 
+/**
+ * Sets the limits where each connection to the server serves one customer.
+ *
+ * @param control   connections that are kept for control statements
+ * @param room      connections to the server itself, including @p control
+ * @param forwarded connections over other nodes
+ */
+void relay_server_set_customer_limit(relay_server_t *server, uint32_t control,
+				     uint32_t room, uint32_t forwarded);
+
 /**
  * Queues @p waiter for a connection. Its callback may be called before this
  * function returns.
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "coordination/connection_share.h"
+#include "coordination/owner.h"
 
 /* Number of provers: one per NODES_PER_PROVER nodes, within bounds. */
 #define NODES_PER_PROVER 16
@@ -18,6 +19,10 @@
 /* Connections to a server before the catalog and the nodes are known. */
 #define CONNECTIONS_DEFAULT 2
 
+/* Connections of a node to a server over other nodes, where it has customers.
+ */
+#define FORWARDED_MAX 16
+
 struct relay_service {
 	relay_services_t *services;
 	char *name;
@@ -86,6 +91,20 @@
 static const endpoint_t *pick_endpoint(void *context,
 				       const relay_server_t *server);
 
+static void count_connection(void *context, const relay_server_t *server,
+			     const char *event)
+{
+	const relay_services_t *services = context;
+	g_autofree char *labels = metrics_labels(
+		"server", relay_server_entry(server)->id, "event", event, NULL);
+
+	if (services->settings.metrics)
+		metric_add(metrics_counter(services->settings.metrics,
+					   "toucanhook_connections_total",
+					   labels),
+			   1);
+}
+
 static const endpoint_t *pick_hub(void *context, const relay_server_t *server,
 				  uint32_t failures)
 {
@@ -107,6 +126,7 @@
 		.opened = on_opened,
 		.hub = pick_hub,
 		.forwarding_node = pick_endpoint,
+		.count_connection = count_connection,
 		.on_connection_failure = report_connection_failure,
 		.context = services,
 	};
@@ -212,6 +232,90 @@
 	return is_prover(services, services->settings.node);
 }
 
+/* @return whether a hub of a domain is first in the list of its domain */
+static bool is_first_of_domain(const relay_services_t *services, guint index)
+{
+	const relay_peer_t *peer = services->nodes->pdata[index];
+
+	for (guint i = 0; i < index; i++) {
+		const relay_peer_t *other = services->nodes->pdata[i];
+
+		if (!strcmp(peer->failure_domain, other->failure_domain))
+			return false;
+	}
+	return true;
+}
+
+/* @return order of a domain by its distance from a server, lowest first */
+static uint32_t distance(const relay_services_t *services, const char *domain,
+			 const char *server_domain)
+{
+	GHashTable *regions = services->settings.regions;
+
+	if (!strcmp(domain, server_domain))
+		return 0;
+	return regions && !g_strcmp0(
+				  g_hash_table_lookup(regions, domain),
+				  g_hash_table_lookup(regions, server_domain)) ?
+		       1 :
+		       2;
+}
+
+/* @return whether domain a comes before domain b; all nodes agree */
+static bool domain_precedes(const relay_services_t *services, const char *a,
+			    const char *b, const char *server_domain)
+{
+	const uint32_t a_distance = distance(services, a, server_domain);
+	const uint32_t b_distance = distance(services, b, server_domain);
+
+	return a_distance != b_distance ? a_distance < b_distance :
+					  strcmp(a, b) < 0;
+}
+
+/* @return this node's connections to a server, without control statements */
+static uint32_t customer_room(const relay_services_t *services,
+			      const char *server_domain, uint32_t limit)
+{
+	const char *own = services->settings.failure_domain;
+	connection_share_domain_t input = {
+		.limit = limit,
+		.provers = MIN(provers_wanted(services), nodes_all(services)),
+	};
+
+	for (guint i = 0; i < nodes_all(services); i++) {
+		const relay_peer_t *peer = services->nodes->pdata[i];
+
+		if (!is_first_of_domain(services, i))
+			continue;
+		input.domains++;
+		input.rank += domain_precedes(services, peer->failure_domain,
+					      own, server_domain);
+	}
+	return connection_share_domain(&input);
+}
+
+/* Each connection to a server serves one customer. */
+static void apply_customer_limits(relay_service_t *service,
+				  const catalog_service_t *limits)
+{
+	const relay_services_t *services = service->services;
+	const bool is_known = limits && services->nodes;
+	const uint32_t control =
+		services->is_hub && relay_services_is_prover(services);
+
+	for (guint i = 0; i < service->servers->len; i++) {
+		relay_server_t *server = service->servers->pdata[i];
+		const char *domain = relay_server_entry(server)->failure_domain;
+		uint32_t room = is_known ? 0 : CONNECTIONS_DEFAULT;
+
+		if (is_known && services->is_hub)
+			room = customer_room(services, domain,
+					     limits->connections_max);
+		relay_server_set_customer_limit(server, control, control + room,
+						FORWARDED_MAX);
+	}
+}
+
 static void apply_limits(relay_service_t *service)
 {
 	relay_services_t *services = service->services;
@@ -221,6 +325,11 @@
 			catalog_service(services->catalog, service->name) :
 			NULL;
 
+	if (limits && services->nodes &&
+	    services->catalog->identifies_callers) {
+		apply_customer_limits(service, limits);
+		return;
+	}
 	for (guint i = 0; i < service->servers->len; i++) {
 		relay_server_t *server = service->servers->pdata[i];
 		const char *domain = relay_server_entry(server)->failure_domain;
@@ -254,6 +363,11 @@
 		apply_limits(service);
 }
 
+const catalog_t *relay_services_catalog(const relay_services_t *services)
+{
+	return services->catalog;
+}
+
 void relay_services_configure(relay_services_t *services,
 			      const catalog_t *catalog)
 {
@@ -341,6 +455,42 @@
 	return next_endpoint(services, NULL);
 }
 
+/* @return whether no hub of its domain ranks before the hub for a server */
+static bool ranks_first(const relay_services_t *services,
+			const relay_peer_t *peer, uint64_t server_key)
+{
+	const uint64_t weight = owner_weight(owner_key(peer->name), server_key);
+
+	for (guint i = 0; i < nodes_all(services); i++) {
+		const relay_peer_t *other = services->nodes->pdata[i];
+
+		if (!strcmp(other->failure_domain, peer->failure_domain) &&
+		    owner_weight(owner_key(other->name), server_key) > weight)
+			return false;
+	}
+	return true;
+}
+
+/* Only the hub that ranks first in its domain has connections to a server. */
+static const endpoint_t *next_first_hub(relay_services_t *services,
+					const char *server)
+{
+	const uint64_t server_key = owner_key(server);
+
+	for (guint i = 0; i < nodes_all(services); i++) {
+		const relay_peer_t *peer =
+			services->nodes->pdata[services->next_node++ %
+					       services->nodes->len];
+
+		if (can_forward(services, peer, NULL) &&
+		    strcmp(peer->failure_domain,
+			   services->settings.failure_domain) &&
+		    ranks_first(services, peer, server_key))
+			return &peer->forwarding;
+	}
+	return NULL;
+}
+
 /* Prefers nodes in the server's failure domain every other time. */
 static const endpoint_t *pick_endpoint(void *context,
 				       const relay_server_t *server)
@@ -348,6 +498,8 @@
 	relay_services_t *services = context;
 	const endpoint_t *endpoint = NULL;
 
+	if (services->catalog && services->catalog->identifies_callers)
+		return next_first_hub(services, relay_server_entry(server)->id);
 	if (services->next_node % 2)
 		endpoint = next_endpoint(
 			services, relay_server_entry(server)->failure_domain);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -27,8 +27,8 @@
 	const char *failure_domain;
 	GHashTable *regions; /**< failure domain -> region */
 	/**
-	 * @return where to reach a server over a hub; NULL if this node is a
-	 *         hub itself or no hub answers
+	 * @return where to reach a server over a hub; NULL if this node is to
+	 *         connect itself or no hub answers
 	 */
 	const endpoint_t *(*hub)(void *context, const char *server,
 				 uint32_t failures);
@@ -62,6 +62,9 @@
 void relay_services_configure(relay_services_t *services,
 			      const catalog_t *catalog);
 
+/** @return the catalog, or NULL before the first was applied */
+const catalog_t *relay_services_catalog(const relay_services_t *services);
+
 /** A hub; other nodes may forward statements over its connections. */
 typedef struct {
 	char *name;
--- a/src/relay/relay_subscription.c
+++ b/src/relay/relay_subscription.c
@@ -536,7 +536,7 @@
 
 const endpoint_t *
 relay_subscription_route(const relay_subscription_t *subscription,
-			 const char *server, uint32_t failures)
+			 const char *server, uint32_t failures, const char *own)
 {
 	const uint64_t server_key = owner_key(server);
 	const uint64_t now_ms = clock_boot_ms();
@@ -551,6 +551,9 @@
 				&ranking, hub->name,
 				owner_weight(owner_key(hub->name), server_key));
 	}
+	if (own)
+		owner_ranking_add(&ranking, own,
+				  owner_weight(owner_key(own), server_key));
 	if (failures >= ranking.count)
 		return NULL;
 	chosen = ranking.nodes[failures];
--- a/src/relay/relay_subscription.h
+++ b/src/relay/relay_subscription.h
@@ -51,11 +51,13 @@
 /**
  * @param failures connections over hubs that failed lately; each chooses the
  *        next hub
+ * @param own name of this node if it is a hub and ranks itself too, or NULL
  * @return where to reach a server over a hub of this domain that answers, or
  *         NULL to connect directly
  */
 const endpoint_t *
 relay_subscription_route(const relay_subscription_t *subscription,
-			 const char *server, uint32_t failures);
+			 const char *server, uint32_t failures,
+			 const char *own);
 
 #endif
--- a/tests/unit/test_relay_subscription.c
+++ b/tests/unit/test_relay_subscription.c
@@ -224,9 +224,10 @@
 	fixture->near.item = "I 0 9 p eA== op/config";
 	wait_for_change(fixture, "op/config");
 	assert_true(relay_subscription_answered_ms(fixture->subscription));
-	assert_non_null(
-		relay_subscription_route(fixture->subscription, "i-1", 0));
-	assert_null(relay_subscription_route(fixture->subscription, "i-1", 1));
+	assert_non_null(relay_subscription_route(fixture->subscription, "i-1",
+						 0, NULL));
+	assert_null(relay_subscription_route(fixture->subscription, "i-1", 1,
+					     NULL));
 	assert_int_equal(fixture->changes, 1);
 }
 
@@ -269,7 +270,8 @@
 
 	set_far(fixture, 0, FAR_HUBS);
 	wait_for_change(fixture, "new");
-	assert_null(relay_subscription_route(fixture->subscription, "i-1", 0));
+	assert_null(relay_subscription_route(fixture->subscription, "i-1", 0,
+					     NULL));
 	assert_true(fixture->near.connections >= 1);
 }
 
