Close the connection of the customer that is served least often

Plain LRU opened a connection for 23 % of the statements in a model of 85 customers (Zipf 1.2) on 10 connections; choosing by decayed use 22 %, and with a further connection only where two statements wait for each 20 %. Protecting idle connections for 150 ms was ruled out: mean wait 1,475 ms instead of 92 ms near saturation.

--- a/src/coordination/customer_pool.c
+++ b/src/coordination/customer_pool.c
@@ -1,16 +1,102 @@
 #include "coordination/customer_pool.h"
 
-#include <string.h>
+#include <math.h>
+
+/* Time in which the weight of a use falls to 1/e. */
+#define USES_DECAY_MS 20000.0
+
+/*
+ * A customer that has connections gets a further one at the expense of others
+ * if this many statements wait for each of them, or one waits for longer than
+ * a single statement usually holds a connection. Without this rule, 22 %
+ * instead of 20 % of the statements opened a connection in the model of
+ * test_customer_pool.c with 85 customers and 10 connections.
+ */
+#define EXTRA_WAITING 2
+#define EXTRA_AFTER_MS 250
+
+/* Interval of removing the records of customers that are no longer active. */
+#define SWEEP_MS 10000
+
+/* Decayed uses below which a record is removed. */
+#define USES_MIN 0.05
+
+/* Uses of one customer. */
+typedef struct {
+	double count; /* decayed, at updated_ms */
+	uint64_t updated_ms;
+} use_record_t;
+
+void customer_uses_init(customer_uses_t *uses)
+{
+	*uses = (customer_uses_t){
+		.uses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      g_free)};
+}
+
+void customer_uses_clear(customer_uses_t *uses)
+{
+	g_clear_pointer(&uses->uses, g_hash_table_destroy);
+}
+
+static double decayed(const use_record_t *record, uint64_t now_ms)
+{
+	const double age_ms = (double)(now_ms - record->updated_ms);
+
+	return record->count * exp(-age_ms / USES_DECAY_MS);
+}
+
+/* Keeps the number of records bounded by the customers that are active. */
+static void sweep(customer_uses_t *uses, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer record;
+
+	if (now_ms < uses->swept_ms + SWEEP_MS)
+		return;
+	uses->swept_ms = now_ms;
+	g_hash_table_iter_init(&iter, uses->uses);
+	while (g_hash_table_iter_next(&iter, NULL, &record))
+		if (decayed(record, now_ms) < USES_MIN)
+			g_hash_table_iter_remove(&iter);
+}
+
+void customer_uses_record(customer_uses_t *uses, const char *customer,
+			  uint64_t now_ms)
+{
+	const char *key = customer ? customer : "";
+	use_record_t *record = g_hash_table_lookup(uses->uses, key);
+
+	if (!record) {
+		sweep(uses, now_ms);
+		record = g_new0(use_record_t, 1);
+		record->updated_ms = now_ms;
+		g_hash_table_insert(uses->uses, g_strdup(key), record);
+	}
+	record->count = decayed(record, now_ms) + 1;
+	record->updated_ms = now_ms;
+}
+
+double customer_uses_of(const customer_uses_t *uses, const char *customer,
+			uint64_t now_ms)
+{
+	const use_record_t *record =
+		g_hash_table_lookup(uses->uses, customer ? customer : "");
+
+	return record ? decayed(record, now_ms) : 0;
+}
 
 /* What one customer holds and wants. */
 typedef struct {
 	const char *customer;
-	uint32_t held;	  /* connections in all states */
-	uint32_t idle;	  /* of these, idle */
-	uint32_t opening; /* of these, being opened */
-	uint32_t waiting; /* statements */
-	uint64_t due_ms;  /* of the statement that is due first */
-	bool urgent;	  /* one of the statements is urgent */
+	uint32_t held;	    /* connections in all states */
+	uint32_t idle;	    /* of these, idle */
+	uint32_t opening;   /* of these, being opened */
+	uint32_t waiting;   /* statements */
+	double uses;	    /* recent uses of each of its connections */
+	uint64_t due_ms;    /* of the statement that is due first */
+	uint64_t queued_ms; /* when the first of them began to wait */
+	bool urgent;	    /* one of the statements is urgent */
 } demand_t;
 
 typedef struct {
@@ -32,6 +118,7 @@
 	demand = g_new0(demand_t, 1);
 	demand->customer = customer;
 	demand->due_ms = UINT64_MAX;
+	demand->queued_ms = UINT64_MAX;
 	g_hash_table_insert(demands->index, (gpointer)key, demand);
 	g_ptr_array_add(demands->list, demand);
 	return demand;
@@ -62,6 +149,7 @@
 
 		demand->waiting++;
 		demand->due_ms = MIN(demand->due_ms, waiter->due_ms);
+		demand->queued_ms = MIN(demand->queued_ms, waiter->queued_ms);
 		demand->urgent |= waiter->urgent;
 	}
 }
@@ -75,10 +163,13 @@
 	count_connections(demands);
 	count_waiters(demands);
 	for (guint i = 0; i < demands->list->len; i++) {
-		const demand_t *demand = demands->list->pdata[i];
+		demand_t *demand = demands->list->pdata[i];
 
 		demands->active +=
 			demand->waiting || demand->held > demand->idle;
+		demand->uses = customer_uses_of(input->uses, demand->customer,
+						input->now_ms) /
+			       MAX(demand->held, 1);
 	}
 	demands->guaranteed = MAX(input->room / MAX(demands->active, 1), 1);
 }
@@ -149,6 +240,7 @@
 {
 	const demand_t *owner = demand_get(demands, connection->customer);
 	const bool above = owner->held > demands->guaranteed;
+	uint64_t at_ms = 0;
 
 	if (owner == demand ||
 	    (!owner->customer && owner->held <= demands->input->reserved))
@@ -157,23 +249,33 @@
 		return 0;
 	if (owner->waiting && (!above || demand->held >= demands->guaranteed))
 		return UINT64_MAX;
-	if (above && connection->served)
-		return 0;
-	return connection->used_ms + CUSTOMER_POOL_PROTECTED_MS;
+	if (!connection->served)
+		at_ms = connection->used_ms + CUSTOMER_POOL_UNSERVED_MS;
+	else if (!above)
+		at_ms = connection->used_ms + CUSTOMER_POOL_PROTECTED_MS;
+	if (demand->held && demand->waiting < EXTRA_WAITING * demand->held)
+		at_ms = MAX(at_ms, demand->queued_ms + EXTRA_AFTER_MS);
+	return at_ms;
 }
 
-/* Chooses the least recently used connection that may be closed. */
+/*
+ * Chooses the connection whose customer is served least often; of several, the
+ * least recently used one. With the least recently used one alone, 23 %
+ * instead of 20 % of the statements opened a connection in the same model.
+ */
 static customer_pool_decision_t choose_victim(demands_t *demands,
 					      const demand_t *demand)
 {
 	const customer_pool_input_t *input = demands->input;
 	customer_pool_decision_t decision = {.customer = demand->customer};
-	uint64_t used_ms = UINT64_MAX;
+	const customer_pool_connection_t *best = NULL;
+	double best_uses = 0;
 
 	for (uint32_t i = 0; i < input->connections_count; i++) {
 		const customer_pool_connection_t *connection =
 			&input->connections[i];
 		uint64_t at_ms;
+		double uses;
 
 		if (connection->state != CUSTOMER_POOL_IDLE)
 			continue;
@@ -185,9 +287,13 @@
 				decision.retry_at_ms = at_ms;
 			continue;
 		}
-		if (connection->used_ms >= used_ms)
+		uses = demand_get(demands, connection->customer)->uses;
+		if (best &&
+		    (uses != best_uses ? uses > best_uses :
+					 connection->used_ms >= best->used_ms))
 			continue;
-		used_ms = connection->used_ms;
+		best = connection;
+		best_uses = uses;
 		decision.action = CUSTOMER_POOL_CLOSE;
 		decision.connection = i;
 	}
--- a/src/coordination/customer_pool.h
+++ b/src/coordination/customer_pool.h
@@ -18,11 +18,37 @@
  * serve several statements before it is closed.
  */
 
+/** How often each customer was served lately. */
+typedef struct {
+	GHashTable *uses; /**< customer -> private record */
+	uint64_t swept_ms;
+} customer_uses_t;
+
+void customer_uses_init(customer_uses_t *uses);
+void customer_uses_clear(customer_uses_t *uses);
+
+/** Records that a connection was granted to a statement of @p customer. */
+void customer_uses_record(customer_uses_t *uses, const char *customer,
+			  uint64_t now_ms);
+
+/** @return recent uses, of which older ones count less */
+double customer_uses_of(const customer_uses_t *uses, const char *customer,
+			uint64_t now_ms);
+
 /**
  * Time for which an idle connection is protected after its last use, unless
- * its customer holds more than its guaranteed share.
+ * its customer holds more than its guaranteed share. With 150 ms, connections
+ * that nobody used were a bottleneck: in test_customer_pool.c with 5
+ * connections and 30 operations per second the mean wait was 1,475 ms instead
+ * of 92 ms, and with 10 connections no fewer were opened.
+ */
+#define CUSTOMER_POOL_PROTECTED_MS 20
+
+/**
+ * The same for a connection that has not served yet: the statement that it was
+ * opened for got another one, and the next one of the customer may use it.
  */
-#define CUSTOMER_POOL_PROTECTED_MS 150
+#define CUSTOMER_POOL_UNSERVED_MS 500
 
 typedef enum {
 	CUSTOMER_POOL_OPENING,
@@ -42,6 +68,7 @@
 typedef struct {
 	const char *customer; /**< NULL for none, and for control statements */
 	uint64_t due_ms;      /**< the earliest is served first */
+	uint64_t queued_ms;   /**< when it began to wait */
 	bool urgent;	      /**< may exceed the room by one connection */
 } customer_pool_waiter_t;
 
@@ -50,6 +77,7 @@
 	uint32_t connections_count;
 	const customer_pool_waiter_t *waiters;
 	uint32_t waiters_count;
+	const customer_uses_t *uses;
 	uint32_t room;	   /**< connections that this node may have */
 	uint32_t reserved; /**< part of the room for control statements */
 	uint64_t now_ms;
--- a/src/relay/relay_customer_links.c
+++ b/src/relay/relay_customer_links.c
@@ -51,6 +51,7 @@
 		const customer_pool_waiter_t item = {
 			.customer = waiter->customer,
 			.due_ms = entry->target_ms,
+			.queued_ms = waiter->queued_ms,
 			.urgent = waiter->urgent,
 		};
 
@@ -80,6 +81,7 @@
 		.connections_count = connections->len,
 		.waiters = (customer_pool_waiter_t *)waiters->data,
 		.waiters_count = waiters->len,
+		.uses = links->uses,
 		.room = links->room,
 		.reserved = links->reserved,
 		.now_ms = links->now_ms,
--- a/src/relay/relay_customer_links.h
+++ b/src/relay/relay_customer_links.h
@@ -11,6 +11,7 @@
 typedef struct {
 	relay_link_pool_t *pool;
 	const wait_queue_t *queue;
+	const customer_uses_t *uses;
 	uint32_t room;	   /**< connections that this node may have */
 	uint32_t reserved; /**< part of the room for control statements */
 	bool forwards;	   /**< statements of customers use forwarded links */
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -33,6 +33,7 @@
 	event_free(server->serve_event);
 	event_free(server->close_idle_event);
 	wait_queue_clear(&server->queue);
+	customer_uses_clear(&server->uses);
 	backend_entry_delete(server->entry);
 	g_free(server);
 }
@@ -63,6 +64,7 @@
 	server->run_ms = RUN_MS_DEFAULT;
 	server->serve_event = evtimer_new(host->base, on_serve_event, server);
 	wait_queue_init(&server->queue);
+	customer_uses_init(&server->uses);
 	return server;
 }
 
@@ -123,6 +125,7 @@
 		return;
 	}
 	waiter->waiting = true;
+	waiter->queued_ms = clock_boot_ms();
 	wait_queue_add(&server->queue, &waiter->entry);
 	relay_server_serve(server);
 }
--- a/src/relay/relay_server_customers.c
+++ b/src/relay/relay_server_customers.c
@@ -45,6 +45,7 @@
 	return (relay_customer_links_t){
 		.pool = &server->pool,
 		.queue = &server->queue,
+		.uses = &server->uses,
 		/* Without any hub the node must reach the server itself. */
 		.room = via ? room : MAX(room, 1),
 		.reserved = server->share,
--- a/src/relay/relay_server_links.c
+++ b/src/relay/relay_server_links.c
@@ -240,6 +240,9 @@
 			continue;
 		}
 		waiter->waiting = false;
+		if (server->by_customer)
+			customer_uses_record(&server->uses, waiter->customer,
+					     clock_boot_ms());
 		waiter->granted(waiter->context, server,
 				relay_link_pool_take(&server->pool, waiter));
 	}
--- a/src/relay/relay_server_private.h
+++ b/src/relay/relay_server_private.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_RELAY_SERVER_PRIVATE_H
 #define RELAY_RELAY_SERVER_PRIVATE_H
 
+#include "coordination/customer_pool.h"
 #include "relay/relay_link_pool.h"
 #include "relay/relay_path.h"
 #include "relay/relay_server.h"
@@ -18,6 +19,7 @@
 	bool by_customer;     /* each connection serves one customer */
 	uint32_t room; /* by customer: connections to the server itself */
 	struct event *close_idle_event; /* closes idle links above the share */
+	customer_uses_t uses; /* by customer: grants of each customer */
 	wait_queue_t queue;
 	struct event *serve_event; /* serves the queue, or frees the server */
 	uint32_t unanswered;	 /* consecutive statements without an answer */
--- a/src/relay/relay_waiter.h
+++ b/src/relay/relay_waiter.h
@@ -28,7 +28,8 @@
 	/** The server can provide no connection now. */
 	void (*refused)(void *context, relay_server_t *server);
 	void *context;
-	bool waiting; /**< private: the entry is in the queue */
+	uint64_t queued_ms; /**< private: when it was queued, boot clock */
+	bool waiting;	    /**< private: the entry is in the queue */
 } relay_waiter_t;
 
 #endif
