--- a/src/relay/relay_server_customers.c
+++ b/src/relay/relay_server_customers.c
@@ -37,6 +37,16 @@
 	return server->host->forwarding_node(server->host->context, server);
 }
 
+/* Other nodes may reach a server to which this one could not connect. */
+static const endpoint_t *control_endpoint(const relay_server_t *server,
+					  uint64_t now_ms)
+{
+	if (now_ms >= server->path.forwarding_until_ms ||
+	    !relay_server_has_urgent_waiter(server))
+		return NULL;
+	return server->host->forwarding_node(server->host->context, server);
+}
+
 static relay_customer_links_t
 customer_links(relay_server_t *server, const endpoint_t *via, uint64_t now_ms)
 {
@@ -50,7 +60,6 @@
 		.room = via ? room : MAX(room, 1),
 		.reserved = server->share,
 		.forwards = via,
-		.control_forwards = now_ms < server->path.forwarding_until_ms,
 		.now_ms = now_ms,
 	};
 }
@@ -98,9 +107,6 @@
 			   const relay_customer_links_t *links,
 			   const endpoint_t *via)
 {
-	if (links->control_forwards && relay_server_has_urgent_waiter(server))
-		via = server->host->forwarding_node(server->host->context,
-						    server);
 	while (via && server->pool.opening < RELAY_SERVER_OPENING_MAX &&
 	       relay_customer_links_forwarded_wanted(links) &&
 	       server->pool.links->len -
@@ -130,13 +136,14 @@
 {
 	const uint64_t now_ms = clock_boot_ms();
 	const endpoint_t *via = customer_endpoint(server, now_ms);
-	const relay_customer_links_t links =
-		customer_links(server, via, now_ms);
+	const endpoint_t *control_via = control_endpoint(server, now_ms);
+	relay_customer_links_t links = customer_links(server, via, now_ms);
 	const bool may_connect = now_ms >= server->path.reconnect_at_ms;
 	g_autoptr(GPtrArray) skipped = NULL;
 
 	if (!server->queue.entries->len)
 		return;
+	links.control_forwards = control_via;
 	if (!may_connect)
 		relay_server_serve_after(server,
 					 server->path.reconnect_at_ms - now_ms);
@@ -145,7 +152,7 @@
 	skipped = set_aside(server);
 	relay_server_grant_idle(server, skipped);
 	if (may_connect)
-		open_forwarded(server, &links, via);
+		open_forwarded(server, &links, control_via ? control_via : via);
 }
 
 void relay_server_close_idle_customers(relay_server_t *server)
