--- a/tests/e2e/test_platform_customers.c
+++ b/tests/e2e/test_platform_customers.c
@@ -6,6 +6,7 @@
 #include <cmocka.h>
 
 #include "base/clock.h"
+#include "world/http_request.h"
 #include "world/line_client.h"
 #include "world/site_world.h"
 
@@ -145,6 +146,41 @@
 	line_client_close(client);
 }
 
+/*
+ * A server must run a statement only on a connection that was opened in the
+ * name of the customer, whichever node and hub it came through.
+ */
+static void test_statements_run_in_the_name_of_the_customer(void **state)
+{
+	static const char *const names[] = {"acme", "bell"};
+	static const char *const keys[] = {OTHER_KEY, KEY};
+	json_t *report;
+	json_t *users;
+
+	site_world_inject_fault(*state, "config?customer=bell&key=" KEY);
+	for (uint32_t i = 0; i < 4 * NODES; i++) {
+		line_client_t *client =
+			open_when_known(*state, i / 2 % NODES, keys[i % 2]);
+		g_autofree char *text =
+			g_strdup_printf("WRITE of-%s d%u", names[i % 2], i);
+		g_autofree char *read =
+			g_strdup_printf("READ of-%s", names[i % 2]);
+
+		g_free(run_until_done(client, text));
+		g_free(run_until_done(client, read));
+		line_client_close(client);
+	}
+	report = http_get_json(site_world_port(*state), "/report");
+	users = json_object_get(report, "users");
+	assert_non_null(json_object_get(users, "of-acme acme"));
+	assert_non_null(json_object_get(users, "of-bell bell"));
+	assert_null(json_object_get(users, "of-acme bell"));
+	assert_null(json_object_get(users, "of-bell acme"));
+	assert_null(json_object_get(users, "of-acme toucanhook"));
+	assert_null(json_object_get(users, "of-bell toucanhook"));
+	json_decref(report);
+}
+
 static void test_logs_contain_no_key(void **state)
 {
 	assert_true(site_world_logs_contain(*state, "caller_unauthorized"));
@@ -156,6 +192,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unknown_keys_are_rejected),
 		cmocka_unit_test(test_withdrawn_key_ends_an_open_transaction),
+		cmocka_unit_test(
+			test_statements_run_in_the_name_of_the_customer),
 		cmocka_unit_test(test_logs_contain_no_key),
 	};
 
--- a/tests/standin/site/database.c
+++ b/tests/standin/site/database.c
@@ -210,6 +210,8 @@
 	group->base = base;
 	group->name = g_strdup(name);
 	group->commits = g_ptr_array_new();
+	group->users =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	group->rolled_back =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	group->work_ms = 4;
--- a/tests/standin/site/database.h
+++ b/tests/standin/site/database.h
@@ -50,6 +50,7 @@
 	db_server_t servers[GROUP_SERVERS_COUNT];
 	GPtrArray *commits;	 /**< of commit_t, all commits ever made */
 	GHashTable *rolled_back; /**< set of the data of rolled-back commits */
+	GHashTable *users;	 /**< set of "ITEM USER" of statements run */
 	uint64_t last_serial;
 	uint32_t work_ms; /**< time to execute a command */
 	uint32_t lag_ms;  /**< not used */
--- a/tests/standin/site/database_session.c
+++ b/tests/standin/site/database_session.c
@@ -17,6 +17,7 @@
 	struct bufferevent *bev;
 	struct event *work_timer; /**< end of the current command's execution */
 	bool started;		  /**< the first message was handled */
+	char *user;		  /**< of the connection */
 	bool in_transaction;	  /**< a transaction is open */
 	bool read_only;		  /**< the open transaction is read-only */
 	bool failed;		  /**< the open transaction has failed */
@@ -55,6 +56,7 @@
 	g_hash_table_destroy(session->values);
 	g_hash_table_destroy(session->prepared);
 	g_ptr_array_unref(session->writes);
+	g_free(session->user);
 	g_free(session);
 }
 
@@ -269,6 +271,11 @@
 	const struct timeval delay =
 		clock_timeval(session->server->group->work_ms);
 
+	if (session->command.kind == COMMAND_READ ||
+	    session->command.kind == COMMAND_WRITE)
+		g_hash_table_add(session->server->group->users,
+				 g_strdup_printf("%s %s", session->command.name,
+						 session->user));
 	event_add(session->work_timer, &delay);
 }
 
@@ -320,6 +327,7 @@
 	db_server_t *server = session->server;
 
 	session->started = true;
+	session->user = g_steal_pointer(&session->message.user);
 	if (g_strcmp0(session->message.text, server->group->name) ||
 	    g_strcmp0(session->message.id, server->id))
 		line_codec.put_error(output_of(session),
--- a/tests/standin/site/main.c
+++ b/tests/standin/site/main.c
@@ -265,13 +265,14 @@
 
 /*
  * Reports the data in the primaries' logs, the data rolled back, the number of
- * promotions, and two counts that must stay 0: writes applied twice and fencing
- * tokens that decreased.
+ * promotions, the users of each item, and two counts that must stay 0: writes
+ * applied twice and fencing tokens that decreased.
  */
 static void on_report(struct evhttp_request *request, site_t *site)
 {
 	json_t *kept = json_object();
 	json_t *lost = json_object();
+	json_t *users = json_object();
 	uint64_t repeated_writes = 0;
 	uint64_t promotions = 0;
 
@@ -294,10 +295,13 @@
 		g_hash_table_iter_init(&iter, group->rolled_back);
 		while (g_hash_table_iter_next(&iter, &data, NULL))
 			json_object_set_new(lost, data, json_true());
+		g_hash_table_iter_init(&iter, group->users);
+		while (g_hash_table_iter_next(&iter, &data, NULL))
+			json_object_set_new(users, data, json_true());
 	}
 	http_reply_json(request,
-			json_pack("{s:o,s:o,s:I,s:I,s:I}", "kept", kept,
-				  "rolled_back", lost, "twice",
+			json_pack("{s:o,s:o,s:o,s:I,s:I,s:I}", "kept", kept,
+				  "users", users, "rolled_back", lost, "twice",
 				  (json_int_t)repeated_writes, "promotions",
 				  (json_int_t)promotions, "token_steps_back",
 				  (json_int_t)site->token_decreases));
