--- a/tests/e2e/test_platform_customers.c
+++ b/tests/e2e/test_platform_customers.c
@@ -15,7 +15,7 @@
 #define SERVE_TIMEOUT_MS 30000
 #define RETRY_MS 50
 
-#define NODES 3
+#define NODES 6
 #define KEY "caller-secret-1"
 #define OTHER_KEY "caller-secret-2"
 #define UNKNOWN_KEY "caller-secret-9"
