Close idle connections above a node's room; let AS repeat in a transaction

A hub that no longer ranks first for a server kept its connections for 10 s while the hub that ranks first opened its own. A RESET in a transaction makes the node send AS again, which must not close the session when the customer is the same. Only connections to the server itself count as opened.

--- a/src/relay/relay_customer_links.c
+++ b/src/relay/relay_customer_links.c
@@ -110,21 +110,30 @@
 	return control_count(links) > 0;
 }
 
+/* @return whether the link is one of those kept for control statements */
+static bool is_reserved(const relay_customer_links_t *links, relay_link_t *link)
+{
+	return !relay_link_is_forwarded(link) &&
+	       !relay_link_state(link)->customer &&
+	       control_count(links) <= links->reserved;
+}
+
 relay_link_t *relay_customer_links_expired(const relay_customer_links_t *links)
 {
 	const GPtrArray *idle = links->pool->idle;
-	const bool keep_control = control_count(links) <= links->reserved;
+	const bool above =
+		relay_link_pool_direct_count(links->pool) > links->room;
 
 	for (guint i = 0; i < idle->len; i++) {
 		relay_link_t *link = idle->pdata[i];
-		const bool control = !relay_link_is_forwarded(link) &&
-				     !relay_link_state(link)->customer;
+		const uint64_t unused_ms =
+			links->now_ms - relay_link_last_received_ms(link);
 
-		if (links->now_ms <
-			    relay_link_last_received_ms(link) + IDLE_MS ||
-		    (control && keep_control))
+		if (is_reserved(links, link))
 			continue;
-		return link;
+		if (unused_ms >= IDLE_MS ||
+		    (above && !relay_link_is_forwarded(link)))
+			return link;
 	}
 	return NULL;
 }
--- a/src/relay/relay_customer_links.h
+++ b/src/relay/relay_customer_links.h
@@ -30,7 +30,10 @@
 relay_customer_links_decide(const relay_customer_links_t *links,
 			    relay_link_t **closing);
 
-/** @return an idle link that was not used for long, or NULL */
+/**
+ * @return an idle link that was not used for long, or one above the room, or
+ *         NULL
+ */
 relay_link_t *relay_customer_links_expired(const relay_customer_links_t *links);
 
 /** @return whether there is a link for control statements, or one is opened */
--- a/src/relay/relay_forwarding.c
+++ b/src/relay/relay_forwarding.c
@@ -401,7 +401,9 @@
 		send_proof(session);
 		break;
 	case COMMAND_AS:
-		if (session->link) { /* another customer's transaction */
+		if (session->link &&
+		    g_strcmp0(session->customer, command->name)) {
+			/* The transaction is another customer's. */
 			close_soon(session);
 			break;
 		}
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -108,6 +108,7 @@
 	server->burst_limit = forwarded;
 	server->room = room;
 	server->by_customer = true;
+	relay_server_close_idle_after(server, 0);
 	relay_server_serve_after(server, 0);
 }
 
--- a/src/relay/relay_server_customers.c
+++ b/src/relay/relay_server_customers.c
@@ -157,8 +157,9 @@
 
 void relay_server_close_idle_customers(relay_server_t *server)
 {
-	const relay_customer_links_t links =
-		customer_links(server, NULL, clock_boot_ms());
+	const uint64_t now_ms = clock_boot_ms();
+	const relay_customer_links_t links = customer_links(
+		server, customer_endpoint(server, now_ms), now_ms);
 	relay_link_t *link;
 
 	while ((link = relay_customer_links_expired(&links))) {
--- a/src/relay/relay_server_links.c
+++ b/src/relay/relay_server_links.c
@@ -94,7 +94,8 @@
 	relay_path_opened(&server->path, relay_link_is_forwarded(link));
 	relay_server_record_received(server, link, clock_boot_ms());
 	relay_link_pool_put_idle(&server->pool, link);
-	relay_server_count(server, "opened");
+	if (!relay_link_is_forwarded(link))
+		relay_server_count(server, "opened");
 	server->host->opened(server->host->context, server, point,
 			     requested_ms);
 	relay_server_serve(server);
