--- a/Makefile
+++ b/Makefile
@@ -159,6 +159,7 @@
 $(BUILD)/tests/unit/test_relay_server \
 $(BUILD)/tests/unit/test_relay_quota \
 $(BUILD)/tests/unit/test_relay_server_customers \
+$(BUILD)/tests/unit/test_relay_service_limits \
 $(BUILD)/tests/unit/test_relay_control \
 $(BUILD)/tests/unit/test_relay_subscription \
 $(BUILD)/tests/unit/test_relay_link: $(PLATFORM_OBJ)
--- a/tests/unit/test_relay_subscription.c
+++ b/tests/unit/test_relay_subscription.c
@@ -263,6 +263,31 @@
 	wait_for_change(fixture, "new");
 }
 
+/* A hub that ranks first for a server connects to it itself. */
+static void test_hub_ranks_itself_too(void **state)
+{
+	fixture_t *fixture = *state;
+	const char *servers[] = {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"};
+	uint32_t direct = 0;
+
+	set_far(fixture, 0, FAR_HUBS);
+	fixture->near.head = "H 1000 2200 9 1 9 1";
+	fixture->near.item = "I 0 9 p eA== op/config";
+	wait_for_change(fixture, "op/config");
+	for (uint32_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+		const bool first = !relay_subscription_route(
+			fixture->subscription, servers[i], 0, "node-1");
+
+		/* The other one is used after a failure. */
+		assert_int_equal(
+			!relay_subscription_route(fixture->subscription,
+						  servers[i], 1, "node-1"),
+			!first);
+		direct += first;
+	}
+	assert_in_range(direct, 1, G_N_ELEMENTS(servers) - 1);
+}
+
 /* A frozen hub keeps its connection open and answers nothing. */
 static void test_silent_hub_is_not_used(void **state)
 {
@@ -339,6 +364,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_proof_of_all_primaries_is_for_its_era,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(test_hub_ranks_itself_too,
+						open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(test_silent_hub_is_not_used,
 						open_fixture, close_fixture),
 	};
