Split the hubs and the limits of connections from relay_service

The list of hubs and the choice among them move to relay_peers, the limits of a service's servers to relay_limits. One fault is mended on the way: with customers but without a list of hubs the old limits applied, and a connection was opened that served no customer. The tests of the limits pass unchanged.

--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -5,23 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "coordination/connection_share.h"
-#include "coordination/owner.h"
-
-/* Number of provers: one per NODES_PER_PROVER nodes, within bounds. */
-#define NODES_PER_PROVER 16
-#define PROVERS_MIN 4
-#define PROVERS_MAX 8
-
-/* Multiplier that spreads the hashes of names that differ only at the end. */
-#define HASH_SPREAD 2654435761u
-
-/* Connections to a server before the catalog and the nodes are known. */
-#define CONNECTIONS_DEFAULT 2
-
-/* Connections of a node to a server over other nodes, where it has customers.
- */
-#define FORWARDED_MAX 16
+#include "relay/relay_limits.h"
 
 struct relay_service {
 	relay_services_t *services;
@@ -41,8 +25,7 @@
 	relay_server_host_t host;
 	node_lease_t lease;
 	const catalog_t *catalog;
-	GPtrArray *nodes; /* relay_peer_t, hubs, or NULL before any is known */
-	uint32_t next_node;	    /* rotates over the nodes */
+	relay_peers_t peers;
 	takeover_times_t takeovers; /* how long those of all services took */
 	GRand *random;		    /* spreads the retries of callers */
 	bool is_hub;		    /* keeps connections to the servers */
@@ -120,6 +103,11 @@
 
 	services->settings = settings;
 	services->random = g_rand_new_with_seed(g_str_hash(settings.node));
+	services->peers = (relay_peers_t){
+		.node = settings.node,
+		.failure_domain = settings.failure_domain,
+		.regions = settings.regions,
+	};
 	services->host = (relay_server_host_t){
 		.base = settings.base,
 		.codec = settings.codec,
@@ -141,7 +129,7 @@
 		return;
 	g_hash_table_destroy(services->services);
 	g_rand_free(services->random);
-	g_clear_pointer(&services->nodes, g_ptr_array_unref);
+	g_clear_pointer(&services->peers.list, g_ptr_array_unref);
 	g_free(services);
 }
 
@@ -190,167 +178,26 @@
 	return names;
 }
 
-static uint32_t nodes_in(const relay_services_t *services, const char *domain)
-{
-	uint32_t count = 0;
-
-	for (guint i = 0; services->nodes && i < services->nodes->len; i++) {
-		const relay_peer_t *peer = services->nodes->pdata[i];
-
-		count += !strcmp(peer->failure_domain, domain);
-	}
-	return count;
-}
-
-static uint32_t nodes_all(const relay_services_t *services)
-{
-	return services->nodes ? services->nodes->len : 0;
-}
-
-static uint32_t provers_wanted(const relay_services_t *services)
-{
-	return CLAMP(nodes_all(services) / NODES_PER_PROVER, PROVERS_MIN,
-		     PROVERS_MAX);
-}
-
-/* The provers are the nodes with the lowest hashes; all nodes agree on them. */
-static bool is_prover(const relay_services_t *services, const char *node)
-{
-	const guint hash = g_str_hash(node) * HASH_SPREAD;
-	uint32_t before = 0;
-
-	for (guint i = 0; i < nodes_all(services); i++) {
-		const relay_peer_t *peer = services->nodes->pdata[i];
-
-		before += g_str_hash(peer->name) * HASH_SPREAD < hash;
-	}
-	return before < provers_wanted(services);
-}
-
 bool relay_services_is_prover(const relay_services_t *services)
 {
-	return is_prover(services, services->settings.node);
-}
-
-/* @return whether a hub of a domain is first in the list of its domain */
-static bool is_first_of_domain(const relay_services_t *services, guint index)
-{
-	const relay_peer_t *peer = services->nodes->pdata[index];
-
-	for (guint i = 0; i < index; i++) {
-		const relay_peer_t *other = services->nodes->pdata[i];
-
-		if (!strcmp(peer->failure_domain, other->failure_domain))
-			return false;
-	}
-	return true;
-}
-
-/* @return order of a domain by its distance from a server, lowest first */
-static uint32_t distance(const relay_services_t *services, const char *domain,
-			 const char *server_domain)
-{
-	GHashTable *regions = services->settings.regions;
-
-	if (!strcmp(domain, server_domain))
-		return 0;
-	return regions && !g_strcmp0(
-				  g_hash_table_lookup(regions, domain),
-				  g_hash_table_lookup(regions, server_domain)) ?
-		       1 :
-		       2;
-}
-
-/* @return whether domain a comes before domain b; all nodes agree */
-static bool domain_precedes(const relay_services_t *services, const char *a,
-			    const char *b, const char *server_domain)
-{
-	const uint32_t a_distance = distance(services, a, server_domain);
-	const uint32_t b_distance = distance(services, b, server_domain);
-
-	return a_distance != b_distance ? a_distance < b_distance :
-					  strcmp(a, b) < 0;
-}
-
-/* @return this node's connections to a server, without control statements */
-static uint32_t customer_room(const relay_services_t *services,
-			      const char *server_domain, uint32_t limit)
-{
-	const char *own = services->settings.failure_domain;
-	connection_share_domain_t input = {
-		.limit = limit,
-		.provers = MIN(provers_wanted(services), nodes_all(services)),
-	};
-
-	for (guint i = 0; i < nodes_all(services); i++) {
-		const relay_peer_t *peer = services->nodes->pdata[i];
-
-		if (!is_first_of_domain(services, i))
-			continue;
-		input.domains++;
-		input.rank += domain_precedes(services, peer->failure_domain,
-					      own, server_domain);
-	}
-	return connection_share_domain(&input);
-}
-
-/* Each connection to a server serves one customer. */
-static void apply_customer_limits(relay_service_t *service,
-				  const catalog_service_t *limits)
-{
-	const relay_services_t *services = service->services;
-	const bool is_known = limits && services->nodes;
-	const uint32_t control =
-		services->is_hub && relay_services_is_prover(services);
-
-	for (guint i = 0; i < service->servers->len; i++) {
-		relay_server_t *server = service->servers->pdata[i];
-		const char *domain = relay_server_entry(server)->failure_domain;
-		uint32_t room = is_known ? 0 : CONNECTIONS_DEFAULT;
-
-		if (is_known && services->is_hub)
-			room = customer_room(services, domain,
-					     limits->connections_max);
-		relay_server_set_customer_limit(server, control, control + room,
-						FORWARDED_MAX);
-	}
+	return relay_peers_is_prover(&services->peers, services->settings.node);
 }
 
 static void apply_limits(relay_service_t *service)
 {
-	relay_services_t *services = service->services;
-	const uint32_t prover = relay_services_is_prover(services);
-	const catalog_service_t *limits =
-		services->catalog ?
-			catalog_service(services->catalog, service->name) :
-			NULL;
+	const relay_services_t *services = service->services;
+	const catalog_t *catalog = services->catalog;
 
-	if (limits && services->nodes &&
-	    services->catalog->identifies_callers) {
-		apply_customer_limits(service, limits);
-		return;
-	}
-	for (guint i = 0; i < service->servers->len; i++) {
-		relay_server_t *server = service->servers->pdata[i];
-		const char *domain = relay_server_entry(server)->failure_domain;
-		const uint32_t near = nodes_in(services, domain);
-		const connection_share_input_t input = {
-			.limit = limits ? limits->connections_max : 0,
-			.nodes_near = near,
-			.nodes_far = nodes_all(services) - near,
-		};
-
-		if (limits && services->nodes && !services->is_hub)
-			relay_server_set_limit(server, 0,
-					       connection_share_max(&input));
-		else if (limits && services->nodes)
-			relay_server_set_limit(
-				server, MAX(connection_share(&input), prover),
-				connection_share_max(&input));
-		else
-			relay_server_set_limit(server, CONNECTIONS_DEFAULT,
-					       CONNECTIONS_DEFAULT);
-	}
+	relay_limits_apply(
+		&(relay_limits_t){
+			.peers = &services->peers,
+			.service = catalog ? catalog_service(catalog,
+							     service->name) :
+					     NULL,
+			.by_customer = catalog && catalog->identifies_callers,
+			.is_hub = services->is_hub,
+		},
+		service->servers);
 }
 
 static void apply_all_limits(relay_services_t *services)
@@ -386,31 +233,17 @@
 	apply_all_limits(services);
 }
 
-void relay_peer_free(relay_peer_t *peer)
-{
-	g_free(peer->name);
-	g_free(peer->failure_domain);
-	g_free(peer->forwarding.address);
-	g_free(peer);
-}
-
 void relay_services_set_nodes(relay_services_t *services, GPtrArray *peers)
 {
-	g_clear_pointer(&services->nodes, g_ptr_array_unref);
-	services->nodes = peers;
+	g_clear_pointer(&services->peers.list, g_ptr_array_unref);
+	services->peers.list = peers;
 	apply_all_limits(services);
 }
 
 const endpoint_t *relay_services_hub_endpoint(const relay_services_t *services,
 					      const char *name)
 {
-	for (guint i = 0; services->nodes && i < services->nodes->len; i++) {
-		const relay_peer_t *peer = services->nodes->pdata[i];
-
-		if (!strcmp(peer->name, name))
-			return &peer->forwarding;
-	}
-	return NULL;
+	return relay_peers_endpoint(&services->peers, name);
 }
 
 void relay_services_set_hub(relay_services_t *services, bool is_hub)
@@ -419,76 +252,9 @@
 	apply_all_limits(services);
 }
 
-static bool can_forward(const relay_services_t *services,
-			const relay_peer_t *peer, const char *domain)
-{
-	return strcmp(peer->name, services->settings.node) &&
-	       (!domain || !strcmp(peer->failure_domain, domain));
-}
-
-static const endpoint_t *next_endpoint(relay_services_t *services,
-				       const char *domain)
-{
-	for (guint i = 0; i < nodes_all(services); i++) {
-		const relay_peer_t *peer =
-			services->nodes->pdata[services->next_node++ %
-					       services->nodes->len];
-
-		if (can_forward(services, peer, domain))
-			return &peer->forwarding;
-	}
-	return NULL;
-}
-
 const endpoint_t *relay_services_next_peer(relay_services_t *services)
 {
-	const uint32_t count = nodes_all(services);
-
-	for (uint32_t i = 0; services->next_node % 2 && i < count; i++) {
-		const relay_peer_t *peer =
-			services->nodes->pdata[services->next_node++ % count];
-
-		if (can_forward(services, peer, NULL) &&
-		    is_prover(services, peer->name))
-			return &peer->forwarding;
-	}
-	return next_endpoint(services, NULL);
-}
-
-/* @return whether no hub of its domain ranks before the hub for a server */
-static bool ranks_first(const relay_services_t *services,
-			const relay_peer_t *peer, uint64_t server_key)
-{
-	const uint64_t weight = owner_weight(owner_key(peer->name), server_key);
-
-	for (guint i = 0; i < nodes_all(services); i++) {
-		const relay_peer_t *other = services->nodes->pdata[i];
-
-		if (!strcmp(other->failure_domain, peer->failure_domain) &&
-		    owner_weight(owner_key(other->name), server_key) > weight)
-			return false;
-	}
-	return true;
-}
-
-/* Only the hub that ranks first in its domain has connections to a server. */
-static const endpoint_t *next_first_hub(relay_services_t *services,
-					const char *server)
-{
-	const uint64_t server_key = owner_key(server);
-
-	for (guint i = 0; i < nodes_all(services); i++) {
-		const relay_peer_t *peer =
-			services->nodes->pdata[services->next_node++ %
-					       services->nodes->len];
-
-		if (can_forward(services, peer, NULL) &&
-		    strcmp(peer->failure_domain,
-			   services->settings.failure_domain) &&
-		    ranks_first(services, peer, server_key))
-			return &peer->forwarding;
-	}
-	return NULL;
+	return relay_peers_next_proving(&services->peers);
 }
 
 /* Prefers nodes in the server's failure domain every other time. */
@@ -499,11 +265,13 @@
 	const endpoint_t *endpoint = NULL;
 
 	if (services->catalog && services->catalog->identifies_callers)
-		return next_first_hub(services, relay_server_entry(server)->id);
-	if (services->next_node % 2)
-		endpoint = next_endpoint(
-			services, relay_server_entry(server)->failure_domain);
-	return endpoint ? endpoint : next_endpoint(services, NULL);
+		return relay_peers_next_first(&services->peers,
+					      relay_server_entry(server)->id);
+	if (services->peers.next % 2)
+		endpoint = relay_peers_next(
+			&services->peers,
+			relay_server_entry(server)->failure_domain);
+	return endpoint ? endpoint : relay_peers_next(&services->peers, NULL);
 }
 
 static void update_replicas(relay_service_t *service)
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -5,6 +5,7 @@
 #include "coordination/primary_lease.h"
 #include "coordination/takeover_times.h"
 #include "coordination/zone_spill.h"
+#include "relay/relay_peers.h"
 #include "relay/relay_server.h"
 #include "state/catalog.h"
 #include "state/point_samples.h"
@@ -65,15 +66,6 @@
 /** @return the catalog, or NULL before the first was applied */
 const catalog_t *relay_services_catalog(const relay_services_t *services);
 
-/** A hub; other nodes may forward statements over its connections. */
-typedef struct {
-	char *name;
-	char *failure_domain;
-	endpoint_t forwarding; /**< where the node forwards for other nodes */
-} relay_peer_t;
-
-void relay_peer_free(relay_peer_t *peer);
-
 /**
  * Sets the list of hubs, including this node if it is one.
  *
