Serve only entries that an idle connection accepts, in the queue's order

Entries of customers without an idle connection were taken out of the queue and added again, which set back the share that they had saved and left them out of reach of a cancellation meanwhile. wait_queue_next_accepted() leaves them in place. Without customers the loop is unchanged.

--- a/src/coordination/wait_queue.c
+++ b/src/coordination/wait_queue.c
@@ -170,13 +170,17 @@
 	leave(queue, entry);
 }
 
-wait_entry_t *wait_queue_next(wait_queue_t *queue, uint64_t now_ms)
+wait_entry_t *wait_queue_next_accepted(wait_queue_t *queue, uint64_t now_ms,
+				       wait_queue_accepts_t accepts,
+				       void *context)
 {
 	wait_entry_t *best = NULL;
 
 	for (guint i = 0; i < queue->entries->len; i++) {
 		wait_entry_t *entry = queue->entries->pdata[i];
 
+		if (accepts && !accepts(context, entry))
+			continue;
 		if (!best || precedes(queue, entry, best, now_ms))
 			best = entry;
 	}
@@ -184,3 +188,8 @@
 		take(queue, best);
 	return best;
 }
+
+wait_entry_t *wait_queue_next(wait_queue_t *queue, uint64_t now_ms)
+{
+	return wait_queue_next_accepted(queue, now_ms, NULL, NULL);
+}
--- a/src/coordination/wait_queue.h
+++ b/src/coordination/wait_queue.h
@@ -70,6 +70,18 @@
 /** Removes the entry to be served next. @return NULL if the queue is empty */
 wait_entry_t *wait_queue_next(wait_queue_t *queue, uint64_t now_ms);
 
+/** @return whether an entry can be served now */
+typedef bool (*wait_queue_accepts_t)(void *context, const wait_entry_t *entry);
+
+/**
+ * Removes the entry to be served next of those that @p accepts.
+ *
+ * @return NULL if there is none
+ */
+wait_entry_t *wait_queue_next_accepted(wait_queue_t *queue, uint64_t now_ms,
+				       wait_queue_accepts_t accepts,
+				       void *context);
+
 /** Adds an entry again that wait_queue_next() returned and was not served. */
 void wait_queue_return(wait_queue_t *queue, wait_entry_t *entry);
 
--- a/src/relay/relay_server_customers.c
+++ b/src/relay/relay_server_customers.c
@@ -115,21 +115,25 @@
 		relay_server_open_link(server, NULL, via);
 }
 
-/* Takes the entries from the queue that no idle connection can serve. */
-static GPtrArray *set_aside(relay_server_t *server)
+static bool can_grant(void *context, const wait_entry_t *entry)
 {
-	GPtrArray *aside = g_ptr_array_new();
-	GPtrArray *entries = server->queue.entries;
+	return relay_link_pool_can_take(context, entry->owner);
+}
+
+/* Only the customers of the idle connections can be served. */
+static void grant_idle(relay_server_t *server)
+{
+	const uint64_t now_ms = clock_boot_ms();
+	wait_entry_t *entry;
 
-	for (guint i = entries->len; i > 0; i--) {
-		wait_entry_t *entry = entries->pdata[i - 1];
+	while (server->pool.idle->len &&
+	       (entry = wait_queue_next_accepted(&server->queue, now_ms,
+						 can_grant, &server->pool))) {
+		relay_waiter_t *waiter = entry->owner;
 
-		if (relay_link_pool_can_take(&server->pool, entry->owner))
-			continue;
-		wait_queue_remove(&server->queue, entry);
-		g_ptr_array_add(aside, entry);
+		customer_uses_record(&server->uses, waiter->customer, now_ms);
+		relay_server_grant(server, waiter);
 	}
-	return aside;
 }
 
 void relay_server_serve_customers(relay_server_t *server)
@@ -139,7 +143,6 @@
 	const endpoint_t *control_via = control_endpoint(server, now_ms);
 	relay_customer_links_t links = customer_links(server, via, now_ms);
 	const bool may_connect = now_ms >= server->path.reconnect_at_ms;
-	g_autoptr(GPtrArray) skipped = NULL;
 
 	if (!server->queue.entries->len)
 		return;
@@ -149,8 +152,7 @@
 					 server->path.reconnect_at_ms - now_ms);
 	else
 		open_for_customers(server, &links);
-	skipped = set_aside(server);
-	relay_server_grant_idle(server, skipped);
+	grant_idle(server);
 	if (may_connect)
 		open_forwarded(server, &links, control_via ? control_via : via);
 }
--- a/src/relay/relay_server_links.c
+++ b/src/relay/relay_server_links.c
@@ -224,43 +224,37 @@
 	return wanted;
 }
 
-/*
- * Grants idle connections to the waiters.
- *
- * @param skipped waiters that were taken from the queue; they return to it
- */
-void relay_server_grant_idle(relay_server_t *server, GPtrArray *skipped)
+void relay_server_grant(relay_server_t *server, relay_waiter_t *waiter)
 {
+	waiter->waiting = false;
+	waiter->granted(waiter->context, server,
+			relay_link_pool_take(&server->pool, waiter));
+}
+
+static void grant_idle(relay_server_t *server)
+{
+	g_autoptr(GPtrArray) skipped = g_ptr_array_new();
+
 	while (server->pool.idle->len && server->queue.entries->len) {
 		wait_entry_t *entry =
 			wait_queue_next(&server->queue, clock_boot_ms());
-		relay_waiter_t *waiter = entry->owner;
 
-		if (!relay_link_pool_can_take(&server->pool, waiter)) {
+		if (relay_link_pool_can_take(&server->pool, entry->owner))
+			relay_server_grant(server, entry->owner);
+		else
 			g_ptr_array_add(skipped, entry);
-			continue;
-		}
-		waiter->waiting = false;
-		if (server->by_customer)
-			customer_uses_record(&server->uses, waiter->customer,
-					     clock_boot_ms());
-		waiter->granted(waiter->context, server,
-				relay_link_pool_take(&server->pool, waiter));
 	}
 	for (guint i = 0; i < skipped->len; i++)
 		wait_queue_return(&server->queue, skipped->pdata[i]);
 }
 
-/* Grants idle connections to the waiters and opens new ones if needed. */
 void relay_server_serve(relay_server_t *server)
 {
-	g_autoptr(GPtrArray) skipped = g_ptr_array_new();
-
 	if (server->by_customer) {
 		relay_server_serve_customers(server);
 		return;
 	}
-	relay_server_grant_idle(server, skipped);
+	grant_idle(server);
 	if (connections_wanted(server))
 		relay_server_open_more(server, connections_wanted(server));
 }
--- a/src/relay/relay_server_private.h
+++ b/src/relay/relay_server_private.h
@@ -59,12 +59,8 @@
 			    const endpoint_t *via);
 void relay_server_open_more(relay_server_t *server, uint32_t wanted);
 
-/*
- * Grants idle connections to the waiters.
- *
- * @param skipped waiters that were taken from the queue; they return to it
- */
-void relay_server_grant_idle(relay_server_t *server, GPtrArray *skipped);
+/* Grants an idle connection; relay_link_pool_can_take() must hold. */
+void relay_server_grant(relay_server_t *server, relay_waiter_t *waiter);
 
 /* Counts an event of a connection in the metrics. */
 void relay_server_count(relay_server_t *server, const char *event);
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -36,6 +36,29 @@
 	assert_null(wait_queue_next(queue, 1000));
 }
 
+static bool is_late(void *context, const wait_entry_t *entry)
+{
+	return entry->target_ms >= 2000;
+}
+
+/* An entry that cannot be served now must keep its place and its share. */
+static void test_entry_that_cannot_be_served_keeps_its_place(void **state)
+{
+	wait_queue_t *queue = *state;
+	wait_entry_t late = {.target_ms = 2000, .customer = "b"};
+	wait_entry_t soon = {.target_ms = 1500, .customer = "a"};
+	wait_entry_t next = {.target_ms = 1600, .customer = "b"};
+
+	wait_queue_add(queue, &late);
+	wait_queue_add(queue, &soon);
+	assert_ptr_equal(wait_queue_next_accepted(queue, 1000, is_late, NULL),
+			 &late);
+	assert_null(wait_queue_next_accepted(queue, 1000, is_late, NULL));
+	wait_queue_add(queue, &next);
+	assert_ptr_equal(wait_queue_next(queue, 1000), &soon);
+	assert_ptr_equal(wait_queue_next(queue, 1000), &next);
+}
+
 static void test_missed_targets_are_served_last(void **state)
 {
 	wait_queue_t *queue = *state;
@@ -336,6 +359,9 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_entry_that_cannot_be_served_keeps_its_place,
+			open_queue, close_queue),
 		cmocka_unit_test_setup_teardown(
 			test_earliest_target_is_served_first, open_queue,
 			close_queue),
