Keep to the first hub when it is short of one customer's connections

A refusal after 700 ms without a connection counted as a failure of the hub, so that for 3 s the node's statements of all customers went to hubs that have no connections to the server, and to other domains. Found by reading the code; the unit tests of server and job pass.

--- a/src/relay/relay_job_answer.c
+++ b/src/relay/relay_job_answer.c
@@ -195,7 +195,9 @@
 		  job->after.position);
 	job_attempt_remove(job, attempt);
 	if (error == RELAY_ERROR_CONNECTION_LIMIT)
-		relay_server_forwarding_refused(server);
+		relay_server_forwarding_refused(
+			server,
+			clock_boot_ms() - relay_attempt_started_ms(attempt));
 	if (error == RELAY_ERROR_UNKNOWN_NAME ||
 	    error == RELAY_ERROR_CONNECTION_LIMIT)
 		relay_attempt_discard(attempt);
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -24,6 +24,13 @@
 #define AVOID_MS 1000
 #define AVOID_AFTER 2
 
+/*
+ * Time after which the refusal of a hub means that no connection of the
+ * statement's customer became free there. Other hubs of the domain have none
+ * to the server, and the statements of other customers must not leave the hub.
+ */
+#define SHORT_OF_CONNECTIONS_MS 500
+
 /* Idle time before the first look at connections above the share. */
 #define IDLE_MS 400
 
@@ -196,8 +203,10 @@
 	relay_server_serve_after(server, 0);
 }
 
-void relay_server_forwarding_refused(relay_server_t *server)
+void relay_server_forwarding_refused(relay_server_t *server, uint64_t waited_ms)
 {
+	if (server->by_customer && waited_ms >= SHORT_OF_CONNECTIONS_MS)
+		return;
 	relay_server_hub_failed(server);
 }
 
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -103,8 +103,13 @@
 /** Records the time from sending a statement to its answer. */
 void relay_server_record_run_time(relay_server_t *server, uint64_t run_ms);
 
-/** Records that the forwarding node of a connection could not use it. */
-void relay_server_forwarding_refused(relay_server_t *server);
+/**
+ * Records that the forwarding node of a connection could not use it.
+ *
+ * @param waited_ms time until it answered
+ */
+void relay_server_forwarding_refused(relay_server_t *server,
+				     uint64_t waited_ms);
 
 /** Records that a statement got no answer in time. */
 void relay_server_record_timeout(relay_server_t *server);
