--- a/src/coordination/customer_pool.h
+++ b/src/coordination/customer_pool.h
@@ -59,9 +59,9 @@
 /** One connection that this node has to the server. */
 typedef struct {
 	const char *customer; /**< NULL for none, and for control statements */
-	customer_pool_state_t state;
 	uint64_t used_ms; /**< when its last use ended, or when it was opened */
-	bool served;	  /**< has served a statement */
+	customer_pool_state_t state;
+	bool served; /**< has served a statement */
 } customer_pool_connection_t;
 
 /** One statement that waits for a connection. */
