--- a/src/relay/relay_forwarding_private.h
+++ b/src/relay/relay_forwarding_private.h
@@ -54,4 +54,34 @@
 /* Closes the session once its output is written. */
 void forwarding_session_close_soon(forwarding_session_t *session);
 
+const relay_codec_t *
+forwarding_session_codec(const forwarding_session_t *session);
+struct evbuffer *forwarding_session_output(const forwarding_session_t *session);
+
+void forwarding_session_answer_ready(forwarding_session_t *session,
+				     log_point_t point);
+void forwarding_session_answer_complete(forwarding_session_t *session);
+
+/* Ends the current statement, whose answer was written. */
+void forwarding_session_statement_done(forwarding_session_t *session);
+
+/* Rejects the start-up. */
+void forwarding_session_refuse_session(forwarding_session_t *session,
+				       relay_error_t error);
+
+/* relay_forwarding_peer.c */
+
+/* Answers with this node's proof of the primaries. */
+void forwarding_session_send_proof(forwarding_session_t *session);
+
+/* Handles a request of a node that follows this hub. */
+void forwarding_session_follow(forwarding_session_t *session);
+
+/* Handles a request for tokens. */
+void forwarding_session_admit(forwarding_session_t *session);
+
+/* Accept a node that follows this hub, or one that asks for tokens. */
+void forwarding_session_start_following(forwarding_session_t *session);
+void forwarding_session_start_asking(forwarding_session_t *session);
+
 #endif
--- a/src/relay/relay_forwarding_session.c
+++ b/src/relay/relay_forwarding_session.c
@@ -7,7 +7,6 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "relay/relay_grant.h"
 #include "transport/socket_options.h"
 
 /* Time after which the connection of an unresponsive node is closed. */
@@ -18,12 +17,13 @@
 
 static void process(forwarding_session_t *session);
 
-static const relay_codec_t *codec_of(const forwarding_session_t *session)
+const relay_codec_t *
+forwarding_session_codec(const forwarding_session_t *session)
 {
 	return relay_services_settings(session->forwarding->services)->codec;
 }
 
-static struct evbuffer *output_of(const forwarding_session_t *session)
+struct evbuffer *forwarding_session_output(const forwarding_session_t *session)
 {
 	return bufferevent_get_output(session->bev);
 }
@@ -72,21 +72,23 @@
 	bufferevent_trigger(session->bev, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
 }
 
-static void answer_ready(forwarding_session_t *session, log_point_t point)
+void forwarding_session_answer_ready(forwarding_session_t *session,
+				     log_point_t point)
 {
 	const bool open = session->link || session->begin_id;
 
-	codec_of(session)->put_ready(output_of(session), open ? 'T' : 'I',
-				     point);
+	forwarding_session_codec(session)->put_ready(
+		forwarding_session_output(session), open ? 'T' : 'I', point);
 }
 
-static void answer_complete(forwarding_session_t *session)
+void forwarding_session_answer_complete(forwarding_session_t *session)
 {
-	codec_of(session)->put_complete(output_of(session));
-	answer_ready(session, (log_point_t){0});
+	forwarding_session_codec(session)->put_complete(
+		forwarding_session_output(session));
+	forwarding_session_answer_ready(session, (log_point_t){0});
 }
 
-static void statement_done(forwarding_session_t *session)
+void forwarding_session_statement_done(forwarding_session_t *session)
 {
 	session->busy = false;
 	event_del(session->timer);
@@ -105,10 +107,11 @@
 		  "id=%s server=%s reason=\"%s\"", session->message.id,
 		  session->server_id, reason);
 	discard_link(session);
-	codec_of(session)->put_error(output_of(session),
-				     RELAY_ERROR_CONNECTION_LIMIT, reason);
-	answer_ready(session, (log_point_t){0});
-	statement_done(session);
+	forwarding_session_codec(session)->put_error(
+		forwarding_session_output(session),
+		RELAY_ERROR_CONNECTION_LIMIT, reason);
+	forwarding_session_answer_ready(session, (log_point_t){0});
+	forwarding_session_statement_done(session);
 	process(session);
 }
 
@@ -138,11 +141,12 @@
 		session->link = relay_attempt_detach_link(attempt);
 	}
 	if (answer->body)
-		evbuffer_add(output_of(session), answer->body->data,
-			     answer->body->len);
-	codec_of(session)->put_ready(output_of(session), answer->status,
-				     answer->point);
-	statement_done(session);
+		evbuffer_add(forwarding_session_output(session),
+			     answer->body->data, answer->body->len);
+	forwarding_session_codec(session)->put_ready(
+		forwarding_session_output(session), answer->status,
+		answer->point);
+	forwarding_session_statement_done(session);
 	process(session);
 }
 
@@ -258,78 +262,18 @@
 		wait_for_link(session);
 }
 
-/* Answers with this node's proof of the primaries. */
-static void send_proof(forwarding_session_t *session)
-{
-	g_autofree char *offer = relay_grant_offer(
-		session->forwarding->services, clock_boot_ms());
-
-	codec_of(session)->put_row(output_of(session), offer);
-	answer_complete(session);
-}
-
-/* Sends the answer of the hub. */
-static void on_hub_reply(void *context, const GPtrArray *rows)
-{
-	forwarding_session_t *session = context;
-
-	for (guint i = 0; i < rows->len; i++)
-		codec_of(session)->put_row(output_of(session), rows->pdata[i]);
-	answer_complete(session);
-	statement_done(session);
-}
-
-static void follow(forwarding_session_t *session)
-{
-	hub_request_t request;
-
-	if (session->command.kind != COMMAND_FOLLOW ||
-	    !hub_request_decode(session->command.value, &request)) {
-		log_event(LOG_LEVEL_WARNING, "hub_request_invalid",
-			  "text=\"%.60s\"", session->message.text);
-		forwarding_session_close_soon(session);
-		return;
-	}
-	session->busy = true;
-	relay_hub_request(session->subscriber, &request);
-}
-
-/* Answers "granted retry_after_ms", both 0 if this node may not admit now. */
-static void admit(forwarding_session_t *session)
-{
-	const command_t *command = &session->command;
-	quota_admission_t admission = {0};
-	g_autofree char *row = NULL;
-	guint64 count;
-
-	if (command->kind != COMMAND_ADMIT ||
-	    !g_ascii_string_to_unsigned(command->value, 10, 1, G_MAXUINT32,
-					&count, NULL)) {
-		log_event(LOG_LEVEL_WARNING, "token_request_invalid",
-			  "text=\"%.60s\"", session->message.text);
-		forwarding_session_close_soon(session);
-		return;
-	}
-	relay_quota_leader_admit(session->forwarding->leader, command->name,
-				 (uint32_t)count, &admission);
-	row = g_strdup_printf("%" PRIu32 " %" PRIu32, admission.granted,
-			      admission.retry_after_ms);
-	codec_of(session)->put_row(output_of(session), row);
-	answer_complete(session);
-	statement_done(session);
-}
-
 static void dispatch(forwarding_session_t *session)
 {
 	command_t *command = &session->command;
 
-	codec_of(session)->parse(session->message.text, command);
+	forwarding_session_codec(session)->parse(session->message.text,
+						 command);
 	if (session->subscriber) {
-		follow(session);
+		forwarding_session_follow(session);
 		return;
 	}
 	if (session->asks_tokens) {
-		admit(session);
+		forwarding_session_admit(session);
 		return;
 	}
 	switch (command->kind) {
@@ -338,20 +282,20 @@
 		session->begin_id = g_strdup(session->message.id);
 		session->begin_text = g_strdup(command->text);
 		session->begin_after = command->after;
-		answer_complete(session);
+		forwarding_session_answer_complete(session);
 		break;
 	case COMMAND_SET:
 		g_hash_table_replace(session->values, g_strdup(command->name),
 				     g_strdup(command->value));
-		answer_complete(session);
+		forwarding_session_answer_complete(session);
 		break;
 	case COMMAND_PREPARE:
 		g_hash_table_replace(session->prepared, g_strdup(command->name),
 				     g_strdup(command->value));
-		answer_complete(session);
+		forwarding_session_answer_complete(session);
 		break;
 	case COMMAND_PROVE:
-		send_proof(session);
+		forwarding_session_send_proof(session);
 		break;
 	case COMMAND_AS:
 		if (session->link &&
@@ -362,64 +306,36 @@
 		}
 		g_free(session->customer);
 		session->customer = g_strdup(command->name);
-		answer_complete(session);
+		forwarding_session_answer_complete(session);
 		break;
 	case COMMAND_RESET:
 		g_hash_table_remove_all(session->values);
 		g_hash_table_remove_all(session->prepared);
 		if (!session->link)
 			g_clear_pointer(&session->customer, g_free);
-		answer_complete(session);
+		forwarding_session_answer_complete(session);
 		break;
 	default:
 		if (command->kind == COMMAND_ROLLBACK && !session->link) {
 			discard_link(session);
-			answer_complete(session);
+			forwarding_session_answer_complete(session);
 			break;
 		}
 		run(session);
 		return;
 	}
-	statement_done(session);
+	forwarding_session_statement_done(session);
 }
 
-static void refuse_session(forwarding_session_t *session, relay_error_t error)
+void forwarding_session_refuse_session(forwarding_session_t *session,
+				       relay_error_t error)
 {
-	codec_of(session)->put_error(output_of(session), error,
-				     "server or service not available here");
+	forwarding_session_codec(session)->put_error(
+		forwarding_session_output(session), error,
+		"server or service not available here");
 	forwarding_session_close_soon(session);
 }
 
-/* Accepts a node that follows this hub. */
-static void start_following(forwarding_session_t *session)
-{
-	relay_forwarding_t *forwarding = session->forwarding;
-
-	relay_message_clear(&session->message);
-	if (forwarding->draining || !forwarding->hub) {
-		refuse_session(session, RELAY_ERROR_CONNECTION_LIMIT);
-		return;
-	}
-	session->subscriber =
-		relay_hub_join(forwarding->hub, on_hub_reply, session);
-	answer_ready(session, (log_point_t){0});
-}
-
-/* Accepts a node that asks for tokens. */
-static void start_asking(forwarding_session_t *session)
-{
-	const relay_forwarding_t *forwarding = session->forwarding;
-
-	relay_message_clear(&session->message);
-	if (forwarding->draining || !forwarding->leader ||
-	    !relay_quota_leader_is_active(forwarding->leader)) {
-		refuse_session(session, RELAY_ERROR_CONNECTION_LIMIT);
-		return;
-	}
-	session->asks_tokens = true;
-	answer_ready(session, (log_point_t){0});
-}
-
 static bool is_started(const forwarding_session_t *session)
 {
 	return session->service || session->subscriber || session->asks_tokens;
@@ -428,23 +344,25 @@
 static void start_up(forwarding_session_t *session)
 {
 	if (!strcmp(session->message.text, RELAY_QUOTA_SERVICE)) {
-		start_asking(session);
+		forwarding_session_start_asking(session);
 		return;
 	}
 	if (!strcmp(session->message.text, RELAY_HUB_SERVICE)) {
-		start_following(session);
+		forwarding_session_start_following(session);
 		return;
 	}
 	session->service = relay_services_find(session->forwarding->services,
 					       session->message.text);
 	session->server_id = g_strdup(session->message.id);
 	if (session->forwarding->draining)
-		refuse_session(session, RELAY_ERROR_CONNECTION_LIMIT);
+		forwarding_session_refuse_session(session,
+						  RELAY_ERROR_CONNECTION_LIMIT);
 	else if (!session->service || !session->server_id ||
 		 !relay_service_server(session->service, session->server_id))
-		refuse_session(session, RELAY_ERROR_OTHER_SERVER);
+		forwarding_session_refuse_session(session,
+						  RELAY_ERROR_OTHER_SERVER);
 	else
-		answer_ready(session, (log_point_t){0});
+		forwarding_session_answer_ready(session, (log_point_t){0});
 	relay_message_clear(&session->message);
 }
 
@@ -456,8 +374,8 @@
 		g_autoptr(GError) error = NULL;
 
 		relay_message_clear(&session->message);
-		switch (codec_of(session)->decode(input, &session->message,
-						  &error)) {
+		switch (forwarding_session_codec(session)->decode(
+			input, &session->message, &error)) {
 		case RELAY_INCOMPLETE:
 			return;
 		case RELAY_INVALID:
@@ -489,7 +407,8 @@
 	forwarding_session_t *session = context;
 
 	/* The event may have been queued before the last answer was. */
-	if (session->closing && !evbuffer_get_length(output_of(session)))
+	if (session->closing &&
+	    !evbuffer_get_length(forwarding_session_output(session)))
 		forwarding_session_end(session);
 }
 
