--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -5,38 +5,10 @@
 
 #include "coordination/outlier.h"
 #include "coordination/send_budget.h"
-#include "coordination/wait_queue.h"
 #include "coordination/zone_server.h"
-#include "relay/relay_link.h"
+#include "relay/relay_waiter.h"
 #include "state/replica_lag.h"
 
-/**
- * One backend server and this node's connection pool for it. A user of a
- * connection waits in a queue until one is granted, and releases it after use.
- */
-typedef struct relay_server relay_server_t;
-
-/** An entry in the queue for a connection; the waiting user owns it. */
-typedef struct {
-	wait_entry_t entry;
-	GHashTable *values;   /**< session variables to match, or NULL */
-	const char *customer; /**< to serve; NULL for control statements */
-	bool urgent;	      /**< may exceed the connection limit by one */
-	bool direct;	      /**< accepts no forwarded connection */
-	/**
-	 * While a connection opened before this time exists, only such a
-	 * connection is accepted; 0 to accept any.
-	 */
-	uint64_t opened_before_ms;
-	/** A connection was acquired, for exclusive use. */
-	void (*granted)(void *context, relay_server_t *server,
-			relay_link_t *link);
-	/** The server can provide no connection now. */
-	void (*refused)(void *context, relay_server_t *server);
-	void *context;
-	bool waiting; /**< private: the entry is in the queue */
-} relay_waiter_t;
-
 /** Settings and callbacks that all servers of a node share. */
 typedef struct {
 	struct event_base *base;
@@ -57,6 +29,14 @@
 	/** @return a node that may forward a connection, or NULL */
 	const endpoint_t *(*forwarding_node)(void *context,
 					     const relay_server_t *server);
+	/**
+	 * A connection was opened, closed for another customer or closed after
+	 * it was idle.
+	 *
+	 * @param event name of the event in metrics
+	 */
+	void (*count_connection)(void *context, const relay_server_t *server,
+				 const char *event);
 	/** Connections of the server were refused, reset or unresponsive. */
 	void (*on_connection_failure)(void *context, relay_server_t *server);
 	void *context;
@@ -90,6 +70,16 @@
 void relay_server_set_limit(relay_server_t *server, uint32_t share,
 			    uint32_t burst_limit);
 
+/**
+ * Sets the limits where each connection to the server serves one customer.
+ *
+ * @param control   connections that are kept for control statements
+ * @param room      connections to the server itself, including @p control
+ * @param forwarded connections over other nodes
+ */
+void relay_server_set_customer_limit(relay_server_t *server, uint32_t control,
+				     uint32_t room, uint32_t forwarded);
+
 /**
  * Queues @p waiter for a connection. Its callback may be called before this
  * function returns.
@@ -113,8 +103,13 @@
 /** Records the time from sending a statement to its answer. */
 void relay_server_record_run_time(relay_server_t *server, uint64_t run_ms);
 
-/** Records that the forwarding node of a connection could not use it. */
-void relay_server_forwarding_refused(relay_server_t *server);
+/**
+ * Records that the forwarding node of a connection could not use it.
+ *
+ * @param waited_ms time until it answered
+ */
+void relay_server_forwarding_refused(relay_server_t *server,
+				     uint64_t waited_ms);
 
 /** Records that a statement got no answer in time. */
 void relay_server_record_timeout(relay_server_t *server);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -5,6 +5,7 @@
 #include "coordination/primary_lease.h"
 #include "coordination/takeover_times.h"
 #include "coordination/zone_spill.h"
+#include "relay/relay_peers.h"
 #include "relay/relay_server.h"
 #include "state/catalog.h"
 #include "state/point_samples.h"
@@ -27,8 +28,8 @@
 	const char *failure_domain;
 	GHashTable *regions; /**< failure domain -> region */
 	/**
-	 * @return where to reach a server over a hub; NULL if this node is a
-	 *         hub itself or no hub answers
+	 * @return where to reach a server over a hub; NULL if this node is to
+	 *         connect itself or no hub answers
 	 */
 	const endpoint_t *(*hub)(void *context, const char *server,
 				 uint32_t failures);
@@ -62,14 +63,8 @@
 void relay_services_configure(relay_services_t *services,
 			      const catalog_t *catalog);
 
-/** A hub; other nodes may forward statements over its connections. */
-typedef struct {
-	char *name;
-	char *failure_domain;
-	endpoint_t forwarding; /**< where the node forwards for other nodes */
-} relay_peer_t;
-
-void relay_peer_free(relay_peer_t *peer);
+/** @return the catalog, or NULL before the first was applied */
+const catalog_t *relay_services_catalog(const relay_services_t *services);
 
 /**
  * Sets the list of hubs, including this node if it is one.
