Keep at most half of a node's room at a server idle

A connection that was unused for 1 s is now closed while more than half of the room is in use. Test: test_half_of_the_room_is_not_kept_idle, which failed before.

--- a/src/relay/relay_customer_links.c
+++ b/src/relay/relay_customer_links.c
@@ -6,6 +6,13 @@
  */
 #define IDLE_MS 10000
 
+/*
+ * The same while more than half of the room is in use. When all VMs lose power,
+ * servers count their connections for 3 s more; what is not kept idle is then
+ * free for the VMs that are back.
+ */
+#define IDLE_ABOVE_HALF_MS 1000
+
 bool relay_customer_links_is_direct(const relay_customer_links_t *links,
 				    const relay_waiter_t *waiter)
 {
@@ -118,23 +125,46 @@
 	       control_count(links) <= links->reserved;
 }
 
-relay_link_t *relay_customer_links_expired(const relay_customer_links_t *links)
+/* @return the least recently used idle link, or NULL */
+static relay_link_t *least_recent(const relay_customer_links_t *links,
+				  bool direct_only)
 {
 	const GPtrArray *idle = links->pool->idle;
-	const bool above =
-		relay_link_pool_direct_count(links->pool) > links->room;
+	relay_link_t *oldest = NULL;
 
 	for (guint i = 0; i < idle->len; i++) {
 		relay_link_t *link = idle->pdata[i];
-		const uint64_t unused_ms =
-			links->now_ms - relay_link_last_received_ms(link);
 
-		if (is_reserved(links, link))
+		if (is_reserved(links, link) ||
+		    (direct_only && relay_link_is_forwarded(link)))
 			continue;
-		if (unused_ms >= IDLE_MS ||
-		    (above && !relay_link_is_forwarded(link)))
-			return link;
+		if (!oldest || relay_link_last_received_ms(link) <
+				       relay_link_last_received_ms(oldest))
+			oldest = link;
 	}
+	return oldest;
+}
+
+static bool is_unused(const relay_customer_links_t *links,
+		      const relay_link_t *link, uint64_t time_ms)
+{
+	return link &&
+	       links->now_ms >= relay_link_last_received_ms(link) + time_ms;
+}
+
+relay_link_t *relay_customer_links_expired(const relay_customer_links_t *links)
+{
+	const uint32_t direct = relay_link_pool_direct_count(links->pool);
+	relay_link_t *any = least_recent(links, false);
+	relay_link_t *own = least_recent(links, true);
+
+	if (is_unused(links, any, IDLE_MS))
+		return any;
+	if (direct > links->room)
+		return own;
+	if (direct > MAX(links->room / 2, 1) &&
+	    is_unused(links, own, IDLE_ABOVE_HALF_MS))
+		return own;
 	return NULL;
 }
 
--- a/tests/unit/test_relay_server_customers.c
+++ b/tests/unit/test_relay_server_customers.c
@@ -8,8 +8,11 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include "base/clock.h"
 #include "platform/line_codec.h"
+#include "relay/relay_customer_links.h"
 #include "relay/relay_server.h"
+#include "relay/relay_server_private.h"
 
 #define CUSTOMERS 6
 #define ROOM 3
@@ -297,6 +300,40 @@
 	assert_int_equal(fixture->open_max, ROOM);
 }
 
+/*
+ * When all VMs lose power, servers count their connections for 3 s more. What
+ * is idle must leave room for the VMs that are back.
+ */
+static void test_half_of_the_room_is_not_kept_idle(void **state)
+{
+	fixture_t *fixture = *state;
+	relay_customer_links_t links = {
+		.pool = &fixture->server->pool,
+		.queue = &fixture->server->queue,
+		.uses = &fixture->server->uses,
+		.room = ROOM,
+	};
+	relay_link_t *link;
+
+	for (uint32_t i = 0; i < STEPS; i++) {
+		user_t *user = &fixture->users[i % USERS];
+
+		wait_for(user);
+		start(user, (int32_t)(i % CUSTOMERS));
+	}
+	for (uint32_t i = 0; i < USERS; i++)
+		wait_for(&fixture->users[i]);
+	assert_int_equal(relay_server_open_count(fixture->server), ROOM);
+	links.now_ms = clock_boot_ms() + 1000;
+	while ((link = relay_customer_links_expired(&links)))
+		relay_link_pool_close(links.pool, link);
+	assert_int_equal(relay_server_open_count(fixture->server), ROOM / 2);
+	links.now_ms += 10000;
+	while ((link = relay_customer_links_expired(&links)))
+		relay_link_pool_close(links.pool, link);
+	assert_int_equal(relay_server_open_count(fixture->server), 0);
+}
+
 /* A hub forwards statements of all customers over the same connections. */
 static void test_forwarded_connection_serves_all_customers(void **state)
 {
@@ -338,6 +375,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_statement_runs_for_its_customer_alone,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_half_of_the_room_is_not_kept_idle, open_fixture,
+			close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_connections_stay_within_the_room, open_fixture,
 			close_fixture),
