Write the quota record after the hub's key is claimed

At the start of a site of 86 nodes a node wrote its domain's quota record while it claimed a hub's key, then lost the claim to another node. The record named a node that is no hub, so the domain had no quota leader until another hub took over and waited 33 s.

A hub now writes nothing before its key is registered. A record of an earlier run still holds before that, so that leaders work with their first read after a loss of power. A node that is no hub any more releases its record, also if the write was under way when it lost its claim; the write is conditional on the known revision and needs no read of its own.

test_record_is_written_after_the_claim and test_former_hub_releases_the_record fail without the condition and the release. The existing tests register their hub first.

--- a/src/coordination/quota_leadership.c
+++ b/src/coordination/quota_leadership.c
@@ -27,6 +27,8 @@
 	quota_leadership_settings_t settings;
 	char *node;
 	bool enabled;
+	bool registered; /* the hub's key is claimed */
+	bool withdrawn;	 /* no hub until it is registered again */
 	bool resigned;
 	phase_t phase;
 	uint32_t tenure;
@@ -78,6 +80,18 @@
 	leadership->enabled = enabled;
 }
 
+void quota_leadership_register(quota_leadership_t *leadership)
+{
+	leadership->registered = true;
+	leadership->withdrawn = false;
+}
+
+void quota_leadership_withdraw(quota_leadership_t *leadership)
+{
+	leadership->registered = false;
+	leadership->withdrawn = true;
+}
+
 static bool is_own(const quota_leadership_t *leadership)
 {
 	return leadership->present &&
@@ -245,13 +259,24 @@
 	return now_ms >= known_ms;
 }
 
+static bool is_leaving(const quota_leadership_t *leadership)
+{
+	return leadership->resigned || leadership->withdrawn;
+}
+
+static bool may_write(const quota_leadership_t *leadership)
+{
+	return is_leaving(leadership) ||
+	       (leadership->enabled && leadership->registered);
+}
+
 /* @return whether a write is due, and of which state */
 static bool is_due(quota_leadership_t *leadership, uint64_t now_ms,
 		   quota_record_state_t *state)
 {
 	const bool own = is_own(leadership) && is_current(leadership);
 
-	if (leadership->resigned) {
+	if (is_leaving(leadership)) {
 		*state = QUOTA_RECORD_RELEASED;
 		return own && leadership->record.state == QUOTA_RECORD_LEADING;
 	}
@@ -281,8 +306,9 @@
 	quota_record_state_t state;
 
 	note_step(leadership, now_ms);
-	if (!leadership->enabled || leadership->writing ||
-	    !leadership->synced || now_ms < leadership->retry_ms ||
+	if (!may_write(leadership) || leadership->writing ||
+	    now_ms < leadership->retry_ms ||
+	    (!leadership->synced && !is_leaving(leadership)) ||
 	    !is_due(leadership, now_ms, &state))
 		return false;
 	*write = (quota_write_t){
@@ -304,6 +330,8 @@
 	leadership->writing = false;
 	if (result == QUOTA_WRITE_CONFLICT) {
 		leadership->synced = false;
+		if (is_leaving(leadership))
+			leadership->retry_ms = now_ms + RETRY_MS;
 		return;
 	}
 	if (result == QUOTA_WRITE_UNKNOWN) {
@@ -328,11 +356,19 @@
 bool quota_leadership_may_admit(const quota_leadership_t *leadership,
 				uint64_t now_ms)
 {
-	return leadership->enabled && !leadership->resigned &&
+	return leadership->enabled && !is_leaving(leadership) &&
 	       leadership->phase == PHASE_LEADING &&
 	       is_proved(leadership, now_ms);
 }
 
+bool quota_leadership_is_releasing(const quota_leadership_t *leadership)
+{
+	return is_leaving(leadership) &&
+	       (leadership->writing ||
+		(is_own(leadership) && is_current(leadership) &&
+		 leadership->record.state == QUOTA_RECORD_LEADING));
+}
+
 uint32_t quota_leadership_tenure(const quota_leadership_t *leadership)
 {
 	return leadership->tenure;
--- a/src/coordination/quota_leadership.h
+++ b/src/coordination/quota_leadership.h
@@ -55,7 +55,7 @@
 	int64_t revision; /**< that the record must have, 0 if absent */
 } quota_write_t;
 
-/** Creates a follower that is not enabled. */
+/** Creates a follower that is not enabled, of a hub that is not registered. */
 quota_leadership_t *
 quota_leadership_create(quota_leadership_settings_t settings);
 
@@ -65,6 +65,19 @@
 /** Sets whether the site has quotas, without which no record is written. */
 void quota_leadership_enable(quota_leadership_t *leadership, bool enabled);
 
+/**
+ * The hub's key is claimed. Nothing is written before: a node that loses its
+ * claim is no hub, and its record would leave the domain without a leader. A
+ * record of an earlier run holds without the claim.
+ */
+void quota_leadership_register(quota_leadership_t *leadership);
+
+/**
+ * The node is no hub any more, until it is registered again. A record of state
+ * LEADING is released.
+ */
+void quota_leadership_withdraw(quota_leadership_t *leadership);
+
 /**
  * Applies a change of the record, from any source.
  *
@@ -114,6 +127,9 @@
 bool quota_leadership_may_admit(const quota_leadership_t *leadership,
 				uint64_t now_ms);
 
+/** @return whether a node that has left still has to release its record */
+bool quota_leadership_is_releasing(const quota_leadership_t *leadership);
+
 /** @return number of times that this node became the leader */
 uint32_t quota_leadership_tenure(const quota_leadership_t *leadership);
 
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -501,6 +501,7 @@
 {
 	relay_node_t *node = context;
 
+	relay_quota_leader_registered(node->quota_leader);
 	read_primaries(node);
 	if (node->registered)
 		on_recovered(node);
--- a/src/relay/relay_quota_leader.c
+++ b/src/relay/relay_quota_leader.c
@@ -44,8 +44,9 @@
 	relay_quota_leader_t *leader = context;
 	const struct timeval delay = clock_timeval(TICK_MS);
 
-	event_add(leader->timer, &delay);
 	step(leader);
+	if (leader->is_hub || quota_leadership_is_releasing(leader->leadership))
+		event_add(leader->timer, &delay);
 }
 
 relay_quota_leader_t *
@@ -161,7 +162,7 @@
 	const uint64_t now_ms = clock_boot_ms();
 	quota_write_t write;
 
-	if (!leader->is_hub || !leader->has_quotas)
+	if (!leader->has_quotas)
 		return;
 	report_holder(leader, now_ms);
 	if (quota_leadership_step(leader->leadership, now_ms, &write))
@@ -172,10 +173,12 @@
 static void enable(relay_quota_leader_t *leader)
 {
 	const bool enabled = leader->is_hub && leader->has_quotas;
+	const bool releasing =
+		quota_leadership_is_releasing(leader->leadership);
 	const struct timeval now = clock_timeval(0);
 
 	quota_leadership_enable(leader->leadership, enabled);
-	if (enabled)
+	if (enabled || releasing)
 		event_add(leader->timer, &now);
 	else
 		event_del(leader->timer);
@@ -194,7 +197,16 @@
 void relay_quota_leader_set_hub(relay_quota_leader_t *leader, bool is_hub)
 {
 	leader->is_hub = is_hub;
+	if (!is_hub)
+		quota_leadership_withdraw(leader->leadership);
 	enable(leader);
+	step(leader);
+}
+
+void relay_quota_leader_registered(relay_quota_leader_t *leader)
+{
+	quota_leadership_register(leader->leadership);
+	step(leader);
 }
 
 void relay_quota_leader_key_changed(relay_quota_leader_t *leader,
@@ -218,6 +230,9 @@
 	quota_leadership_changed(leader->leadership,
 				 item->deleted ? NULL : &record, item->revision,
 				 clock_boot_ms());
+	/* A write without an answer may have taken effect since. */
+	if (!leader->is_hub)
+		enable(leader);
 	update(leader);
 }
 
--- a/src/relay/relay_quota_leader.h
+++ b/src/relay/relay_quota_leader.h
@@ -46,9 +46,15 @@
 void relay_quota_leader_configure(relay_quota_leader_t *leader,
 				  catalog_t *catalog);
 
-/** Sets whether this node is a hub. */
+/**
+ * Sets whether this node is a hub, or about to claim a hub's key. A node that
+ * is no hub any more releases its record.
+ */
 void relay_quota_leader_set_hub(relay_quota_leader_t *leader, bool is_hub);
 
+/** The hub's key is claimed; nothing is written before. */
+void relay_quota_leader_registered(relay_quota_leader_t *leader);
+
 /** Applies a change of a key below RELAY_QUOTA_PREFIX. */
 void relay_quota_leader_key_changed(relay_quota_leader_t *leader,
 				    const kv_item_t *item);
--- a/tests/property/prop_quota.cpp
+++ b/tests/property/prop_quota.cpp
@@ -167,6 +167,7 @@
 	hub.run++;
 	hub.leadership = quota_leadership_create(settings);
 	quota_leadership_enable(hub.leadership, true);
+	quota_leadership_register(hub.leadership);
 }
 
 bool is_up(const model_t &model, const hub_t &hub)
--- a/tests/unit/test_quota_leadership.c
+++ b/tests/unit/test_quota_leadership.c
@@ -24,6 +24,7 @@
 		});
 
 	quota_leadership_enable(leadership, true);
+	quota_leadership_register(leadership);
 	return leadership;
 }
 
--- a/tests/unit/test_relay_quota_leader.c
+++ b/tests/unit/test_relay_quota_leader.c
@@ -62,7 +62,8 @@
 	return catalog;
 }
 
-static int open_fixture(void **state)
+/* A hub that is claiming its key. */
+static int open_claiming_fixture(void **state)
 {
 	static const kv_store_calls_t calls = {.commit = fake_commit};
 	fixture_t *fixture = g_new0(fixture_t, 1);
@@ -81,6 +82,13 @@
 	return 0;
 }
 
+static int open_fixture(void **state)
+{
+	open_claiming_fixture(state);
+	relay_quota_leader_registered(((fixture_t *)*state)->leader);
+	return 0;
+}
+
 static int close_fixture(void **state)
 {
 	fixture_t *fixture = *state;
@@ -200,6 +208,56 @@
 	assert_int_equal(fixture->condition, store_revision_make(1, 6));
 }
 
+/* A node that loses its claim of a hub's key must not lead the domain. */
+static void test_record_is_written_after_the_claim(void **state)
+{
+	fixture_t *fixture = *state;
+
+	relay_quota_leader_synced(fixture->leader, store_revision_make(1, 4),
+				  clock_boot_ms());
+	for (uint32_t i = 0; i < 50; i++) {
+		event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+		g_usleep(10000);
+	}
+	assert_null(fixture->commit);
+	relay_quota_leader_registered(fixture->leader);
+	run_until_commit(fixture);
+	assert_string_equal(fixture->value, "node-1 1 leading");
+}
+
+/* After a loss of power the claim must not delay the leaders. */
+static void test_earlier_record_holds_before_the_claim(void **state)
+{
+	fixture_t *fixture = *state;
+	uint32_t granted;
+
+	read_record(fixture, "node-1 1 leading", 5);
+	assert_true(admits(fixture, "acme", &granted));
+	assert_null(fixture->commit);
+	/* Another node had the key. */
+	relay_quota_leader_set_hub(fixture->leader, false);
+	assert_false(admits(fixture, "acme", &granted));
+	assert_non_null(fixture->commit);
+	assert_string_equal(fixture->value, "node-1 1 released");
+}
+
+/* A record of a node that is no hub leaves the domain without a leader. */
+static void test_former_hub_releases_the_record(void **state)
+{
+	fixture_t *fixture = *state;
+	uint32_t granted;
+
+	relay_quota_leader_synced(fixture->leader, store_revision_make(1, 4),
+				  clock_boot_ms());
+	run_until_commit(fixture);
+	relay_quota_leader_set_hub(fixture->leader, false);
+	answer_commit(fixture, KV_OK, 5);
+	assert_false(admits(fixture, "acme", &granted));
+	run_until_commit(fixture);
+	assert_string_equal(fixture->value, "node-1 1 released");
+	assert_int_equal(fixture->condition, store_revision_make(1, 5));
+}
+
 /* Each call to the store costs money. */
 static void test_site_without_quotas_writes_nothing(void **state)
 {
@@ -242,6 +300,15 @@
 		cmocka_unit_test_setup_teardown(
 			test_leaving_leader_releases_the_record, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_record_is_written_after_the_claim,
+			open_claiming_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_earlier_record_holds_before_the_claim,
+			open_claiming_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_former_hub_releases_the_record, open_fixture,
+			close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_site_without_quotas_writes_nothing, open_fixture,
 			close_fixture),
