Admit as much of a quota as a window of 5 s allows

Operations count in a window if they are sent and arrive at a server in it. They were then admitted in it as well, so delays between admission and server need no allowance. All leaders together now hold burst + 6 tokens and gain (0.97 L - C) / 5 per second, L being the limit of a window. The rate is bounded by 1.1 x rate + 4 (rate 10 with burst 1000 would have got 26.7 per second) and is at least the quota's. 3 % are left for reads that are sent to two servers. Rate 0 still admits nothing.

--- a/src/coordination/quota_bucket.c
+++ b/src/coordination/quota_bucket.c
@@ -18,10 +18,24 @@
 #define SWEEP_MS 10000u
 
 /*
- * Levels are in parts of a token, 1000 times the number of domains each, so
- * that one domain's bucket gains rate_per_s parts in a millisecond.
+ * Levels are in parts of a token, 10^6 times the number of domains each, so
+ * that one domain's bucket gains in a millisecond as many parts as all leaders
+ * together admit operations in 1000 s.
  */
-#define PARTS_PER_DOMAIN 1000u
+#define PARTS_PER_DOMAIN 1000000u
+
+/* Operations that all leaders may admit at once above the burst. */
+#define BURST_SLACK 6u
+
+/*
+ * Largest rate of all leaders together: a tenth above the quota's, and this
+ * many more. A large burst with a small rate would give a multiple of the rate.
+ */
+#define RATE_SLACK_PER_S 4u
+
+/* Window of the limit, and the part of it that admissions may use. */
+#define WINDOW_S 5u
+#define WINDOW_PER_CENT 97u
 
 typedef struct {
 	quota_limit_t limit;
@@ -67,13 +81,33 @@
 	return (uint64_t)PARTS_PER_DOMAIN * buckets->domains;
 }
 
+/* @return tokens that the buckets of all leaders hold together */
+static uint64_t total_capacity(const quota_buckets_t *buckets,
+			       quota_limit_t limit)
+{
+	return MAX((uint64_t)limit.burst + BURST_SLACK, buckets->domains);
+}
+
 static uint64_t capacity_parts(const quota_buckets_t *buckets,
 			       quota_limit_t limit)
 {
-	const uint64_t parts = ((uint64_t)limit.burst + QUOTA_BUCKETS_SLACK) *
-			       PARTS_PER_DOMAIN;
+	return total_capacity(buckets, limit) * PARTS_PER_DOMAIN;
+}
 
-	return MAX(parts, token_parts(buckets));
+/* @return operations that all leaders together admit in 1000 s */
+static uint64_t total_rate(const quota_buckets_t *buckets, quota_limit_t limit)
+{
+	const uint64_t rate = limit.rate_per_s;
+	/* (5 rate + burst) x 1.1 + 20, in thousandths, less what is not used */
+	const uint64_t window =
+		(11 * (WINDOW_S * rate + limit.burst) + 200) * WINDOW_PER_CENT;
+	const uint64_t capacity = total_capacity(buckets, limit) * 1000;
+	const uint64_t left =
+		window > capacity ? (window - capacity) / WINDOW_S : 0;
+
+	if (!rate)
+		return 0;
+	return CLAMP(left, rate * 1000, rate * 1100 + RATE_SLACK_PER_S * 1000);
 }
 
 /* @return the level that a bucket of @p level reaches in @p elapsed_ms */
@@ -96,7 +130,7 @@
 static uint64_t initial_level(const quota_buckets_t *buckets,
 			      quota_limit_t limit, uint64_t now_ms)
 {
-	return refill(buckets->initial, limit.rate_per_s,
+	return refill(buckets->initial, total_rate(buckets, limit),
 		      capacity_parts(buckets, limit),
 		      elapsed_ms(buckets->created_ms, now_ms));
 }
@@ -108,7 +142,8 @@
 				      capacity_parts(buckets, limit));
 
 	bucket->level = refill(bucket->level,
-			       MIN(bucket->limit.rate_per_s, limit.rate_per_s),
+			       MIN(total_rate(buckets, bucket->limit),
+				   total_rate(buckets, limit)),
 			       capacity, elapsed_ms(bucket->used_ms, now_ms));
 	bucket->limit = limit;
 	bucket->used_ms = MAX(bucket->used_ms, now_ms);
@@ -122,7 +157,7 @@
 
 	return idle_ms >= IDLE_MS &&
 	       initial_level(buckets, bucket->limit, now_ms) <=
-		       refill(bucket->level, bucket->limit.rate_per_s,
+		       refill(bucket->level, total_rate(buckets, bucket->limit),
 			      capacity_parts(buckets, bucket->limit), idle_ms);
 }
 
@@ -164,7 +199,7 @@
 			       const bucket_t *bucket)
 {
 	const uint64_t token = token_parts(buckets);
-	const uint64_t rate = bucket->limit.rate_per_s;
+	const uint64_t rate = total_rate(buckets, bucket->limit);
 	uint64_t wait_ms;
 
 	if (bucket->level >= token)
--- a/src/coordination/quota_bucket.h
+++ b/src/coordination/quota_bucket.h
@@ -10,12 +10,15 @@
  * while quota leaders restart and limits change. Each failure domain's leader
  * may admit its part of the quota alone, so that the sum holds without any
  * message between leaders.
+ *
+ * All leaders together hold up to C = burst + 6 tokens, at least one each, and
+ * gain R = (0.97 x L - C) / 5 per second, where L = (5 x rate + burst) x 1.1 +
+ * 20 is the limit of a window of 5 s: what is sent and arrives in a window was
+ * admitted in it. R is at least the rate and at most 1.1 x rate + 4; a customer
+ * of rate 0 gets nothing. The 3 % are for reads that are sent to two servers.
  */
 typedef struct quota_buckets quota_buckets_t;
 
-/** Operations that all leaders together may admit above a quota in 5 s. */
-#define QUOTA_BUCKETS_SLACK 12u
-
 /** Limits of one customer, over all nodes together. */
 typedef struct {
 	uint32_t rate_per_s;
