Decide on loans of tokens between quota leaders

Callers of a customer are unevenly spread over the failure domains, so a leader that has a sixth of the quota ran out of tokens, and operations asked leaders of other regions one after the other: a tenth waited 50 to 160 ms.

A leader whose level is below the demand of 150 ms, or below two tokens, borrows the demand of 400 ms from one other leader at a time. The lender keeps the demand of 150 ms. A loan fits into the bucket when it is asked for, and a lost answer loses the tokens.

--- a/src/coordination/quota_bucket.c
+++ b/src/coordination/quota_bucket.c
@@ -1,5 +1,6 @@
 #include "coordination/quota_bucket.h"
 
+#include <math.h>
 #include <stdbool.h>
 
 #include <glib.h>
@@ -37,10 +38,39 @@
 #define WINDOW_S 5u
 #define WINDOW_PER_CENT 97u
 
+/* Time over which the demand is averaged. */
+#define DEMAND_MS 1000.0
+
+/*
+ * A leader borrows when its level is below the demand of LOW_MS, about three
+ * times as long as an answer of another region takes, and keeps as much when it
+ * lends; it asks for the demand of LOAN_MS.
+ */
+#define LOW_MS 150.0
+#define LOAN_MS 400.0
+
+/* Least level at which nothing is borrowed, in tokens. */
+#define LOW_TOKENS 2u
+
+/*
+ * Part of the capacity for which there must be room: loans of single tokens
+ * bring too few, since only one is under way.
+ */
+#define LOAN_ROOM_PART 3
+
+/* Maximum number of tokens of a loan. */
+#define LOAN_TOKENS_MAX 256u
+
+/* Lowest demand for which is borrowed, operations in DEMAND_MS. */
+#define DEMAND_MIN 0.1
+
 typedef struct {
 	quota_limit_t limit;
-	uint64_t level; /* in parts */
+	uint64_t level;	   /* in parts */
+	uint64_t incoming; /* loan under way, in parts */
 	uint64_t used_ms;
+	double demand; /* requested operations, decaying over DEMAND_MS */
+	uint64_t demand_ms;
 } bucket_t;
 
 struct quota_buckets {
@@ -155,7 +185,7 @@
 {
 	const uint64_t idle_ms = elapsed_ms(bucket->used_ms, now_ms);
 
-	return idle_ms >= IDLE_MS &&
+	return idle_ms >= IDLE_MS && !bucket->incoming &&
 	       initial_level(buckets, bucket->limit, now_ms) <=
 		       refill(bucket->level, total_rate(buckets, bucket->limit),
 			      capacity_parts(buckets, bucket->limit), idle_ms);
@@ -175,6 +205,19 @@
 			g_hash_table_iter_remove(&iter);
 }
 
+/* @return operations requested per DEMAND_MS */
+static double demand_at(const bucket_t *bucket, uint64_t now_ms)
+{
+	return bucket->demand *
+	       exp(-(double)elapsed_ms(bucket->demand_ms, now_ms) / DEMAND_MS);
+}
+
+static void add_demand(bucket_t *bucket, uint32_t count, uint64_t now_ms)
+{
+	bucket->demand = demand_at(bucket, now_ms) + count;
+	bucket->demand_ms = MAX(bucket->demand_ms, now_ms);
+}
+
 /* @return the customer's bucket as of now, or NULL if there are too many */
 static bucket_t *get_bucket(quota_buckets_t *buckets, const char *customer,
 			    quota_limit_t limit, uint64_t now_ms)
@@ -195,18 +238,18 @@
 	return bucket;
 }
 
-static uint32_t retry_after_ms(const quota_buckets_t *buckets,
-			       const bucket_t *bucket)
+/* @return time until the bucket holds @p level, bounded */
+static uint32_t time_until_ms(const quota_buckets_t *buckets,
+			      const bucket_t *bucket, uint64_t level)
 {
-	const uint64_t token = token_parts(buckets);
 	const uint64_t rate = total_rate(buckets, bucket->limit);
 	uint64_t wait_ms;
 
-	if (bucket->level >= token)
+	if (bucket->level >= level)
 		return 0;
 	if (!rate)
 		return RETRY_AFTER_MS_MAX;
-	wait_ms = (token - bucket->level + rate - 1) / rate;
+	wait_ms = (level - bucket->level + rate - 1) / rate;
 	return (uint32_t)MIN(wait_ms, RETRY_AFTER_MS_MAX);
 }
 
@@ -222,9 +265,98 @@
 	bucket = get_bucket(buckets, customer, limit, now_ms);
 	if (!bucket)
 		return admission;
+	add_demand(bucket, count, now_ms);
 	admission.granted = (uint32_t)MIN(bucket->level / token, count);
 	bucket->level -= admission.granted * token;
-	admission.retry_after_ms = retry_after_ms(buckets, bucket);
+	admission.retry_after_ms = time_until_ms(buckets, bucket, token);
+	admission.level = (uint32_t)(bucket->level / token);
+	return admission;
+}
+
+/* @return the level that the demand of LOW_MS uses */
+static uint64_t low_parts(const quota_buckets_t *buckets,
+			  const bucket_t *bucket, uint64_t now_ms)
+{
+	return (uint64_t)(demand_at(bucket, now_ms) * LOW_MS / DEMAND_MS *
+			  (double)token_parts(buckets));
+}
+
+static bool is_low(const quota_buckets_t *buckets, const bucket_t *bucket,
+		   uint64_t now_ms)
+{
+	const double demand = demand_at(bucket, now_ms);
+	const double gain = (double)total_rate(buckets, bucket->limit) *
+			    DEMAND_MS / (double)token_parts(buckets);
+
+	if (demand < DEMAND_MIN)
+		return false;
+	return bucket->level < LOW_TOKENS * token_parts(buckets) ||
+	       (demand > gain &&
+		bucket->level < low_parts(buckets, bucket, now_ms));
+}
+
+uint32_t quota_buckets_shortage(quota_buckets_t *buckets, const char *customer,
+				quota_limit_t limit, uint64_t now_ms)
+{
+	bucket_t *bucket = get_bucket(buckets, customer, limit, now_ms);
+	uint64_t capacity;
+	double wanted;
+	double least;
+	double room;
+
+	if (!bucket || bucket->incoming || !limit.rate_per_s ||
+	    !is_low(buckets, bucket, now_ms))
+		return 0;
+	wanted = ceil(demand_at(bucket, now_ms) * LOAN_MS / DEMAND_MS);
+	wanted = MIN(wanted, LOAN_TOKENS_MAX);
+	capacity = capacity_parts(buckets, limit);
+	room = (double)((capacity - bucket->level) / token_parts(buckets));
+	least = (double)(capacity / token_parts(buckets)) / LOAN_ROOM_PART;
+	return room < MIN(least, wanted) ? 0 : (uint32_t)MIN(room, wanted);
+}
+
+void quota_buckets_start_loan(quota_buckets_t *buckets, const char *customer,
+			      uint32_t count)
+{
+	bucket_t *bucket = g_hash_table_lookup(buckets->table, customer);
+
+	if (bucket)
+		bucket->incoming = count * token_parts(buckets);
+}
+
+void quota_buckets_end_loan(quota_buckets_t *buckets, const char *customer,
+			    quota_limit_t limit, uint32_t granted,
+			    uint64_t now_ms)
+{
+	bucket_t *bucket = g_hash_table_lookup(buckets->table, customer);
+
+	if (!bucket || !bucket->incoming)
+		return;
+	update(buckets, bucket, limit, now_ms);
+	bucket->level += MIN(granted * token_parts(buckets), bucket->incoming);
+	bucket->level = MIN(bucket->level, capacity_parts(buckets, limit));
+	bucket->incoming = 0;
+}
+
+quota_admission_t quota_buckets_lend(quota_buckets_t *buckets,
+				     const char *customer, quota_limit_t limit,
+				     uint32_t count, uint64_t now_ms)
+{
+	const uint64_t token = token_parts(buckets);
+	quota_admission_t admission = {.retry_after_ms = RETRY_AFTER_MS_MAX};
+	bucket_t *bucket = get_bucket(buckets, customer, limit, now_ms);
+	uint64_t kept;
+
+	if (!bucket || bucket->incoming)
+		return admission;
+	kept = low_parts(buckets, bucket, now_ms);
+	if (bucket->level > kept)
+		admission.granted =
+			(uint32_t)MIN((bucket->level - kept) / token, count);
+	bucket->level -= admission.granted * token;
+	admission.retry_after_ms = time_until_ms(buckets, bucket, kept + token);
+	if (bucket->level > kept)
+		admission.level = (uint32_t)((bucket->level - kept) / token);
 	return admission;
 }
 
--- a/src/coordination/quota_bucket.h
+++ b/src/coordination/quota_bucket.h
@@ -30,6 +30,8 @@
 	uint32_t granted;
 	/** When the next token is available, 0 if there is one now. */
 	uint32_t retry_after_ms;
+	/** Tokens left that may be given away, for an answer to a leader. */
+	uint32_t level;
 } quota_admission_t;
 
 /** A leader among those of all failure domains. */
@@ -64,6 +66,40 @@
 				      const char *customer, quota_limit_t limit,
 				      uint32_t count, uint64_t now_ms);
 
+/**
+ * Returns how many tokens to borrow from another leader: some if the level is
+ * below what the demand of 150 ms uses, as far as it exceeds what the bucket
+ * gains, and below two tokens; what the demand of 400 ms uses. None while a
+ * loan is under way.
+ */
+uint32_t quota_buckets_shortage(quota_buckets_t *buckets, const char *customer,
+				quota_limit_t limit, uint64_t now_ms);
+
+/**
+ * A loan is under way. Buckets and loans of all leaders together hold at most
+ * the tokens gained in that time more than the buckets alone: a loan fits into
+ * the bucket when it is asked for, and what does not when it ends is lost.
+ */
+void quota_buckets_start_loan(quota_buckets_t *buckets, const char *customer,
+			      uint32_t count);
+
+/**
+ * A loan has ended. Nothing is added if the bucket has begun anew meanwhile.
+ *
+ * @param granted tokens that the other leader has given
+ */
+void quota_buckets_end_loan(quota_buckets_t *buckets, const char *customer,
+			    quota_limit_t limit, uint32_t granted,
+			    uint64_t now_ms);
+
+/**
+ * Gives tokens to another leader, but none that the demand of the next 150 ms
+ * uses here, and none while this leader itself borrows.
+ */
+quota_admission_t quota_buckets_lend(quota_buckets_t *buckets,
+				     const char *customer, quota_limit_t limit,
+				     uint32_t count, uint64_t now_ms);
+
 /** @return number of buckets that are kept */
 uint32_t quota_buckets_count(const quota_buckets_t *buckets);
 
--- a/tests/property/prop_quota.cpp
+++ b/tests/property/prop_quota.cpp
@@ -29,6 +29,9 @@
 constexpr uint64_t RUN_MS = 300000;
 constexpr uint64_t WINDOW_MS = 5000;
 
+/* More tokens than a bucket can hold. */
+constexpr uint32_t TAKEN_MAX = 2000;
+
 /* Rules that a shortcut leaves out. */
 enum guard_t {
 	GUARD_EMPTY = 1 << 0,	 /* a new leader's buckets are empty */
@@ -37,7 +40,8 @@
 	GUARD_BOOT = 1 << 3,	 /* the clock counts a freeze */
 	GUARD_SETTLING = 1 << 4, /* the record shows that its holder waits */
 	GUARD_ERA = 1 << 5,	 /* the record shows its era */
-	GUARD_ALL = (1 << 6) - 1,
+	GUARD_LENDER = 1 << 6,	 /* the lender gives up what it lends */
+	GUARD_ALL = (1 << 7) - 1,
 };
 
 struct entry_t {
@@ -98,6 +102,20 @@
 	int64_t known_era = 0;
 };
 
+/* A loan under way from the other domain. */
+struct transfer_t {
+	uint32_t domain; /* of the borrower */
+	uint32_t hub;
+	uint32_t run;
+	uint32_t count;
+	uint64_t lend_ms;
+	uint64_t end_ms;
+	bool lost_request;
+	bool lost_answer;
+	bool given = false;
+	uint32_t granted = 0;
+};
+
 struct model_t {
 	uint32_t guards;
 	std::mt19937_64 random;
@@ -105,6 +123,10 @@
 	store_t store;
 	hub_t hubs[DOMAINS][HUBS];
 	std::vector<write_t> writes;
+	std::vector<transfer_t> transfers;
+	uint64_t lent = 0;
+	/* Domains whose callers take all; in half of the runs both always. */
+	bool calls[DOMAINS] = {true, true};
 	quota_limit_t limit = {300, 500};
 	std::deque<std::pair<uint64_t, uint32_t>> admitted;
 	uint64_t in_window = 0;
@@ -113,7 +135,10 @@
 	std::deque<std::pair<uint64_t, quota_limit_t>> limits;
 	bool violated = false;
 
-	model_t(uint32_t guards, uint64_t seed) : guards(guards), random(seed)
+	bool pauses;
+
+	model_t(uint32_t guards, uint64_t seed)
+	    : guards(guards), random(seed), pauses(seed % 2)
 	{
 		limits.push_back({now_ms, limit});
 	}
@@ -331,11 +356,86 @@
 	}
 }
 
+/* Has the hub borrow from the other domain's leader; messages get lost. */
+void start_transfer(model_t &model, hub_t &hub, uint32_t domain, uint32_t index)
+{
+	const uint32_t count = quota_buckets_shortage(
+		hub.buckets, "a", model.limit, clock_of(model, hub));
+	transfer_t transfer = {};
+
+	for (const transfer_t &other : model.transfers)
+		if (other.domain == domain && other.hub == index)
+			return;
+	if (!count)
+		return;
+	quota_buckets_start_loan(hub.buckets, "a", count);
+	transfer.domain = domain;
+	transfer.hub = index;
+	transfer.run = hub.run;
+	transfer.count = count;
+	transfer.lend_ms = model.now_ms + model.below(150);
+	transfer.end_ms = transfer.lend_ms + model.below(150);
+	transfer.lost_request = model.chance(300);
+	transfer.lost_answer = model.chance(300);
+	model.transfers.push_back(transfer);
+}
+
+/* The other domain's leader gives tokens. */
+void lend(model_t &model, transfer_t &transfer)
+{
+	transfer.given = true;
+	if (transfer.lost_request)
+		return;
+	if (!(model.guards & GUARD_LENDER))
+		transfer.granted = transfer.count;
+	for (hub_t &hub : model.hubs[!transfer.domain]) {
+		const uint64_t now_ms = clock_of(model, hub);
+
+		if ((model.guards & GUARD_LENDER) && is_up(model, hub) &&
+		    hub.buckets &&
+		    quota_leadership_may_admit(hub.leadership, now_ms))
+			transfer.granted =
+				quota_buckets_lend(hub.buckets, "a",
+						   model.limit, transfer.count,
+						   now_ms)
+					.granted;
+	}
+}
+
+void step_transfers(model_t &model)
+{
+	for (transfer_t &transfer : model.transfers) {
+		hub_t &hub = model.hubs[transfer.domain][transfer.hub];
+
+		if (!transfer.given && model.now_ms >= transfer.lend_ms)
+			lend(model, transfer);
+		if (model.now_ms < transfer.end_ms || !is_up(model, hub) ||
+		    hub.run != transfer.run)
+			continue;
+		transfer.run = 0;
+		if (transfer.lost_answer)
+			transfer.granted = 0;
+		model.lent += transfer.granted;
+		/* The bucket may be of a later tenure. */
+		quota_buckets_end_loan(hub.buckets, "a", model.limit,
+				       transfer.granted, clock_of(model, hub));
+	}
+	model.transfers.erase(
+		std::remove_if(
+			model.transfers.begin(), model.transfers.end(),
+			[&](const transfer_t &transfer) {
+				return model.hubs[transfer.domain][transfer.hub]
+					       .run != transfer.run;
+			}),
+		model.transfers.end());
+}
+
 /* Callers use all that they can get. */
-uint32_t admit(model_t &model, hub_t &hub, uint32_t domain)
+uint32_t admit(model_t &model, hub_t &hub, uint32_t domain, uint32_t index)
 {
 	const uint64_t now_ms = clock_of(model, hub);
 	const uint32_t tenure = quota_leadership_tenure(hub.leadership);
+	uint32_t granted = 0;
 
 	if (!quota_leadership_may_admit(hub.leadership, now_ms))
 		return 0;
@@ -346,9 +446,12 @@
 			{DOMAINS, domain}, 10,
 			model.guards & GUARD_EMPTY ? now_ms : now_ms - 600000);
 	}
-	return quota_buckets_admit(hub.buckets, "a", model.limit, 100000,
-				   now_ms)
-		.granted;
+	if (model.calls[domain])
+		granted = quota_buckets_admit(hub.buckets, "a", model.limit,
+					      TAKEN_MAX, now_ms)
+				  .granted;
+	start_transfer(model, hub, domain, index);
+	return granted;
 }
 
 void step_hub(model_t &model, uint32_t domain, uint32_t index)
@@ -364,7 +467,7 @@
 	if (!is_up(model, hub))
 		return;
 	/* Admission may come before the answers that wait in the socket. */
-	granted = admit(model, hub, domain);
+	granted = admit(model, hub, domain, index);
 	if (granted)
 		model.admitted.push_back({model.now_ms, granted});
 	model.in_window += granted;
@@ -440,6 +543,9 @@
 		set_limit(model);
 	if (model.chance(5))
 		lose_power(model);
+	for (bool &calls : model.calls)
+		if (model.pauses && model.chance(100))
+			calls = !calls;
 }
 
 /* A lower limit is binding one window after it is in force. */
@@ -470,7 +576,8 @@
 }
 
 /* @return whether the quota held in every window */
-bool run(uint32_t guards, uint64_t seed, uint64_t *total)
+bool run(uint32_t guards, uint64_t seed, uint64_t *total,
+	 uint64_t *lent = nullptr)
 {
 	auto model = std::make_unique<model_t>(guards, seed);
 	bool violated;
@@ -478,6 +585,7 @@
 	while (model->now_ms < START_MS + RUN_MS && !model->violated) {
 		disturb(*model);
 		step_writes(*model);
+		step_transfers(*model);
 		for (uint32_t i = 0; i < DOMAINS; i++)
 			for (uint32_t j = 0; j < HUBS; j++)
 				step_hub(*model, i, j);
@@ -490,6 +598,8 @@
 	violated = model->violated;
 	if (total)
 		*total += model->total;
+	if (lent)
+		*lent += model->lent;
 	return !violated;
 }
 
@@ -514,19 +624,23 @@
 int main()
 {
 	uint64_t total = 0;
-	bool passed = rc::check("no window exceeds the quota of a customer",
-				[&total](uint64_t seed) {
-					RC_ASSERT(run(GUARD_ALL, seed, &total));
-				});
+	uint64_t lent = 0;
+	bool passed = rc::check(
+		"no window exceeds the quota of a customer",
+		[&](uint64_t seed) {
+			RC_ASSERT(run(GUARD_ALL, seed, &total, &lent));
+		});
 
 	/* A fleet that admits nothing would keep the quota as well. */
-	printf("admitted %lu\n", (unsigned long)total);
-	passed &= total > 0;
+	printf("admitted %lu lent %lu\n", (unsigned long)total,
+	       (unsigned long)lent);
+	passed &= total > 0 && lent > 0;
 	passed &= is_needed("empty buckets at start", GUARD_EMPTY);
 	passed &= is_needed("the wait after a takeover", GUARD_SETTLE);
 	passed &= is_needed("an end without proof", GUARD_PROOF);
 	passed &= is_needed("a clock that counts freezes", GUARD_BOOT);
 	passed &= is_needed("the settling state", GUARD_SETTLING);
 	passed &= is_needed("the era of the record", GUARD_ERA);
+	passed &= is_needed("the lender's part of a loan", GUARD_LENDER);
 	return passed ? 0 : 1;
 }
