Borrow tokens from the quota leaders of other domains

A leader asks as other nodes do, with the word LOAN at the end and on a connection of its own, so that a node of an earlier version, which closes it, does not affect other requests. Answers state the level that is left; earlier nodes read the first two numbers of a row only. The link reports requests that it gives up, so that a lost answer ends the loan without tokens. The metric toucanhook_quota_tokens_total counts both sides.

test_leader_without_tokens_borrows (new) has a loan answered and one unanswered; test_platform_codec has the new request.

--- a/src/protocol/command.c
+++ b/src/protocol/command.c
@@ -9,9 +9,10 @@
 const char *command_kind_name(command_kind_t kind)
 {
 	static const char *const names[COMMAND_KIND_COUNT] = {
-		"begin",  "begin_read", "commit",  "rollback", "read",	"write",
-		"set",	  "prepare",	"execute", "close",    "reset", "prove",
-		"follow", "as",		"admit",   "invalid"};
+		"begin", "begin_read", "commit",  "rollback", "read",
+		"write", "set",	       "prepare", "execute",  "close",
+		"reset", "prove",      "follow",  "as",	      "admit",
+		"lend",	 "invalid"};
 
 	return names[kind];
 }
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -24,6 +24,7 @@
 	COMMAND_FOLLOW,	 /**< another node follows this hub */
 	COMMAND_AS,	 /**< sets the customer of a forwarded connection */
 	COMMAND_ADMIT,	 /**< another node asks for a share of a quota */
+	COMMAND_LEND,	 /**< another quota leader asks for tokens */
 	COMMAND_INVALID,
 	COMMAND_KIND_COUNT,
 } command_kind_t;
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -114,6 +114,8 @@
 	char *(*text_as)(const char *customer);
 	/** Asks for the admission of operations of a customer. */
 	char *(*text_admit)(const char *customer, uint32_t count);
+	/** Asks for tokens of a customer for another quota leader. */
+	char *(*text_lend)(const char *customer, uint32_t count);
 	/** A request to a hub, see relay_hub_message.h. */
 	char *(*text_follow)(const char *arguments);
 	bool (*parse_status)(const char *row, relay_status_t *status);
--- a/src/relay/relay_forwarding_peer.c
+++ b/src/relay/relay_forwarding_peer.c
@@ -45,15 +45,32 @@
 	relay_hub_request(session->subscriber, &request);
 }
 
-/* Answers "granted retry_after_ms", both 0 if this node may not admit now. */
+/* Gives tokens to another quota leader. */
+static void lend(forwarding_session_t *session, uint32_t count,
+		 quota_admission_t *admission)
+{
+	const relay_forwarding_t *forwarding = session->forwarding;
+
+	relay_quota_leader_lend(forwarding->leader, session->command.name,
+				count, admission);
+	metric_add(
+		metrics_counter(
+			relay_services_settings(forwarding->services)->metrics,
+			"toucanhook_quota_tokens_total", "kind=\"lent\""),
+		admission->granted);
+}
+
+/* Answers "granted retry_after_ms level", all 0 if this node may not admit now.
+ */
 void forwarding_session_admit(forwarding_session_t *session)
 {
 	const command_t *command = &session->command;
+	const bool lends = command->kind == COMMAND_LEND;
 	quota_admission_t admission = {0};
 	g_autofree char *row = NULL;
 	guint64 count;
 
-	if (command->kind != COMMAND_ADMIT ||
+	if ((command->kind != COMMAND_ADMIT && !lends) ||
 	    !g_ascii_string_to_unsigned(command->value, 10, 1, G_MAXUINT32,
 					&count, NULL)) {
 		log_event(LOG_LEVEL_WARNING, "token_request_invalid",
@@ -61,10 +78,15 @@
 		forwarding_session_close_soon(session);
 		return;
 	}
-	relay_quota_leader_admit(session->forwarding->leader, command->name,
-				 (uint32_t)count, &admission);
-	row = g_strdup_printf("%" PRIu32 " %" PRIu32, admission.granted,
-			      admission.retry_after_ms);
+	if (lends)
+		lend(session, (uint32_t)count, &admission);
+	else
+		relay_quota_leader_admit(session->forwarding->leader,
+					 command->name, (uint32_t)count,
+					 &admission);
+	row = g_strdup_printf("%" PRIu32 " %" PRIu32 " %" PRIu32,
+			      admission.granted, admission.retry_after_ms,
+			      admission.level);
 	forwarding_session_codec(session)->put_row(
 		forwarding_session_output(session), row);
 	forwarding_session_answer_complete(session);
--- a/src/relay/relay_quota.c
+++ b/src/relay/relay_quota.c
@@ -38,15 +38,28 @@
 		   1);
 }
 
+static bool is_busy(const relay_quota_t *quota)
+{
+	return quota->waiting || quota_loan_count(quota->loans);
+}
+
 static void schedule_tick(relay_quota_t *quota)
 {
-	const uint32_t delay_ms = quota->waiting ? TICK_MS : IDLE_TICK_MS;
+	const uint32_t delay_ms = is_busy(quota) ? TICK_MS : IDLE_TICK_MS;
 	const struct timeval delay = clock_timeval(delay_ms);
 
 	quota->tick_ms = clock_boot_ms() + delay_ms;
 	event_add(quota->timer, &delay);
 }
 
+void quota_schedule(relay_quota_t *quota)
+{
+	/* A timer that is due sooner is kept, else it might never fire. */
+	if (!evtimer_pending(quota->timer, NULL) ||
+	    clock_boot_ms() + TICK_MS < quota->tick_ms)
+		schedule_tick(quota);
+}
+
 void quota_ticket_enqueue(relay_quota_ticket_t *ticket, GQueue *queue)
 {
 	if (ticket->queue)
@@ -217,7 +230,7 @@
 	retry_parked(quota);
 	if (!late)
 		quota_tickets_end_late(&quota->parked, now_ms);
-	if (quota->enabled || quota->waiting)
+	if (quota->enabled || is_busy(quota))
 		schedule_tick(quota);
 }
 
@@ -235,6 +248,7 @@
 	quota->own = leader;
 	quota->handlers = handlers;
 	quota->source = quota_source_create();
+	quota->loans = quota_loan_create();
 	quota->domains = g_ptr_array_new_with_free_func(quota_domain_free);
 	quota->random = g_rand_new_with_seed(g_str_hash(settings->node));
 	quota->timer = evtimer_new(settings->base, on_tick, quota);
@@ -244,6 +258,9 @@
 	g_hash_table_iter_init(&iter, settings->regions);
 	while (g_hash_table_iter_next(&iter, &domain, NULL))
 		quota_domain_add(quota, domain);
+	relay_quota_leader_set_lenders(
+		leader, (relay_quota_lenders_t){.borrow = quota_loan_borrow,
+						.context = quota});
 	return quota;
 }
 
@@ -251,10 +268,12 @@
 {
 	if (!quota)
 		return;
+	relay_quota_leader_set_lenders(quota->own, (relay_quota_lenders_t){0});
 	event_free(quota->timer);
 	event_free(quota->deliver);
 	g_ptr_array_unref(quota->domains);
 	quota_source_destroy(quota->source);
+	quota_loan_destroy(quota->loans);
 	g_rand_free(quota->random);
 	g_free(quota);
 }
@@ -325,7 +344,7 @@
 	ticket->done = done;
 	ticket->context = context;
 	if (!quota->waiting++)
-		schedule_tick(quota);
+		quota_schedule(quota);
 	advance(ticket);
 	if (!ticket->admitted)
 		return ticket;
--- a/src/relay/relay_quota_domain.c
+++ b/src/relay/relay_quota_domain.c
@@ -165,6 +165,7 @@
 	if (late)
 		return;
 	relay_quota_link_step(domain->link, now_ms);
+	relay_quota_link_step(domain->loan_link, now_ms);
 	g_hash_table_iter_init(&iter, domain->batches);
 	while (g_hash_table_iter_next(&iter, NULL, &batch))
 		quota_tickets_end_late(&((batch_t *)batch)->tickets, now_ms);
@@ -175,6 +176,7 @@
 	quota_domain_t *domain = data;
 
 	relay_quota_link_destroy(domain->link);
+	relay_quota_link_destroy(domain->loan_link);
 	g_hash_table_destroy(domain->batches);
 	g_free(domain->name);
 	g_free(domain->holder);
@@ -216,6 +218,7 @@
 			.failed = on_failed,
 			.context = domain,
 		});
+	domain->loan_link = quota_loan_link_create(domain);
 	g_ptr_array_add(quota->domains, domain);
 }
 
@@ -232,6 +235,7 @@
 			return;
 	}
 	relay_quota_link_set_endpoint(domain->link, endpoint);
+	relay_quota_link_set_endpoint(domain->loan_link, endpoint);
 }
 
 bool quota_domain_set_holder(quota_domain_t *domain, const char *holder)
@@ -244,6 +248,7 @@
 	domain->holder = g_strdup(holder);
 	domain->is_self = !g_strcmp0(holder, quota_settings(quota)->node);
 	relay_quota_link_set_endpoint(domain->link, NULL);
+	relay_quota_link_set_endpoint(domain->loan_link, NULL);
 	quota_source_set_leader(quota->source, domain->index, holder);
 	quota_domain_update_endpoint(domain);
 	return true;
--- a/src/relay/relay_quota_leader.c
+++ b/src/relay/relay_quota_leader.c
@@ -35,6 +35,7 @@
 	uint32_t tenure;	  /* last one noticed */
 	bool active;		  /* state last logged */
 	struct event *timer;	  /* pending while enabled */
+	relay_quota_lenders_t lenders;
 };
 
 static void step(relay_quota_leader_t *leader);
@@ -256,6 +257,71 @@
 	       quota_leadership_may_admit(leader->leadership, clock_boot_ms());
 }
 
+void relay_quota_leader_set_lenders(relay_quota_leader_t *leader,
+				    relay_quota_lenders_t lenders)
+{
+	leader->lenders = lenders;
+}
+
+/* @return the customer if it has a quota, else NULL */
+static const catalog_customer_t *find_limited(relay_quota_leader_t *leader,
+					      const char *name)
+{
+	const catalog_customer_t *customer =
+		leader->catalog ? catalog_customer(leader->catalog, name) :
+				  NULL;
+
+	return customer && customer->has_quota ? customer : NULL;
+}
+
+static quota_limit_t limit_of(const catalog_customer_t *customer)
+{
+	return (quota_limit_t){customer->rate_per_s, customer->burst};
+}
+
+static void borrow_if_low(relay_quota_leader_t *leader,
+			  const catalog_customer_t *customer)
+{
+	uint32_t count;
+
+	if (!leader->lenders.borrow)
+		return;
+	count = quota_buckets_shortage(leader->buckets, customer->name,
+				       limit_of(customer), clock_boot_ms());
+	if (count && leader->lenders.borrow(leader->lenders.context,
+					    customer->name, count))
+		quota_buckets_start_loan(leader->buckets, customer->name,
+					 count);
+}
+
+void relay_quota_leader_end_loan(relay_quota_leader_t *leader, const char *name,
+				 uint32_t granted)
+{
+	const catalog_customer_t *customer = find_limited(leader, name);
+
+	if (leader->buckets)
+		quota_buckets_end_loan(leader->buckets, name,
+				       customer ? limit_of(customer) :
+						  (quota_limit_t){0},
+				       granted, clock_boot_ms());
+}
+
+bool relay_quota_leader_lend(relay_quota_leader_t *leader, const char *name,
+			     uint32_t count, quota_admission_t *admission)
+{
+	const catalog_customer_t *customer = find_limited(leader, name);
+
+	update(leader);
+	if (!relay_quota_leader_is_active(leader))
+		return false;
+	*admission = (quota_admission_t){.retry_after_ms = UNKNOWN_RETRY_MS};
+	if (customer)
+		*admission = quota_buckets_lend(leader->buckets, name,
+						limit_of(customer), count,
+						clock_boot_ms());
+	return true;
+}
+
 bool relay_quota_leader_admit(relay_quota_leader_t *leader,
 			      const char *customer, uint32_t count,
 			      quota_admission_t *admission)
@@ -271,10 +337,11 @@
 			(quota_admission_t){.retry_after_ms = UNKNOWN_RETRY_MS};
 	else if (!known->has_quota)
 		*admission = (quota_admission_t){.granted = count};
-	else
-		*admission = quota_buckets_admit(
-			leader->buckets, customer,
-			(quota_limit_t){known->rate_per_s, known->burst}, count,
-			clock_boot_ms());
+	if (!known || !known->has_quota)
+		return true;
+	*admission =
+		quota_buckets_admit(leader->buckets, customer, limit_of(known),
+				    count, clock_boot_ms());
+	borrow_if_low(leader, known);
 	return true;
 }
--- a/src/relay/relay_quota_leader.h
+++ b/src/relay/relay_quota_leader.h
@@ -73,6 +73,33 @@
 /** @return whether this node may admit operations now */
 bool relay_quota_leader_is_active(const relay_quota_leader_t *leader);
 
+/** The other quota leaders, from which this one borrows. */
+typedef struct {
+	/**
+	 * Asks one for tokens; relay_quota_leader_end_loan() is called later.
+	 *
+	 * @return false if none can be asked now
+	 */
+	bool (*borrow)(void *context, const char *customer, uint32_t count);
+	void *context;
+} relay_quota_lenders_t;
+
+/** Without @p lenders, with a callback of NULL, nothing is borrowed. */
+void relay_quota_leader_set_lenders(relay_quota_leader_t *leader,
+				    relay_quota_lenders_t lenders);
+
+/** @param granted tokens that another leader has given, 0 without an answer */
+void relay_quota_leader_end_loan(relay_quota_leader_t *leader,
+				 const char *customer, uint32_t granted);
+
+/**
+ * Gives tokens of a customer to another leader.
+ *
+ * @return false if this node may not admit operations now
+ */
+bool relay_quota_leader_lend(relay_quota_leader_t *leader, const char *customer,
+			     uint32_t count, quota_admission_t *admission);
+
 /**
  * Takes tokens of a customer.
  *
--- a/src/relay/relay_quota_link.c
+++ b/src/relay/relay_quota_link.c
@@ -59,6 +59,20 @@
 	g_queue_clear_full(&link->requests, request_free);
 }
 
+/* Reports the requests that will not be answered any more. */
+static void abandon(relay_quota_link_t *link)
+{
+	request_t *request;
+
+	g_clear_pointer(&link->connection, relay_link_destroy);
+	while ((request = g_queue_pop_head(&link->requests))) {
+		if (link->handlers.unanswered)
+			link->handlers.unanswered(link->handlers.context,
+						  request->customer);
+		request_free(request);
+	}
+}
+
 relay_quota_link_t *
 relay_quota_link_create(relay_services_t *services, uint32_t timeout_ms,
 			relay_quota_link_handlers_t handlers)
@@ -88,7 +102,7 @@
 		  "address=%s port=%u reason=%s requests=%u",
 		  link->endpoint.address, link->endpoint.port, reason,
 		  link->requests.length);
-	disconnect(link);
+	abandon(link);
 	link->reopen_ms =
 		clock_boot_ms() + (refused ? REFUSED_REOPEN_MS : REOPEN_MS);
 	link->handlers.failed(link->handlers.context, refused);
@@ -107,7 +121,7 @@
 	if (endpoint && link->endpoint.address &&
 	    is_same(endpoint, &link->endpoint))
 		return;
-	disconnect(link);
+	abandon(link);
 	g_clear_pointer(&link->endpoint.address, g_free);
 	if (endpoint)
 		link->endpoint = (endpoint_t){
@@ -164,11 +178,13 @@
 	return link->connection && relay_link_is_open(link->connection);
 }
 
-/* @return false if the row is not "granted retry_after_ms" */
+/* @return false if the row is not "granted retry_after_ms [level]" */
 static bool parse_row(const char *row, quota_admission_t *admission)
 {
-	return row && sscanf(row, "%" SCNu32 " %" SCNu32, &admission->granted,
-			     &admission->retry_after_ms) == 2;
+	*admission = (quota_admission_t){0};
+	return row && sscanf(row, "%" SCNu32 " %" SCNu32 " %" SCNu32,
+			     &admission->granted, &admission->retry_after_ms,
+			     &admission->level) >= 2;
 }
 
 static void on_answer(void *context, const relay_answer_t *answer)
@@ -185,7 +201,7 @@
 	if (answer->failed || !parse_row(answer->row, &admission) ||
 	    admission.granted > request->count ||
 	    clock_boot_ms() > request->sent_ms + ANSWER_AGE_MS) {
-		request_free(request);
+		g_queue_push_head(&link->requests, request);
 		fail(link, "answer_invalid", false);
 		return;
 	}
@@ -195,12 +211,9 @@
 	request_free(request);
 }
 
-void relay_quota_link_ask(relay_quota_link_t *link, const char *customer,
-			  uint32_t count)
+static void send_request(relay_quota_link_t *link, const char *customer,
+			 uint32_t count, const char *text)
 {
-	const relay_codec_t *codec =
-		relay_services_settings(link->services)->codec;
-	g_autofree char *text = codec->text_admit(customer, count);
 	request_t *request = g_new0(request_t, 1);
 
 	request->customer = g_strdup(customer);
@@ -212,6 +225,26 @@
 		       on_answer, link);
 }
 
+void relay_quota_link_ask(relay_quota_link_t *link, const char *customer,
+			  uint32_t count)
+{
+	const relay_codec_t *codec =
+		relay_services_settings(link->services)->codec;
+	g_autofree char *text = codec->text_admit(customer, count);
+
+	send_request(link, customer, count, text);
+}
+
+void relay_quota_link_borrow(relay_quota_link_t *link, const char *customer,
+			     uint32_t count)
+{
+	const relay_codec_t *codec =
+		relay_services_settings(link->services)->codec;
+	g_autofree char *text = codec->text_lend(customer, count);
+
+	send_request(link, customer, count, text);
+}
+
 void relay_quota_link_step(relay_quota_link_t *link, uint64_t now_ms)
 {
 	const request_t *oldest = g_queue_peek_head(&link->requests);
--- a/src/relay/relay_quota_link.h
+++ b/src/relay/relay_quota_link.h
@@ -17,6 +17,8 @@
 	 */
 	void (*answered)(void *context, const char *customer, uint32_t count,
 			 const quota_admission_t *admission);
+	/** A request was given up; NULL for nothing. */
+	void (*unanswered)(void *context, const char *customer);
 	/**
 	 * The connection has ended; its requests are unanswered.
 	 *
@@ -59,6 +61,10 @@
 void relay_quota_link_ask(relay_quota_link_t *link, const char *customer,
 			  uint32_t count);
 
+/** Requests tokens for this node's own leader; must be open. */
+void relay_quota_link_borrow(relay_quota_link_t *link, const char *customer,
+			     uint32_t count);
+
 /** Ends what has timed out, and a connection that is not used. */
 void relay_quota_link_step(relay_quota_link_t *link, uint64_t now_ms);
 
--- a/src/relay/relay_quota_private.h
+++ b/src/relay/relay_quota_private.h
@@ -3,6 +3,7 @@
 
 #include "relay/relay_quota.h"
 
+#include "coordination/quota_loan.h"
 #include "coordination/quota_source.h"
 #include "relay/relay_quota_link.h"
 
@@ -18,6 +19,7 @@
 	char *holder; /**< node that leads, or NULL */
 	bool is_self; /**< this node leads */
 	relay_quota_link_t *link;
+	relay_quota_link_t *loan_link; /**< if this node leads its domain */
 	GHashTable *batches; /**< customer -> operations that wait, private */
 } quota_domain_t;
 
@@ -42,6 +44,7 @@
 	relay_quota_handlers_t handlers;
 	bool enabled; /**< the site has quotas */
 	quota_source_t *source;
+	quota_loan_t *loans;
 	GPtrArray *domains;  /**< quota_domain_t, by index of the source */
 	GQueue parked;	     /**< tickets that wait until a leader answers */
 	GQueue ended;	     /**< tickets whose callback is due */
@@ -75,6 +78,20 @@
 /** Ends what has timed out. @param late whether answers may be unread */
 void quota_domain_step(quota_domain_t *domain, uint64_t now_ms, bool late);
 
+/** Sets the timer for what is under way. */
+void quota_schedule(relay_quota_t *quota);
+
+/** @return the link by which this node's leader borrows from the domain's */
+relay_quota_link_t *quota_loan_link_create(quota_domain_t *domain);
+
+/**
+ * Asks another leader for tokens of a customer.
+ *
+ * @param context the quota
+ * @return false if none can be asked now
+ */
+bool quota_loan_borrow(void *context, const char *customer, uint32_t count);
+
 /** Moves a ticket to the end of a queue. */
 void quota_ticket_enqueue(relay_quota_ticket_t *ticket, GQueue *queue);
 
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -578,6 +578,7 @@
 	case COMMAND_FOLLOW:
 	case COMMAND_AS:
 	case COMMAND_ADMIT:
+	case COMMAND_LEND:
 		return true;
 	default:
 		return false;
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -162,6 +162,8 @@
 		{"READ", COMMAND_INVALID, NULL, NULL},
 		{"WRITE 1a4 x y", COMMAND_WRITE, "1a4", "x y"},
 		{"WRITE 1a4", COMMAND_INVALID, "1a4", ""},
+		{"ADMIT acme 5", COMMAND_ADMIT, "acme", "5"},
+		{"ADMIT acme 5 LOAN", COMMAND_LEND, "acme", "5"},
 		{"SET zone a b", COMMAND_SET, "zone", "a b"},
 		{"PREPARE s1 WRITE q2c", COMMAND_PREPARE, "s1", "WRITE q2c"},
 		{"PREPARE s1 DROP q2c", COMMAND_INVALID, "s1", "DROP q2c"},
--- a/tests/unit/test_relay_quota.c
+++ b/tests/unit/test_relay_quota.c
@@ -24,7 +24,8 @@
 	const char *row; /* its answer to requests, NULL for silence */
 	bool refuses;	 /* refuses connections */
 	uint32_t requests;
-	char last[64]; /* text of the last request */
+	uint32_t loans; /* requests of another leader */
+	char last[64];	/* text of the last request */
 } leader_t;
 
 /* The end of one operation's wait. */
@@ -61,7 +62,10 @@
 						    "ERROR TOOMANY no\r\n" :
 						    "READY I -\r\n");
 		} else {
-			leader->requests++;
+			if (g_str_has_suffix(line, " LOAN"))
+				leader->loans++;
+			else
+				leader->requests++;
 			g_strlcpy(leader->last, line, sizeof(leader->last));
 			if (leader->row)
 				evbuffer_add_printf(
@@ -115,6 +119,16 @@
 					NULL;
 }
 
+static bool is_hub(void *context, const char *node)
+{
+	return true;
+}
+
+static uint64_t heard_ms(void *context, const char *node)
+{
+	return clock_boot_ms();
+}
+
 static int open_fixture(void **state)
 {
 	static char domains[][8] = {"akl-a", "wlg-a"};
@@ -137,12 +151,15 @@
 	});
 	fixture->own = relay_quota_leader_create(
 		fixture->base, NULL, "node-1", "akl-a", (quota_share_t){2, 0},
-		(relay_quota_leader_handlers_t){0});
+		(relay_quota_leader_handlers_t){.is_hub = is_hub,
+						.heard_ms = heard_ms});
 	fixture->quota = relay_quota_create(
 		fixture->services, fixture->own,
 		(relay_quota_handlers_t){.endpoint = endpoint_of,
 					 .context = fixture});
 	customer->has_quota = true;
+	customer->rate_per_s = 1;
+	customer->burst = 30;
 	fixture->catalog = catalog_new();
 	catalog_add_customer(fixture->catalog, customer);
 	relay_quota_configure(fixture->quota, fixture->catalog);
@@ -332,6 +349,58 @@
 	assert_true(fixture->outcomes[0].admitted);
 }
 
+/* Makes the node the leader of its domain, with an empty bucket. */
+static void lead(fixture_t *fixture)
+{
+	static char key[] = RELAY_QUOTA_PREFIX "akl-a";
+	static const char value[] = "node-1 0 leading";
+	g_autoptr(GBytes) bytes = g_bytes_new_static(value, strlen(value));
+	const kv_item_t item = {.key = key, .value = bytes, .revision = 1};
+
+	relay_quota_leader_configure(fixture->own, fixture->catalog);
+	relay_quota_leader_set_hub(fixture->own, true);
+	relay_quota_leader_key_changed(fixture->own, &item);
+	relay_quota_leader_synced(fixture->own, 1, clock_boot_ms());
+	relay_quota_key_changed(fixture->quota, &item);
+	assert_true(relay_quota_leader_is_active(fixture->own));
+}
+
+static int64_t borrowed(const fixture_t *fixture)
+{
+	return metric_value(metrics_counter(fixture->metrics,
+					    "toucanhook_quota_tokens_total",
+					    "kind=\"borrowed\""));
+}
+
+/* Operations of a domain with most callers must not all wait for others. */
+static void test_leader_without_tokens_borrows(void **state)
+{
+	fixture_t *fixture = *state;
+	const uint64_t end_ms = clock_boot_ms() + TIMEOUT_MS;
+
+	fixture->far.row = "1 0 9";
+	set_record(fixture, "wlg-a", "node-3 1 leading");
+	lead(fixture);
+	while (!borrowed(fixture) && clock_boot_ms() < end_ms) {
+		fixture->outcomes[0].ended = false;
+		if (!acquire(fixture, 0))
+			continue;
+		run_until_ended(fixture, 0);
+		event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+	}
+	assert_int_equal(borrowed(fixture), fixture->far.loans);
+	/* A loan without an answer must not end the borrowing. */
+	fixture->far.row = NULL;
+	fixture->far.loans = 0;
+	while (fixture->far.loans < 2 && clock_boot_ms() < end_ms) {
+		quota_admission_t admission;
+
+		relay_quota_leader_admit(fixture->own, "acme", 9, &admission);
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	}
+	assert_true(fixture->far.loans >= 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -352,6 +421,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_operation_asks_the_next_leader, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_leader_without_tokens_borrows, open_fixture,
+			close_fixture),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
