Keep the connection to a quota leader that is late

The operation still asks the next leader after 50 ms (own domain) or 150 ms (others), but the connection ends only after 300 ms without an answer. A late answer counts: its tokens are kept for the customer, operations that wait take them, and the leader is asked again at once.

test_late_answer_counts fails when the connection is closed at 50 ms.

--- a/src/coordination/quota_source.c
+++ b/src/coordination/quota_source.c
@@ -93,6 +93,11 @@
 				     QUOTA_SOURCE_AVOID_MS);
 }
 
+void quota_source_reached(quota_source_t *source, uint32_t domain)
+{
+	source->domains[domain].avoid_ms = 0;
+}
+
 static void drop_ended(customer_t *customer, uint64_t now_ms)
 {
 	uint32_t ended = 0;
--- a/src/coordination/quota_source.h
+++ b/src/coordination/quota_source.h
@@ -75,6 +75,9 @@
 void quota_source_failed(quota_source_t *source, uint32_t domain, bool answered,
 			 uint64_t now_ms);
 
+/** A leader that was late has answered; it may be asked again. */
+void quota_source_reached(quota_source_t *source, uint32_t domain);
+
 /**
  * A leader answered a request.
  *
--- a/src/relay/relay_quota.c
+++ b/src/relay/relay_quota.c
@@ -172,6 +172,11 @@
 	const uint64_t now_ms = clock_boot_ms();
 	uint32_t next;
 
+	/* A late answer may have brought a token meanwhile. */
+	if (quota_source_take(quota->source, ticket->customer, now_ms)) {
+		quota_ticket_admit(ticket);
+		return;
+	}
 	while ((next = quota_source_next(quota->source, ticket->customer,
 					 &ticket->quest, now_ms)) !=
 	       QUOTA_SOURCE_NONE) {
--- a/src/relay/relay_quota_domain.c
+++ b/src/relay/relay_quota_domain.c
@@ -4,9 +4,12 @@
 
 #include "base/clock.h"
 
-/* Timeouts of a request to the leader of the own domain, and to another. */
-#define OWN_TIMEOUT_MS 50u
-#define OTHER_TIMEOUT_MS 100u
+/*
+ * Time after which the operations ask another leader than that of the own
+ * domain, or of another one. Other regions answer in 40 ms, busy ones in more.
+ */
+#define OWN_LATE_MS 50u
+#define OTHER_LATE_MS 150u
 
 /* Maximum number of tokens of one request. */
 #define REQUEST_TOKENS_MAX 64u
@@ -91,6 +94,7 @@
 	const uint64_t now_ms = clock_boot_ms();
 	uint32_t left = admission->granted;
 
+	quota_source_reached(quota->source, domain->index);
 	quota_source_answered(quota->source, domain->index, batch->customer,
 			      admission->retry_after_ms, now_ms);
 	for (; left && batch->tickets.length; left--)
@@ -144,6 +148,20 @@
 		quota_tickets_advance(&((batch_t *)batch)->tickets);
 }
 
+/* Lets the operations ask another leader; what comes later is kept. */
+static void on_late(void *context)
+{
+	quota_domain_t *domain = context;
+	GHashTableIter iter;
+	gpointer batch;
+
+	quota_source_failed(domain->quota->source, domain->index, false,
+			    clock_boot_ms());
+	g_hash_table_iter_init(&iter, domain->batches);
+	while (g_hash_table_iter_next(&iter, NULL, &batch))
+		quota_tickets_advance(&((batch_t *)batch)->tickets);
+}
+
 static void on_link_changed(void *context)
 {
 	quota_domain_t *domain = context;
@@ -210,11 +228,11 @@
 						batch_free);
 	domain->link = relay_quota_link_create(
 		quota->services,
-		distance == QUOTA_DISTANCE_OWN ? OWN_TIMEOUT_MS :
-						 OTHER_TIMEOUT_MS,
+		distance == QUOTA_DISTANCE_OWN ? OWN_LATE_MS : OTHER_LATE_MS,
 		(relay_quota_link_handlers_t){
 			.changed = on_link_changed,
 			.answered = on_answered,
+			.late = on_late,
 			.failed = on_failed,
 			.context = domain,
 		});
--- a/src/relay/relay_quota_link.c
+++ b/src/relay/relay_quota_link.c
@@ -18,6 +18,12 @@
 /* The same after a refusal: a leader that has just started refuses at first. */
 #define REFUSED_REOPEN_MS 50u
 
+/*
+ * Timeout of a request. Leaders have not answered for up to 100 ms while they
+ * applied a new catalog, all at the same time.
+ */
+#define ANSWER_TIMEOUT_MS 300u
+
 /* Time after which a connection that is not used is closed. */
 #define IDLE_MS 60000u
 
@@ -35,7 +41,7 @@
 
 struct relay_quota_link {
 	relay_services_t *services;
-	uint32_t timeout_ms;
+	uint32_t late_ms;
 	relay_quota_link_handlers_t handlers;
 	endpoint_t endpoint; /* address NULL if unknown */
 	relay_link_t *connection;
@@ -43,6 +49,7 @@
 	uint64_t opening_ms;
 	uint64_t reopen_ms; /* no connection is opened before then */
 	uint64_t used_ms;
+	bool late; /* reported since the last answer */
 };
 
 static void request_free(gpointer data)
@@ -74,13 +81,13 @@
 }
 
 relay_quota_link_t *
-relay_quota_link_create(relay_services_t *services, uint32_t timeout_ms,
+relay_quota_link_create(relay_services_t *services, uint32_t late_ms,
 			relay_quota_link_handlers_t handlers)
 {
 	relay_quota_link_t *link = g_new0(relay_quota_link_t, 1);
 
 	link->services = services;
-	link->timeout_ms = timeout_ms;
+	link->late_ms = late_ms;
 	link->handlers = handlers;
 	g_queue_init(&link->requests);
 	return link;
@@ -167,6 +174,7 @@
 	if (!link->endpoint.address || now_ms < link->reopen_ms)
 		return false;
 	link->opening_ms = now_ms;
+	link->late = false;
 	link->connection =
 		relay_link_open(settings->base, settings->codec, &entry, NULL,
 				&link->endpoint, handlers);
@@ -197,6 +205,7 @@
 	/* The connection has ended, and on_closed() was called. */
 	if (answer->broken)
 		return;
+	link->late = false;
 	request = g_queue_pop_head(&link->requests);
 	if (answer->failed || !parse_row(answer->row, &admission) ||
 	    admission.granted > request->count ||
@@ -245,14 +254,24 @@
 	send_request(link, customer, count, text);
 }
 
+static void report_late(relay_quota_link_t *link)
+{
+	link->late = true;
+	if (link->handlers.late)
+		link->handlers.late(link->handlers.context);
+}
+
 void relay_quota_link_step(relay_quota_link_t *link, uint64_t now_ms)
 {
 	const request_t *oldest = g_queue_peek_head(&link->requests);
 
 	if (!link->connection)
 		return;
-	if (oldest && now_ms >= oldest->sent_ms + link->timeout_ms)
+	if (oldest && now_ms >= oldest->sent_ms + ANSWER_TIMEOUT_MS)
 		fail(link, "answer_timeout", false);
+	else if (oldest && !link->late &&
+		 now_ms >= oldest->sent_ms + link->late_ms)
+		report_late(link);
 	else if (!relay_link_is_open(link->connection) &&
 		 now_ms >= link->opening_ms + OPEN_TIMEOUT_MS)
 		fail(link, "open_timeout", false);
--- a/src/relay/relay_quota_link.h
+++ b/src/relay/relay_quota_link.h
@@ -17,6 +17,8 @@
 	 */
 	void (*answered)(void *context, const char *customer, uint32_t count,
 			 const quota_admission_t *admission);
+	/** The leader is late, once until it answers; NULL for nothing. */
+	void (*late)(void *context);
 	/** A request was given up; NULL for nothing. */
 	void (*unanswered)(void *context, const char *customer);
 	/**
@@ -31,10 +33,11 @@
 /**
  * Creates a link that is not connected.
  *
- * @param timeout_ms of a request on the open connection
+ * @param late_ms time without an answer after which a leader is late; its
+ *        connection is kept until 300 ms, and a late answer counts
  */
 relay_quota_link_t *
-relay_quota_link_create(relay_services_t *services, uint32_t timeout_ms,
+relay_quota_link_create(relay_services_t *services, uint32_t late_ms,
 			relay_quota_link_handlers_t handlers);
 
 /** Closes the connection; NULL is allowed. */
--- a/src/relay/relay_quota_loan.c
+++ b/src/relay/relay_quota_loan.c
@@ -2,9 +2,6 @@
 
 #include "base/clock.h"
 
-/* Timeout of a request for a loan. */
-#define LOAN_TIMEOUT_MS 150u
-
 static void on_changed(void *context)
 {
 	quota_domain_t *domain = context;
@@ -43,7 +40,7 @@
 
 relay_quota_link_t *quota_loan_link_create(quota_domain_t *domain)
 {
-	return relay_quota_link_create(domain->quota->services, LOAN_TIMEOUT_MS,
+	return relay_quota_link_create(domain->quota->services, UINT32_MAX,
 				       (relay_quota_link_handlers_t){
 					       .changed = on_changed,
 					       .answered = on_answered,
--- a/tests/unit/test_relay_quota.c
+++ b/tests/unit/test_relay_quota.c
@@ -24,8 +24,9 @@
 	const char *row; /* its answer to requests, NULL for silence */
 	bool refuses;	 /* refuses connections */
 	uint32_t requests;
-	uint32_t loans; /* requests of another leader */
-	char last[64];	/* text of the last request */
+	uint32_t loans;		     /* requests of another leader */
+	char last[64];		     /* text of the last request */
+	struct evbuffer *unanswered; /* where its answer is expected */
 } leader_t;
 
 /* The end of one operation's wait. */
@@ -48,6 +49,12 @@
 	outcome_t outcomes[TICKETS_MAX];
 } fixture_t;
 
+static void answer(leader_t *leader, const char *row)
+{
+	evbuffer_add_printf(leader->unanswered,
+			    "DATAROW %s\r\nCOMPLETE -\r\nREADY I -\r\n", row);
+}
+
 static void on_read(struct bufferevent *bev, void *context)
 {
 	leader_t *leader = context;
@@ -67,12 +74,9 @@
 			else
 				leader->requests++;
 			g_strlcpy(leader->last, line, sizeof(leader->last));
+			leader->unanswered = out;
 			if (leader->row)
-				evbuffer_add_printf(
-					out,
-					"DATAROW %s\r\nCOMPLETE -\r\n"
-					"READY I -\r\n",
-					leader->row);
+				answer(leader, leader->row);
 		}
 		free(line);
 	}
@@ -349,6 +353,27 @@
 	assert_true(fixture->outcomes[0].admitted);
 }
 
+/* A leader that is busy for a moment must not be lost, nor its tokens. */
+static void test_late_answer_counts(void **state)
+{
+	fixture_t *fixture = *state;
+	const uint64_t end_ms = clock_boot_ms() + TIMEOUT_MS;
+
+	fixture->far.row = "1 500";
+	set_record(fixture, "akl-a", "node-2 1 leading");
+	set_record(fixture, "wlg-a", "node-3 1 leading");
+	assert_non_null(acquire(fixture, 0));
+	run_until_ended(fixture, 0);
+	assert_true(fixture->outcomes[0].admitted);
+	assert_int_equal(fixture->far.requests, 1);
+	answer(&fixture->near, "1 0");
+	while (acquire(fixture, 1) && clock_boot_ms() < end_ms) {
+		run_until_ended(fixture, 1);
+		fixture->outcomes[1].ended = false;
+	}
+	assert_int_equal(fixture->near.requests, 1);
+}
+
 /* Makes the node the leader of its domain, with an empty bucket. */
 static void lead(fixture_t *fixture)
 {
@@ -421,6 +446,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_operation_asks_the_next_leader, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(test_late_answer_counts,
+						open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_leader_without_tokens_borrows, open_fixture,
 			close_fixture),
