Tell rejected callers when they can expect to be admitted

Rejections stated the time of the next token, 1 to 1751 ms, half of them at most 66 ms, for which all other refused operations competed; callers have only two retries. A leader now adds the operations refused in the last second, at the speed at which it admits them; a node adds a token for each operation that it rejects without asking. The time is spread by half of it (at least 100 ms) and bounded by 1 s.

Tests: test_refused_operations_are_expected_to_compete, test_retry_waits_for_those_that_compete, test_each_rejection_waits_for_one_more_token, test_time_to_retry_is_as_expected_and_bounded.

--- a/src/coordination/quota_bucket.c
+++ b/src/coordination/quota_bucket.c
@@ -69,7 +69,8 @@
 	uint64_t level;	   /* in parts */
 	uint64_t incoming; /* loan under way, in parts */
 	uint64_t used_ms;
-	double demand; /* requested operations, decaying over DEMAND_MS */
+	double demand;	 /* requested operations, decaying over DEMAND_MS */
+	double admitted; /* of these operations */
 	uint64_t demand_ms;
 } bucket_t;
 
@@ -205,19 +206,55 @@
 			g_hash_table_iter_remove(&iter);
 }
 
+/* @return the part of what was counted that is left now */
+static double decay(const bucket_t *bucket, uint64_t now_ms)
+{
+	return exp(-(double)elapsed_ms(bucket->demand_ms, now_ms) / DEMAND_MS);
+}
+
 /* @return operations requested per DEMAND_MS */
 static double demand_at(const bucket_t *bucket, uint64_t now_ms)
 {
-	return bucket->demand *
-	       exp(-(double)elapsed_ms(bucket->demand_ms, now_ms) / DEMAND_MS);
+	return bucket->demand * decay(bucket, now_ms);
 }
 
-static void add_demand(bucket_t *bucket, uint32_t count, uint64_t now_ms)
+/* @return tokens that a bucket gains per DEMAND_MS */
+static double gain(const quota_buckets_t *buckets, const bucket_t *bucket)
 {
-	bucket->demand = demand_at(bucket, now_ms) + count;
+	return (double)total_rate(buckets, bucket->limit) * DEMAND_MS /
+	       (double)token_parts(buckets);
+}
+
+static void count_request(bucket_t *bucket, uint32_t count, uint32_t granted,
+			  uint64_t now_ms)
+{
+	const double left = decay(bucket, now_ms);
+
+	bucket->demand = bucket->demand * left + count;
+	bucket->admitted = bucket->admitted * left + granted;
 	bucket->demand_ms = MAX(bucket->demand_ms, now_ms);
 }
 
+/*
+ * The operations refused in the last second compete for the next tokens, which
+ * come as fast as operations were admitted, loans included. Retries at the time
+ * of the next token mostly found it taken.
+ */
+static uint32_t expected_ms(const quota_buckets_t *buckets,
+			    const bucket_t *bucket, uint32_t next_ms)
+{
+	const double speed = MAX(gain(buckets, bucket), bucket->admitted);
+	double wait_ms;
+
+	if (!next_ms)
+		return 0;
+	if (speed <= 0)
+		return QUOTA_EXPECTED_MS_MAX;
+	wait_ms = next_ms +
+		  (bucket->demand - bucket->admitted) / speed * DEMAND_MS;
+	return (uint32_t)MIN(wait_ms, QUOTA_EXPECTED_MS_MAX);
+}
+
 /* @return the customer's bucket as of now, or NULL if there are too many */
 static bucket_t *get_bucket(quota_buckets_t *buckets, const char *customer,
 			    quota_limit_t limit, uint64_t now_ms)
@@ -265,10 +302,12 @@
 	bucket = get_bucket(buckets, customer, limit, now_ms);
 	if (!bucket)
 		return admission;
-	add_demand(bucket, count, now_ms);
 	admission.granted = (uint32_t)MIN(bucket->level / token, count);
 	bucket->level -= admission.granted * token;
+	count_request(bucket, count, admission.granted, now_ms);
 	admission.retry_after_ms = time_until_ms(buckets, bucket, token);
+	admission.expected_ms =
+		expected_ms(buckets, bucket, admission.retry_after_ms);
 	admission.level = (uint32_t)(bucket->level / token);
 	return admission;
 }
@@ -285,13 +324,11 @@
 		   uint64_t now_ms)
 {
 	const double demand = demand_at(bucket, now_ms);
-	const double gain = (double)total_rate(buckets, bucket->limit) *
-			    DEMAND_MS / (double)token_parts(buckets);
 
 	if (demand < DEMAND_MIN)
 		return false;
 	return bucket->level < LOW_TOKENS * token_parts(buckets) ||
-	       (demand > gain &&
+	       (demand > gain(buckets, bucket) &&
 		bucket->level < low_parts(buckets, bucket, now_ms));
 }
 
--- a/src/coordination/quota_bucket.h
+++ b/src/coordination/quota_bucket.h
@@ -32,8 +32,16 @@
 	uint32_t retry_after_ms;
 	/** Tokens left that may be given away, for an answer to a leader. */
 	uint32_t level;
+	/**
+	 * When an operation that was refused can expect to be admitted, as many
+	 * others were refused in the last second; 0 if there is a token now.
+	 */
+	uint32_t expected_ms;
 } quota_admission_t;
 
+/** Longest time after which an operation is expected to be admitted. */
+#define QUOTA_EXPECTED_MS_MAX 1000u
+
 /** A leader among those of all failure domains. */
 typedef struct {
 	uint32_t
--- a/src/coordination/quota_source.c
+++ b/src/coordination/quota_source.c
@@ -22,8 +22,10 @@
 typedef struct {
 	/* When the leaders have a token again. */
 	uint64_t empty_ms[QUOTA_SOURCE_DOMAINS_MAX];
-	uint64_t until_ms; /* highest of empty_ms */
-	uint32_t last;	   /* domain asked last, of other domains */
+	uint64_t until_ms;    /* highest of empty_ms */
+	uint64_t expected_ms; /* an operation can expect a token then */
+	uint32_t token_ms;    /* of the own leader's last answer */
+	uint32_t last;	      /* domain asked last, of other domains */
 	uint32_t kept;
 	uint64_t
 		kept_ms[KEPT_MAX]; /* when each kept token ends, oldest first */
@@ -124,7 +126,8 @@
 		customer_t *customer = value;
 
 		drop_ended(customer, now_ms);
-		if (!customer->kept && customer->until_ms <= now_ms)
+		if (!customer->kept && customer->until_ms <= now_ms &&
+		    customer->expected_ms <= now_ms)
 			g_hash_table_iter_remove(&iter);
 	}
 	if (g_hash_table_size(source->customers) >= CUSTOMERS_MAX)
@@ -155,10 +158,32 @@
 {
 	customer_t *known = get(source, customer, now_ms);
 
+	if (source->domains[domain].distance == QUOTA_DISTANCE_OWN)
+		known->token_ms = retry_after_ms;
 	known->empty_ms[domain] = retry_after_ms ? now_ms + retry_after_ms : 0;
 	known->until_ms = MAX(known->until_ms, known->empty_ms[domain]);
 }
 
+void quota_source_expect(quota_source_t *source, uint32_t domain,
+			 const char *customer, uint32_t expected_ms,
+			 uint64_t now_ms)
+{
+	if (source->domains[domain].distance == QUOTA_DISTANCE_OWN)
+		get(source, customer, now_ms)->expected_ms =
+			now_ms + expected_ms;
+}
+
+void quota_source_rejected(quota_source_t *source, const char *customer,
+			   uint64_t now_ms)
+{
+	customer_t *known = find(source, customer);
+
+	if (known)
+		known->expected_ms =
+			MIN(MAX(known->expected_ms, now_ms) + known->token_ms,
+			    now_ms + QUOTA_EXPECTED_MS_MAX);
+}
+
 static bool is_reachable(const domain_t *domain, uint64_t now_ms)
 {
 	return domain->exists && now_ms >= domain->avoid_ms;
@@ -247,7 +272,9 @@
 		if (source->domains[i].exists && is_empty(known, i, now_ms) &&
 		    (!first_ms || known->empty_ms[i] < first_ms))
 			first_ms = known->empty_ms[i];
-	return first_ms ? (uint32_t)(first_ms - now_ms) : 0;
+	if (known)
+		first_ms = MAX(first_ms, known->expected_ms);
+	return first_ms > now_ms ? (uint32_t)(first_ms - now_ms) : 0;
 }
 
 void quota_source_keep(quota_source_t *source, const char *customer,
--- a/src/coordination/quota_source.h
+++ b/src/coordination/quota_source.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/quota_bucket.h"
+
 /**
  * What a node knows of the quota leaders, and the tokens that it keeps: decides
  * which leader is asked for an operation of a customer.
@@ -75,6 +77,21 @@
 void quota_source_failed(quota_source_t *source, uint32_t domain, bool answered,
 			 uint64_t now_ms);
 
+/**
+ * The leader of the own domain, which most operations ask first, stated when a
+ * refused operation can expect to be admitted.
+ */
+void quota_source_expect(quota_source_t *source, uint32_t domain,
+			 const char *customer, uint32_t expected_ms,
+			 uint64_t now_ms);
+
+/**
+ * An operation was rejected, perhaps without asking a leader. The next one can
+ * expect to be admitted one token later, up to QUOTA_EXPECTED_MS_MAX.
+ */
+void quota_source_rejected(quota_source_t *source, const char *customer,
+			   uint64_t now_ms);
+
 /** A leader that was late has answered; it may be asked again. */
 void quota_source_reached(quota_source_t *source, uint32_t domain);
 
@@ -105,8 +122,9 @@
 			      uint64_t now_ms);
 
 /**
- * @return time until the first leader is known to have a token again, 0 if
- *         that is not known of any
+ * @return time until the first leader is known to have a token again, or until
+ *         an operation can expect to be admitted if that is later; 0 if nothing
+ *         is known
  */
 uint32_t quota_source_retry_ms(const quota_source_t *source,
 			       const char *customer, uint64_t now_ms);
--- a/src/relay/relay_forwarding_peer.c
+++ b/src/relay/relay_forwarding_peer.c
@@ -60,7 +60,8 @@
 		admission->granted);
 }
 
-/* Answers "granted retry_after_ms level", all 0 if this node may not admit now.
+/* Answers "granted retry_after_ms level expected_ms", all 0 if this node may
+ * not admit now.
  */
 void forwarding_session_admit(forwarding_session_t *session)
 {
@@ -84,9 +85,9 @@
 		relay_quota_leader_admit(session->forwarding->leader,
 					 command->name, (uint32_t)count,
 					 &admission);
-	row = g_strdup_printf("%" PRIu32 " %" PRIu32 " %" PRIu32,
+	row = g_strdup_printf("%" PRIu32 " %" PRIu32 " %" PRIu32 " %" PRIu32,
 			      admission.granted, admission.retry_after_ms,
-			      admission.level);
+			      admission.level, admission.expected_ms);
 	forwarding_session_codec(session)->put_row(
 		forwarding_session_output(session), row);
 	forwarding_session_answer_complete(session);
--- a/src/relay/relay_quota.c
+++ b/src/relay/relay_quota.c
@@ -19,6 +19,9 @@
 /* Time after which a rejected operation may be retried if no leader answers. */
 #define UNREACHABLE_RETRY_MS 500u
 
+/* Longest time after which a rejected operation may be retried. */
+#define RETRY_MS_MAX 1000u
+
 /* Least range over which retries of rejected operations are spread. */
 #define SPREAD_MS_MIN 100u
 
@@ -109,6 +112,17 @@
 	return g_string_free(text, text->len == 0);
 }
 
+/* Callers that were rejected together must not return together. */
+static uint32_t spread(const relay_quota_t *quota, uint32_t retry_ms)
+{
+	const uint32_t first_ms = MIN(retry_ms, RETRY_MS_MAX - SPREAD_MS_MIN);
+	const uint32_t range_ms =
+		CLAMP(first_ms / 2, SPREAD_MS_MIN, RETRY_MS_MAX - first_ms);
+
+	return first_ms +
+	       (uint32_t)g_rand_int_range(quota->random, 0, (gint32)range_ms);
+}
+
 /* @param outcome "rejected" by the quota, or "unreachable" leaders */
 static void reject(relay_quota_ticket_t *ticket, const char *outcome)
 {
@@ -119,11 +133,8 @@
 	const uint32_t retry_ms = known_ms ? known_ms : UNREACHABLE_RETRY_MS;
 	g_autofree char *asked = list_asked(ticket);
 
-	/* Callers that were rejected together must not return together. */
-	ticket->retry_after_ms =
-		retry_ms +
-		(uint32_t)g_rand_int_range(
-			quota->random, 0, (gint32)MAX(retry_ms, SPREAD_MS_MIN));
+	ticket->retry_after_ms = spread(quota, retry_ms);
+	quota_source_rejected(quota->source, ticket->customer, now_ms);
 	log_event(LOG_LEVEL_INFO, "quota_rejected",
 		  "id=%s customer=%s outcome=%s asked=%s waited_ms=%u"
 		  " retry_after_ms=%u",
@@ -162,6 +173,8 @@
 	ticket->quest.answered |= 1u << domain->index;
 	quota_source_answered(quota->source, domain->index, ticket->customer,
 			      admission.retry_after_ms, clock_boot_ms());
+	quota_source_expect(quota->source, domain->index, ticket->customer,
+			    admission.expected_ms, clock_boot_ms());
 	return admission.granted;
 }
 
--- a/src/relay/relay_quota_domain.c
+++ b/src/relay/relay_quota_domain.c
@@ -97,6 +97,8 @@
 	quota_source_reached(quota->source, domain->index);
 	quota_source_answered(quota->source, domain->index, batch->customer,
 			      admission->retry_after_ms, now_ms);
+	quota_source_expect(quota->source, domain->index, batch->customer,
+			    admission->expected_ms, now_ms);
 	for (; left && batch->tickets.length; left--)
 		quota_ticket_admit(g_queue_peek_head(&batch->tickets));
 	if (left)
--- a/src/relay/relay_quota_link.c
+++ b/src/relay/relay_quota_link.c
@@ -186,13 +186,15 @@
 	return link->connection && relay_link_is_open(link->connection);
 }
 
-/* @return false if the row is not "granted retry_after_ms [level]" */
+/* @return false if the row is not "granted retry_after_ms [level [expected]]"
+ */
 static bool parse_row(const char *row, quota_admission_t *admission)
 {
 	*admission = (quota_admission_t){0};
-	return row && sscanf(row, "%" SCNu32 " %" SCNu32 " %" SCNu32,
-			     &admission->granted, &admission->retry_after_ms,
-			     &admission->level) >= 2;
+	return row &&
+	       sscanf(row, "%" SCNu32 " %" SCNu32 " %" SCNu32 " %" SCNu32,
+		      &admission->granted, &admission->retry_after_ms,
+		      &admission->level, &admission->expected_ms) >= 2;
 }
 
 static void on_answer(void *context, const relay_answer_t *answer)
--- a/tests/unit/test_quota_bucket.c
+++ b/tests/unit/test_quota_bucket.c
@@ -117,6 +117,33 @@
 	assert_in_range(admit_window(limit), 1072, 1081);
 }
 
+/* @return the time stated at last, after some seconds of operations */
+static uint32_t expect(uint32_t interval_ms)
+{
+	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
+	quota_admission_t admission = {0};
+
+	for (uint32_t ms = 0; ms < 5000; ms += interval_ms)
+		do
+			admission = quota_buckets_admit(buckets, "a", usual, 1,
+							START_MS + ms);
+		while (admission.granted && !admission.retry_after_ms);
+	quota_buckets_destroy(buckets);
+	return admission.expected_ms;
+}
+
+/*
+ * Callers have two retries. Told the time of the next token, at most 90 ms, all
+ * that were refused competed for it.
+ */
+static void test_refused_operations_are_expected_to_compete(void **state)
+{
+	/* 11.18 tokens per second for 12.5, 16.7 and 100 operations */
+	assert_in_range(expect(80), 60, 300);
+	assert_in_range(expect(60), 400, 700);
+	assert_int_equal(expect(10), QUOTA_EXPECTED_MS_MAX);
+}
+
 static void test_rate_zero_admits_nothing(void **state)
 {
 	quota_buckets_t *buckets = quota_buckets_create(first, 10, START_MS);
@@ -209,6 +236,8 @@
 		cmocka_unit_test(test_small_quota_has_whole_token),
 		cmocka_unit_test(test_full_window_uses_what_is_allowed),
 		cmocka_unit_test(test_large_burst_does_not_raise_the_rate),
+		cmocka_unit_test(
+			test_refused_operations_are_expected_to_compete),
 		cmocka_unit_test(test_rate_zero_admits_nothing),
 		cmocka_unit_test(test_extreme_limits_do_not_overflow),
 		cmocka_unit_test(test_lower_limit_takes_effect),
--- a/tests/unit/test_quota_source.c
+++ b/tests/unit/test_quota_source.c
@@ -76,6 +76,36 @@
 	quota_source_destroy(source);
 }
 
+/* The next token is for one of many that were refused. */
+static void test_retry_waits_for_those_that_compete(void **state)
+{
+	quota_source_t *source = create_source();
+
+	quota_source_answered(source, 0, "a", 100, START_MS);
+	quota_source_expect(source, 0, "a", 600, START_MS);
+	quota_source_answered(source, 1, "a", 20, START_MS);
+	quota_source_expect(source, 1, "a", 900, START_MS);
+	assert_int_equal(quota_source_retry_ms(source, "a", START_MS + 50),
+			 550);
+	assert_int_equal(quota_source_retry_ms(source, "a", START_MS + 700), 0);
+	quota_source_destroy(source);
+}
+
+/* Operations that are rejected without asking compete as well. */
+static void test_each_rejection_waits_for_one_more_token(void **state)
+{
+	quota_source_t *source = create_source();
+
+	quota_source_answered(source, 0, "a", 100, START_MS);
+	quota_source_expect(source, 0, "a", 100, START_MS);
+	for (uint32_t i = 1; i <= 20; i++) {
+		assert_int_equal(quota_source_retry_ms(source, "a", START_MS),
+				 MIN(100 * i, QUOTA_EXPECTED_MS_MAX));
+		quota_source_rejected(source, "a", START_MS);
+	}
+	quota_source_destroy(source);
+}
+
 static void test_far_leaders_take_turns(void **state)
 {
 	quota_source_t *source = create_source();
@@ -218,6 +248,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_own_leader_then_two_others),
 		cmocka_unit_test(test_leader_without_token_is_not_asked),
+		cmocka_unit_test(test_retry_waits_for_those_that_compete),
+		cmocka_unit_test(test_each_rejection_waits_for_one_more_token),
 		cmocka_unit_test(test_far_leaders_take_turns),
 		cmocka_unit_test(test_unreachable_leaders_do_not_reject),
 		cmocka_unit_test(test_new_leader_is_asked_at_once),
--- a/tests/unit/test_relay_quota.c
+++ b/tests/unit/test_relay_quota.c
@@ -257,6 +257,35 @@
 	assert_int_equal(fixture->near.requests, 1);
 }
 
+/* A retry before a token can be had is lost; callers have few. */
+static void test_time_to_retry_is_as_expected_and_bounded(void **state)
+{
+	static const struct {
+		const char *row;
+		uint32_t min_ms;
+		uint32_t max_ms;
+	} cases[] = {
+		{"0 20 0 600", 500, 1000},
+		{"0 20 0 1000", 900, 1000},
+		{"0 5000 0 1000", 900, 1000},
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *other;
+		fixture_t *fixture;
+
+		open_fixture(&other);
+		fixture = other;
+		fixture->near.row = cases[i].row;
+		set_record(fixture, "akl-a", "node-2 1 leading");
+		assert_non_null(acquire(fixture, 0));
+		run_until_ended(fixture, 0);
+		assert_in_range(fixture->outcomes[0].retry_after_ms,
+				cases[i].min_ms, cases[i].max_ms);
+		close_fixture(&other);
+	}
+}
+
 static void test_other_domain_is_asked_next(void **state)
 {
 	static const char *const rows[] = {"0 500", "0 0", NULL};
@@ -432,6 +461,7 @@
 		cmocka_unit_test_setup_teardown(
 			test_waiting_operations_share_a_request, open_fixture,
 			close_fixture),
+		cmocka_unit_test(test_time_to_retry_is_as_expected_and_bounded),
 		cmocka_unit_test(test_other_domain_is_asked_next),
 		cmocka_unit_test_setup_teardown(
 			test_token_of_cancelled_operation_is_kept, open_fixture,
