--- a/src/coordination/quota_bucket.c
+++ b/src/coordination/quota_bucket.c
@@ -337,18 +337,19 @@
 {
 	bucket_t *bucket = get_bucket(buckets, customer, limit, now_ms);
 	uint64_t capacity;
-	double wanted;
-	double least;
-	double room;
+	uint64_t wanted;
+	uint64_t least;
+	uint64_t room;
 
 	if (!bucket || bucket->incoming || !limit.rate_per_s ||
 	    !is_low(buckets, bucket, now_ms))
 		return 0;
-	wanted = ceil(demand_at(bucket, now_ms) * LOAN_MS / DEMAND_MS);
-	wanted = MIN(wanted, LOAN_TOKENS_MAX);
+	wanted = (uint64_t)MIN(
+		ceil(demand_at(bucket, now_ms) * LOAN_MS / DEMAND_MS),
+		LOAN_TOKENS_MAX);
 	capacity = capacity_parts(buckets, limit);
-	room = (double)((capacity - bucket->level) / token_parts(buckets));
-	least = (double)(capacity / token_parts(buckets)) / LOAN_ROOM_PART;
+	room = (capacity - bucket->level) / token_parts(buckets);
+	least = capacity / token_parts(buckets) / LOAN_ROOM_PART;
 	return room < MIN(least, wanted) ? 0 : (uint32_t)MIN(room, wanted);
 }
 
