--- a/src/relay/relay_quota.c
+++ b/src/relay/relay_quota.c
@@ -19,6 +19,9 @@
 /* Time after which a rejected operation may be retried if no leader answers. */
 #define UNREACHABLE_RETRY_MS 500u
 
+/* Longest time after which a rejected operation may be retried. */
+#define RETRY_MS_MAX 1000u
+
 /* Least range over which retries of rejected operations are spread. */
 #define SPREAD_MS_MIN 100u
 
@@ -38,15 +41,28 @@
 		   1);
 }
 
+static bool is_busy(const relay_quota_t *quota)
+{
+	return quota->waiting || quota_loan_count(quota->loans);
+}
+
 static void schedule_tick(relay_quota_t *quota)
 {
-	const uint32_t delay_ms = quota->waiting ? TICK_MS : IDLE_TICK_MS;
+	const uint32_t delay_ms = is_busy(quota) ? TICK_MS : IDLE_TICK_MS;
 	const struct timeval delay = clock_timeval(delay_ms);
 
 	quota->tick_ms = clock_boot_ms() + delay_ms;
 	event_add(quota->timer, &delay);
 }
 
+void quota_schedule(relay_quota_t *quota)
+{
+	/* A timer that is due sooner is kept, else it might never fire. */
+	if (!evtimer_pending(quota->timer, NULL) ||
+	    clock_boot_ms() + TICK_MS < quota->tick_ms)
+		schedule_tick(quota);
+}
+
 void quota_ticket_enqueue(relay_quota_ticket_t *ticket, GQueue *queue)
 {
 	if (ticket->queue)
@@ -96,6 +112,17 @@
 	return g_string_free(text, text->len == 0);
 }
 
+/* Callers that were rejected together must not return together. */
+static uint32_t spread(const relay_quota_t *quota, uint32_t retry_ms)
+{
+	const uint32_t first_ms = MIN(retry_ms, RETRY_MS_MAX - SPREAD_MS_MIN);
+	const uint32_t range_ms =
+		CLAMP(first_ms / 2, SPREAD_MS_MIN, RETRY_MS_MAX - first_ms);
+
+	return first_ms +
+	       (uint32_t)g_rand_int_range(quota->random, 0, (gint32)range_ms);
+}
+
 /* @param outcome "rejected" by the quota, or "unreachable" leaders */
 static void reject(relay_quota_ticket_t *ticket, const char *outcome)
 {
@@ -106,11 +133,8 @@
 	const uint32_t retry_ms = known_ms ? known_ms : UNREACHABLE_RETRY_MS;
 	g_autofree char *asked = list_asked(ticket);
 
-	/* Callers that were rejected together must not return together. */
-	ticket->retry_after_ms =
-		retry_ms +
-		(uint32_t)g_rand_int_range(
-			quota->random, 0, (gint32)MAX(retry_ms, SPREAD_MS_MIN));
+	ticket->retry_after_ms = spread(quota, retry_ms);
+	quota_source_rejected(quota->source, ticket->customer, now_ms);
 	log_event(LOG_LEVEL_INFO, "quota_rejected",
 		  "id=%s customer=%s outcome=%s asked=%s waited_ms=%u"
 		  " retry_after_ms=%u",
@@ -149,6 +173,8 @@
 	ticket->quest.answered |= 1u << domain->index;
 	quota_source_answered(quota->source, domain->index, ticket->customer,
 			      admission.retry_after_ms, clock_boot_ms());
+	quota_source_expect(quota->source, domain->index, ticket->customer,
+			    admission.expected_ms, clock_boot_ms());
 	return admission.granted;
 }
 
@@ -159,6 +185,11 @@
 	const uint64_t now_ms = clock_boot_ms();
 	uint32_t next;
 
+	/* A late answer may have brought a token meanwhile. */
+	if (quota_source_take(quota->source, ticket->customer, now_ms)) {
+		quota_ticket_admit(ticket);
+		return;
+	}
 	while ((next = quota_source_next(quota->source, ticket->customer,
 					 &ticket->quest, now_ms)) !=
 	       QUOTA_SOURCE_NONE) {
@@ -217,7 +248,7 @@
 	retry_parked(quota);
 	if (!late)
 		quota_tickets_end_late(&quota->parked, now_ms);
-	if (quota->enabled || quota->waiting)
+	if (quota->enabled || is_busy(quota))
 		schedule_tick(quota);
 }
 
@@ -235,6 +266,7 @@
 	quota->own = leader;
 	quota->handlers = handlers;
 	quota->source = quota_source_create();
+	quota->loans = quota_loan_create();
 	quota->domains = g_ptr_array_new_with_free_func(quota_domain_free);
 	quota->random = g_rand_new_with_seed(g_str_hash(settings->node));
 	quota->timer = evtimer_new(settings->base, on_tick, quota);
@@ -244,6 +276,9 @@
 	g_hash_table_iter_init(&iter, settings->regions);
 	while (g_hash_table_iter_next(&iter, &domain, NULL))
 		quota_domain_add(quota, domain);
+	relay_quota_leader_set_lenders(
+		leader, (relay_quota_lenders_t){.borrow = quota_loan_borrow,
+						.context = quota});
 	return quota;
 }
 
@@ -251,10 +286,12 @@
 {
 	if (!quota)
 		return;
+	relay_quota_leader_set_lenders(quota->own, (relay_quota_lenders_t){0});
 	event_free(quota->timer);
 	event_free(quota->deliver);
 	g_ptr_array_unref(quota->domains);
 	quota_source_destroy(quota->source);
+	quota_loan_destroy(quota->loans);
 	g_rand_free(quota->random);
 	g_free(quota);
 }
@@ -325,7 +362,7 @@
 	ticket->done = done;
 	ticket->context = context;
 	if (!quota->waiting++)
-		schedule_tick(quota);
+		quota_schedule(quota);
 	advance(ticket);
 	if (!ticket->admitted)
 		return ticket;
--- a/src/relay/relay_quota_domain.c
+++ b/src/relay/relay_quota_domain.c
@@ -4,9 +4,12 @@
 
 #include "base/clock.h"
 
-/* Timeouts of a request to the leader of the own domain, and to another. */
-#define OWN_TIMEOUT_MS 50u
-#define OTHER_TIMEOUT_MS 100u
+/*
+ * Time after which the operations ask another leader than that of the own
+ * domain, or of another one. Other regions answer in 40 ms, busy ones in more.
+ */
+#define OWN_LATE_MS 50u
+#define OTHER_LATE_MS 150u
 
 /* Maximum number of tokens of one request. */
 #define REQUEST_TOKENS_MAX 64u
@@ -91,8 +94,11 @@
 	const uint64_t now_ms = clock_boot_ms();
 	uint32_t left = admission->granted;
 
+	quota_source_reached(quota->source, domain->index);
 	quota_source_answered(quota->source, domain->index, batch->customer,
 			      admission->retry_after_ms, now_ms);
+	quota_source_expect(quota->source, domain->index, batch->customer,
+			    admission->expected_ms, now_ms);
 	for (; left && batch->tickets.length; left--)
 		quota_ticket_admit(g_queue_peek_head(&batch->tickets));
 	if (left)
@@ -144,6 +150,20 @@
 		quota_tickets_advance(&((batch_t *)batch)->tickets);
 }
 
+/* Lets the operations ask another leader; what comes later is kept. */
+static void on_late(void *context)
+{
+	quota_domain_t *domain = context;
+	GHashTableIter iter;
+	gpointer batch;
+
+	quota_source_failed(domain->quota->source, domain->index, false,
+			    clock_boot_ms());
+	g_hash_table_iter_init(&iter, domain->batches);
+	while (g_hash_table_iter_next(&iter, NULL, &batch))
+		quota_tickets_advance(&((batch_t *)batch)->tickets);
+}
+
 static void on_link_changed(void *context)
 {
 	quota_domain_t *domain = context;
@@ -165,6 +185,7 @@
 	if (late)
 		return;
 	relay_quota_link_step(domain->link, now_ms);
+	relay_quota_link_step(domain->loan_link, now_ms);
 	g_hash_table_iter_init(&iter, domain->batches);
 	while (g_hash_table_iter_next(&iter, NULL, &batch))
 		quota_tickets_end_late(&((batch_t *)batch)->tickets, now_ms);
@@ -175,6 +196,7 @@
 	quota_domain_t *domain = data;
 
 	relay_quota_link_destroy(domain->link);
+	relay_quota_link_destroy(domain->loan_link);
 	g_hash_table_destroy(domain->batches);
 	g_free(domain->name);
 	g_free(domain->holder);
@@ -208,14 +230,15 @@
 						batch_free);
 	domain->link = relay_quota_link_create(
 		quota->services,
-		distance == QUOTA_DISTANCE_OWN ? OWN_TIMEOUT_MS :
-						 OTHER_TIMEOUT_MS,
+		distance == QUOTA_DISTANCE_OWN ? OWN_LATE_MS : OTHER_LATE_MS,
 		(relay_quota_link_handlers_t){
 			.changed = on_link_changed,
 			.answered = on_answered,
+			.late = on_late,
 			.failed = on_failed,
 			.context = domain,
 		});
+	domain->loan_link = quota_loan_link_create(domain);
 	g_ptr_array_add(quota->domains, domain);
 }
 
@@ -232,6 +255,7 @@
 			return;
 	}
 	relay_quota_link_set_endpoint(domain->link, endpoint);
+	relay_quota_link_set_endpoint(domain->loan_link, endpoint);
 }
 
 bool quota_domain_set_holder(quota_domain_t *domain, const char *holder)
@@ -244,6 +268,7 @@
 	domain->holder = g_strdup(holder);
 	domain->is_self = !g_strcmp0(holder, quota_settings(quota)->node);
 	relay_quota_link_set_endpoint(domain->link, NULL);
+	relay_quota_link_set_endpoint(domain->loan_link, NULL);
 	quota_source_set_leader(quota->source, domain->index, holder);
 	quota_domain_update_endpoint(domain);
 	return true;
--- a/src/relay/relay_quota_link.c
+++ b/src/relay/relay_quota_link.c
@@ -18,6 +18,12 @@
 /* The same after a refusal: a leader that has just started refuses at first. */
 #define REFUSED_REOPEN_MS 50u
 
+/*
+ * Timeout of a request. Leaders have not answered for up to 100 ms while they
+ * applied a new catalog, all at the same time.
+ */
+#define ANSWER_TIMEOUT_MS 300u
+
 /* Time after which a connection that is not used is closed. */
 #define IDLE_MS 60000u
 
@@ -35,7 +41,7 @@
 
 struct relay_quota_link {
 	relay_services_t *services;
-	uint32_t timeout_ms;
+	uint32_t late_ms;
 	relay_quota_link_handlers_t handlers;
 	endpoint_t endpoint; /* address NULL if unknown */
 	relay_link_t *connection;
@@ -43,6 +49,7 @@
 	uint64_t opening_ms;
 	uint64_t reopen_ms; /* no connection is opened before then */
 	uint64_t used_ms;
+	bool late; /* reported since the last answer */
 };
 
 static void request_free(gpointer data)
@@ -59,14 +66,28 @@
 	g_queue_clear_full(&link->requests, request_free);
 }
 
+/* Reports the requests that will not be answered any more. */
+static void abandon(relay_quota_link_t *link)
+{
+	request_t *request;
+
+	g_clear_pointer(&link->connection, relay_link_destroy);
+	while ((request = g_queue_pop_head(&link->requests))) {
+		if (link->handlers.unanswered)
+			link->handlers.unanswered(link->handlers.context,
+						  request->customer);
+		request_free(request);
+	}
+}
+
 relay_quota_link_t *
-relay_quota_link_create(relay_services_t *services, uint32_t timeout_ms,
+relay_quota_link_create(relay_services_t *services, uint32_t late_ms,
 			relay_quota_link_handlers_t handlers)
 {
 	relay_quota_link_t *link = g_new0(relay_quota_link_t, 1);
 
 	link->services = services;
-	link->timeout_ms = timeout_ms;
+	link->late_ms = late_ms;
 	link->handlers = handlers;
 	g_queue_init(&link->requests);
 	return link;
@@ -88,7 +109,7 @@
 		  "address=%s port=%u reason=%s requests=%u",
 		  link->endpoint.address, link->endpoint.port, reason,
 		  link->requests.length);
-	disconnect(link);
+	abandon(link);
 	link->reopen_ms =
 		clock_boot_ms() + (refused ? REFUSED_REOPEN_MS : REOPEN_MS);
 	link->handlers.failed(link->handlers.context, refused);
@@ -107,7 +128,7 @@
 	if (endpoint && link->endpoint.address &&
 	    is_same(endpoint, &link->endpoint))
 		return;
-	disconnect(link);
+	abandon(link);
 	g_clear_pointer(&link->endpoint.address, g_free);
 	if (endpoint)
 		link->endpoint = (endpoint_t){
@@ -153,6 +174,7 @@
 	if (!link->endpoint.address || now_ms < link->reopen_ms)
 		return false;
 	link->opening_ms = now_ms;
+	link->late = false;
 	link->connection =
 		relay_link_open(settings->base, settings->codec, &entry, NULL,
 				&link->endpoint, handlers);
@@ -164,11 +186,15 @@
 	return link->connection && relay_link_is_open(link->connection);
 }
 
-/* @return false if the row is not "granted retry_after_ms" */
+/* @return false if the row is not "granted retry_after_ms [level [expected]]"
+ */
 static bool parse_row(const char *row, quota_admission_t *admission)
 {
-	return row && sscanf(row, "%" SCNu32 " %" SCNu32, &admission->granted,
-			     &admission->retry_after_ms) == 2;
+	*admission = (quota_admission_t){0};
+	return row &&
+	       sscanf(row, "%" SCNu32 " %" SCNu32 " %" SCNu32 " %" SCNu32,
+		      &admission->granted, &admission->retry_after_ms,
+		      &admission->level, &admission->expected_ms) >= 2;
 }
 
 static void on_answer(void *context, const relay_answer_t *answer)
@@ -181,11 +207,12 @@
 	/* The connection has ended, and on_closed() was called. */
 	if (answer->broken)
 		return;
+	link->late = false;
 	request = g_queue_pop_head(&link->requests);
 	if (answer->failed || !parse_row(answer->row, &admission) ||
 	    admission.granted > request->count ||
 	    clock_boot_ms() > request->sent_ms + ANSWER_AGE_MS) {
-		request_free(request);
+		g_queue_push_head(&link->requests, request);
 		fail(link, "answer_invalid", false);
 		return;
 	}
@@ -195,12 +222,9 @@
 	request_free(request);
 }
 
-void relay_quota_link_ask(relay_quota_link_t *link, const char *customer,
-			  uint32_t count)
+static void send_request(relay_quota_link_t *link, const char *customer,
+			 uint32_t count, const char *text)
 {
-	const relay_codec_t *codec =
-		relay_services_settings(link->services)->codec;
-	g_autofree char *text = codec->text_admit(customer, count);
 	request_t *request = g_new0(request_t, 1);
 
 	request->customer = g_strdup(customer);
@@ -212,14 +236,44 @@
 		       on_answer, link);
 }
 
+void relay_quota_link_ask(relay_quota_link_t *link, const char *customer,
+			  uint32_t count)
+{
+	const relay_codec_t *codec =
+		relay_services_settings(link->services)->codec;
+	g_autofree char *text = codec->text_admit(customer, count);
+
+	send_request(link, customer, count, text);
+}
+
+void relay_quota_link_borrow(relay_quota_link_t *link, const char *customer,
+			     uint32_t count)
+{
+	const relay_codec_t *codec =
+		relay_services_settings(link->services)->codec;
+	g_autofree char *text = codec->text_lend(customer, count);
+
+	send_request(link, customer, count, text);
+}
+
+static void report_late(relay_quota_link_t *link)
+{
+	link->late = true;
+	if (link->handlers.late)
+		link->handlers.late(link->handlers.context);
+}
+
 void relay_quota_link_step(relay_quota_link_t *link, uint64_t now_ms)
 {
 	const request_t *oldest = g_queue_peek_head(&link->requests);
 
 	if (!link->connection)
 		return;
-	if (oldest && now_ms >= oldest->sent_ms + link->timeout_ms)
+	if (oldest && now_ms >= oldest->sent_ms + ANSWER_TIMEOUT_MS)
 		fail(link, "answer_timeout", false);
+	else if (oldest && !link->late &&
+		 now_ms >= oldest->sent_ms + link->late_ms)
+		report_late(link);
 	else if (!relay_link_is_open(link->connection) &&
 		 now_ms >= link->opening_ms + OPEN_TIMEOUT_MS)
 		fail(link, "open_timeout", false);
--- a/tests/unit/test_relay_quota.c
+++ b/tests/unit/test_relay_quota.c
@@ -24,7 +24,9 @@
 	const char *row; /* its answer to requests, NULL for silence */
 	bool refuses;	 /* refuses connections */
 	uint32_t requests;
-	char last[64]; /* text of the last request */
+	uint32_t loans;		     /* requests of another leader */
+	char last[64];		     /* text of the last request */
+	struct evbuffer *unanswered; /* where its answer is expected */
 } leader_t;
 
 /* The end of one operation's wait. */
@@ -47,6 +49,12 @@
 	outcome_t outcomes[TICKETS_MAX];
 } fixture_t;
 
+static void answer(leader_t *leader, const char *row)
+{
+	evbuffer_add_printf(leader->unanswered,
+			    "DATAROW %s\r\nCOMPLETE -\r\nREADY I -\r\n", row);
+}
+
 static void on_read(struct bufferevent *bev, void *context)
 {
 	leader_t *leader = context;
@@ -61,14 +69,14 @@
 						    "ERROR TOOMANY no\r\n" :
 						    "READY I -\r\n");
 		} else {
-			leader->requests++;
+			if (g_str_has_suffix(line, " LOAN"))
+				leader->loans++;
+			else
+				leader->requests++;
 			g_strlcpy(leader->last, line, sizeof(leader->last));
+			leader->unanswered = out;
 			if (leader->row)
-				evbuffer_add_printf(
-					out,
-					"DATAROW %s\r\nCOMPLETE -\r\n"
-					"READY I -\r\n",
-					leader->row);
+				answer(leader, leader->row);
 		}
 		free(line);
 	}
@@ -115,6 +123,16 @@
 					NULL;
 }
 
+static bool is_hub(void *context, const char *node)
+{
+	return true;
+}
+
+static uint64_t heard_ms(void *context, const char *node)
+{
+	return clock_boot_ms();
+}
+
 static int open_fixture(void **state)
 {
 	static char domains[][8] = {"akl-a", "wlg-a"};
@@ -137,12 +155,15 @@
 	});
 	fixture->own = relay_quota_leader_create(
 		fixture->base, NULL, "node-1", "akl-a", (quota_share_t){2, 0},
-		(relay_quota_leader_handlers_t){0});
+		(relay_quota_leader_handlers_t){.is_hub = is_hub,
+						.heard_ms = heard_ms});
 	fixture->quota = relay_quota_create(
 		fixture->services, fixture->own,
 		(relay_quota_handlers_t){.endpoint = endpoint_of,
 					 .context = fixture});
 	customer->has_quota = true;
+	customer->rate_per_s = 1;
+	customer->burst = 30;
 	fixture->catalog = catalog_new();
 	catalog_add_customer(fixture->catalog, customer);
 	relay_quota_configure(fixture->quota, fixture->catalog);
@@ -236,6 +257,35 @@
 	assert_int_equal(fixture->near.requests, 1);
 }
 
+/* A retry before a token can be had is lost; callers have few. */
+static void test_time_to_retry_is_as_expected_and_bounded(void **state)
+{
+	static const struct {
+		const char *row;
+		uint32_t min_ms;
+		uint32_t max_ms;
+	} cases[] = {
+		{"0 20 0 600", 500, 1000},
+		{"0 20 0 1000", 900, 1000},
+		{"0 5000 0 1000", 900, 1000},
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *other;
+		fixture_t *fixture;
+
+		open_fixture(&other);
+		fixture = other;
+		fixture->near.row = cases[i].row;
+		set_record(fixture, "akl-a", "node-2 1 leading");
+		assert_non_null(acquire(fixture, 0));
+		run_until_ended(fixture, 0);
+		assert_in_range(fixture->outcomes[0].retry_after_ms,
+				cases[i].min_ms, cases[i].max_ms);
+		close_fixture(&other);
+	}
+}
+
 static void test_other_domain_is_asked_next(void **state)
 {
 	static const char *const rows[] = {"0 500", "0 0", NULL};
@@ -332,12 +382,86 @@
 	assert_true(fixture->outcomes[0].admitted);
 }
 
+/* A leader that is busy for a moment must not be lost, nor its tokens. */
+static void test_late_answer_counts(void **state)
+{
+	fixture_t *fixture = *state;
+	const uint64_t end_ms = clock_boot_ms() + TIMEOUT_MS;
+
+	fixture->far.row = "1 500";
+	set_record(fixture, "akl-a", "node-2 1 leading");
+	set_record(fixture, "wlg-a", "node-3 1 leading");
+	assert_non_null(acquire(fixture, 0));
+	run_until_ended(fixture, 0);
+	assert_true(fixture->outcomes[0].admitted);
+	assert_int_equal(fixture->far.requests, 1);
+	answer(&fixture->near, "1 0");
+	while (acquire(fixture, 1) && clock_boot_ms() < end_ms) {
+		run_until_ended(fixture, 1);
+		fixture->outcomes[1].ended = false;
+	}
+	assert_int_equal(fixture->near.requests, 1);
+}
+
+/* Makes the node the leader of its domain, with an empty bucket. */
+static void lead(fixture_t *fixture)
+{
+	static char key[] = RELAY_QUOTA_PREFIX "akl-a";
+	static const char value[] = "node-1 0 leading";
+	g_autoptr(GBytes) bytes = g_bytes_new_static(value, strlen(value));
+	const kv_item_t item = {.key = key, .value = bytes, .revision = 1};
+
+	relay_quota_leader_configure(fixture->own, fixture->catalog);
+	relay_quota_leader_set_hub(fixture->own, true);
+	relay_quota_leader_key_changed(fixture->own, &item);
+	relay_quota_leader_synced(fixture->own, 1, clock_boot_ms());
+	relay_quota_key_changed(fixture->quota, &item);
+	assert_true(relay_quota_leader_is_active(fixture->own));
+}
+
+static int64_t borrowed(const fixture_t *fixture)
+{
+	return metric_value(metrics_counter(fixture->metrics,
+					    "toucanhook_quota_tokens_total",
+					    "kind=\"borrowed\""));
+}
+
+/* Operations of a domain with most callers must not all wait for others. */
+static void test_leader_without_tokens_borrows(void **state)
+{
+	fixture_t *fixture = *state;
+	const uint64_t end_ms = clock_boot_ms() + TIMEOUT_MS;
+
+	fixture->far.row = "1 0 9";
+	set_record(fixture, "wlg-a", "node-3 1 leading");
+	lead(fixture);
+	while (!borrowed(fixture) && clock_boot_ms() < end_ms) {
+		fixture->outcomes[0].ended = false;
+		if (!acquire(fixture, 0))
+			continue;
+		run_until_ended(fixture, 0);
+		event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+	}
+	assert_int_equal(borrowed(fixture), fixture->far.loans);
+	/* A loan without an answer must not end the borrowing. */
+	fixture->far.row = NULL;
+	fixture->far.loans = 0;
+	while (fixture->far.loans < 2 && clock_boot_ms() < end_ms) {
+		quota_admission_t admission;
+
+		relay_quota_leader_admit(fixture->own, "acme", 9, &admission);
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	}
+	assert_true(fixture->far.loans >= 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 			test_waiting_operations_share_a_request, open_fixture,
 			close_fixture),
+		cmocka_unit_test(test_time_to_retry_is_as_expected_and_bounded),
 		cmocka_unit_test(test_other_domain_is_asked_next),
 		cmocka_unit_test_setup_teardown(
 			test_token_of_cancelled_operation_is_kept, open_fixture,
@@ -352,6 +476,11 @@
 		cmocka_unit_test_setup_teardown(
 			test_operation_asks_the_next_leader, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(test_late_answer_counts,
+						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_leader_without_tokens_borrows, open_fixture,
+			close_fixture),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
