Keep and query few connections where there are many servers

The coordinator probed each of 100 primaries every 0.4 s with a status query and a connection to its port.

With more than 64 servers now only provers open a connection before its use, at most 8 per 150 ms. The hub that ranks first for a server in its domain keeps those it used, the coordinator one to each server that it queries; the other hubs go through the first one. Replicas are asked in four parts, unless another hub shared a proof that lasts. The coordinator probes a healthy primary every 10 ms x services, 0.3 to 2 s, and its port only after a status query without answer. Sites with up to 64 servers are as before, except that with more than 30 services the coordinator probes less often.

--- a/src/coordination/primary_watch.c
+++ b/src/coordination/primary_watch.c
@@ -1,9 +1,14 @@
 #include "coordination/primary_watch.h"
 
+#include <glib.h>
+
 /* Minimum consecutive failures, and refusals, of a primary that is lost. */
 #define FAILURES_MIN 2
 #define REFUSALS_MIN 3
 
+/* Interval between probes of different primaries. */
+#define PROBE_INTERVAL_MS 10u
+
 /* Minimum duration of the refusals. */
 #define REFUSED_MS 120
 
@@ -27,10 +32,18 @@
 	watch->refused = refused ? watch->refused + 1 : 0;
 }
 
-bool primary_watch_must_probe(const primary_watch_t *watch, uint64_t now_ms)
+uint32_t primary_watch_probe_after_ms(uint32_t services)
+{
+	const uint32_t bounded = MIN(
+		services, PRIMARY_WATCH_PROBE_AFTER_MS_MAX / PROBE_INTERVAL_MS);
+
+	return MAX(bounded * PROBE_INTERVAL_MS, PRIMARY_WATCH_PROBE_AFTER_MS);
+}
+
+bool primary_watch_must_probe(const primary_watch_t *watch,
+			      uint32_t probe_after_ms, uint64_t now_ms)
 {
-	return watch->failures ||
-	       now_ms >= watch->heard_ms + PRIMARY_WATCH_PROBE_AFTER_MS;
+	return watch->failures || now_ms >= watch->heard_ms + probe_after_ms;
 }
 
 bool primary_watch_is_lost(const primary_watch_t *watch, uint64_t now_ms)
--- a/src/coordination/primary_watch.h
+++ b/src/coordination/primary_watch.h
@@ -18,6 +18,9 @@
 /** Unresponsive time after which the primary is probed. */
 #define PRIMARY_WATCH_PROBE_AFTER_MS 300u
 
+/** The same where one coordinator watches many primaries, at most. */
+#define PRIMARY_WATCH_PROBE_AFTER_MS_MAX 2000u
+
 /** Unresponsive time after which a primary with failed probes is lost. */
 #define PRIMARY_WATCH_LOST_MS 900u
 
@@ -28,8 +31,23 @@
 void primary_watch_failed(primary_watch_t *watch, bool refused,
 			  uint64_t now_ms);
 
-/** @return whether the primary must be probed now */
-bool primary_watch_must_probe(const primary_watch_t *watch, uint64_t now_ms);
+/**
+ * Load: a coordinator that watches the primaries of hundreds of services, most
+ * of which send it nothing else. The time grows with their number, so that at
+ * most 100 probes a second are made of up to 200 primaries.
+ *
+ * @param services number of services that the coordinator watches
+ * @return unresponsive time after which a primary is probed
+ */
+uint32_t primary_watch_probe_after_ms(uint32_t services);
+
+/**
+ * @param probe_after_ms see primary_watch_probe_after_ms()
+ * @return whether the primary must be probed now; one whose last probe failed
+ *         is probed at once
+ */
+bool primary_watch_must_probe(const primary_watch_t *watch,
+			      uint32_t probe_after_ms, uint64_t now_ms);
 
 /** @return whether the primary is lost */
 bool primary_watch_is_lost(const primary_watch_t *watch, uint64_t now_ms);
--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -284,6 +284,8 @@
 		   may_acquire(coordinator)) {
 		acquire(coordinator, now_ms);
 	}
+	relay_services_set_coordinator(coordinator->services,
+				       coordinator->held_revision);
 	if (coordinator->enabled)
 		coordinator_recall_step(coordinator, now_ms);
 	delay = clock_timeval(busy ? COORDINATOR_BUSY_TICK_MS :
--- a/src/relay/relay_coordinator_service.c
+++ b/src/relay/relay_coordinator_service.c
@@ -56,6 +56,7 @@
 	coordinator_service_t *entry;
 	char *server;	  /* id of the server probed */
 	uint32_t pending; /* results awaited */
+	bool port_probed; /* its connection was attempted */
 	bool connected;	  /* the port accepted a connection */
 	relay_control_result_t result;
 } probe_t;
@@ -99,12 +100,25 @@
 	probe_finish(probe);
 }
 
+static void probe_port(probe_t *probe, const backend_entry_t *server)
+{
+	probe->port_probed = true;
+	probe->pending++;
+	port_probe_start(probe->entry->coordinator->base, &server->endpoint,
+			 PORT_TIMEOUT_MS, on_port_probed, probe);
+}
+
 static void on_primary_status(void *context,
 			      const relay_control_answer_t *answer)
 {
 	probe_t *probe = context;
+	relay_server_t *server =
+		relay_service_server(service_of(probe->entry), probe->server);
 
 	probe->result = answer->result;
+	if (server && !probe->port_probed &&
+	    answer->result == RELAY_CONTROL_UNRESPONSIVE)
+		probe_port(probe, relay_server_entry(server));
 	probe_finish(probe);
 }
 
@@ -120,9 +134,11 @@
 	probe = g_new0(probe_t, 1);
 	probe->entry = entry;
 	probe->server = g_strdup(server->id);
-	probe->pending = 2;
-	port_probe_start(entry->coordinator->base, &server->endpoint,
-			 PORT_TIMEOUT_MS, on_port_probed, probe);
+	probe->pending = 1;
+	/* Among many, only the port of one that does not answer is probed. */
+	if (entry->watch.failures ||
+	    !relay_services_is_large(entry->coordinator->services))
+		probe_port(probe, server);
 	relay_control_run(service_of(entry), server->id, RELAY_CONTROL_STATUS,
 			  0, STATUS_TIMEOUT_MS, on_primary_status, probe);
 }
@@ -157,6 +173,12 @@
 	entry->absent_since_ms = 0;
 }
 
+static uint32_t probe_after_ms(const coordinator_service_t *entry)
+{
+	return primary_watch_probe_after_ms(
+		g_hash_table_size(entry->coordinator->entries));
+}
+
 void coordinator_service_step(coordinator_service_t *entry, uint64_t now_ms)
 {
 	relay_server_t *primary;
@@ -195,7 +217,8 @@
 				     relay_server_last_received_ms(primary));
 	if (primary_watch_is_lost(&entry->watch, now_ms))
 		coordinator_takeover_start(entry, TAKEOVER_LOST, "lost");
-	else if (primary_watch_must_probe(&entry->watch, now_ms))
+	else if (primary_watch_must_probe(&entry->watch, probe_after_ms(entry),
+					  now_ms))
 		probe_primary(entry, primary);
 	else if ((handover_reason = coordinator_handover_reason(
 			  entry, service_of(entry), primary, now_ms)))
--- a/src/relay/relay_limits.c
+++ b/src/relay/relay_limits.c
@@ -1,6 +1,7 @@
 #include "relay/relay_limits.h"
 
 #include "coordination/connection_share.h"
+#include "coordination/connection_upkeep.h"
 #include "relay/relay_server.h"
 
 /* Connections to a server before the catalog and the nodes are known. */
@@ -24,7 +25,9 @@
 			      relay_server_t *server)
 {
 	const char *domain = relay_server_entry(server)->failure_domain;
-	const uint32_t control = limits->is_hub && is_prover(limits);
+	const bool watches = limits->large && limits->is_coordinator;
+	const uint32_t control =
+		limits->is_hub && (is_prover(limits) || watches);
 	uint32_t room = is_known(limits) ? 0 : CONNECTIONS_DEFAULT;
 
 	if (is_known(limits) && limits->is_hub)
@@ -39,18 +42,24 @@
 {
 	const char *domain = relay_server_entry(server)->failure_domain;
 	const uint32_t near = relay_peers_in(limits->peers, domain);
-	const uint32_t prover = is_prover(limits);
 	const connection_share_input_t input = {
 		.limit = limits->service ? limits->service->connections_max : 0,
 		.nodes_near = near,
 		.nodes_far = relay_peers_count(limits->peers) - near,
 	};
+	const connection_upkeep_t upkeep = {
+		.large = limits->large,
+		.share = connection_share(&input),
+		.prover = is_prover(limits),
+		.first = relay_peers_is_first(limits->peers,
+					      relay_server_entry(server)->id),
+		.coordinator = limits->is_coordinator,
+	};
 
 	if (is_known(limits) && !limits->is_hub)
 		relay_server_set_limit(server, 0, connection_share_max(&input));
 	else if (is_known(limits))
-		relay_server_set_limit(server,
-				       MAX(connection_share(&input), prover),
+		relay_server_set_limit(server, connection_upkeep_kept(&upkeep),
 				       connection_share_max(&input));
 	else
 		relay_server_set_limit(server, CONNECTIONS_DEFAULT,
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -487,13 +487,9 @@
 {
 	const relay_node_t *node = context;
 
-	if (!node->hub)
-		return relay_subscription_route(node->subscription, server,
-						failures, NULL);
-	if (!node->catalog || !node->catalog->identifies_callers)
-		return NULL;
 	return relay_subscription_route(node->subscription, server, failures,
-					node->settings->node);
+					node->hub ? node->settings->node :
+						    NULL);
 }
 
 /* The first registration needs no restart: the watches were just started. */
--- a/src/relay/relay_peers.c
+++ b/src/relay/relay_peers.c
@@ -182,6 +182,16 @@
 	return true;
 }
 
+bool relay_peers_is_first(const relay_peers_t *peers, const char *server)
+{
+	const relay_peer_t own = {
+		.name = (char *)peers->node,
+		.failure_domain = (char *)peers->failure_domain,
+	};
+
+	return ranks_first(peers, &own, owner_key(server));
+}
+
 /* Only the hub that ranks first in its domain has connections to a server. */
 const endpoint_t *relay_peers_next_first(relay_peers_t *peers,
 					 const char *server)
--- a/src/relay/relay_peers.h
+++ b/src/relay/relay_peers.h
@@ -56,6 +56,9 @@
 /** The same, but every other time a prover. */
 const endpoint_t *relay_peers_next_proving(relay_peers_t *peers);
 
+/** @return whether this node ranks before all other hubs of its domain */
+bool relay_peers_is_first(const relay_peers_t *peers, const char *server);
+
 /**
  * @return the next hub of another domain that ranks first there for a server,
  *         which has the domain's connections to it, or NULL
--- a/src/relay/relay_proof.c
+++ b/src/relay/relay_proof.c
@@ -4,21 +4,17 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/connection_upkeep.h"
+#include "coordination/proof_poll.h"
 #include "relay/relay_control.h"
 #include "relay/relay_grant.h"
 
-/* Timer interval. */
-#define PROOF_TICK_MS 150
-
 /*
  * Replicas and other nodes are queried when the store's proof has less than
  * this time left.
  */
 #define PROOF_REMAINING_MIN_MS 450
 
-/* Interval between poll rounds. */
-#define PROOF_POLL_MS 300
-
 /* Timeout of a status query. */
 #define PROOF_TIMEOUT_MS 600
 
@@ -29,8 +25,7 @@
 	relay_services_t *services;
 	relay_grant_t *grant;
 	struct event *timer;
-	uint64_t round;	      /* number of the last poll round */
-	uint64_t round_ms;    /* when that round began */
+	proof_poll_t poll;
 	GHashTable *queries;  /* status_query_t, the queries under way */
 	uint64_t verified_ms; /* when verify() was last called */
 	bool by_others; /* proofs are not from the store, as last logged */
@@ -93,7 +88,7 @@
 		query->service = service;
 		query->server = g_strdup(id);
 		query->term = lease->term;
-		query->round = proof->round;
+		query->round = proof->poll.round;
 		g_hash_table_add(proof->queries, query);
 		relay_control_run_opened_before(
 			service, id, RELAY_CONTROL_STATUS, 0,
@@ -102,20 +97,32 @@
 	}
 }
 
+/* @return whether this hub opens connections to a server before their use */
+static bool opens_early(const relay_service_t *service,
+			const relay_server_t *server)
+{
+	const relay_services_t *services = relay_service_services(service);
+
+	return connection_upkeep_opens(relay_services_is_large(services),
+				       relay_services_is_prover(services),
+				       relay_server_share(server));
+}
+
 /* A node without permanent connections relies on the proofs of other nodes. */
 static bool keeps_connections(const relay_service_t *service)
 {
 	const GPtrArray *servers = relay_service_servers(service);
 
-	return servers->len && relay_server_share(servers->pdata[0]);
+	return servers->len && opens_early(service, servers->pdata[0]);
 }
 
 /*
  * Opens a connection to each server that should have one but has none.
  *
+ * @param budget number of connections that may be opened, is reduced
  * @return whether a connection was opened after the records were last read
  */
-static bool open_connections(relay_service_t *service)
+static bool open_connections(relay_service_t *service, uint32_t *budget)
 {
 	const GPtrArray *servers = relay_service_servers(service);
 	bool unverified = false;
@@ -127,22 +134,30 @@
 
 		if (relay_server_entry(server)->draining)
 			continue;
-		if (!relay_server_share(server))
+		if (!opens_early(service, server))
 			continue;
-		relay_server_ensure_connection(server);
+		if (*budget && relay_server_ensure_connection(server))
+			--*budget;
 		unverified |= oldest_ms != UINT64_MAX &&
 			      oldest_ms >= relay_service_verified_ms(service);
 	}
 	return unverified;
 }
 
+static uint32_t open_budget(const relay_services_t *services)
+{
+	return relay_services_is_large(services) ? CONNECTION_UPKEEP_OPENS_MAX :
+						   UINT32_MAX;
+}
+
 void relay_proof_connect(relay_services_t *services)
 {
 	g_autoptr(GPtrArray) names = relay_services_names(services);
+	uint32_t budget = open_budget(services);
 
 	for (guint i = 0; i < names->len; i++)
-		open_connections(
-			relay_services_find(services, names->pdata[i]));
+		open_connections(relay_services_find(services, names->pdata[i]),
+				 &budget);
 }
 
 static void log_source(relay_proof_t *proof, bool by_others)
@@ -154,6 +169,20 @@
 		  by_others ? "others" : "store");
 }
 
+static bool wants_proof(const relay_proof_t *proof, relay_service_t *service,
+			uint64_t now_ms)
+{
+	const primary_lease_t *lease = relay_service_lease(service);
+
+	return *lease->primary && !lease->takeover &&
+	       keeps_connections(service) &&
+	       proof_poll_wants(
+		       &proof->poll, g_str_hash(relay_service_name(service)),
+		       primary_lease_own_until_ms(
+			       lease, relay_services_lease(proof->services)),
+		       now_ms);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *context)
 {
 	relay_proof_t *proof = context;
@@ -161,29 +190,26 @@
 	const node_lease_t *node = relay_services_lease(proof->services);
 	const bool by_others =
 		now_ms + PROOF_REMAINING_MIN_MS > node->valid_until_ms;
-	const struct timeval delay = clock_timeval(PROOF_TICK_MS);
+	const struct timeval delay = clock_timeval(PROOF_POLL_STEP_MS);
 	g_autoptr(GPtrArray) names = relay_services_names(proof->services);
-	const bool due = by_others && now_ms >= proof->round_ms + PROOF_POLL_MS;
+	const bool due = proof_poll_step(
+		&proof->poll, by_others,
+		relay_services_is_large(proof->services), now_ms);
+	uint32_t budget = open_budget(proof->services);
 	bool unverified = false;
 
 	if (by_others)
 		relay_grant_step(proof->grant, now_ms);
 	else
 		relay_grant_reset(proof->grant);
-	if (due) {
-		proof->round++;
-		proof->round_ms = now_ms;
-	}
 	event_add(proof->timer, &delay);
 	log_source(proof, by_others);
 	for (guint i = 0; i < names->len; i++) {
 		relay_service_t *service =
 			relay_services_find(proof->services, names->pdata[i]);
-		const primary_lease_t *lease = relay_service_lease(service);
 
-		unverified |= open_connections(service);
-		if (due && *lease->primary && !lease->takeover &&
-		    keeps_connections(service))
+		unverified |= open_connections(service, &budget);
+		if (due && wants_proof(proof, service, now_ms))
 			poll_replicas(proof, service);
 	}
 	if (unverified && !by_others &&
@@ -197,7 +223,7 @@
 				  void (*verify)(void *context), void *context)
 {
 	relay_proof_t *proof = g_new0(relay_proof_t, 1);
-	const struct timeval delay = clock_timeval(PROOF_TICK_MS);
+	const struct timeval delay = clock_timeval(PROOF_POLL_STEP_MS);
 
 	proof->services = services;
 	proof->grant = relay_grant_create(services);
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -102,8 +102,12 @@
 void relay_server_set_limit(relay_server_t *server, uint32_t share,
 			    uint32_t burst_limit)
 {
+	burst_limit = MAX(share, burst_limit);
+	if (server->share == share && server->burst_limit == burst_limit &&
+	    !server->by_customer)
+		return;
 	server->share = share;
-	server->burst_limit = MAX(share, burst_limit);
+	server->burst_limit = burst_limit;
 	server->by_customer = false;
 	relay_server_serve_after(server, 0);
 }
@@ -111,6 +115,9 @@
 void relay_server_set_customer_limit(relay_server_t *server, uint32_t control,
 				     uint32_t room, uint32_t forwarded)
 {
+	if (server->by_customer && server->share == control &&
+	    server->room == room && server->burst_limit == forwarded)
+		return;
 	server->share = control;
 	server->burst_limit = forwarded;
 	server->room = room;
@@ -294,12 +301,15 @@
 	return server->share;
 }
 
-void relay_server_ensure_connection(relay_server_t *server)
+bool relay_server_ensure_connection(relay_server_t *server)
 {
+	const guint before = server->pool.links->len;
+
 	if (server->by_customer)
 		relay_server_ensure_control(server);
-	else if (!server->pool.links->len)
+	else if (!before)
 		relay_server_open_more(server, 1);
+	return server->pool.links->len > before;
 }
 
 uint64_t relay_server_oldest_opened_ms(const relay_server_t *server)
--- a/src/relay/relay_server.h
+++ b/src/relay/relay_server.h
@@ -145,8 +145,10 @@
 /**
  * Opens a connection if there is none, so that urgent queries need not wait
  * for one.
+ *
+ * @return whether it began to open one
  */
-void relay_server_ensure_connection(relay_server_t *server);
+bool relay_server_ensure_connection(relay_server_t *server);
 
 /** @return when the oldest open connection was opened, or UINT64_MAX */
 uint64_t relay_server_oldest_opened_ms(const relay_server_t *server);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -83,6 +83,16 @@
  */
 void relay_services_set_hub(relay_services_t *services, bool is_hub);
 
+/**
+ * Sets whether this node watches the primaries of all services, so that it
+ * keeps a connection to each server that it queries.
+ */
+void relay_services_set_coordinator(relay_services_t *services,
+				    bool is_coordinator);
+
+/** @return whether there are too many servers for connections to all */
+bool relay_services_is_large(const relay_services_t *services);
+
 /**
  * @return whether this node is a prover: it keeps a connection to every server
  *         even where there are too few for all nodes, and proves the primaries
--- a/src/relay/relay_service_private.h
+++ b/src/relay/relay_service_private.h
@@ -26,6 +26,8 @@
 	takeover_times_t takeovers; /* how long those of all services took */
 	GRand *random;		    /* spreads the retries of callers */
 	bool is_hub;		    /* keeps connections to the servers */
+	bool is_coordinator;	    /* watches the primaries of all services */
+	uint32_t servers;	    /* number of servers of all services */
 	GHashTable *services;	    /* name -> relay_service_t */
 };
 
--- a/src/relay/relay_services.c
+++ b/src/relay/relay_services.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/connection_upkeep.h"
 #include "relay/relay_limits.h"
 
 static void service_free(gpointer data)
@@ -63,11 +64,20 @@
 			   1);
 }
 
+static bool identifies_callers(const relay_services_t *services)
+{
+	return services->catalog && services->catalog->identifies_callers;
+}
+
+/* A hub connects directly to the servers that it keeps connections to. */
 static const endpoint_t *pick_hub(void *context, const relay_server_t *server,
 				  uint32_t failures)
 {
 	const relay_services_t *services = context;
 
+	if (services->is_hub && !identifies_callers(services) &&
+	    (!relay_services_is_large(services) || relay_server_share(server)))
+		return NULL;
 	return services->settings.hub(services->settings.context,
 				      relay_server_entry(server)->id, failures);
 }
@@ -158,6 +168,11 @@
 	return relay_peers_is_prover(&services->peers, services->settings.node);
 }
 
+bool relay_services_is_large(const relay_services_t *services)
+{
+	return connection_upkeep_is_large(services->servers);
+}
+
 static void apply_limits(relay_service_t *service)
 {
 	const relay_services_t *services = service->services;
@@ -169,8 +184,10 @@
 			.service = catalog ? catalog_service(catalog,
 							     service->name) :
 					     NULL,
-			.by_customer = catalog && catalog->identifies_callers,
+			.by_customer = identifies_callers(services),
 			.is_hub = services->is_hub,
+			.is_coordinator = services->is_coordinator,
+			.large = relay_services_is_large(services),
 		},
 		service->servers);
 }
@@ -221,6 +238,15 @@
 	return relay_peers_endpoint(&services->peers, name);
 }
 
+void relay_services_set_coordinator(relay_services_t *services,
+				    bool is_coordinator)
+{
+	if (services->is_coordinator == is_coordinator)
+		return;
+	services->is_coordinator = is_coordinator;
+	apply_all_limits(services);
+}
+
 void relay_services_set_hub(relay_services_t *services, bool is_hub)
 {
 	services->is_hub = is_hub;
@@ -239,7 +265,7 @@
 	relay_services_t *services = context;
 	const endpoint_t *endpoint = NULL;
 
-	if (services->catalog && services->catalog->identifies_callers)
+	if (identifies_callers(services))
 		return relay_peers_next_first(&services->peers,
 					      relay_server_entry(server)->id);
 	if (services->peers.next % 2)
@@ -260,12 +286,14 @@
 {
 	g_ptr_array_remove(service->servers, server);
 	relay_server_destroy(server);
+	service->services->servers--;
 }
 
 void relay_services_put(relay_services_t *services, backend_entry_t *entry)
 {
 	relay_service_t *service = service_get(services, entry->service);
 	relay_server_t *server = relay_service_server(service, entry->id);
+	bool was_large;
 
 	if (server && same_start(relay_server_entry(server), entry)) {
 		const bool draining_changed =
@@ -285,10 +313,15 @@
 		  service->name, entry->id, entry->endpoint.address,
 		  entry->endpoint.port, entry->failure_domain,
 		  entry->reports_primary);
+	was_large = relay_services_is_large(services);
 	g_ptr_array_add(service->servers,
 			relay_server_create(&services->host, entry));
+	services->servers++;
 	relay_service_update_replicas(service);
-	apply_limits(service);
+	if (was_large == relay_services_is_large(services))
+		apply_limits(service);
+	else
+		apply_all_limits(services);
 	relay_services_wake(services);
 }
 
