Spread the first polls of many services over steps

With more than 24 services the coordinator now polls at most 8 of them, or a sixteenth, in each step of 50 ms, and waits for a service's answers from its first poll on. A new server wakes the waiting statements of its own service alone. Ruled out: records written one by one; they go 15 to a transaction, 0.1 to 0.3 s apart, 100 in 0.9 s.

--- a/src/coordination/primary_survey.c
+++ b/src/coordination/primary_survey.c
@@ -4,6 +4,10 @@
 
 #include <glib.h>
 
+/* Polls per step of a large site, and steps over which more are spread. */
+#define POLLS_MIN 8u
+#define POLL_STEPS 16u
+
 /* Minimum number of servers that must agree, if the service has so many. */
 #define SERVERS_MIN 2u
 
@@ -86,3 +90,10 @@
 		.primary = newer ? found : known->primary,
 	};
 }
+
+uint32_t primary_survey_polls_max(uint32_t services)
+{
+	if (services <= PRIMARY_SURVEY_POLLS_MIN)
+		return services;
+	return MAX(services / POLL_STEPS, POLLS_MIN);
+}
--- a/src/coordination/primary_survey.h
+++ b/src/coordination/primary_survey.h
@@ -57,4 +57,17 @@
 			const survey_server_t *servers, uint32_t count,
 			uint64_t waited_ms);
 
+/** Services of which a coordinator may poll the servers in each step. */
+#define PRIMARY_SURVEY_POLLS_MIN 24u
+
+/**
+ * Load: a coordinator of hundreds of services without a record, whose servers
+ * all registered at once. If it opens the connections to all in one step, the
+ * answers come after the time for which it waits for them.
+ *
+ * @param services number of services
+ * @return number of services whose servers may be polled in one step
+ */
+uint32_t primary_survey_polls_max(uint32_t services);
+
 #endif
--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/primary_survey.h"
 #include "state/store_revision.h"
 
 /* Time to live of the coordinator lease. */
@@ -250,16 +251,22 @@
 {
 	g_autoptr(GPtrArray) names =
 		relay_services_names(coordinator->services);
+	const bool large = relay_services_is_large(coordinator->services);
 	bool busy = false;
 
+	coordinator->polls_left = primary_survey_polls_max(names->len);
+	coordinator->first += coordinator->polls_left;
 	for (guint i = 0; i < names->len; i++) {
-		coordinator_service_t *entry =
-			coordinator_service_get(coordinator, names->pdata[i]);
+		coordinator_service_t *entry = coordinator_service_get(
+			coordinator,
+			names->pdata[(coordinator->first + i) % names->len]);
 
 		coordinator_service_step(entry, now_ms);
-		busy |= entry->probing ||
-			takeover_phase(entry->takeover) != TAKEOVER_IDLE;
+		/* Among many, some primary is always being probed. */
+		busy |= large ? entry->watch.failures != 0 : entry->probing;
+		busy |= takeover_phase(entry->takeover) != TAKEOVER_IDLE;
 	}
+	busy |= large && !coordinator->polls_left;
 	coordinator_initial_write(coordinator, now_ms);
 	return busy;
 }
--- a/src/relay/relay_coordinator_initial.c
+++ b/src/relay/relay_coordinator_initial.c
@@ -141,7 +141,8 @@
  */
 static void settle(coordinator_service_t *entry, uint64_t now_ms)
 {
-	if (entry->settled || now_ms < entry->coordinator->settled_ms)
+	if (entry->settled || now_ms < entry->coordinator->settled_ms ||
+	    !entry->coordinator->polls_left)
 		return;
 	entry->settled = true;
 	g_hash_table_remove_all(entry->statuses);
@@ -190,8 +191,13 @@
 static void poll_if_due(coordinator_service_t *entry, relay_service_t *service,
 			uint64_t now_ms)
 {
+	relay_coordinator_t *coordinator = entry->coordinator;
+
 	if (now_ms < entry->polled_ms + POLL_INTERVAL_MS)
 		return;
+	if (!coordinator->polls_left)
+		return;
+	coordinator->polls_left--;
 	entry->polled_ms = now_ms;
 	poll_servers(entry, service);
 }
@@ -205,6 +211,9 @@
 
 	if (!servers->len || entry->writing_initial)
 		return;
+	/* The wait for the statuses begins with the first poll. */
+	if (!entry->missing_since_ms && !entry->coordinator->polls_left)
+		return;
 	if (!entry->missing_since_ms)
 		entry->missing_since_ms = now_ms;
 	settle(entry, now_ms);
--- a/src/relay/relay_coordinator_private.h
+++ b/src/relay/relay_coordinator_private.h
@@ -70,6 +70,8 @@
 	char *node;
 	struct event *timer;
 	GHashTable *entries; /**< service name -> coordinator_service_t */
+	uint32_t first;	     /**< service that the next step begins with */
+	uint32_t polls_left; /**< services that may be polled in this step */
 	GRand *random;	     /**< jitter for acquiring the lease */
 	int64_t lease;	     /**< store lease id, 0 for none */
 	/**
--- a/src/relay/relay_services.c
+++ b/src/relay/relay_services.c
@@ -299,6 +299,20 @@
 	service->services->servers--;
 }
 
+static void service_wake(relay_service_t *service)
+{
+	uint32_t count = service->parked.length;
+
+	if (!relay_service_primary(service))
+		return;
+	while (count-- > 0 && service->parked.length) {
+		relay_parked_t *parked = g_queue_peek_head(&service->parked);
+
+		relay_service_unpark(service, parked);
+		parked->wake(parked->context);
+	}
+}
+
 void relay_services_put(relay_services_t *services, backend_entry_t *entry)
 {
 	relay_service_t *service = service_get(services, entry->service);
@@ -332,7 +346,7 @@
 		apply_limits(service);
 	else
 		apply_all_limits(services);
-	relay_services_wake(services);
+	service_wake(service);
 }
 
 void relay_services_remove(relay_services_t *services, const char *id)
@@ -382,20 +396,6 @@
 		primary_lease_forget_proofs(&((relay_service_t *)value)->lease);
 }
 
-static void service_wake(relay_service_t *service)
-{
-	uint32_t count = service->parked.length;
-
-	if (!relay_service_primary(service))
-		return;
-	while (count-- > 0 && service->parked.length) {
-		relay_parked_t *parked = g_queue_peek_head(&service->parked);
-
-		relay_service_unpark(service, parked);
-		parked->wake(parked->context);
-	}
-}
-
 void relay_services_wake(relay_services_t *services)
 {
 	g_autoptr(GPtrArray) names = relay_services_names(services);
--- a/tests/unit/test_primary_survey.c
+++ b/tests/unit/test_primary_survey.c
@@ -153,6 +153,25 @@
 	assert_int_equal(survey(&service, LATE).result, SURVEY_UNCLEAR);
 }
 
+/*
+ * 9 of 100 services that appeared at once got a record without a primary: their
+ * primaries' answers came after the others had been waited for.
+ */
+static void test_polls_of_many_services_are_spread(void **state)
+{
+	static const uint32_t services[] = {100, 300, 1600};
+
+	assert_int_equal(primary_survey_polls_max(8), 8);
+	assert_int_equal(primary_survey_polls_max(PRIMARY_SURVEY_POLLS_MIN),
+			 PRIMARY_SURVEY_POLLS_MIN);
+	for (uint32_t i = 0; i < sizeof(services) / sizeof(*services); i++) {
+		const uint32_t polls = primary_survey_polls_max(services[i]);
+
+		/* All are polled once within 20 steps. */
+		assert_in_range(polls, services[i] / 20 + 1, services[i] / 12);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -167,6 +186,7 @@
 		cmocka_unit_test(test_lone_primary_is_unclear),
 		cmocka_unit_test(test_service_of_one_server_is_agreed),
 		cmocka_unit_test(test_newer_term_needs_all_servers),
+		cmocka_unit_test(test_polls_of_many_services_are_spread),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
