Allocate points, send budgets and idle timers when they are used

A node held 8,613 bytes for each service with three servers, used or not (mallinfo2 after adding 300 services and 900 servers, without connections). The samples of a primary's log (1,544 bytes), a server's send budget (408) and its timer of idle connections are now made at their first use: 5,436 bytes. Left: the lease with room for 8 replicas (760), the rest of a server (336 and a timer), names and addresses. test_relay_hub tests that answers do not allocate points.

--- a/src/relay/relay_hub.c
+++ b/src/relay/relay_hub.c
@@ -143,13 +143,14 @@
 static void add_sample(relay_hub_wants_t *wants, relay_service_t *service,
 		       uint64_t now_ms, GPtrArray *rows)
 {
-	const point_samples_t *samples = relay_service_samples(service);
 	hub_sample_t sample = {
 		.service = (char *)relay_service_name(service),
 		.term = relay_service_lease(service)->term,
 	};
 
-	if (!point_samples_last(samples, &sample.sampled_ms, &sample.point) ||
+	if (!relay_service_has_samples(service) ||
+	    !point_samples_last(relay_service_samples(service),
+				&sample.sampled_ms, &sample.point) ||
 	    sample.sampled_ms + SAMPLE_AGE_MS_MAX < now_ms ||
 	    !relay_hub_wants_point(wants, service, sample.sampled_ms))
 		return;
--- a/src/relay/relay_server.c
+++ b/src/relay/relay_server.c
@@ -38,7 +38,8 @@
 {
 	relay_link_pool_clear(&server->pool);
 	event_free(server->serve_event);
-	event_free(server->close_idle_event);
+	g_clear_pointer(&server->close_idle_event, event_free);
+	g_free(server->budget);
 	wait_queue_clear(&server->queue);
 	customer_uses_clear(&server->uses);
 	backend_entry_delete(server->entry);
@@ -65,8 +66,6 @@
 	relay_link_pool_init(&server->pool);
 	server->share = 1;
 	server->burst_limit = 1;
-	server->close_idle_event =
-		evtimer_new(host->base, relay_server_on_close_idle, server);
 	relay_path_init(&server->path);
 	server->run_ms = RUN_MS_DEFAULT;
 	server->serve_event = evtimer_new(host->base, on_serve_event, server);
@@ -122,7 +121,8 @@
 	server->burst_limit = forwarded;
 	server->room = room;
 	server->by_customer = true;
-	relay_server_close_idle_after(server, 0);
+	if (server->pool.links->len)
+		relay_server_close_idle_after(server, 0);
 	relay_server_serve_after(server, 0);
 }
 
@@ -165,7 +165,8 @@
 	relay_link_pool_put_idle(&server->pool, link);
 	relay_server_serve(server);
 	if ((server->by_customer || server->pool.links->len > server->share) &&
-	    !evtimer_pending(server->close_idle_event, NULL))
+	    !(server->close_idle_event &&
+	      evtimer_pending(server->close_idle_event, NULL)))
 		relay_server_close_idle_after(server, IDLE_MS);
 }
 
@@ -336,7 +337,9 @@
 
 send_budget_t *relay_server_budget(relay_server_t *server)
 {
-	return &server->budget;
+	if (!server->budget)
+		server->budget = g_new0(send_budget_t, 1);
+	return server->budget;
 }
 
 zone_server_t *relay_server_zone(relay_server_t *server)
--- a/src/relay/relay_server_links.c
+++ b/src/relay/relay_server_links.c
@@ -263,6 +263,9 @@
 {
 	const struct timeval delay = clock_timeval(delay_ms);
 
+	if (!server->close_idle_event)
+		server->close_idle_event = evtimer_new(
+			server->host->base, relay_server_on_close_idle, server);
 	event_add(server->close_idle_event, &delay);
 }
 
--- a/src/relay/relay_server_private.h
+++ b/src/relay/relay_server_private.h
@@ -18,7 +18,8 @@
 	uint32_t burst_limit; /* maximum number of open connections */
 	bool by_customer;     /* each connection serves one customer */
 	uint32_t room; /* by customer: connections to the server itself */
-	struct event *close_idle_event; /* closes idle links above the share */
+	/* Closes idle links above the share; NULL before it is needed. */
+	struct event *close_idle_event;
 	customer_uses_t uses; /* by customer: grants of each customer */
 	wait_queue_t queue;
 	struct event *serve_event; /* serves the queue, or frees the server */
@@ -28,7 +29,7 @@
 	double run_ms;		   /* moving average of run times */
 	replica_lag_t lag;
 	outlier_t outlier;
-	send_budget_t budget;
+	send_budget_t *budget; /* NULL before its first use */
 	zone_server_t zone;
 	bool retired; /* destroyed; freed when all links are closed */
 };
--- a/src/relay/relay_service.c
+++ b/src/relay/relay_service.c
@@ -67,7 +67,7 @@
 			     strcmp(primary, service->lease.primary);
 
 	if (strcmp(primary, service->lease.primary)) {
-		service->samples = (point_samples_t){0};
+		g_clear_pointer(&service->samples, g_free);
 		service->primary_since_ms = clock_boot_ms();
 	}
 	primary_lease_apply_record(&service->lease, term, primary, takeover,
@@ -99,9 +99,16 @@
 	return &service->lease;
 }
 
+bool relay_service_has_samples(const relay_service_t *service)
+{
+	return service->samples;
+}
+
 point_samples_t *relay_service_samples(relay_service_t *service)
 {
-	return &service->samples;
+	if (!service->samples)
+		service->samples = g_new0(point_samples_t, 1);
+	return service->samples;
 }
 
 zone_spill_t *relay_service_spill(relay_service_t *service)
@@ -147,12 +154,15 @@
 	 */
 	if (server == relay_service_primary(service)) {
 		if (sent_ms >= service->primary_since_ms)
-			point_samples_add(&service->samples, sent_ms, point);
+			point_samples_add(relay_service_samples(service),
+					  sent_ms, point);
 		return;
 	}
 	replica_lag_record_received(
 		relay_server_lag(server),
-		point_samples_age_ms(&service->samples, point, now_ms), now_ms);
+		point_samples_age_ms(relay_service_samples(service), point,
+				     now_ms),
+		now_ms);
 }
 
 void relay_service_park(relay_service_t *service, relay_parked_t *parked)
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -150,6 +150,9 @@
 /** Wakes the waiters of each service whose primary may be used now. */
 void relay_services_wake(relay_services_t *services);
 
+/** @return whether points of the primary's log were sampled or asked for */
+bool relay_service_has_samples(const relay_service_t *service);
+
 const char *relay_service_name(const relay_service_t *service);
 relay_services_t *relay_service_services(const relay_service_t *service);
 primary_lease_t *relay_service_lease(relay_service_t *service);
--- a/src/relay/relay_service_private.h
+++ b/src/relay/relay_service_private.h
@@ -9,7 +9,7 @@
 	char *name;
 	GPtrArray *servers; /* relay_server_t */
 	primary_lease_t lease;
-	point_samples_t samples; /* log points of the primary */
+	point_samples_t *samples; /* log points of the primary, or NULL */
 	zone_spill_t spill;
 	uint64_t verified_ms; /* when the last completed record read was sent */
 	uint64_t primary_since_ms;  /* when the present primary became known */
@@ -29,7 +29,7 @@
 	bool is_coordinator;	    /* watches the primaries of all services */
 	uint32_t servers;	    /* number of servers of all services */
 	service_interest_t interest;
-	GHashTable *services;	    /* name -> relay_service_t */
+	GHashTable *services; /* name -> relay_service_t */
 };
 
 /* Updates the list of replicas after the servers or the primary changed. */
--- a/src/relay/relay_services.c
+++ b/src/relay/relay_services.c
@@ -16,6 +16,7 @@
 		relay_server_destroy(service->servers->pdata[i]);
 	g_ptr_array_unref(service->servers);
 	g_queue_clear(&service->parked);
+	g_free(service->samples);
 	g_free(service->name);
 	g_free(service);
 }
--- a/tests/unit/test_relay_hub.c
+++ b/tests/unit/test_relay_hub.c
@@ -287,6 +287,17 @@
 	assert_false(fixture->nodes[0].takes_names);
 }
 
+/* Answers must not make a hub keep 1.5 KB of points for each unused service. */
+static void test_services_without_points_get_no_memory(void **state)
+{
+	fixture_t *fixture = *state;
+
+	read_store(fixture);
+	assert_int_equal(fixture->nodes[0].answers, 1);
+	assert_false(relay_service_has_samples(
+		relay_services_find(fixture->services, "svc")));
+}
+
 #define TEST(name) \
 	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
 
@@ -300,6 +311,7 @@
 		TEST(test_without_names_all_services_are_sent),
 		TEST(test_named_services_have_their_proofs),
 		TEST(test_few_services_need_no_names),
+		TEST(test_services_without_points_get_no_memory),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_relay_service_limits.c
+++ b/tests/unit/test_relay_service_limits.c
@@ -86,12 +86,22 @@
 	return catalog;
 }
 
+static void add_server(const view_t *view, uint32_t number)
+{
+	backend_entry_t *entry = g_new0(backend_entry_t, 1);
+
+	entry->id = g_strdup_printf("i-%u", number);
+	entry->service = g_strdup("svc");
+	entry->failure_domain = g_strdup("z-a");
+	entry->endpoint.address = g_strdup("127.0.0.1");
+	relay_services_put(view->services, entry);
+}
+
 static void view_open(view_t *view, uint32_t index, uint32_t hubs,
 		      bool customers)
 {
 	GPtrArray *peers =
 		g_ptr_array_new_with_free_func((GDestroyNotify)relay_peer_free);
-	backend_entry_t *entry = g_new0(backend_entry_t, 1);
 
 	*view = (view_t){.hubs = hubs, .index = index, .routes = customers};
 	name_hub(index, view->name, view->domain);
@@ -108,14 +118,10 @@
 	for (uint32_t i = 0; i < hubs; i++)
 		g_ptr_array_add(peers, peer_new(i));
 	view->catalog = catalog_create(customers);
-	entry->id = g_strdup("i-1");
-	entry->service = g_strdup("svc");
-	entry->failure_domain = g_strdup("z-a");
-	entry->endpoint.address = g_strdup("127.0.0.1");
 	relay_services_configure(view->services, view->catalog);
 	relay_services_set_nodes(view->services, peers);
 	relay_services_set_hub(view->services, true);
-	relay_services_put(view->services, entry);
+	add_server(view, 1);
 }
 
 static relay_server_t *server_of(const view_t *view)
@@ -193,12 +199,73 @@
 	}
 }
 
+#define HUBS_MANY 18
+#define SERVERS_MANY 300
+
+/* @return connections to all servers that a hub keeps while idle */
+static uint32_t kept_of(const view_t *view)
+{
+	const GPtrArray *servers = relay_service_servers(
+		relay_services_find(view->services, "svc"));
+	uint32_t kept = 0;
+
+	for (guint i = 0; i < servers->len; i++)
+		kept += relay_server_share(servers->pdata[i]);
+	return kept;
+}
+
+/*
+ * Each of 18 hubs kept connections to each of 300 servers. Now the hubs that
+ * rank first share the servers of their domain, and provers keep one to each.
+ */
+static void test_many_servers_are_divided_among_hubs(void **state)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < HUBS_MANY; i++) {
+		view_t view;
+
+		view_open(&view, i, HUBS_MANY, false);
+		for (uint32_t j = 2; j <= SERVERS_MANY; j++)
+			add_server(&view, j);
+		if (relay_services_is_prover(view.services))
+			assert_int_equal(kept_of(&view), SERVERS_MANY);
+		else
+			assert_in_range(kept_of(&view), SERVERS_MANY / 6,
+					SERVERS_MANY / 2);
+		kept += kept_of(&view);
+		view_close(&view);
+	}
+	assert_in_range(kept, DOMAINS * SERVERS_MANY,
+			(DOMAINS + PROVERS) * SERVERS_MANY);
+}
+
+/* The coordinator queries all primaries; each query would connect again. */
+static void test_coordinator_keeps_its_connections(void **state)
+{
+	view_t view;
+
+	for (uint32_t i = 0; i < HUBS_MANY; i++) {
+		view_open(&view, i, HUBS_MANY, false);
+		for (uint32_t j = 2; j <= SERVERS_MANY; j++)
+			add_server(&view, j);
+		relay_services_set_coordinator(view.services, true);
+		assert_int_equal(kept_of(&view), SERVERS_MANY);
+		relay_services_set_coordinator(view.services, false);
+		assert_true(relay_services_is_prover(view.services) ||
+			    kept_of(&view) < SERVERS_MANY);
+		view_close(&view);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_hubs_together_stay_within_the_limit),
 		cmocka_unit_test(
 			test_without_customers_the_limits_are_as_before),
+		cmocka_unit_test(test_many_servers_are_divided_among_hubs),
+		cmocka_unit_test(test_coordinator_keeps_its_connections),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
