Test that services are named only to hubs that allow it

An earlier hub rejects a request with names, so that its nodes would lose it during an upgrade. The subscription's test hub records the requests: none has the field before the hub allows names, the next has the service used, and it is not named again.

--- a/tests/unit/test_relay_subscription.c
+++ b/tests/unit/test_relay_subscription.c
@@ -28,6 +28,9 @@
 	const char *head;     /* first entry of its answer, NULL for silence */
 	const char *item;     /* further entry, or NULL */
 	uint32_t connections; /* accepted so far */
+	uint32_t requests;    /* received so far */
+	uint32_t named;	      /* of them, those with the field for names */
+	char *names;	      /* that field of the last one that names any */
 } hub_t;
 
 typedef struct {
@@ -47,9 +50,22 @@
 			    rest);
 }
 
-static void on_line(struct bufferevent *bev, const hub_t *hub, const char *line)
+static void note_request(hub_t *hub, const char *line)
+{
+	const char *names = strstr(line, " =");
+
+	hub->requests++;
+	hub->named += names != NULL;
+	if (!names || !names[2])
+		return;
+	g_free(hub->names);
+	hub->names = g_strdup(names + 1);
+}
+
+static void on_line(struct bufferevent *bev, hub_t *hub, const char *line)
 {
 	if (!g_str_has_prefix(line, "STARTUP")) {
+		note_request(hub, line);
 		if (!hub->head)
 			return;
 		write_line(bev, "DATAROW", hub->head);
@@ -167,6 +183,7 @@
 	fixture_t *fixture = *state;
 
 	relay_subscription_destroy(fixture->subscription);
+	g_free(fixture->near.names);
 	relay_services_destroy(fixture->services);
 	evconnlistener_free(fixture->near.listener);
 	for (uint32_t i = 0; i < FAR_HUBS; i++)
@@ -350,6 +367,32 @@
 	assert_true(relay_service_lease(service)->delegated_until_ms);
 }
 
+/* A hub of an earlier version rejects a request that names services. */
+static void test_names_are_sent_once_the_hub_takes_them(void **state)
+{
+	fixture_t *fixture = *state;
+	g_autofree char *item = hub_encode_takes_names();
+	g_autofree char *names =
+		g_strdup_printf("=+%" PRIx64, owner_key("svc"));
+
+	service_interest_used(relay_services_interest(fixture->services),
+			      owner_key("svc"), clock_boot_ms());
+	fixture->near.head = "H 1000 2200 5 0 5 0";
+	while (fixture->near.requests < 3)
+		wait_for_answer(fixture);
+	assert_int_equal(fixture->near.named, 0);
+	fixture->near.item = item;
+	while (!fixture->near.names)
+		wait_for_answer(fixture);
+	assert_string_equal(fixture->near.names, names);
+	/* It is not named again. */
+	g_clear_pointer(&fixture->near.names, g_free);
+	wait_for_answer(fixture);
+	wait_for_answer(fixture);
+	assert_null(fixture->near.names);
+	assert_true(fixture->near.named >= 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -364,6 +407,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_proof_of_all_primaries_is_for_its_era,
 			open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_names_are_sent_once_the_hub_takes_them,
+			open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(test_hub_ranks_itself_too,
 						open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(test_silent_hub_is_not_used,
