--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -3,6 +3,7 @@
 
 #include "base/metrics.h"
 #include "coordination/primary_lease.h"
+#include "coordination/service_interest.h"
 #include "coordination/takeover_times.h"
 #include "coordination/zone_spill.h"
 #include "relay/relay_peers.h"
@@ -83,6 +84,16 @@
  */
 void relay_services_set_hub(relay_services_t *services, bool is_hub);
 
+/**
+ * Sets whether this node watches the primaries of all services, so that it
+ * keeps a connection to each server that it queries.
+ */
+void relay_services_set_coordinator(relay_services_t *services,
+				    bool is_coordinator);
+
+/** @return whether there are too many servers for connections to all */
+bool relay_services_is_large(const relay_services_t *services);
+
 /**
  * @return whether this node is a prover: it keeps a connection to every server
  *         even where there are too few for all nodes, and proves the primaries
@@ -102,6 +113,12 @@
 /** Removes a server. */
 void relay_services_remove(relay_services_t *services, const char *server);
 
+/** @return number of services */
+uint32_t relay_services_count(const relay_services_t *services);
+
+/** @return the services that this node used lately */
+service_interest_t *relay_services_interest(relay_services_t *services);
+
 /** @return the service, or NULL */
 relay_service_t *relay_services_find(relay_services_t *services,
 				     const char *name);
@@ -133,6 +150,9 @@
 /** Wakes the waiters of each service whose primary may be used now. */
 void relay_services_wake(relay_services_t *services);
 
+/** @return whether points of the primary's log were sampled or asked for */
+bool relay_service_has_samples(const relay_service_t *service);
+
 const char *relay_service_name(const relay_service_t *service);
 relay_services_t *relay_service_services(const relay_service_t *service);
 primary_lease_t *relay_service_lease(relay_service_t *service);
--- a/src/relay/relay_services.c
+++ b/src/relay/relay_services.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/connection_upkeep.h"
 #include "relay/relay_limits.h"
 
 static void service_free(gpointer data)
@@ -15,6 +16,7 @@
 		relay_server_destroy(service->servers->pdata[i]);
 	g_ptr_array_unref(service->servers);
 	g_queue_clear(&service->parked);
+	g_free(service->samples);
 	g_free(service->name);
 	g_free(service);
 }
@@ -63,11 +65,20 @@
 			   1);
 }
 
+static bool identifies_callers(const relay_services_t *services)
+{
+	return services->catalog && services->catalog->identifies_callers;
+}
+
+/* A hub connects directly to the servers that it keeps connections to. */
 static const endpoint_t *pick_hub(void *context, const relay_server_t *server,
 				  uint32_t failures)
 {
 	const relay_services_t *services = context;
 
+	if (services->is_hub && !identifies_callers(services) &&
+	    (!relay_services_is_large(services) || relay_server_share(server)))
+		return NULL;
 	return services->settings.hub(services->settings.context,
 				      relay_server_entry(server)->id, failures);
 }
@@ -141,6 +152,16 @@
 	return service;
 }
 
+uint32_t relay_services_count(const relay_services_t *services)
+{
+	return g_hash_table_size(services->services);
+}
+
+service_interest_t *relay_services_interest(relay_services_t *services)
+{
+	return &services->interest;
+}
+
 GPtrArray *relay_services_names(relay_services_t *services)
 {
 	GPtrArray *names = g_ptr_array_new();
@@ -158,6 +179,11 @@
 	return relay_peers_is_prover(&services->peers, services->settings.node);
 }
 
+bool relay_services_is_large(const relay_services_t *services)
+{
+	return connection_upkeep_is_large(services->servers);
+}
+
 static void apply_limits(relay_service_t *service)
 {
 	const relay_services_t *services = service->services;
@@ -169,8 +195,10 @@
 			.service = catalog ? catalog_service(catalog,
 							     service->name) :
 					     NULL,
-			.by_customer = catalog && catalog->identifies_callers,
+			.by_customer = identifies_callers(services),
 			.is_hub = services->is_hub,
+			.is_coordinator = services->is_coordinator,
+			.large = relay_services_is_large(services),
 		},
 		service->servers);
 }
@@ -221,6 +249,15 @@
 	return relay_peers_endpoint(&services->peers, name);
 }
 
+void relay_services_set_coordinator(relay_services_t *services,
+				    bool is_coordinator)
+{
+	if (services->is_coordinator == is_coordinator)
+		return;
+	services->is_coordinator = is_coordinator;
+	apply_all_limits(services);
+}
+
 void relay_services_set_hub(relay_services_t *services, bool is_hub)
 {
 	services->is_hub = is_hub;
@@ -239,7 +276,7 @@
 	relay_services_t *services = context;
 	const endpoint_t *endpoint = NULL;
 
-	if (services->catalog && services->catalog->identifies_callers)
+	if (identifies_callers(services))
 		return relay_peers_next_first(&services->peers,
 					      relay_server_entry(server)->id);
 	if (services->peers.next % 2)
@@ -260,12 +297,28 @@
 {
 	g_ptr_array_remove(service->servers, server);
 	relay_server_destroy(server);
+	service->services->servers--;
+}
+
+static void service_wake(relay_service_t *service)
+{
+	uint32_t count = service->parked.length;
+
+	if (!relay_service_primary(service))
+		return;
+	while (count-- > 0 && service->parked.length) {
+		relay_parked_t *parked = g_queue_peek_head(&service->parked);
+
+		relay_service_unpark(service, parked);
+		parked->wake(parked->context);
+	}
 }
 
 void relay_services_put(relay_services_t *services, backend_entry_t *entry)
 {
 	relay_service_t *service = service_get(services, entry->service);
 	relay_server_t *server = relay_service_server(service, entry->id);
+	bool was_large;
 
 	if (server && same_start(relay_server_entry(server), entry)) {
 		const bool draining_changed =
@@ -285,11 +338,16 @@
 		  service->name, entry->id, entry->endpoint.address,
 		  entry->endpoint.port, entry->failure_domain,
 		  entry->reports_primary);
+	was_large = relay_services_is_large(services);
 	g_ptr_array_add(service->servers,
 			relay_server_create(&services->host, entry));
+	services->servers++;
 	relay_service_update_replicas(service);
-	apply_limits(service);
-	relay_services_wake(services);
+	if (was_large == relay_services_is_large(services))
+		apply_limits(service);
+	else
+		apply_all_limits(services);
+	service_wake(service);
 }
 
 void relay_services_remove(relay_services_t *services, const char *id)
@@ -339,20 +397,6 @@
 		primary_lease_forget_proofs(&((relay_service_t *)value)->lease);
 }
 
-static void service_wake(relay_service_t *service)
-{
-	uint32_t count = service->parked.length;
-
-	if (!relay_service_primary(service))
-		return;
-	while (count-- > 0 && service->parked.length) {
-		relay_parked_t *parked = g_queue_peek_head(&service->parked);
-
-		relay_service_unpark(service, parked);
-		parked->wake(parked->context);
-	}
-}
-
 void relay_services_wake(relay_services_t *services)
 {
 	g_autoptr(GPtrArray) names = relay_services_names(services);
