Await a hub's long answer, and ask one hub for the whole state

Now arriving bytes show that a hub is alive, the whole state is requested of one hub at a time, and no other domain's hub is asked while an answer is arriving. Tests: test_long_answer_is_awaited, test_whole_state_is_asked_of_one_hub.

--- a/src/coordination/hub_contact.c
+++ b/src/coordination/hub_contact.c
@@ -18,6 +18,12 @@
 /* Time after which a node without an answer no longer counts as starting. */
 #define STARTING_MS 5000u
 
+/* Longest pause between the parts of an answer that is being received. */
+#define RECEIVING_PAUSE_MS 300u
+
+/* Time in which the answer of an idle hub of the domain begins to arrive. */
+#define FIRST_BYTE_MS 30u
+
 static bool is_starting(const hub_contact_t *contact)
 {
 	return !contact->answered && contact->run_time_ms < STARTING_MS;
@@ -38,3 +44,31 @@
 
 	return soon ? RETRY_SOON_MS : RETRY_MS;
 }
+
+static bool has_begun(const hub_contact_request_t *request)
+{
+	return request->heard_ms > request->sent_ms;
+}
+
+bool hub_contact_is_receiving(const hub_contact_request_t *request,
+			      uint64_t now_ms)
+{
+	return has_begun(request) &&
+	       now_ms < request->heard_ms + RECEIVING_PAUSE_MS;
+}
+
+bool hub_contact_is_unresponsive(const hub_contact_request_t *request,
+				 uint64_t now_ms)
+{
+	const uint64_t last_ms =
+		has_begun(request) ? request->heard_ms : request->sent_ms;
+
+	return now_ms >= last_ms + HUB_CONTACT_ANSWER_TIMEOUT_MS;
+}
+
+bool hub_contact_may_ask_another(const hub_contact_request_t *request,
+				 uint64_t now_ms)
+{
+	return !hub_contact_is_receiving(request, now_ms) &&
+	       now_ms >= request->sent_ms + FIRST_BYTE_MS;
+}
--- a/src/coordination/hub_contact.h
+++ b/src/coordination/hub_contact.h
@@ -34,4 +34,36 @@
 uint32_t hub_contact_retry_ms(const hub_contact_t *contact,
 			      hub_contact_failure_t failure);
 
+/**
+ * Time after which a hub that sends nothing counts as unresponsive: it holds a
+ * request for up to 400 ms.
+ */
+#define HUB_CONTACT_ANSWER_TIMEOUT_MS 750u
+
+/**
+ * A request to a hub that is not answered yet. All nodes of a domain that start
+ * together request the whole configuration and all servers, hundreds of
+ * kilobytes on a large site, over the hubs' links of 10 Mbit/s: an answer may
+ * take seconds, and requesting it again would only add to the queue.
+ */
+typedef struct {
+	uint64_t sent_ms;  /**< when the request was sent */
+	uint64_t heard_ms; /**< when bytes last arrived from the hub */
+} hub_contact_request_t;
+
+/** @return whether a part of the answer arrived a moment ago */
+bool hub_contact_is_receiving(const hub_contact_request_t *request,
+			      uint64_t now_ms);
+
+/** @return whether the hub counts as unresponsive */
+bool hub_contact_is_unresponsive(const hub_contact_request_t *request,
+				 uint64_t now_ms);
+
+/**
+ * @param request to another hub, for the whole state
+ * @return whether one more hub may be asked for the whole state
+ */
+bool hub_contact_may_ask_another(const hub_contact_request_t *request,
+				 uint64_t now_ms);
+
 #endif
--- a/src/relay/relay_subscription.c
+++ b/src/relay/relay_subscription.c
@@ -15,12 +15,6 @@
 #define TICK_MS 100
 #define TICK_MS_UNANSWERED 25
 
-/*
- * Time after which a hub without an answer counts as unresponsive: it holds a
- * request for up to 400 ms.
- */
-#define ANSWER_TIMEOUT_MS 750
-
 /* Further time without a proof of the domain's hubs until others are asked. */
 #define FAR_AFTER_MS 400
 
@@ -36,10 +30,11 @@
 	char *name;
 	bool near; /* in this node's failure domain */
 	endpoint_t endpoint;
-	uint64_t weight;      /* rank among the hubs of other domains */
-	relay_link_t *link;   /* NULL while not connected */
-	uint64_t since_ms;    /* when the connection or request was sent */
-	bool asking;	      /* a request is unanswered */
+	uint64_t weight;    /* rank among the hubs of other domains */
+	relay_link_t *link; /* NULL while not connected */
+	uint64_t since_ms;  /* when the connection or request was sent */
+	bool asking;	    /* a request is unanswered */
+	bool held; /* waits with its request for another hub's answer */
 	uint64_t answered_ms; /* when the last answer came, 0 before */
 	uint64_t retry_ms;    /* no connection is opened before then */
 	uint64_t avoid_ms;    /* as a far hub it is passed over until then */
@@ -63,6 +58,7 @@
 };
 
 static void ask(hub_t *hub);
+static void ask_held(relay_subscription_t *subscription);
 
 static const relay_services_settings_t *settings_of(const hub_t *hub)
 {
@@ -73,6 +69,7 @@
 {
 	g_clear_pointer(&hub->link, relay_link_destroy);
 	hub->asking = false;
+	hub->held = false;
 	hub->takes_names = false;
 	hub->told.count = 0;
 }
@@ -91,7 +88,7 @@
 static bool is_answering(const hub_t *hub, uint64_t now_ms)
 {
 	return hub->link && hub->answered_ms &&
-	       now_ms < hub->answered_ms + ANSWER_TIMEOUT_MS;
+	       now_ms < hub->answered_ms + HUB_CONTACT_ANSWER_TIMEOUT_MS;
 }
 
 static hub_contact_t contact_of(const hub_t *hub, uint64_t now_ms)
@@ -306,6 +303,7 @@
 	apply_answer(hub, answer, link_answer->sent_ms);
 	if (is_listed(subscription, hub) && hub->link)
 		ask(hub);
+	ask_held(subscription);
 }
 
 static void ask(hub_t *hub)
@@ -325,14 +323,82 @@
 	arguments = hub_request_encode(&request);
 	text = settings_of(hub)->codec->text_follow(arguments);
 	hub->asking = true;
+	hub->held = false;
 	hub->since_ms = clock_boot_ms();
 	relay_link_run(hub->link, NULL, (log_point_t){0}, text, on_answer, hub);
 }
 
+static hub_contact_request_t request_of(const hub_t *hub)
+{
+	return (hub_contact_request_t){
+		.sent_ms = hub->since_ms,
+		.heard_ms = relay_link_last_received_ms(hub->link),
+	};
+}
+
+/* @return whether an answer of one of the domain's hubs is arriving */
+static bool is_receiving(const relay_subscription_t *subscription,
+			 uint64_t now_ms)
+{
+	for (guint i = 0; i < subscription->hubs->len; i++) {
+		const hub_t *hub = subscription->hubs->pdata[i];
+		hub_contact_request_t request;
+
+		if (!hub->near || !hub->asking)
+			continue;
+		request = request_of(hub);
+		if (hub_contact_is_receiving(&request, now_ms))
+			return true;
+	}
+	return false;
+}
+
+/* @return whether the hub may be asked now; the whole state is asked of one */
+static bool may_ask(const hub_t *hub, uint64_t now_ms)
+{
+	const relay_subscription_t *subscription = hub->subscription;
+
+	if (subscription->answered_ms)
+		return true;
+	for (guint i = 0; i < subscription->hubs->len; i++) {
+		const hub_t *other = subscription->hubs->pdata[i];
+		hub_contact_request_t request;
+
+		if (other == hub || !other->asking)
+			continue;
+		request = request_of(other);
+		if (!hub_contact_may_ask_another(&request, now_ms))
+			return false;
+	}
+	return true;
+}
+
+static void ask_when_allowed(hub_t *hub)
+{
+	const uint64_t now_ms = clock_boot_ms();
+
+	if (may_ask(hub, now_ms)) {
+		ask(hub);
+		return;
+	}
+	hub->held = true;
+	hub->since_ms = now_ms;
+}
+
+static void ask_held(relay_subscription_t *subscription)
+{
+	for (guint i = 0; i < subscription->hubs->len; i++) {
+		hub_t *hub = subscription->hubs->pdata[i];
+
+		if (hub->held && hub->link)
+			ask_when_allowed(hub);
+	}
+}
+
 static void on_opened(void *context, relay_link_t *link, log_point_t point,
 		      uint64_t requested_ms)
 {
-	ask(context);
+	ask_when_allowed(context);
 }
 
 static void on_closed(void *context, relay_link_t *link, relay_error_t error,
@@ -375,10 +441,18 @@
 			hub_connect(hub, now_ms);
 		return;
 	}
-	if (hub->asking && now_ms >= hub->since_ms + ANSWER_TIMEOUT_MS)
-		hub_failed(hub, "unresponsive", HUB_CONTACT_FAILED);
-	else if (!hub->asking && now_ms >= hub->since_ms + open_timeout_ms)
+	if (hub->held) {
+		ask_when_allowed(hub);
+		return;
+	}
+	if (hub->asking) {
+		const hub_contact_request_t request = request_of(hub);
+
+		if (hub_contact_is_unresponsive(&request, now_ms))
+			hub_failed(hub, "unresponsive", HUB_CONTACT_FAILED);
+	} else if (now_ms >= hub->since_ms + open_timeout_ms) {
 		hub_failed(hub, "open_timeout", HUB_CONTACT_FAILED);
+	}
 }
 
 /*
@@ -408,9 +482,11 @@
 	const struct timeval delay = clock_timeval(
 		subscription->answered_ms ? TICK_MS : TICK_MS_UNANSWERED);
 	const uint64_t now_ms = clock_boot_ms();
-	const bool far_wanted = now_ms >= subscription->near_proved_ms +
-						  ANSWER_TIMEOUT_MS +
-						  FAR_AFTER_MS;
+	/* An answer that takes long to arrive would take longer from afar. */
+	const bool far_wanted =
+		!is_receiving(subscription, now_ms) &&
+		now_ms >= subscription->near_proved_ms +
+				  HUB_CONTACT_ANSWER_TIMEOUT_MS + FAR_AFTER_MS;
 
 	event_add(subscription->timer, &delay);
 	for (guint i = 0; i < subscription->hubs->len; i++) {
--- a/tests/unit/test_hub_contact.c
+++ b/tests/unit/test_hub_contact.c
@@ -72,9 +72,41 @@
 			 50);
 }
 
+/*
+ * All nodes of a domain request hundreds of kilobytes over a link of 10 Mbit/s.
+ * An answer of which parts keep arriving must not be requested anew.
+ */
+static void test_long_answer_is_awaited(void **state)
+{
+	const hub_contact_request_t slow = {.sent_ms = 1000, .heard_ms = 5000};
+	const hub_contact_request_t silent = {.sent_ms = 1000, .heard_ms = 900};
+
+	assert_true(hub_contact_is_receiving(&slow, 5200));
+	assert_false(hub_contact_is_unresponsive(&slow, 5200));
+	assert_false(hub_contact_is_receiving(&slow, 5300));
+	assert_true(hub_contact_is_unresponsive(&slow, 5750));
+	assert_false(hub_contact_is_receiving(&silent, 1001));
+	assert_false(hub_contact_is_unresponsive(&silent, 1749));
+	assert_true(hub_contact_is_unresponsive(&silent, 1750));
+}
+
+/* The whole state must not be requested of all hubs of the domain at once. */
+static void test_whole_state_is_asked_of_one_hub(void **state)
+{
+	const hub_contact_request_t slow = {.sent_ms = 1000, .heard_ms = 5000};
+	const hub_contact_request_t silent = {.sent_ms = 1000, .heard_ms = 900};
+
+	assert_false(hub_contact_may_ask_another(&silent, 1029));
+	assert_true(hub_contact_may_ask_another(&silent, 1030));
+	assert_false(hub_contact_may_ask_another(&slow, 5299));
+	assert_true(hub_contact_may_ask_another(&slow, 5300));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_long_answer_is_awaited),
+		cmocka_unit_test(test_whole_state_is_asked_of_one_hub),
 		cmocka_unit_test(
 			test_hub_that_comes_back_later_is_reached_soon),
 		cmocka_unit_test(
