Replace a quota leader only if its hub key is gone

The leaders were alive, with their keys in the store. A takeover now needs both: a key gone for 15 s and 3 s of silence. Test: test_partition_replaces_no_leader, which failed before; test_silent_leader_is_replaced now also lets the key lapse, and test_own_freeze_replaces_nobody expects the later takeover, since the rule they checked was the fault.

--- a/src/coordination/quota_leadership.c
+++ b/src/coordination/quota_leadership.c
@@ -222,7 +222,7 @@
 			   uint64_t now_ms)
 {
 	return now_ms >= leadership->heard_ms + QUOTA_LEADERSHIP_SILENT_MS +
-				 leadership->settings.spread_ms ||
+				 leadership->settings.spread_ms &&
 	       now_ms >= leadership->hub_ms + QUOTA_LEADERSHIP_GONE_MS +
 				 leadership->settings.spread_ms;
 }
--- a/src/coordination/quota_leadership.h
+++ b/src/coordination/quota_leadership.h
@@ -27,10 +27,12 @@
  */
 #define QUOTA_LEADERSHIP_SETTLE_MS 33000u
 
-/** Time without a sign of the holder after which it is replaced. */
+/**
+ * Times without a sign of the holder, and without its hub key, after which it
+ * is replaced. Both are needed: a holder whose key exists is alive, and its
+ * domain would be without a leader for QUOTA_LEADERSHIP_SETTLE_MS.
+ */
 #define QUOTA_LEADERSHIP_SILENT_MS 3000u
-
-/** Time without the holder's hub key after which it is replaced. */
 #define QUOTA_LEADERSHIP_GONE_MS 15000u
 
 typedef struct {
