--- a/review/2/case.pl
+++ b/review/2/case.pl
@@ -22,6 +22,12 @@
 
 Site::begin(dirname(__FILE__));
 
+sub on_commit {
+	my ($ids, $database) = @_;
+
+	Site::note("$database->{id} commits id=@$ids");
+}
+
 sub on_rolled_back {
 	my ($promoted, @ids) = @_;
 
@@ -39,7 +45,7 @@
 	zones => ['z-a', 'z-b', 'z-c'], nodes => ['z-a', 'z-b', 'z-c'],
 	services => {core => {
 		slots => 3, max_conns => 21, work_ms => 8, sync_replicas => 1,
-		on_rolled_back => \&on_rolled_back,
+		on_commit => \&on_commit, on_rolled_back => \&on_rolled_back,
 	}},
 	routes => [{
 		name => 'r-1', database => 'pairs', service => 'core',
--- a/review/3/case.pl
+++ b/review/3/case.pl
@@ -33,6 +33,8 @@
 
 	return if !defined $wanted;
 	$run++;
+	Site::note("$seen->{database} runs id=$seen->{id} as " .
+		"\"$seen->{definition}\"");
 	return if $seen->{definition} eq $wanted;
 	$wrong++;
 	Site::note("WRONG id=$seen->{id} database=$seen->{database} " .
--- a/review/standin/Client.pm
+++ b/review/standin/Client.pm
@@ -10,6 +10,9 @@
 
 my $last_id = 0;
 
+# Called with the id and the text of each statement that is sent.
+our $on_send = sub { };
+
 # A new statement id; the prefix tells the sessions apart in the record.
 sub new_id { return sprintf('c%07x%08x', $$, ++$last_id) }
 
@@ -84,6 +87,7 @@
 		return $id;
 	}
 	$client->{answered} = $callback;
+	$on_send->($id, $text);
 	Loop::send_text($client->{connection}, "QUERY $id $text\r\n");
 	return $id;
 }
--- a/review/standin/Databases.pm
+++ b/review/standin/Databases.pm
@@ -12,6 +12,7 @@
 use constant {
 	FIRST_POSITION => 100,
 	STEP_DOWN_S => 1,
+	CONTROL => qr/\A(STATUS|PAUSE|RESUME|STEPDOWN)/,
 };
 
 # Creates the databases of a service and listens.
@@ -369,8 +370,6 @@
 
 	if ($session->{state} eq 'E' && $text !~ /\A(COMMIT|ROLLBACK)\z/) {
 		fail($session, 'MALFORMED');
-	} elsif ($text =~ /\A(STATUS|PAUSE|RESUME|STEPDOWN)/) {
-		control($session, $text);
 	} elsif ($text eq 'RESET') {
 		$session->{values} = {};
 		$session->{prepared} = {};
@@ -417,10 +416,6 @@
 	my $database = $session->{database};
 	my $service = $database->{service};
 
-	if ($database->{running} >= $service->{slots}) {
-		busy($session);
-		return;
-	}
 	if ($text =~ /\APAUSE (\d+)/ && !$database->{primary} &&
 	    $1 > $database->{term}) {
 		$database->{paused_at} //= scalar @{$service->{log}};
@@ -440,7 +435,8 @@
 		$database->{running}, $database->{conns}));
 }
 
-# Reads, writes and commits occupy a slot; as many may wait as there are slots.
+# Reads, writes, commits and STATUS occupy a slot; as many may wait as there are
+# slots.
 sub work {
 	my ($session, $id, $text) = @_;
 	my $database = $session->{database};
@@ -467,12 +463,20 @@
 	my $database = $session->{database};
 
 	$database->{running}++;
-	Loop::after($database->{service}{work_ms} / 1000, sub {
+	my $is_control = $text =~ CONTROL;
+	my $work_ms = $is_control ? 1 : $database->{service}{work_ms};
+
+	Loop::after($work_ms / 1000, sub {
 		my $next;
 
 		$database->{running}--;
-		finish($session, $id, $text)
-			unless $session->{gone} || $database->{dark};
+		if ($session->{gone} || $database->{dark}) {
+			# Its connection has ended: nothing is run.
+		} elsif ($is_control) {
+			control($session, $text);
+		} else {
+			finish($session, $id, $text);
+		}
 		while ($next = shift @{$database->{waiting}}) {
 			next if $next->[0]{gone};
 			execute(@$next);
--- a/review/standin/Site.pm
+++ b/review/standin/Site.pm
@@ -15,6 +15,7 @@
 use POSIX qw(WNOHANG);
 use Time::HiRes qw(sleep time);
 
+use Client;
 use Databases;
 use Loop;
 
@@ -22,6 +23,7 @@
 	PORTS_PER_NODE => 8,
 	READY_WAIT_S => 20,
 	HEARTBEAT_S => 1.2,
+	RESTART_S => 0.5,
 	GRACE_S => 6,
 	CASE_S_MAX => 115,
 };
@@ -39,7 +41,7 @@
 	my $path = abs_path($folder) . '/record.txt';
 
 	open($record, '>', $path) or die "cannot write $path: $!\n";
-	$record->autoflush(1);
+	$Client::on_send = sub { note("client id=$_[0] sends $_[1]") };
 	$SIG{PIPE} = 'IGNORE';
 	$SIG{ALRM} = sub { finish(2, 'the case took too long') };
 	$SIG{INT} = $SIG{TERM} = sub { finish(2, 'interrupted') };
@@ -300,7 +302,7 @@
 	local $ENV{TOUCANHOOK_BOOT} = write_settings($site, $member);
 	$member->{pid} = start_process($member->{name},
 		"$site->{folder}/$member->{name}.log", node_command());
-	$member->{term_ms} = undef;
+	$member->{term_at} = undef;
 	note("started $member->{name}, front port $member->{port}");
 }
 
@@ -340,6 +342,18 @@
 	});
 }
 
+# Starts a node again soon after its process has ended.
+sub start_again {
+	my ($site, $member) = @_;
+
+	if (has_ended($member)) {
+		note("$member->{name} has ended");
+		Loop::after(RESTART_S, sub { start_node($site, $member) });
+	} else {
+		Loop::after(RESTART_S, sub { start_again($site, $member) });
+	}
+}
+
 # Returns whether the process has ended, and how.
 sub has_ended {
 	my ($member) = @_;
