Name prepared statements of a connection by number, not by hash

Callers saw: an EXECUTE answered with the rows of another client's shape, or a change run as another client's (PINNED), on a healthy site.

Cause: the name on a server connection was g_str_hash() of the definition, and a connection remembered names, not definitions. The second of two definitions with one hash was not prepared and ran as the first. Ruled out: names shared between sessions, names that survive a RESET or a new connection, a failed PREPARE.

A PREPARE still travels with its EXECUTE: a name that was not prepared is unknown to the server and means nothing else. A hub rejects an EXECUTE of a name that it does not know; it passed it on as it was, which would now hit another one's.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -3,18 +3,26 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 
 /* Time after which the connection of an abandoned statement is closed. */
 #define ABANDONED_TIMEOUT_MS 3000
 
+/* A statement that sets up the session state. */
+typedef struct {
+	char *text;
+	relay_link_done_t done;
+} setup_t;
+
 struct relay_attempt {
 	relay_service_t *service;
 	relay_server_t *server;
 	relay_link_t *link;
 	relay_request_t request;
 	log_point_t after;
-	GQueue setup; /* char *, statements that set up the session state */
-	bool sent;    /* the caller's statement was sent */
+	GQueue setup;	     /* setup_t, to be sent first */
+	char *prepared_name; /* of the request's definition, or NULL */
+	bool sent;	     /* the caller's statement was sent */
 	bool abandoned;
 	bool dirty; /* the session state differs from relay_link_state() */
 	struct event *timer; /* closes the connection of an abandoned attempt */
@@ -31,9 +39,18 @@
 		->codec;
 }
 
+static void setup_free(gpointer data)
+{
+	setup_t *setup = data;
+
+	g_free(setup->text);
+	g_free(setup);
+}
+
 static void attempt_free(relay_attempt_t *attempt)
 {
-	g_queue_clear_full(&attempt->setup, g_free);
+	g_queue_clear_full(&attempt->setup, setup_free);
+	g_free(attempt->prepared_name);
 	if (attempt->timer)
 		event_free(attempt->timer);
 	g_free(attempt);
@@ -105,6 +122,13 @@
 		fail_setup(context, answer);
 }
 
+/* Closing a statement is no condition: its name is not used again. */
+static void on_closed_statement(void *context, const relay_answer_t *answer)
+{
+	if (answer->broken)
+		fail_setup(context, answer);
+}
+
 static void on_begin(void *context, const relay_answer_t *answer)
 {
 	relay_attempt_t *attempt = context;
@@ -125,24 +149,14 @@
 	}
 }
 
-/*
- * Derives the name of a prepared statement from its definition, so that it is
- * the same on all connections of the node.
- */
-static char *prepared_name(const char *definition)
-{
-	return g_strdup_printf("p%08x", g_str_hash(definition));
-}
-
 static char *statement_text(const relay_attempt_t *attempt)
 {
 	const relay_request_t *request = &attempt->request;
-	g_autofree char *name = NULL;
 
 	if (!request->definition)
 		return g_strdup(request->text);
-	name = prepared_name(request->definition);
-	return codec_of(attempt)->text_execute(name, request->arguments);
+	return codec_of(attempt)->text_execute(attempt->prepared_name,
+					       request->arguments);
 }
 
 static void send_statement(relay_attempt_t *attempt)
@@ -166,12 +180,12 @@
 static void send_all(relay_attempt_t *attempt)
 {
 	const relay_request_t *request = &attempt->request;
-	char *statement;
+	setup_t *setup;
 
-	while ((statement = g_queue_pop_head(&attempt->setup))) {
-		relay_link_run(attempt->link, NULL, (log_point_t){0}, statement,
-			       on_setup_answer, attempt);
-		g_free(statement);
+	while ((setup = g_queue_pop_head(&attempt->setup))) {
+		relay_link_run(attempt->link, NULL, (log_point_t){0},
+			       setup->text, setup->done, attempt);
+		setup_free(setup);
 	}
 	if (request->begin_id)
 		relay_link_run(attempt->link, request->begin_id, attempt->after,
@@ -192,13 +206,24 @@
 	return false;
 }
 
+/* Queues a statement, whose text is freed. */
+static void queue_setup(relay_attempt_t *attempt, char *text,
+			relay_link_done_t done)
+{
+	setup_t *setup = g_new0(setup_t, 1);
+
+	setup->text = text;
+	setup->done = done;
+	g_queue_push_tail(&attempt->setup, setup);
+}
+
 static void queue_reset(relay_attempt_t *attempt)
 {
 	relay_link_state_t *state = relay_link_state(attempt->link);
 
-	g_queue_push_tail(&attempt->setup, codec_of(attempt)->text_reset());
+	queue_setup(attempt, codec_of(attempt)->text_reset(), on_setup_answer);
 	g_hash_table_remove_all(state->values);
-	g_hash_table_remove_all(state->prepared);
+	relay_prepared_clear(state->prepared);
 	/* The hub forgets the customer as well. */
 	if (relay_link_is_forwarded(attempt->link))
 		g_clear_pointer(&state->customer, g_free);
@@ -219,8 +244,8 @@
 		queue_reset(attempt);
 	if (!customer || !g_strcmp0(state->customer, customer->name))
 		return;
-	g_queue_push_tail(&attempt->setup,
-			  codec_of(attempt)->text_as(customer->name));
+	queue_setup(attempt, codec_of(attempt)->text_as(customer->name),
+		    on_setup_answer);
 	g_free(state->customer);
 	state->customer = g_strdup(customer->name);
 }
@@ -243,28 +268,42 @@
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		if (!g_strcmp0(g_hash_table_lookup(state->values, name), value))
 			continue;
-		g_queue_push_tail(&attempt->setup,
-				  codec->text_set(name, value));
+		queue_setup(attempt, codec->text_set(name, value),
+			    on_setup_answer);
 		g_hash_table_insert(state->values, g_strdup(name),
 				    g_strdup(value));
 	}
 }
 
-/* Queues the PREPARE of a statement that the connection does not have yet. */
+/*
+ * Queues the PREPARE of a statement that the connection does not have yet, and
+ * the CLOSE of those that it holds no longer.
+ */
 static void queue_prepare(relay_attempt_t *attempt)
 {
-	relay_link_state_t *state = relay_link_state(attempt->link);
-	g_autofree char *name = NULL;
+	const char *definition = attempt->request.definition;
+	const relay_codec_t *codec = codec_of(attempt);
+	relay_prepared_t *prepared = relay_link_state(attempt->link)->prepared;
+	g_autoptr(GPtrArray) closed = g_ptr_array_new_with_free_func(g_free);
 
-	if (!attempt->request.definition)
+	if (!definition)
 		return;
-	name = prepared_name(attempt->request.definition);
-	if (g_hash_table_contains(state->prepared, name))
+	attempt->prepared_name =
+		g_strdup(relay_prepared_find(prepared, definition));
+	if (attempt->prepared_name)
 		return;
-	g_queue_push_tail(&attempt->setup,
-			  codec_of(attempt)->text_prepare(
-				  name, attempt->request.definition));
-	g_hash_table_add(state->prepared, g_steal_pointer(&name));
+	attempt->prepared_name =
+		g_strdup(relay_prepared_add(prepared, definition, closed));
+	for (guint i = 0; i < closed->len; i++)
+		queue_setup(attempt, codec->text_close(closed->pdata[i]),
+			    on_closed_statement);
+	queue_setup(attempt,
+		    codec->text_prepare(attempt->prepared_name, definition),
+		    on_setup_answer);
+	log_event(LOG_LEVEL_DEBUG, "statement_prepared",
+		  "id=%s server=%s name=%s definition=\"%s\" closed=%u",
+		  attempt->request.id, relay_server_entry(attempt->server)->id,
+		  attempt->prepared_name, definition, closed->len);
 }
 
 static void on_abandon_timeout(evutil_socket_t fd, short what, void *context)
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -109,6 +109,7 @@
 	char *(*text_set)(const char *name, const char *value);
 	char *(*text_prepare)(const char *name, const char *definition);
 	char *(*text_execute)(const char *name, const char *arguments);
+	char *(*text_close)(const char *name);
 	char *(*text_control)(relay_control_t control, uint64_t term);
 	/** Sets the customer of the statements that follow. */
 	char *(*text_as)(const char *customer);
--- a/src/relay/relay_forwarding_session.c
+++ b/src/relay/relay_forwarding_session.c
@@ -249,11 +249,20 @@
 	       (catalog && catalog_customer(catalog, session->customer));
 }
 
+/* @return whether the other node has prepared the statement, if it needs to */
+static bool is_prepared(const forwarding_session_t *session)
+{
+	return session->command.kind != COMMAND_EXECUTE ||
+	       g_hash_table_contains(session->prepared, session->command.name);
+}
+
 static void run(forwarding_session_t *session)
 {
 	session->busy = true;
 	if (!is_customer_known(session))
 		refuse_later(session, "customer unknown");
+	else if (!is_prepared(session)) /* servers know other names */
+		refuse_later(session, "prepared name unknown");
 	else if (session->link && relay_link_is_open(session->link))
 		run_on(session, session->server, session->link);
 	else if (session->link) /* a broken connection ends the session */
@@ -294,6 +303,10 @@
 				     g_strdup(command->value));
 		forwarding_session_answer_complete(session);
 		break;
+	case COMMAND_CLOSE:
+		g_hash_table_remove(session->prepared, command->name);
+		forwarding_session_answer_complete(session);
+		break;
 	case COMMAND_PROVE:
 		forwarding_session_send_proof(session);
 		break;
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -250,8 +250,7 @@
 	link->last_received_ms = clock_boot_ms();
 	link->state.values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	link->state.prepared =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	link->state.prepared = relay_prepared_create();
 	link->state.customer = g_strdup(customer);
 	link->bev = bufferevent_socket_new(
 		base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -277,7 +276,7 @@
 	g_clear_pointer(&link->rows, g_ptr_array_unref);
 	g_free(link->server);
 	g_hash_table_destroy(link->state.values);
-	g_hash_table_destroy(link->state.prepared);
+	relay_prepared_destroy(link->state.prepared);
 	g_free(link->state.customer);
 	g_free(link);
 }
--- a/src/relay/relay_link.h
+++ b/src/relay/relay_link.h
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 
 #include "relay/relay_codec.h"
+#include "relay/relay_prepared.h"
 #include "state/backend_entry.h"
 #include "state/endpoint.h"
 
@@ -54,10 +55,10 @@
 
 /** Session state that the server keeps for a connection. */
 typedef struct {
-	GHashTable *values;   /**< session variables, name -> value */
-	GHashTable *prepared; /**< set of names of prepared statements */
-	bool in_transaction;  /**< a transaction is open */
-	char *customer;	      /**< that the statements are for, or NULL */
+	GHashTable *values; /**< session variables, name -> value */
+	relay_prepared_t *prepared;
+	bool in_transaction; /**< a transaction is open */
+	char *customer;	     /**< that the statements are for, or NULL */
 } relay_link_state_t;
 
 /**
--- /dev/null
+++ b/tests/unit/test_relay_forwarding.c
@@ -0,0 +1,137 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <sys/socket.h>
+
+#include <cmocka.h>
+
+#include "base/log.h"
+#include "fake_line_node.h"
+#include "relay/relay_forwarding_private.h"
+
+/* A node that forwards, and the connection of another node to it. */
+typedef struct {
+	fake_line_node_t *node;
+	relay_forwarding_t *forwarding;
+	struct bufferevent *peer;
+	GString *answers; /* what the other node received */
+} fixture_t;
+
+static void on_read(struct bufferevent *bev, void *context)
+{
+	fixture_t *fixture = context;
+	char bytes[512];
+	size_t size;
+
+	while ((size = bufferevent_read(bev, bytes, sizeof(bytes))) > 0)
+		g_string_append_len(fixture->answers, bytes, (gssize)size);
+}
+
+static int open_fixture(void **state)
+{
+	static const endpoint_t any_port = {.address = "127.0.0.1"};
+	evutil_socket_t ends[2];
+	fixture_t *fixture;
+
+	if (evutil_socketpair(AF_UNIX, SOCK_STREAM, 0, ends))
+		return -1;
+	fixture = g_new0(fixture_t, 1);
+	fixture->node = fake_line_node_create();
+	fixture->forwarding = relay_forwarding_create(fixture->node->services,
+						      &any_port, NULL);
+	fixture->answers = g_string_new("");
+	evutil_make_socket_nonblocking(ends[0]);
+	evutil_make_socket_nonblocking(ends[1]);
+	forwarding_session_create(fixture->forwarding, ends[0]);
+	fixture->peer = bufferevent_socket_new(fixture->node->base, ends[1],
+					       BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(fixture->peer, on_read, NULL, NULL, fixture);
+	bufferevent_enable(fixture->peer, EV_READ | EV_WRITE);
+	*state = fixture;
+	return 0;
+}
+
+static int close_fixture(void **state)
+{
+	fixture_t *fixture = *state;
+
+	relay_forwarding_destroy(fixture->forwarding);
+	bufferevent_free(fixture->peer);
+	g_string_free(fixture->answers, TRUE);
+	fake_line_node_destroy(fixture->node);
+	g_free(fixture);
+	return 0;
+}
+
+/* Sends lines and waits for as many answers. @return the answers' first words
+ */
+static const char *ask(fixture_t *fixture, const char *lines)
+{
+	uint32_t wanted = 0;
+	uint32_t answered = 0;
+
+	g_string_truncate(fixture->answers, 0);
+	for (const char *c = lines; *c; c++)
+		wanted += *c == '\n';
+	bufferevent_write(fixture->peer, lines, strlen(lines));
+	while (answered < wanted) {
+		const char *at = fixture->answers->str;
+
+		event_base_loop(fixture->node->base, EVLOOP_ONCE);
+		for (answered = 0; (at = strstr(at, "READY ")); at++)
+			answered++;
+	}
+	return fixture->answers->str;
+}
+
+/*
+ * Guards against names of another node that are sent to the server as they are:
+ * there they may belong to another definition.
+ */
+static void test_names_of_nodes_are_not_names_of_the_server(void **state)
+{
+	fixture_t *fixture = *state;
+
+	ask(fixture, "STARTUP svc - i-1\r\n"
+		     "QUERY - PREPARE p1 READ a\r\n"
+		     "QUERY c1 EXECUTE p1 item\r\n"
+		     "QUERY - PREPARE p9 READ b\r\n"
+		     "QUERY c2 EXECUTE p9 item\r\n"
+		     "QUERY - PREPARE p2 READ c\r\n"
+		     "QUERY - CLOSE p1\r\n"
+		     "QUERY - PREPARE p1 READ d\r\n"
+		     "QUERY c3 EXECUTE p1 item\r\n");
+	assert_string_equal(fixture->node->server->runs->str,
+			    "I READ a item\nI READ b item\n"
+			    "I READ d item\n");
+}
+
+/* Guards against running a name that the other node has not prepared. */
+static void test_unknown_name_is_not_run(void **state)
+{
+	fixture_t *fixture = *state;
+
+	ask(fixture, "STARTUP svc - i-1\r\n"
+		     "QUERY - PREPARE p1 READ a\r\n"
+		     "QUERY c1 EXECUTE p1 item\r\n"
+		     "QUERY - RESET\r\n");
+	assert_non_null(strstr(ask(fixture, "QUERY c2 EXECUTE p1 item\r\n"),
+			       "ERROR TOOMANY prepared name unknown"));
+	assert_string_equal(fixture->node->server->runs->str,
+			    "I READ a item\n");
+}
+
+#define TEST(name) \
+	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(test_names_of_nodes_are_not_names_of_the_server),
+		TEST(test_unknown_name_is_not_run),
+	};
+
+	log_open("test", LOG_LEVEL_WARNING);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
