Send a statement only when its transaction and variables are confirmed

Cause: the first change was sent right behind its BEGIN, and a failed BEGIN was taken for that of a server that is not the primary.

Change: an attempt sends the caller's statement once the server has confirmed SET, RESET and BEGIN (in state T); these travel together. Nothing waits where the connection has the variables and no transaction begins, nor on a forwarded connection, whose other node answers them itself and waits next to the server. A rejected setup is tried again until the deadline and then told as not run; a hub tells "aborted" in place of the BEGIN's error. A failed PREPARE is repeated.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -21,8 +21,10 @@
 	relay_request_t request;
 	log_point_t after;
 	GQueue setup;	     /* setup_t, to be sent first */
+	uint32_t conditions; /* answers awaited before the statement is sent */
 	char *prepared_name; /* of the request's definition, or NULL */
 	bool sent;	     /* the caller's statement was sent */
+	bool withdrawn; /* the caller's statement must not be sent any more */
 	bool abandoned;
 	bool dirty; /* the session state differs from relay_link_state() */
 	struct event *timer; /* closes the connection of an abandoned attempt */
@@ -107,45 +109,67 @@
 	attempt_end(attempt, RELAY_ATTEMPT_ANSWERED, answer);
 }
 
-/* Handles a setup statement that failed or whose answer is lost. */
+/* Ends the attempt after a setup statement that failed or got no answer. */
 static void fail_setup(relay_attempt_t *attempt, const relay_answer_t *answer)
 {
-	attempt->dirty = true;
 	attempt_end(attempt,
 		    attempt->sent ? RELAY_ATTEMPT_LOST : RELAY_ATTEMPT_NOT_RUN,
 		    answer->broken || attempt->sent ? NULL : answer);
 }
 
-static void on_setup_answer(void *context, const relay_answer_t *answer)
+/* Sends the statement once all conditions are met. */
+static void condition_met(relay_attempt_t *attempt,
+			  const relay_answer_t *answer)
 {
-	if (answer->broken || answer->failed)
-		fail_setup(context, answer);
+	if (attempt->sent || --attempt->conditions)
+		return;
+	if (attempt->abandoned || attempt->withdrawn)
+		attempt_end(attempt, RELAY_ATTEMPT_NOT_RUN,
+			    attempt->abandoned ? answer : NULL);
+	else
+		send_statement(attempt);
 }
 
-/* Closing a statement is no condition: its name is not used again. */
-static void on_closed_statement(void *context, const relay_answer_t *answer)
+/* Handles the answer to a statement that sets variables or the customer. */
+static void on_session_set(void *context, const relay_answer_t *answer)
+{
+	relay_attempt_t *attempt = context;
+
+	if (!answer->broken && !answer->failed) {
+		condition_met(attempt, answer);
+		return;
+	}
+	attempt->dirty = true;
+	fail_setup(attempt, answer);
+}
+
+/*
+ * Preparing a statement is no condition, nor is closing one: a name that the
+ * server does not have is unknown there, and means nothing else.
+ */
+static void on_prepared(void *context, const relay_answer_t *answer)
 {
-	if (answer->broken)
-		fail_setup(context, answer);
+	relay_attempt_t *attempt = context;
+
+	attempt->dirty |= answer->failed;
+	if (answer->broken || answer->status == 'E')
+		fail_setup(attempt, answer);
 }
 
 static void on_begin(void *context, const relay_answer_t *answer)
 {
 	relay_attempt_t *attempt = context;
 
-	if (answer->broken) {
+	if (answer->broken || answer->failed) {
+		attempt->dirty |= attempt->sent;
 		fail_setup(attempt, answer);
-	} else if (answer->failed) {
-		/*
-		 * A change that was pipelined behind the BEGIN is rejected for
-		 * the same reason: the server is not the primary.
-		 */
-		attempt->dirty = attempt->sent;
-		attempt_end(attempt, RELAY_ATTEMPT_NOT_RUN, answer);
-	} else if (attempt->abandoned) {
-		attempt_end(attempt, RELAY_ATTEMPT_NOT_RUN, NULL);
-	} else if (!attempt->sent) {
-		send_statement(attempt);
+	} else if (answer->status != 'T') {
+		attempt_end(attempt,
+			    attempt->sent ? RELAY_ATTEMPT_LOST :
+					    RELAY_ATTEMPT_NOT_RUN,
+			    NULL);
+	} else {
+		condition_met(attempt, answer);
 	}
 }
 
@@ -172,10 +196,18 @@
 		       on_answer, attempt);
 }
 
+static void send_setup(relay_attempt_t *attempt, const setup_t *setup)
+{
+	attempt->conditions += setup->done == on_session_set;
+	relay_link_run(attempt->link, NULL, (log_point_t){0}, setup->text,
+		       setup->done, attempt);
+}
+
 /*
- * Pipelines all statements. A read that opens a transaction is the exception:
- * it waits for the answer to the BEGIN, because on a server that is no longer
- * the primary the BEGIN fails and the read would run outside a transaction.
+ * Pipelines the setup and, without conditions, the statement. After a SET or
+ * RESET that fails the statement would run with another session's variables,
+ * after a BEGIN that fails it would be committed on its own: it waits for their
+ * answers. A forwarding node answers them itself and does the waiting.
  */
 static void send_all(relay_attempt_t *attempt)
 {
@@ -183,14 +215,15 @@
 	setup_t *setup;
 
 	while ((setup = g_queue_pop_head(&attempt->setup))) {
-		relay_link_run(attempt->link, NULL, (log_point_t){0},
-			       setup->text, setup->done, attempt);
+		send_setup(attempt, setup);
 		setup_free(setup);
 	}
-	if (request->begin_id)
+	if (request->begin_id) {
+		attempt->conditions++;
 		relay_link_run(attempt->link, request->begin_id, attempt->after,
 			       request->begin_text, on_begin, attempt);
-	if (!request->begin_id || request->writes)
+	}
+	if (!attempt->conditions || relay_link_is_forwarded(attempt->link))
 		send_statement(attempt);
 }
 
@@ -221,7 +254,7 @@
 {
 	relay_link_state_t *state = relay_link_state(attempt->link);
 
-	queue_setup(attempt, codec_of(attempt)->text_reset(), on_setup_answer);
+	queue_setup(attempt, codec_of(attempt)->text_reset(), on_session_set);
 	g_hash_table_remove_all(state->values);
 	relay_prepared_clear(state->prepared);
 	/* The hub forgets the customer as well. */
@@ -245,7 +278,7 @@
 	if (!customer || !g_strcmp0(state->customer, customer->name))
 		return;
 	queue_setup(attempt, codec_of(attempt)->text_as(customer->name),
-		    on_setup_answer);
+		    on_session_set);
 	g_free(state->customer);
 	state->customer = g_strdup(customer->name);
 }
@@ -269,7 +302,7 @@
 		if (!g_strcmp0(g_hash_table_lookup(state->values, name), value))
 			continue;
 		queue_setup(attempt, codec->text_set(name, value),
-			    on_setup_answer);
+			    on_session_set);
 		g_hash_table_insert(state->values, g_strdup(name),
 				    g_strdup(value));
 	}
@@ -296,10 +329,10 @@
 		g_strdup(relay_prepared_add(prepared, definition, closed));
 	for (guint i = 0; i < closed->len; i++)
 		queue_setup(attempt, codec->text_close(closed->pdata[i]),
-			    on_closed_statement);
+			    on_prepared);
 	queue_setup(attempt,
 		    codec->text_prepare(attempt->prepared_name, definition),
-		    on_setup_answer);
+		    on_prepared);
 	log_event(LOG_LEVEL_DEBUG, "statement_prepared",
 		  "id=%s server=%s name=%s definition=\"%s\" closed=%u",
 		  attempt->request.id, relay_server_entry(attempt->server)->id,
@@ -334,6 +367,11 @@
 	return attempt;
 }
 
+void relay_attempt_withdraw(relay_attempt_t *attempt)
+{
+	attempt->withdrawn = true;
+}
+
 void relay_attempt_abandon(relay_attempt_t *attempt)
 {
 	const struct timeval delay = clock_timeval(ABANDONED_TIMEOUT_MS);
--- a/src/relay/relay_attempt.h
+++ b/src/relay/relay_attempt.h
@@ -6,15 +6,20 @@
 /**
  * One attempt to run a statement on one connection: sets the session's
  * variables and prepared statements on the connection, opens the transaction
- * and runs the statement. An abandoned attempt outlives its job until the
- * server answers or a timeout expires.
+ * and runs the statement, which is sent only once the server has confirmed the
+ * variables and the transaction. An abandoned attempt outlives its job until
+ * the server answers or a timeout expires.
  */
 typedef struct relay_attempt relay_attempt_t;
 
 /** How an attempt ended. */
 typedef enum {
 	RELAY_ATTEMPT_ANSWERED, /**< the server answered the statement */
-	RELAY_ATTEMPT_NOT_RUN,	/**< the statement was not started */
+	/**
+	 * The statement was not sent; an answer is the server's rejection of a
+	 * setup statement.
+	 */
+	RELAY_ATTEMPT_NOT_RUN,
 	RELAY_ATTEMPT_LOST, /**< the statement was sent, its answer is lost */
 } relay_attempt_end_t;
 
@@ -38,6 +43,12 @@
 				     log_point_t after,
 				     relay_attempt_done_t done, void *context);
 
+/**
+ * Has the statement not sent if it still waits for the session to be set up;
+ * the attempt then ends as RELAY_ATTEMPT_NOT_RUN.
+ */
+void relay_attempt_withdraw(relay_attempt_t *attempt);
+
 /**
  * Drops the callback. The connection is reused if the answer still arrives
  * before a timeout, and is closed otherwise.
--- a/src/relay/relay_forwarding_session.c
+++ b/src/relay/relay_forwarding_session.c
@@ -96,25 +96,30 @@
 	command_clear(&session->command);
 }
 
-/*
- * Rejects the statement, which has not run. An open transaction is rolled
- * back. The error differs from those of a server, so that the other node does
- * not take it for the server's own.
- */
-static void refuse(forwarding_session_t *session, const char *reason)
+/* Rejects the statement, which has not run, and rolls the transaction back. */
+static void refuse_with(forwarding_session_t *session, relay_error_t error,
+			const char *reason)
 {
 	log_event(LOG_LEVEL_INFO, "forwarded_statement_refused",
 		  "id=%s server=%s reason=\"%s\"", session->message.id,
 		  session->server_id, reason);
 	discard_link(session);
 	forwarding_session_codec(session)->put_error(
-		forwarding_session_output(session),
-		RELAY_ERROR_CONNECTION_LIMIT, reason);
+		forwarding_session_output(session), error, reason);
 	forwarding_session_answer_ready(session, (log_point_t){0});
 	forwarding_session_statement_done(session);
 	process(session);
 }
 
+/*
+ * Rejects the statement for a reason of this node. The error differs from those
+ * of a server, so that the other node does not take it for the server's own.
+ */
+static void refuse(forwarding_session_t *session, const char *reason)
+{
+	refuse_with(session, RELAY_ERROR_CONNECTION_LIMIT, reason);
+}
+
 static void on_attempt_done(void *context, relay_attempt_t *attempt,
 			    relay_attempt_end_t end,
 			    const relay_answer_t *answer)
@@ -134,6 +139,14 @@
 			forwarding_session_end(session);
 		return;
 	}
+	if (end == RELAY_ATTEMPT_NOT_RUN &&
+	    !relay_error_proves_no_effect(answer->error)) {
+		/* The error is that of a setup statement, not of this one. */
+		relay_attempt_finish(attempt);
+		session->link = NULL;
+		refuse_with(session, RELAY_ERROR_ABORTED, "session not set up");
+		return;
+	}
 	if (answer->status == 'I') {
 		relay_attempt_finish(attempt);
 		session->link = NULL;
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -123,6 +123,8 @@
 
 	for (uint32_t i = 0; i < job->attempts_count; i++) {
 		sent |= relay_attempt_is_sent(job->attempts[i]);
+		/* The caller will be told that the statement is not run. */
+		relay_attempt_withdraw(job->attempts[i]);
 		relay_server_record_timeout(
 			relay_attempt_server(job->attempts[i]));
 	}
--- a/src/relay/relay_job_answer.c
+++ b/src/relay/relay_job_answer.c
@@ -157,6 +157,7 @@
 	case RELAY_ERROR_READ_ONLY:
 	case RELAY_ERROR_OVERLOADED:
 	case RELAY_ERROR_OTHER_SERVER:
+	case RELAY_ERROR_FAILED: /* the session could not be set up */
 		if (!job_needs_primary(job))
 			relay_placement_note_tried(&job->placement, server);
 		job_retry_later(job);
@@ -175,7 +176,8 @@
 /* @return whether the error proves that a single statement did not run */
 static bool proves_not_run(relay_error_t error)
 {
-	return error == RELAY_ERROR_OVERLOADED || error == RELAY_ERROR_BEHIND ||
+	return error == RELAY_ERROR_OVERLOADED ||
+	       error == RELAY_ERROR_ABORTED || error == RELAY_ERROR_BEHIND ||
 	       error == RELAY_ERROR_READ_ONLY ||
 	       error == RELAY_ERROR_UNKNOWN_NAME ||
 	       error == RELAY_ERROR_OTHER_SERVER ||
@@ -188,11 +190,11 @@
 	relay_server_t *server = relay_attempt_server(attempt);
 
 	log_event(LOG_LEVEL_INFO, "statement_not_run",
-		  "id=%s server=%s reason=%s term=%" PRIu64 " after=%" PRIu64
-		  ".%" PRIu64,
+		  "id=%s server=%s reason=%s sent=%d term=%" PRIu64
+		  " after=%" PRIu64 ".%" PRIu64,
 		  job->request.id, relay_server_entry(server)->id,
-		  relay_error_name(error), job->term, job->after.term,
-		  job->after.position);
+		  relay_error_name(error), relay_attempt_is_sent(attempt),
+		  job->term, job->after.term, job->after.position);
 	job_attempt_remove(job, attempt);
 	if (error == RELAY_ERROR_CONNECTION_LIMIT)
 		relay_server_forwarding_refused(
@@ -206,6 +208,27 @@
 	on_not_run(job, server, error);
 }
 
+/* Handles the server's rejection of a statement that sets up the session. */
+static void on_setup_rejected(relay_job_t *job, relay_attempt_t *attempt,
+			      relay_error_t error)
+{
+	if (job->pin) {
+		job_attempt_remove(job, attempt);
+		relay_attempt_detach_link(attempt);
+		job_finish_failed(job, RELAY_ERROR_ABORTED,
+				  "session not set up, rolled back");
+		return;
+	}
+	if (error != RELAY_ERROR_MALFORMED) {
+		on_refused_by_server(job, attempt, error);
+		return;
+	}
+	/* A variable of the caller that no server accepts. */
+	job_attempt_remove(job, attempt);
+	relay_attempt_finish(attempt);
+	job_finish_failed(job, error, "session variable rejected");
+}
+
 /* Retries a failed read on another server, where it may succeed. */
 static void on_failed_read(relay_job_t *job, relay_attempt_t *attempt)
 {
@@ -277,6 +300,10 @@
 		return;
 	}
 	record_answer(job, attempt, answer);
+	if (end == RELAY_ATTEMPT_NOT_RUN) {
+		on_setup_rejected(job, attempt, answer->error);
+		return;
+	}
 	if (job->pin && answer->failed && answer->status == 'T' &&
 	    answer->error == RELAY_ERROR_OVERLOADED) {
 		job_attempt_remove(job, attempt);
--- a/tests/unit/fake_line_server.h
+++ b/tests/unit/fake_line_server.h
@@ -30,7 +30,9 @@
 	const char *error;	/* "CODE text" that rejects it */
 	uint32_t rejects_count; /* statements that are still to be rejected */
 	bool breaks;		/* the connection breaks in place of an error */
-	bool ignores_begin;	/* a BEGIN is answered, but opens nothing */
+	const char *holds; /* first words of what is not answered, or NULL */
+	struct bufferevent *held; /* connection that waits for an answer */
+	bool ignores_begin;	  /* a BEGIN is answered, but opens nothing */
 } fake_line_server_t;
 
 typedef struct {
@@ -160,6 +162,12 @@
 			continue;
 		}
 		g_string_append_printf(server->log, "%s\n", words[2]);
+		if (server->holds &&
+		    g_str_has_prefix(words[2], server->holds)) {
+			server->held = bev;
+			bufferevent_disable(bev, EV_READ);
+			return;
+		}
 		if (!fake_line_rejects(server, words[2])) {
 			fake_line_query(session, words[2]);
 		} else if (server->breaks) {
@@ -171,6 +179,19 @@
 	}
 }
 
+/* Answers the statement that is held; later ones are read again. */
+static G_GNUC_UNUSED void fake_line_server_release(fake_line_server_t *server)
+{
+	struct bufferevent *bev = server->held;
+	void *session;
+
+	bufferevent_getcb(bev, NULL, NULL, NULL, &session);
+	server->holds = NULL;
+	fake_line_answer(session, "COMPLETE -");
+	bufferevent_enable(bev, EV_READ);
+	bufferevent_trigger(bev, EV_READ, 0);
+}
+
 static void fake_line_on_event(struct bufferevent *bev, short what,
 			       void *context)
 {
--- a/tests/unit/test_relay_attempt.c
+++ b/tests/unit/test_relay_attempt.c
@@ -140,6 +140,185 @@
 		strstr(fixture->node->server->log->str, "PREPARE p2 READ xc0"));
 }
 
+/* Has the server reject statements that begin with some words. */
+static void reject(fixture_t *fixture, const char *words, uint32_t count)
+{
+	fixture->node->server->rejects = words;
+	fixture->node->server->rejects_count = count;
+	fixture->node->server->error = "FAILED i-1";
+}
+
+/* Runs the first statement of a transaction; its caller has sent BEGIN. */
+static void run_first(fixture_t *fixture, const char *text)
+{
+	run(fixture, (relay_request_t){.kind = COMMAND_WRITE,
+				       .text = text,
+				       .writes = true,
+				       .begin_id = "c0",
+				       .begin_text = "BEGIN"});
+}
+
+/*
+ * Guards against a change that is sent behind a BEGIN which fails: it was
+ * committed on its own, without a COMMIT of its caller.
+ */
+static void test_change_does_not_run_without_its_transaction(void **state)
+{
+	fixture_t *fixture = *state;
+
+	reject(fixture, "BEGIN", 1);
+	run_first(fixture, "WRITE a x");
+	assert_string_equal(fixture->node->server->runs->str, "T WRITE a x\n");
+	assert_false(fixture->failed);
+	assert_int_equal(fixture->status, 'T');
+}
+
+/* Guards against an error that says that the change may have run. */
+static void test_transaction_that_never_opens_is_a_promise(void **state)
+{
+	fixture_t *fixture = *state;
+
+	reject(fixture, "BEGIN", UINT32_MAX);
+	fixture->node->database->timeout_ms = 300;
+	run_first(fixture, "WRITE a x");
+	assert_true(fixture->failed);
+	assert_int_equal(fixture->error, RELAY_ERROR_ABORTED);
+	assert_string_equal(fixture->node->server->runs->str, "");
+}
+
+/* Guards against taking a transaction for open because BEGIN succeeded. */
+static void test_begin_that_opens_nothing_is_no_transaction(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->node->server->ignores_begin = true;
+	fixture->node->database->timeout_ms = 300;
+	run_first(fixture, "WRITE a x");
+	assert_int_equal(fixture->error, RELAY_ERROR_ABORTED);
+	assert_string_equal(fixture->node->server->runs->str, "");
+}
+
+/* Guards against a lost answer to the BEGIN behind which a change was sent. */
+static void test_connection_that_breaks_at_begin_runs_nothing(void **state)
+{
+	fixture_t *fixture = *state;
+
+	reject(fixture, "BEGIN", 1);
+	fixture->node->server->breaks = true;
+	run_first(fixture, "WRITE a x");
+	assert_false(fixture->failed);
+	assert_string_equal(fixture->node->server->runs->str, "T WRITE a x\n");
+}
+
+static void run_single(fixture_t *fixture, const char *text)
+{
+	run(fixture, (relay_request_t){.kind = COMMAND_WRITE,
+				       .text = text,
+				       .writes = true});
+}
+
+/* Guards against a statement behind a SET that fails: it ran without it. */
+static void test_statement_does_not_run_without_its_variables(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_hash_table_insert(fixture->values, g_strdup("unit"), g_strdup("mm"));
+	reject(fixture, "SET", 1);
+	run_single(fixture, "WRITE a x");
+	assert_string_equal(fixture->node->server->runs->str,
+			    "I[unit=mm] WRITE a x\n");
+	assert_false(fixture->failed);
+}
+
+/* Guards against a RESET that fails: another session's variables remain. */
+static void test_statement_does_not_run_with_other_variables(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_hash_table_insert(fixture->values, g_strdup("unit"), g_strdup("mm"));
+	run_single(fixture, "WRITE a x");
+	g_hash_table_remove_all(fixture->values);
+	reject(fixture, "RESET", 1);
+	run_single(fixture, "WRITE b y");
+	assert_string_equal(fixture->node->server->runs->str,
+			    "I[unit=mm] WRITE a x\nI WRITE b y\n");
+	assert_false(fixture->failed);
+}
+
+/* Guards against a statement that runs after its caller was told it did not. */
+static void test_refused_statement_is_not_sent_later(void **state)
+{
+	fixture_t *fixture = *state;
+	fake_line_server_t *server = fixture->node->server;
+
+	g_hash_table_insert(fixture->values, g_strdup("unit"), g_strdup("mm"));
+	fixture->node->database->timeout_ms = 200;
+	server->holds = "SET";
+	run_single(fixture, "WRITE a x");
+	assert_int_equal(fixture->error, RELAY_ERROR_OVERLOADED);
+	fake_line_server_release(server);
+	fixture->node->database->timeout_ms = FAKE_LINE_NODE_TIMEOUT_MS;
+	run_single(fixture, "WRITE b y");
+	assert_false(fixture->failed);
+	assert_string_equal(server->runs->str, "I[unit=mm] WRITE b y\n");
+}
+
+/* Guards against a rejected variable that is tried until the deadline. */
+static void test_invalid_variable_is_reported_at_once(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_hash_table_insert(fixture->values, g_strdup("unit"), g_strdup("mm"));
+	reject(fixture, "SET", 1);
+	fixture->node->server->error = "MALFORMED no such variable";
+	run_single(fixture, "WRITE a x");
+	assert_int_equal(fixture->error, RELAY_ERROR_MALFORMED);
+	assert_string_equal(fixture->node->server->runs->str, "");
+}
+
+/* Guards against a PREPARE that fails: it costs a retry and nothing else. */
+static void test_failed_prepare_is_repeated(void **state)
+{
+	fixture_t *fixture = *state;
+
+	reject(fixture, "PREPARE", 1);
+	execute(fixture, "WRITE q2c");
+	assert_string_equal(fixture->node->server->runs->str,
+			    "I WRITE q2c item\n");
+}
+
+/* Guards against "unknown name" as the answer to a name that was prepared. */
+static void test_failed_prepare_in_a_transaction_aborts_it(void **state)
+{
+	fixture_t *fixture = *state;
+
+	run_first(fixture, "WRITE a x");
+	assert_non_null(fixture->pin);
+	reject(fixture, "PREPARE", 1);
+	run(fixture, (relay_request_t){.kind = COMMAND_EXECUTE,
+				       .text = "EXECUTE s1 item",
+				       .writes = true,
+				       .definition = "WRITE q2c",
+				       .arguments = "item"});
+	assert_int_equal(fixture->error, RELAY_ERROR_ABORTED);
+	assert_int_equal(fixture->status, 'E');
+	assert_null(fixture->pin);
+}
+
+/* Guards against a SET in an open transaction that fails. */
+static void test_failed_variable_in_a_transaction_aborts_it(void **state)
+{
+	fixture_t *fixture = *state;
+
+	run_first(fixture, "WRITE a x");
+	g_hash_table_insert(fixture->values, g_strdup("unit"), g_strdup("mm"));
+	reject(fixture, "SET", 1);
+	run_single(fixture, "WRITE b y");
+	assert_int_equal(fixture->error, RELAY_ERROR_ABORTED);
+	assert_null(fixture->pin);
+	assert_string_equal(fixture->node->server->runs->str, "T WRITE a x\n");
+}
+
 #define TEST(name) \
 	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
 
@@ -151,6 +330,17 @@
 		TEST(test_names_of_two_shapes_differ),
 		TEST(test_many_shapes_stay_bounded),
 		TEST(test_names_are_not_reused_after_a_reset),
+		TEST(test_change_does_not_run_without_its_transaction),
+		TEST(test_transaction_that_never_opens_is_a_promise),
+		TEST(test_begin_that_opens_nothing_is_no_transaction),
+		TEST(test_connection_that_breaks_at_begin_runs_nothing),
+		TEST(test_statement_does_not_run_without_its_variables),
+		TEST(test_statement_does_not_run_with_other_variables),
+		TEST(test_refused_statement_is_not_sent_later),
+		TEST(test_invalid_variable_is_reported_at_once),
+		TEST(test_failed_prepare_is_repeated),
+		TEST(test_failed_prepare_in_a_transaction_aborts_it),
+		TEST(test_failed_variable_in_a_transaction_aborts_it),
 	};
 
 	log_open("test", LOG_LEVEL_WARNING);
--- a/tests/unit/test_relay_forwarding.c
+++ b/tests/unit/test_relay_forwarding.c
@@ -122,6 +122,31 @@
 			    "I READ a item\n");
 }
 
+/*
+ * Guards against a hub that sends a change behind a BEGIN which fails: the
+ * other node pipelines both, because the hub answers the BEGIN itself.
+ */
+static void test_change_does_not_run_without_its_transaction(void **state)
+{
+	fixture_t *fixture = *state;
+	fake_line_server_t *server = fixture->node->server;
+	const char *answers;
+
+	server->rejects = "BEGIN";
+	server->rejects_count = 1;
+	server->error = "FAILED i-1";
+	answers = ask(fixture, "STARTUP svc - i-1\r\n"
+			       "QUERY c0 BEGIN\r\n"
+			       "QUERY c1 WRITE a x\r\n");
+	assert_string_equal(answers, "READY I -\r\n"
+				     "COMPLETE -\r\nREADY T -\r\n"
+				     "ERROR ABORTED session not set up\r\n"
+				     "READY I -\r\n");
+	assert_string_equal(server->runs->str, "");
+	ask(fixture, "QUERY c2 BEGIN\r\nQUERY c3 WRITE a x\r\n");
+	assert_string_equal(server->runs->str, "T WRITE a x\n");
+}
+
 #define TEST(name) \
 	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
 
@@ -130,6 +155,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(test_names_of_nodes_are_not_names_of_the_server),
 		TEST(test_unknown_name_is_not_run),
+		TEST(test_change_does_not_run_without_its_transaction),
 	};
 
 	log_open("test", LOG_LEVEL_WARNING);
