Open the transaction and insert the request key in one query

What a caller would see: a change with an idempotency key fails at its BEGIN, the caller tries again with the same key and is told that the change has been made; it is lost.

Cause: BEGIN and the INSERT of the key were two queries, sent together. Behind a BEGIN that fails the INSERT is committed on its own. Seen with a simulated server whose BEGIN may fail; no run of real processes has shown it.

Change: one query "BEGIN; INSERT ...". A server runs nothing of a query after its first error, so no round trip is added.

Unit and property tests: 94 passed; test_path and test_transactions passed.

--- a/src/protocol/exchange.c
+++ b/src/protocol/exchange.c
@@ -15,8 +15,7 @@
 /* One step of the exchange; the server ends each with a ReadyForQuery. */
 typedef enum {
 	STEP_TERM,	/* SET replication.term */
-	STEP_BEGIN,	/* opens the transaction of a change with a key */
-	STEP_KEY,	/* inserts the idempotency key */
+	STEP_KEY,	/* inserts the idempotency key, in a transaction */
 	STEP_STATEMENT, /* sends the caller's messages */
 	STEP_COMMIT,	/* commits the transaction of a change with a key */
 	STEP_POINT,	/* queries the end of the log */
@@ -62,8 +61,6 @@
 	if (!exchange->connection.in_transaction &&
 	    request->term != exchange->connection.term)
 		add_step(exchange, STEP_TERM);
-	if (request->request_key && changes)
-		add_step(exchange, STEP_BEGIN);
 	if (request->request_key &&
 	    (changes || exchange->connection.in_transaction))
 		add_step(exchange, STEP_KEY);
@@ -104,12 +101,17 @@
 	g_free(exchange);
 }
 
+/*
+ * Opens the transaction in the same query: the server runs nothing of a query
+ * after an error, so that the key is not inserted if the BEGIN fails.
+ */
 static void write_key(const exchange_t *exchange, GByteArray *out)
 {
 	g_autofree char *key = pg_quote(exchange->request->request_key);
 	g_autofree char *sql = g_strdup_printf(
-		"INSERT INTO toucanhook_requests (key, value) VALUES (%s, '')",
-		key);
+		"%sINSERT INTO toucanhook_requests (key, value) "
+		"VALUES (%s, '')",
+		exchange->connection.in_transaction ? "" : "BEGIN; ", key);
 
 	pg_write_query(out, sql);
 }
@@ -131,9 +133,6 @@
 	case STEP_TERM:
 		write_term(exchange, out);
 		return;
-	case STEP_BEGIN:
-		pg_write_query(out, "BEGIN");
-		return;
 	case STEP_KEY:
 		write_key(exchange, out);
 		return;
@@ -330,7 +329,6 @@
 		if (message->type == 'E')
 			set_not_run(exchange, REASON_OTHER_TERM);
 		return;
-	case STEP_BEGIN:
 	case STEP_COMMIT:
 		if (message->type == 'E')
 			replace_answer(exchange, message);
--- a/tests/property/prop_exchange.cpp
+++ b/tests/property/prop_exchange.cpp
@@ -87,6 +87,22 @@
 	pg_write_text(out, 'C', "SELECT 1");
 }
 
+/*
+ * Runs a BEGIN and the rest of its query, as a server does: an error ends the
+ * whole query. A BEGIN may fail like any other statement.
+ */
+void begin(server_t &server, const std::string &sql, GByteArray *out)
+{
+	if (*rc::gen::inRange(0, 6) == 0) {
+		fail(server, out, "53000");
+		return;
+	}
+	server.status = 'T';
+	pg_write_text(out, 'C', "BEGIN");
+	if (sql.find("toucanhook_requests") != std::string::npos)
+		insert_key(server, out);
+}
+
 /* Simulates one query and appends its answer up to ReadyForQuery. */
 void run(server_t &server, const std::string &sql, GByteArray *out)
 {
@@ -104,9 +120,8 @@
 		commit(server, out);
 	} else if (server.status == 'E') {
 		fail(server, out, "25P02");
-	} else if (sql == "BEGIN") {
-		server.status = 'T';
-		pg_write_text(out, 'C', "BEGIN");
+	} else if (sql.rfind("BEGIN", 0) == 0) {
+		begin(server, sql, out);
 	} else if (sql.find("toucanhook_requests") != std::string::npos) {
 		insert_key(server, out);
 	} else if (sql.find("group_point") != std::string::npos) {
--- a/tests/unit/test_exchange.c
+++ b/tests/unit/test_exchange.c
@@ -265,9 +265,8 @@
 {
 	dialog_t t = dialog_start(REQUEST_WRITE, "w", "it's\\", at_term);
 
-	assert_sent(&t, "BEGIN|INSERT INTO toucanhook_requests (key, value) "
+	assert_sent(&t, "BEGIN; INSERT INTO toucanhook_requests (key, value) "
 			"VALUES (E'it''s\\\\', '')");
-	feed_complete(&t, "BEGIN", 'T');
 	feed_complete(&t, "INSERT 0 1", 'T');
 	assert_int_equal(t.state, EXCHANGE_SEND);
 	assert_sent(&t, "w|COMMIT|SELECT * FROM group_point()");
@@ -279,12 +278,30 @@
 	exchange_destroy(t.exchange);
 }
 
+/*
+ * Guards against a key that is inserted on its own behind a BEGIN that fails:
+ * the caller's next try was told that the change had been made already.
+ */
+static void test_key_is_not_written_without_its_transaction(void **state)
+{
+	dialog_t t = dialog_start(REQUEST_WRITE, "w", "k", at_term);
+	g_autofree char *sent = next_queries(&t);
+
+	assert_true(g_str_has_prefix(sent, "BEGIN; INSERT "));
+	assert_null(strchr(sent, '|'));
+	feed_error(&t, "53000", 'I');
+	assert_sent(&t, "COMMIT|SELECT * FROM group_point()");
+	feed_complete(&t, "COMMIT", 'I');
+	feed_point(&t, "3", "9");
+	assert_caller_gets(&t, "53000");
+	exchange_destroy(t.exchange);
+}
+
 static void test_existing_key_prevents_the_change(void **state)
 {
 	dialog_t t = dialog_start(REQUEST_WRITE, "w", "k", at_term);
 
 	g_free(next_queries(&t));
-	feed_complete(&t, "BEGIN", 'T');
 	feed_error(&t, "23505", 'E');
 	assert_int_equal(t.state, EXCHANGE_SEND);
 	assert_sent(&t, "COMMIT|SELECT * FROM group_point()");
@@ -378,6 +395,8 @@
 		cmocka_unit_test(
 			test_rollback_has_a_point_without_confirmation),
 		cmocka_unit_test(test_key_is_written_in_the_same_transaction),
+		cmocka_unit_test(
+			test_key_is_not_written_without_its_transaction),
 		cmocka_unit_test(test_existing_key_prevents_the_change),
 		cmocka_unit_test(test_key_is_inserted_before_commit),
 		cmocka_unit_test(
