Follow the store and serve beside odd entries of other writers

Report of other operators: odd entries among those of the databases end or stop the machines that read the list.

Causes, each with its mend: a watch whose answer exceeds 2 MiB was repeated for ever (now listed, in pages; 4 MiB); a hub passed on entries larger than a message (passed on as removals); an invalid entry left its former server in use (counts as removed); an unreadable primary record blocked each later write of the coordinator (written again); any text became a service (kept aside until it is configured). By reading: keys with NUL or no UTF-8 hid all others, entries of 1 MB took some 90 MB to parse (16 KiB at most), ids over 63 bytes or with blanks and quotes, a second page of primary records, numbers above 2^63 in STATUS and READY, NUL in members of toucanhookd. Ruled out: deep nesting, large numbers and ports out of range alone, which the parsers reject.

An entry names a server only with all fields of the page in type and range. It is logged once and counted (toucanhook_server_entries_invalid_total).

--- a/src/protocol/member_list.c
+++ b/src/protocol/member_list.c
@@ -2,6 +2,7 @@
 
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 
 #include <arpa/inet.h>
 
@@ -11,7 +12,8 @@
 {
 	const char *text = json_string_value(json);
 
-	return text && *text && g_strlcpy(to, text, size_bytes) < size_bytes;
+	return text && *text && strlen(text) == json_string_length(json) &&
+	       g_strlcpy(to, text, size_bytes) < size_bytes;
 }
 
 static bool read_member(const json_t *node, member_t *member)
@@ -46,11 +48,12 @@
 
 member_t *member_list_read(const json_t *json, uint32_t *count)
 {
-	const size_t size = MIN(json_array_size(json), MEMBER_LIST_MAX);
+	const size_t listed = json_array_size(json);
+	const size_t size = MIN(listed, MEMBER_LIST_MAX);
 	member_t *members = g_new0(member_t, size + 1);
 
 	*count = 0;
-	for (size_t i = 0; i < size; i++) {
+	for (size_t i = 0; i < listed && *count < size; i++) {
 		member_t member = {.peer_port = 0};
 
 		if (read_member(json_array_get(json, i), &member))
--- a/src/relay/relay_coordinator_record.c
+++ b/src/relay/relay_coordinator_record.c
@@ -132,6 +132,20 @@
 		schedule_recall(entry);
 }
 
+/* Another writer's text: what this node knows is written again over it. */
+static void apply_invalid(coordinator_service_t *entry, int64_t revision)
+{
+	log_event(LOG_LEVEL_WARNING, "primary_record_invalid",
+		  "service=%s revision=%" PRId64, entry->name, revision);
+	if (revision <= entry->revision)
+		return;
+	entry->revision = revision;
+	entry->current = false;
+	restart_survey(entry);
+	if (entry->record.term)
+		schedule_recall(entry);
+}
+
 void coordinator_record_seen(relay_coordinator_t *coordinator,
 			     const kv_item_t *item)
 {
@@ -145,8 +159,7 @@
 		return;
 	}
 	if (!item->value || !primary_record_decode(item->value, &record)) {
-		log_event(LOG_LEVEL_WARNING, "primary_record_invalid",
-			  "service=%s revision=%" PRId64, name, item->revision);
+		apply_invalid(entry, item->revision);
 		return;
 	}
 	if (!is_of_era(&record, item->revision)) {
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -80,6 +80,7 @@
 	bool reading;	       /* the primary records are being read */
 	bool read_again;       /* another read is due after the present one */
 	uint64_t read_sent_ms; /* when the last read was sent */
+	int64_t read_revision; /* of its first page, or 0 */
 	bool hubs_changed;     /* hub_values changed since the last sync */
 	bool registered;       /* a lease was registered at least once */
 	bool confirm_due;      /* a takeover must be confirmed */
@@ -106,7 +107,7 @@
 	const relay_source_t *source = node->platform.source;
 	catalog_t *catalog;
 
-	if (strcmp(item->key, source->catalog_key) || item->deleted)
+	if (item->deleted || !item->value)
 		return;
 	catalog = relay_source_newer_catalog(source, item, node->catalog);
 	if (!catalog)
@@ -188,7 +189,7 @@
 	const relay_source_t *source = node->platform.source;
 
 	return g_str_has_prefix(key, source->backends_prefix) ||
-	       g_str_has_prefix(key, source->catalog_prefix) ||
+	       !strcmp(key, source->catalog_key) ||
 	       g_str_has_prefix(key, RELAY_HUBS_PREFIX);
 }
 
@@ -225,7 +226,7 @@
 		return;
 	if (g_str_has_prefix(item->key, source->backends_prefix))
 		relay_backends_apply(node->backends, item);
-	else if (g_str_has_prefix(item->key, source->catalog_prefix))
+	else if (!strcmp(item->key, source->catalog_key))
 		on_catalog(node, item);
 	else
 		on_hub_key(node, item);
@@ -254,12 +255,30 @@
 		update_hubs(node);
 }
 
+/*
+ * Passes a change on to the nodes that follow this hub. An entry that names no
+ * server is passed on as a removal: it may be larger than a message.
+ */
+static void pass_on(relay_node_t *node, const kv_item_t *item)
+{
+	const relay_source_t *source = node->platform.source;
+	kv_item_t passed = *item;
+
+	if (!is_followed(node, item->key))
+		return;
+	if (g_str_has_prefix(item->key, source->backends_prefix) &&
+	    !relay_backends_check(node->backends, item))
+		passed = (kv_item_t){.key = item->key,
+				     .revision = item->revision,
+				     .deleted = true};
+	relay_hub_put(node->hub, HUB_STREAM_CATALOG, &passed);
+}
+
 static void on_changed(void *context, const kv_item_t *item)
 {
 	relay_node_t *node = context;
 
-	if (is_followed(node, item->key))
-		relay_hub_put(node->hub, HUB_STREAM_CATALOG, item);
+	pass_on(node, item);
 	apply_change(node, item);
 }
 
@@ -363,23 +382,43 @@
 static void open_hub(relay_node_t *node);
 static void stop_hub(relay_node_t *node);
 
+static void on_primaries(void *context, const kv_answer_t *answer);
+
+static void read_page(relay_node_t *node, const char *after_key)
+{
+	node->platform.store->calls->range(node->platform.store->self,
+					   RELAY_PRIMARIES_PREFIX, after_key,
+					   on_primaries, node);
+}
+
 static void on_primaries(void *context, const kv_answer_t *answer)
 {
 	relay_node_t *node = context;
 	const struct timeval delay = clock_timeval(READ_RETRY_MS);
+	const kv_item_t *last = NULL;
 
 	node->reading = false;
 	if (!node->hub)
 		return;
-	if (answer->result != KV_OK || answer->has_more) {
+	if (answer->result != KV_OK) {
 		event_add(node->read_timer, &delay);
 		return;
 	}
-	for (guint i = 0; i < answer->items->len; i++)
-		on_primary(node, answer->items->pdata[i]);
-	records_synced(node, answer->revision, node->read_sent_ms);
+	/* Later pages may show later changes, which come again. */
+	if (!node->read_revision)
+		node->read_revision = answer->revision;
+	for (guint i = 0; i < answer->items->len; i++) {
+		last = answer->items->pdata[i];
+		on_primary(node, last);
+	}
+	if (answer->has_more && last) {
+		node->reading = true;
+		read_page(node, last->key);
+		return;
+	}
+	records_synced(node, node->read_revision, node->read_sent_ms);
 	log_event(LOG_LEVEL_INFO, "primaries_read",
-		  "revision=%" PRId64 " after_ms=%" PRIu64, answer->revision,
+		  "revision=%" PRId64 " after_ms=%" PRIu64, node->read_revision,
 		  clock_boot_ms() - node->read_sent_ms);
 	if (node->read_again)
 		read_primaries(node);
@@ -397,10 +436,9 @@
 	if (node->reading || !node->hub)
 		return;
 	node->reading = true;
+	node->read_revision = 0;
 	node->read_sent_ms = clock_boot_ms();
-	node->platform.store->calls->range(node->platform.store->self,
-					   RELAY_PRIMARIES_PREFIX, NULL,
-					   on_primaries, node);
+	read_page(node, NULL);
 }
 
 /* Watches that were sent before an outage of the store may stay unanswered. */
@@ -742,8 +780,8 @@
 		.on_connection_failure = report_connection_failure,
 		.context = node,
 	});
-	node->backends =
-		relay_backends_create(base, node->services, platform.source);
+	node->backends = relay_backends_create(base, node->services,
+					       platform.source, node->metrics);
 	node->coordinator = relay_coordinator_create(
 		base, node->platform.store, node->services, platform.promoter,
 		settings->node, on_takeover, node);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -110,10 +110,13 @@
 /** Adds or updates a server; takes ownership of @p entry. */
 void relay_services_put(relay_services_t *services, backend_entry_t *entry);
 
+/** @return whether any service has the server */
+bool relay_services_has(const relay_services_t *services, const char *server);
+
 /** Removes a server. */
 void relay_services_remove(relay_services_t *services, const char *server);
 
-/** @return number of services */
+/** @return number of services that are configured */
 uint32_t relay_services_count(const relay_services_t *services);
 
 /** @return the services that this node used lately */
@@ -123,7 +126,7 @@
 relay_service_t *relay_services_find(relay_services_t *services,
 				     const char *name);
 
-/** @return the names of all services; free the array only */
+/** @return the names of all configured services; free the array only */
 GPtrArray *relay_services_names(relay_services_t *services);
 
 /**
--- a/src/relay/relay_service_private.h
+++ b/src/relay/relay_service_private.h
@@ -7,6 +7,11 @@
 struct relay_service {
 	relay_services_t *services;
 	char *name;
+	/*
+	 * Whether the configuration names it. Another writer's entry may name
+	 * any service; its servers are kept until the service is configured.
+	 */
+	bool configured;
 	GPtrArray *servers; /* relay_server_t */
 	primary_lease_t lease;
 	point_samples_t *samples; /* log points of the primary, or NULL */
--- a/src/relay/relay_services.c
+++ b/src/relay/relay_services.c
@@ -154,7 +154,14 @@
 
 uint32_t relay_services_count(const relay_services_t *services)
 {
-	return g_hash_table_size(services->services);
+	uint32_t count = 0;
+	GHashTableIter iter;
+	gpointer service;
+
+	g_hash_table_iter_init(&iter, services->services);
+	while (g_hash_table_iter_next(&iter, NULL, &service))
+		count += ((relay_service_t *)service)->configured;
+	return count;
 }
 
 service_interest_t *relay_services_interest(relay_services_t *services)
@@ -167,10 +174,12 @@
 	GPtrArray *names = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer name;
+	gpointer service;
 
 	g_hash_table_iter_init(&iter, services->services);
-	while (g_hash_table_iter_next(&iter, &name, NULL))
-		g_ptr_array_add(names, name);
+	while (g_hash_table_iter_next(&iter, &name, &service))
+		if (((relay_service_t *)service)->configured)
+			g_ptr_array_add(names, name);
 	return names;
 }
 
@@ -210,7 +219,8 @@
 
 	g_hash_table_iter_init(&iter, services->services);
 	while (g_hash_table_iter_next(&iter, NULL, &service))
-		apply_limits(service);
+		if (((relay_service_t *)service)->configured)
+			apply_limits(service);
 }
 
 const catalog_t *relay_services_catalog(const relay_services_t *services)
@@ -228,11 +238,11 @@
 	services->catalog = catalog;
 	g_hash_table_iter_init(&iter, catalog->services);
 	while (g_hash_table_iter_next(&iter, &name, NULL))
-		service_get(services, name);
+		service_get(services, name)->configured = true;
 	g_hash_table_iter_init(&iter, catalog->databases);
 	while (g_hash_table_iter_next(&iter, NULL, &database))
-		service_get(services,
-			    ((catalog_database_t *)database)->service);
+		service_get(services, ((catalog_database_t *)database)->service)
+			->configured = true;
 	apply_all_limits(services);
 }
 
@@ -343,6 +353,8 @@
 			relay_server_create(&services->host, entry));
 	services->servers++;
 	relay_service_update_replicas(service);
+	if (!service->configured)
+		return;
 	if (was_large == relay_services_is_large(services))
 		apply_limits(service);
 	else
@@ -350,6 +362,18 @@
 	service_wake(service);
 }
 
+bool relay_services_has(const relay_services_t *services, const char *id)
+{
+	GHashTableIter iter;
+	gpointer service;
+
+	g_hash_table_iter_init(&iter, services->services);
+	while (g_hash_table_iter_next(&iter, NULL, &service))
+		if (relay_service_server(service, id))
+			return true;
+	return false;
+}
+
 void relay_services_remove(relay_services_t *services, const char *id)
 {
 	GHashTableIter iter;
@@ -366,6 +390,9 @@
 			  "service=%s server=%s", service->name, id);
 		retire(service, server);
 		relay_service_update_replicas(service);
+		/* Any text may have been the name of such a service. */
+		if (!service->configured && !service->servers->len)
+			g_hash_table_iter_remove(&iter);
 	}
 }
 
--- a/src/relay/relay_source.h
+++ b/src/relay/relay_source.h
@@ -7,7 +7,6 @@
 
 /** Keys and decoders of the catalog and the backend servers in the store. */
 typedef struct {
-	const char *catalog_prefix;
 	const char *catalog_key;
 	const char *backends_prefix;
 	/** @return the catalog, or NULL with @p error set */
--- a/src/state/backend_entry.h
+++ b/src/state/backend_entry.h
@@ -8,6 +8,9 @@
 
 #include "state/endpoint.h"
 
+/** Maximum length of a server's id, which records and takeovers keep. */
+#define BACKEND_ID_SIZE_BYTES_MAX 63u
+
 /** A backend server's registration with the platform. */
 typedef struct {
 	char *id;
--- a/src/state/primary_record.c
+++ b/src/state/primary_record.c
@@ -2,6 +2,9 @@
 
 #include <jansson.h>
 
+/* Highest number that is accepted. */
+#define NUMBER_MAX (G_MAXINT64 / 2)
+
 static json_t *encode_holders(const sync_holders_t *holders)
 {
 	json_t *list = json_array();
@@ -40,7 +43,9 @@
 
 static bool get_integer(json_t *value, uint64_t *number)
 {
-	if (!json_is_integer(value) || json_integer_value(value) < 0)
+	/* Terms are counted on from what is read. */
+	if (!json_is_integer(value) || json_integer_value(value) < 0 ||
+	    json_integer_value(value) > NUMBER_MAX)
 		return false;
 	*number = (uint64_t)json_integer_value(value);
 	return true;
--- a/src/store/kv_follow.c
+++ b/src/store/kv_follow.c
@@ -135,10 +135,13 @@
 
 	if (!follow)
 		return;
-	if (answer->result == KV_COMPACTED) {
+	/* A list has pages, the changes of a watch come all at once. */
+	if (answer->result == KV_COMPACTED || answer->result == KV_TOO_LARGE) {
 		log_event(LOG_LEVEL_NOTICE, "store_history_lost",
-			  "prefix=%s revision=%" PRId64 " era=%" PRId64,
-			  follow->prefix, follow->revision, answer->era);
+			  "prefix=%s revision=%" PRId64 " era=%" PRId64
+			  " reason=%s",
+			  follow->prefix, follow->revision, answer->era,
+			  kv_result_name(answer->result));
 		follow->revision = 0;
 		schedule(follow, 0);
 		return;
--- a/src/store/kv_store.c
+++ b/src/store/kv_store.c
@@ -11,7 +11,8 @@
 const char *kv_result_name(kv_result_t result)
 {
 	static const char *const names[] = {"ok",	 "absent",  "conflict",
-					    "compacted", "refused", "unknown"};
+					    "compacted", "refused", "unknown",
+					    "too_large"};
 
 	return names[result];
 }
--- a/src/store/kv_store.h
+++ b/src/store/kv_store.h
@@ -22,6 +22,7 @@
 	KV_COMPACTED, /**< the requested history was compacted */
 	KV_REFUSED,   /**< the service refused; nothing changed */
 	KV_UNKNOWN,   /**< no answer; a write may have taken effect */
+	KV_TOO_LARGE, /**< the answer is too large to be read */
 } kv_result_t;
 
 /** State or change of one key. */
--- a/src/store/store_consul.c
+++ b/src/store/store_consul.c
@@ -41,8 +41,9 @@
 
 static json_t *parse_array(const http_response_t *response)
 {
+	/* A NUL in one entry must not invalidate the others. */
 	json_t *json = json_loadb((const char *)response->bytes,
-				  response->size_bytes, 0, NULL);
+				  response->size_bytes, JSON_ALLOW_NUL, NULL);
 
 	if (json_is_array(json))
 		return json;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -29,6 +29,7 @@
 	struct evhttp_request *answer;	      /* owned; NULL until it arrives */
 	struct event *timer;		      /* fires on_end() */
 	bool sent;
+	bool too_large; /* the answer exceeds the size limit */
 } call_t;
 
 struct http_client {
@@ -99,6 +100,13 @@
 	event_active(call->timer, EV_TIMEOUT, 0);
 }
 
+static void on_error(enum evhttp_request_error error, void *context)
+{
+	call_t *call = context;
+
+	call->too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
+}
+
 static struct evhttp_connection *connection_new(const http_client_t *client)
 {
 	struct evhttp_connection *connection = evhttp_connection_base_new(
@@ -119,6 +127,7 @@
 		strchr(call->client->address, ':') ? "[%s]:%u" : "%s:%u",
 		call->client->address, call->client->port);
 
+	evhttp_request_set_error_cb(request, on_error);
 	evhttp_add_header(headers, "Host", host);
 	for (guint i = 0; i + 1 < call->headers->len; i += 2)
 		evhttp_add_header(headers, call->headers->pdata[i],
@@ -197,6 +206,7 @@
 {
 	call_t *call = context;
 	http_response_t response = {.sent = call->sent,
+				    .too_large = call->too_large,
 				    .request = call->answer};
 
 	call_return_connection(call);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -11,8 +11,8 @@
 #define HTTP_CLIENT_CONNECTIONS_MAX 16
 /** Maximum number of requests that wait for a connection. */
 #define HTTP_CLIENT_QUEUE_MAX 1024
-/** Size limit of an answer, in bytes: 1 MiB in base64 and its envelope. */
-#define HTTP_CLIENT_BODY_SIZE_BYTES_MAX (2u * 1024 * 1024)
+/** Size limit of an answer, in bytes: a page of 1 MB and a value more. */
+#define HTTP_CLIENT_BODY_SIZE_BYTES_MAX (4u * 1024 * 1024)
 
 /** HTTP client of one server with a pool of connections. */
 typedef struct http_client http_client_t;
@@ -29,6 +29,7 @@
 typedef struct {
 	uint32_t status; /**< HTTP status; 0 without a complete answer */
 	bool sent;	 /**< false if the request was certainly not sent */
+	bool too_large;	 /**< the answer exceeds the size limit */
 	const uint8_t *bytes; /**< body; valid during the callback */
 	size_t size_bytes;    /**< size of the body */
 	void *request;	      /**< used by http_response_header() */
--- a/tests/standin/site/store.c
+++ b/tests/standin/site/store.c
@@ -14,6 +14,10 @@
 /** Interval at which expired leases and watches are ended. */
 #define SWEEP_MS 50
 
+/* Limits of one page of a range, as the platform's. */
+#define PAGE_ITEMS_MAX 500u
+#define PAGE_BYTES_MAX (1000u * 1000)
+
 /** A call that waits for a change of a key with a prefix. */
 typedef struct {
 	site_store_t *store;
@@ -254,26 +258,44 @@
 typedef struct {
 	const char *prefix;
 	json_t *items;
+	const char *after; /* key after which the page begins, or NULL */
+	size_t size_bytes; /* of the page so far */
+	bool has_more;
 } range_t;
 
+/* Adds an item to the page. @return TRUE once the page is full */
 static gboolean collect_range(gpointer key, gpointer value, gpointer data)
 {
 	range_t *range = data;
-
-	if (g_str_has_prefix(key, range->prefix))
-		json_array_append_new(range->items, item_json(value));
+	json_t *item;
+
+	if (!g_str_has_prefix(key, range->prefix) ||
+	    (range->after && strcmp(key, range->after) <= 0))
+		return FALSE;
+	if (json_array_size(range->items) >= PAGE_ITEMS_MAX ||
+	    range->size_bytes >= PAGE_BYTES_MAX) {
+		range->has_more = true;
+		return TRUE;
+	}
+	item = item_json(value);
+	range->size_bytes += json_string_length(json_object_get(item, "value"));
+	json_array_append_new(range->items, item);
 	return FALSE;
 }
 
 static void serve_range(site_store_t *store, struct evhttp_request *request)
 {
 	g_autofree char *prefix = http_argument(request, "prefix");
-	range_t range = {.prefix = prefix ? prefix : "", .items = json_array()};
+	g_autofree char *after = http_argument(request, "after");
+	range_t range = {.prefix = prefix ? prefix : "",
+			 .items = json_array(),
+			 .after = after};
 
 	g_tree_foreach(store->data->items, collect_range, &range);
 	reply(store, request, HTTP_OK,
-	      json_pack("{s:o,s:b,s:I}", "items", range.items, "has_more", 0,
-			"current_rev", (json_int_t)store->data->revision));
+	      json_pack("{s:o,s:b,s:I}", "items", range.items, "has_more",
+			range.has_more, "current_rev",
+			(json_int_t)store->data->revision));
 }
 
 static void serve_watch(site_store_t *store, struct evhttp_request *request)
--- a/tests/unit/test_kv_follow.c
+++ b/tests/unit/test_kv_follow.c
@@ -183,6 +183,23 @@
 	g_free(next_call(fixture));
 }
 
+/* Guards against a watch that is repeated for ever: lists have pages. */
+static void test_changes_too_large_for_a_watch_are_listed(void **state)
+{
+	fixture_t *fixture = *state;
+	call_t *call;
+
+	answer(next_call(fixture), KV_OK, 7, "a b");
+	answer(next_call(fixture), KV_TOO_LARGE, 0, "");
+	g_string_truncate(fixture->reported, 0);
+	call = next_call(fixture);
+	assert_int_equal(call->after, 0);
+	answer(call, KV_OK, 20, "b c");
+	assert_string_equal(fixture->reported->str, "b c -a ");
+	assert_int_equal(fixture->synced, 20);
+	g_free(next_call(fixture));
+}
+
 /*
  * A watch sent before an outage of the store may never be answered; its late
  * answer must be ignored.
@@ -218,22 +235,18 @@
 	g_free(next_call(fixture));
 }
 
+#define TEST(name) \
+	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(
-			test_silent_watch_ends_before_a_change_is_due,
-			open_fixture, close_fixture),
-		cmocka_unit_test_setup_teardown(test_lists_and_then_watches,
-						open_fixture, close_fixture),
-		cmocka_unit_test_setup_teardown(
-			test_compacted_history_lists_again_and_reports_removals,
-			open_fixture, close_fixture),
-		cmocka_unit_test_setup_teardown(
-			test_restart_ignores_a_pending_answer, open_fixture,
-			close_fixture),
-		cmocka_unit_test_setup_teardown(test_failed_call_is_retried,
-						open_fixture, close_fixture),
+		TEST(test_silent_watch_ends_before_a_change_is_due),
+		TEST(test_lists_and_then_watches),
+		TEST(test_compacted_history_lists_again_and_reports_removals),
+		TEST(test_changes_too_large_for_a_watch_are_listed),
+		TEST(test_restart_ignores_a_pending_answer),
+		TEST(test_failed_call_is_retried),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -90,10 +90,20 @@
 static void test_invalid_messages(void **state)
 {
 	static const char *const lines[] = {
-		"\r\n",		 "READY\r\n",	       "READY X 3.1\r\n",
-		"READY I 3\r\n", "READY I 3.x\r\n",    "READY I -1.2\r\n",
-		"QUERY\r\n",	 "QUERY 5c0e\r\n",     "STARTUP\r\n",
-		"ERROR\r\n",	 "GET / HTTP/1.1\r\n", "READYI 3.1\r\n",
+		"\r\n",
+		"READY\r\n",
+		"READY X 3.1\r\n",
+		"READY I 3\r\n",
+		"READY I 3.x\r\n",
+		"READY I -1.2\r\n",
+		"READY I 9223372036854775808.1\r\n",
+		"READY I 3.99999999999999999999999\r\n",
+		"QUERY\r\n",
+		"QUERY 5c0e\r\n",
+		"STARTUP\r\n",
+		"ERROR\r\n",
+		"GET / HTTP/1.1\r\n",
+		"READYI 3.1\r\n",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
@@ -235,6 +245,9 @@
 	assert_int_equal(status.received.position, 1209);
 	assert_false(line_codec.parse_status("replica 3 3.1209", &status));
 	assert_false(line_codec.parse_status("witness 3 3.1 0", &status));
+	/* The next term is counted from it. */
+	assert_false(line_codec.parse_status(
+		"replica 18446744073709551615 3.1209 4 12 2 17", &status));
 }
 
 static void test_every_kind_has_a_name(void **state)
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -97,10 +97,95 @@
 	}
 }
 
+/* Replaces the value of a field of the good entry. */
+static char *entry_with(const char *field, const char *value)
+{
+	g_autofree char *pattern =
+		g_strdup_printf("\"%s\":(\"[^\"]*\"|[0-9]+)", field);
+	g_autofree char *text = g_strdup_printf("\"%s\":%s", field, value);
+	g_autoptr(GRegex) regex = g_regex_new(pattern, 0, 0, NULL);
+
+	return g_regex_replace_literal(regex, entry, -1, 0, text, 0, NULL);
+}
+
+/* Guards against an odd field that makes an entry of another writer usable. */
+static void test_entries_with_one_odd_field(void **state)
+{
+	static const char *const fields[] = {
+		"service", "address",  "zone",	  "version",
+		"slots",   "state",    "db_role", "cold_remaining_ms",
+		"born",	   "sequence",
+	};
+	static const char *const values[] = {
+		"null",	 "true", "-1",		 "[]",
+		"{}",	 "\"\"", "\"a b\"",	 "99999999999999999999",
+		"1e999", "-0.5", "\"a\\u0000\"", "\"\\n\"",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(values); j++) {
+			g_autofree char *text =
+				entry_with(fields[i], values[j]);
+			g_autoptr(GError) error = NULL;
+			g_autoptr(backend_entry_t) backend =
+				backend_of(text, &error);
+			const bool any_text = !strcmp(fields[i], "version") &&
+					      *values[j] == '"' &&
+					      !strstr(values[j], "u0000");
+
+			assert_true((backend != NULL) == any_text);
+			assert_true((error != NULL) != any_text);
+		}
+}
+
+static void assert_no_entry(const char *key, const char *text)
+{
+	g_autoptr(GBytes) bytes = g_bytes_new(text, strlen(text));
+	g_autoptr(GError) error = NULL;
+
+	assert_null(documents_source.decode_backend(key, bytes, &error));
+	assert_non_null(error);
+}
+
+/* Guards against ids that are cut off in records, or forge fields of lines. */
+static void test_odd_ids(void **state)
+{
+	g_autofree char *longest = g_strnfill(63, 'i');
+	g_autofree char *key = g_strconcat("servers/", longest, NULL);
+	g_autofree char *longer = g_strconcat(key, "i", NULL);
+	g_autoptr(GBytes) bytes = g_bytes_new(entry, strlen(entry));
+	g_autoptr(backend_entry_t) backend =
+		documents_source.decode_backend(key, bytes, NULL);
+
+	assert_non_null(backend);
+	assert_string_equal(backend->id, longest);
+	assert_no_entry("servers/", entry);
+	assert_no_entry("servers/i 1", entry);
+	assert_no_entry("servers/i\r\n1", entry);
+	assert_no_entry("servers/i\"1", entry);
+	assert_no_entry(longer, entry);
+}
+
+/* Guards against memory and stack that grow with another writer's entry. */
+static void test_large_and_nested_entries(void **state)
+{
+	g_autofree char *deep = g_strnfill(16000, '[');
+	g_autofree char *objects = g_strnfill(100000, '{');
+	g_autofree char *open = g_strconcat("{\"service\":", deep, NULL);
+	g_autofree char *spaces = g_strnfill(20000, ' ');
+	g_autofree char *padded = g_strconcat(entry, spaces, NULL);
+
+	assert_no_entry("servers/i-1", deep);
+	assert_no_entry("servers/i-1", objects);
+	assert_no_entry("servers/i-1", open);
+	assert_no_entry("servers/i-1", padded);
+}
+
 static void test_invalid_catalogs(void **state)
 {
 	static const char *const invalid[] = {
 		"{\"version\":\"7\",\"routes\":[],\"services\":[]}",
+		"{\"version\":-7,\"routes\":[],\"services\":[]}",
 		"{\"version\":7,\"routes\":{},\"services\":[]}",
 		"{\"version\":7,\"routes\":[{}],\"services\":[]}",
 		("{\"version\":7,\"routes\":[{\"database\":\"d\",\"service\":"
@@ -172,6 +257,18 @@
 	item = answer.items->pdata[0];
 	assert_true(item->deleted);
 	g_ptr_array_unref(answer.items);
+	/* Keys of other writers: NUL, no UTF-8; a value that is missing. */
+	assert_true(
+		answer_of("{\"items\":[{\"key\":\"a\\u0000b\",\"value\":"
+			  "\"\",\"revision\":1},{\"key\":\"b\xff\",\"value\""
+			  ":\"\",\"revision\":2},{\"key\":\"c\","
+			  "\"revision\":3},{\"key\":\"d\",\"value\":\"\","
+			  "\"revision\":4}],\"current_rev\":4}",
+			  &answer));
+	assert_int_equal(answer.items->len, 2);
+	item = answer.items->pdata[1];
+	assert_string_equal(item->key, "d");
+	g_ptr_array_unref(answer.items);
 	assert_false(answer_of("{\"items\":[", &answer));
 	g_ptr_array_unref(answer.items);
 	assert_true(answer_of("{\"lease\":77,\"ttl_ms\":3000}", &answer));
@@ -247,6 +344,9 @@
 		cmocka_unit_test(test_catalog),
 		cmocka_unit_test(test_backend),
 		cmocka_unit_test(test_invalid_entries),
+		cmocka_unit_test(test_entries_with_one_odd_field),
+		cmocka_unit_test(test_odd_ids),
+		cmocka_unit_test(test_large_and_nested_entries),
 		cmocka_unit_test(test_invalid_catalogs),
 		cmocka_unit_test(test_mutated_documents),
 		cmocka_unit_test(test_store_answers),
--- a/tests/unit/test_store_consul.c
+++ b/tests/unit/test_store_consul.c
@@ -281,6 +281,9 @@
 		"\"failure_domain\":\"akl\",\"region\":\"nz\",\"peer_port\":"
 		"\"0\"}},"
 		"{\"Node\":\"akl-4\",\"Address\":\"10.0.0.4\"},"
+		"{\"Node\":\"akl-1\\u0000\",\"Address\":\"10.0.0.5\",\"Meta\":{"
+		"\"failure_domain\":\"akl\",\"region\":\"nz\",\"peer_port\":"
+		"\"7001\"}},"
 		"{\"Node\":\"wlg-1\",\"Address\":\"10.0.1.1\",\"Meta\":{"
 		"\"failure_domain\":\"wlg\",\"region\":\"nz\",\"peer_port\":"
 		"\"7001\",\"state\":\"live\"}}]";
