Tell the terms of two coordinators apart by 40 random bits

Cause: the low 24 bits of a seeded hash of the node's name told terms apart; a coordinator that finds a fence of its own term takes it for its own, so that two with one term could promote two servers.

Change: 40 bits, drawn at random; 24 bits are left for rounds.

test_promotion terms_of_two_coordinators_differ failed before ("first_term( 0x1000001) != first_term(0x2000001)"). prop_promotion (200 schedules) and the end-to-end tests failover, leaving, group and loss passed.

--- a/src/coordination/promotion.c
+++ b/src/coordination/promotion.c
@@ -128,7 +128,7 @@
 /* The identity makes the terms of two coordinators differ in every round. */
 static uint64_t next_term(const promotion_t *promotion)
 {
-	const uint64_t mask = (1u << PROMOTION_IDENTITY_BITS) - 1;
+	const uint64_t mask = (UINT64_C(1) << PROMOTION_IDENTITY_BITS) - 1;
 	const uint64_t round =
 		(promotion->highest >> PROMOTION_IDENTITY_BITS) + 1;
 
@@ -258,7 +258,7 @@
 {
 	if (!promotion->random)
 		promotion->random =
-			g_rand_new_with_seed(promotion->rule.identity);
+			g_rand_new_with_seed((guint32)promotion->rule.identity);
 	promotion->state = PROMOTION_BACKOFF;
 	promotion->wait_until_ms =
 		now_ms + PROMOTION_BACKOFF_MIN_MS +
--- a/src/coordination/promotion.h
+++ b/src/coordination/promotion.h
@@ -9,8 +9,11 @@
 /** In place of a server's index: any suitable server, or none. */
 #define PROMOTION_ANY UINT32_MAX
 
-/** Low bits of a term that hold the identity of its coordinator. */
-#define PROMOTION_IDENTITY_BITS 24
+/**
+ * Low bits of a term that hold the identity of its coordinator. The identity is
+ * drawn at random; with so many bits no two coordinators draw the same one.
+ */
+#define PROMOTION_IDENTITY_BITS 40
 
 /**
  * Coordinates a change of primary: takes a new term, fences so many servers
@@ -44,7 +47,7 @@
 	uint32_t servers;  /**< number of backend servers */
 	uint32_t replicas; /**< replicas that hold an acknowledged commit */
 	uint32_t valid_ms; /**< age at which evidence expires */
-	uint32_t identity; /**< process identity; part of terms, seeds jitter */
+	uint64_t identity; /**< process identity; part of terms, seeds jitter */
 	uint32_t guards;   /**< PROMOTION_GUARD_ALL except in tests */
 } promotion_rule_t;
 
--- a/src/daemon/group_private.h
+++ b/src/daemon/group_private.h
@@ -121,7 +121,7 @@
 	GHashTable *databases; /**< maps a name to a group_database_t */
 	GHashTable *owned;     /**< set of "database/server" keys */
 	group_requests_t *requests;
-	uint32_t identity; /**< identifies this process in promotions */
+	uint64_t identity; /**< identifies this process in promotions */
 	GQueue *woken;	   /**< databases to step at the next wakeup */
 	GQueue *retired;   /**< watches to destroy at the next step */
 	struct event *timer;
--- a/src/daemon/group_task.c
+++ b/src/daemon/group_task.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include <glib.h>
-#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -126,8 +125,7 @@
 	task->table = table;
 	task->store = store;
 	task->handlers = handlers;
-	task->identity = (uint32_t)XXH3_64bits_withSeed(node, strlen(node),
-							g_random_int());
+	task->identity = (uint64_t)g_random_int() << 32 | g_random_int();
 	/* A random start: answers to an earlier process match no request. */
 	task->next_id = (uint64_t)g_random_int() << 32 | 1;
 	task->databases = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
