Keep a statement from failing on a PREPARE outside a transaction

A PREPARE that fails outside a transaction withdrew the statement, as one that fails inside does. Outside, the server only answers that the name is unknown, and the statement is sent again with its text, which is what callers got before. Inside a transaction the caller would be told of a name that they never gave; that stays withdrawn.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -152,7 +152,8 @@
 	relay_attempt_t *attempt = context;
 
 	attempt->dirty |= answer->failed;
-	if (answer->broken || answer->status == 'E')
+	/* In a transaction the caller would be told of an unknown name. */
+	if (answer->broken || (answer->failed && answer->status != 'I'))
 		fail_setup(attempt, answer);
 }
 
