Count the replicas that a takeover has no room to ask

Cause: a takeover listed at most 8 servers and left out the rest silently, so a replica beyond them was neither asked nor counted as unheard; it could have commits that the promoted server lacks. And a service with more than 8 replicas had too many holders to remember, so its takeovers would have waited for the old primary.

Change: takeover_set_servers() gets all servers, counts those that do not fit, and takeover_unheard() adds them. 32 are asked and remembered instead of 8; both are still bounded.

The test test_replicas_beyond_the_list_are_unheard failed before ("0x7 != 0x9"); 34 of test_takeover, 5 of test_sync_holders, 6 of test_relay_coordinator and prop_takeover pass.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -64,6 +64,7 @@
 	takeover_guarantee_t guarantee;
 	server_t servers[TAKEOVER_SERVERS_MAX];
 	uint32_t count;
+	uint32_t unlisted;	/* servers for which the list had no room */
 	bool revoked;		/* every lease was ended */
 	bool forgotten;		/* every node has forgotten its proofs */
 	uint64_t revoked_ms;	/* when the leases were ended */
@@ -132,8 +133,10 @@
 {
 	server_t *server = find_server(takeover, given->id);
 
-	if (!server && takeover->count == TAKEOVER_SERVERS_MAX)
+	if (!server && takeover->count == TAKEOVER_SERVERS_MAX) {
+		takeover->unlisted++;
 		return;
+	}
 	if (!server) {
 		server = &takeover->servers[takeover->count++];
 		*server = (server_t){.started_ms = given->started_ms};
@@ -155,6 +158,7 @@
 {
 	for (uint32_t i = 0; i < takeover->count; i++)
 		takeover->servers[i].departed = true;
+	takeover->unlisted = 0;
 	for (uint32_t i = 0; i < count; i++)
 		set_server(takeover, &servers[i]);
 }
@@ -173,7 +177,7 @@
 
 uint32_t takeover_unheard(const takeover_t *takeover)
 {
-	uint32_t unheard = takeover->guarantee.departed;
+	uint32_t unheard = takeover->guarantee.departed + takeover->unlisted;
 
 	for (uint32_t i = 0; i < takeover->count; i++) {
 		const server_t *server = &takeover->servers[i];
--- a/src/coordination/takeover.h
+++ b/src/coordination/takeover.h
@@ -25,8 +25,8 @@
  */
 typedef struct takeover takeover_t;
 
-/** Maximum number of servers of one service. */
-#define TAKEOVER_SERVERS_MAX 8
+/** Maximum number of servers of one service that a takeover asks. */
+#define TAKEOVER_SERVERS_MAX 32
 
 typedef enum {
 	TAKEOVER_IDLE,
@@ -139,7 +139,8 @@
 
 /**
  * Updates the list of servers during a takeover. Those that are no longer
- * listed are still asked, but count as departed.
+ * listed are still asked, but count as departed. Those beyond the maximum are
+ * not asked; with a guarantee they count as replicas that are unheard.
  */
 void takeover_set_servers(takeover_t *takeover,
 			  const takeover_server_t *servers, uint32_t count);
--- a/src/relay/relay_coordinator_service.c
+++ b/src/relay/relay_coordinator_service.c
@@ -22,31 +22,31 @@
 	return relay_services_find(entry->coordinator->services, entry->name);
 }
 
-/* Lists the servers of a service. @return their number */
-static uint32_t list_servers(const coordinator_service_t *entry,
-			     takeover_server_t *known)
+/* @return all servers of the service, as many as it has; free with g_free() */
+static takeover_server_t *list_servers(const coordinator_service_t *entry,
+				       uint32_t *count)
 {
 	const GPtrArray *servers = relay_service_servers(service_of(entry));
-	uint32_t count = 0;
+	takeover_server_t *known = g_new0(takeover_server_t, servers->len);
 
-	for (guint i = 0; i < servers->len && count < TAKEOVER_SERVERS_MAX;
-	     i++) {
+	*count = servers->len;
+	for (guint i = 0; i < servers->len; i++) {
 		const backend_entry_t *server =
 			relay_server_entry(servers->pdata[i]);
 
-		known[count++] = (takeover_server_t){
+		known[i] = (takeover_server_t){
 			.id = server->id,
 			.draining = server->draining,
 			.started_ms = server->started_ms,
 		};
 	}
-	return count;
+	return known;
 }
 
 void coordinator_takeover_set_servers(coordinator_service_t *entry)
 {
-	takeover_server_t known[TAKEOVER_SERVERS_MAX];
-	const uint32_t count = list_servers(entry, known);
+	uint32_t count;
+	g_autofree takeover_server_t *known = list_servers(entry, &count);
 
 	takeover_set_servers(entry->takeover, known, count);
 }
@@ -54,8 +54,8 @@
 void coordinator_takeover_start(coordinator_service_t *entry,
 				takeover_kind_t kind, const char *reason)
 {
-	takeover_server_t known[TAKEOVER_SERVERS_MAX];
-	const uint32_t count = list_servers(entry, known);
+	uint32_t count;
+	g_autofree takeover_server_t *known = list_servers(entry, &count);
 	const uint64_t now_ms = clock_boot_ms();
 
 	log_event(LOG_LEVEL_NOTICE, "takeover_started",
--- a/src/state/sync_holders.h
+++ b/src/state/sync_holders.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 /** Maximum number of replicas of one service that are remembered. */
-#define SYNC_HOLDERS_MAX 8u
+#define SYNC_HOLDERS_MAX 32u
 
 /**
  * Time after which a replica without an entry is taken for gone. One that runs
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -791,6 +791,28 @@
 	assert_true(fixture->published);
 }
 
+/* Guards against a replica that is forgotten as the list has no room for it. */
+static void test_replicas_beyond_the_list_are_unheard(void **state)
+{
+	const takeover_guarantee_t guarantee = {.sync_replicas = 1};
+	takeover_server_t servers[TAKEOVER_SERVERS_MAX + 2] = {0};
+	char ids[G_N_ELEMENTS(servers)][8];
+	fixture_t *fixture = *state;
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+		g_snprintf(ids[i], sizeof(ids[i]), "s%u", i);
+		servers[i].id = ids[i];
+	}
+	takeover_set_guarantee(fixture->takeover, &guarantee);
+	takeover_start(fixture->takeover, 1, "s0", TAKEOVER_LOST, servers,
+		       G_N_ELEMENTS(servers), fixture->now_ms);
+	assert_int_equal(takeover_unheard(fixture->takeover),
+			 TAKEOVER_SERVERS_MAX + 1);
+	takeover_set_servers(fixture->takeover, servers, TAKEOVER_SERVERS_MAX);
+	assert_int_equal(takeover_unheard(fixture->takeover),
+			 TAKEOVER_SERVERS_MAX - 1);
+}
+
 #define TEST(name) \
 	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
 
@@ -830,6 +852,7 @@
 		TEST(test_leaving_primary_waits_for_its_successor),
 		TEST(test_handover_does_not_go_to_a_leaving_replica),
 		TEST(test_unfinished_takeover_waits_for_replicas),
+		TEST(test_replicas_beyond_the_list_are_unheard),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
