--- a/src/relay/relay_coordinator_service.c
+++ b/src/relay/relay_coordinator_service.c
@@ -22,52 +22,53 @@
 	return relay_services_find(entry->coordinator->services, entry->name);
 }
 
-/* @return all servers of the service, as many as it has; free with g_free() */
-static takeover_server_t *list_servers(const coordinator_service_t *entry,
-				       uint32_t *count)
+/* @return all servers of the service, however many, as takeover_server_t */
+static GArray *list_servers(const coordinator_service_t *entry)
 {
 	const GPtrArray *servers = relay_service_servers(service_of(entry));
-	takeover_server_t *known = g_new0(takeover_server_t, servers->len);
+	GArray *known = g_array_new(FALSE, TRUE, sizeof(takeover_server_t));
 
-	*count = servers->len;
 	for (guint i = 0; i < servers->len; i++) {
 		const backend_entry_t *server =
 			relay_server_entry(servers->pdata[i]);
-
-		known[i] = (takeover_server_t){
+		const takeover_server_t one = {
 			.id = server->id,
 			.draining = server->draining,
 			.started_ms = server->started_ms,
 		};
+
+		g_array_append_val(known, one);
 	}
 	return known;
 }
 
 void coordinator_takeover_set_servers(coordinator_service_t *entry)
 {
-	uint32_t count;
-	g_autofree takeover_server_t *known = list_servers(entry, &count);
+	g_autoptr(GArray) known = list_servers(entry);
 
-	takeover_set_servers(entry->takeover, known, count);
+	takeover_set_servers(entry->takeover,
+			     (const takeover_server_t *)known->data,
+			     known->len);
 }
 
 void coordinator_takeover_start(coordinator_service_t *entry,
 				takeover_kind_t kind, const char *reason)
 {
-	uint32_t count;
-	g_autofree takeover_server_t *known = list_servers(entry, &count);
+	g_autoptr(GArray) known = list_servers(entry);
 	const uint64_t now_ms = clock_boot_ms();
 
 	log_event(LOG_LEVEL_NOTICE, "takeover_started",
 		  "service=%s term=%" PRIu64 " primary=%s reason=%s "
 		  "servers=%u sync_replicas=%u heard_ms_ago=%" PRIu64,
 		  entry->name, entry->record.term, entry->record.primary,
-		  reason, count, coordinator_sync_replicas(entry),
+		  reason, known->len, coordinator_sync_replicas(entry),
 		  now_ms - entry->watch.heard_ms);
 	entry->takeover_kind = kind;
 	coordinator_holders_guard(entry);
 	takeover_start(entry->takeover, entry->record.term,
-		       entry->record.primary, kind, known, count, now_ms);
+		       entry->record.primary, kind,
+		       (const takeover_server_t *)known->data, known->len,
+		       now_ms);
 }
 
 /* A probe of the primary: a connection to its port and a status query. */
