Count the coordinator lease from the renewal that was answered

What could go wrong: a coordinator whose store answers late takes its lease for younger than it is, by up to the 0.8 s of a call, and orders promotions or keeps the duty for that long after the store may have given the lease to another node.

Cause: renewals are sent every 0.4 s whether or not the last one was answered, and each answer set the time of the latest sending. An answer to a renewal of an earlier lease could also drop the present one.

Change: each renewal remembers its lease and when it was sent, as the registration's do already. At most those of one call's timeout are remembered.

Failed before (with the latest sending in its place): test_relay_coordinator renewal_counts_from_its_own_sending, 0x16594c != 0x1657bb; three runs pass now.

--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -30,6 +30,13 @@
 /* Upper bound of the random delay before a node tries to acquire the lease. */
 #define COORDINATOR_ACQUIRE_JITTER_MS 300
 
+/* A renewal of the lease. */
+typedef struct {
+	relay_coordinator_t *coordinator;
+	int64_t lease;
+	uint64_t sent_ms;
+} renewal_t;
+
 bool coordinator_may_promote(const relay_coordinator_t *coordinator)
 {
 	const uint64_t now_ms = clock_boot_ms();
@@ -212,12 +219,18 @@
 	write_keys(coordinator);
 }
 
+/* The lease runs from the sending of the renewal that was answered. */
 static void on_renewed(void *context, const kv_answer_t *answer)
 {
-	relay_coordinator_t *coordinator = context;
+	const renewal_t renewal = *(const renewal_t *)context;
+	relay_coordinator_t *coordinator = renewal.coordinator;
 
+	g_hash_table_remove(coordinator->renewals, context);
+	if (renewal.lease != coordinator->lease)
+		return;
 	if (answer->result == KV_OK)
-		coordinator->renewed_ms = coordinator->renew_sent_ms;
+		coordinator->renewed_ms =
+			MAX(coordinator->renewed_ms, renewal.sent_ms);
 	else if (answer->result == KV_ABSENT)
 		drop_lease(coordinator, "lease_ended");
 }
@@ -239,12 +252,17 @@
 
 static void renew(relay_coordinator_t *coordinator, uint64_t now_ms)
 {
+	renewal_t *renewal;
+
 	if (now_ms < coordinator->renew_sent_ms + COORDINATOR_RENEW_MS)
 		return;
 	coordinator->renew_sent_ms = now_ms;
+	renewal = g_new(renewal_t, 1);
+	*renewal = (renewal_t){coordinator, coordinator->lease, now_ms};
+	g_hash_table_add(coordinator->renewals, renewal);
 	coordinator->store->calls->lease_renew(coordinator->store->self,
 					       coordinator->lease, on_renewed,
-					       coordinator);
+					       renewal);
 }
 
 static bool step_services(relay_coordinator_t *coordinator, uint64_t now_ms)
@@ -319,6 +337,8 @@
 	coordinator->random = g_rand_new_with_seed(g_str_hash(node));
 	coordinator->entries = g_hash_table_new_full(
 		g_str_hash, g_str_equal, NULL, coordinator_service_free);
+	coordinator->renewals =
+		g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	coordinator->timer = evtimer_new(base, on_timer, coordinator);
 	event_add(coordinator->timer, &delay);
 	return coordinator;
@@ -330,6 +350,7 @@
 		return;
 	event_free(coordinator->timer);
 	g_hash_table_destroy(coordinator->entries);
+	g_hash_table_destroy(coordinator->renewals);
 	g_rand_free(coordinator->random);
 	coordinator->promoter.destroy(coordinator->promoter.self);
 	coordinator_holder_clear(&coordinator->last_holder);
--- a/tests/unit/test_relay_coordinator.c
+++ b/tests/unit/test_relay_coordinator.c
@@ -25,6 +25,9 @@
 	catalog_t *catalog;
 	GHashTable *regions;
 	uint32_t leases_ended;
+	kv_done_t renewed[2]; /* callbacks of the first renewals */
+	void *renewed_context[2];
+	uint32_t renewals;
 	/* The answer to opening a lease is sent by this timer. */
 	struct event *lease_timer;
 	kv_done_t lease_done;
@@ -54,6 +57,12 @@
 static void fake_lease_renew(void *self, int64_t lease, kv_done_t done,
 			     void *context)
 {
+	fixture_t *fixture = self;
+
+	if (fixture->renewals == G_N_ELEMENTS(fixture->renewed))
+		return;
+	fixture->renewed[fixture->renewals] = done;
+	fixture->renewed_context[fixture->renewals++] = context;
 }
 
 static void fake_lease_end(void *self, int64_t lease, kv_done_t done,
@@ -212,6 +221,33 @@
 	assert_true(is_settling(fixture));
 }
 
+/*
+ * Guards against a late answer that counts for a renewal that was sent after
+ * the answered one and may never arrive.
+ */
+static void test_renewal_counts_from_its_own_sending(void **state)
+{
+	fixture_t *fixture = *state;
+	relay_coordinator_t *coordinator = fixture->coordinator;
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	const kv_answer_t answer = {.era = 1, .items = none};
+	uint64_t sent_ms;
+
+	relay_coordinator_synced(coordinator);
+	run_until_commit(fixture);
+	answer_commit(fixture, store_revision_make(1, 20));
+	while (fixture->renewals < 1)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	sent_ms = coordinator->renew_sent_ms;
+	while (fixture->renewals < 2)
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+	assert_true(coordinator->renew_sent_ms > sent_ms);
+	fixture->renewed[0](fixture->renewed_context[0], &answer);
+	assert_int_equal(coordinator->renewed_ms, sent_ms);
+	fixture->renewed[1](fixture->renewed_context[1], &answer);
+	assert_int_equal(coordinator->renewed_ms, coordinator->renew_sent_ms);
+}
+
 static void test_first_holder_has_no_predecessor(void **state)
 {
 	fixture_t *fixture = *state;
@@ -382,6 +418,7 @@
 		COORDINATOR_TEST(test_promotions_settle_if_the_watch_is_faster),
 		COORDINATOR_TEST(test_own_promotions_settle_as_well),
 		COORDINATOR_TEST(test_first_holder_has_no_predecessor),
+		COORDINATOR_TEST(test_renewal_counts_from_its_own_sending),
 		COORDINATOR_TEST(test_promotions_settle_after_a_restore),
 		COORDINATOR_TEST(test_key_is_not_taken_from_a_new_holder),
 		COORDINATOR_TEST(
