Choose the server to promote in a file of its own

The functions that choose a server from what the servers say move to takeover_choice.c, the state to takeover_private.h; names of what is shared begin with takeover_.

Two declarations of the coordinator are formatted.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -1,4 +1,4 @@
-#include "coordination/takeover.h"
+#include "coordination/takeover_private.h"
 
 #include <string.h>
 
@@ -15,9 +15,6 @@
 /* Minimum interval between two status queries to the same server. */
 #define QUERY_INTERVAL_MS 80
 
-/* Maximum wait for a replica to catch up with a primary that answers. */
-#define CATCH_UP_MS 1200
-
 /* Maximum wait for servers that do not answer when logs are compared. */
 #define COMPARE_MS 400
 
@@ -33,45 +30,6 @@
 /* Time after which another replica is fenced if a fence got no answer. */
 #define FENCE_RETRY_MS 400
 
-typedef struct {
-	char id[64];
-	bool draining;
-	bool departed; /* no longer listed */
-	uint64_t started_ms;
-	bool fenced;
-	bool fence_sent;
-	uint64_t fence_sent_ms;
-	/* The latest status query was answered; reset for the comparison. */
-	bool answered;
-	uint64_t queried_ms; /* time of the latest status query, or 0 */
-	bool refused;	     /* the server cannot be promoted */
-	takeover_status_t status;
-	log_point_t received; /* the most that it has reported */
-} server_t;
-
-struct takeover {
-	takeover_actions_t actions;
-	takeover_phase_t phase;
-	uint64_t phase_ms; /* when the phase began */
-	uint64_t term;	   /* term of the old primary */
-	char primary[64];  /* id of the old primary, "" if unknown */
-	takeover_kind_t kind;
-	takeover_guarantee_t guarantee;
-	server_t servers[TAKEOVER_SERVERS_MAX];
-	uint32_t count;
-	uint32_t unlisted;	/* servers for which the list had no room */
-	bool revoked;		/* every lease was ended */
-	bool forgotten;		/* every node has forgotten its proofs */
-	uint64_t revoked_ms;	/* when the leases were ended */
-	uint64_t fenced_ms;	/* when a replica was fenced, or 0 */
-	uint64_t wait_until_ms; /* when earlier proofs have expired */
-	server_t *candidate;	/* the server to promote or publish */
-	uint64_t promote_ms;	/* when it was last ordered, or could not be */
-	takeover_order_t order; /* kept between takeovers */
-	bool was_replica;	/* the candidate, when it was first ordered */
-	uint64_t new_term;	/* the term to publish */
-};
-
 takeover_t *takeover_create(takeover_actions_t actions)
 {
 	takeover_t *takeover = g_new0(takeover_t, 1);
@@ -92,19 +50,6 @@
 	takeover->phase_ms = now_ms;
 }
 
-static server_t *find_server(takeover_t *takeover, const char *id)
-{
-	for (uint32_t i = 0; i < takeover->count; i++)
-		if (!strcmp(takeover->servers[i].id, id))
-			return &takeover->servers[i];
-	return NULL;
-}
-
-static bool is_primary(const takeover_t *takeover, const server_t *server)
-{
-	return !strcmp(server->id, takeover->primary);
-}
-
 void takeover_start(takeover_t *takeover, uint64_t term, const char *primary,
 		    takeover_kind_t kind, const takeover_server_t *servers,
 		    uint32_t count, uint64_t now_ms)
@@ -126,7 +71,7 @@
 
 static void set_server(takeover_t *takeover, const takeover_server_t *given)
 {
-	server_t *server = find_server(takeover, given->id);
+	server_t *server = takeover_find_server(takeover, given->id);
 
 	if (!server && takeover->count == TAKEOVER_SERVERS_MAX) {
 		takeover->unlisted++;
@@ -163,25 +108,6 @@
 	takeover->guarantee = *guarantee;
 }
 
-/* Whether the server has started anew, or was rolled back, unnoticed so far. */
-static bool has_lost_log(const server_t *server)
-{
-	return !log_point_covers(server->status.received, server->received);
-}
-
-uint32_t takeover_unheard(const takeover_t *takeover)
-{
-	uint32_t unheard = takeover->guarantee.departed + takeover->unlisted;
-
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		const server_t *server = &takeover->servers[i];
-
-		unheard += (!server->answered || has_lost_log(server)) &&
-			   !server->departed && !is_primary(takeover, server);
-	}
-	return unheard;
-}
-
 void takeover_assume_order(takeover_t *takeover, const char *server,
 			   uint64_t until_ms)
 {
@@ -218,7 +144,7 @@
 	for (uint32_t i = 0; i < takeover->count; i++) {
 		server_t *server = &takeover->servers[i];
 
-		if (is_primary(takeover, server) || server->fence_sent)
+		if (takeover_is_primary(takeover, server) || server->fence_sent)
 			continue;
 		if (!chosen || server->started_ms < chosen->started_ms)
 			chosen = server;
@@ -324,7 +250,7 @@
 
 static void query_known(takeover_t *takeover, const char *id, uint64_t now_ms)
 {
-	server_t *server = find_server(takeover, id);
+	server_t *server = takeover_find_server(takeover, id);
 
 	if (server)
 		query_server(takeover, server, now_ms);
@@ -336,16 +262,6 @@
 		query_server(takeover, &takeover->servers[i], now_ms);
 }
 
-/*
- * Whether the server may be promoted, as far as its own state shows: with a
- * guarantee it must not be silent, as it may have started anew without a log.
- */
-static bool is_promotable(const takeover_t *takeover, const server_t *server)
-{
-	return !takeover->guarantee.sync_replicas ||
-	       (server->answered && !has_lost_log(server));
-}
-
 void takeover_written(takeover_t *takeover, bool written, uint64_t now_ms)
 {
 	switch (takeover->phase) {
@@ -364,7 +280,8 @@
 		fence_one(takeover, now_ms);
 		return;
 	case TAKEOVER_CONFIRM:
-		if (written && is_promotable(takeover, takeover->candidate))
+		if (written &&
+		    takeover_is_promotable(takeover, takeover->candidate))
 			promote(takeover, now_ms);
 		else
 			enter_phase(takeover, TAKEOVER_CHOOSE, now_ms);
@@ -415,7 +332,7 @@
 void takeover_fenced(takeover_t *takeover, const char *id,
 		     const takeover_status_t *status, uint64_t now_ms)
 {
-	server_t *server = find_server(takeover, id);
+	server_t *server = takeover_find_server(takeover, id);
 
 	if (!server || takeover->phase == TAKEOVER_IDLE)
 		return;
@@ -442,106 +359,6 @@
 	}
 }
 
-static bool is_better_candidate(const server_t *a, const server_t *b)
-{
-	const int order =
-		log_point_compare(a->status.received, b->status.received);
-
-	if (a->draining != b->draining)
-		return !a->draining;
-	return order > 0;
-}
-
-static server_t *find_longest_log(takeover_t *takeover)
-{
-	server_t *best = NULL;
-
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		server_t *server = &takeover->servers[i];
-
-		if (!server->answered || server->refused ||
-		    is_primary(takeover, server))
-			continue;
-		if (!best || is_better_candidate(server, best))
-			best = server;
-	}
-	return best;
-}
-
-/* Whether the old primary answers as primary of the recorded term. */
-static bool is_still_primary(const takeover_t *takeover, const server_t *old)
-{
-	return old->answered && old->status.role == SERVER_PRIMARY &&
-	       old->status.term == takeover->term;
-}
-
-static bool has_caught_up(const server_t *server, const server_t *old)
-{
-	return log_point_covers(server->status.received, old->status.received);
-}
-
-/* Whether the server has as much as any other replica that answers. */
-static bool has_longest_log(const takeover_t *takeover, const server_t *server)
-{
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		const server_t *other = &takeover->servers[i];
-
-		if (other->answered && !is_primary(takeover, other) &&
-		    !has_caught_up(server, other))
-			return false;
-	}
-	return true;
-}
-
-/* Whether the server is known to have every acknowledged commit. */
-static bool holds_all(const takeover_t *takeover, const server_t *server,
-		      const server_t *old)
-{
-	if (has_lost_log(server))
-		return false;
-	if (old && is_still_primary(takeover, old))
-		return has_caught_up(server, old);
-	return takeover_unheard(takeover) < takeover->guarantee.sync_replicas &&
-	       has_longest_log(takeover, server);
-}
-
-/*
- * @return the server to promote where commits are guaranteed, or NULL while
- *         none is known to have all of them; one that stays is preferred
- */
-static server_t *find_holder(takeover_t *takeover, const server_t *old,
-			     uint64_t waited_ms)
-{
-	/* While the primary serves, another one that stays may catch up. */
-	const bool may_leave = !old || !is_still_primary(takeover, old) ||
-			       (takeover->kind == TAKEOVER_LEAVING &&
-				waited_ms >= CATCH_UP_MS);
-	server_t *best = NULL;
-
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		server_t *server = &takeover->servers[i];
-
-		if (!server->answered || server->refused ||
-		    is_primary(takeover, server) ||
-		    !holds_all(takeover, server, old))
-			continue;
-		if (server->draining && !may_leave)
-			continue;
-		if (!best || is_better_candidate(server, best))
-			best = server;
-	}
-	return best;
-}
-
-/* @return the replica to promote, or NULL while there is none */
-static server_t *find_candidate(takeover_t *takeover, const server_t *old,
-				uint64_t waited_ms)
-{
-	if (takeover->guarantee.sync_replicas)
-		return find_holder(takeover, old, waited_ms);
-	return find_longest_log(takeover);
-}
-
 /* Whether a server may have been promoted without this node's knowledge. */
 static bool is_unclear(const takeover_t *takeover)
 {
@@ -549,48 +366,6 @@
 	       takeover->kind == TAKEOVER_UNFINISHED;
 }
 
-/*
- * @return the server to promote if it is unclear which is primary: the one of
- *         the highest term that says so, else a replica, or NULL
- */
-static server_t *find_unclear(takeover_t *takeover, uint64_t waited_ms)
-{
-	server_t *best = NULL;
-
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		server_t *server = &takeover->servers[i];
-		const bool primary = server->status.role == SERVER_PRIMARY;
-
-		if (!server->answered || server->refused || !primary ||
-		    server->status.term < takeover->term)
-			continue;
-		if (!best || server->status.term > best->status.term)
-			best = server;
-	}
-	return best ? best : find_candidate(takeover, NULL, waited_ms);
-}
-
-/*
- * @return the ordered server, to order it once more, or NULL if that is not
- *         possible; no other one may be ordered yet
- */
-static server_t *find_ordered(takeover_t *takeover)
-{
-	server_t *server = find_server(takeover, takeover->order.server);
-
-	if (!server || server->refused || is_primary(takeover, server) ||
-	    !is_promotable(takeover, server))
-		return NULL;
-	return server;
-}
-
-/* Makes all servers candidates again, after each was tried in vain. */
-static void forget_refusals(takeover_t *takeover)
-{
-	for (uint32_t i = 0; i < takeover->count; i++)
-		takeover->servers[i].refused = false;
-}
-
 static bool has_open_order(const takeover_t *takeover, uint64_t now_ms)
 {
 	return takeover_order_is_open(&takeover->order, now_ms);
@@ -607,25 +382,6 @@
 		takeover->kind = TAKEOVER_UNFINISHED;
 }
 
-/*
- * Whether all servers that matter have answered. A lost primary was queried
- * during the wait for proofs to expire, so its answer is not waited for.
- */
-static bool all_answered(const takeover_t *takeover)
-{
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		const server_t *server = &takeover->servers[i];
-
-		if (server->answered || server->status.unreachable)
-			continue;
-		if (is_primary(takeover, server) &&
-		    takeover->kind == TAKEOVER_LOST)
-			continue;
-		return false;
-	}
-	return true;
-}
-
 static void keep_primary(takeover_t *takeover, server_t *old, uint64_t now_ms)
 {
 	takeover->candidate = old;
@@ -633,36 +389,6 @@
 	publish(takeover, now_ms);
 }
 
-/* Whether a primary that answered at the start of a handover was lost since. */
-static bool is_lost_in_handover(const takeover_t *takeover, const server_t *old,
-				uint64_t waited_ms)
-{
-	return takeover->kind == TAKEOVER_HANDOVER && !old->answered &&
-	       (old->status.unreachable || waited_ms >= CATCH_UP_MS);
-}
-
-/* Whether the old primary stays and its term is published again. */
-static bool must_keep(const takeover_t *takeover, const server_t *old,
-		      const server_t *best, uint64_t waited_ms)
-{
-	switch (takeover->kind) {
-	case TAKEOVER_LOST:
-		return is_still_primary(takeover, old);
-	case TAKEOVER_LEAVING:
-		/* With a guarantee it waits for a replica to catch up. */
-		return is_still_primary(takeover, old) && !best &&
-		       !takeover->guarantee.sync_replicas &&
-		       waited_ms >= CATCH_UP_MS;
-	case TAKEOVER_HANDOVER:
-		return old->answered && waited_ms >= CATCH_UP_MS &&
-		       !(best && has_caught_up(best, old));
-	case TAKEOVER_RESTORED:
-	case TAKEOVER_UNFINISHED:
-		return false;
-	}
-	return false;
-}
-
 /*
  * Writes the record once more before an order: it names the server, and proves
  * that the lease is held. If another one was ordered before, either may lead.
@@ -676,34 +402,21 @@
 				takeover->primary, takeover->term + 1);
 }
 
-/*
- * @return the server that takes over from a restored primary that will be
- *         removed, NULL while none has its whole log
- */
-static server_t *find_successor(takeover_t *takeover, server_t *leaving,
-				uint64_t waited_ms)
-{
-	server_t *best = find_longest_log(takeover);
-
-	if (!best || best->draining || waited_ms >= CATCH_UP_MS)
-		return leaving;
-	return has_caught_up(best, leaving) ? best : NULL;
-}
-
 static void choose_unclear(takeover_t *takeover, uint64_t now_ms)
 {
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 	const bool open = has_open_order(takeover, now_ms);
-	server_t *best = open ? find_ordered(takeover) :
-				find_unclear(takeover, waited_ms);
+	server_t *best = open ? takeover_find_ordered(takeover) :
+				takeover_find_unclear(takeover, waited_ms);
 
 	if (best && best->draining && !open)
-		best = find_successor(takeover, best, waited_ms);
+		best = takeover_find_successor(takeover, best, waited_ms);
 
 	query_all(takeover, now_ms);
-	if (!best && !open && waited_ms >= CATCH_UP_MS)
-		forget_refusals(takeover);
-	if (!best || (!all_answered(takeover) && waited_ms < COMPARE_MS))
+	if (!best && !open && waited_ms >= TAKEOVER_CATCH_UP_MS)
+		takeover_forget_refusals(takeover);
+	if (!best ||
+	    (!takeover_all_answered(takeover) && waited_ms < COMPARE_MS))
 		return;
 	takeover->candidate = best;
 	confirm(takeover, now_ms);
@@ -711,11 +424,12 @@
 
 static void choose(takeover_t *takeover, uint64_t now_ms)
 {
-	server_t *old = find_server(takeover, takeover->primary);
+	server_t *old = takeover_find_server(takeover, takeover->primary);
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 	const bool open = has_open_order(takeover, now_ms);
-	server_t *best = open ? find_ordered(takeover) :
-				find_candidate(takeover, old, waited_ms);
+	server_t *best =
+		open ? takeover_find_ordered(takeover) :
+		       takeover_find_candidate(takeover, old, waited_ms);
 
 	if (takeover->kind != TAKEOVER_RESTORED &&
 	    publish_new_primary(takeover, now_ms))
@@ -726,19 +440,20 @@
 		return;
 	}
 	query_all(takeover, now_ms);
-	if (old && is_lost_in_handover(takeover, old, waited_ms))
+	if (old && takeover_is_lost_in_handover(takeover, old, waited_ms))
 		takeover->kind = TAKEOVER_LOST;
 	if (old && !is_excluded(takeover, old) &&
-	    must_keep(takeover, old, best, waited_ms)) {
+	    takeover_must_keep(takeover, old, best, waited_ms)) {
 		keep_primary(takeover, old, now_ms);
 		return;
 	}
-	if (!best && !open && waited_ms >= CATCH_UP_MS)
-		forget_refusals(takeover);
-	if (!best || (!all_answered(takeover) && waited_ms < COMPARE_MS))
+	if (!best && !open && waited_ms >= TAKEOVER_CATCH_UP_MS)
+		takeover_forget_refusals(takeover);
+	if (!best ||
+	    (!takeover_all_answered(takeover) && waited_ms < COMPARE_MS))
 		return;
-	if (old && old->answered && waited_ms < CATCH_UP_MS &&
-	    !has_caught_up(best, old))
+	if (old && old->answered && waited_ms < TAKEOVER_CATCH_UP_MS &&
+	    !takeover_has_caught_up(best, old))
 		return;
 	if (takeover->kind == TAKEOVER_HANDOVER && old && !old->answered)
 		return;
@@ -753,7 +468,7 @@
  */
 static void retry_promotion(takeover_t *takeover, uint64_t now_ms)
 {
-	if (!is_promotable(takeover, takeover->candidate)) {
+	if (!takeover_is_promotable(takeover, takeover->candidate)) {
 		begin_choice(takeover, now_ms);
 		return;
 	}
@@ -837,7 +552,7 @@
 void takeover_status(takeover_t *takeover, const char *id,
 		     const takeover_status_t *status, uint64_t now_ms)
 {
-	server_t *server = find_server(takeover, id);
+	server_t *server = takeover_find_server(takeover, id);
 
 	if (!server || takeover->phase == TAKEOVER_IDLE)
 		return;
@@ -859,8 +574,8 @@
 		}
 		if (!publish_new_primary(takeover, now_ms) &&
 		    takeover->kind == TAKEOVER_LOST &&
-		    is_primary(takeover, server) &&
-		    is_still_primary(takeover, server) &&
+		    takeover_is_primary(takeover, server) &&
+		    takeover_is_still_primary(takeover, server) &&
 		    !is_excluded(takeover, server))
 			keep_primary(takeover, server, now_ms);
 		return;
--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -337,8 +337,7 @@
 	coordinator->random = g_rand_new_with_seed(g_str_hash(node));
 	coordinator->entries = g_hash_table_new_full(
 		g_str_hash, g_str_equal, NULL, coordinator_service_free);
-	coordinator->renewals =
-		g_hash_table_new_full(NULL, NULL, g_free, NULL);
+	coordinator->renewals = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	coordinator->timer = evtimer_new(base, on_timer, coordinator);
 	event_add(coordinator->timer, &delay);
 	return coordinator;
--- a/src/relay/relay_coordinator_private.h
+++ b/src/relay/relay_coordinator_private.h
@@ -96,7 +96,7 @@
 	int64_t restored_ms;
 	uint64_t renewed_ms; /**< when the last successful renewal was sent */
 	uint64_t renew_sent_ms; /**< when the last renewal was sent */
-	GHashTable *renewals; /**< renewal_t, those without an answer */
+	GHashTable *renewals;	/**< renewal_t, those without an answer */
 	/** When orders of earlier holders have taken effect. */
 	uint64_t settled_ms;
 	uint64_t acquire_at_ms;	 /**< earliest time of the next acquisition */
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -321,7 +321,7 @@
 
 /*
  * A primary that becomes unresponsive during a handover is replaced like a lost
- * one, but not before it has had CATCH_UP_MS to answer.
+ * one, but not before it has had TAKEOVER_CATCH_UP_MS to answer.
  */
 static void test_primary_lost_during_a_handover_is_replaced(void **state)
 {
