Prove nothing by an order of an earlier takeover

What could go wrong: a server that this coordinator had made primary, by two orders, is published for the term that it claims, right after it is ordered in a later takeover in which it is unclear who leads.

Cause: the order is kept between takeovers, with the time when it was first accepted, from which the time in which it takes effect counts.

Change: a takeover starts without that time. A server that became primary and whose orders can no longer take effect is forgotten, so that the record names it no longer and a next holder waits for nothing.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -64,6 +64,7 @@
 				 .guarantee = takeover->guarantee,
 				 .order = takeover->order};
 	g_strlcpy(takeover->primary, primary, sizeof(takeover->primary));
+	takeover_order_restart(&takeover->order, primary, now_ms);
 	takeover_set_servers(takeover, servers, count);
 	enter_phase(takeover, TAKEOVER_INTENT, now_ms);
 	actions.write(actions.context, term, primary, term + 1);
--- a/src/coordination/takeover_order.c
+++ b/src/coordination/takeover_order.c
@@ -17,6 +17,15 @@
 		g_strlcpy(order->server, server, sizeof(order->server));
 }
 
+void takeover_order_restart(takeover_order_t *order, const char *primary,
+			    uint64_t now_ms)
+{
+	if (!takeover_order_is_open(order, now_ms) &&
+	    !takeover_order_excludes(order, primary))
+		*order = (takeover_order_t){.number = order->number};
+	order->accepted_ms = 0;
+}
+
 void takeover_order_sent(takeover_order_t *order, const char *server)
 {
 	if (order->unknown || strcmp(order->server, server)) {
--- a/src/coordination/takeover_order.h
+++ b/src/coordination/takeover_order.h
@@ -46,6 +46,13 @@
 void takeover_order_assume(takeover_order_t *order, const char *server,
 			   uint64_t until_ms);
 
+/**
+ * Prepares for the next takeover: a server that became primary may be ordered
+ * anew, and what was accepted before proves nothing.
+ */
+void takeover_order_restart(takeover_order_t *order, const char *primary,
+			    uint64_t now_ms);
+
 /** Records that an order is being sent, to a server that may be ordered. */
 void takeover_order_sent(takeover_order_t *order, const char *server);
 
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -699,6 +699,41 @@
 		    fixture->promoted_ms + TAKEOVER_ORDER_EFFECT_MS);
 }
 
+/*
+ * Guards against a primary that is confirmed by an order of an earlier takeover
+ * that was accepted.
+ */
+static void test_order_of_an_earlier_takeover_confirms_nothing(void **state)
+{
+	const takeover_server_t servers[] = {
+		{.id = "a"}, {.id = "b"}, {.id = "c"}};
+	fixture_t *fixture = *state;
+
+	fixture->servers[0].unresponsive = true;
+	fixture->busy_after_promotion = true;
+	start(fixture, TAKEOVER_LOST);
+	while (fixture->promotions < 2)
+		run(fixture, 10);
+	fixture->busy_after_promotion = false;
+	make_responsive(fixture, "b");
+	run(fixture, 2000);
+	assert_string_equal(fixture->primary, "b");
+	assert_string_equal(takeover_ordered(fixture->takeover), "b");
+	run(fixture, 2000);
+	fixture->now_ms += 2000;
+	fixture->done = false;
+	fixture->promotions_change_nothing = true;
+	takeover_start(fixture->takeover, 2, "b", TAKEOVER_RESTORED, servers, 3,
+		       fixture->now_ms);
+	assert_string_equal(takeover_ordered(fixture->takeover), "");
+	run(fixture, 8000);
+	assert_true(fixture->done);
+	assert_string_equal(fixture->primary, "b");
+	assert_int_equal(fixture->promotions, 3);
+	assert_true(fixture->done_ms >=
+		    fixture->promoted_ms + TAKEOVER_ORDER_EFFECT_MS);
+}
+
 /* A server that refuses was not promoted; if no other order is under way. */
 static void test_refused_order_leaves_the_old_primary(void **state)
 {
@@ -1019,6 +1054,7 @@
 		TEST(test_unknown_order_is_waited_for),
 		TEST(test_old_primary_is_not_kept_after_an_order),
 		TEST(test_silent_server_is_not_confirmed),
+		TEST(test_order_of_an_earlier_takeover_confirms_nothing),
 		TEST(test_refused_order_leaves_the_old_primary),
 		TEST(test_order_is_named_until_its_effect_is_seen),
 		TEST(test_unknown_primary_is_recorded),
