--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -1,3 +1,4 @@
+/* Tests takeover.c with takeover_choice.c and takeover_order.c. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
