Judge a soak when every server has told what it rolled back

Cause, from its log: group0-0, the primary, crashed at 12.4 s of the plan for 3.4 s, a replica was promoted, and all callers were served again at 14.8 s (the fault of 14.46 s stands 0.3 s before the end of the log, in which group0-0 is still unreachable). The stand-in counts a commit as rolled back when its server follows the new primary again, so the commit was in neither set of the report. Replication is asynchronous here; the commit was not lost against a rule.

All checks stay as they are.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -99,13 +99,32 @@
 			g_strdup_printf("%s: %lld", name, (long long)number));
 }
 
+/*
+ * Gets the stand-in's report once it is complete: a server that is still down
+ * has not told yet which of its commits are rolled back.
+ */
+static json_t *wait_for_report(soak_t *soak)
+{
+	const uint64_t until_ms = clock_now_ms() + RECOVER_TIMEOUT_MS;
+	const uint16_t port = site_world_port(soak->world);
+	json_t *report = http_get_json(port, "/report");
+
+	while (report && !json_is_true(json_object_get(report, "complete")) &&
+	       clock_now_ms() < until_ms) {
+		json_decref(report);
+		g_usleep(STEP_MS * 1000);
+		report = http_get_json(port, "/report");
+	}
+	return report;
+}
+
 /*
  * Checks the stand-in's counters of violations and each caller's history
  * against the logs of the servers.
  */
 static void check_consistency(soak_t *soak)
 {
-	json_t *report = http_get_json(site_world_port(soak->world), "/report");
+	json_t *report = wait_for_report(soak);
 
 	if (!report) {
 		g_ptr_array_add(soak->problems, g_strdup("no report from the "
--- a/tests/standin/site/database.c
+++ b/tests/standin/site/database.c
@@ -95,14 +95,36 @@
 	return best;
 }
 
-/* Drops and records the commits that the primary's log does not contain. */
-static void roll_back(db_server_t *server, const db_server_t *primary)
+/* @return the number of commits with which both logs begin */
+static guint common_commits(const db_server_t *server,
+			    const db_server_t *primary)
 {
 	guint common = 0;
 
 	while (common < server->log->len && common < primary->log->len &&
 	       server->log->pdata[common] == primary->log->pdata[common])
 		common++;
+	return common;
+}
+
+bool group_is_rolled_back(group_t *group)
+{
+	const db_server_t *primary = group_primary(group);
+
+	for (int i = 0; primary && i < GROUP_SERVERS_COUNT; i++) {
+		const db_server_t *server = &group->servers[i];
+
+		if (common_commits(server, primary) < server->log->len)
+			return false;
+	}
+	return true;
+}
+
+/* Drops and records the commits that the primary's log does not contain. */
+static void roll_back(db_server_t *server, const db_server_t *primary)
+{
+	const guint common = common_commits(server, primary);
+
 	for (guint i = common; i < server->log->len; i++) {
 		const commit_t *commit = server->log->pdata[i];
 
--- a/tests/standin/site/database.h
+++ b/tests/standin/site/database.h
@@ -94,4 +94,10 @@
 /** @return the primary of the highest term, or NULL */
 db_server_t *group_primary(group_t *group);
 
+/**
+ * @return whether no server has commits that the primary lacks; one that is
+ *         down or cut off keeps them until it follows the primary
+ */
+bool group_is_rolled_back(group_t *group);
+
 #endif
--- a/tests/standin/site/main.c
+++ b/tests/standin/site/main.c
@@ -264,9 +264,9 @@
 }
 
 /*
- * Reports the data in the primaries' logs, the data rolled back, the number of
- * promotions, the users of each item, and two counts that must stay 0: writes
- * applied twice and fencing tokens that decreased.
+ * Reports the data in the primaries' logs, the data rolled back and whether all
+ * of it was, the number of promotions, the users of each item, and two counts
+ * that must stay 0: writes applied twice and fencing tokens that decreased.
  */
 static void on_report(struct evhttp_request *request, site_t *site)
 {
@@ -275,6 +275,7 @@
 	json_t *users = json_object();
 	uint64_t repeated_writes = 0;
 	uint64_t promotions = 0;
+	bool complete = true;
 
 	for (int i = 0; i < site->groups_count; i++) {
 		group_t *group = site->groups[i];
@@ -284,6 +285,7 @@
 
 		repeated_writes += group->repeated_writes;
 		promotions += group->promotions;
+		complete &= group_is_rolled_back(group);
 		for (guint j = 0; primary && j < primary->log->len; j++) {
 			const commit_t *commit = primary->log->pdata[j];
 
@@ -300,8 +302,9 @@
 			json_object_set_new(users, data, json_true());
 	}
 	http_reply_json(request,
-			json_pack("{s:o,s:o,s:o,s:I,s:I,s:I}", "kept", kept,
-				  "users", users, "rolled_back", lost, "twice",
+			json_pack("{s:o,s:o,s:o,s:b,s:I,s:I,s:I}", "kept", kept,
+				  "users", users, "rolled_back", lost,
+				  "complete", complete, "twice",
 				  (json_int_t)repeated_writes, "promotions",
 				  (json_int_t)promotions, "token_steps_back",
 				  (json_int_t)site->token_decreases));
