--- a/Makefile
+++ b/Makefile
@@ -165,7 +165,9 @@
 $(BUILD)/tests/unit/test_relay_service_limits \
 $(BUILD)/tests/unit/test_relay_control \
 $(BUILD)/tests/unit/test_relay_subscription \
+$(BUILD)/tests/unit/test_relay_bytes \
 $(BUILD)/tests/unit/test_relay_link: $(PLATFORM_OBJ)
+$(BUILD)/tests/property/prop_line_codec: $(BUILD)/platform/line_codec.o
 $(BUILD)/tests/unit/test_platform_codec: $(PLATFORM_OBJ)
 $(BUILD)/tests/unit/test_platform_customers: $(PLATFORM_OBJ)
 $(BUILD)/tests/unit/test_platform_documents: $(PLATFORM_OBJ)
@@ -180,7 +182,7 @@
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) -lcmocka $(LDLIBS)
 
 $(BUILD)/tests/property/%: $(BUILD)/tests/property/%.o $(SIM_OBJ) $(LIB)
-	$(CXX) -o $@ $^ -lrapidcheck $(LDLIBS)
+	$(CXX) -o $@ $(filter %.o,$^) $(LIB) -lrapidcheck $(LDLIBS)
 
 $(BUILD)/tests/e2e/%: $(BUILD)/tests/e2e/%.o $(WORLD_OBJ) $(LIB)
 	$(CC) -o $@ $(filter %.o,$^) $(LIB) -lcmocka $(LDLIBS)
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -648,6 +648,19 @@
 		wait_for_catalog(session);
 }
 
+/*
+ * Closes a session whose caller sent what cannot be passed on unchanged. An
+ * open transaction ends at once, not when the caller has read the error.
+ */
+static void reject_message(relay_session_t *session, const char *reason)
+{
+	relay_message_clear(&session->message);
+	end_transaction(session);
+	session->host->codec->put_error(output_of(session),
+					RELAY_ERROR_MALFORMED, reason);
+	close_soon(session);
+}
+
 static void handle_message(relay_session_t *session)
 {
 	switch (session->message.kind) {
@@ -670,10 +683,7 @@
 	default:
 		break;
 	}
-	session->host->codec->put_error(output_of(session),
-					RELAY_ERROR_MALFORMED,
-					"unexpected message");
-	close_soon(session);
+	reject_message(session, "unexpected message");
 }
 
 /*
@@ -705,10 +715,7 @@
 		case RELAY_INVALID:
 			log_event(LOG_LEVEL_INFO, "caller_message_invalid",
 				  "reason=\"%s\"", error->message);
-			session->host->codec->put_error(output_of(session),
-							RELAY_ERROR_MALFORMED,
-							error->message);
-			close_soon(session);
+			reject_message(session, error->message);
 			return;
 		case RELAY_DECODED:
 			session->active_ms = clock_boot_ms();
--- a/tests/unit/fake_line_server.h
+++ b/tests/unit/fake_line_server.h
@@ -21,6 +21,9 @@
 	struct evconnlistener *listener;
 	uint16_t port;
 	GString *log; /* all statements, in order of arrival, one a line */
+	GByteArray *received; /* all bytes of all connections, as they came */
+	uint32_t sessions;    /* connections that are open */
+	GBytes *row;	      /* row that answers a READ, or NULL for none */
 	/*
 	 * Statements that ran: "STATE[NAME=VALUE...] TEXT", an EXECUTE with its
 	 * definition in place of its name; one a line.
@@ -45,6 +48,7 @@
 
 static void fake_line_session_free(fake_line_session_t *session)
 {
+	session->server->sessions--;
 	bufferevent_free(session->bev);
 	g_hash_table_destroy(session->values);
 	g_hash_table_destroy(session->prepared);
@@ -69,6 +73,17 @@
 	fake_line_answer(session, line);
 }
 
+/* Answers with a row of any bytes, which may not be one of the protocol. */
+static void fake_line_put_row(fake_line_session_t *session, GBytes *row)
+{
+	gsize size_bytes;
+	const void *bytes = g_bytes_get_data(row, &size_bytes);
+
+	bufferevent_write(session->bev, "DATAROW ", strlen("DATAROW "));
+	bufferevent_write(session->bev, bytes, size_bytes);
+	bufferevent_write(session->bev, "\r\n", strlen("\r\n"));
+}
+
 static void fake_line_run(fake_line_session_t *session, const char *text)
 {
 	GString *runs = session->server->runs;
@@ -82,6 +97,8 @@
 		g_string_append_printf(runs, "[%s=%s]", (char *)name,
 				       (char *)value);
 	g_string_append_printf(runs, " %s\n", text);
+	if (session->server->row && g_str_has_prefix(text, "READ"))
+		fake_line_put_row(session, session->server->row);
 	fake_line_answer(session, "COMPLETE 1");
 }
 
@@ -150,12 +167,17 @@
 {
 	fake_line_session_t *session = context;
 	fake_line_server_t *server = session->server;
+	size_t size_bytes;
 	char *line;
 
-	while ((line = evbuffer_readln(bufferevent_get_input(bev), NULL,
-				       EVBUFFER_EOL_CRLF))) {
+	while ((line = evbuffer_readln(bufferevent_get_input(bev), &size_bytes,
+				       EVBUFFER_EOL_CRLF_STRICT))) {
 		g_auto(GStrv) words = g_strsplit(line, " ", 3);
 
+		g_byte_array_append(server->received, (const guint8 *)line,
+				    (guint)size_bytes);
+		g_byte_array_append(server->received, (const guint8 *)"\r\n",
+				    2);
 		free(line);
 		if (strcmp(words[0], "QUERY")) {
 			fake_line_answer(session, "");
@@ -205,6 +227,7 @@
 	fake_line_session_t *session = g_new0(fake_line_session_t, 1);
 
 	session->server = context;
+	session->server->sessions++;
 	session->state = 'I';
 	session->values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -227,6 +250,7 @@
 	socklen_t size = sizeof(address);
 
 	server->log = g_string_new("");
+	server->received = g_byte_array_new();
 	server->runs = g_string_new("");
 	server->listener = evconnlistener_new_bind(
 		base, fake_line_on_accept, server, LEV_OPT_CLOSE_ON_FREE, 8,
@@ -241,6 +265,8 @@
 {
 	evconnlistener_free(server->listener);
 	g_string_free(server->log, TRUE);
+	g_byte_array_unref(server->received);
+	g_clear_pointer(&server->row, g_bytes_unref);
 	g_string_free(server->runs, TRUE);
 	g_free(server);
 }
--- a/tests/unit/test_platform_codec.c
+++ b/tests/unit/test_platform_codec.c
@@ -7,26 +7,25 @@
 
 #include "platform/line_codec.h"
 
-static struct evbuffer *buffer_of(const char *text)
+static relay_decoded_t decode_bytes(const char *bytes, size_t size,
+				    relay_message_t *message)
 {
 	struct evbuffer *buffer = evbuffer_new();
-
-	evbuffer_add(buffer, text, strlen(text));
-	return buffer;
-}
-
-static relay_decoded_t decode(const char *text, relay_message_t *message)
-{
-	struct evbuffer *buffer = buffer_of(text);
 	g_autoptr(GError) error = NULL;
-	const relay_decoded_t decoded =
-		line_codec.decode(buffer, message, &error);
+	relay_decoded_t decoded;
 
+	evbuffer_add(buffer, bytes, size);
+	decoded = line_codec.decode(buffer, message, &error);
 	assert_true((decoded == RELAY_INVALID) == (error != NULL));
 	evbuffer_free(buffer);
 	return decoded;
 }
 
+static relay_decoded_t decode(const char *text, relay_message_t *message)
+{
+	return decode_bytes(text, strlen(text), message);
+}
+
 static char *encoded(struct evbuffer *buffer)
 {
 	const size_t size = evbuffer_get_length(buffer);
@@ -127,6 +126,44 @@
 	assert_int_equal(decode(too_long, &message), RELAY_INVALID);
 }
 
+/* Such a message was decoded, and passed on, up to the NUL byte. */
+static void test_messages_with_nul_are_invalid(void **state)
+{
+	static const char *const lines[] = {
+		"STARTUP huvo11a tenant i-7f3a91c2\r\n",
+		"QUERY 5c0e WRITE 1a4 x y\r\n",
+		"QUERY 5c0e COMMIT\r\n",
+		"TERMINATE\r\n",
+		"DATAROW qhzkw\r\n",
+		"COMPLETE 7.1f3.c\r\n",
+		"ERROR READONLY i-7f\r\n",
+		"READY I 3.1209\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		const size_t size = strlen(lines[i]);
+
+		/* The NUL byte in place of each byte, and before each. */
+		for (size_t at = 0; at <= size - 2; at++) {
+			g_autofree char *changed = g_strdup(lines[i]);
+			g_autofree char *longer = g_malloc(size + 1);
+			g_auto(relay_message_t) first = {0};
+			g_auto(relay_message_t) second = {0};
+
+			memcpy(longer, lines[i], at);
+			longer[at] = '\0';
+			memcpy(longer + at + 1, lines[i] + at, size - at);
+			assert_int_equal(decode_bytes(longer, size + 1, &first),
+					 RELAY_INVALID);
+			if (at == size - 2)
+				break;
+			changed[at] = '\0';
+			assert_int_equal(decode_bytes(changed, size, &second),
+					 RELAY_INVALID);
+		}
+	}
+}
+
 /* Random changes of valid messages must not crash or block the decoder. */
 static void test_mutated_bytes(void **state)
 {
@@ -147,8 +184,10 @@
 
 		for (uint32_t i = 0; i < 1 + round % 3; i++)
 			text[g_rand_int_range(random, 0, size)] =
-				(char)g_rand_int_range(random, 1, 256);
-		if (decode(text, &message) != RELAY_DECODED || !message.text)
+				(char)g_rand_int_range(random, 0, 256);
+		if (decode_bytes(text, (size_t)size + 2, &message) !=
+			    RELAY_DECODED ||
+		    !message.text)
 			continue;
 		line_codec.parse(message.text, &command);
 		line_codec.parse_status(message.text, &status);
@@ -274,6 +313,7 @@
 		cmocka_unit_test(test_partial_messages_are_incomplete),
 		cmocka_unit_test(test_invalid_messages),
 		cmocka_unit_test(test_largest_message),
+		cmocka_unit_test(test_messages_with_nul_are_invalid),
 		cmocka_unit_test(test_mutated_bytes),
 		cmocka_unit_test(test_statements),
 		cmocka_unit_test(test_statement_with_after_point),
--- a/tests/unit/test_relay_forwarding.c
+++ b/tests/unit/test_relay_forwarding.c
@@ -16,6 +16,7 @@
 	relay_forwarding_t *forwarding;
 	struct bufferevent *peer;
 	GString *answers; /* what the other node received */
+	bool closed;	  /* the connection, by the node that forwards */
 } fixture_t;
 
 static void on_read(struct bufferevent *bev, void *context)
@@ -28,6 +29,11 @@
 		g_string_append_len(fixture->answers, bytes, (gssize)size);
 }
 
+static void on_event(struct bufferevent *bev, short what, void *context)
+{
+	((fixture_t *)context)->closed = true;
+}
+
 static int open_fixture(void **state)
 {
 	static const endpoint_t any_port = {.address = "127.0.0.1"};
@@ -46,7 +52,7 @@
 	forwarding_session_create(fixture->forwarding, ends[0]);
 	fixture->peer = bufferevent_socket_new(fixture->node->base, ends[1],
 					       BEV_OPT_CLOSE_ON_FREE);
-	bufferevent_setcb(fixture->peer, on_read, NULL, NULL, fixture);
+	bufferevent_setcb(fixture->peer, on_read, NULL, on_event, fixture);
 	bufferevent_enable(fixture->peer, EV_READ | EV_WRITE);
 	*state = fixture;
 	return 0;
@@ -148,6 +154,26 @@
 	assert_string_equal(server->runs->str, "T WRITE a x\n");
 }
 
+/* Guards against a statement of another node that is cut at a NUL byte. */
+static void test_statement_with_nul_closes_the_connection(void **state)
+{
+	static const char line[] = "QUERY c2 WRITE a x\0y\r\n";
+	fixture_t *fixture = *state;
+	fake_line_server_t *server = fixture->node->server;
+	const uint64_t until_ms = clock_now_ms() + FAKE_LINE_NODE_TIMEOUT_MS;
+
+	ask(fixture, "STARTUP svc - i-1\r\n"
+		     "QUERY c0 BEGIN\r\n"
+		     "QUERY c1 WRITE a x\r\n");
+	bufferevent_write(fixture->peer, line, sizeof(line) - 1);
+	while (!fixture->closed || server->sessions) {
+		assert_true(clock_now_ms() < until_ms);
+		event_base_loop(fixture->node->base, EVLOOP_NONBLOCK);
+	}
+	assert_string_equal(server->runs->str, "T WRITE a x\n");
+	assert_null(strstr(server->log->str, "COMMIT"));
+}
+
 #define TEST(name) \
 	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
 
@@ -157,6 +183,7 @@
 		TEST(test_names_of_nodes_are_not_names_of_the_server),
 		TEST(test_unknown_name_is_not_run),
 		TEST(test_change_does_not_run_without_its_transaction),
+		TEST(test_statement_with_nul_closes_the_connection),
 	};
 
 	log_open("test", LOG_LEVEL_WARNING);
