--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -101,7 +101,11 @@
 	relay_attempt_t *attempt = context;
 
 	if (answer->broken) {
-		attempt_end(attempt, RELAY_ATTEMPT_LOST, NULL);
+		attempt_end(attempt,
+			    answer->error == RELAY_ERROR_MALFORMED ?
+				    RELAY_ATTEMPT_UNREADABLE :
+				    RELAY_ATTEMPT_LOST,
+			    NULL);
 		return;
 	}
 	relay_service_record_point(attempt->service, attempt->server,
--- a/src/relay/relay_attempt.h
+++ b/src/relay/relay_attempt.h
@@ -21,6 +21,8 @@
 	 */
 	RELAY_ATTEMPT_NOT_RUN,
 	RELAY_ATTEMPT_LOST, /**< the statement was sent, its answer is lost */
+	/** The statement was sent; its answer cannot be passed on. */
+	RELAY_ATTEMPT_UNREADABLE,
 } relay_attempt_end_t;
 
 /**
--- a/src/relay/relay_forwarding_private.h
+++ b/src/relay/relay_forwarding_private.h
@@ -38,8 +38,9 @@
 	struct event *timer;	    /* ends the wait for a connection */
 	const char *refusal;	    /* why the statement will be refused */
 	relay_attempt_t *attempt;
-	bool busy;    /* a statement waits or runs */
-	bool closing; /* closed once the output is written */
+	bool in_transaction; /* the attempt runs in a transaction */
+	bool busy;	     /* a statement waits or runs */
+	bool closing;	     /* closed once the output is written */
 } forwarding_session_t;
 
 /* Accepts a connection of another node. */
--- a/src/relay/relay_forwarding_session.c
+++ b/src/relay/relay_forwarding_session.c
@@ -96,7 +96,7 @@
 	command_clear(&session->command);
 }
 
-/* Rejects the statement, which has not run, and rolls the transaction back. */
+/* Answers the statement with an error and rolls the transaction back. */
 static void refuse_with(forwarding_session_t *session, relay_error_t error,
 			const char *reason)
 {
@@ -120,6 +120,34 @@
 	refuse_with(session, RELAY_ERROR_CONNECTION_LIMIT, reason);
 }
 
+/* @return whether the statement is a single read, prepared or not */
+static bool is_single_read(const forwarding_session_t *session)
+{
+	const relay_codec_t *codec = forwarding_session_codec(session);
+	const command_t *command = &session->command;
+	g_auto(command_t) prepare = {0};
+	g_autofree char *text = NULL;
+
+	if (session->in_transaction || command->kind != COMMAND_EXECUTE)
+		return !session->in_transaction &&
+		       command->kind == COMMAND_READ;
+	text = codec->text_prepare(
+		command->name,
+		g_hash_table_lookup(session->prepared, command->name));
+	codec->parse(text, &prepare);
+	return prepare.kind == COMMAND_PREPARE && !prepare.writes;
+}
+
+/* Ends a statement that may have run; its answer does not arrive. */
+static void answer_lost(forwarding_session_t *session, relay_attempt_end_t end)
+{
+	if (end == RELAY_ATTEMPT_UNREADABLE && is_single_read(session))
+		refuse_with(session, RELAY_ERROR_FAILED,
+			    "the server's answer is invalid");
+	else /* the other node must see a broken connection */
+		forwarding_session_end(session);
+}
+
 static void on_attempt_done(void *context, relay_attempt_t *attempt,
 			    relay_attempt_end_t end,
 			    const relay_answer_t *answer)
@@ -135,8 +163,8 @@
 		session->link = NULL;
 		if (end == RELAY_ATTEMPT_NOT_RUN)
 			refuse(session, "unreachable");
-		else /* the other node must see a broken connection */
-			forwarding_session_end(session);
+		else
+			answer_lost(session, end);
 		return;
 	}
 	if (end == RELAY_ATTEMPT_NOT_RUN &&
@@ -182,6 +210,7 @@
 			g_hash_table_lookup(session->prepared, command->name);
 		request.arguments = command->value;
 	}
+	session->in_transaction = !single;
 	session->server = server;
 	session->link = link;
 	session->attempt = relay_attempt_start(
@@ -407,6 +436,7 @@
 		case RELAY_INVALID:
 			log_event(LOG_LEVEL_WARNING, "peer_message_invalid",
 				  "reason=\"%s\"", error->message);
+			discard_link(session);
 			forwarding_session_close_soon(session);
 			return;
 		case RELAY_DECODED:
--- a/src/relay/relay_job_answer.c
+++ b/src/relay/relay_job_answer.c
@@ -122,6 +122,36 @@
 		job_retry_now(job);
 }
 
+/* @return whether the statement has no effect if its connection is closed */
+static bool is_undone_by_close(const relay_job_t *job)
+{
+	return job->request.kind != COMMAND_COMMIT && !job->pin &&
+	       (!job->request.writes || job->request.begin_id);
+}
+
+/*
+ * Handles an answer that cannot be passed on. The next one may be the same, so
+ * it is not asked for until the timeout.
+ */
+static void on_answer_unreadable(relay_job_t *job, const relay_server_t *server)
+{
+	if (!is_undone_by_close(job)) {
+		on_answer_lost(job);
+		return;
+	}
+	if (job->attempts_count)
+		return;
+	if (job->failures++ < READ_FAILURES_MAX) {
+		relay_placement_note_tried(&job->placement, server);
+		job_retry_now(job);
+		return;
+	}
+	job_finish_failed(job,
+			  job->request.begin_id ? RELAY_ERROR_ABORTED :
+						  RELAY_ERROR_FAILED,
+			  "the server's answer is invalid");
+}
+
 /* @return whether a read should no longer try to reach this replica */
 static bool gives_up_replica(relay_job_t *job, relay_error_t error)
 {
@@ -295,6 +325,8 @@
 		relay_attempt_discard(attempt);
 		if (end == RELAY_ATTEMPT_LOST)
 			on_answer_lost(job);
+		else if (end == RELAY_ATTEMPT_UNREADABLE)
+			on_answer_unreadable(job, server);
 		else
 			on_not_run(job, server, RELAY_ERROR_OTHER);
 		return;
--- a/src/relay/relay_link.c
+++ b/src/relay/relay_link.c
@@ -138,7 +138,7 @@
 {
 	log_event(LOG_LEVEL_WARNING, "server_message_invalid",
 		  "server=%s reason=\"%s\"", link->server, error->message);
-	link_ended(link, RELAY_ERROR_OTHER);
+	link_ended(link, RELAY_ERROR_MALFORMED);
 }
 
 /* Closes the connection after a message that answers no statement. */
--- a/src/relay/relay_link.h
+++ b/src/relay/relay_link.h
@@ -18,6 +18,8 @@
 typedef struct {
 	bool broken; /**< the connection ended before the answer was complete */
 	bool failed; /**< the server answered with an error */
+	/** If broken, RELAY_ERROR_MALFORMED: a part of the answer is invalid.
+	 */
 	relay_error_t error;
 	const char *error_text;
 	const char *row; /**< first row of the answer, or NULL */
--- a/tests/unit/test_relay_bytes.c
+++ b/tests/unit/test_relay_bytes.c
@@ -278,6 +278,38 @@
 	caller_destroy(caller);
 }
 
+static void set_row(fixture_t *fixture, const void *bytes, size_t size)
+{
+	g_clear_pointer(&fixture->node->server->row, g_bytes_unref);
+	fixture->node->server->row = g_bytes_new(bytes, size);
+}
+
+/*
+ * The read got the row up to the NUL byte. Its repetitions may not go on until
+ * the timeout either: each costs a connection.
+ */
+static void test_row_with_nul_fails_the_read_at_once(void **state)
+{
+	fixture_t *fixture = *state;
+	caller_t *caller = caller_create(fixture);
+	uint32_t reads = 0;
+
+	set_row(fixture, "qhz\0kw", 6);
+	ask(fixture, caller, "STARTUP orders u1\r\n");
+	assert_string_equal(ask(fixture, caller, "QUERY c1 READ a\r\n"),
+			    "ERROR FAILED the server's answer is invalid\r\n"
+			    "READY I -\r\n");
+	for (const char *at = fixture->node->server->log->str;
+	     (at = strstr(at, "READ a")); at++)
+		reads++;
+	assert_in_range(reads, 1, 3);
+	set_row(fixture, "qhzkw", 5);
+	assert_true(
+		g_str_has_prefix(ask(fixture, caller, "QUERY c2 READ a\r\n"),
+				 "DATAROW qhzkw\r\nCOMPLETE 1\r\n"));
+	caller_destroy(caller);
+}
+
 /* Bytes that have a meaning somewhere, and any others. */
 static guint8 random_byte(GRand *random)
 {
@@ -470,6 +502,39 @@
 	}
 }
 
+/* What a caller receives is the server's row, or an error. */
+static void test_random_bytes_of_servers(void **state)
+{
+	fixture_t *fixture = *state;
+	g_autoptr(GRand) random = g_rand_new_with_seed(SEED);
+	caller_t *caller = caller_create(fixture);
+
+	ask(fixture, caller, "STARTUP orders u1\r\n");
+	for (uint32_t round = 0; round < ROUNDS / 10; round++) {
+		g_autoptr(GByteArray) row = g_byte_array_new();
+		g_autoptr(GByteArray) wanted = g_byte_array_new();
+		const char *answer;
+
+		append_field(row, random);
+		append_field(row, random);
+		if (contains(row, "\r\n", 2)) /* two messages, not a row */
+			continue;
+		set_row(fixture, row->data, row->len);
+		answer = ask(fixture, caller, "QUERY c1 READ a\r\n");
+		append_text(wanted, "DATAROW ");
+		g_byte_array_append(wanted, row->data, row->len);
+		append_text(wanted, "\r\nCOMPLETE 1\r\nREADY I 1.5\r\n");
+		if (memchr(row->data, 0, row->len))
+			assert_string_equal(
+				answer, "ERROR FAILED the server's answer is "
+					"invalid\r\nREADY I -\r\n");
+		else
+			assert_true(caller->answers->len == wanted->len &&
+				    !memcmp(answer, wanted->data, wanted->len));
+	}
+	caller_destroy(caller);
+}
+
 #define TEST(name) \
 	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
 
@@ -480,7 +545,9 @@
 		TEST(test_startup_with_nul_is_rejected),
 		TEST(test_transaction_ends_and_no_other_notices),
 		TEST(test_valid_text_passes_unchanged),
+		TEST(test_row_with_nul_fails_the_read_at_once),
 		TEST(test_random_bytes_of_callers),
+		TEST(test_random_bytes_of_servers),
 	};
 
 	log_open("test", LOG_LEVEL_ERROR);
--- a/tests/unit/test_relay_forwarding.c
+++ b/tests/unit/test_relay_forwarding.c
@@ -174,6 +174,27 @@
 	assert_null(strstr(server->log->str, "COMMIT"));
 }
 
+/*
+ * Guards against reads that other nodes repeat until their timeouts, because
+ * they see a broken connection.
+ */
+static void test_row_with_nul_fails_the_read(void **state)
+{
+	fixture_t *fixture = *state;
+	fake_line_server_t *server = fixture->node->server;
+
+	server->row = g_bytes_new("a\0b", 3);
+	ask(fixture, "STARTUP svc - i-1\r\n"
+		     "QUERY - PREPARE p1 READ a\r\n");
+	assert_string_equal(ask(fixture, "QUERY c1 READ x\r\n"),
+			    "ERROR FAILED the server's answer is invalid\r\n"
+			    "READY I -\r\n");
+	assert_string_equal(ask(fixture, "QUERY c2 EXECUTE p1 x\r\n"),
+			    "ERROR FAILED the server's answer is invalid\r\n"
+			    "READY I -\r\n");
+	assert_string_equal(server->runs->str, "I READ x\nI READ a x\n");
+}
+
 #define TEST(name) \
 	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
 
@@ -184,6 +205,7 @@
 		TEST(test_unknown_name_is_not_run),
 		TEST(test_change_does_not_run_without_its_transaction),
 		TEST(test_statement_with_nul_closes_the_connection),
+		TEST(test_row_with_nul_fails_the_read),
 	};
 
 	log_open("test", LOG_LEVEL_WARNING);
--- a/tests/unit/test_relay_link.c
+++ b/tests/unit/test_relay_link.c
@@ -19,6 +19,7 @@
 	endpoint_t endpoint;
 	backend_entry_t entry;
 	const char *answers; /* bytes sent in reply to each statement */
+	size_t answers_size; /* number of these bytes; 0 if they are a text */
 	relay_link_t *link;
 	bool opened;
 	bool closed;
@@ -32,11 +33,14 @@
 	char *line;
 
 	while ((line = evbuffer_readln(input, NULL, EVBUFFER_EOL_CRLF))) {
-		const char *answer = g_str_has_prefix(line, "STARTUP") ?
-					     "READY I 1.5\r\n" :
-					     fixture->answers;
+		const bool starts = g_str_has_prefix(line, "STARTUP");
+		const char *answer =
+			starts ? "READY I 1.5\r\n" : fixture->answers;
 
-		bufferevent_write(bev, answer, strlen(answer));
+		bufferevent_write(bev, answer,
+				  !starts && fixture->answers_size ?
+					  fixture->answers_size :
+					  strlen(answer));
 		free(line);
 	}
 }
@@ -69,7 +73,10 @@
 	fixture_t *fixture = context;
 
 	if (answer->broken)
-		g_string_append(fixture->results, "broken ");
+		g_string_append(fixture->results,
+				answer->error == RELAY_ERROR_MALFORMED ?
+					"invalid " :
+					"broken ");
 	else if (answer->failed)
 		g_string_append_printf(fixture->results, "%s ",
 				       relay_error_name(answer->error));
@@ -192,6 +199,38 @@
 	assert_string_equal(fixture->results->str, "broken ");
 }
 
+/* A part of an answer was passed on up to a NUL byte. */
+static void test_answer_with_nul_is_passed_on_to_nobody(void **state)
+{
+	static const struct {
+		const char *bytes;
+		size_t size;
+	} answers[] = {
+#define ANSWER(text) {text, sizeof(text) - 1}
+		ANSWER("DATAROW x\0y\r\nCOMPLETE 1\r\nREADY I 1.6\r\n"),
+		ANSWER("DATAROW x\r\nCOMPLETE 1\0 2\r\nREADY I 1.6\r\n"),
+		ANSWER("DATAROW x\r\nCOMPLETE 1\r\nREADY I 1.6\0\r\n"),
+		ANSWER("ERROR BUSY\0 x\r\nREADY I 1.6\r\n"),
+		ANSWER("ERROR BUSY x\0\r\nREADY I 1.6\r\n"),
+#undef ANSWER
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		fixture_t *fixture = *state;
+
+		fixture->answers = answers[i].bytes;
+		fixture->answers_size = answers[i].size;
+		g_string_truncate(fixture->results, 0);
+		fixture->opened = false;
+		fixture->closed = false;
+		g_clear_pointer(&fixture->link, relay_link_destroy);
+		open_link(fixture, NULL);
+		run(fixture, 1);
+		assert_true(fixture->closed);
+		assert_string_equal(fixture->results->str, "invalid ");
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -209,6 +248,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_surplus_answer_breaks_the_connection, open_fixture,
 			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_answer_with_nul_is_passed_on_to_nobody,
+			open_fixture, close_fixture),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
