--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -32,10 +32,14 @@
 /** One parsed statement with the parts that session and routing use. */
 typedef struct {
 	command_kind_t kind;
-	char *name;	  /**< variable or prepared statement, or NULL */
-	char *value;	  /**< value of the variable, definition or arguments */
-	bool writes;	  /**< COMMAND_PREPARE: the prepared statement writes */
-	const char *text; /**< statement text; points into the parsed input */
+	char *name;  /**< variable or prepared statement, or NULL */
+	char *value; /**< value of the variable, definition or arguments */
+	bool writes; /**< COMMAND_PREPARE: the prepared statement writes */
+	/**
+	 * Statement text without the point that it must follow; points into
+	 * the parsed input, and is all of it if that point is invalid.
+	 */
+	const char *text;
 	log_point_t after; /**< point the server must have replayed, or zero */
 } command_t;
 
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -588,7 +588,9 @@
 static void dispatch(relay_session_t *session)
 {
 	session->host->codec->parse(session->message.text, &session->command);
-	if (session->command.after.term || is_for_nodes(session->command.kind))
+	/* Only a node may state a log point before the statement. */
+	if (session->command.text != session->message.text ||
+	    is_for_nodes(session->command.kind))
 		session->command.kind = COMMAND_INVALID;
 	if (session->transaction == TRANSACTION_NONE) {
 		if (!start_operation(session))
--- a/tests/unit/test_relay_bytes.c
+++ b/tests/unit/test_relay_bytes.c
@@ -247,6 +247,30 @@
 	caller_destroy(other);
 }
 
+/* A server would take such a point for one of this node. */
+static void test_point_of_a_caller_is_refused(void **state)
+{
+	static const char *const statements[] = {
+		"QUERY c1 AFTER 1.5 READ a\r\n",
+		"QUERY c1 AFTER 0.5 READ a\r\n",
+		"QUERY c1 AFTER - READ a\r\n",
+		"QUERY c1 AFTER x READ a\r\n",
+		"QUERY c1 AFTER - WRITE a x\r\n",
+		"QUERY c1 AFTER - BEGIN\r\n",
+	};
+	fixture_t *fixture = *state;
+	caller_t *caller = caller_create(fixture);
+
+	ask(fixture, caller, "STARTUP orders u1\r\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(statements); i++)
+		assert_true(g_str_has_prefix(
+			ask(fixture, caller, statements[i]),
+			"ERROR MALFORMED unknown or incomplete statement\r\n"
+			"READY I"));
+	assert_int_equal(fixture->node->server->received->len, 0);
+	caller_destroy(caller);
+}
+
 static void test_valid_text_passes_unchanged(void **state)
 {
 	static const char *const texts[] = {
@@ -544,6 +568,7 @@
 		TEST(test_statement_with_nul_is_run_by_nobody),
 		TEST(test_startup_with_nul_is_rejected),
 		TEST(test_transaction_ends_and_no_other_notices),
+		TEST(test_point_of_a_caller_is_refused),
 		TEST(test_valid_text_passes_unchanged),
 		TEST(test_row_with_nul_fails_the_read_at_once),
 		TEST(test_random_bytes_of_callers),
--- a/tests/unit/test_relay_forwarding.c
+++ b/tests/unit/test_relay_forwarding.c
@@ -174,6 +174,26 @@
 	assert_null(strstr(server->log->str, "COMMIT"));
 }
 
+/* Guards against a null pointer: the process ended. */
+static void test_statement_with_an_invalid_point_is_passed_on(void **state)
+{
+	static const char *const texts[] = {
+		"AFTER x READ a", "AFTER 3.x READ a", "AFTER 3 READ a",
+		"AFTER",	  "AFTER ",	      "AFTER  READ a"};
+	fixture_t *fixture = *state;
+	g_autoptr(GString) wanted = g_string_new("");
+
+	ask(fixture, "STARTUP svc - i-1\r\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_autofree char *line =
+			g_strdup_printf("QUERY c%zu %s\r\n", i, texts[i]);
+
+		ask(fixture, line);
+		g_string_append_printf(wanted, "%s\n", texts[i]);
+	}
+	assert_string_equal(fixture->node->server->log->str, wanted->str);
+}
+
 /*
  * Guards against reads that other nodes repeat until their timeouts, because
  * they see a broken connection.
@@ -205,6 +225,7 @@
 		TEST(test_unknown_name_is_not_run),
 		TEST(test_change_does_not_run_without_its_transaction),
 		TEST(test_statement_with_nul_closes_the_connection),
+		TEST(test_statement_with_an_invalid_point_is_passed_on),
 		TEST(test_row_with_nul_fails_the_read),
 	};
 
