--- a/Makefile
+++ b/Makefile
@@ -166,6 +166,7 @@
 $(BUILD)/tests/unit/test_relay_control \
 $(BUILD)/tests/unit/test_relay_subscription \
 $(BUILD)/tests/unit/test_relay_bytes \
+$(BUILD)/tests/unit/test_relay_grant \
 $(BUILD)/tests/unit/test_relay_link: $(PLATFORM_OBJ)
 $(BUILD)/tests/property/prop_line_codec: $(BUILD)/platform/line_codec.o
 $(BUILD)/tests/unit/test_platform_codec: $(PLATFORM_OBJ)
--- a/src/relay/relay_grant.c
+++ b/src/relay/relay_grant.c
@@ -12,7 +12,10 @@
 /* Timeout of a request, and of opening the connection. */
 #define REQUEST_TIMEOUT_MS 600
 
-/* Fields of one service in an offer: name, term, primary, remaining ms. */
+/*
+ * Fields of one service in an offer: name, term, primary, remaining ms. Name
+ * and primary are escaped as in a URI.
+ */
 #define OFFER_FIELDS 4
 
 struct relay_grant {
@@ -23,6 +26,22 @@
 	uint64_t opened_ms;	  /* when opening the connection began */
 };
 
+/*
+ * Appends the proof of one service. Names and ids may contain what separates
+ * the fields, and would then forge a proof.
+ */
+static void append_offer(GString *offer, const char *service,
+			 const primary_lease_t *lease, uint64_t remaining_ms)
+{
+	g_autofree char *name = g_uri_escape_string(service, NULL, FALSE);
+	g_autofree char *primary =
+		g_uri_escape_string(lease->primary, NULL, FALSE);
+
+	g_string_append_printf(offer, "%s%s:%" PRIu64 ":%s:%" PRIu64,
+			       offer->len ? "," : "", name, lease->term,
+			       primary, remaining_ms);
+}
+
 char *relay_grant_offer(relay_services_t *services, uint64_t now_ms)
 {
 	g_autoptr(GPtrArray) names = relay_services_names(services);
@@ -36,11 +55,8 @@
 			lease, relay_services_lease(services));
 
 		if (until_ms > now_ms)
-			g_string_append_printf(
-				offer, "%s%s:%" PRIu64 ":%s:%" PRIu64,
-				offer->len ? "," : "",
-				relay_service_name(service), lease->term,
-				lease->primary, until_ms - now_ms);
+			append_offer(offer, relay_service_name(service), lease,
+				     until_ms - now_ms);
 	}
 	if (!offer->len)
 		g_string_assign(offer, "-");
@@ -51,6 +67,8 @@
 				uint64_t sent_ms)
 {
 	g_auto(GStrv) fields = g_strsplit(text, ":", 0);
+	g_autofree char *name = NULL;
+	g_autofree char *primary = NULL;
 	relay_service_t *service;
 	guint64 term;
 	guint64 remaining_ms;
@@ -62,10 +80,12 @@
 					PRIMARY_LEASE_VALID_MS, &remaining_ms,
 					NULL))
 		return false;
-	service = relay_services_find(services, fields[0]);
-	if (!service)
+	name = g_uri_unescape_string(fields[0], NULL);
+	primary = g_uri_unescape_string(fields[2], NULL);
+	service = name ? relay_services_find(services, name) : NULL;
+	if (!service || !primary)
 		return false;
-	primary_lease_granted(relay_service_lease(service), term, fields[2],
+	primary_lease_granted(relay_service_lease(service), term, primary,
 			      sent_ms + remaining_ms);
 	return true;
 }
