--- a/src/relay/relay_coordinator_holder.c
+++ b/src/relay/relay_coordinator_holder.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "relay/relay_registration.h"
 
 void coordinator_holder_clear(coordinator_holder_t *holder)
@@ -38,7 +39,6 @@
 			     const kv_item_t *item)
 {
 	g_autofree char *text = NULL;
-	gsize size;
 
 	if (item->revision <= coordinator->holder_revision)
 		return;
@@ -48,9 +48,8 @@
 		return;
 	}
 	coordinator->holder_revision = item->revision;
-	text = g_strndup(g_bytes_get_data(item->value, &size),
-			 g_bytes_get_size(item->value));
-	decode(text, &coordinator->last_holder);
+	text = text_from_bytes(item->value);
+	decode(text ? text : "", &coordinator->last_holder);
 }
 
 coordinator_holder_t
--- a/src/relay/relay_join.c
+++ b/src/relay/relay_join.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/text.h"
 #include "coordination/hub_slots.h"
 #include "relay/relay_registration.h"
 
@@ -81,8 +82,8 @@
 		relay_hub_key_clear(hub);
 		return false;
 	}
-	hub->domain = g_strndup(place, (gsize)(slash - place));
-	hub->name = g_strndup(value, (gsize)(space - value));
+	hub->domain = text_new(place, (gsize)(slash - place));
+	hub->name = text_new(value, (gsize)(space - value));
 	return true;
 }
 
@@ -104,7 +105,7 @@
 {
 	const char *space = value ? strchr(value, ' ') : NULL;
 
-	return space ? g_strndup(value, (gsize)(space - value)) : NULL;
+	return space ? text_new(value, (gsize)(space - value)) : NULL;
 }
 
 static void schedule(relay_join_t *join, uint64_t delay_ms)
@@ -127,13 +128,7 @@
 
 static char *item_text(const kv_item_t *item)
 {
-	gsize size;
-	const char *bytes;
-
-	if (!item || !item->value)
-		return NULL;
-	bytes = g_bytes_get_data(item->value, &size);
-	return g_strndup(bytes, size);
+	return item ? text_from_bytes(item->value) : NULL;
 }
 
 static void claim(relay_join_t *join, int slot, int64_t revision)
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/text.h"
 #include "relay/relay_callers.h"
 #include "relay/relay_coordinator.h"
 #include "coordination/delegation.h"
@@ -129,8 +130,7 @@
 static void on_hub_key(relay_node_t *node, const kv_item_t *item)
 {
 	const char *own = relay_registration_key(node->registration);
-	gsize size;
-	const char *text;
+	char *text;
 
 	node->hubs_changed = true;
 	if (item->deleted || !item->value) {
@@ -140,9 +140,9 @@
 						       item->revision);
 		return;
 	}
-	text = g_bytes_get_data(item->value, &size);
+	text = text_from_bytes(item->value);
 	g_hash_table_replace(node->hub_values, g_strdup(item->key),
-			     g_strndup(text, size));
+			     text ? text : g_strdup("")); /* names no hub */
 }
 
 static relay_peer_t *peer_parse(const char *key, const char *value)
--- a/src/state/lease_record.c
+++ b/src/state/lease_record.c
@@ -2,6 +2,8 @@
 
 #include <inttypes.h>
 
+#include "base/text.h"
+
 /* Fields of a record: lease id, write time, revision. */
 #define FIELDS_COUNT 3
 
@@ -19,15 +21,11 @@
 
 bool lease_record_decode(GBytes *bytes, lease_record_t *record)
 {
-	g_autofree char *text = NULL;
+	g_autofree char *text = text_from_bytes(bytes);
 	g_auto(GStrv) fields = NULL;
-	gsize size;
-	const char *data;
 
-	if (!bytes)
+	if (!text)
 		return false;
-	data = g_bytes_get_data(bytes, &size);
-	text = g_strndup(data, size);
 	fields = g_strsplit(text, " ", 0);
 	return g_strv_length(fields) == FIELDS_COUNT &&
 	       parse_number(fields[0], &record->lease) &&
--- a/src/state/quota_record.c
+++ b/src/state/quota_record.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "base/text.h"
+
 /* Names of the states, indexed by quota_record_state_t. */
 static const char *const state_names[] = {"leading", "settling", "released"};
 
@@ -25,12 +27,13 @@
 
 bool quota_record_decode(GBytes *value, quota_record_t *record)
 {
-	gsize size;
-	const char *bytes = g_bytes_get_data(value, &size);
-	g_autofree char *text = g_strndup(bytes ? bytes : "", size);
-	g_auto(GStrv) fields = g_strsplit(text, " ", 0);
+	g_autofree char *text = text_from_bytes(value);
+	g_auto(GStrv) fields = NULL;
 
 	*record = (quota_record_t){0};
+	if (!text)
+		return false;
+	fields = g_strsplit(text, " ", 0);
 	if (g_strv_length(fields) != 3 || !*fields[0])
 		return false;
 	if (g_strlcpy(record->holder, fields[0], sizeof(record->holder)) >=
--- a/tests/unit/test_quota_leadership.c
+++ b/tests/unit/test_quota_leadership.c
@@ -322,6 +322,20 @@
 	}
 }
 
+/* Such a record was taken without what follows the NUL byte. */
+static void test_record_with_nul_is_invalid(void **state)
+{
+	static const char text[] = "n1 3 settling\0 more";
+	g_autoptr(GBytes) ended = g_bytes_new(text, strlen(text) + 1);
+	g_autoptr(GBytes) followed = g_bytes_new(text, sizeof(text) - 1);
+	g_autoptr(GBytes) empty = g_bytes_new(NULL, 0);
+	quota_record_t decoded;
+
+	assert_false(quota_record_decode(ended, &decoded));
+	assert_false(quota_record_decode(followed, &decoded));
+	assert_false(quota_record_decode(empty, &decoded));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -341,6 +355,7 @@
 		cmocka_unit_test(test_resigning),
 		cmocka_unit_test(test_unanswered_writes_are_spread),
 		cmocka_unit_test(test_record_encoding),
+		cmocka_unit_test(test_record_with_nul_is_invalid),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
