--- a/src/relay/relay_hub_message.c
+++ b/src/relay/relay_hub_message.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/deflate.h"
+#include "base/text.h"
 
 G_DEFINE_QUARK(hub - message - error - quark, hub_message_error)
 
@@ -236,10 +237,11 @@
 /* @return the value, or NULL if it is invalid */
 static GBytes *decode_value(const char *form, const char *text)
 {
-	g_autofree uint8_t *bytes = NULL;
-	gsize size;
+	gsize size = strlen(text);
+	g_autofree uint8_t *bytes = text_decode_base64(text, &size);
 
-	bytes = g_base64_decode(text, &size);
+	if (!bytes)
+		return NULL;
 	if (!strcmp(form, FORM_COMPRESSED))
 		return deflate_decompress(bytes, size, VALUE_BYTES_MAX);
 	if (strcmp(form, FORM_PLAIN) != 0)
--- a/src/store/store_consul.c
+++ b/src/store/store_consul.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "base/log.h"
+#include "base/text.h"
 #include "protocol/member_list.h"
 #include "transport/http_client.h"
 
@@ -59,15 +60,17 @@
 
 static void deliver_value(const call_t *call, const json_t *entry)
 {
-	const char *text = json_string_value(json_object_get(entry, "Value"));
+	const json_t *value = json_object_get(entry, "Value");
 	const json_t *index = json_object_get(entry, "ModifyIndex");
-	g_autofree guchar *bytes = NULL;
-	gsize size_bytes = 0;
-
-	if (text)
-		bytes = g_base64_decode(text, &size_bytes);
-	if (!json_is_integer(index) || json_integer_value(index) <= 0 ||
-	    size_bytes > VALUE_SIZE_BYTES_MAX)
+	size_t size_bytes = json_string_length(value);
+	g_autofree uint8_t *bytes = NULL;
+
+	/* Consul has null for an empty value. */
+	if (json_is_string(value))
+		bytes = text_decode_base64(json_string_value(value),
+					   &size_bytes);
+	if ((!bytes && !json_is_null(value)) || !json_is_integer(index) ||
+	    json_integer_value(index) <= 0 || size_bytes > VALUE_SIZE_BYTES_MAX)
 		value_done(call, STORE_UNKNOWN, NULL, 0, 0);
 	else
 		value_done(call, STORE_OK, bytes, size_bytes,
@@ -133,14 +136,13 @@
 /* Any answer not listed here leaves the outcome of the write unknown. */
 static store_result_t swap_result(const http_response_t *response)
 {
-	g_autofree char *body = g_strndup((const char *)response->bytes,
-					  MIN(response->size_bytes, 16));
+	g_autofree char *body = text_new(response->bytes, response->size_bytes);
 
 	if (!response->sent)
 		return STORE_REFUSED;
 	if (response->status >= 400 && response->status < 500)
 		return STORE_REFUSED;
-	if (response->status != 200)
+	if (response->status != 200 || !body)
 		return STORE_UNKNOWN;
 	g_strstrip(body);
 	if (!strcmp(body, "true"))
--- a/tests/unit/test_hub_message.c
+++ b/tests/unit/test_hub_message.c
@@ -85,6 +85,24 @@
 	}
 }
 
+/* The value was decoded without the characters that are no base64. */
+static void test_values_are_taken_whole_or_not_at_all(void **state)
+{
+	static const char *const items[] = {"I 0 1 p e*A== k", "I 0 1 p eA= k",
+					    "I 0 1 p eA==eA== k",
+					    "I 0 1 z eA== k"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(items); i++) {
+		g_autoptr(GPtrArray) rows = g_ptr_array_new();
+		g_autoptr(GError) error = NULL;
+
+		g_ptr_array_add(rows, "H 1 2 3 0 4 0");
+		g_ptr_array_add(rows, (gpointer)items[i]);
+		assert_null(hub_answer_decode(rows, &error));
+		assert_non_null(error);
+	}
+}
+
 static void test_request_is_decoded_as_encoded(void **state)
 {
 	const hub_request_t request = {.revisions = {5, 9}};
@@ -177,6 +195,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answer_is_decoded_as_encoded),
 		cmocka_unit_test(test_invalid_answers_are_rejected),
+		cmocka_unit_test(test_values_are_taken_whole_or_not_at_all),
 		cmocka_unit_test(test_request_is_decoded_as_encoded),
 		cmocka_unit_test(test_names_are_decoded_as_encoded),
 		cmocka_unit_test(test_too_many_names_are_rejected),
--- a/tests/unit/test_store_consul.c
+++ b/tests/unit/test_store_consul.c
@@ -181,6 +181,16 @@
 		{REPLY("200 OK", "4", "what"), STORE_UNKNOWN},
 		{REPLY("200 OK", "2", "[]"), STORE_UNKNOWN},
 		{REPLY("200 OK", "16", "[{\"Value\":\"aA\"}]"), STORE_UNKNOWN},
+		/* Values that were taken without what is no base64. */
+		{REPLY("200 OK", "44",
+		       "[{\"Value\":\"aGVsbG8=\\u0000\",\"ModifyIndex\":7}]"),
+		 STORE_UNKNOWN},
+		{REPLY("200 OK", "44",
+		       "[{\"Value\":\"aGVs*bG8=\",\"ModifyIndex\":7}]     "),
+		 STORE_UNKNOWN},
+		{REPLY("200 OK", "44",
+		       "[{\"Value\":5,\"ModifyIndex\":7}]               "),
+		 STORE_UNKNOWN},
 		{REPLY("200 OK", "99999999", "["), STORE_UNKNOWN},
 		{NULL, STORE_UNKNOWN},
 	};
@@ -215,6 +225,9 @@
 		{REPLY("200 OK", "5", "false"), STORE_CONFLICT},
 		{REPLY("200 OK", "3", "tru"), STORE_UNKNOWN},
 		{REPLY("200 OK", "9", "tr"), STORE_UNKNOWN},
+		/* The answer was read up to its 16th byte. */
+		{REPLY("200 OK", "24", "true                more"),
+		 STORE_UNKNOWN},
 		{REPLY("413 Too Large", "0", ""), STORE_REFUSED},
 		{REPLY("500 No leader", "0", ""), STORE_UNKNOWN},
 		{NULL, STORE_UNKNOWN},
