--- a/src/base/yaml_tree.c
+++ b/src/base/yaml_tree.c
@@ -6,6 +6,8 @@
 
 #include <yaml.h>
 
+#include "base/text.h"
+
 typedef struct {
 	yaml_parser_t *parser;
 	const char *file;
@@ -75,6 +77,17 @@
 	return false;
 }
 
+/* @return the scalar's text, or NULL if it contains an escaped NUL */
+static char *scalar_text(reader_t *reader, const yaml_event_t *event)
+{
+	char *text =
+		text_new(event->data.scalar.value, event->data.scalar.length);
+
+	if (!text)
+		fail(reader, event->start_mark.line, "a text contains a NUL");
+	return text;
+}
+
 static yaml_value_t *read_value(reader_t *reader, yaml_event_t *event,
 				uint32_t depth);
 
@@ -104,13 +117,14 @@
 {
 	const size_t line = event->start_mark.line;
 	const bool is_scalar = event->type == YAML_SCALAR_EVENT;
-	g_autofree char *key =
-		is_scalar ? g_strdup((char *)event->data.scalar.value) : NULL;
+	g_autofree char *key = is_scalar ? scalar_text(reader, event) : NULL;
 	g_autofree char *reason = NULL;
 
 	yaml_event_delete(event);
 	if (!is_scalar)
 		return fail(reader, line, "expected a key");
+	if (!key)
+		return NULL;
 	if (!yaml_value_get(map, key))
 		return g_steal_pointer(&key);
 	reason = g_strdup_printf("%s: duplicate key", key);
@@ -145,6 +159,20 @@
 	return NULL;
 }
 
+static yaml_value_t *read_scalar(reader_t *reader, const yaml_event_t *event)
+{
+	char *text = scalar_text(reader, event);
+	yaml_value_t *value;
+
+	if (!text)
+		return NULL;
+	value = value_new(YAML_VALUE_SCALAR, reader->file,
+			  (uint32_t)event->start_mark.line + 1);
+	value->scalar = text;
+	value->quoted = event->data.scalar.style != YAML_PLAIN_SCALAR_STYLE;
+	return value;
+}
+
 /* Reads the value that starts with @p event; frees the event. */
 static yaml_value_t *read_value(reader_t *reader, yaml_event_t *event,
 				uint32_t depth)
@@ -154,11 +182,7 @@
 	yaml_value_t *value;
 
 	if (type == YAML_SCALAR_EVENT) {
-		value = value_new(YAML_VALUE_SCALAR, reader->file,
-				  (uint32_t)line + 1);
-		value->scalar = g_strdup((char *)event->data.scalar.value);
-		value->quoted =
-			event->data.scalar.style != YAML_PLAIN_SCALAR_STYLE;
+		value = read_scalar(reader, event);
 		yaml_event_delete(event);
 		return value;
 	}
@@ -329,7 +353,7 @@
 		const size_t skip = bracket || *path == '.';
 		const size_t length =
 			strcspn(path + skip, bracket ? "]" : ".[");
-		g_autofree char *key = g_strndup(path + skip, length);
+		g_autofree char *key = text_new(path + skip, length);
 
 		if (value)
 			value = bracket ? list_element(value, key) :
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -95,6 +95,11 @@
 static const invalid_t invalid[] = {
 	{1, "node: Akl_1", ":1: node: expected a name of a-z"},
 	{1, "node: ''", ":1: node: expected a name"},
+	/* These were read up to the NUL. */
+	{1, "node: \"akl-1\\0-x\"", ":1: a text contains a NUL"},
+	{1, "\"node\\0x\": akl-1", ":1: a text contains a NUL"},
+	{10, "seeds: [{address: \"10.0.0.1\\x00\", port: 1}]",
+	 ":10: a text contains a NUL"},
 	{1, "nodes: akl-1", ":1: Unexpected key: nodes"},
 	{3, "", "failure_domain"},
 	{3, "failure_domain: [a]", ":3: "},
