--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -202,6 +203,32 @@
 }
 
 /* A document with random changes yields an entry or an error, never both. */
+/* Such a name was sent to servers and nodes as several fields, or lines. */
+static void test_odd_service_names_are_skipped(void **state)
+{
+	static const char *const names[] = {
+		"", "a b", "a\\r\\nb", "a\\u0085\\n", "a\\\"b", "a\\\\b"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"version\":7,\"routes\":[{\"database\":\"d\","
+			"\"service\":\"%s\",\"route_type\":\"primary\"},"
+			"{\"database\":\"e\",\"service\":\"k\xc4\x81\","
+			"\"route_type\":\"primary\"}],"
+			"\"services\":[{\"name\":\"%s\"},"
+			"{\"name\":\"k\xc4\x81\"}]}",
+			names[i], names[i]);
+		g_autoptr(GError) error = NULL;
+		g_autoptr(catalog_t) catalog = catalog_of(text, &error);
+
+		assert_non_null(catalog);
+		assert_null(catalog_database(catalog, "d"));
+		assert_non_null(catalog_database(catalog, "e"));
+		assert_non_null(catalog_service(catalog, "k\xc4\x81"));
+		assert_int_equal(g_hash_table_size(catalog->services), 1);
+	}
+}
+
 static void test_mutated_documents(void **state)
 {
 	g_autoptr(GRand) random = g_rand_new_with_seed(20261204);
@@ -378,6 +405,37 @@
 	assert_non_null(strstr(other->message, "listen_addrs.front"));
 }
 
+/* Such a name became two fields of a record, or two parts of a key. */
+static void test_settings_names_are_single_fields(void **state)
+{
+	static const char *const names[] = {"a b", "a\tb", "a/b", "a\x7f",
+					    "a\xff"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_autofree char *text =
+			g_strdup_printf("node_name=%s\n", names[i]);
+		g_autoptr(GError) error = NULL;
+
+		assert_null(boot_settings_parse(text, &error));
+		assert_non_null(strstr(error->message, "node_name"));
+	}
+}
+
+/* The settings behind the NUL byte were ignored. */
+static void test_settings_file_with_nul_is_refused(void **state)
+{
+	static const char text[] = "node_name=a\nzone=z\0\n";
+	g_autofree char *path = NULL;
+	const int file = g_file_open_tmp(NULL, &path, NULL);
+	g_autoptr(GError) error = NULL;
+
+	assert_int_equal(write(file, text, sizeof(text) - 1), sizeof(text) - 1);
+	close(file);
+	assert_null(boot_settings_load(path, &error));
+	unlink(path);
+	assert_non_null(strstr(error->message, "NUL"));
+}
+
 static void test_primary_record(void **state)
 {
 	const primary_record_t record = {
@@ -427,6 +485,7 @@
 		cmocka_unit_test(test_odd_ids),
 		cmocka_unit_test(test_large_and_nested_entries),
 		cmocka_unit_test(test_invalid_catalogs),
+		cmocka_unit_test(test_odd_service_names_are_skipped),
 		cmocka_unit_test(test_mutated_documents),
 		cmocka_unit_test(
 			test_store_values_are_taken_whole_or_not_at_all),
@@ -434,6 +493,8 @@
 		cmocka_unit_test(test_store_answers),
 		cmocka_unit_test(test_settings),
 		cmocka_unit_test(test_settings_errors_name_the_setting),
+		cmocka_unit_test(test_settings_names_are_single_fields),
+		cmocka_unit_test(test_settings_file_with_nul_is_refused),
 		cmocka_unit_test(test_primary_record),
 	};
 
