--- a/src/protocol/pg_frame.c
+++ b/src/protocol/pg_frame.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/text.h"
+
 #define LENGTH_SIZE_BYTES 4
 #define TYPE_TEXT 25 /* object identifier of PostgreSQL's type text */
 
@@ -104,6 +106,11 @@
 					   (size_t)(end - reader->next) + 1);
 }
 
+bool pg_reader_is_done(const pg_reader_t *reader)
+{
+	return !reader->bad && !reader->left_bytes;
+}
+
 const char *pg_error_field(const pg_message_t *message, char code)
 {
 	pg_reader_t reader = pg_reader(message);
@@ -120,16 +127,19 @@
 	}
 }
 
-/* Reads one column of a row. @return NULL if the column is truncated */
+/* Reads one column of a row. @return NULL with bad set if it is no text */
 static char *read_column(pg_reader_t *reader)
 {
 	const uint32_t size_bytes = pg_read_u32(reader);
 	const uint8_t *bytes = NULL;
+	char *text = NULL;
 
 	if (size_bytes == UINT32_MAX)
 		return g_strdup("");
 	bytes = pg_read_bytes(reader, size_bytes);
-	return bytes ? g_strndup((const char *)bytes, size_bytes) : NULL;
+	text = bytes ? text_new(bytes, size_bytes) : NULL;
+	reader->bad |= !text;
+	return text;
 }
 
 char **pg_row_read(const pg_message_t *message, uint16_t columns_count)
@@ -143,7 +153,7 @@
 	values = g_new0(char *, (size_t)columns_count + 1);
 	for (i = 0; i < columns_count && !reader.bad; i++)
 		values[i] = read_column(&reader);
-	if (reader.bad)
+	if (reader.bad || reader.left_bytes)
 		g_clear_pointer(&values, g_strfreev);
 	return values;
 }
--- a/src/protocol/pg_frame.h
+++ b/src/protocol/pg_frame.h
@@ -81,6 +81,12 @@
  */
 const uint8_t *pg_read_bytes(pg_reader_t *reader, size_t size_bytes);
 
+/**
+ * @return whether all fields were read and nothing follows them: what follows
+ *         would be lost when the message is written again
+ */
+bool pg_reader_is_done(const pg_reader_t *reader);
+
 /**
  * Finds a field of an ErrorResponse.
  *
@@ -93,8 +99,8 @@
  * Copies the columns of a DataRow as text.
  *
  * @param columns_count number of columns that the row must have
- * @return NULL-terminated values, "" for a null; NULL if the row is invalid or
- *         has another number of columns
+ * @return NULL-terminated values, "" for a null; NULL if the row is invalid,
+ *         has another number of columns or a value with a NUL
  */
 char **pg_row_read(const pg_message_t *message, uint16_t columns_count);
 
--- a/tests/unit/test_pg_frame_fuzz.c
+++ b/tests/unit/test_pg_frame_fuzz.c
@@ -118,12 +118,54 @@
 	assert_string_equal((const char *)message.body, "SELECT 1");
 }
 
+/* A column was read up to its first NUL byte. */
+static void test_rows_are_read_whole_or_not_at_all(void **state)
+{
+	static const struct {
+		const char *bytes;
+		guint8 size;
+		guint8 surplus;
+		bool valid;
+	} columns[] = {
+		{"12", 2, 0, true},
+		{"", 0, 0, true},
+		{"12\0003", 4, 0, false},
+		{"12", 3, 0, false},
+		{"\0", 1, 0, false},
+		{"12", 2, 1, false},
+		{"k\xc4\x81 \t\r\n", 7, 0, true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(columns); i++) {
+		g_autoptr(GByteArray) out = g_byte_array_new();
+		const size_t mark = pg_write_begin(out, 'D');
+		pg_message_t message = {0};
+		g_auto(GStrv) row = NULL;
+
+		pg_write_u16(out, 1);
+		pg_write_u32(out, columns[i].size);
+		g_byte_array_append(out, (const guint8 *)columns[i].bytes,
+				    columns[i].size);
+		g_byte_array_append(out, (const guint8 *)"x",
+				    columns[i].surplus);
+		pg_write_end(out, mark);
+		assert_int_equal(
+			pg_frame_next(out->data, out->len, SIZE_MAX, &message),
+			PG_FRAME_READY);
+		row = pg_row_read(&message, 1);
+		assert_true((row != NULL) == columns[i].valid);
+		if (row)
+			assert_int_equal(strlen(row[0]), columns[i].size);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_mutated_streams_stay_in_bounds),
 		cmocka_unit_test(test_invalid_length_is_rejected_at_once),
 		cmocka_unit_test(test_truncated_message_is_incomplete),
+		cmocka_unit_test(test_rows_are_read_whole_or_not_at_all),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
