--- a/src/daemon/session_request.c
+++ b/src/daemon/session_request.c
@@ -459,8 +459,18 @@
 	refuse_batch(session, error.sqlstate, error.message);
 }
 
+/* @return whether the message has a body that its type does not have */
+static bool has_surplus(const pg_message_t *message)
+{
+	return message->body_size_bytes && strchr("HSX", message->type);
+}
+
 void session_request_message(session_t *session, const pg_message_t *message)
 {
+	if (has_surplus(message)) {
+		session_fatal(session, "08P01", "invalid message format");
+		return;
+	}
 	switch (message->type) {
 	case 'Q':
 		handle_query(session, message);
--- a/src/protocol/batch.c
+++ b/src/protocol/batch.c
@@ -10,6 +10,7 @@
 	statement_cache_t *cache;
 	prepared_table_t *prepared;
 	GHashTable *slots;   /* caller's statement name -> slot, from 1 */
+	guint slots_count;   /* slots in use, also by names since closed */
 	GHashTable *portals; /* portal name -> prepared_t */
 	GPtrArray *used;     /* prepared_t that steps refer to */
 	GArray *steps;	     /* batch_step_t */
@@ -122,9 +123,9 @@
 	*is_new = !slot;
 	if (slot)
 		return slot;
-	if (g_hash_table_size(batch->slots) >= BATCH_SLOTS_MAX)
+	if (batch->slots_count >= BATCH_SLOTS_MAX)
 		return 0;
-	slot = g_hash_table_size(batch->slots) + 1;
+	slot = ++batch->slots_count;
 	g_hash_table_insert(batch->slots, g_strdup(name),
 			    GUINT_TO_POINTER(slot));
 	return slot;
@@ -240,7 +241,7 @@
 	size_t mark;
 	guint slot;
 
-	if (reader.bad || (target != 'S' && target != 'P'))
+	if (!pg_reader_is_done(&reader) || (target != 'S' && target != 'P'))
 		return fail_format(error);
 	if (target == 'P') {
 		write_unchanged(batch, message);
@@ -267,7 +268,7 @@
 	const char *portal = pg_read_string(&reader);
 
 	pg_read_u32(&reader);
-	if (reader.bad)
+	if (!pg_reader_is_done(&reader))
 		return fail_format(error);
 	write_unchanged(batch, message);
 	add_step(batch, 'E', 0, g_hash_table_lookup(batch->portals, portal));
@@ -283,7 +284,7 @@
 	bool is_new = false;
 	guint slot;
 
-	if (reader.bad || (target != 'S' && target != 'P'))
+	if (!pg_reader_is_done(&reader) || (target != 'S' && target != 'P'))
 		return fail_format(error);
 	if (target == 'P') {
 		write_unchanged(batch, message);
@@ -296,8 +297,6 @@
 		return fail(error, "54000", "too many statements in one batch");
 	write_close(batch, slot, false);
 	g_hash_table_remove(batch->slots, name);
-	g_hash_table_insert(batch->slots, g_strdup_printf("\n%u", slot),
-			    GUINT_TO_POINTER(slot));
 	add_step(batch, 'C', 'S', prepared_table_find(batch->prepared, name));
 	prepared_table_drop(batch->prepared, name);
 	return true;
@@ -467,6 +466,7 @@
 void batch_clear(batch_t *batch)
 {
 	g_hash_table_remove_all(batch->slots);
+	batch->slots_count = 0;
 	g_hash_table_remove_all(batch->portals);
 	g_ptr_array_set_size(batch->used, 0);
 	g_array_set_size(batch->steps, 0);
--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -183,6 +183,55 @@
 	assert_true(batch_summarize(batch).writes);
 }
 
+/* A closed statement left its slot under such a name. */
+static void test_any_name_is_a_statement_of_its_own(void **state)
+{
+	static const char *const names[] = {"\n1", "\n2", "th1", "", "\xff"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_autoptr(batch_t) batch = batch_create(cache);
+		g_autofree char *types = NULL;
+		batch_error_t error = {0};
+
+		assert_true(add(batch, parse(names[i], "SELECT 1"), &error));
+		batch_clear(batch);
+		assert_true(add(batch, parse("a", "SELECT 2"), &error));
+		assert_true(add(batch, close_statement("a"), &error));
+		assert_true(add(batch, bind("", names[i]), &error));
+		types = sent_types(batch);
+		/* Bind follows a Parse of the statement, hidden from the
+		 * caller.
+		 */
+		assert_string_equal(types, "CPCCPBS");
+	}
+}
+
+/* Appends one byte to the body of a message. */
+static GByteArray *with_surplus(GByteArray *bytes)
+{
+	pg_write_u8(bytes, 'x');
+	pg_write_end(bytes, 0);
+	return bytes;
+}
+
+/* The message was written again without its last bytes. */
+static void test_surplus_bytes_are_refused(void **state)
+{
+	g_autoptr(batch_t) batch = batch_create(cache);
+	GByteArray *const messages[] = {
+		with_surplus(parse("a", "SELECT 1")),
+		with_surplus(execute("")),
+		with_surplus(close_statement("a")),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(messages); i++) {
+		batch_error_t error = {0};
+
+		assert_false(add(batch, messages[i], &error));
+		assert_string_equal(error.sqlstate, "08P01");
+	}
+}
+
 static void test_prepared_statements_are_limited(void **state)
 {
 	g_autoptr(batch_t) batch = batch_create(cache);
@@ -242,6 +291,8 @@
 		cmocka_unit_test(test_only_inserted_answers_are_removed),
 		cmocka_unit_test(test_missing_statement_is_an_error),
 		cmocka_unit_test(test_summary_depends_on_executed_statements),
+		cmocka_unit_test(test_any_name_is_a_statement_of_its_own),
+		cmocka_unit_test(test_surplus_bytes_are_refused),
 		cmocka_unit_test(test_prepared_statements_are_limited),
 		cmocka_unit_test(
 			test_mutated_messages_are_accepted_or_rejected),
