--- a/src/daemon/session.c
+++ b/src/daemon/session.c
@@ -173,6 +173,8 @@
 	log_event(LOG_LEVEL_INFO, "session_closed",
 		  "process_id=%u sqlstate=%s reason=\"%s\"",
 		  session->process_id, sqlstate, message);
+	/* A transaction must not wait for the caller to read the error. */
+	session_request_abandon(session);
 	session->state = SESSION_CLOSING;
 	pg_write_error(out, "FATAL", sqlstate, message, NULL);
 	bufferevent_disable(session->bev, EV_READ);
--- a/src/daemon/session_login.c
+++ b/src/daemon/session_login.c
@@ -7,6 +7,7 @@
 #include <openssl/rand.h>
 
 #include "base/log.h"
+#include "base/text.h"
 #include "daemon/session_request.h"
 
 #define NONCE_SIZE_BYTES 18
@@ -174,8 +175,11 @@
 		const char *name = pg_read_string(reader);
 		const char *value = NULL;
 
-		if (!name || !*name)
+		if (!name || !*name) {
+			/* An empty name ends the packet. */
+			reader->bad |= !pg_reader_is_done(reader);
 			return true;
+		}
 		value = pg_read_string(reader);
 		if (!value)
 			return true;
@@ -222,7 +226,7 @@
 	const uint32_t process_id = pg_read_u32(reader);
 	const uint32_t secret = pg_read_u32(reader);
 
-	if (!reader->bad)
+	if (pg_reader_is_done(reader))
 		session->host->cancel(session->host->context, process_id,
 				      secret);
 	session_end_later(session);
@@ -293,7 +297,7 @@
 	if (!mechanism || strcmp(mechanism, MECHANISM) != 0)
 		return NULL;
 	bytes = pg_read_bytes(&reader, size);
-	return bytes ? g_strndup((const char *)bytes, size) : NULL;
+	return pg_reader_is_done(&reader) ? text_new(bytes, size) : NULL;
 }
 
 static void handle_client_first(session_t *session, const pg_message_t *message)
@@ -316,9 +320,10 @@
 
 static void handle_client_final(session_t *session, const pg_message_t *message)
 {
-	g_autofree char *final = g_strndup((const char *)message->body,
-					   message->body_size_bytes);
-	g_autofree char *answer = scram_final(session->scram, final);
+	g_autofree char *final =
+		text_new(message->body, message->body_size_bytes);
+	g_autofree char *answer =
+		final ? scram_final(session->scram, final) : NULL;
 
 	if (!answer || !session_refresh(session)) {
 		reject_login(session, "28P01",
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -180,8 +180,7 @@
 	PQfinish(other);
 }
 
-/* Sends bytes and expects an error and then the end of the stream. */
-static void assert_rejected_and_closed(const void *bytes, size_t size)
+static int connect_raw(void)
 {
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
@@ -189,10 +188,17 @@
 		.sin_port = htons(entry.settings.callers.port),
 	};
 	const int fd = socket(AF_INET, SOCK_STREAM, 0);
-	char answer[256];
 
 	assert_int_equal(
 		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+/* Expects an error and then the end of the stream; closes the socket. */
+static void assert_rejected(int fd, const void *bytes, size_t size)
+{
+	char answer[256];
+
 	assert_int_equal(write(fd, bytes, size), size);
 	assert_true(read(fd, answer, sizeof(answer)) > 0);
 	assert_int_equal(answer[0], 'E');
@@ -201,6 +207,111 @@
 	close(fd);
 }
 
+static void assert_rejected_and_closed(const void *bytes, size_t size)
+{
+	assert_rejected(connect_raw(), bytes, size);
+}
+
+/* @return a start-up packet with the parameters */
+static GByteArray *startup_packet(const void *parameters, size_t size)
+{
+	GByteArray *packet = g_byte_array_new();
+
+	pg_write_u32(packet, (uint32_t)size + 8);
+	pg_write_u32(packet, PG_CODE_VERSION_3);
+	g_byte_array_append(packet, parameters, (guint)size);
+	return packet;
+}
+
+/* What follows the last parameter was ignored. */
+static void test_start_up_with_surplus_is_refused(void **state)
+{
+	static const char surplus[] = "user\0foreman\0database\0match\0\0x";
+	g_autoptr(GByteArray) packet = startup_packet(surplus, sizeof(surplus));
+
+	assert_rejected_and_closed(packet->data, packet->len);
+}
+
+/* @return the first SASL message with the data and, if wanted, a byte more */
+static GByteArray *sasl_message(const void *data, size_t size, bool surplus)
+{
+	GByteArray *message = g_byte_array_new();
+	const size_t mark = pg_write_begin(message, 'p');
+
+	pg_write_string(message, "SCRAM-SHA-256");
+	pg_write_u32(message, (uint32_t)size);
+	g_byte_array_append(message, data, (guint)size);
+	if (surplus)
+		pg_write_u8(message, 'x');
+	pg_write_end(message, mark);
+	return message;
+}
+
+/* Logs in up to the request for the first SASL message. */
+static int connect_for_sasl(void)
+{
+	static const char owner[] = "user\0owner\0database\0match\0";
+	g_autoptr(GByteArray) packet = startup_packet(owner, sizeof(owner));
+	const int fd = connect_raw();
+	char answer[256];
+
+	assert_int_equal(write(fd, packet->data, packet->len), packet->len);
+	assert_true(read(fd, answer, sizeof(answer)) > 0);
+	assert_int_equal(answer[0], 'R');
+	return fd;
+}
+
+/* Such a message was taken without what follows the NUL byte. */
+static void test_login_message_with_nul_is_refused(void **state)
+{
+	static const char first[] = "n,,n=,r=abc\0x";
+	static const char final[] = "c=biws,r=abc\0x";
+	GByteArray *const firsts[] = {
+		sasl_message(first, sizeof(first) - 1, false),
+		sasl_message(first, strlen(first) + 1, false),
+		sasl_message(first, strlen(first), true),
+	};
+	g_autoptr(GByteArray) valid = sasl_message(first, strlen(first), false);
+	g_autoptr(GByteArray) last = g_byte_array_new();
+	const size_t mark = pg_write_begin(last, 'p');
+	int fd;
+	char answer[256];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(firsts); i++) {
+		assert_rejected(connect_for_sasl(), firsts[i]->data,
+				firsts[i]->len);
+		g_byte_array_unref(firsts[i]);
+	}
+	fd = connect_for_sasl();
+	assert_int_equal(write(fd, valid->data, valid->len), valid->len);
+	assert_true(read(fd, answer, sizeof(answer)) > 0);
+	assert_int_equal(answer[0], 'R');
+	g_byte_array_append(last, (const guint8 *) final, sizeof(final) - 1);
+	pg_write_end(last, mark);
+	assert_rejected(fd, last->data, last->len);
+	wait_for(&entry.sessions, 0);
+}
+
+/* The statement behind the NUL byte, or all of it, was another one. */
+static void test_query_with_nul_ends_its_transaction(void **state)
+{
+	static const char query[] = "INSERT INTO pairing VALUES (2)\0; x";
+	PGconn *conn = connect_as_foreman("");
+	g_autoptr(GByteArray) message = g_byte_array_new();
+	const size_t mark = pg_write_begin(message, 'Q');
+
+	assert_sqlstate(conn, "BEGIN", "");
+	assert_sqlstate(conn, "INSERT INTO pairing VALUES (1)", "");
+	wait_for(&entry.busy, 1);
+	g_byte_array_append(message, (const guint8 *)query, sizeof(query));
+	pg_write_end(message, mark);
+	assert_int_equal(write(PQsocket(conn), message->data, message->len),
+			 message->len);
+	/* Although the caller has not read the error. */
+	wait_for(&entry.busy, 0);
+	PQfinish(conn);
+}
+
 static void test_broken_start_up_is_refused_at_once(void **state)
 {
 	static const uint8_t large[] = {0x40, 0, 0, 0, 0, 3, 0, 0};
@@ -278,6 +389,9 @@
 			set_up_tls, tear_down_tls),
 		TEST(test_caller_that_does_not_read_is_closed),
 		TEST(test_broken_start_up_is_refused_at_once),
+		TEST(test_start_up_with_surplus_is_refused),
+		TEST(test_login_message_with_nul_is_refused),
+		TEST(test_query_with_nul_ends_its_transaction),
 		TEST(test_drain_lets_transactions_end),
 		TEST(test_drain_refuses_a_caller_that_is_never_idle),
 	};
