--- a/src/protocol/group_note.c
+++ b/src/protocol/group_note.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "protocol/group_note.pb-c.h"
+#include "protocol/unpacked.h"
 
 static void status_encode(const server_status_t *from,
 			  Toucanhook__ServerStatus *to)
@@ -104,7 +105,8 @@
 	message = toucanhook__group_note__unpack(NULL, size_bytes, bytes);
 	if (!message)
 		return false;
-	valid = message_valid(message);
+	valid = unpacked_is_whole(&message->base, size_bytes) &&
+		message_valid(message);
 	if (valid)
 		note_fill(message, note);
 	toucanhook__group_note__free_unpacked(message, NULL);
--- a/src/protocol/peer_message_decode.c
+++ b/src/protocol/peer_message_decode.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "protocol/peer.pb-c.h"
+#include "protocol/unpacked.h"
 
 /* Memory for unpacking beyond the size of the message, in bytes. */
 #define UNPACK_EXTRA_BYTES (64 * 1024)
@@ -295,7 +296,9 @@
 	envelope = peer__envelope__unpack(&allocator, size_bytes, bytes);
 	if (!envelope)
 		return NULL;
-	message = decode_envelope(envelope);
+	message = unpacked_is_whole(&envelope->base, size_bytes) ?
+			  decode_envelope(envelope) :
+			  NULL;
 	peer__envelope__free_unpacked(envelope, &allocator);
 	return message;
 }
--- a/tests/unit/test_group_note.c
+++ b/tests/unit/test_group_note.c
@@ -58,6 +58,40 @@
 			 sent.status.replayed.term);
 }
 
+/* The name was taken up to its NUL byte. */
+static void test_names_with_nul_are_rejected(void **state)
+{
+	group_note_t note = sample();
+	uint8_t bytes[GROUP_NOTE_SIZE_BYTES_MAX];
+	uint8_t *found;
+	size_t size;
+	group_note_t decoded;
+
+	strcpy(note.server, "match-1~x");
+	size = group_note_encode(&note, bytes, sizeof(bytes));
+	found = memchr(bytes, '~', size);
+	assert_non_null(found);
+	*found = '!';
+	assert_true(group_note_decode(bytes, size, &decoded));
+	assert_string_equal(decoded.server, "match-1!x");
+	*found = 0;
+	assert_false(group_note_decode(bytes, size, &decoded));
+}
+
+/* The last of both was taken; see protocol/unpacked.h. */
+static void test_field_that_comes_twice_is_rejected(void **state)
+{
+	static const uint8_t another_id[] = {2 << 3, 5};
+	const group_note_t note = sample();
+	uint8_t bytes[GROUP_NOTE_SIZE_BYTES_MAX];
+	const size_t size = group_note_encode(&note, bytes, sizeof(bytes));
+	group_note_t decoded;
+
+	memcpy(bytes + size, another_id, sizeof(another_id));
+	assert_false(
+		group_note_decode(bytes, size + sizeof(another_id), &decoded));
+}
+
 static void test_longest_names_fit(void **state)
 {
 	group_note_t note = sample();
@@ -115,6 +149,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_note_round_trip),
+		cmocka_unit_test(test_names_with_nul_are_rejected),
+		cmocka_unit_test(test_field_that_comes_twice_is_rejected),
 		cmocka_unit_test(test_longest_names_fit),
 		cmocka_unit_test(test_success_without_status_is_rejected),
 		cmocka_unit_test(
--- a/tests/unit/test_peer_message.c
+++ b/tests/unit/test_peer_message.c
@@ -158,6 +158,55 @@
 			    sizeof(*heartbeat->heartbeat));
 }
 
+/* Replaces one byte of a message that is found once, then decodes it. */
+static peer_message_t *decode_changed(peer_message_t *message, char from,
+				      char to)
+{
+	g_autoptr(GBytes) bytes = peer_message_encode(message);
+	gsize size_bytes;
+	const uint8_t *data = g_bytes_get_data(bytes, &size_bytes);
+	g_autofree uint8_t *changed = g_memdup2(data, size_bytes);
+	uint8_t *found = memchr(changed, from, size_bytes);
+
+	peer_message_delete(message);
+	assert_non_null(found);
+	*found = (uint8_t)to;
+	assert_null(
+		memchr(found, from, size_bytes - (size_t)(found - changed)));
+	return peer_message_decode(changed, size_bytes);
+}
+
+/* The name was taken up to its NUL byte. */
+static void test_names_with_nul_are_rejected(void **state)
+{
+	for (int place = 0; place < 5; place++) {
+		for (int valid = 0; valid < 2; valid++) {
+			peer_message_t *message = with_sender(
+				place == 4 ? sample_end() : sample_request());
+			g_autoptr(peer_message_t) decoded = NULL;
+			request_t *request = message->request;
+
+			if (place == 0)
+				strcpy(message->sender, "a1~x");
+			else if (place == 1)
+				request->database = (g_free(request->database),
+						     g_strdup("d~x"));
+			else if (place == 2)
+				request->tenant = (g_free(request->tenant),
+						   g_strdup("t~x"));
+			else if (place == 3)
+				request->request_key =
+					(g_free(request->request_key),
+					 g_strdup("k~x"));
+			else
+				strcpy(message->answer.primary, "s~x");
+			decoded = decode_changed(message, '~',
+						 (char)(valid ? '!' : '\0'));
+			assert_true((decoded != NULL) == valid);
+		}
+	}
+}
+
 static void test_out_of_bounds_is_rejected(void **state)
 {
 	g_autoptr(peer_message_t) kind = with_sender(sample_request());
@@ -252,6 +301,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_request_round_trip),
 		cmocka_unit_test(test_answer_and_heartbeat_round_trip),
+		cmocka_unit_test(test_names_with_nul_are_rejected),
 		cmocka_unit_test(test_out_of_bounds_is_rejected),
 		cmocka_unit_test(test_unpacking_is_bounded),
 		cmocka_unit_test(test_mutated_messages_decode_within_bounds),
