--- a/src/daemon/operators_task.c
+++ b/src/daemon/operators_task.c
@@ -10,6 +10,7 @@
 #include <jansson.h>
 
 #include "base/log.h"
+#include "transport/http_address.h"
 
 #define BODY_SIZE_BYTES_MAX 4096
 #define HEADERS_SIZE_BYTES_MAX 8192
@@ -51,9 +52,9 @@
 }
 
 /*
- * Checks the method and rejects cross-site requests: browsers add an Origin
- * header to a POST, and no web page may send orders through an operator's
- * browser.
+ * Checks the address and the method, and rejects cross-site requests: browsers
+ * add an Origin header to a POST, and no web page may send orders through an
+ * operator's browser.
  */
 static bool accept_request(struct evhttp_request *request,
 			   enum evhttp_cmd_type method)
@@ -61,6 +62,11 @@
 	const struct evkeyvalq *headers =
 		evhttp_request_get_input_headers(request);
 
+	if (!http_address_is_whole(request)) {
+		reply_result(request, HTTP_BADREQUEST, "error",
+			     "the address contains a NUL");
+		return false;
+	}
 	if (evhttp_request_get_command(request) != method) {
 		reply_result(request, HTTP_BADMETHOD, "error",
 			     method == EVHTTP_REQ_GET ? "expected GET" :
--- a/src/relay/relay_status_page.c
+++ b/src/relay/relay_status_page.c
@@ -4,6 +4,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "transport/http_address.h"
+
 G_DEFINE_QUARK(relay - status - page - error - quark, relay_status_page_error)
 
 struct relay_status_page {
@@ -47,7 +49,8 @@
 	const char *database = NULL;
 	g_autofree char *text = NULL;
 
-	if (query && !evhttp_parse_query_str(query, &values))
+	if (query && http_address_is_whole(request) &&
+	    !evhttp_parse_query_str(query, &values))
 		database = evhttp_find_header(&values, "database");
 	if (database)
 		text = page->explain(page->context, database,
--- a/tests/unit/test_operators.c
+++ b/tests/unit/test_operators.c
@@ -160,6 +160,32 @@
 			 404);
 }
 
+/* Names and paths were taken up to the NUL. */
+static void test_address_with_nul_is_refused(void **state)
+{
+	static const char *const paths[] = {
+		"/drain%00x",
+		"/promote%00?database=pairings&confirm=pairings",
+		"/promote?database=pairings%00x&confirm=pairings",
+		"/promote?database=pairings&confirm=pairings%00",
+		"/promote?database=pairings&confirm=pairings&server=p%00x",
+		"/promote?database=pairings&confirm=pairings&x=%00",
+	};
+	fixture_t *fixture = *state;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++)
+		assert_int_equal(send_request(fixture, HTTP_POST, paths[i]),
+				 400);
+	assert_int_equal(fixture->node.drains, 0);
+	assert_int_equal(fixture->node.promotions, 0);
+	assert_int_equal(
+		send_request(fixture, HTTP_POST,
+			     "/promote?database=pairings&confirm=pairings"
+			     "&server=a%2500"),
+		202);
+	assert_string_equal(fixture->node.server, "a%00");
+}
+
 static void test_address_in_use_is_an_error(void **state)
 {
 	fixture_t *fixture = *state;
@@ -182,6 +208,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_orders_need_post_and_confirmation, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_address_with_nul_is_refused, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_address_in_use_is_an_error,
 						setup, teardown),
 	};
