--- a/src/base/log.c
+++ b/src/base/log.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/log_fields.h"
 #include "base/log_limit.h"
 
 #define LOG_FIELDS_SIZE 1024
@@ -41,14 +42,6 @@
 	log_highest = highest;
 }
 
-/* Replaces control characters, so that external input cannot forge lines. */
-static void replace_controls(char *text)
-{
-	for (; *text; text++)
-		if ((unsigned char)*text < ' ' || *text == 0x7f)
-			*text = '?';
-}
-
 /* Drops the line if a slow reader would make the write block. */
 static void put_line(const char *line, size_t size)
 {
@@ -95,8 +88,7 @@
 	if (!log_limit_admit(log_limit, event, clock_now_ms(), &left_out))
 		return;
 	va_start(arguments, format);
-	vsnprintf(fields, sizeof(fields), format, arguments);
+	log_fields_format(fields, sizeof(fields), format, arguments);
 	va_end(arguments);
-	replace_controls(fields);
 	write_line(level, event, fields, left_out);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -20,7 +20,8 @@
  * event name, then the formatted key=value fields. The rate of each event is
  * limited; the next line of a limited event reports the number of omitted lines
  * as left_out. A line is dropped if writing it would block. Fields must contain
- * neither secrets nor row data.
+ * neither secrets nor row data. No text can leave its field or its line, see
+ * log_fields.h.
  *
  * @param event  snake_case name of the event
  * @param format fields such as "database=%s term=%" PRIu64, or ""
