--- a/Makefile
+++ b/Makefile
@@ -111,6 +111,7 @@
 format-check:
 	@clang-format --dry-run -Werror $(C_FILES)
 	@scripts/check_names.sh
+	@scripts/check_text.sh
 
 lint: $(LINT_STAMPS)
 
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -10,7 +10,7 @@
 /**
  * Bytes that come with a length, as C strings. A C string ends at its first
  * NUL, so bytes that contain one have no equal C string; these functions are
- * the only way from the one to the other (scripts/check_names.sh), and never
+ * the only way from the one to the other (scripts/check_text.sh), and never
  * shorten or change what they convert.
  */
 
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -5,6 +5,8 @@
 
 #include <arpa/inet.h>
 
+#include "base/text.h"
+
 static void print_help(const ctl_arguments_t *arguments)
 {
 	printf("Usage: toucanctl %s", arguments->name);
@@ -51,7 +53,7 @@
 {
 	const char *colon = strrchr(text, ':');
 	g_autofree char *address =
-		colon ? g_strndup(text, (gsize)(colon - text)) : NULL;
+		colon ? text_new(text, (size_t)(colon - text)) : NULL;
 	guint64 port = 0;
 	size_t length;
 
--- a/src/ctl/ctl_node.c
+++ b/src/ctl/ctl_node.c
@@ -8,6 +8,7 @@
 
 #include <jansson.h>
 
+#include "base/text.h"
 #include "ctl/ctl_status.h"
 #include "transport/http_client.h"
 
@@ -28,8 +29,9 @@
 
 	answer->answered = true;
 	answer->status = response->status;
-	answer->body =
-		g_strndup((const char *)response->bytes, response->size_bytes);
+	answer->body = text_new(response->bytes, response->size_bytes);
+	if (!answer->body)
+		answer->body = g_strdup("the answer is no text");
 }
 
 /* Sends a request and waits for its end. Free the body with g_free(). */
--- a/src/protocol/scram.c
+++ b/src/protocol/scram.c
@@ -7,6 +7,8 @@
 #include <openssl/hmac.h>
 #include <openssl/sha.h>
 
+#include "base/text.h"
+
 /*
  * libgsasl rejects the empty user name in the client-first-message of
  * PostgreSQL's clients, so the exchange uses OpenSSL's primitives directly.
@@ -44,10 +46,10 @@
 
 static bool decode_key(const char *text, uint8_t *key)
 {
-	gsize size_bytes = 0;
-	g_autofree guchar *bytes = g_base64_decode(text, &size_bytes);
+	size_t size_bytes = strlen(text);
+	g_autofree uint8_t *bytes = text_decode_base64(text, &size_bytes);
 
-	if (size_bytes != KEY_SIZE_BYTES)
+	if (!bytes || size_bytes != KEY_SIZE_BYTES)
 		return false;
 	memcpy(key, bytes, KEY_SIZE_BYTES);
 	return true;
@@ -58,8 +60,8 @@
 	g_auto(GStrv) parts = g_strsplit(text, "$", 4);
 	g_auto(GStrv) iterations_and_salt = NULL;
 	g_auto(GStrv) keys = NULL;
-	g_autofree guchar *salt = NULL;
-	gsize salt_size = 0;
+	g_autofree uint8_t *salt = NULL;
+	size_t salt_size = 0;
 	guint64 iterations = 0;
 
 	if (g_strv_length(parts) != 3 || strcmp(parts[0], MECHANISM) != 0)
@@ -72,8 +74,10 @@
 					ITERATIONS_MIN, SCRAM_ITERATIONS_MAX,
 					&iterations, NULL))
 		return false;
-	salt = g_base64_decode(iterations_and_salt[1], &salt_size);
-	if (salt_size < SALT_SIZE_BYTES_MIN || salt_size > SALT_SIZE_BYTES_MAX)
+	salt_size = strlen(iterations_and_salt[1]);
+	salt = text_decode_base64(iterations_and_salt[1], &salt_size);
+	if (!salt || salt_size < SALT_SIZE_BYTES_MIN ||
+	    salt_size > SALT_SIZE_BYTES_MAX)
 		return false;
 	if (!decode_key(keys[0], verifier->stored_key) ||
 	    !decode_key(keys[1], verifier->server_key))
--- a/src/state/config_check.c
+++ b/src/state/config_check.c
@@ -3,6 +3,8 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "base/text.h"
+
 #define NAME_LENGTH_MAX 63
 #define DOMAIN_LENGTH_MAX 31
 
@@ -171,11 +173,12 @@
 
 static bool is_base64(const char *text, gsize size_bytes)
 {
-	gsize decoded_bytes = 0;
-	g_autofree guchar *decoded = g_base64_decode(text, &decoded_bytes);
-	g_autofree char *again = g_base64_encode(decoded, decoded_bytes);
+	size_t decoded_bytes = strlen(text);
+	g_autofree uint8_t *decoded = text_decode_base64(text, &decoded_bytes);
+	g_autofree char *again =
+		decoded ? g_base64_encode(decoded, decoded_bytes) : NULL;
 
-	return !strcmp(again, text) &&
+	return !g_strcmp0(again, text) &&
 	       (size_bytes ? decoded_bytes == size_bytes : decoded_bytes > 0);
 }
 
--- a/src/state/endpoint.c
+++ b/src/state/endpoint.c
@@ -5,6 +5,8 @@
 #include <arpa/inet.h>
 #include <glib.h>
 
+#include "base/text.h"
+
 bool endpoint_parse(const char *text, endpoint_t *endpoint)
 {
 	const char *colon = strrchr(text, ':');
@@ -14,7 +16,7 @@
 
 	if (!colon)
 		return false;
-	host = g_strndup(text, (gsize)(colon - text));
+	host = text_new(text, (size_t)(colon - text));
 	if (inet_pton(AF_INET, host, &ip) != 1)
 		return false;
 	if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &number,
--- a/tests/unit/test_scram.c
+++ b/tests/unit/test_scram.c
@@ -59,6 +59,10 @@
 	assert_rejected(verifier, CLIENT_FINAL_WITHOUT_PROOF);
 	assert_rejected(verifier, "c=biws,r=rOprNGfwEbeRWgbNEkqO," PROOF);
 	assert_rejected(verifier, "");
+	/* The proof was read without what is no base64. */
+	assert_rejected(verifier, CLIENT_FINAL_WITHOUT_PROOF
+			"p=dHzb*ZapWIk4jUhN+Ute9ytag9zjfMHgsqmmiz7AndVQ=");
+	assert_rejected(verifier, CLIENT_FINAL_WITHOUT_PROOF PROOF "\n");
 }
 
 static void test_malformed_messages_and_verifiers_are_rejected(void **state)
