--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -53,6 +53,7 @@
 	char *encoded; /**< bytes as received, to be forwarded unchanged */
 	size_t encoded_size;
 	char *id;   /**< query: statement id; start-up: expected server id */
+	bool own;   /**< query: a node's own statement, not a caller's */
 	char *text; /**< statement, row, or name of the database or service */
 	char *user; /**< start-up: key of a caller or name of a customer */
 	relay_error_t error;
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -589,7 +589,8 @@
 {
 	session->host->codec->parse(session->message.text, &session->command);
 	/* Only a node may state a log point before the statement. */
-	if (session->command.text != session->message.text ||
+	if (session->message.own ||
+	    session->command.text != session->message.text ||
 	    is_for_nodes(session->command.kind))
 		session->command.kind = COMMAND_INVALID;
 	if (session->transaction == TRANSACTION_NONE) {
--- a/tests/unit/test_relay_bytes.c
+++ b/tests/unit/test_relay_bytes.c
@@ -271,6 +271,29 @@
 	caller_destroy(caller);
 }
 
+/* A server would take such a statement for one that this node issues. */
+static void test_id_of_a_node_is_refused(void **state)
+{
+	static const char *const statements[] = {
+		"QUERY - READ a\r\n", "QUERY - WRITE a x\r\n",
+		"QUERY - BEGIN\r\n",  "QUERY - SET a b\r\n",
+		"QUERY - STATUS\r\n",
+	};
+	fixture_t *fixture = *state;
+	caller_t *caller = caller_create(fixture);
+
+	ask(fixture, caller, "STARTUP orders u1\r\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(statements); i++)
+		assert_true(g_str_has_prefix(
+			ask(fixture, caller, statements[i]),
+			"ERROR MALFORMED unknown or incomplete statement\r\n"
+			"READY I"));
+	assert_int_equal(fixture->node->server->received->len, 0);
+	assert_non_null(strstr(ask(fixture, caller, "QUERY -- READ a\r\n"),
+			       "COMPLETE"));
+	caller_destroy(caller);
+}
+
 static void test_valid_text_passes_unchanged(void **state)
 {
 	static const char *const texts[] = {
@@ -569,6 +592,7 @@
 		TEST(test_startup_with_nul_is_rejected),
 		TEST(test_transaction_ends_and_no_other_notices),
 		TEST(test_point_of_a_caller_is_refused),
+		TEST(test_id_of_a_node_is_refused),
 		TEST(test_valid_text_passes_unchanged),
 		TEST(test_row_with_nul_fails_the_read_at_once),
 		TEST(test_random_bytes_of_callers),
