--- a/src/protocol/peer_message_decode.c
+++ b/src/protocol/peer_message_decode.c
@@ -13,9 +13,10 @@
 typedef bool (*decode_t)(const Peer__Envelope *envelope,
 			 peer_message_t *message);
 
+/* The strings of a message are UTF-8; they become part of JSON texts. */
 static bool fits(const char *string, size_t size_bytes)
 {
-	return strlen(string) < size_bytes;
+	return strlen(string) < size_bytes && g_utf8_validate(string, -1, NULL);
 }
 
 static bool fits_bytes(const ProtobufCBinaryData *data)
--- a/tests/unit/test_peer_message.c
+++ b/tests/unit/test_peer_message.c
@@ -207,6 +207,17 @@
 	}
 }
 
+/* A member with such a name is missing from JSON texts. */
+static void test_names_that_are_no_utf8_are_rejected(void **state)
+{
+	peer_message_t *message = with_sender(sample_heartbeat());
+	g_autoptr(peer_message_t) decoded = NULL;
+
+	strcpy(message->heartbeat->members[1].member.region, "akl~");
+	decoded = decode_changed(message, '~', '\xff');
+	assert_null(decoded);
+}
+
 static void test_out_of_bounds_is_rejected(void **state)
 {
 	g_autoptr(peer_message_t) kind = with_sender(sample_request());
@@ -302,6 +313,7 @@
 		cmocka_unit_test(test_request_round_trip),
 		cmocka_unit_test(test_answer_and_heartbeat_round_trip),
 		cmocka_unit_test(test_names_with_nul_are_rejected),
+		cmocka_unit_test(test_names_that_are_no_utf8_are_rejected),
 		cmocka_unit_test(test_out_of_bounds_is_rejected),
 		cmocka_unit_test(test_unpacking_is_bounded),
 		cmocka_unit_test(test_mutated_messages_decode_within_bounds),
