--- a/tests/unit/test_batch.c
+++ b/tests/unit/test_batch.c
@@ -232,6 +232,79 @@
 	}
 }
 
+/* @return a string of random bytes without NUL; free with g_free() */
+static char *random_text(GRand *rand)
+{
+	const gint32 size = g_rand_int_range(rand, 0, 9);
+	char *text = g_malloc0((gsize)size + 1);
+
+	for (gint32 i = 0; i < size; i++)
+		text[i] = (char)g_rand_int_range(rand, 1, 256);
+	return text;
+}
+
+/* @return a Bind with parameters of any bytes */
+static GByteArray *random_bind(GRand *rand, const char *portal,
+			       const char *name)
+{
+	GByteArray *out = bind(portal, name);
+	const gint32 size = g_rand_int_range(rand, 0, 20);
+
+	for (gint32 i = 0; i < size; i++)
+		pg_write_u8(out, (uint8_t)g_rand_int_range(rand, 0, 256));
+	pg_write_end(out, 0);
+	return out;
+}
+
+/* @return whether the bytes contain the part */
+static bool contains(GBytes *bytes, const void *part, size_t size)
+{
+	gsize left = 0;
+	const uint8_t *at = g_bytes_get_data(bytes, &left);
+
+	for (; left >= size; at++, left--)
+		if (!memcmp(at, part, size))
+			return true;
+	return false;
+}
+
+/* What a server receives is what was sent, but for the names of statements. */
+static void test_random_bytes_are_sent_unchanged(void **state)
+{
+	g_autoptr(GRand) rand = g_rand_new_with_seed(20261206);
+
+	for (int round = 0; round < 5000; round++) {
+		g_autoptr(batch_t) batch = batch_create(cache);
+		g_autofree char *name = random_text(rand);
+		g_autofree char *portal = random_text(rand);
+		g_autofree char *sql = random_text(rand);
+		GByteArray *parse_bytes = parse(name, sql);
+		GByteArray *bind_bytes = random_bind(rand, portal, name);
+		GByteArray *execute_bytes = execute(portal);
+		const size_t bind_skip = PG_HEADER_SIZE_BYTES + strlen(portal) +
+					 strlen(name) + 2;
+		g_autoptr(GBytes) sent = NULL;
+		batch_error_t error = {0};
+
+		g_byte_array_ref(parse_bytes);
+		g_byte_array_ref(bind_bytes);
+		g_byte_array_ref(execute_bytes);
+		assert_true(add(batch, parse_bytes, &error));
+		assert_true(add(batch, bind_bytes, &error));
+		assert_true(add(batch, execute_bytes, &error));
+		sent = batch_bytes(batch);
+		assert_true(contains(sent, sql, strlen(sql) + 1));
+		assert_true(contains(sent, portal, strlen(portal) + 1));
+		assert_true(contains(sent, bind_bytes->data + bind_skip,
+				     bind_bytes->len - bind_skip));
+		assert_true(contains(sent, execute_bytes->data,
+				     execute_bytes->len));
+		g_byte_array_unref(parse_bytes);
+		g_byte_array_unref(bind_bytes);
+		g_byte_array_unref(execute_bytes);
+	}
+}
+
 static void test_prepared_statements_are_limited(void **state)
 {
 	g_autoptr(batch_t) batch = batch_create(cache);
@@ -293,6 +366,7 @@
 		cmocka_unit_test(test_summary_depends_on_executed_statements),
 		cmocka_unit_test(test_any_name_is_a_statement_of_its_own),
 		cmocka_unit_test(test_surplus_bytes_are_refused),
+		cmocka_unit_test(test_random_bytes_are_sent_unchanged),
 		cmocka_unit_test(test_prepared_statements_are_limited),
 		cmocka_unit_test(
 			test_mutated_messages_are_accepted_or_rejected),
--- a/tests/unit/test_relay_forwarding.c
+++ b/tests/unit/test_relay_forwarding.c
@@ -215,6 +215,116 @@
 	assert_string_equal(server->runs->str, "I READ x\nI READ a x\n");
 }
 
+/* Appends bytes of any value, most of them of one letter. */
+static void append_random(GByteArray *out, GRand *random)
+{
+	static const guint8 special[] = {0, '\r', '\n', ' ', '-', '.', 0xff};
+	const gint32 size = g_rand_int_range(random, 1, 9);
+
+	for (gint32 i = 0; i < size; i++) {
+		guint8 byte = 'x';
+
+		if (!g_rand_int_range(random, 0, 6))
+			byte = special[g_rand_int_range(random, 0,
+							G_N_ELEMENTS(special))];
+		g_byte_array_append(out, &byte, 1);
+	}
+}
+
+/* @return a message; each "*" of its form is random */
+static GByteArray *random_message(GRand *random)
+{
+	static const char *const forms[] = {"QUERY * READ *",
+					    "QUERY c WRITE * *",
+					    "QUERY - SET * *",
+					    "QUERY - PREPARE * READ *",
+					    "QUERY c EXECUTE * *",
+					    "QUERY c AFTER * READ *",
+					    "QUERY c AFTER 1.* READ *",
+					    "QUERY - AS *",
+					    "QUERY - ADMIT * 5",
+					    "QUERY - FOLLOW * *",
+					    "QUERY c BEGIN*",
+					    "QUERY c COMMIT",
+					    "QUERY - CLOSE *",
+					    "QUERY - RESET",
+					    "QUERY - *",
+					    "STARTUP svc * *",
+					    "*",
+					    "QUERY *"};
+	const char *form =
+		forms[g_rand_int_range(random, 0, G_N_ELEMENTS(forms))];
+	GByteArray *message = g_byte_array_new();
+
+	for (; *form; form++)
+		if (*form == '*')
+			append_random(message, random);
+		else
+			g_byte_array_append(message, (const guint8 *)form, 1);
+	g_byte_array_append(message, (const guint8 *)"\r\n", 2);
+	return message;
+}
+
+/* Connects as another node, in place of the connection before. */
+static void reconnect(fixture_t *fixture)
+{
+	evutil_socket_t ends[2];
+
+	assert_int_equal(evutil_socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
+	bufferevent_free(fixture->peer);
+	evutil_make_socket_nonblocking(ends[0]);
+	evutil_make_socket_nonblocking(ends[1]);
+	forwarding_session_create(fixture->forwarding, ends[0]);
+	fixture->peer = bufferevent_socket_new(fixture->node->base, ends[1],
+					       BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(fixture->peer, on_read, NULL, on_event, fixture);
+	bufferevent_enable(fixture->peer, EV_READ | EV_WRITE);
+	fixture->closed = false;
+	ask(fixture, "STARTUP svc - i-1\r\n");
+}
+
+static bool has_nul_line(const GByteArray *received)
+{
+	return received->len && memchr(received->data, 0, received->len);
+}
+
+/*
+ * Whatever another node sends, this one goes on serving, and passes on no
+ * message that was cut: the server sees no NUL, and each of its statements is
+ * answered as before.
+ */
+static void test_random_bytes_of_nodes(void **state)
+{
+	fixture_t *fixture = *state;
+	g_autoptr(GRand) random = g_rand_new_with_seed(20261206);
+
+	for (uint32_t round = 0; round < 3000; round++) {
+		g_autoptr(GByteArray) message = random_message(random);
+		const bool cut = memchr(message->data, 0, message->len) != NULL;
+		GByteArray *received = fixture->node->server->received;
+		const uint64_t until_ms =
+			clock_now_ms() + FAKE_LINE_NODE_TIMEOUT_MS;
+		bool answered = false;
+
+		if (fixture->closed || round % 5 == 0)
+			reconnect(fixture);
+		g_byte_array_set_size(received, 0);
+		g_string_truncate(fixture->answers, 0);
+		bufferevent_write(fixture->peer, message->data, message->len);
+		while (!fixture->closed && !answered) {
+			assert_true(clock_now_ms() < until_ms);
+			event_base_loop(fixture->node->base, EVLOOP_NONBLOCK);
+			answered = strstr(fixture->answers->str, "READY ");
+		}
+		assert_false(has_nul_line(received));
+		if (cut)
+			assert_true(fixture->closed);
+	}
+	reconnect(fixture);
+	assert_non_null(strstr(ask(fixture, "QUERY c1 WRITE a x\r\n"),
+			       "COMPLETE 1\r\nREADY I"));
+}
+
 #define TEST(name) \
 	cmocka_unit_test_setup_teardown(name, open_fixture, close_fixture)
 
@@ -227,6 +337,7 @@
 		TEST(test_statement_with_nul_closes_the_connection),
 		TEST(test_statement_with_an_invalid_point_is_passed_on),
 		TEST(test_row_with_nul_fails_the_read),
+		TEST(test_random_bytes_of_nodes),
 	};
 
 	log_open("test", LOG_LEVEL_WARNING);
