--- a/Makefile
+++ b/Makefile
@@ -169,7 +169,8 @@
 $(BUILD)/tests/unit/test_relay_bytes \
 $(BUILD)/tests/unit/test_relay_grant \
 $(BUILD)/tests/unit/test_relay_link: $(PLATFORM_OBJ)
-$(BUILD)/tests/property/prop_line_codec: $(BUILD)/platform/line_codec.o
+$(BUILD)/tests/property/prop_line_codec \
+$(BUILD)/tests/bench/bench_codec: $(BUILD)/platform/line_codec.o
 $(BUILD)/tests/unit/test_platform_codec: $(PLATFORM_OBJ)
 $(BUILD)/tests/unit/test_platform_customers: $(PLATFORM_OBJ)
 $(BUILD)/tests/unit/test_platform_documents: $(PLATFORM_OBJ)
@@ -194,7 +195,8 @@
 	$(CC) -o $@ $^ -lcmocka $(LDLIBS)
 
 $(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(WORLD_OBJ) $(SIM_OBJ) $(LIB)
-	$(CC) -o $@ $(filter-out %/world_query.o,$^) $(LDLIBS)
+	$(CC) -o $@ $(filter-out %/world_query.o,$(filter %.o,$^)) $(LIB) \
+		$(LDLIBS)
 
 regenerate:
 	cd src/protocol && protoc-c --c_out=. peer.proto
