--- a/src/relay/relay_job_end.c
+++ b/src/relay/relay_job_end.c
@@ -88,10 +88,12 @@
 {
 	const bool in_transaction = (job->pin || job->request.begin_id) &&
 				    job->request.kind != COMMAND_COMMIT;
+	/* The text may be the job's own, which is freed before it is used. */
+	g_autofree char *copy = g_strdup(text);
 	const relay_result_t result = {
 		.failed = true,
 		.error = error,
-		.text = text,
+		.text = copy,
 		.status = in_transaction ? 'E' : 'I',
 		.unsent = relay_job_is_unsent(job),
 	};
