--- a/Makefile
+++ b/Makefile
@@ -168,6 +168,7 @@
 $(BUILD)/tests/unit/test_relay_subscription \
 $(BUILD)/tests/unit/test_relay_bytes \
 $(BUILD)/tests/unit/test_relay_grant \
+$(BUILD)/tests/unit/test_relay_drain \
 $(BUILD)/tests/unit/test_relay_link: $(PLATFORM_OBJ)
 $(BUILD)/tests/property/prop_line_codec \
 $(BUILD)/tests/bench/bench_codec: $(BUILD)/platform/line_codec.o
--- a/src/daemon/callers_task.c
+++ b/src/daemon/callers_task.c
@@ -207,13 +207,12 @@
 	callers->host.config_version++;
 }
 
-void callers_task_drain(callers_task_t *callers)
+void callers_task_drain(callers_task_t *callers, const drain_plan_t *plan)
 {
 	g_autoptr(GList) sessions = g_hash_table_get_values(callers->sessions);
 	GList *link = NULL;
 
-	callers->host.draining = true;
-	callers->host.drain_started_ms = clock_now_ms();
+	callers->host.drain = *plan;
 	if (callers->listener)
 		evconnlistener_free(callers->listener);
 	callers->listener = NULL;
@@ -221,6 +220,14 @@
 		session_drain(link->data);
 }
 
+void callers_task_finish(callers_task_t *callers)
+{
+	g_autoptr(GList) sessions = g_hash_table_get_values(callers->sessions);
+
+	for (GList *link = sessions; link; link = link->next)
+		session_finish(link->data);
+}
+
 uint32_t callers_task_busy_count(const callers_task_t *callers)
 {
 	GHashTableIter iter;
--- a/src/daemon/callers_task.h
+++ b/src/daemon/callers_task.h
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 
 #include "base/metrics.h"
+#include "coordination/drain_plan.h"
 #include "daemon/settings.h"
 #include "protocol/request.h"
 #include "state/config.h"
@@ -63,7 +64,10 @@
  * Stops accepting connections and drains the sessions: open requests and
  * transactions run to their end, idle sessions are closed.
  */
-void callers_task_drain(callers_task_t *callers);
+void callers_task_drain(callers_task_t *callers, const drain_plan_t *plan);
+
+/** Answers what is open with what is known of it, and closes all sessions. */
+void callers_task_finish(callers_task_t *callers);
 
 /** @return the number of sessions with an open request or transaction */
 uint32_t callers_task_busy_count(const callers_task_t *callers);
--- a/src/daemon/node_operators.c
+++ b/src/daemon/node_operators.c
@@ -47,7 +47,7 @@
 		node->settings->node, "failure_domain",
 		node->settings->failure_domain, "config_revision",
 		(json_int_t)(config ? config->revision : 0), "draining",
-		node->draining, "callers",
+		drain_plan_is_begun(&node->drain), "callers",
 		(int)callers_task_session_count(node->callers), "busy",
 		(int)dispatch_task_busy_count(node->dispatch), "members",
 		status_members(peers_task_view(node->peers)), "groups",
@@ -63,7 +63,8 @@
 {
 	node_t *node = context;
 
-	return !node->draining && config_task_current(node->config);
+	return !drain_plan_is_begun(&node->drain) &&
+	       config_task_current(node->config);
 }
 
 static void on_drain(void *context)
--- a/src/daemon/node_private.h
+++ b/src/daemon/node_private.h
@@ -2,6 +2,7 @@
 #define DAEMON_NODE_PRIVATE_H
 
 #include "base/metrics.h"
+#include "coordination/drain_plan.h"
 #include "coordination/ownership.h"
 #include "daemon/callers_task.h"
 #include "daemon/config_task.h"
@@ -30,9 +31,8 @@
 	struct event *drain_timer;
 	uint64_t started_ms;
 	bool listed; /**< the platform's list of VMs has been read */
-	uint64_t drain_started_ms;
+	drain_plan_t drain;
 	uint64_t drain_busy_ms; /**< last time a request was running */
-	bool draining;
 };
 
 /** Create one task each, with callbacks to the node's other tasks. */
--- a/src/daemon/session.c
+++ b/src/daemon/session.c
@@ -146,16 +146,29 @@
 bool session_refuses_statements(const session_t *session)
 {
 	const session_host_t *host = session->host;
+	const uint64_t now_ms = clock_now_ms();
 
-	return host->draining && session->status == 'I' &&
-	       clock_now_ms() - host->drain_started_ms >=
-		       SESSION_DRAIN_GRACE_MS;
+	if (!drain_plan_is_begun(&host->drain) || session->status != 'I')
+		return false;
+	return now_ms >= host->drain.begun_ms + SESSION_DRAIN_GRACE_MS ||
+	       !drain_plan_may_begin(&host->drain, now_ms,
+				     session_request_timeout_ms(session));
+}
+
+void session_finish(session_t *session)
+{
+	if (session->state == SESSION_CLOSING)
+		return;
+	if (session->state == SESSION_BUSY)
+		session_request_end(session, REASON_LEAVING);
+	if (session->state != SESSION_CLOSING)
+		session_fatal(session, "57P01", LEAVING_MESSAGE);
 }
 
 void session_cancel(session_t *session)
 {
 	if (session->state == SESSION_BUSY)
-		session_request_cancel(session);
+		session_request_end(session, REASON_CANCELLED);
 }
 
 void session_write(session_t *session, const GByteArray *bytes)
--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -48,8 +48,7 @@
 	/** Random bytes of this process. */
 	uint8_t secret[SESSION_HOST_SECRET_SIZE_BYTES];
 	uint64_t next_request_id;
-	bool draining;
-	uint64_t drain_started_ms;
+	drain_plan_t drain; /**< on the clock of clock_now_ms() */
 	/** Handles a CancelRequest, whose key is still unchecked. */
 	void (*cancel)(void *context, uint32_t process_id, uint32_t secret);
 	/** Removes a session that is about to be freed. */
@@ -150,6 +149,12 @@
  */
 void session_drain(session_t *session);
 
+/**
+ * Ends the session of a leaving node: answers its request with what is known of
+ * it, rolls its transaction back and closes it with error 57P01.
+ */
+void session_finish(session_t *session);
+
 /** @return whether new statements are refused because the node is leaving */
 bool session_refuses_statements(const session_t *session);
 
--- a/src/daemon/session_login.c
+++ b/src/daemon/session_login.c
@@ -81,7 +81,7 @@
 	pg_write_end(out, mark);
 	pg_write_ready(out, 'I');
 	session_write(session, out);
-	if (session->host->draining)
+	if (drain_plan_is_begun(&session->host->drain))
 		session_drain(session);
 }
 
--- a/src/daemon/session_request.c
+++ b/src/daemon/session_request.c
@@ -22,7 +22,7 @@
 
 	pg_write_ready(out, session->status);
 	session_write(session, out);
-	if (session->host->draining)
+	if (drain_plan_is_begun(&session->host->drain))
 		session_drain(session);
 }
 
@@ -69,6 +69,14 @@
 		session->lease_id = answer->lease_id; /* released later */
 }
 
+uint32_t session_request_timeout_ms(const session_t *session)
+{
+	if (session->settings->timeout_ms)
+		return session->settings->timeout_ms;
+	return session->class_timeout_ms ? session->class_timeout_ms :
+					   TIMEOUT_MS_DEFAULT;
+}
+
 static request_t *create_request(session_t *session, GBytes *bytes,
 				 const session_request_traits_t *traits)
 {
@@ -81,10 +89,7 @@
 	request->tenant = g_strdup(session->tenant);
 	request->class_index = session->class_index;
 	request->kind = traits->kind;
-	request->timeout_ms = settings->timeout_ms ? settings->timeout_ms :
-						     session->class_timeout_ms;
-	if (!request->timeout_ms)
-		request->timeout_ms = TIMEOUT_MS_DEFAULT;
+	request->timeout_ms = session_request_timeout_ms(session);
 	if (settings->consistency == CONSISTENCY_AGE &&
 	    traits->kind == REQUEST_READ)
 		request->max_age_ms = settings->max_age_ms ?
@@ -217,16 +222,15 @@
 	session_release(session);
 }
 
-void session_request_cancel(session_t *session)
+void session_request_end(session_t *session, reason_t reason)
 {
 	const session_request_traits_t *traits = &session->run.traits;
 	const bool unknown = session->run.request_id &&
 			     (traits->kind == REQUEST_WRITE || traits->commits);
 
 	cancel_run(session);
-	session_outcome_fail(session,
-			     unknown ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-			     REASON_CANCELLED);
+	session_outcome_fail(
+		session, unknown ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, reason);
 }
 
 /* Answers a statement that needs no server. @return whether it did */
--- a/src/daemon/session_request.h
+++ b/src/daemon/session_request.h
@@ -11,8 +11,15 @@
 void session_request_run(session_t *session, GBytes *bytes,
 			 const session_request_traits_t *traits);
 
-/** Cancels the running request and answers the caller. */
-void session_request_cancel(session_t *session);
+/**
+ * Cancels the running request and answers the caller with what is known of it.
+ *
+ * @param reason why it ends
+ */
+void session_request_end(session_t *session, reason_t reason);
+
+/** @return the timeout of the session's next statement */
+uint32_t session_request_timeout_ms(const session_t *session);
 
 /** Cancels the running request and releases the lease without an answer. */
 void session_request_abandon(session_t *session);
--- a/src/relay/relay_callers.c
+++ b/src/relay/relay_callers.c
@@ -120,26 +120,29 @@
 		relay_session_configured(sessions->pdata[i]);
 }
 
-void relay_callers_drain(relay_callers_t *callers)
+void relay_callers_drain(relay_callers_t *callers, const drain_plan_t *plan)
 {
 	g_autoptr(GPtrArray) sessions = list_sessions(callers);
 
-	callers->host.draining = true;
+	callers->host.drain = *plan;
 	for (guint i = 0; i < sessions->len; i++)
 		relay_session_drain(sessions->pdata[i]);
 }
 
-void relay_callers_stop(relay_callers_t *callers)
+void relay_callers_close(relay_callers_t *callers)
 {
-	g_autoptr(GPtrArray) sessions = list_sessions(callers);
-
-	for (guint i = 0; i < sessions->len; i++)
-		relay_session_end_transaction(sessions->pdata[i]);
+	g_clear_pointer(&callers->listener, evconnlistener_free);
 }
 
-void relay_callers_close(relay_callers_t *callers)
+relay_cut_t relay_callers_finish(relay_callers_t *callers)
 {
-	g_clear_pointer(&callers->listener, evconnlistener_free);
+	g_autoptr(GPtrArray) sessions = list_sessions(callers);
+	relay_cut_t cut = {0};
+
+	relay_callers_close(callers);
+	for (guint i = 0; i < sessions->len; i++)
+		relay_session_finish(sessions->pdata[i], &cut);
+	return cut;
 }
 
 uint32_t relay_callers_count(const relay_callers_t *callers)
--- a/src/relay/relay_callers.h
+++ b/src/relay/relay_callers.h
@@ -29,11 +29,19 @@
 /** Sets the catalog that all transactions begun from now on use. */
 void relay_callers_configure(relay_callers_t *callers, catalog_t *catalog);
 
-/** Closes sessions as they become idle; new sessions are still accepted. */
-void relay_callers_drain(relay_callers_t *callers);
+/**
+ * Closes sessions as they become idle, and ends transactions and refuses
+ * statements that may not end in time; new sessions are still accepted.
+ */
+void relay_callers_drain(relay_callers_t *callers, const drain_plan_t *plan);
 
-/** Rolls back the open transactions in which no statement runs. */
-void relay_callers_stop(relay_callers_t *callers);
+/**
+ * Answers all that is accepted with what is known now, and closes the sessions
+ * once that is written.
+ *
+ * @return what was cut
+ */
+relay_cut_t relay_callers_finish(relay_callers_t *callers);
 
 /** Stops accepting connections. */
 void relay_callers_close(relay_callers_t *callers);
--- a/src/relay/relay_forwarding.c
+++ b/src/relay/relay_forwarding.c
@@ -104,6 +104,27 @@
 	}
 }
 
+uint32_t relay_forwarding_finish(relay_forwarding_t *forwarding)
+{
+	g_autoptr(GPtrArray) sessions = list_sessions(forwarding);
+	uint32_t cut = 0;
+
+	forwarding->finishing = true;
+	for (guint i = 0; i < sessions->len; i++) {
+		forwarding_session_t *session = sessions->pdata[i];
+
+		if (session->closing)
+			continue;
+		/* The other node knows what a broken connection means. */
+		cut += session->attempt != NULL;
+		if (session->busy && !session->attempt)
+			forwarding_session_refuse_waiting(session, "leaving");
+		else if (!session->busy)
+			forwarding_session_end(session);
+	}
+	return cut;
+}
+
 uint32_t relay_forwarding_count(const relay_forwarding_t *forwarding)
 {
 	return g_hash_table_size(forwarding->sessions);
--- a/src/relay/relay_forwarding.h
+++ b/src/relay/relay_forwarding.h
@@ -43,6 +43,14 @@
 /** Rejects new sessions and closes the idle ones. */
 void relay_forwarding_drain(relay_forwarding_t *forwarding);
 
+/**
+ * Refuses the statements that wait, and those that come later; ends the
+ * sessions in which none runs.
+ *
+ * @return number of statements that run
+ */
+uint32_t relay_forwarding_finish(relay_forwarding_t *forwarding);
+
 /** @return number of connected sessions */
 uint32_t relay_forwarding_count(const relay_forwarding_t *forwarding);
 
--- a/src/relay/relay_forwarding_private.h
+++ b/src/relay/relay_forwarding_private.h
@@ -11,6 +11,7 @@
 	relay_hub_t *hub;	      /* NULL if this node is no hub */
 	relay_quota_leader_t *leader; /* NULL to reject requests for tokens */
 	bool draining;
+	bool finishing; /* statements are refused */
 };
 
 /* Session of another node; corresponds to one connection to a server. */
@@ -66,6 +67,10 @@
 /* Ends the current statement, whose answer was written. */
 void forwarding_session_statement_done(forwarding_session_t *session);
 
+/* Rejects a statement that waits for a connection. */
+void forwarding_session_refuse_waiting(forwarding_session_t *session,
+				       const char *reason);
+
 /* Rejects the start-up. */
 void forwarding_session_refuse_session(forwarding_session_t *session,
 				       relay_error_t error);
--- a/src/relay/relay_forwarding_session.c
+++ b/src/relay/relay_forwarding_session.c
@@ -254,6 +254,15 @@
 		refuse(session, session->refusal);
 }
 
+void forwarding_session_refuse_waiting(forwarding_session_t *session,
+				       const char *reason)
+{
+	if (session->waiting_at)
+		relay_server_cancel_wait(session->waiting_at, &session->waiter);
+	session->waiting_at = NULL;
+	refuse_later(session, reason);
+}
+
 static void wait_for_link(forwarding_session_t *session)
 {
 	const uint64_t now_ms = clock_boot_ms();
@@ -301,7 +310,9 @@
 static void run(forwarding_session_t *session)
 {
 	session->busy = true;
-	if (!is_customer_known(session))
+	if (session->forwarding->finishing)
+		refuse_later(session, "leaving");
+	else if (!is_customer_known(session))
 		refuse_later(session, "customer unknown");
 	else if (!is_prepared(session)) /* servers know other names */
 		refuse_later(session, "prepared name unknown");
--- a/src/relay/relay_job.c
+++ b/src/relay/relay_job.c
@@ -180,6 +180,8 @@
 	job->context = context;
 	job->retry_delay_ms = RETRY_DELAY_MS;
 	job->deadline_ms = request->received_ms + database->timeout_ms;
+	if (request->latest_ms)
+		job->deadline_ms = MIN(job->deadline_ms, request->latest_ms);
 	job->placement = (relay_placement_t){.service = service,
 					     .request = &job->request,
 					     .deadline_ms = job->deadline_ms};
@@ -259,6 +261,18 @@
 	return !job->attempts_started;
 }
 
+void relay_job_expire(relay_job_t *job)
+{
+	if (job->ending) {
+		job_finish_failed(job, job->error, job->error_text);
+	} else if (job->unproved.body) {
+		job->proof_deadline_ms = 0;
+		job_check_proof(job);
+	} else {
+		on_deadline(job);
+	}
+}
+
 void relay_job_cancel(relay_job_t *job)
 {
 	job_close_pin(job);
--- a/src/relay/relay_job.h
+++ b/src/relay/relay_job.h
@@ -31,6 +31,7 @@
 	log_point_t own_point;	/**< log point of the session's last change */
 	uint64_t own_term;	/**< term in which own_point was reached */
 	uint64_t received_ms;	/**< when the statement arrived, boot clock */
+	uint64_t latest_ms;	/**< when it is answered at the latest, or 0 */
 } relay_request_t;
 
 /** How a statement ended. */
@@ -65,6 +66,12 @@
 /** @return whether no server was sent the statement so far */
 bool relay_job_is_unsent(const relay_job_t *job);
 
+/**
+ * Ends the job with what is known of the statement now; its callback is called
+ * during the call or soon after it.
+ */
+void relay_job_expire(relay_job_t *job);
+
 /**
  * Cancels the job after the caller has disconnected. Its attempts are
  * abandoned and its callback is not called.
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -38,25 +38,9 @@
 /* Time in which the load balancer may still send callers to a draining node. */
 #define DRAIN_ACCEPT_MS 2500
 
-/*
- * The grace period in parts: new callers are accepted for DRAIN_PARTS_OPEN of
- * DRAIN_PARTS, and the node leaves after DRAIN_PARTS_USED at the latest. A
- * caller accepted last still has time for a whole transaction.
- */
-#define DRAIN_PARTS 12
-#define DRAIN_PARTS_OPEN 9
-#define DRAIN_PARTS_USED 11
-
 /* Timer interval while draining. */
 #define DRAIN_TICK_MS 50
 
-/*
- * Minimum and maximum time between leaving and exit, for the last call to the
- * store and the answers to requests that were already read.
- */
-#define LEAVE_MIN_MS 150
-#define LEAVE_MAX_MS 300
-
 struct relay_node {
 	struct event_base *base;
 	const relay_settings_t *settings;
@@ -91,16 +75,15 @@
 	relay_backends_t *backends; /* the backend servers' entries */
 	bool synced;		    /* all keys were read at least once */
 	struct event *drain_timer;
-	uint64_t leave_ms; /* when the node left, 0 before */
-	uint64_t drain_ms; /* when the drain began, 0 before */
-	bool stopped;	   /* relay_callers_stop() was called */
+	drain_plan_t drain;
 };
 
 static bool is_ready(void *context)
 {
 	const relay_node_t *node = context;
 
-	return node->catalog && node->synced && !node->drain_ms;
+	return node->catalog && node->synced &&
+	       !drain_plan_is_begun(&node->drain);
 }
 
 static void on_catalog(relay_node_t *node, const kv_item_t *item)
@@ -822,14 +805,46 @@
 	g_free(node);
 }
 
-static void leave(relay_node_t *node, const char *reason)
+static bool is_served(const relay_node_t *node)
+{
+	return !relay_callers_count(node->callers) &&
+	       !relay_forwarding_count(node->forwarding);
+}
+
+static void count_cut(const relay_node_t *node, const char *kind,
+		      uint32_t count)
+{
+	g_autofree char *labels = metrics_labels("kind", kind, NULL);
+
+	metric_add(metrics_counter(node->metrics, "toucanhook_drain_cut_total",
+				   labels),
+		   count);
+}
+
+/* Answers what is accepted; the answers of servers would come too late. */
+static void finish(relay_node_t *node)
+{
+	const uint32_t forwarded = relay_forwarding_finish(node->forwarding);
+	const relay_cut_t cut = relay_callers_finish(node->callers);
+
+	log_event(LOG_LEVEL_NOTICE, "drain_cut",
+		  "unsent=%u sent=%u transactions=%u forwarded=%u", cut.unsent,
+		  cut.sent, cut.transactions, forwarded);
+	count_cut(node, "unsent", cut.unsent);
+	count_cut(node, "sent", cut.sent);
+	count_cut(node, "transaction", cut.transactions);
+	count_cut(node, "forwarded", forwarded);
+}
+
+/* Gives up what the node holds; no answer needs it any more. */
+static void leave(relay_node_t *node)
 {
-	node->leave_ms = clock_boot_ms();
 	relay_callers_close(node->callers);
 	log_event(LOG_LEVEL_NOTICE, "drained",
-		  "reason=%s callers=%u after_ms=%" PRIu64, reason,
+		  "reason=%s callers=%u after_ms=%" PRIu64,
+		  node->drain.answered ? "time" : "idle",
 		  relay_callers_count(node->callers),
-		  clock_boot_ms() - node->drain_ms);
+		  node->drain.left_ms - node->drain.begun_ms);
 	/* Without its key a takeover would not wait for the proofs it gave. */
 	if (!node->hub || relay_hub_is_settled(node->hub))
 		relay_registration_leave(node->registration);
@@ -837,52 +852,38 @@
 		relay_services_forget_proofs(node->services);
 }
 
-static bool is_served(const relay_node_t *node)
-{
-	return !relay_callers_count(node->callers) &&
-	       !relay_forwarding_count(node->forwarding);
-}
-
-/* Ends the event loop once the remaining requests are answered. */
-static void finish_leaving(relay_node_t *node)
-{
-	const uint64_t since_ms = clock_boot_ms() - node->leave_ms;
-
-	if (since_ms >= LEAVE_MAX_MS ||
-	    (since_ms >= LEAVE_MIN_MS && is_served(node)))
-		event_base_loopexit(node->base, NULL);
-}
-
 static void on_drain(evutil_socket_t fd, short what, void *context)
 {
 	relay_node_t *node = context;
-	const uint64_t since_ms = clock_boot_ms() - node->drain_ms;
-	const uint32_t grace_ms = node->settings->grace_ms;
 
-	relay_callers_drain(node->callers);
+	relay_callers_drain(node->callers, &node->drain);
 	relay_forwarding_drain(node->forwarding);
-	if (!node->stopped && since_ms >= grace_ms / 2) {
-		node->stopped = true;
-		relay_callers_stop(node->callers);
-	}
-	if (since_ms >= grace_ms / DRAIN_PARTS * DRAIN_PARTS_OPEN)
+	switch (drain_plan_next(&node->drain, clock_boot_ms(),
+				is_served(node))) {
+	case DRAIN_ACCEPT:
+		break;
+	case DRAIN_CLOSE:
 		relay_callers_close(node->callers);
-	if (node->leave_ms)
-		finish_leaving(node);
-	else if (is_served(node) &&
-		 since_ms >= MIN(DRAIN_ACCEPT_MS, grace_ms / 2))
-		leave(node, "idle");
-	else if (since_ms >= grace_ms / DRAIN_PARTS * DRAIN_PARTS_USED)
-		leave(node, "time");
+		break;
+	case DRAIN_ANSWER:
+		finish(node);
+		break;
+	case DRAIN_LEAVE:
+		leave(node);
+		break;
+	case DRAIN_EXIT:
+		event_base_loopexit(node->base, NULL);
+	}
 }
 
 void relay_node_drain(relay_node_t *node)
 {
 	const struct timeval step = clock_timeval(DRAIN_TICK_MS);
 
-	if (node->drain_ms)
+	if (drain_plan_is_begun(&node->drain))
 		return;
-	node->drain_ms = clock_boot_ms();
+	drain_plan_begin(&node->drain, clock_boot_ms(),
+			 node->settings->grace_ms, DRAIN_ACCEPT_MS);
 	log_event(LOG_LEVEL_NOTICE, "draining", "callers=%u",
 		  relay_callers_count(node->callers));
 	relay_coordinator_resign(node->coordinator);
@@ -890,6 +891,6 @@
 	relay_join_stop(node->join);
 	if (node->hub)
 		relay_hub_close(node->hub);
-	relay_callers_drain(node->callers);
+	relay_callers_drain(node->callers, &node->drain);
 	event_add(node->drain_timer, &step);
 }
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -57,11 +57,13 @@
 	GHashTable *values;   /* session variables, name -> value, or NULL */
 	GHashTable *prepared; /* name -> prepared_t, or NULL */
 	transaction_t transaction;
-	bool read_only;	  /* the transaction is read-only */
-	char *begin_id;	  /* id of the transaction's BEGIN, or NULL */
-	char *begin_text; /* text of the transaction's BEGIN, or NULL */
-	relay_pin_t *pin; /* pinned connection while no job runs, or NULL */
-	relay_job_t *job; /* job of the running statement, or NULL */
+	bool read_only;	     /* the transaction is read-only */
+	bool ended_by_drain; /* the failed transaction, when none ran */
+	uint64_t began_ms;   /* when the transaction began, on the boot clock */
+	char *begin_id;	     /* id of the transaction's BEGIN, or NULL */
+	char *begin_text;    /* text of the transaction's BEGIN, or NULL */
+	relay_pin_t *pin;    /* pinned connection while no job runs, or NULL */
+	relay_job_t *job;    /* job of the running statement, or NULL */
 	relay_quota_ticket_t *ticket; /* while it waits for a token, or NULL */
 	bool admitted;	      /* a token was obtained for the statement */
 	uint64_t received_ms; /* when the statement arrived, boot clock */
@@ -70,6 +72,7 @@
 	command_t command;
 	log_point_t own_point; /* log point of the session's last change */
 	uint64_t own_term;     /* term in which own_point was reached */
+	bool finishing;	       /* closed once its input is answered */
 	bool closing;	       /* closed once the output is written */
 	bool answered;	    /* a statement of the session has been answered */
 	bool just_answered; /* answered since drain_answered() last ran */
@@ -116,6 +119,7 @@
 	g_clear_pointer(&session->begin_id, g_free);
 	g_clear_pointer(&session->begin_text, g_free);
 	session->transaction = TRANSACTION_NONE;
+	session->ended_by_drain = false;
 	evtimer_del(session->idle);
 }
 
@@ -312,6 +316,28 @@
 	statement_done(session);
 }
 
+/* Rejects a statement that may not end before the node leaves; it is not run.
+ */
+static void refuse_leaving(relay_session_t *session)
+{
+	const bool open = session->transaction != TRANSACTION_NONE;
+
+	log_event(LOG_LEVEL_INFO, "statement_refused",
+		  "id=%s database=%s reason=leaving transaction=%d",
+		  session->message.id, session->database_name, open);
+	end_transaction(session);
+	session->answered = true;
+	session->just_answered = true;
+	if (open)
+		answer_error(session, RELAY_ERROR_ABORTED,
+			     "the node is leaving, rolled back");
+	else
+		answer_error(session, RELAY_ERROR_OVERLOADED,
+			     "not run, the node is leaving, "
+			     "retry after 0 ms");
+	statement_done(session);
+}
+
 static void on_token(void *context, bool admitted, uint32_t retry_after_ms)
 {
 	relay_session_t *session = context;
@@ -352,6 +378,7 @@
 		.values = session->values,
 		.own_point = session->own_point,
 		.own_term = session->own_term,
+		.latest_ms = drain_plan_latest_ms(&session->host->drain),
 	};
 
 	if (command->kind == COMMAND_EXECUTE) {
@@ -392,6 +419,7 @@
 static void begin(relay_session_t *session)
 {
 	session->transaction = TRANSACTION_BEGUN;
+	session->began_ms = clock_boot_ms();
 	session->read_only = session->command.kind == COMMAND_BEGIN_READ;
 	session->begin_id = g_strdup(session->message.id);
 	session->begin_text = g_strdup(session->message.text);
@@ -585,6 +613,28 @@
 	}
 }
 
+/* @return whether the statement may not end before a draining node leaves */
+static bool is_too_late(const relay_session_t *session)
+{
+	const drain_plan_t *drain = &session->host->drain;
+	const command_kind_t kind = session->command.kind;
+	const uint64_t now_ms = clock_boot_ms();
+	const uint32_t timeout_ms = session->database->timeout_ms;
+
+	if (!drain_plan_is_begun(drain) || kind == COMMAND_ROLLBACK)
+		return false;
+	if (session->transaction == TRANSACTION_FAILED)
+		return session->ended_by_drain;
+	if (session->transaction == TRANSACTION_NONE &&
+	    (kind == COMMAND_BEGIN || kind == COMMAND_BEGIN_READ))
+		return !drain_plan_may_begin_transaction(drain, now_ms,
+							 timeout_ms);
+	if (session->transaction == TRANSACTION_NONE || kind == COMMAND_COMMIT)
+		return is_remote(session) &&
+		       !drain_plan_may_begin(drain, now_ms, timeout_ms);
+	return drain_plan_ends_transaction(drain, session->began_ms, now_ms);
+}
+
 static void dispatch(relay_session_t *session)
 {
 	session->host->codec->parse(session->message.text, &session->command);
@@ -602,6 +652,10 @@
 		abort_transaction(session);
 		return;
 	}
+	if (is_too_late(session)) {
+		refuse_leaving(session);
+		return;
+	}
 	if (session->transaction == TRANSACTION_FAILED) {
 		dispatch_failed(session);
 		return;
@@ -692,11 +746,17 @@
 /*
  * Closes a draining session after an answer and before the caller's next
  * statement, when nothing of the session is lost: callers set variables and
- * prepared statements right before the statement that uses them.
+ * prepared statements right before the statement that uses them. At the end of
+ * the drain it is closed in any case, once what it has sent is answered.
  */
 static void drain_answered(relay_session_t *session)
 {
-	if (session->host->draining && session->answered &&
+	if (session->finishing) {
+		end_transaction(session);
+		close_soon(session);
+		return;
+	}
+	if (drain_plan_is_begun(&session->host->drain) && session->answered &&
 	    session->just_answered && !relay_session_is_busy(session))
 		close_soon(session);
 	session->just_answered = false;
@@ -804,11 +864,54 @@
 	return is_running(session) || session->transaction != TRANSACTION_NONE;
 }
 
+/* Rolls back a resting transaction; its caller is told when it comes back. */
+static void drain_transaction(relay_session_t *session)
+{
+	if (is_running(session) ||
+	    (session->transaction != TRANSACTION_BEGUN &&
+	     session->transaction != TRANSACTION_OPEN) ||
+	    !drain_plan_ends_transaction(&session->host->drain,
+					 session->began_ms, clock_boot_ms()))
+		return;
+	relay_session_end_transaction(session);
+	session->ended_by_drain = true;
+}
+
+static void finish_running(relay_session_t *session, relay_cut_t *cut)
+{
+	if (session->ticket) {
+		relay_quota_cancel(g_steal_pointer(&session->ticket));
+		cut->unsent++;
+		refuse_leaving(session);
+		process(session);
+		return;
+	}
+	cut->unsent += relay_job_is_unsent(session->job);
+	cut->sent += !relay_job_is_unsent(session->job);
+	relay_job_expire(session->job);
+}
+
+void relay_session_finish(relay_session_t *session, relay_cut_t *cut)
+{
+	if (session->closing)
+		return;
+	session->finishing = true;
+	if (session->waiting) {
+		refuse_without_catalog(session);
+	} else if (is_running(session)) {
+		finish_running(session, cut);
+	} else {
+		cut->transactions += session->transaction != TRANSACTION_NONE;
+		process(session);
+	}
+}
+
 void relay_session_drain(relay_session_t *session)
 {
 	const uint64_t idle_ms =
 		session->answered ? DRAIN_IDLE_MS : DRAIN_UNUSED_MS;
 
+	drain_transaction(session);
 	if (relay_session_is_busy(session) || session->closing)
 		return;
 	if (evbuffer_get_length(bufferevent_get_input(session->bev)))
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -3,6 +3,7 @@
 
 #include <event2/util.h>
 
+#include "coordination/drain_plan.h"
 #include "relay/relay_quota.h"
 #include "relay/relay_service.h"
 
@@ -20,7 +21,7 @@
 	catalog_t *catalog;   /**< NULL until the node has its first catalog */
 	metrics_t *metrics;   /**< NULL to count nothing */
 	relay_quota_t *quota; /**< NULL to admit all operations */
-	bool draining;	      /**< sessions close as they become idle */
+	drain_plan_t drain;   /**< sessions close as they become idle */
 	/** The session ended on its own and is about to be freed. */
 	void (*ended)(void *context, relay_session_t *session);
 	void *context;
@@ -42,9 +43,25 @@
  */
 void relay_session_configured(relay_session_t *session);
 
-/** Closes the session if nothing is open and it has been idle long enough. */
+/**
+ * Closes the session if nothing is open and it has been idle long enough; rolls
+ * its transaction back if that may not end in time.
+ */
 void relay_session_drain(relay_session_t *session);
 
+/** What the end of a drain cuts, by kind. */
+typedef struct {
+	uint32_t unsent;       /**< statements that no server was sent */
+	uint32_t sent;	       /**< statements that a server may have run */
+	uint32_t transactions; /**< open transactions without a statement */
+} relay_cut_t;
+
+/**
+ * Answers what the session has accepted, with what is known now, and closes it
+ * once the answers are written.
+ */
+void relay_session_finish(relay_session_t *session, relay_cut_t *cut);
+
 /** Rolls back an open transaction in which no statement runs. */
 void relay_session_end_transaction(relay_session_t *session);
 
--- a/tests/e2e/test_platform.c
+++ b/tests/e2e/test_platform.c
@@ -273,28 +273,44 @@
 	line_client_close(client);
 }
 
-#define READERS 6
+#define BUSY_CALLERS 6
 #define STATEMENT_PAUSE_MS 100
+#define TRANSACTION_STATEMENTS 4
 
+/* Callers that run one transaction after the other at a node that leaves. */
 typedef struct {
 	site_world_t *world;
+	const char *const *texts; /* the statements of a transaction */
 	gint ended;
-	gint lost;
-} readers_t;
+	gint lost; /* statements that were never answered */
+} busy_callers_t;
+
+/* As the last statement: the one before it is repeated without a pause. */
+#define ENDLESS NULL
+
+/* @return the result of the first repetition that is not done */
+static line_result_t repeat(line_client_t *client, const char *text)
+{
+	line_result_t result;
+
+	do
+		result = line_client_run(client, text, NULL);
+	while (result == LINE_DONE);
+	return result;
+}
 
 /*
  * Runs a transaction with pauses between its statements.
  *
  * @return whether every statement was answered
  */
-static bool run_read_transaction(line_client_t *client)
+static bool run_transaction(line_client_t *client, const char *const *texts)
 {
-	static const char *const texts[] = {"BEGIN", "READ leaving",
-					    "READ leaving", "COMMIT"};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+	for (size_t i = 0; i < TRANSACTION_STATEMENTS; i++) {
 		const line_result_t result =
-			line_client_run(client, texts[i], NULL);
+			texts[i] == ENDLESS ?
+				repeat(client, texts[i - 1]) :
+				line_client_run(client, texts[i], NULL);
 
 		if (result != LINE_DONE)
 			return result != LINE_NO_ANSWER;
@@ -303,20 +319,20 @@
 	return true;
 }
 
-static void *read_until_ended(void *context)
+static void *run_until_ended(void *context)
 {
-	readers_t *readers = context;
-	const uint16_t port = site_world_callers_port(readers->world, 2);
+	busy_callers_t *callers = context;
+	const uint16_t port = site_world_callers_port(callers->world, 2);
 
-	while (!g_atomic_int_get(&readers->ended)) {
+	while (!g_atomic_int_get(&callers->ended)) {
 		line_client_t *client = line_client_open(port, "own-0");
 
 		if (!client) {
 			g_usleep(1000);
 			continue;
 		}
-		if (!run_read_transaction(client))
-			g_atomic_int_inc(&readers->lost);
+		if (!run_transaction(client, callers->texts))
+			g_atomic_int_inc(&callers->lost);
 		line_client_close(client);
 	}
 	return NULL;
@@ -326,26 +342,46 @@
  * Callers connect until the node's process ends, so that the node is never idle
  * while it drains. Every accepted statement must be answered.
  */
-static void test_busy_node_answers_until_it_stops(void **state)
+static void assert_busy_node_answers(site_world_t *world,
+				     const char *const *texts)
 {
-	readers_t readers = {.world = *state};
+	busy_callers_t callers = {.world = world, .texts = texts};
 	const uint64_t deadline_ms = clock_now_ms() + START_TIMEOUT_MS;
-	GThread *threads[READERS];
+	GThread *threads[BUSY_CALLERS];
 
-	for (uint32_t i = 0; i < READERS; i++)
-		threads[i] = g_thread_new("reader", read_until_ended, &readers);
+	for (uint32_t i = 0; i < BUSY_CALLERS; i++)
+		threads[i] = g_thread_new("caller", run_until_ended, &callers);
 	g_usleep(RETRY_MS * 1000);
-	site_world_signal(readers.world, 2, SIGTERM);
-	while (site_world_is_running(readers.world, 2) &&
-	       clock_now_ms() < deadline_ms)
+	site_world_signal(world, 2, SIGTERM);
+	while (site_world_is_running(world, 2) && clock_now_ms() < deadline_ms)
 		g_usleep(1000);
-	g_atomic_int_set(&readers.ended, 1);
-	for (uint32_t i = 0; i < READERS; i++)
+	g_atomic_int_set(&callers.ended, 1);
+	for (uint32_t i = 0; i < BUSY_CALLERS; i++)
 		g_thread_join(threads[i]);
-	assert_false(site_world_is_running(readers.world, 2));
-	assert_int_equal(readers.lost, 0);
-	assert_true(site_world_restart(readers.world, 2));
-	assert_true(site_world_wait_ready(readers.world, START_TIMEOUT_MS));
+	assert_false(site_world_is_running(world, 2));
+	assert_int_equal(callers.lost, 0);
+	assert_true(site_world_restart(world, 2));
+	assert_true(site_world_wait_ready(world, START_TIMEOUT_MS));
+}
+
+static void test_busy_node_answers_until_it_stops(void **state)
+{
+	static const char *const texts[TRANSACTION_STATEMENTS] = {
+		"BEGIN", "READ leaving", "READ leaving", "COMMIT"};
+
+	assert_busy_node_answers(*state, texts);
+}
+
+/*
+ * The transaction was never ended, because a statement ran whenever that was
+ * tried, and the last statement was cut with the process.
+ */
+static void test_endless_transactions_are_ended_and_answered(void **state)
+{
+	static const char *const texts[TRANSACTION_STATEMENTS] = {
+		"BEGIN", "READ leaving", "WRITE leaving 2", ENDLESS};
+
+	assert_busy_node_answers(*state, texts);
 }
 
 static void test_leaving_node_ends_sessions_and_stops(void **state)
@@ -378,6 +414,8 @@
 		cmocka_unit_test(test_lost_primary_is_replaced),
 		cmocka_unit_test(test_leaving_node_ends_sessions_and_stops),
 		cmocka_unit_test(test_busy_node_answers_until_it_stops),
+		cmocka_unit_test(
+			test_endless_transactions_are_ended_and_answered),
 	};
 
 	return cmocka_run_group_tests(tests, open_site, close_site);
--- a/tests/unit/fake_entry.h
+++ b/tests/unit/fake_entry.h
@@ -3,6 +3,7 @@
 
 #include <libpq-fe.h>
 
+#include "base/clock.h"
 #include "daemon/callers_task.h"
 #include "daemon/pool_task.h"
 #include "protocol/scram.h"
@@ -12,6 +13,7 @@
 #define SALT "0123456789abcdef"
 #define ITERATIONS 4096
 #define SHARE 4
+#define DRAIN_GRACE_MS 60000
 #define WAIT_STEP_US 2000
 #define WAIT_STEPS 5000
 
@@ -37,6 +39,7 @@
 	gint confirms; /* whether commits are confirmed */
 	gint barriers; /* barriers started so far */
 	gint drain;    /* 1 requests a drain, 2 once it has begun */
+	gint finish;   /* 1 requests the end of a drain, 2 once it is done */
 	gint sessions; /* callers_task_session_count() */
 	gint busy;     /* pool_task_busy_count() */
 } entry_t;
@@ -142,8 +145,14 @@
 	g_atomic_int_set(&entry.sessions,
 			 (gint)callers_task_session_count(entry.task));
 	g_atomic_int_set(&entry.busy, (gint)pool_task_busy_count(entry.pool));
-	if (g_atomic_int_compare_and_exchange(&entry.drain, 1, 2))
-		callers_task_drain(entry.task);
+	if (g_atomic_int_compare_and_exchange(&entry.drain, 1, 2)) {
+		drain_plan_t plan;
+
+		drain_plan_begin(&plan, clock_now_ms(), DRAIN_GRACE_MS, 0);
+		callers_task_drain(entry.task, &plan);
+	}
+	if (g_atomic_int_compare_and_exchange(&entry.finish, 1, 2))
+		callers_task_finish(entry.task);
 	if (g_atomic_int_get(&entry.stop))
 		event_base_loopbreak(entry.base);
 }
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -349,6 +349,32 @@
 	PQfinish(conn);
 }
 
+/* The process ended without an answer to these. */
+static void test_end_of_a_drain_answers_what_is_open(void **state)
+{
+	PGconn *waits = connect_as_foreman("");
+	PGconn *rests = connect_as_foreman("");
+	PGresult *result = NULL;
+
+	assert_sqlstate(rests, "BEGIN", "");
+	assert_sqlstate(rests, "INSERT INTO pairing VALUES (1)", "");
+	g_atomic_int_set(&entry.backend->refuse, 1);
+	PQsendQuery(waits, "INSERT INTO pairing VALUES (2)");
+	wait_for(&entry.busy, 2);
+	g_atomic_int_set(&entry.drain, 1);
+	wait_for(&entry.drain, 2);
+	g_atomic_int_set(&entry.finish, 1);
+	wait_for(&entry.busy, 0);
+	result = PQgetResult(waits);
+	assert_non_null(PQresultErrorField(result, PG_DIAG_SQLSTATE));
+	PQclear(result);
+	PQclear(PQexec(rests, "COMMIT"));
+	assert_non_null(strstr(PQerrorMessage(rests), "leaving"));
+	wait_for(&entry.sessions, 0);
+	PQfinish(waits);
+	PQfinish(rests);
+}
+
 static void test_drain_lets_transactions_end(void **state)
 {
 	GString *notice = g_string_new(NULL);
@@ -392,6 +418,7 @@
 		TEST(test_start_up_with_surplus_is_refused),
 		TEST(test_login_message_with_nul_is_refused),
 		TEST(test_query_with_nul_ends_its_transaction),
+		TEST(test_end_of_a_drain_answers_what_is_open),
 		TEST(test_drain_lets_transactions_end),
 		TEST(test_drain_refuses_a_caller_that_is_never_idle),
 	};
