--- a/src/relay/relay_session_drain.c
+++ b/src/relay/relay_session_drain.c
@@ -1,5 +1,4 @@
-/* What the drain of a node does with a session; see coordination/drain_plan.h.
- */
+/* What a draining node does with a session; see coordination/drain_plan.h. */
 #include "relay/relay_session_private.h"
 
 #include "base/clock.h"
--- a/src/relay/relay_session_private.h
+++ b/src/relay/relay_session_private.h
@@ -53,8 +53,7 @@
 	bool finishing;	       /* closed once its input is answered */
 	bool closing;	       /* closed once the output is written */
 	bool answered;	    /* a statement of the session has been answered */
-	bool just_answered; /* answered since relay_session_drain_answered()
-			       last ran */
+	bool just_answered; /* answered since the input was last empty */
 	uint64_t active_ms; /* last message or answer, on the boot clock */
 };
 
