--- a/review/11/run.pl
+++ b/review/11/run.pl
@@ -53,6 +53,7 @@
     note($text);
     print "$text\n";
     $nodes->stop_all;
+    $nodes->keep_logs($ENV{KEEP_LOGS}) if $ENV{KEEP_LOGS};
     close $record;
     exit $status;
 }
--- a/review/bed-3/Databases.pm
+++ b/review/bed-3/Databases.pm
@@ -26,7 +26,8 @@
     $self->{servers}[0]{primary} = 1;
     $self->report($_) for @{ $self->{servers} };
     Loop::every(HEARTBEAT_S, sub {
-        $self->report($_) for grep { $_->{alive} } @{ $self->{servers} };
+        $self->report($_)
+            for grep { $_->{alive} && !$_->{silent} } @{ $self->{servers} };
     });
     Loop::every(LAG_S, sub { $self->ship });
     return $self;
--- a/review/bed-3/Nodes.pm
+++ b/review/bed-3/Nodes.pm
@@ -2,6 +2,7 @@
 package Nodes;
 use strict;
 use warnings;
+use File::Copy ();
 use File::Temp ();
 use POSIX ();
 
@@ -151,6 +152,12 @@
     }
 }
 
+# Copies the logs of the nodes to a folder.
+sub keep_logs {
+    my ($self, $folder) = @_;
+    File::Copy::copy($_, $folder) for glob "$self->{folder}/*.log";
+}
+
 sub DESTROY { $_[0]->stop_all }
 
 1;
