Review: put the stand-ins into the folder of case 11

A folder of review/ is to be a case, so review/bed-3 becomes review/11/bed, which review/12 uses too.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Runs the case; see claim.txt. TROUBLE=0 leaves the disruptions out.
-cd "$(dirname "$0")" && exec perl -I../bed-3 run.pl
+cd "$(dirname "$0")" && exec perl -Ibed run.pl
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # written in Perl and need no build, only the modules that come with it.
 set -eu
 cd "$(dirname "$0")"
-for file in bed-3/*.pm 1[1-9]/run.pl
+for file in 11/bed/*.pm 1[1-9]/run.pl
 do
-	perl -Ibed-3 -c "$file"
+	perl -I11/bed -c "$file"
 done
