Say whom a takeover waits for, and who sets and lifts a fence

A takeover logged how many leases it ended and then "proofs_forgotten detail=all". So its log could not tell which nodes it had waited for, nor why it took their proofs to be over. A fence was logged without its server, and server_released, at level info, named neither the holder of the duty nor the fence; it was logged for STEPDOWN as well.

Now lease_revoked names each lease that is ended, lease_proofs what became of its proofs; server_fenced, server_released and server_stepped_down name the server, the token under which the operation was sent, the token held when the answer came, and the fence reported.

--- a/src/relay/relay_coordinator_takeover.c
+++ b/src/relay/relay_coordinator_takeover.c
@@ -21,6 +21,7 @@
 	coordinator_service_t *entry;
 	uint64_t round; /* number of the takeover that started the action */
 	uint64_t order; /* number of the order, if it is one */
+	int64_t token;	/* of the duty that was held, 0 for none */
 	char *server;
 } action_t;
 
@@ -31,6 +32,7 @@
 	action->entry = entry;
 	action->round = entry->round;
 	action->order = takeover_order_number(entry->takeover);
+	action->token = entry->coordinator->held_revision;
 	action->server = g_strdup(server);
 	return action;
 }
@@ -53,6 +55,19 @@
 	return relay_services_find(entry->coordinator->services, entry->name);
 }
 
+/* Says which holder of the duty changed a server, and to what fence. */
+static void log_control(const action_t *action, const char *event,
+			const relay_control_answer_t *answer)
+{
+	log_event(LOG_LEVEL_NOTICE, event,
+		  "service=%s server=%s token=%" PRId64 " held=%" PRId64
+		  " result=%s fence=%" PRIu64,
+		  action->entry->name, action->server, action->token,
+		  action->entry->coordinator->held_revision,
+		  relay_control_result_name(answer->result),
+		  answer->status.fence);
+}
+
 static void log_step(const coordinator_service_t *entry, const char *step,
 		     const char *detail)
 {
@@ -243,8 +258,7 @@
 	action_t *action = context;
 	const takeover_status_t status = status_of(answer);
 
-	log_step(action->entry, "fenced",
-		 relay_control_result_name(answer->result));
+	log_control(action, "server_fenced", answer);
 	if (is_current(action))
 		takeover_fenced(action->entry->takeover, action->server,
 				&status, clock_boot_ms());
@@ -300,18 +314,16 @@
 {
 	action_t *action = context;
 
-	log_event(LOG_LEVEL_INFO, "server_released",
-		  "service=%s server=%s result=%s", action->entry->name,
-		  action->server, relay_control_result_name(answer->result));
+	log_control(action, "server_released", answer);
 	action_free(action);
 }
 
-static void run_control(coordinator_service_t *entry, const char *server,
-			relay_control_t operation, uint64_t term)
+static void on_stepped_down(void *context, const relay_control_answer_t *answer)
 {
-	relay_control_run(service_of(entry), server, operation, term,
-			  CONTROL_TIMEOUT_MS, on_released,
-			  action_new(entry, server));
+	action_t *action = context;
+
+	log_control(action, "server_stepped_down", answer);
+	action_free(action);
 }
 
 /* Lifts the fences of all replicas, including those of a failed coordinator. */
@@ -326,7 +338,10 @@
 		const char *id = relay_server_entry(servers->pdata[i])->id;
 
 		if (strcmp(id, entry->record.primary))
-			run_control(entry, id, RELAY_CONTROL_RELEASE, 0);
+			relay_control_run(service_of(entry), id,
+					  RELAY_CONTROL_RELEASE, 0,
+					  CONTROL_TIMEOUT_MS, on_released,
+					  action_new(entry, id));
 	}
 }
 
@@ -340,7 +355,10 @@
 		const char *id = relay_server_entry(servers->pdata[i])->id;
 
 		if (strcmp(id, primary))
-			run_control(entry, id, RELAY_CONTROL_STEP_DOWN, term);
+			relay_control_run(service_of(entry), id,
+					  RELAY_CONTROL_STEP_DOWN, term,
+					  CONTROL_TIMEOUT_MS, on_stepped_down,
+					  action_new(entry, id));
 	}
 }
 
--- a/src/relay/relay_revocation.c
+++ b/src/relay/relay_revocation.c
@@ -1,5 +1,6 @@
 #include "relay/relay_revocation.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -139,6 +140,19 @@
 	return has_newer(revocation, key);
 }
 
+/* Says for each lease that was ended whether its node is waited for. */
+static void log_awaited(const relay_revocation_t *revocation)
+{
+	for (guint i = 0; i < revocation->ended->len; i++) {
+		const char *key = revocation->ended->pdata[i];
+
+		log_event(LOG_LEVEL_NOTICE, "lease_proofs",
+			  "key=%s intent=%" PRId64 " state=%s", key,
+			  revocation->revision,
+			  is_settled(revocation, key) ? "over" : "awaited");
+	}
+}
+
 static void remove_keys(const relay_revocation_t *revocation)
 {
 	kv_store_t *store = revocation->store;
@@ -182,6 +196,7 @@
 		schedule(revocation, FORGET_MS);
 		return;
 	}
+	log_awaited(revocation);
 	remove_keys(revocation);
 	if (forgotten)
 		revocation->handlers.forgotten(revocation->handlers.context);
@@ -222,8 +237,12 @@
 		return;
 	}
 	if (!g_ptr_array_find_with_equal_func(revocation->ended, item->key,
-					      g_str_equal, NULL))
+					      g_str_equal, NULL)) {
 		g_ptr_array_add(revocation->ended, g_strdup(item->key));
+		log_event(LOG_LEVEL_NOTICE, "lease_revoked",
+			  "key=%s seen=%" PRId64 " intent=%" PRId64, item->key,
+			  record.seen_revision, revocation->revision);
+	}
 	revocation->pending++;
 	store->calls->lease_end(store->self, record.lease, on_ended,
 				revocation);
