Wait for the proofs of every node that has not confirmed a takeover

Cause: a takeover leaves out its wait of 1.26 s when every node that did not confirm it has forgotten its proofs of the old primary, and it took any other key of a node for a registration after the one whose lease it had ended. A killed run leaves its key, so the keys of two runs counted for each other. By lease_revoked and lease_proofs: four leases ended, all four "over" 0.15 s later, while the store turned both nodes away. Ruled out: nodes that the takeover does not know, confirmations, a missing or lifted fence.

Now one rule holds, in coordination/lease_revocation and lease_keys: proofs under a lease are over only if its key is gone, or its node has confirmed this takeover. A node removes a key only when no proof under it can be in use; it finds the keys of its earlier runs by listing them, not by its hub's key, which a takeover may have removed just before the kill. A record that a node keeps using does not become outdated (it is written again every 5 minutes), one that cannot be read is waited for, and a takeover removes nothing that was written since it was listed.

Failed before: test_relay_revocation keys_of_two_runs and keys_of_three_runs (forgotten is true), confirmation_counts_for_earlier_runs (leases ended: 1 != 0) and unknown_record_is_waited_for (0 != 1). test_relay_registration is changed where it checked the value that stood for earlier leases: it checks that the earlier key is removed, as late as before. test_delegation_model follows the rule with two restarts; REMOVE_AT_ONCE takes the place of RESTART_STANDS, and HUB_KEY_TELLS and KEYS_STAND are new.

--- a/src/relay/relay_node_hub.c
+++ b/src/relay/relay_node_hub.c
@@ -200,8 +200,7 @@
 	relay_node_t *node = context;
 
 	start_hub(node);
-	relay_registration_claim(node->registration, key, revision,
-				 revision != 0);
+	relay_registration_claim(node->registration, key, revision);
 }
 
 /* The first registration needs no restart: the watches were just started. */
--- a/src/relay/relay_registration.c
+++ b/src/relay/relay_registration.c
@@ -21,9 +21,6 @@
 /* Delay before a failed registration is retried. */
 #define REGISTER_RETRY_MS 200
 
-/* Validity of the proofs that an earlier run of the node may have given. */
-#define EARLIER_PROOFS_MS (PRIMARY_LEASE_VALID_MS + 100)
-
 /*
  * Time after a restore of the store for which the node keeps its earlier
  * registration, while the primary records are written again.
@@ -45,10 +42,33 @@
 	return call;
 }
 
-registration_call_t registration_call_end(registration_call_t *call)
+static void call_free(gpointer data)
+{
+	registration_call_t *call = data;
+
+	g_clear_pointer(&call->removals, g_ptr_array_unref);
+	g_free(call);
+}
+
+registration_call_t *registration_call_write(relay_registration_t *registration,
+					     int64_t lease)
+{
+	registration_call_t *call = registration_call_new(registration, lease);
+
+	call->written_ms = call->sent_ms;
+	call->removals =
+		lease_keys_removable(registration->keys, call->sent_ms);
+	return call;
+}
+
+registration_call_t registration_call_end(registration_call_t *call,
+					  bool written)
 {
-	const registration_call_t copy = *call;
+	registration_call_t copy = *call;
 
+	if (written && call->removals)
+		lease_keys_removed(call->registration->keys, call->removals);
+	copy.removals = NULL;
 	g_hash_table_remove(call->registration->calls, call);
 	return copy;
 }
@@ -74,9 +94,34 @@
 		  registration->lease->registered_at);
 }
 
+/*
+ * Removes the keys of earlier runs, whose proofs have expired, and confirms
+ * what had to wait for that.
+ */
+static void settle_earlier(relay_registration_t *registration)
+{
+	const uint64_t now_ms = clock_boot_ms();
+	const uint32_t wait_ms =
+		lease_keys_settle_ms(registration->keys, now_ms);
+	const struct timeval delay = clock_timeval(wait_ms);
+	const int64_t next = registration->next_confirmation;
+	g_autoptr(GPtrArray) removable = NULL;
+
+	/* The event loop counts from when its iteration began. */
+	if (wait_ms) {
+		event_add(registration->keys_timer, &delay);
+		return;
+	}
+	removable = lease_keys_removable(registration->keys, now_ms);
+	registration->next_confirmation = 0;
+	if (removable->len || next)
+		relay_registration_confirm(registration, next);
+}
+
 static void on_registered(void *context, const kv_answer_t *answer)
 {
-	const registration_call_t call = registration_call_end(context);
+	const registration_call_t call =
+		registration_call_end(context, answer->result == KV_OK);
 	relay_registration_t *registration = call.registration;
 
 	registration->opening = false;
@@ -98,14 +143,29 @@
 	registration->lease->lease = call.lease;
 	registration->lease->registered_at = answer->revision;
 	registration->key_revision = answer->revision;
+	registration_written(registration, call.written_ms);
 	node_lease_renewed(registration->lease, call.sent_ms);
 	log_event(LOG_LEVEL_NOTICE, "registered",
 		  "lease=%" PRId64 " revision=%" PRId64, call.lease,
 		  answer->revision);
 	schedule(registration, RENEW_MS);
+	if (lease_keys_is_listed(registration->keys))
+		settle_earlier(registration);
 	registration->handlers.registered(registration->handlers.context);
 }
 
+/*
+ * Gives up the key of the last lease, whose proofs were forgotten before a new
+ * one was opened. After a restore of the store they were not.
+ */
+static void forget_last_key(relay_registration_t *registration)
+{
+	if (registration->lease_key && !registration->restored)
+		lease_keys_forgotten(registration->keys,
+				     registration->lease_key);
+	g_clear_pointer(&registration->lease_key, g_free);
+}
+
 static void register_keys(relay_registration_t *registration, int64_t lease,
 			  uint64_t sent_ms)
 {
@@ -114,12 +174,11 @@
 	 * late cannot overwrite the record of the present lease.
 	 */
 	g_autofree char *value = g_strdup_printf("%" PRId64, lease);
-	g_autofree char *record =
-		registration_encode_record(registration, lease, 0);
-	g_autofree char *old_key = g_steal_pointer(&registration->lease_key);
-	const char *const removals[] = {old_key};
+	g_autofree char *record = registration_encode_record(lease, 0);
 	g_autofree char *key = g_strdup_printf(RELAY_LEASES_PREFIX "%s/%s",
 					       registration->node, value);
+	registration_call_t *call =
+		registration_call_write(registration, lease);
 	/* After the first time the key is this node's, or nobody's. */
 	const kv_condition_t condition = {
 		.key = registration->hub_key,
@@ -136,11 +195,11 @@
 		.conditions_count = registration->claimed ? 0 : 1,
 		.puts = puts,
 		.puts_count = G_N_ELEMENTS(puts),
-		.removals = removals,
-		.removals_count = old_key ? 1 : 0,
+		.removals = (const char *const *)call->removals->pdata,
+		.removals_count = call->removals->len,
 	};
-	registration_call_t *call = registration_call_new(registration, lease);
 
+	lease_keys_written(registration->keys, key);
 	registration->lease_key = g_strdup(key);
 	registration->seen_revision = 0;
 	/* The lease counts from when opening it was requested. */
@@ -151,7 +210,7 @@
 
 static void on_opened(void *context, const kv_answer_t *answer)
 {
-	const registration_call_t call = registration_call_end(context);
+	const registration_call_t call = registration_call_end(context, false);
 	relay_registration_t *registration = call.registration;
 
 	if (answer->result != KV_OK || !answer->lease) {
@@ -161,12 +220,13 @@
 		schedule(registration, REGISTER_RETRY_MS);
 		return;
 	}
+	forget_last_key(registration);
 	register_keys(registration, answer->lease, call.sent_ms);
 }
 
 static void on_renewed(void *context, const kv_answer_t *answer)
 {
-	const registration_call_t call = registration_call_end(context);
+	const registration_call_t call = registration_call_end(context, false);
 	relay_registration_t *registration = call.registration;
 	node_lease_t *lease = registration->lease;
 
@@ -187,6 +247,7 @@
 		log_validity(registration);
 		if (lapsed)
 			relay_services_wake(registration->services);
+		registration_refresh(registration);
 	} else if (answer->result == KV_ABSENT) {
 		log_event(LOG_LEVEL_NOTICE, "lease_ended", "lease=%" PRId64,
 			  lease->lease);
@@ -233,8 +294,7 @@
 		return;
 	}
 	if (registration->lease->lease &&
-	    clock_boot_ms() >
-		    registration->lease->renewed_ms + RELAY_LEASE_AGE_MAX_MS)
+	    clock_boot_ms() >= registration->expiry_ms)
 		relay_services_forget_proofs(registration->services);
 	if (!registration->lease->lease) {
 		registration->settling = true;
@@ -250,23 +310,52 @@
 	step(context);
 }
 
-/* Earlier proofs have expired: the record now stands for earlier leases. */
-static void on_settled_timer(evutil_socket_t fd, short what, void *context)
+static void list_keys(relay_registration_t *registration, const char *after);
+
+static void on_keys_listed(void *context, const kv_answer_t *answer)
 {
-	relay_registration_t *registration = context;
-	const int64_t next = registration->next_confirmation;
-	const uint64_t now_ms = clock_boot_ms();
-	struct timeval delay;
+	const registration_call_t call = registration_call_end(context, false);
+	relay_registration_t *registration = call.registration;
+	const struct timeval retry = clock_timeval(REGISTER_RETRY_MS);
+	const kv_item_t *last = NULL;
 
-	/* The event loop counts from when its iteration began. */
-	if (now_ms < registration->settled_ms) {
-		delay = clock_timeval(registration->settled_ms - now_ms);
-		event_add(registration->settled_timer, &delay);
+	if (answer->result != KV_OK) {
+		event_add(registration->keys_timer, &retry);
 		return;
 	}
-	registration->next_confirmation = 0;
-	relay_registration_confirm(registration,
-				   MAX(next, LEASE_RECORD_SETTLED));
+	for (guint i = 0; i < answer->items->len; i++) {
+		last = answer->items->pdata[i];
+		lease_keys_found(registration->keys, last->key);
+	}
+	if (answer->has_more && last) {
+		list_keys(registration, last->key);
+		return;
+	}
+	lease_keys_listed(registration->keys);
+	settle_earlier(registration);
+}
+
+/* Lists the keys of the node's leases: earlier runs may have left some. */
+static void list_keys(relay_registration_t *registration, const char *after)
+{
+	g_autofree char *prefix =
+		g_strdup_printf(RELAY_LEASES_PREFIX "%s/", registration->node);
+
+	registration->store->calls->range(
+		registration->store->self, prefix, after, on_keys_listed,
+		registration_call_new(registration, 0));
+}
+
+static void on_keys_timer(evutil_socket_t fd, short what, void *context)
+{
+	relay_registration_t *registration = context;
+
+	if (registration->leaving)
+		return;
+	if (lease_keys_is_listed(registration->keys))
+		settle_earlier(registration);
+	else
+		list_keys(registration, NULL);
 }
 
 relay_registration_t *
@@ -283,26 +372,21 @@
 	registration->node = g_strdup(node);
 	registration->description = g_strdup(description);
 	registration->calls = g_hash_table_new_full(
-		g_direct_hash, g_direct_equal, g_free, NULL);
+		g_direct_hash, g_direct_equal, call_free, NULL);
 	registration->timer = evtimer_new(base, on_timer, registration);
-	registration->settled_timer =
-		evtimer_new(base, on_settled_timer, registration);
+	registration->keys = lease_keys_create(clock_boot_ms());
+	registration->keys_timer =
+		evtimer_new(base, on_keys_timer, registration);
 	registration->handlers = handlers;
 	return registration;
 }
 
 void relay_registration_claim(relay_registration_t *registration,
-			      const char *key, int64_t revision, bool restarted)
+			      const char *key, int64_t revision)
 {
-	const struct timeval delay = clock_timeval(EARLIER_PROOFS_MS);
-
 	g_free(registration->hub_key);
 	registration->hub_key = g_strdup(key);
 	registration->hub_revision = revision;
-	if (restarted && !registration->settled_ms) {
-		registration->settled_ms = clock_boot_ms() + EARLIER_PROOFS_MS;
-		event_add(registration->settled_timer, &delay);
-	}
 	/*
 	 * At once, so that opening the lease takes the connection on which the
 	 * store has just answered: the watches that start now open their own,
@@ -310,6 +394,9 @@
 	 */
 	event_del(registration->timer);
 	step(registration);
+	if (!registration->listing)
+		list_keys(registration, NULL);
+	registration->listing = true;
 }
 
 const char *relay_registration_key(const relay_registration_t *registration)
@@ -361,8 +448,9 @@
 	if (!registration)
 		return;
 	event_free(registration->timer);
-	event_free(registration->settled_timer);
+	event_free(registration->keys_timer);
 	g_hash_table_destroy(registration->calls);
+	lease_keys_destroy(registration->keys);
 	g_free(registration->node);
 	g_free(registration->lease_key);
 	g_free(registration->hub_key);
--- a/src/relay/relay_registration.h
+++ b/src/relay/relay_registration.h
@@ -7,14 +7,16 @@
 #include "store/kv_store.h"
 
 /**
- * Prefix of the keys of registered leases, see lease_record_t. A key is kept
- * until its node registers again or leaves, or a takeover removes it. A
- * takeover removes the key of a node that has registered a newer lease, and a
- * key written more than twice RELAY_LEASE_AGE_MAX_MS ago.
+ * Prefix of the keys NODE/LEASE of registered leases, see lease_record_t and
+ * lease_keys.h. A takeover removes only one written more than twice
+ * RELAY_LEASE_AGE_MAX_MS ago.
  */
 #define RELAY_LEASES_PREFIX "toucanhook/leases/"
 
-/** Maximum time without the store during which a node may use any proof. */
+/**
+ * Maximum time since its record was written during which a node may use any
+ * proof; the record is written again much more often while the store answers.
+ */
 #define RELAY_LEASE_AGE_MAX_MS (30u * 60 * 1000)
 
 /**
@@ -56,15 +58,14 @@
 			  relay_registration_handlers_t handlers);
 
 /**
- * Registers the node with a key below RELAY_HUBS_PREFIX.
+ * Registers the node with a key below RELAY_HUBS_PREFIX. Keys of its leases
+ * that the store has are those of earlier runs, whose proofs other nodes may
+ * still use.
  *
- * @param revision  revision of the key, 0 if it must not exist
- * @param restarted whether an earlier run of this node may have given proofs
- *        that other nodes still use
+ * @param revision revision of the key, 0 if it must not exist
  */
 void relay_registration_claim(relay_registration_t *registration,
-			      const char *key, int64_t revision,
-			      bool restarted);
+			      const char *key, int64_t revision);
 
 /** @return the key of this hub, or NULL before relay_registration_claim() */
 const char *relay_registration_key(const relay_registration_t *registration);
--- a/src/relay/relay_revocation.c
+++ b/src/relay/relay_revocation.c
@@ -1,12 +1,11 @@
 #include "relay/relay_revocation.h"
 
 #include <inttypes.h>
-#include <string.h>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "coordination/lease_revocation.h"
 #include "relay/relay_registration.h"
-#include "state/lease_record.h"
 
 /* Delay before each poll for confirmations, and the number of polls. */
 #define CONFIRM_MS 90
@@ -15,17 +14,17 @@
 /* Delay before ending leases is retried after a failure. */
 #define END_RETRY_MS 150
 
-/* Delay before each poll for new registrations, and the number of polls. */
+/* Delay before each poll for removed keys, and the number of polls. */
 #define FORGET_MS 150
 #define FORGET_POLLS_MAX 4
 
-/* Maximum number of keys that one transaction removes. */
+/* Maximum number of outdated keys that one takeover removes. */
 #define REMOVALS_MAX 30
 
 typedef enum {
 	PHASE_CONFIRM, /* waiting for confirmations */
 	PHASE_END,     /* ending the unconfirmed leases */
-	PHASE_FORGET,  /* waiting until those nodes registered again */
+	PHASE_FORGET,  /* waiting until their proofs are over */
 } phase_t;
 
 struct relay_revocation {
@@ -35,19 +34,17 @@
 	relay_revocation_handlers_t handlers;
 	phase_t phase;
 	struct event *timer;
-	GPtrArray *items; /* kv_item_t, lease records from the last listing */
-	GPtrArray *ended; /* keys of the leases that were ended */
-	uint32_t polls;	  /* polls of the present phase */
-	uint32_t pending; /* calls under way */
-	bool failed;	  /* listing or ending a lease failed */
+	lease_revocation_t *keys; /* as last listed */
+	uint32_t polls;		  /* polls of the present phase */
+	uint32_t pending;	  /* calls under way */
+	bool failed;		  /* listing or ending a lease failed */
 	bool stopped;
 };
 
 static void revocation_free(relay_revocation_t *revocation)
 {
 	event_free(revocation->timer);
-	g_ptr_array_unref(revocation->items);
-	g_ptr_array_unref(revocation->ended);
+	lease_revocation_destroy(revocation->keys);
 	g_free(revocation);
 }
 
@@ -73,131 +70,66 @@
 	return false;
 }
 
-static bool has_confirmed(const relay_revocation_t *revocation,
-			  const kv_item_t *item)
-{
-	lease_record_t record;
-
-	return lease_record_decode(item->value, &record) &&
-	       record.seen_revision >= revocation->revision;
-}
-
-/* @return whether the key was written longer ago than any proof can last */
-static bool is_outdated(const kv_item_t *item)
-{
-	const int64_t wall_ms = g_get_real_time() / 1000;
-	lease_record_t record;
-
-	return lease_record_decode(item->value, &record) &&
-	       wall_ms - record.written_ms >
-		       2 * (int64_t)RELAY_LEASE_AGE_MAX_MS;
-}
-
-/* @return whether the record stands for the node's earlier leases as well */
-static bool stands_for_earlier(const kv_item_t *item)
-{
-	lease_record_t record;
-
-	return lease_record_decode(item->value, &record) &&
-	       record.seen_revision >= LEASE_RECORD_SETTLED;
-}
-
-/*
- * @return whether the key's node has another lease in the store that stands
- *         for this one
- */
-static bool has_newer(const relay_revocation_t *revocation, const char *key)
-{
-	const char *lease = strrchr(key, '/');
-	const size_t size = (size_t)(lease - key) + 1;
-	const GPtrArray *items = revocation->items;
-
-	for (guint i = 0; i < items->len; i++) {
-		const kv_item_t *item = items->pdata[i];
-
-		if (!strncmp(item->key, key, size) &&
-		    strcmp(item->key, key) != 0 && stands_for_earlier(item))
-			return true;
-	}
-	return false;
-}
-
-/*
- * @return whether the key's node has confirmed or registered again. A node that
- *         has done neither may still use other proofs. Its key stays, so that
- *         the next takeover waits for this node as well.
- */
-static bool is_settled(const relay_revocation_t *revocation, const char *key)
-{
-	const GPtrArray *items = revocation->items;
-
-	for (guint i = 0; i < items->len; i++) {
-		const kv_item_t *item = items->pdata[i];
-
-		if (!strcmp(item->key, key) && has_confirmed(revocation, item))
-			return true;
-	}
-	return has_newer(revocation, key);
-}
-
 /* Says for each lease that was ended whether its node is waited for. */
 static void log_awaited(const relay_revocation_t *revocation)
 {
-	for (guint i = 0; i < revocation->ended->len; i++) {
-		const char *key = revocation->ended->pdata[i];
+	const GPtrArray *ended = lease_revocation_ended(revocation->keys);
+
+	for (guint i = 0; i < ended->len; i++) {
+		const char *key = ended->pdata[i];
 
 		log_event(LOG_LEVEL_NOTICE, "lease_proofs",
 			  "key=%s intent=%" PRId64 " state=%s", key,
 			  revocation->revision,
-			  is_settled(revocation, key) ? "over" : "awaited");
+			  lease_revocation_is_over(revocation->keys, key) ?
+				  "over" :
+				  "awaited");
 	}
 }
 
-static void remove_keys(const relay_revocation_t *revocation)
+/* Removes a key, unless it was written since it was listed. */
+static void remove_key(const relay_revocation_t *revocation,
+		       const lease_revocation_key_t *key)
 {
 	kv_store_t *store = revocation->store;
-	const GPtrArray *items = revocation->items;
-	g_autoptr(GPtrArray) keys = g_ptr_array_new();
-
-	for (guint i = 0; i < items->len; i++) {
-		const kv_item_t *item = items->pdata[i];
-
-		if (has_confirmed(revocation, item))
-			continue;
-		if (is_outdated(item) ||
-		    (g_ptr_array_find_with_equal_func(
-			     revocation->ended, item->key, g_str_equal, NULL) &&
-		     has_newer(revocation, item->key)))
-			g_ptr_array_add(keys, item->key);
-	}
-	for (guint i = 0; i < keys->len; i += REMOVALS_MAX) {
-		const kv_transaction_t transaction = {
-			.removals = (const char *const *)&keys->pdata[i],
-			.removals_count = MIN(keys->len - i, REMOVALS_MAX),
-		};
-
-		store->calls->commit(store->self, &transaction, NULL, NULL);
-	}
+	const kv_condition_t condition = {.key = key->key,
+					  .revision = key->revision};
+	const kv_transaction_t transaction = {
+		.conditions = &condition,
+		.conditions_count = 1,
+		.removals = &key->key,
+		.removals_count = 1,
+	};
+
+	log_event(LOG_LEVEL_NOTICE, "lease_key_outdated",
+		  "key=%s revision=%" PRId64, key->key, key->revision);
+	store->calls->commit(store->self, &transaction, NULL, NULL);
 }
 
-static bool all_settled(const relay_revocation_t *revocation)
+static void remove_outdated(const relay_revocation_t *revocation)
 {
-	for (guint i = 0; i < revocation->ended->len; i++)
-		if (!is_settled(revocation, revocation->ended->pdata[i]))
-			return false;
-	return true;
+	const int64_t wall_ms = g_get_real_time() / 1000;
+	g_autoptr(GArray) keys = lease_revocation_outdated(
+		revocation->keys,
+		wall_ms - 2 * (int64_t)RELAY_LEASE_AGE_MAX_MS);
+
+	for (guint i = 0; i < keys->len && i < REMOVALS_MAX; i++)
+		remove_key(revocation,
+			   &g_array_index(keys, lease_revocation_key_t, i));
 }
 
 static void check_forgotten(relay_revocation_t *revocation, bool listed)
 {
-	const bool forgotten = listed && all_settled(revocation);
+	const bool forgotten =
+		listed && lease_revocation_all_over(revocation->keys);
 
 	if (!forgotten && ++revocation->polls < FORGET_POLLS_MAX) {
 		schedule(revocation, FORGET_MS);
 		return;
 	}
 	log_awaited(revocation);
-	remove_keys(revocation);
+	if (listed)
+		remove_outdated(revocation);
 	if (forgotten)
 		revocation->handlers.forgotten(revocation->handlers.context);
 }
@@ -213,7 +145,8 @@
 	revocation->phase = PHASE_FORGET;
 	revocation->polls = 0;
 	schedule(revocation, FORGET_MS);
-	handlers->revoked(handlers->context, revocation->ended->len);
+	handlers->revoked(handlers->context,
+			  lease_revocation_ended(revocation->keys)->len);
 }
 
 static void on_ended(void *context, const kv_answer_t *answer)
@@ -226,55 +159,32 @@
 		all_ended(revocation);
 }
 
-static void end_lease(relay_revocation_t *revocation, const kv_item_t *item)
+static void end_lease(void *context, const char *key, int64_t lease)
 {
+	relay_revocation_t *revocation = context;
 	kv_store_t *store = revocation->store;
-	lease_record_t record;
 
-	if (!lease_record_decode(item->value, &record)) {
-		log_event(LOG_LEVEL_WARNING, "lease_record_invalid", "key=%s",
-			  item->key);
-		return;
-	}
-	if (!g_ptr_array_find_with_equal_func(revocation->ended, item->key,
-					      g_str_equal, NULL)) {
-		g_ptr_array_add(revocation->ended, g_strdup(item->key));
-		log_event(LOG_LEVEL_NOTICE, "lease_revoked",
-			  "key=%s seen=%" PRId64 " intent=%" PRId64, item->key,
-			  record.seen_revision, revocation->revision);
-	}
+	log_event(LOG_LEVEL_NOTICE, "lease_revoked", "key=%s intent=%" PRId64,
+		  key, revocation->revision);
 	revocation->pending++;
-	store->calls->lease_end(store->self, record.lease, on_ended,
-				revocation);
+	store->calls->lease_end(store->self, lease, on_ended, revocation);
 }
 
 static void end_unconfirmed(relay_revocation_t *revocation, bool listed)
 {
-	const GPtrArray *items = revocation->items;
-
 	/* Prevents completion while calls are still being made. */
 	revocation->pending++;
 	revocation->failed = !listed;
-	for (guint i = 0; i < items->len; i++)
-		if (!has_confirmed(revocation, items->pdata[i]))
-			end_lease(revocation, items->pdata[i]);
+	lease_revocation_end(revocation->keys, end_lease, revocation);
 	if (!--revocation->pending)
 		all_ended(revocation);
 }
 
-static bool all_confirmed(const relay_revocation_t *revocation)
-{
-	for (guint i = 0; i < revocation->items->len; i++)
-		if (!has_confirmed(revocation, revocation->items->pdata[i]))
-			return false;
-	return true;
-}
-
 static void check_confirmations(relay_revocation_t *revocation, bool listed)
 {
 	const relay_revocation_handlers_t handlers = revocation->handlers;
 
-	if (listed && all_confirmed(revocation)) {
+	if (listed && lease_revocation_is_confirmed(revocation->keys)) {
 		handlers.revoked(handlers.context, 0);
 		handlers.forgotten(handlers.context);
 		return;
@@ -304,20 +214,30 @@
 
 static void list_after(relay_revocation_t *revocation, const char *key);
 
+/* @return the last of the keys, or NULL */
+static const char *add_keys(relay_revocation_t *revocation,
+			    const GPtrArray *items)
+{
+	const kv_item_t *item = NULL;
+
+	for (guint i = 0; i < items->len; i++) {
+		item = items->pdata[i];
+		lease_revocation_add(revocation->keys, item->key, item->value,
+				     item->revision);
+	}
+	return item ? item->key : NULL;
+}
+
 static void on_listed(void *context, const kv_answer_t *answer)
 {
 	relay_revocation_t *revocation = context;
-	const kv_item_t *last;
+	const char *last;
 
 	if (!call_complete(revocation))
 		return;
-	while (answer->items->len)
-		g_ptr_array_add(revocation->items,
-				g_ptr_array_steal_index(answer->items, 0));
-	if (answer->result == KV_OK && answer->has_more &&
-	    revocation->items->len) {
-		last = revocation->items->pdata[revocation->items->len - 1];
-		list_after(revocation, last->key);
+	last = add_keys(revocation, answer->items);
+	if (answer->result == KV_OK && answer->has_more && last) {
+		list_after(revocation, last);
 		return;
 	}
 	advance(revocation, answer->result == KV_OK);
@@ -336,7 +256,7 @@
 {
 	relay_revocation_t *revocation = context;
 
-	g_ptr_array_set_size(revocation->items, 0);
+	lease_revocation_restart(revocation->keys);
 	list_after(revocation, NULL);
 }
 
@@ -350,9 +270,7 @@
 	revocation->store = store;
 	revocation->revision = revision;
 	revocation->handlers = handlers;
-	revocation->items =
-		g_ptr_array_new_with_free_func((GDestroyNotify)kv_item_free);
-	revocation->ended = g_ptr_array_new_with_free_func(g_free);
+	revocation->keys = lease_revocation_create(revision);
 	revocation->timer = evtimer_new(base, on_timer, revocation);
 	schedule(revocation, CONFIRM_MS);
 	return revocation;
--- a/src/state/lease_record.h
+++ b/src/state/lease_record.h
@@ -6,17 +6,14 @@
 
 #include <glib.h>
 
-/** Value of seen_revision without a record read that counts. */
-#define LEASE_RECORD_SETTLED 1
-
 /** Stored record of a node's registered lease. */
 typedef struct {
 	int64_t lease;	    /**< id of the lease */
 	int64_t written_ms; /**< write time by the node's wall clock, Unix ms */
 	/**
-	 * The node has received all primary records up to this revision; 0
-	 * while other nodes may use proofs that an earlier run of it gave, so
-	 * that the record does not stand for earlier leases of the node.
+	 * The node has received all primary records up to this revision, and no
+	 * node can use a proof from before that any run of it gave; 0 while
+	 * nothing is confirmed. Earlier versions write 1 for that, too.
 	 */
 	int64_t seen_revision;
 } lease_record_t;
--- a/tests/unit/test_delegation_model.c
+++ b/tests/unit/test_delegation_model.c
@@ -1,5 +1,6 @@
 /*
- * Model checker of the rule in coordination/delegation.h. It explores every
+ * Model checker of the rule in coordination/delegation.h, lease_keys.h and
+ * lease_revocation.h. It explores every
  * order of the steps of one hub, one node that follows it and a coordinator
  * that replaces the primary. Messages may be delayed, the connection may break,
  * and the hub may be killed and start again. No order may let the node or the
@@ -21,7 +22,7 @@
 #define WAIT (VALID + 1)
 
 /* Starts of the hub, breaks of the connection and lost leases in one search. */
-#define RESTARTS_MAX 1
+#define RESTARTS_MAX 2
 #define BREAKS_MAX 1
 
 /* A proof on its way or in use, and whether it came with the takeover. */
@@ -30,8 +31,11 @@
 	uint8_t known;
 } proof_t;
 
-/* What the record of the hub's present lease says to the coordinator. */
-enum { ABSENT, REGISTERED, CONFIRMED, REGISTERED_AGAIN };
+/*
+ * The key of the hub's present lease. One that is registered again has taken
+ * the place of the one whose lease the coordinator has ended.
+ */
+enum { ABSENT, REGISTERED, REGISTERED_AGAIN };
 
 enum { IDLE, INTENT, PROMOTED };
 
@@ -42,9 +46,9 @@
 	uint8_t ended;	    /* the coordinator has ended the hub's lease */
 	uint8_t wait;	    /* ticks until old proofs have surely expired */
 	uint8_t lease_runs; /* the hub's lease was not ended */
-	uint8_t key;	    /* the record of the present lease */
-	uint8_t abandoned;  /* there is a record of an earlier run */
-	uint8_t stands;	    /* the present record stands for that one too */
+	uint8_t key;	    /* the key of the present lease */
+	uint8_t abandoned;  /* there is a key of an earlier run */
+	uint8_t confirmed;  /* some run of the hub has confirmed the takeover */
 	/* The hub. */
 	uint8_t own_left;	/* ticks of its own proof */
 	uint8_t own_read;	/* it has read the takeover */
@@ -70,8 +74,10 @@
 	RULE,
 	CONFIRM_AT_ONCE,   /* confirms as soon as the hub knows */
 	REGISTER_AT_ONCE,  /* registers again while proofs are in use */
-	RESTART_STANDS,	   /* a restarted hub stands for its earlier lease */
-	CONFIRM_UNSETTLED, /* it does once it has confirmed a takeover */
+	REMOVE_AT_ONCE,	   /* a restarted hub removes its earlier key at once */
+	CONFIRM_UNSETTLED, /* a restarted hub confirms for its earlier run */
+	HUB_KEY_TELLS,	   /* a hub whose lease was ended has no earlier run */
+	KEYS_STAND,	   /* keys of two runs count for each other */
 	FRESH_PROOFS,	   /* proofs last longer than the hub's own */
 	BREAK_FORGETS,	   /* forgets the proofs of a broken connection */
 	ANSWER_IS_RECEIPT, /* takes an answer that was sent as applied */
@@ -164,21 +170,22 @@
 	next.lease_runs = 1;
 	next.own_left = 0;
 	next.own_read = state.phase != IDLE;
-	next.key = state.ended ? REGISTERED_AGAIN : REGISTERED;
-	next.stands = !state.restarted_left;
+	next.key = state.ended && state.key != ABSENT ? REGISTERED_AGAIN :
+							REGISTERED;
+	if (!state.restarted_left)
+		next.abandoned = 0;
 	visit(search, next);
 }
 
 static void step_confirm(search_t *search, state_t state)
 {
-	if (!state.own_read || !state.lease_runs || state.key != REGISTERED)
+	if (!state.own_read || !state.lease_runs)
 		return;
 	if (search->variant != CONFIRM_AT_ONCE && !book_settled(&state, false))
 		return;
-	if (search->variant != CONFIRM_UNSETTLED && !state.stands)
+	if (search->variant != CONFIRM_UNSETTLED && state.restarted_left)
 		return;
-	state.key = CONFIRMED;
-	state.stands = 1;
+	state.confirmed = 1;
 	visit(search, state);
 }
 
@@ -193,6 +200,14 @@
 	step_confirm(search, state);
 }
 
+/* @return whether the hub waits for the proofs that its earlier run gave */
+static bool knows_earlier(const search_t *search, const state_t *state)
+{
+	if (search->variant == HUB_KEY_TELLS)
+		return state->lease_runs;
+	return search->variant != REMOVE_AT_ONCE;
+}
+
 /* The hub is killed and starts again; it knows nothing of before. */
 static void step_restart(search_t *search, state_t state)
 {
@@ -204,12 +219,10 @@
 	state.used = state.pending = (proof_t){0};
 	state.gone[0] = state.gone[1] = (proof_t){0};
 	state.asked = 0;
+	state.restarted_left = knows_earlier(search, &state) ? WAIT : 0;
 	state.lease_runs = 0;
-	/* The record of its earlier lease stays, unless it was confirmed. */
-	state.abandoned |= state.key != CONFIRMED;
+	state.abandoned = 1;
 	state.key = ABSENT;
-	state.stands = 0;
-	state.restarted_left = search->variant == RESTART_STANDS ? 0 : WAIT;
 	visit(search, state);
 }
 
@@ -217,7 +230,7 @@
 {
 	if (state.key == ABSENT || state.restarted_left)
 		return;
-	state.stands = 1;
+	state.abandoned = 0;
 	visit(search, state);
 }
 
@@ -277,12 +290,14 @@
 	visit(search, state);
 }
 
-static bool may_promote(const state_t *state)
+static bool may_promote(const search_t *search, const state_t *state)
 {
-	const bool present =
-		state->key == CONFIRMED || state->key == REGISTERED_AGAIN;
-
-	if (present && (!state->abandoned || state->stands))
+	if (state->confirmed)
+		return true;
+	if (state->key == REGISTERED_AGAIN && !state->abandoned)
+		return true;
+	if (search->variant == KEYS_STAND && state->ended && state->abandoned &&
+	    state->key == REGISTERED && !state->restarted_left)
 		return true;
 	return state->ended && !state->wait;
 }
@@ -301,11 +316,11 @@
 	if (!state.ended) {
 		next.ended = 1;
 		next.wait = WAIT;
-		if (state.key != CONFIRMED)
+		if (!state.confirmed)
 			next.lease_runs = 0;
 		visit(search, next);
 	}
-	if (!may_promote(&state))
+	if (!may_promote(search, &state))
 		return;
 	next = state;
 	next.phase = PROMOTED;
@@ -336,8 +351,7 @@
 	search.seen =
 		g_hash_table_new_full(state_hash, state_equal, g_free, NULL);
 	g_queue_init(&search.todo);
-	visit(&search,
-	      (state_t){.lease_runs = 1, .key = REGISTERED, .stands = 1});
+	visit(&search, (state_t){.lease_runs = 1, .key = REGISTERED});
 	while (!search.broken && (state = g_queue_pop_head(&search.todo)))
 		expand(&search, state);
 	states = g_hash_table_size(search.seen);
--- a/tests/unit/test_relay_registration.c
+++ b/tests/unit/test_relay_registration.c
@@ -5,11 +5,14 @@
 
 #include <cmocka.h>
 
-#include "relay/relay_registration.h"
+#include "base/clock.h"
+#include "relay/relay_registration_private.h"
 #include "state/lease_record.h"
 
 #define LEASE 7
 #define HUB_KEY RELAY_HUBS_PREFIX "akl-a/0"
+#define OWN_KEY RELAY_LEASES_PREFIX "node-1/7"
+#define EARLIER_KEY RELAY_LEASES_PREFIX "node-1/3"
 
 /* A store with one key that checks conditions and answers with a delay. */
 typedef struct {
@@ -17,9 +20,11 @@
 	kv_store_t store;
 	relay_services_t *services;
 	relay_registration_t *registration;
-	bool holds_proofs; /* other nodes may use proofs of this node */
-	bool taken;	   /* the claimed key was taken */
-	bool restarted;	   /* an earlier run of the node held the key */
+	bool holds_proofs;   /* other nodes may use proofs of this node */
+	bool taken;	     /* the claimed key was taken */
+	const char *earlier; /* key of an earlier run in the store, or NULL */
+	char *removed;	     /* keys that were removed, each after a blank */
+	bool listings_fail;  /* listing the node's keys gets no answer */
 	int64_t revision;
 	int64_t key_revision;
 	lease_record_t record;
@@ -43,7 +48,8 @@
 {
 	call_t *call = context;
 
-	call->answer.items = g_ptr_array_new();
+	if (!call->answer.items)
+		call->answer.items = g_ptr_array_new();
 	if (call->done)
 		call->done(call->context, &call->answer);
 	g_ptr_array_unref(call->answer.items);
@@ -84,6 +90,41 @@
 						    KV_OK});
 }
 
+static kv_item_t *item_new(const char *key)
+{
+	kv_item_t *item = g_new0(kv_item_t, 1);
+
+	item->key = g_strdup(key);
+	return item;
+}
+
+static void fake_range(void *self, const char *prefix, const char *after,
+		       kv_done_t done, void *context)
+{
+	fixture_t *fixture = self;
+	kv_answer_t answer = {.result = fixture->listings_fail ? KV_UNKNOWN :
+								 KV_OK};
+
+	assert_string_equal(prefix, RELAY_LEASES_PREFIX "node-1/");
+	answer.items =
+		g_ptr_array_new_with_free_func((GDestroyNotify)kv_item_free);
+	if (fixture->earlier && !fixture->listings_fail)
+		g_ptr_array_add(answer.items, item_new(fixture->earlier));
+	answer_soon(fixture, done, context, answer);
+}
+
+static void note_removals(fixture_t *fixture,
+			  const kv_transaction_t *transaction)
+{
+	for (size_t i = 0; i < transaction->removals_count; i++) {
+		char *removed = g_strconcat(fixture->removed, " ",
+					    transaction->removals[i], NULL);
+
+		g_free(fixture->removed);
+		fixture->removed = removed;
+	}
+}
+
 static bool holds(const fixture_t *fixture, const kv_transaction_t *transaction)
 {
 	return !transaction->conditions_count ||
@@ -103,6 +144,7 @@
 			    (kv_answer_t){.result = KV_CONFLICT});
 		return;
 	}
+	note_removals(fixture, transaction);
 	assert_true(lease_record_decode(value, &fixture->record));
 	fixture->key_revision = ++fixture->revision;
 	answer_soon(fixture, done, context,
@@ -110,6 +152,7 @@
 }
 
 static const kv_store_calls_t calls = {
+	.range = fake_range,
 	.commit = fake_commit,
 	.lease_open = fake_lease_open,
 	.lease_renew = fake_lease_renew,
@@ -157,6 +200,7 @@
 	};
 
 	fixture->base = event_base_new();
+	fixture->removed = g_strdup("");
 	fixture->revision = 10;
 	fixture->store = (kv_store_t){.calls = &calls, .self = fixture};
 	fixture->services = relay_services_create((relay_services_settings_t){
@@ -164,8 +208,7 @@
 	fixture->registration = relay_registration_create(
 		fixture->base, &fixture->store, fixture->services, "node-1",
 		"node-1 127.0.0.1:1", handlers);
-	relay_registration_claim(fixture->registration, HUB_KEY, 0,
-				 fixture->restarted);
+	relay_registration_claim(fixture->registration, HUB_KEY, 0);
 }
 
 static int open_fixture(void **state)
@@ -187,6 +230,7 @@
 	relay_registration_destroy(fixture->registration);
 	relay_services_destroy(fixture->services);
 	event_base_free(fixture->base);
+	g_free(fixture->removed);
 	g_free(fixture);
 	return 0;
 }
@@ -260,7 +304,7 @@
 	relay_registration_settled(fixture->registration);
 	run_for(fixture, 100);
 	assert_int_equal(fixture->leases, 2);
-	assert_int_equal(fixture->record.seen_revision, LEASE_RECORD_SETTLED);
+	assert_string_equal(fixture->removed, " " OWN_KEY);
 }
 
 static void run_until_renewed(fixture_t *fixture, uint32_t renewals)
@@ -289,48 +333,104 @@
 	assert_int_equal(fixture->recoveries, 1);
 }
 
-/* Waits for the first record that is not the one of a restarted node. */
-static void wait_until_seen(fixture_t *fixture, int64_t revision)
+static void wait_until_removed(fixture_t *fixture, const char *keys)
 {
-	for (int i = 0; i < 100 && !fixture->record.seen_revision; i++)
+	for (int i = 0; i < 100 && strcmp(fixture->removed, keys) != 0; i++)
 		run_for(fixture, 100);
-	assert_int_equal(fixture->record.seen_revision, revision);
+	assert_string_equal(fixture->removed, keys);
 }
 
-/* A restarted hub cannot know which proofs its earlier run gave. */
-static void test_restarted_node_is_settled_later(void **state)
+/*
+ * A restarted hub cannot know which proofs its earlier run gave. The key of
+ * that run says so to takeovers until they have expired, also where the hub's
+ * own key is gone because a takeover ended the lease just before the kill.
+ */
+static void test_key_of_an_earlier_run_is_removed_later(void **state)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 	void *other = fixture;
+	const uint64_t started_ms = clock_boot_ms();
 
-	fixture->restarted = true;
+	fixture->earlier = EARLIER_KEY;
 	create_node(fixture);
 	run_for(fixture, 100);
 	assert_true(fixture->registered);
-	assert_int_equal(fixture->record.seen_revision, 0);
-	wait_until_seen(fixture, LEASE_RECORD_SETTLED);
+	assert_string_equal(fixture->removed, "");
+	wait_until_removed(fixture, " " EARLIER_KEY);
+	assert_true(clock_boot_ms() >= started_ms + PRIMARY_LEASE_VALID_MS);
+	assert_int_equal(fixture->leases, 1);
 	close_fixture(&other);
 }
 
 /*
- * A takeover right after the restart: a confirmation would say that the record
- * stands for the earlier lease as well, so that it must wait.
+ * A takeover right after the restart: a confirmation would say that the proofs
+ * of the earlier run are over as well, so that it must wait.
  */
 static void test_restarted_node_confirms_when_settled(void **state)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 	void *other = fixture;
 
-	fixture->restarted = true;
+	fixture->earlier = EARLIER_KEY;
 	create_node(fixture);
 	run_for(fixture, 100);
 	relay_registration_confirm(fixture->registration, 30);
 	run_for(fixture, 100);
 	assert_int_equal(fixture->record.seen_revision, 0);
-	wait_until_seen(fixture, 30);
+	wait_until_removed(fixture, " " EARLIER_KEY);
+	assert_int_equal(fixture->record.seen_revision, 30);
 	close_fixture(&other);
 }
 
+/* Whether there was an earlier run is not known until the keys are listed. */
+static void test_node_confirms_when_its_keys_are_listed(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	void *other = fixture;
+
+	fixture->listings_fail = true;
+	create_node(fixture);
+	run_for(fixture, 100);
+	assert_true(fixture->registered);
+	relay_registration_confirm(fixture->registration, 30);
+	run_for(fixture, 100);
+	assert_int_equal(fixture->record.seen_revision, 0);
+	fixture->listings_fail = false;
+	run_for(fixture, 500);
+	assert_int_equal(fixture->record.seen_revision, 30);
+	assert_string_equal(fixture->removed, "");
+	close_fixture(&other);
+}
+
+/*
+ * A record that was not written for long says that the node uses no proofs, so
+ * that a takeover removes its key: one that is alive must write it again.
+ */
+static void test_old_record_is_written_again(void **state)
+{
+	fixture_t *fixture = *state;
+	const int64_t revision = fixture->revision;
+
+	fixture->registration->refresh_ms = clock_boot_ms();
+	run_until_renewed(fixture, 1);
+	assert_int_equal(fixture->revision, revision + 1);
+	run_until_renewed(fixture, 2);
+	assert_int_equal(fixture->revision, revision + 1);
+	assert_int_equal(fixture->leases, 1);
+}
+
+/* Without that, its proofs are over before its key counts as outdated. */
+static void test_proofs_end_with_an_old_record(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->renewals_fail = true;
+	fixture->holds_proofs = true;
+	fixture->registration->expiry_ms = clock_boot_ms();
+	run_for(fixture, 600);
+	assert_int_equal(relay_services_lease(fixture->services)->lease, 0);
+}
+
 /*
  * All VMs start at once. Watches of the store that are sent before the lease is
  * opened would take the one open connection to the store, and the lease would
@@ -369,7 +469,14 @@
 		cmocka_unit_test_setup_teardown(
 			test_short_outage_restarts_the_watches, open_fixture,
 			close_fixture),
-		cmocka_unit_test(test_restarted_node_is_settled_later),
+		cmocka_unit_test(test_key_of_an_earlier_run_is_removed_later),
+		cmocka_unit_test(test_node_confirms_when_its_keys_are_listed),
+		cmocka_unit_test_setup_teardown(
+			test_old_record_is_written_again, open_fixture,
+			close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_proofs_end_with_an_old_record, open_fixture,
+			close_fixture),
 		cmocka_unit_test(test_restarted_node_confirms_when_settled),
 	};
 
--- a/tests/unit/test_relay_revocation.c
+++ b/tests/unit/test_relay_revocation.c
@@ -9,6 +9,8 @@
 #include "state/lease_record.h"
 
 #define INTENT_REVISION 100
+#define KEY_REVISION 50
+#define SETTLED 1 /* what earlier versions write without a confirmation */
 #define PAGE 2
 
 /*
@@ -21,6 +23,7 @@
 	GPtrArray *keys;    /* char * */
 	GPtrArray *records; /* lease_record_t, parallel to keys */
 	GArray *ended;	    /* int64_t, leases ended */
+	GPtrArray *removed; /* char *, keys that a takeover removed */
 	uint32_t ranges;
 	int32_t revoked; /* number reported to revoked(), or -1 */
 	bool forgotten;
@@ -90,6 +93,7 @@
 		}
 		item = g_new0(kv_item_t, 1);
 		item->key = g_strdup(key);
+		item->revision = KEY_REVISION;
 		item->value = g_bytes_new_take(text, strlen(text));
 		g_ptr_array_add(listed.items, item);
 	}
@@ -112,6 +116,15 @@
 static void fake_commit(void *self, const kv_transaction_t *transaction,
 			kv_done_t done, void *context)
 {
+	fixture_t *fixture = self;
+
+	/* Nothing is removed that its node may have written since. */
+	assert_int_equal(transaction->conditions_count, 1);
+	assert_string_equal(transaction->conditions[0].key,
+			    transaction->removals[0]);
+	assert_int_equal(transaction->conditions[0].revision, KEY_REVISION);
+	assert_int_equal(transaction->removals_count, 1);
+	g_ptr_array_add(fixture->removed, g_strdup(transaction->removals[0]));
 	call_new(self, done, context, answer_empty);
 }
 
@@ -152,6 +165,7 @@
 	fixture->keys = g_ptr_array_new_with_free_func(g_free);
 	fixture->records = g_ptr_array_new_with_free_func(g_free);
 	fixture->ended = g_array_new(false, false, sizeof(int64_t));
+	fixture->removed = g_ptr_array_new_with_free_func(g_free);
 	fixture->revoked = -1;
 	*state = fixture;
 	return 0;
@@ -165,6 +179,7 @@
 	event_base_free(fixture->base);
 	g_ptr_array_unref(fixture->keys);
 	g_ptr_array_unref(fixture->records);
+	g_ptr_array_unref(fixture->removed);
 	g_array_unref(fixture->ended);
 	g_free(fixture);
 	return 0;
@@ -225,13 +240,32 @@
 	assert_false(fixture->forgotten);
 }
 
+static bool has_key(const fixture_t *fixture, const char *key)
+{
+	return g_ptr_array_find_with_equal_func(fixture->keys, key, g_str_equal,
+						NULL);
+}
+
+static void lease_remove(fixture_t *fixture, const char *key)
+{
+	guint index;
+
+	if (!g_ptr_array_find_with_equal_func(fixture->keys, key, g_str_equal,
+					      &index))
+		return;
+	g_ptr_array_remove_index(fixture->keys, index);
+	g_ptr_array_remove_index(fixture->records, index);
+}
+
+/* As one transaction of the node: the new key, without the one before. */
 static void register_again(void *context)
 {
 	fixture_t *fixture = context;
 
-	if (fixture->ended->len && fixture->keys->len == 1)
-		lease_add(fixture, "toucanhook/leases/a/2", 2,
-			  LEASE_RECORD_SETTLED);
+	if (!fixture->ended->len || has_key(fixture, "toucanhook/leases/a/2"))
+		return;
+	lease_remove(fixture, "toucanhook/leases/a/1");
+	lease_add(fixture, "toucanhook/leases/a/2", 2, SETTLED);
 }
 
 static void restart(void *context)
@@ -268,6 +302,95 @@
 	assert_false(fixture->forgotten);
 }
 
+/*
+ * Guards against a takeover that takes the keys of two runs of a killed node
+ * for registrations after each other, while the node, which the store turns
+ * away, uses proofs of the old primary (review/11).
+ */
+static void test_keys_of_two_runs_do_not_stand_for_each_other(void **state)
+{
+	fixture_t *fixture = *state;
+
+	lease_add(fixture, "toucanhook/leases/a/1", 1, SETTLED);
+	lease_add(fixture, "toucanhook/leases/a/2", 2, SETTLED);
+	run_revocation(fixture);
+	assert_int_equal(fixture->revoked, 2);
+	assert_false(fixture->forgotten);
+	assert_int_equal(fixture->removed->len, 0);
+}
+
+/* The same for three runs, of which the first confirmed earlier takeovers. */
+static void test_keys_of_three_runs_do_not_stand_for_each_other(void **state)
+{
+	fixture_t *fixture = *state;
+
+	lease_add(fixture, "toucanhook/leases/a/1", 1, INTENT_REVISION - 2);
+	lease_add(fixture, "toucanhook/leases/a/2", 2, SETTLED);
+	lease_add(fixture, "toucanhook/leases/a/3", 3, INTENT_REVISION - 1);
+	run_revocation(fixture);
+	assert_int_equal(fixture->revoked, 3);
+	assert_false(fixture->forgotten);
+	assert_int_equal(fixture->removed->len, 0);
+}
+
+/*
+ * A registration that took effect late: the key that it would have replaced is
+ * gone, but the node uses the lease that it opened next.
+ */
+static void test_late_key_does_not_stand_for_the_present_one(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->before_range = register_again;
+	lease_add(fixture, "toucanhook/leases/a/1", 1, 0);
+	lease_add(fixture, "toucanhook/leases/a/3", 3, SETTLED);
+	run_revocation(fixture);
+	assert_int_equal(fixture->revoked, 2);
+	assert_false(fixture->forgotten);
+}
+
+/* A node that was killed and has confirmed owes no wait for its earlier run. */
+static void test_confirmation_counts_for_earlier_runs(void **state)
+{
+	fixture_t *fixture = *state;
+
+	lease_add(fixture, "toucanhook/leases/a/1", 1, SETTLED);
+	lease_add(fixture, "toucanhook/leases/a/2", 2, INTENT_REVISION);
+	lease_add(fixture, "toucanhook/leases/b/3", 3, INTENT_REVISION);
+	run_revocation(fixture);
+	assert_int_equal(fixture->ended->len, 0);
+	assert_true(fixture->forgotten);
+	assert_int_equal(fixture->removed->len, 0);
+}
+
+/* A record of a later version, or of another writer, proves nothing. */
+static void test_unknown_record_is_waited_for(void **state)
+{
+	fixture_t *fixture = *state;
+
+	lease_add(fixture, "toucanhook/leases/a/1", 1, -1);
+	run_revocation(fixture);
+	assert_int_equal(fixture->ended->len, 1);
+	assert_int_equal(g_array_index(fixture->ended, int64_t, 0), 1);
+	assert_false(fixture->forgotten);
+}
+
+/* A key that no node can need any more; the others stay. */
+static void test_outdated_key_is_removed(void **state)
+{
+	const int64_t hours_ms = 2 * 60 * 60 * 1000;
+	fixture_t *fixture = *state;
+
+	lease_add(fixture, "toucanhook/leases/a/1", 1, 0)->written_ms -=
+		hours_ms;
+	lease_add(fixture, "toucanhook/leases/b/2", 2, 0);
+	run_revocation(fixture);
+	assert_false(fixture->forgotten);
+	assert_int_equal(fixture->removed->len, 1);
+	assert_string_equal(fixture->removed->pdata[0],
+			    "toucanhook/leases/a/1");
+}
+
 static void test_stop_during_a_call(void **state)
 {
 	fixture_t *fixture = *state;
@@ -301,6 +424,9 @@
 	assert_false(lease_record_decode(NULL, &record));
 }
 
+#define REVOCATION_TEST(test) \
+	cmocka_unit_test_setup_teardown(test, open_fixture, close_fixture)
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -314,6 +440,15 @@
 		cmocka_unit_test_setup_teardown(
 			test_restarted_hub_does_not_discard_proofs,
 			open_fixture, close_fixture),
+		REVOCATION_TEST(
+			test_keys_of_two_runs_do_not_stand_for_each_other),
+		REVOCATION_TEST(
+			test_keys_of_three_runs_do_not_stand_for_each_other),
+		REVOCATION_TEST(
+			test_late_key_does_not_stand_for_the_present_one),
+		REVOCATION_TEST(test_confirmation_counts_for_earlier_runs),
+		REVOCATION_TEST(test_unknown_record_is_waited_for),
+		REVOCATION_TEST(test_outdated_key_is_removed),
 		cmocka_unit_test_setup_teardown(test_stop_during_a_call,
 						open_fixture, close_fixture),
 		cmocka_unit_test(test_invalid_records_are_rejected),
