Do not lead a domain's quotas while a release is under way

A hub that loses its claim writes that it gives up its domain's quota record. If that write got no answer and the hub claimed another key, it led on by its proof, for up to 30 s, while the write could still take effect: the next leader then admits at once, and a customer gets its quota twice.

Now a release that was sent ends the leadership until a later write of this run keeps the record: on condition that it has not changed, so that either the release or that write takes effect.

test_quota_leadership release_under_way_ends_the_leadership fails before (may_admit is true); prop_quota passes 200 cases.

--- a/src/coordination/quota_leadership.c
+++ b/src/coordination/quota_leadership.c
@@ -49,6 +49,8 @@
 	uint64_t step_ms;  /* time of the last step, 0 before */
 	/* The last write. */
 	bool writing;
+	/* The record was given up, and not kept since: that may take effect. */
+	bool released;
 	quota_record_t written;
 	uint64_t sent_ms;
 	int64_t own_revision; /* of the last write that succeeded */
@@ -288,7 +290,8 @@
 		 * one it has no effect any more.
 		 */
 		if (own)
-			return leadership->own_revision != leadership->revision;
+			return leadership->released ||
+			       leadership->own_revision != leadership->revision;
 		if (is_proved(leadership, now_ms))
 			return true;
 		set_phase(leadership, PHASE_FOLLOWING);
@@ -318,6 +321,7 @@
 	g_strlcpy(write->record.holder, leadership->node,
 		  sizeof(write->record.holder));
 	leadership->writing = true;
+	leadership->released |= state == QUOTA_RECORD_RELEASED;
 	leadership->written = write->record;
 	leadership->sent_ms = now_ms;
 	return true;
@@ -342,6 +346,8 @@
 	}
 	leadership->delay_ms = RETRY_MS;
 	leadership->own_revision = revision;
+	leadership->released &=
+		leadership->written.state == QUOTA_RECORD_RELEASED;
 	quota_leadership_changed(leadership, &leadership->written, revision,
 				 now_ms);
 	if (leadership->phase == PHASE_LEADING && is_current(leadership))
@@ -357,7 +363,7 @@
 				uint64_t now_ms)
 {
 	return leadership->enabled && !is_leaving(leadership) &&
-	       leadership->phase == PHASE_LEADING &&
+	       !leadership->released && leadership->phase == PHASE_LEADING &&
 	       is_proved(leadership, now_ms);
 }
 
--- a/tests/unit/test_quota_leadership.c
+++ b/tests/unit/test_quota_leadership.c
@@ -275,6 +275,37 @@
 }
 
 /* Each call to the store costs money, also while it does not answer. */
+/*
+ * Guards against a hub that gives its record up, becomes a hub again, and leads
+ * on while the write may take effect yet: the next leader does not wait.
+ */
+static void test_release_under_way_ends_the_leadership(void **state)
+{
+	quota_leadership_t *leadership = create_leadership();
+	quota_write_t write;
+
+	read_record(leadership, "n1", QUOTA_RECORD_LEADING, 1, 5, START_MS);
+	assert_true(quota_leadership_may_admit(leadership, START_MS));
+	quota_leadership_withdraw(leadership);
+	assert_true(quota_leadership_step(leadership, START_MS, &write));
+	assert_int_equal(write.record.state, QUOTA_RECORD_RELEASED);
+	quota_leadership_written(leadership, QUOTA_WRITE_UNKNOWN, 0,
+				 START_MS + 100);
+	quota_leadership_register(leadership);
+	assert_false(quota_leadership_may_admit(leadership, START_MS + 200));
+	/* A write of its own that takes effect rules the release out. */
+	assert_true(step_until(leadership, START_MS + 200, START_MS + 2000,
+			       &write));
+	assert_int_equal(write.record.state, QUOTA_RECORD_LEADING);
+	assert_int_equal(write.revision, store_revision_make(1, 5));
+	quota_leadership_written(leadership, QUOTA_WRITE_DONE,
+				 store_revision_make(1, 6), START_MS + 2000);
+	assert_true(quota_leadership_may_admit(leadership, START_MS + 2000));
+	assert_false(step_until(leadership, START_MS + 2000, START_MS + 20000,
+				&write));
+	quota_leadership_destroy(leadership);
+}
+
 static void test_unanswered_writes_are_spread(void **state)
 {
 	quota_leadership_t *leadership = create_leadership();
@@ -353,6 +384,7 @@
 		cmocka_unit_test(test_absent_record_of_restored_store_settles),
 		cmocka_unit_test(test_released_record_is_taken_at_once),
 		cmocka_unit_test(test_resigning),
+		cmocka_unit_test(test_release_under_way_ends_the_leadership),
 		cmocka_unit_test(test_unanswered_writes_are_spread),
 		cmocka_unit_test(test_record_encoding),
 		cmocka_unit_test(test_record_with_nul_is_invalid),
