--- a/src/coordination/lease_keys.h
+++ b/src/coordination/lease_keys.h
@@ -17,7 +17,7 @@
  */
 typedef struct lease_keys lease_keys_t;
 
-/** Time after which proofs that an earlier run of the node gave have expired */
+/** Time after which proofs that an earlier run of the node gave are over. */
 #define LEASE_KEYS_EARLIER_MS 1300u
 
 /** Maximum number of keys that are removed at a time. */
--- a/src/relay/relay_coordinator.c
+++ b/src/relay/relay_coordinator.c
@@ -127,8 +127,7 @@
 	const uint64_t now_ms = clock_boot_ms();
 
 	coordinator->acquiring = false;
-	/* A node that leaves has ended the lease while the call was under way.
-	 */
+	/* A node that leaves has ended the lease meanwhile. */
 	if (answer->result != KV_OK || coordinator->leaving) {
 		coordinator->lease = 0;
 		return;
--- a/src/relay/relay_coordinator_private.h
+++ b/src/relay/relay_coordinator_private.h
@@ -220,6 +220,9 @@
  */
 bool coordinator_may_hand_over(coordinator_service_t *entry, uint64_t now_ms);
 
+/** Lifts the fence of one server; the caller must hold the duty. */
+void coordinator_lift_fence(coordinator_service_t *entry, const char *server);
+
 /** Lifts the fences that takeovers have left, when that is due. */
 void coordinator_release_step(coordinator_service_t *entry, uint64_t now_ms);
 
--- a/src/relay/relay_coordinator_release.c
+++ b/src/relay/relay_coordinator_release.c
@@ -32,24 +32,24 @@
 	g_free(lift);
 }
 
-static void lift_fence(coordinator_service_t *entry, relay_service_t *service,
-		       const char *server)
+void coordinator_lift_fence(coordinator_service_t *entry, const char *server)
 {
+	relay_services_t *services = entry->coordinator->services;
 	lift_t *lift = g_new0(lift_t, 1);
 
 	lift->entry = entry;
 	lift->token = entry->coordinator->held_revision;
 	lift->server = g_strdup(server);
-	relay_control_run(service, server, RELAY_CONTROL_RELEASE, 0,
-			  CONTROL_TIMEOUT_MS, on_lifted, lift);
+	relay_control_run(relay_services_find(services, entry->name), server,
+			  RELAY_CONTROL_RELEASE, 0, CONTROL_TIMEOUT_MS,
+			  on_lifted, lift);
 }
 
 void coordinator_release_step(coordinator_service_t *entry, uint64_t now_ms)
 {
 	relay_coordinator_t *coordinator = entry->coordinator;
-	relay_service_t *service =
-		relay_services_find(coordinator->services, entry->name);
-	const GPtrArray *servers = relay_service_servers(service);
+	const GPtrArray *servers = relay_service_servers(
+		relay_services_find(coordinator->services, entry->name));
 	const fence_release_duty_t duty = {
 		.held = coordinator->held_revision,
 		.renewed = coordinator_may_promote(coordinator),
@@ -66,6 +66,6 @@
 		const char *id = relay_server_entry(servers->pdata[i])->id;
 
 		if (strcmp(id, entry->record.primary))
-			lift_fence(entry, service, id);
+			coordinator_lift_fence(entry, id);
 	}
 }
--- a/src/relay/relay_coordinator_takeover.c
+++ b/src/relay/relay_coordinator_takeover.c
@@ -288,23 +288,12 @@
 			  action_new(entry, server));
 }
 
-static void on_released(void *context, const relay_control_answer_t *answer)
-{
-	action_t *action = context;
-
-	log_control(action, "server_released", answer);
-	action_free(action);
-}
-
 static void release(void *context, const char *server)
 {
 	coordinator_service_t *entry = context;
 
-	if (!coordinator_may_promote(entry->coordinator))
-		return;
-	relay_control_run(service_of(entry), server, RELAY_CONTROL_RELEASE, 0,
-			  CONTROL_TIMEOUT_MS, on_released,
-			  action_new(entry, server));
+	if (coordinator_may_promote(entry->coordinator))
+		coordinator_lift_fence(entry, server);
 }
 
 static void on_promoted(void *context, takeover_promoted_t result)
