Test each half of the fence check, and end a test that could loop

No test needed the half that sets a lifted fence again: order_is_not_repeated_without_a_fence does, with that half left out in a scratch copy (takeover.c, 1 test fails; the other half left out 2, both 5).

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -184,8 +184,8 @@
 }
 
 /*
- * Whether a query that was sent after the wait has seen a fence. What lifts one
- * is sent before the takeover begins: it is over by then.
+ * Whether a query that was sent after the wait has seen a fence. What may lift
+ * this one was sent before it was set, and is over by then.
  */
 static bool is_fence_seen(const takeover_t *takeover)
 {
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -380,13 +380,32 @@
 
 	run_until_wait(fixture);
 	fixture->servers[1].unresponsive = true;
-	while (fixture->servers[2].status.fence == 0)
+	for (int i = 0; i < 300 && !fixture->servers[2].status.fence; i++)
 		run(fixture, STEP_MS);
+	assert_int_equal(fixture->servers[2].status.fence, 2);
 	fixture->servers[1].unresponsive = false;
 	assert_waited_again(fixture);
 	assert_int_equal(fixture->releases, 1);
 }
 
+/* An order without a visible effect is not repeated while the fence is gone. */
+static void test_order_is_not_repeated_without_a_fence(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->promotions_change_nothing = true;
+	run_until_wait(fixture);
+	for (int i = 0; i < 300 && !fixture->promotions; i++)
+		run(fixture, STEP_MS);
+	assert_int_equal(fixture->promotions, 1);
+	fixture->servers[1].status.fence = 0;
+	run(fixture, 1500);
+	assert_int_equal(fixture->promotions, 1);
+	run(fixture, 2000);
+	assert_true(fixture->fence_again_ms > fixture->fenced_ms);
+	assert_true(fixture->promotions > 1);
+}
+
 /* An answer that was sent before the fence was set does not mean it is gone. */
 static void test_answer_of_before_the_fence_is_ignored(void **state)
 {
@@ -1157,6 +1176,7 @@
 		TEST(test_silent_fence_is_replaced),
 		TEST(test_surplus_fence_is_lifted),
 		TEST(test_answer_of_before_the_fence_is_ignored),
+		TEST(test_order_is_not_repeated_without_a_fence),
 		TEST(test_forgotten_proofs_need_no_fence),
 		TEST(test_handover_needs_the_whole_log),
 		TEST(test_restored_primary_is_promoted_before_it_counts),
