Give the group test ports that nothing else takes

Cause: fleet.c asked the system for an ephemeral port, closed the socket and passed the number on. Until the stand-in listened on it, any outgoing connection on the machine could get the same port. Ruled out: the detector and the promotion, which did what two servers of three allow.

Change: the ports come from world_links_port(), as in every other test deployment: below the ephemeral range, and reserved against other tests. Nothing in the test's checks changes.

--- a/tests/e2e/fleet.c
+++ b/tests/e2e/fleet.c
@@ -6,13 +6,12 @@
 #include <stdint.h>
 #include <string.h>
 
-#include <arpa/inet.h>
 #include <cmocka.h>
 #include <postgresql/libpq-fe.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "world/world_links.h"
 
 #define NEAR_DELAY_MS 1
 #define FAR_DELAY_MS 5
@@ -39,19 +38,6 @@
 const char *const fleet_server_names[FLEET_DOMAINS] = {"match-1", "match-2",
 						       "match-3"};
 
-static uint16_t free_port(void)
-{
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
-	getsockname(fd, (struct sockaddr *)&address, &size);
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 static void on_delivery_due(evutil_socket_t fd, short what, void *context)
 {
 	delivery_t *delivery = context;
@@ -111,7 +97,8 @@
 {
 	g_autofree char *listen =
 		g_strdup_printf("127.0.0.1:%u", fleet->servers[index].port);
-	g_autofree char *control = g_strdup_printf("127.0.0.1:%u", free_port());
+	g_autofree char *control =
+		g_strdup_printf("127.0.0.1:%u", world_links_port());
 	g_autofree char *follow =
 		g_strdup_printf("127.0.0.1:%u", fleet->servers[0].port);
 	g_autofree char *log = g_strdup_printf(
@@ -140,7 +127,7 @@
 			.name = (char *)fleet_server_names[i],
 			.failure_domain = (char *)fleet_server_names[i],
 			.address = "127.0.0.1",
-			.port = free_port(),
+			.port = world_links_port(),
 		};
 	fleet->database = (config_database_t){
 		.name = FLEET_DATABASE,
@@ -220,6 +207,7 @@
 	}
 	for (uint32_t i = 0; i < FLEET_DOMAINS; i++)
 		process_destroy(fleet->processes[i]);
+	world_links_release_ports();
 	event_base_free(fleet->base);
 	metrics_destroy(fleet->metrics);
 	g_free(fleet);
