Announce a newer term to a node that orders an older one

Cause, from a trace of every message: the announcement of the second term to a1 was lost. a1 owns a dead server only, and went on ordering it, by a0, to follow the primary of the first term, each 300 ms. a0 knew the newer term and answered the order alone: only a request for a status or for a barrier with an older term was answered with an announcement. Where the platform's store holds the record, the node would have read it within 30 s; until then it sends what it is asked to the old primary first, and never confirms it, as that takes evidence of the new one.

Change: an order to follow an older term's primary is answered with an announcement as well. An order to fence or to promote carries a term that is yet to come, so it says nothing of what its sender knows. Those are all four operations.

Test: test_node_that_missed_a_promotion_hears_of_it cuts such a node off while another promotion runs. Before: failed at its last line, after 15 s. Since: passes. src/relay has no such announcement: its nodes read the primary's key.

--- a/src/daemon/group_requests.c
+++ b/src/daemon/group_requests.c
@@ -169,7 +169,10 @@
 		.timeout_ms = operation->wait_ms,
 	};
 
-	/* The receiver announces its term if it knows a newer one. */
+	/*
+	 * The receiver announces its term if it knows a newer one. An order to
+	 * follow carries the newest term already.
+	 */
 	if (operation->operation == SERVER_STATUS)
 		note.term = request->server->database->term;
 	g_strlcpy(note.database, request->server->database->name,
--- a/src/daemon/group_task.c
+++ b/src/daemon/group_task.c
@@ -272,7 +272,9 @@
 	}
 	database = g_hash_table_lookup(group->databases, note.database);
 	if (note.kind == GROUP_NOTE_REQUEST) {
-		if (database && note.operation == SERVER_STATUS)
+		/* A fence or a promotion carries a term that is yet to come. */
+		if (database && (note.operation == SERVER_STATUS ||
+				 note.operation == SERVER_FOLLOW))
 			announce_newer(database, from, note.term);
 		group_requests_serve(group->requests, from, &note);
 		return;
--- a/tests/e2e/fleet.c
+++ b/tests/e2e/fleet.c
@@ -63,6 +63,8 @@
 	fleet->sent_count++;
 	if (fleet->drops_messages && fleet->sent_count % 3 == 0)
 		return;
+	if (to == fleet->cut_node || node->index == fleet->cut_node)
+		return;
 	if (to / 2 == node->index / 2)
 		delay.tv_usec = NEAR_DELAY_MS * 1000;
 	delivery = g_new0(delivery_t, 1);
@@ -181,6 +183,7 @@
 {
 	fleet_t *fleet = g_new0(fleet_t, 1);
 
+	fleet->cut_node = FLEET_NODES;
 	fleet->base = event_base_new();
 	fleet->metrics = metrics_create(100);
 	fill_config(fleet);
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -30,6 +30,8 @@
 	fleet_node_t *nodes[FLEET_NODES];
 	bool drops_messages; /**< drops every third message between nodes */
 	uint32_t sent_count; /**< messages sent, dropped ones included */
+	/** Node whose messages are all lost, both ways; FLEET_NODES for none. */
+	uint32_t cut_node;
 } fleet_t;
 
 /** A node without callers. */
--- a/tests/e2e/test_group.c
+++ b/tests/e2e/test_group.c
@@ -111,6 +111,45 @@
 	assert_serves(fleet, "before");
 }
 
+/* The node that the next test cuts off; it owns the killed server only. */
+#define LATE_NODE 1
+
+static bool others_see_the_order(void *context)
+{
+	const fleet_t *fleet = context;
+	const uint64_t term = fleet_view(fleet, LATE_NODE).term;
+
+	for (uint32_t i = 0; i < FLEET_NODES; i++)
+		if (i != LATE_NODE && fleet_view(fleet, i).term <= term)
+			return false;
+	return true;
+}
+
+/*
+ * A node that missed the announcement of a term stayed on the old primary for
+ * as long as it only ordered its own dead server to follow that primary.
+ */
+static void test_node_that_missed_a_promotion_hears_of_it(void **state)
+{
+	fleet_t *fleet = *state;
+	uint32_t primary;
+	uint32_t other;
+
+	assert_failover(fleet, SIGKILL);
+	primary = server_index(fleet_view(fleet, 0).primary);
+	other = FLEET_DOMAINS - primary;
+	fleet->cut_node = LATE_NODE;
+	group_task_promote(fleet->nodes[2 * primary]->group, FLEET_DATABASE,
+			   fleet_server_names[other]);
+	assert_true(fleet_run_until(fleet, others_see_the_order, fleet));
+	assert_string_equal(fleet_view(fleet, 0).primary,
+			    fleet_server_names[other]);
+	assert_string_equal(fleet_view(fleet, LATE_NODE).primary,
+			    fleet_server_names[primary]);
+	fleet->cut_node = FLEET_NODES;
+	assert_true(fleet_run_until(fleet, all_see_a_new_term, fleet));
+}
+
 static bool replica_is_fresh(void *context)
 {
 	const fleet_t *fleet = context;
@@ -149,6 +188,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_ordered_handover_loses_no_write, fleet_open,
 			fleet_close),
+		cmocka_unit_test_setup_teardown(
+			test_node_that_missed_a_promotion_hears_of_it,
+			fleet_open, fleet_close),
 		cmocka_unit_test_setup_teardown(
 			test_idle_replica_proves_freshness, fleet_open,
 			fleet_close),
