Bound what callers' sessions keep in a node's memory

Cause: a session keeps its variables and the texts of its prepared statements until it ends, and nothing counted them: 266 MB of text after 2,660 statements. limits.memory_mb was not read. Ruled out: messages under way and answers (each client waits for and reads its answer), connections to servers (64 KiB of definitions each, and nothing was executed).

Change: coordination/memory_budget. All sessions share a quarter of the VM's memory, one session gets a sixteenth of it at most, and the last quarter is for sessions of 16 KiB or less, so that those that keep little notice nothing of the others. A statement beyond it is refused at once with BUSY (ABORTED in a transaction), says that it was not run, and how much is left. A refused definition replaces nothing. No limit where the settings have no memory_mb.

Test: test_relay_session session_keeps_no_more_than_its_share; with the check left out "QUERY 1 PREPARE s2 ... answered by COMPLETE -".

--- a/src/relay/relay_callers.c
+++ b/src/relay/relay_callers.c
@@ -77,6 +77,19 @@
 	return callers;
 }
 
+void relay_callers_limit_memory(relay_callers_t *callers, uint64_t limit_bytes)
+{
+	g_assert(!g_hash_table_size(callers->sessions));
+	memory_budget_destroy(callers->host.memory);
+	callers->host.memory = memory_budget_create(limit_bytes);
+}
+
+uint64_t relay_callers_memory(const relay_callers_t *callers)
+{
+	return callers->host.memory ? memory_budget_held(callers->host.memory) :
+				      0;
+}
+
 void relay_callers_set_quota(relay_callers_t *callers, relay_quota_t *quota)
 {
 	callers->host.quota = quota;
@@ -106,6 +119,7 @@
 	if (callers->listener)
 		evconnlistener_free(callers->listener);
 	catalog_unref(callers->host.catalog);
+	memory_budget_destroy(callers->host.memory);
 	g_hash_table_destroy(callers->sessions);
 	g_free(callers);
 }
--- a/src/relay/relay_callers.h
+++ b/src/relay/relay_callers.h
@@ -24,6 +24,16 @@
 
 /** Sets where sessions obtain tokens; @p quota must outlive the sessions. */
 void relay_callers_set_quota(relay_callers_t *callers, relay_quota_t *quota);
+
+/**
+ * Limits what all sessions together keep in variables and prepared statements;
+ * see memory_budget.h. To be called before the first session; 0 for no limit.
+ */
+void relay_callers_limit_memory(relay_callers_t *callers, uint64_t limit_bytes);
+
+/** @return what all sessions keep so, in bytes */
+uint64_t relay_callers_memory(const relay_callers_t *callers);
+
 void relay_callers_destroy(relay_callers_t *callers);
 
 /** Sets the catalog that all transactions begun from now on use. */
--- a/src/relay/relay_node.c
+++ b/src/relay/relay_node.c
@@ -11,6 +11,9 @@
 /* Maximum number of series of one metric; further labels share one series. */
 #define METRIC_SERIES_MAX 256u
 
+/* Part of the VM's memory that all sessions together may fill. */
+#define KEPT_MEMORY_PART 4
+
 static bool is_ready(void *context)
 {
 	const relay_node_t *node = context;
@@ -47,6 +50,9 @@
 
 	metric_set(metrics_gauge(node->metrics, "toucanhook_callers", ""),
 		   relay_callers_count(node->callers));
+	metric_set(metrics_gauge(node->metrics,
+				 "toucanhook_session_memory_bytes", ""),
+		   (int64_t)relay_callers_memory(node->callers));
 	metric_set(metrics_gauge(node->metrics, "toucanhook_lent_sessions", ""),
 		   relay_forwarding_count(node->forwarding));
 	metric_set(metrics_gauge(node->metrics, "toucanhook_lease_valid", ""),
@@ -137,6 +143,10 @@
 			node->services, &settings->forwarding, error);
 	if (node->callers)
 		relay_callers_set_quota(node->callers, node->quota);
+	if (node->callers)
+		relay_callers_limit_memory(node->callers,
+					   settings->memory_bytes /
+						   KEPT_MEMORY_PART);
 	if (node->forwarding)
 		relay_forwarding_set_quota(node->forwarding,
 					   node->quota_leader);
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -72,6 +72,9 @@
 	command_clear(&session->command);
 	bufferevent_free(session->bev);
 	event_free(session->idle);
+	if (session->host->memory)
+		memory_budget_release(session->host->memory,
+				      &session->kept_bytes);
 	if (session->values)
 		g_hash_table_destroy(session->values);
 	if (session->prepared)
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -4,6 +4,7 @@
 #include <event2/util.h>
 
 #include "coordination/drain_plan.h"
+#include "coordination/memory_budget.h"
 #include "relay/relay_quota.h"
 #include "relay/relay_service.h"
 
@@ -21,7 +22,9 @@
 	catalog_t *catalog;   /**< NULL until the node has its first catalog */
 	metrics_t *metrics;   /**< NULL to count nothing */
 	relay_quota_t *quota; /**< NULL to admit all operations */
-	drain_plan_t drain;   /**< sessions close as they become idle */
+	/** For session variables and prepared statements; NULL for no limit. */
+	memory_budget_t *memory;
+	drain_plan_t drain; /**< sessions close as they become idle */
 	/** The session ended on its own and is about to be freed. */
 	void (*ended)(void *context, relay_session_t *session);
 	void *context;
--- a/src/relay/relay_session_private.h
+++ b/src/relay/relay_session_private.h
@@ -35,6 +35,7 @@
 	bool waiting;	      /* waits for the node's first catalog */
 	GHashTable *values;   /* session variables, name -> value, or NULL */
 	GHashTable *prepared; /* name -> relay_session_prepared_t, or NULL */
+	uint64_t kept_bytes;  /* of values and prepared, in host->memory */
 	relay_session_transaction_t transaction;
 	bool read_only;	     /* the transaction is read-only */
 	bool ended_by_drain; /* the failed transaction, when none ran */
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -20,6 +20,8 @@
 	endpoint_t control;	/**< the platform's promotion interface */
 	double processor_share; /**< processor of the VM, in cores */
 	uint32_t grace_ms;	/**< time from the stop signal to the kill */
+	/** Memory at which the VM kills the node, in bytes; 0 if unknown. */
+	uint64_t memory_bytes;
 } relay_settings_t;
 
 /** Frees the settings; NULL is allowed. */
--- a/tests/unit/test_platform_documents.c
+++ b/tests/unit/test_platform_documents.c
@@ -373,6 +373,7 @@
 		"listen_addrs.front=10.1.0.8:8784\n"
 		"listen_addrs.ready_address=10.1.0.8:8785\n"
 		"internal_ports=7440,7455\nunknown.field=1\nnot a field\n"
+		"limits.memory_mb=260\n"
 		"bounds.grace_s=6\nplatform.address=10.200.1.7:8783\n"
 		"cloud_api.address=10.200.0.160:8783\n";
 	g_autoptr(relay_settings_t) settings = boot_settings_parse(text, NULL);
@@ -383,6 +384,7 @@
 	assert_int_equal(settings->metrics.port, 7440);
 	assert_int_equal(settings->forwarding.port, 7441);
 	assert_int_equal(settings->grace_ms, 6000);
+	assert_int_equal(settings->memory_bytes, 260 * 1024 * 1024);
 	assert_string_equal(g_hash_table_lookup(settings->regions, "wlg-a"),
 			    "wlg");
 }
--- a/tests/unit/test_relay_session.c
+++ b/tests/unit/test_relay_session.c
@@ -447,9 +447,66 @@
 	close_quota(fixture, &parts);
 }
 
+/* What one session may keep of the next test's budget, in bytes. */
+#define SESSION_BYTES 1000
+
+/* Sends a statement whose last field has @p size_bytes characters. */
+static void assert_kept(fixture_t *fixture, const char *statement,
+			size_t size_bytes, const char *answer)
+{
+	g_autofree char *value = g_strnfill(size_bytes, 'x');
+	g_autofree char *text =
+		g_strdup_printf("QUERY 1 %s%s\r\n", statement, value);
+
+	assert_answer(fixture, text, answer);
+}
+
+/*
+ * Guards against callers whose prepared statements and variables fill the
+ * node's memory until the VM kills it (review/8).
+ */
+static void test_session_keeps_no_more_than_its_share(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->host.memory =
+		memory_budget_create(SESSION_BYTES * MEMORY_BUDGET_HOLDER_PART);
+	configure(fixture, 1, false, NO_CUSTOMERS);
+	assert_answer(fixture, "STARTUP orders u1\r\n", "READY I");
+	assert_kept(fixture, "PREPARE s1 READ ", 500, "COMPLETE");
+	assert_kept(fixture, "PREPARE s2 READ ", 500, "ERROR BUSY not run: ");
+	assert_non_null(strstr(fixture->answer, "READY I"));
+	assert_kept(fixture, "SET v ", 500, "ERROR BUSY not run: ");
+	assert_kept(fixture, "PREPARE s1 READ ", 900, "ERROR BUSY not run: ");
+	/* The refused definition replaces nothing. */
+	assert_answer(fixture, "QUERY 1 CLOSE s1\r\n", "COMPLETE");
+	assert_int_equal(memory_budget_held(fixture->host.memory), 0);
+	assert_kept(fixture, "SET v ", 500, "COMPLETE");
+	assert_kept(fixture, "SET v ", 800, "COMPLETE");
+	assert_kept(fixture, "SET w ", 100, "ERROR BUSY not run: ");
+	assert_kept(fixture, "SET v ", 100, "COMPLETE");
+	assert_kept(fixture, "PREPARE s2 READ ", 500, "COMPLETE");
+	assert_answer(fixture, "QUERY 1 CLOSE s3\r\n", "ERROR UNKNOWN");
+	assert_answer(fixture, "QUERY 1 BEGIN\r\n", "READY T");
+	assert_kept(fixture, "SET w ", 500, "ERROR ABORTED not run: ");
+	assert_non_null(strstr(fixture->answer, "READY E"));
+	assert_int_equal(
+		metric_value(metrics_counter(
+			fixture->host.metrics,
+			"toucanhook_session_memory_refused_total", "")),
+		5);
+	relay_session_destroy(fixture->session);
+	fixture->ended = true;
+	assert_int_equal(memory_budget_held(fixture->host.memory), 0);
+	memory_budget_destroy(fixture->host.memory);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_session_keeps_no_more_than_its_share, open_fixture,
+			close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_caller_waits_for_the_first_catalog, open_fixture,
 			close_fixture),
