Pause reading without libevent's high watermark

A caller that sends more than the node reads ahead (1.1 MiB on the platform's node, 10 kB to 256 KiB on toucanhookd) while its statement runs keeps the process spinning on a whole core until the statement ends. Found while a test for another fault of the issue on what one caller may cost did not end; no caller has reported it.

Cause, by gdb: while the input is above the high watermark, libevent calls the read callback again after each call, without a pause, and the callback takes nothing out while a statement runs. Ruled out: the decoder and repeated statements, which are not called.

Change: transport/read_limit switches reading off above the limit and on below it, after each read and each statement, in both programs. No connection has a high watermark any more, so it cannot come back.

Tests: test_relay_session full_input_costs_no_time, before "0x1 != 0" (one event is always active); test_callers full_input_costs_no_time, before "400 is not within the range 0-200" (ms of processor time in 400 ms). Both also check, or the tests beside them do, that all that was sent is answered.

--- a/src/daemon/session.c
+++ b/src/daemon/session.c
@@ -12,6 +12,7 @@
 #include "daemon/session_login.h"
 #include "daemon/session_request.h"
 #include "protocol/pg_frame.h"
+#include "transport/read_limit.h"
 
 /* Time that a closing session waits for its caller to read the output. */
 #define CLOSE_TIMEOUT_S 5
@@ -95,8 +96,7 @@
 	event_add(session->timer, &timeout);
 	bufferevent_setcb(session->bev, on_read, on_output_written, on_event,
 			  session);
-	bufferevent_setwatermark(session->bev, EV_READ, 0,
-				 PG_STARTUP_SIZE_BYTES_MAX);
+	session->read_limit_bytes = PG_STARTUP_SIZE_BYTES_MAX;
 	bufferevent_enable(session->bev, EV_READ | EV_WRITE);
 	return session;
 }
@@ -198,10 +198,8 @@
 /* Raises the read limit for a message larger than the read-ahead size. */
 static void set_read_limit(session_t *session, size_t size_bytes)
 {
-	const size_t limit_bytes =
+	session->read_limit_bytes =
 		MAX(size_bytes, SESSION_READ_AHEAD_SIZE_BYTES);
-
-	bufferevent_setwatermark(session->bev, EV_READ, 0, limit_bytes);
 }
 
 static pg_frame_result_t frame_message(const session_t *session,
@@ -276,6 +274,8 @@
 	       session->state != SESSION_CLOSING)
 		if (!process_message(session))
 			break;
+	if (session->state != SESSION_CLOSING)
+		read_limit_apply(session->bev, session->read_limit_bytes);
 }
 
 static bool find_caller(session_t *session, const config_service_t *service)
--- a/src/daemon/session.h
+++ b/src/daemon/session.h
@@ -98,10 +98,11 @@
 	struct event *deferred_end; /**< frees the session */
 	session_state_t state;
 	uint64_t session_id;
-	uint32_t process_id;   /**< key data for a CancelRequest */
-	uint32_t secret;       /**< key data for a CancelRequest */
-	bool encrypted;	       /**< the connection uses TLS */
-	bool skips_until_sync; /**< ignores extended query messages */
+	uint32_t process_id;	 /**< key data for a CancelRequest */
+	uint32_t secret;	 /**< key data for a CancelRequest */
+	size_t read_limit_bytes; /**< reading pauses at this much input */
+	bool encrypted;		 /**< the connection uses TLS */
+	bool skips_until_sync;	 /**< ignores extended query messages */
 
 	char *user;
 	char *database;
--- a/src/daemon/session_login.c
+++ b/src/daemon/session_login.c
@@ -264,8 +264,6 @@
 	bufferevent_setfd(plain, -1);
 	bufferevent_free(plain);
 	bufferevent_setcb(session->bev, read_cb, write_cb, event_cb, session);
-	bufferevent_setwatermark(session->bev, EV_READ, 0,
-				 PG_STARTUP_SIZE_BYTES_MAX);
 	bufferevent_enable(session->bev, EV_READ | EV_WRITE);
 	session->encrypted = true;
 }
--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -9,6 +9,7 @@
 #include "relay/relay_caller.h"
 #include "relay/relay_pin.h"
 #include "relay/relay_job.h"
+#include "transport/read_limit.h"
 #include "transport/socket_options.h"
 
 /* Time after which the session of an unresponsive machine is closed. */
@@ -339,7 +340,7 @@
 	reject_message(session, "unexpected message");
 }
 
-void relay_session_process(relay_session_t *session)
+static void process_messages(relay_session_t *session)
 {
 	struct evbuffer *input = bufferevent_get_input(session->bev);
 
@@ -366,6 +367,13 @@
 	}
 }
 
+void relay_session_process(relay_session_t *session)
+{
+	process_messages(session);
+	if (!session->closing)
+		read_limit_apply(session->bev, READ_AHEAD_SIZE_BYTES);
+}
+
 static void on_read(struct bufferevent *bev, void *context)
 {
 	relay_session_process(context);
@@ -411,8 +419,6 @@
 	session->idle = evtimer_new(host->base, on_idle, session);
 	socket_options_set(fd, UNRESPONSIVE_S);
 	bufferevent_setcb(session->bev, on_read, on_written, on_event, session);
-	bufferevent_setwatermark(session->bev, EV_READ, 0,
-				 READ_AHEAD_SIZE_BYTES);
 	bufferevent_enable(session->bev, EV_READ | EV_WRITE);
 	return session;
 }
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -180,6 +181,40 @@
 	PQfinish(other);
 }
 
+static uint64_t processor_time_ms(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+	return (uint64_t)time.tv_sec * 1000 + (uint64_t)time.tv_nsec / 1000000;
+}
+
+/* Guards against a VM that spins while a caller's input is full. */
+static void test_full_input_costs_no_time(void **state)
+{
+	static const uint8_t sync[] = {'S', 0, 0, 0, 4};
+	PGconn *conn = connect_as_foreman("");
+	g_autofree uint8_t *flood = g_malloc0(sizeof(sync) * 1000);
+	uint32_t refused = 0;
+	uint64_t began_ms;
+
+	for (uint32_t i = 0; i < 1000; i++)
+		memcpy(flood + i * sizeof(sync), sync, sizeof(sync));
+	assert_int_equal(PQsendQuery(conn, "SELECT hang"), 1);
+	wait_for(&entry.busy, 1);
+	while (refused < 20) {
+		if (send(PQsocket(conn), flood, sizeof(sync) * 1000,
+			 MSG_DONTWAIT | MSG_NOSIGNAL) > 0)
+			continue;
+		refused++;
+		g_usleep(WAIT_STEP_US);
+	}
+	began_ms = processor_time_ms();
+	g_usleep(400000);
+	assert_in_range(processor_time_ms() - began_ms, 0, 200);
+	PQfinish(conn);
+}
+
 static int connect_raw(void)
 {
 	struct sockaddr_in address = {
@@ -414,6 +449,7 @@
 			test_tls_is_offered_when_there_is_a_certificate,
 			set_up_tls, tear_down_tls),
 		TEST(test_caller_that_does_not_read_is_closed),
+		TEST(test_full_input_costs_no_time),
 		TEST(test_broken_start_up_is_refused_at_once),
 		TEST(test_start_up_with_surplus_is_refused),
 		TEST(test_login_message_with_nul_is_refused),
--- a/tests/unit/test_relay_session.c
+++ b/tests/unit/test_relay_session.c
@@ -501,9 +501,60 @@
 	memory_budget_destroy(fixture->host.memory);
 }
 
+/* Runs the event loop for a time, also if it always has something to do. */
+static void run_for(fixture_t *fixture, uint32_t time_ms)
+{
+	const struct timeval time = clock_timeval(time_ms);
+
+	event_base_loopexit(fixture->host.base, &time);
+	event_base_loop(fixture->host.base, 0);
+}
+
+/* More than a session reads ahead, in statements that it answers itself. */
+#define FLOOD_STATEMENTS 70000
+
+/* Sends as much of a flood as the connection takes. @return what is left */
+static const char *send_some(fixture_t *fixture, const char *flood)
+{
+	const ssize_t sent =
+		send(fixture->caller, flood, strlen(flood), MSG_NOSIGNAL);
+
+	return sent > 0 ? flood + sent : flood;
+}
+
+/* Guards against a node that spins while a caller's input is full. */
+static void test_full_input_costs_no_time(void **state)
+{
+	fixture_t *fixture = *state;
+	g_autoptr(GString) text = g_string_new(NULL);
+	const char *flood;
+
+	for (uint32_t i = 0; i < FLOOD_STATEMENTS; i++)
+		g_string_append(text, "QUERY 1 CLOSE none\r\n");
+	flood = text->str;
+	/* The session waits for the first catalog, and handles nothing. */
+	send_text(fixture, "STARTUP orders u1\r\n");
+	for (uint32_t i = 0; i < 100; i++) {
+		flood = send_some(fixture, flood);
+		run_for(fixture, 1);
+	}
+	assert_true(*flood);
+	assert_string_equal(receive(fixture, 0), "");
+	assert_int_equal(event_base_get_num_events(fixture->host.base,
+						   EVENT_BASE_COUNT_ACTIVE),
+			 0);
+	/* All of it is read and answered once there is a catalog. */
+	configure(fixture, 1, false, NO_CUSTOMERS);
+	while (*receive(fixture, 50) || *flood)
+		flood = send_some(fixture, flood);
+	assert_answer(fixture, "QUERY 2 BEGIN\r\n", "READY T");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_full_input_costs_no_time,
+						open_fixture, close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_session_keeps_no_more_than_its_share, open_fixture,
 			close_fixture),
