Pause a caller that does not read its answers

A caller that sends statement after statement and reads nothing makes a platform's node keep all answers: 3.7 MB after 70,000 statements of 20 bytes, without a bound, until the VM kills it and everybody's sessions.

Cause: a session takes the next statement when the one before it is answered, whether or not the answer has left. Ruled out: its input, which is bounded.

Change: at 256 KiB of unread answers a session takes no further statement until its caller has read them. The rows of one answer are not bounded by this.

Test: test_relay_session caller_that_does_not_read_is_paused; before "3655728 is not within the range 262144-263168". It also checks that each of the 70,000 statements is answered once the caller reads.

--- a/src/relay/relay_session.c
+++ b/src/relay/relay_session.c
@@ -26,6 +26,9 @@
 /* Maximum number of bytes that are read ahead while a statement runs. */
 #define READ_AHEAD_SIZE_BYTES (RELAY_MESSAGE_SIZE_BYTES_MAX + 65536u)
 
+/* Size of answers that a caller has not read, at which it is paused. */
+#define UNREAD_SIZE_BYTES_MAX (256u * 1024)
+
 struct evbuffer *relay_session_output(const relay_session_t *session)
 {
 	return bufferevent_get_output(session->bev);
@@ -96,9 +99,14 @@
 	relay_session_t *session = context;
 
 	/* The event may have been queued before the last answer was. */
-	if (session->closing &&
-	    !evbuffer_get_length(relay_session_output(session)))
+	if (evbuffer_get_length(relay_session_output(session)))
+		return;
+	if (session->closing) {
 		end_session(session);
+	} else if (session->paused) {
+		session->paused = false;
+		relay_session_process(session);
+	}
 }
 
 /* Closes the session once the output is written. */
@@ -340,6 +348,19 @@
 	reject_message(session, "unexpected message");
 }
 
+/*
+ * Pauses a caller that sends statements and does not read their answers, until
+ * it has read them; on_written() goes on then.
+ */
+static bool is_unread(relay_session_t *session)
+{
+	if (evbuffer_get_length(relay_session_output(session)) <
+	    UNREAD_SIZE_BYTES_MAX)
+		return false;
+	session->paused = true;
+	return true;
+}
+
 static void process_messages(relay_session_t *session)
 {
 	struct evbuffer *input = bufferevent_get_input(session->bev);
@@ -348,6 +369,8 @@
 	       !session->waiting) {
 		g_autoptr(GError) error = NULL;
 
+		if (is_unread(session))
+			return;
 		relay_message_clear(&session->message);
 		switch (session->host->codec->decode(
 			input, &session->searched_bytes, &session->message,
--- a/src/relay/relay_session_private.h
+++ b/src/relay/relay_session_private.h
@@ -52,6 +52,7 @@
 	command_t command;
 	log_point_t own_point; /* log point of the session's last change */
 	uint64_t own_term;     /* term in which own_point was reached */
+	bool paused;	       /* until its caller has read the answers */
 	bool finishing;	       /* closed once its input is answered */
 	bool closing;	       /* closed once the output is written */
 	bool answered;	    /* a statement of the session has been answered */
--- a/tests/unit/test_relay_session.c
+++ b/tests/unit/test_relay_session.c
@@ -13,7 +13,7 @@
 #include "platform/documents.h"
 #include "platform/line_codec.h"
 #include "relay/relay_caller.h"
-#include "relay/relay_session.h"
+#include "relay/relay_session_private.h"
 
 /* Upper bound that also holds on a busy machine. */
 #define ANSWER_TIMEOUT_MS 10000
@@ -513,6 +513,15 @@
 /* More than a session reads ahead, in statements that it answers itself. */
 #define FLOOD_STATEMENTS 70000
 
+static GString *flood_new(void)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < FLOOD_STATEMENTS; i++)
+		g_string_append(text, "QUERY 1 CLOSE none\r\n");
+	return text;
+}
+
 /* Sends as much of a flood as the connection takes. @return what is left */
 static const char *send_some(fixture_t *fixture, const char *flood)
 {
@@ -526,12 +535,9 @@
 static void test_full_input_costs_no_time(void **state)
 {
 	fixture_t *fixture = *state;
-	g_autoptr(GString) text = g_string_new(NULL);
-	const char *flood;
+	g_autoptr(GString) text = flood_new();
+	const char *flood = text->str;
 
-	for (uint32_t i = 0; i < FLOOD_STATEMENTS; i++)
-		g_string_append(text, "QUERY 1 CLOSE none\r\n");
-	flood = text->str;
 	/* The session waits for the first catalog, and handles nothing. */
 	send_text(fixture, "STARTUP orders u1\r\n");
 	for (uint32_t i = 0; i < 100; i++) {
@@ -550,11 +556,51 @@
 	assert_answer(fixture, "QUERY 2 BEGIN\r\n", "READY T");
 }
 
+/* Guards against answers that a caller does not read filling the memory. */
+static void test_caller_that_does_not_read_is_paused(void **state)
+{
+	static const char ready[] = "READY I -\r\n";
+	fixture_t *fixture = *state;
+	g_autoptr(GString) text = flood_new();
+	const char *flood = text->str;
+	const char *answer;
+	size_t largest_bytes = 0;
+	uint32_t matched = 0;
+	uint32_t answered = 0;
+
+	configure(fixture, 1, false, NO_CUSTOMERS);
+	assert_answer(fixture, "STARTUP orders u1\r\n", "READY I");
+	for (uint32_t i = 0; i < 200; i++) {
+		flood = send_some(fixture, flood);
+		run_for(fixture, 1);
+		largest_bytes = MAX(largest_bytes,
+				    evbuffer_get_length(relay_session_output(
+					    fixture->session)));
+	}
+	assert_in_range(largest_bytes, 256 * 1024, 257 * 1024);
+	/* Each statement is answered as the caller reads. */
+	while (*(answer = receive(fixture, 50)) || *flood) {
+		flood = send_some(fixture, flood);
+		for (const char *c = answer; *c; c++) {
+			matched = *c == ready[matched] ? matched + 1 :
+							 *c == ready[0];
+			if (ready[matched])
+				continue;
+			matched = 0;
+			answered++;
+		}
+	}
+	assert_int_equal(answered, FLOOD_STATEMENTS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_full_input_costs_no_time,
 						open_fixture, close_fixture),
+		cmocka_unit_test_setup_teardown(
+			test_caller_that_does_not_read_is_paused, open_fixture,
+			close_fixture),
 		cmocka_unit_test_setup_teardown(
 			test_session_keeps_no_more_than_its_share, open_fixture,
 			close_fixture),
