--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -49,8 +49,8 @@
 	g_free(takeover);
 }
 
-static void enter_phase(takeover_t *takeover, takeover_phase_t phase,
-			uint64_t now_ms)
+void takeover_enter_phase(takeover_t *takeover, takeover_phase_t phase,
+			  uint64_t now_ms)
 {
 	takeover->phase = phase;
 	takeover->phase_ms = now_ms;
@@ -72,7 +72,7 @@
 	g_strlcpy(takeover->primary, primary, sizeof(takeover->primary));
 	takeover_order_restart(&takeover->order, primary, now_ms);
 	takeover_set_servers(takeover, servers, count);
-	enter_phase(takeover, TAKEOVER_INTENT, now_ms);
+	takeover_enter_phase(takeover, TAKEOVER_INTENT, now_ms);
 	actions.write(actions.context, term, primary, term + 1);
 }
 
@@ -144,103 +144,9 @@
 	takeover->phase = TAKEOVER_IDLE;
 }
 
-static server_t *choose_to_fence(takeover_t *takeover)
-{
-	server_t *chosen = NULL;
-
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		server_t *server = &takeover->servers[i];
-
-		if (takeover_is_primary(takeover, server) || server->fence_sent)
-			continue;
-		if (!chosen || server->started_ms < chosen->started_ms)
-			chosen = server;
-	}
-	return chosen;
-}
-
-static void fence_one(takeover_t *takeover, uint64_t now_ms)
-{
-	server_t *server = choose_to_fence(takeover);
-
-	if (!server) {
-		for (uint32_t i = 0; i < takeover->count; i++)
-			takeover->servers[i].fence_sent =
-				takeover->servers[i].fenced;
-		return;
-	}
-	server->fence_sent = true;
-	server->fence_sent_ms = now_ms;
-	takeover->actions.fence(takeover->actions.context, server->id,
-				takeover->term + 1);
-}
-
-static bool has_fence(const takeover_t *takeover)
-{
-	for (uint32_t i = 0; i < takeover->count; i++)
-		if (takeover->servers[i].fenced)
-			return true;
-	return false;
-}
-
-/*
- * Whether a query that was sent after the wait has seen a fence. What may lift
- * this one was sent before it was set, and is over by then.
- */
-static bool is_fence_seen(const takeover_t *takeover)
-{
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		const server_t *server = &takeover->servers[i];
-
-		if (server->fenced &&
-		    server->fence_seen_ms >= takeover->wait_until_ms)
-			return true;
-	}
-	return takeover->forgotten;
-}
-
-/* Records what an answer says of the fence. */
-static void note_fence(const takeover_t *takeover, server_t *server,
-		       const takeover_status_t *status)
-{
-	if (!server->fenced || !status->answered)
-		return;
-	if (status->fence > takeover->term || status->term > takeover->term) {
-		server->fence_seen_ms =
-			MAX(server->fence_seen_ms, status->sent_ms);
-	} else if (status->sent_ms >= server->fenced_ms) {
-		server->fenced = false;
-		server->fence_sent = false;
-	}
-}
-
-/* Fences a replica anew; earlier proofs are waited for once more. */
-static void fence_anew(takeover_t *takeover, uint64_t now_ms)
-{
-	takeover->fenced_ms = 0;
-	for (uint32_t i = 0; i < takeover->count; i++)
-		takeover->servers[i].fenced = false;
-	enter_phase(takeover, TAKEOVER_REVOKE, now_ms);
-	fence_one(takeover, now_ms);
-}
-
-/*
- * Fences a replica anew if the fence was lifted and nodes may have got proofs
- * of the old primary since.
- *
- * @return whether it does
- */
-static bool restore_fence(takeover_t *takeover, uint64_t now_ms)
-{
-	if (!takeover->fenced_ms || takeover->forgotten || has_fence(takeover))
-		return false;
-	fence_anew(takeover, now_ms);
-	return true;
-}
-
 static void publish(takeover_t *takeover, uint64_t now_ms)
 {
-	enter_phase(takeover, TAKEOVER_PUBLISH, now_ms);
+	takeover_enter_phase(takeover, TAKEOVER_PUBLISH, now_ms);
 	takeover_order_seen(&takeover->order, takeover->candidate->id);
 	takeover->actions.write(takeover->actions.context, takeover->new_term,
 				takeover->candidate->id, 0);
@@ -297,7 +203,7 @@
 {
 	const char *id = takeover->candidate->id;
 
-	enter_phase(takeover, TAKEOVER_PROMOTE, now_ms);
+	takeover_enter_phase(takeover, TAKEOVER_PROMOTE, now_ms);
 	takeover->promote_ms = now_ms;
 	takeover->candidate->queried_ms = now_ms;
 	takeover_order_sent(&takeover->order, id);
@@ -344,17 +250,17 @@
 					       takeover->primary);
 			return;
 		}
-		enter_phase(takeover, TAKEOVER_REVOKE, now_ms);
+		takeover_enter_phase(takeover, TAKEOVER_REVOKE, now_ms);
 		query_all(takeover, now_ms);
 		takeover->actions.revoke(takeover->actions.context);
-		fence_one(takeover, now_ms);
+		takeover_fence_one(takeover, now_ms);
 		return;
 	case TAKEOVER_CONFIRM:
 		if (written &&
 		    takeover_is_promotable(takeover, takeover->candidate))
 			promote(takeover, now_ms);
 		else
-			enter_phase(takeover, TAKEOVER_CHOOSE, now_ms);
+			takeover_enter_phase(takeover, TAKEOVER_CHOOSE, now_ms);
 		return;
 	case TAKEOVER_PUBLISH:
 		if (!written) /* takeover_step() repeats the write */
@@ -379,7 +285,7 @@
 		return;
 	takeover->wait_until_ms =
 		takeover->forgotten ? now_ms : since_ms + WAIT_MS;
-	enter_phase(takeover, TAKEOVER_WAIT, now_ms);
+	takeover_enter_phase(takeover, TAKEOVER_WAIT, now_ms);
 }
 
 void takeover_revoked(takeover_t *takeover, uint64_t now_ms)
@@ -408,7 +314,7 @@
 		return;
 	if (!status->answered || status->fence <= takeover->term) {
 		if (takeover->phase == TAKEOVER_REVOKE && !takeover->fenced_ms)
-			fence_one(takeover, now_ms);
+			takeover_fence_one(takeover, now_ms);
 		return;
 	}
 	server->fenced = true;
@@ -422,7 +328,7 @@
 
 static void begin_choice(takeover_t *takeover, uint64_t now_ms)
 {
-	enter_phase(takeover, TAKEOVER_CHOOSE, now_ms);
+	takeover_enter_phase(takeover, TAKEOVER_CHOOSE, now_ms);
 	takeover->candidate = NULL;
 	for (uint32_t i = 0; i < takeover->count; i++) {
 		takeover->servers[i].answered = false;
@@ -469,42 +375,11 @@
 {
 	if (is_excluded(takeover, takeover->candidate))
 		takeover->kind = TAKEOVER_RESTORED;
-	enter_phase(takeover, TAKEOVER_CONFIRM, now_ms);
+	takeover_enter_phase(takeover, TAKEOVER_CONFIRM, now_ms);
 	takeover->actions.write(takeover->actions.context, takeover->term,
 				takeover->primary, takeover->term + 1);
 }
 
-static bool shows_fence(const takeover_t *takeover, const server_t *server)
-{
-	return server->answered && server->status.role == SERVER_REPLICA &&
-	       server->status.term <= takeover->term &&
-	       server->status.fence > takeover->term;
-}
-
-/*
- * Lifts all fences but one: a replica that was silent may be fenced besides the
- * one that was fenced in its place, and none could catch up with the primary.
- */
-static void lift_surplus(takeover_t *takeover)
-{
-	const server_t *kept = NULL;
-
-	for (uint32_t i = 0; i < takeover->count && !kept; i++)
-		if (takeover->servers[i].fenced &&
-		    shows_fence(takeover, &takeover->servers[i]))
-			kept = &takeover->servers[i];
-	for (uint32_t i = 0; i < takeover->count && kept; i++) {
-		server_t *server = &takeover->servers[i];
-
-		if (server == kept || !shows_fence(takeover, server))
-			continue;
-		server->fenced = false;
-		server->status.fence = 0; /* until it says otherwise */
-		takeover->actions.release(takeover->actions.context,
-					  server->id);
-	}
-}
-
 /*
  * Orders the server, once it is certain that no node can have got a proof of
  * the old primary meanwhile.
@@ -514,10 +389,10 @@
 	const uint64_t waited_ms = now_ms - takeover->phase_ms;
 
 	takeover->candidate = best;
-	if (is_fence_seen(takeover))
+	if (takeover_is_fence_seen(takeover))
 		confirm(takeover, now_ms);
 	else if (waited_ms >= FENCE_CHECK_MS)
-		fence_anew(takeover, now_ms);
+		takeover_fence_anew(takeover, now_ms);
 }
 
 static void choose_unclear(takeover_t *takeover, uint64_t now_ms)
@@ -531,7 +406,7 @@
 		best = takeover_find_successor(takeover, best, waited_ms);
 
 	query_all(takeover, now_ms);
-	lift_surplus(takeover);
+	takeover_lift_surplus(takeover);
 	if (!best && !open && waited_ms >= TAKEOVER_CATCH_UP_MS)
 		takeover_forget_refusals(takeover);
 	if (!best ||
@@ -558,7 +433,7 @@
 		return;
 	}
 	query_all(takeover, now_ms);
-	lift_surplus(takeover);
+	takeover_lift_surplus(takeover);
 	if (old && takeover_is_lost_in_handover(takeover, old, waited_ms))
 		takeover->kind = TAKEOVER_LOST;
 	if (old && !is_excluded(takeover, old) &&
@@ -591,7 +466,7 @@
 		return;
 	}
 	if (takeover->order.sent < ORDERS_MAX) {
-		if (!restore_fence(takeover, now_ms))
+		if (!takeover_restore_fence(takeover, now_ms))
 			confirm(takeover, now_ms);
 		return;
 	}
@@ -602,22 +477,6 @@
 	begin_choice(takeover, now_ms);
 }
 
-/*
- * Fences again above a term that was unknown: a server of that term ignores the
- * present fence.
- */
-static void raise_term(takeover_t *takeover, uint64_t term, uint64_t now_ms)
-{
-	takeover->term = term;
-	takeover->fenced_ms = 0;
-	for (uint32_t i = 0; i < takeover->count; i++) {
-		takeover->servers[i].fenced = false;
-		takeover->servers[i].fence_sent = false;
-	}
-	enter_phase(takeover, TAKEOVER_REVOKE, now_ms);
-	fence_one(takeover, now_ms);
-}
-
 static uint64_t highest_term(const takeover_t *takeover)
 {
 	uint64_t term = 0;
@@ -635,11 +494,11 @@
 	query_all(takeover, now_ms);
 	if (has_open_order(takeover, now_ms) ||
 	    highest_term(takeover) <= takeover->term) {
-		fence_one(takeover, now_ms);
+		takeover_fence_one(takeover, now_ms);
 		return;
 	}
 	takeover->kind = TAKEOVER_RESTORED;
-	raise_term(takeover, highest_term(takeover), now_ms);
+	takeover_raise_term(takeover, highest_term(takeover), now_ms);
 }
 
 /*
@@ -687,8 +546,9 @@
 	if (status->answered)
 		server->received =
 			log_point_max(server->received, status->received);
-	note_fence(takeover, server, status);
-	if (is_before_order(takeover) && restore_fence(takeover, now_ms))
+	takeover_note_fence(takeover, server, status);
+	if (is_before_order(takeover) &&
+	    takeover_restore_fence(takeover, now_ms))
 		return;
 	if (takeover->phase == TAKEOVER_CHOOSE) {
 		choose(takeover, now_ms);
@@ -698,7 +558,8 @@
 	    takeover->phase == TAKEOVER_WAIT) {
 		if (takeover->kind == TAKEOVER_RESTORED) {
 			if (status->answered && status->term > takeover->term)
-				raise_term(takeover, status->term, now_ms);
+				takeover_raise_term(takeover, status->term,
+						    now_ms);
 			return;
 		}
 		if (!publish_new_primary(takeover, now_ms) &&
@@ -753,7 +614,8 @@
 
 void takeover_step(takeover_t *takeover, uint64_t now_ms)
 {
-	if (is_before_order(takeover) && restore_fence(takeover, now_ms))
+	if (is_before_order(takeover) &&
+	    takeover_restore_fence(takeover, now_ms))
 		return;
 	switch (takeover->phase) {
 	case TAKEOVER_REVOKE:
--- a/src/coordination/takeover_private.h
+++ b/src/coordination/takeover_private.h
@@ -108,4 +108,49 @@
 /** Makes all servers candidates again, after each was tried in vain. */
 void takeover_forget_refusals(takeover_t *takeover);
 
+/** Enters a phase, whose time begins anew. */
+void takeover_enter_phase(takeover_t *takeover, takeover_phase_t phase,
+			  uint64_t now_ms);
+
+/** @name Fences */
+/** @{ */
+
+/** Fences the replica that was started first among those not tried yet. */
+void takeover_fence_one(takeover_t *takeover, uint64_t now_ms);
+
+/** Fences a replica anew; earlier proofs are waited for once more. */
+void takeover_fence_anew(takeover_t *takeover, uint64_t now_ms);
+
+/**
+ * Fences a replica anew if the fence was lifted and nodes may have got proofs
+ * of the old primary since.
+ *
+ * @return whether it does
+ */
+bool takeover_restore_fence(takeover_t *takeover, uint64_t now_ms);
+
+/**
+ * Fences again above a term that was unknown: a server of that term ignores the
+ * present fence.
+ */
+void takeover_raise_term(takeover_t *takeover, uint64_t term, uint64_t now_ms);
+
+/** Records what an answer says of the fence. */
+void takeover_note_fence(const takeover_t *takeover, server_t *server,
+			 const takeover_status_t *status);
+
+/**
+ * Whether a query that was sent after the wait has seen a fence. What may lift
+ * this one was sent before it was set, and is over by then.
+ */
+bool takeover_is_fence_seen(const takeover_t *takeover);
+
+/**
+ * Lifts all fences but one: a replica that was silent may be fenced besides the
+ * one that was fenced in its place, and none could catch up with the primary.
+ */
+void takeover_lift_surplus(takeover_t *takeover);
+
+/** @} */
+
 #endif
