Do not count the wait for an order as time to catch up

Cause, from the logs of the three: the holder of the duty stops before it has ordered anybody to replace the primary. The record still names the primary itself as last ordered, from its own promotion, so the next holder waits until such an order is over, rightly, and then gives a replica 1.2 s to catch up, counted from before that wait. They are over, so it orders the leaving primary once more, sees after 1.5 s that nothing has changed, publishes it and begins anew.

Change: the time for which the order was open does not count. Nothing is ordered earlier than before.

--- a/src/coordination/takeover.c
+++ b/src/coordination/takeover.c
@@ -402,8 +402,14 @@
 	server_t *best = open ? takeover_find_ordered(takeover) :
 				takeover_find_unclear(takeover, waited_ms);
 
-	if (best && best->draining && !open)
-		best = takeover_find_successor(takeover, best, waited_ms);
+	/* While an order was open, nobody could be chosen who catches up. */
+	if (open)
+		takeover->order_open_ms = now_ms;
+	else if (best && best->draining)
+		best = takeover_find_successor(
+			takeover, best,
+			now_ms - MAX(takeover->phase_ms,
+				     takeover->order_open_ms));
 
 	query_all(takeover, now_ms);
 	takeover_lift_surplus(takeover);
--- a/src/coordination/takeover_private.h
+++ b/src/coordination/takeover_private.h
@@ -46,6 +46,7 @@
 	server_t *candidate;	/* the server to promote or publish */
 	uint64_t promote_ms;	/* when it was last ordered, or could not be */
 	takeover_order_t order; /* kept between takeovers */
+	uint64_t order_open_ms; /* when a choice last found it open, or 0 */
 	bool was_replica;	/* the candidate, when it was first ordered */
 	uint64_t new_term;	/* the term to publish */
 };
--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -582,6 +582,33 @@
 	assert_int_equal(fixture->term, 2);
 }
 
+/*
+ * Guards against a takeover that orders the leaving primary itself once more,
+ * as it had waited for its predecessor's order (DRAIN of review/4).
+ */
+static void test_wait_for_an_order_is_no_time_to_catch_up(void **state)
+{
+	static const takeover_server_t servers[] = {
+		{.id = "a", .started_ms = 1, .draining = true},
+		{.id = "b", .started_ms = 2},
+		{.id = "c", .started_ms = 3},
+	};
+	fixture_t *fixture = *state;
+	const uint64_t until_ms = fixture->now_ms + 6000;
+
+	takeover_assume_order(fixture->takeover, "a", until_ms);
+	takeover_start(fixture->takeover, 1, "a", TAKEOVER_UNFINISHED, servers,
+		       3, fixture->now_ms);
+	run(fixture, 5900);
+	assert_false(fixture->promoted);
+	run(fixture, 8000);
+	assert_true(fixture->published);
+	assert_string_not_equal(fixture->promoted_id, "a");
+	assert_int_equal(fixture->promotions, 1);
+	assert_int_equal(fixture->term, 2);
+	assert_in_range(fixture->promoted_ms, until_ms, until_ms + 200);
+}
+
 static void test_lost_primary_of_a_restored_service_is_replaced(void **state)
 {
 	fixture_t *fixture = *state;
@@ -1185,6 +1212,7 @@
 		TEST(test_promotion_in_flight_of_an_unfinished_takeover),
 		TEST(test_unfinished_takeover_of_a_well_primary_ends),
 		TEST(test_restored_primary_that_leaves_hands_over),
+		TEST(test_wait_for_an_order_is_no_time_to_catch_up),
 		TEST(test_lost_primary_of_a_restored_service_is_replaced),
 		TEST(test_handover_loses_nothing),
 		TEST(test_primary_lost_during_a_handover_is_replaced),
