--- a/tests/unit/test_takeover.c
+++ b/tests/unit/test_takeover.c
@@ -1,4 +1,4 @@
-/* Tests takeover.c with takeover_choice.c and takeover_order.c. */
+/* Tests takeover.c with takeover_choice.c, _fence.c and _order.c. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
