--- a/tests/unit/test_relay_coordinator.c
+++ b/tests/unit/test_relay_coordinator.c
@@ -1,3 +1,4 @@
+/* Tests relay_coordinator.c, with the lifting of fences in _release.c. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
